Add build, interfaces, HTTP transport and endpoint adapter

Cause: the parts can be built side by side only when their interfaces are fixed. Before: nothing to build. Conclusion: Boost.Asio and standalone Asio cannot share a source, so Beast's parser is kept in a source of its own.

--- /dev/null
+++ b/include/almondlever/consistency/SessionToken.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "almondlever/common/Identifier.h"
+#include "almondlever/common/LogPosition.h"
+#include "almondlever/common/Result.h"
+
+#include <cstddef>
+#include <map>
+#include <string>
+
+namespace almondlever {
+
+/** Longest token text accepted or made. */
+inline constexpr std::size_t maximumTokenBytes = 4096;
+
+/** Databases that one token tells apart; a session that uses more reads the others from the primary. */
+inline constexpr std::size_t maximumTokenDatabases = 48;
+
+/** What a session has seen, by database. */
+struct SessionState {
+    std::map<DatabaseId, LogPosition> positions;
+    /** True when positions were dropped to keep the token bounded: reads of unlisted databases need the primary. */
+    bool isTruncated = false;
+
+    /** Raises the position of a database; never lowers it. Drops the oldest term's entry when the bound is exceeded. */
+    void observe(const DatabaseId&, LogPosition);
+};
+
+enum class TokenError {
+    Oversized,
+    Malformed,
+    /** Signed by another cluster, or changed. */
+    BadSignature,
+};
+
+/** A sentence for the caller. */
+const char* toText(TokenError);
+
+/**
+ * Writes and reads session tokens: base64url of CBOR, signed with HMAC-SHA-256 under a key derived from the cluster
+ * key.
+ */
+class SessionTokenCodec {
+public:
+    explicit SessionTokenCodec(const std::string& clusterKey);
+
+    std::string encode(const SessionState&) const;
+    Result<SessionState, TokenError> decode(const std::string& token) const;
+
+private:
+    std::string signingKey_;
+};
+
+} // namespace almondlever
--- /dev/null
+++ b/include/almondlever/transport/HttpClient.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "almondlever/transport/HttpConnection.h"
+
+#include <map>
+#include <vector>
+
+namespace almondlever {
+
+/**
+ * Sends requests over a few keep-alive connections to each address, opening one when all are busy.
+ *
+ * Used where requests are independent: the platform's services, probes and the tools. Endpoint statements go through
+ * EndpointPool, which keeps the limits of the server. A request that fails on an idle connection closed by the peer is
+ * not repeated; the caller decides.
+ *
+ * @see HttpConnection
+ */
+class HttpClient {
+public:
+    explicit HttpClient(asio::io_context&);
+    ~HttpClient();
+    HttpClient(const HttpClient&) = delete;
+    HttpClient& operator=(const HttpClient&) = delete;
+
+    /** Sends a request within the time-out, which includes connecting; the callback is called exactly once. */
+    void request(const HttpAddress&, const HttpRequest&, Duration timeout, HttpConnection::ResponseCallback);
+
+    /** Closes all connections; requests in flight fail. */
+    void closeAll();
+
+private:
+    struct State;
+    std::shared_ptr<State> state_;
+};
+
+} // namespace almondlever
--- /dev/null
+++ b/include/almondlever/transport/HttpConnection.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "almondlever/common/Time.h"
+#include "almondlever/transport/HttpMessage.h"
+
+#include <functional>
+#include <memory>
+
+namespace asio {
+class io_context;
+}
+
+namespace almondlever {
+
+/**
+ * One HTTP/1.1 keep-alive connection that carries one request at a time.
+ *
+ * All calls and callbacks happen on the thread that runs the io_context. After a failure or a time-out the connection
+ * is closed, so an answer that arrives late can never be taken for the answer to a later request.
+ *
+ * @see HttpClient
+ */
+class HttpConnection {
+public:
+    using ConnectCallback = std::function<void(Result<Done, HttpFailure>)>;
+    using ResponseCallback = std::function<void(HttpResult)>;
+
+    static std::shared_ptr<HttpConnection> create(asio::io_context&);
+    virtual ~HttpConnection() = default;
+
+    /** Connects within the time-out. */
+    virtual void connect(const HttpAddress&, Duration timeout, ConnectCallback) = 0;
+    /** Sends a request; the callback is called exactly once. The connection must be open and idle. */
+    virtual void send(const HttpRequest&, Duration timeout, ResponseCallback) = 0;
+    /** True while connected and fit for another request. */
+    virtual bool isOpen() const = 0;
+    /** True between send and its callback. */
+    virtual bool isBusy() const = 0;
+    /** Closes at once; a request in flight fails with mayHaveBeenSent. */
+    virtual void close() = 0;
+    /** Sets a callback for a close by the peer while the connection is idle. */
+    virtual void onIdleClose(std::function<void()>) = 0;
+
+    HttpConnection(const HttpConnection&) = delete;
+    HttpConnection& operator=(const HttpConnection&) = delete;
+
+protected:
+    HttpConnection() = default;
+};
+
+} // namespace almondlever
--- /dev/null
+++ b/include/almondlever/wire/Messages.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include "almondlever/common/Identifier.h"
+#include "almondlever/common/LogPosition.h"
+#include "almondlever/common/Outcome.h"
+#include "almondlever/common/Result.h"
+#include "almondlever/common/Time.h"
+#include "almondlever/endpoints/EndpointMessages.h"
+#include "almondlever/failover/FailoverCoordinator.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace almondlever {
+
+/** Version of the messages; a peer with another version is refused in the handshake. */
+inline constexpr int wireVersion = 1;
+
+/** Largest message accepted from a peer. */
+inline constexpr std::size_t maximumMessageBytes = 1024 * 1024;
+
+/** What a forwarded request asks for. */
+enum class ForwardKind {
+    Statement,
+    Begin,
+    Commit,
+    Rollback,
+};
+
+/** A caller's request on its way from the entry daemon to the owner of an endpoint. */
+struct ForwardRequest {
+    /** Number that the sender gives; the reply repeats it. */
+    std::uint64_t correlation = 0;
+    ForwardKind kind = ForwardKind::Statement;
+    RequestId requestId;
+    CallerId caller;
+    DatabaseId database;
+    EndpointId endpoint;
+    /** Index of the rank. */
+    std::size_t rank = 0;
+    OperationKind operation = OperationKind::Read;
+    std::string key;
+    std::string value;
+    TransactionId transaction;
+    /** True when the request may be sent to an endpoint again after a lost answer. */
+    bool isRepeatable = false;
+    /** Time left until the deadline when the message was sent. */
+    Milliseconds timeLeft { 0 };
+    LogPosition minimumPosition;
+    std::optional<Milliseconds> maximumStaleness;
+    /** True when a read must come from a primary whose leadership is confirmed after the read arrived. */
+    bool needsConfirmedLeadership = false;
+    std::string traceparent;
+};
+
+/** Why a forwarded request failed. */
+enum class ForwardErrorCode {
+    /** The daemon does not own the endpoint. */
+    NotOwner,
+    /** The endpoint is not the primary; the hint names it when known. */
+    NotPrimary,
+    /** The endpoint has not reached the position or is too stale. */
+    Behind,
+    /** Refused by the queue. */
+    Overloaded,
+    /** The deadline cannot be met or has passed. */
+    DeadlineExceeded,
+    /** The endpoint cannot be reached. */
+    EndpointUnavailable,
+    TransactionLost,
+    /** A majority did not confirm the write in time. */
+    NotConfirmed,
+    ShuttingDown,
+    Rejected,
+};
+
+/** Stable text for answers and logs, such as "not_owner". */
+const char* toText(ForwardErrorCode);
+
+struct ForwardError {
+    ForwardErrorCode code = ForwardErrorCode::EndpointUnavailable;
+    Outcome outcome = Outcome::Unknown;
+    std::string detail;
+    Milliseconds retryAfter { 0 };
+    /** Primary as the owner knows it; empty when unknown. */
+    PrimaryView primary;
+};
+
+/** Answer to a request that ran. */
+struct ForwardSuccess {
+    LogPosition position;
+    std::optional<std::string> value;
+    TransactionId transaction;
+    bool isDuplicate = false;
+    bool isFromReplica = false;
+    Milliseconds staleness { 0 };
+};
+
+struct ForwardReply {
+    std::uint64_t correlation = 0;
+    std::variant<ForwardSuccess, ForwardError> result;
+    /** Wait that the owner expects for a new request by rank; entry daemons refuse early by it. */
+    std::vector<Milliseconds> expectedWait;
+    /** End of the endpoint's log as last seen by its owner. */
+    LogPosition endpointPosition;
+    Milliseconds endpointStaleness { 0 };
+};
+
+/** State of one daemon as spread by gossip. */
+struct MemberRecord {
+    enum class State {
+        Alive,
+        Suspect,
+        Dead,
+        Leaving,
+    };
+    VmId id;
+    FailureDomainId failureDomain;
+    std::string peerAddress;
+    State state = State::Alive;
+    /** Raised by the member itself to refute a suspicion. */
+    std::uint64_t incarnation = 0;
+};
+
+/** Probe, answer to a probe, or request to probe on behalf of another. Carries news. */
+struct Gossip {
+    enum class Kind {
+        Ping,
+        Ack,
+        /** Asks the receiver to ping the target and pass its answer on. */
+        PingRequest,
+    };
+    Kind kind = Kind::Ping;
+    std::uint64_t sequence = 0;
+    /** Target of a PingRequest, or the member whose answer an Ack passes on. */
+    VmId target;
+    std::vector<MemberRecord> records;
+    std::uint64_t configurationVersion = 0;
+    /** Version of the VM list as numbered by the watchers; the newer list is fetched like a configuration. */
+    std::uint64_t vmListVersion = 0;
+    /** Endpoint VMs and daemons that the platform's list shows as leaving; sent only when the receiver's version is
+     * older. */
+    std::vector<VmId> leavingVms;
+};
+
+/** Asks for the configuration when the peer has a newer version than the known one. */
+struct ConfigRequest {
+    std::uint64_t knownVersion = 0;
+    /** Index of the wanted chunk, counted from 0. */
+    std::size_t chunk = 0;
+};
+
+/** One chunk of a configuration as it is stored. */
+struct ConfigReply {
+    std::uint64_t version = 0;
+    std::size_t chunk = 0;
+    std::size_t chunkCount = 0;
+    std::string bytes;
+};
+
+using Message
+    = std::variant<ForwardRequest, ForwardReply, Gossip, ConfigRequest, ConfigReply, SuspicionReport, PrimaryView>;
+
+/** CBOR of a message. */
+std::string encodeMessage(const Message&);
+/** Reads a message; the error says what is malformed. Never throws. */
+Result<Message, std::string> decodeMessage(const std::string& bytes);
+
+} // namespace almondlever
--- /dev/null
+++ b/src/transport/HttpConnection.cpp
@@ -0,0 +1,180 @@
+#include "almondlever/transport/HttpConnection.h"
+
+#include "HttpResponseParser.h"
+
+#include <array>
+#include <asio.hpp>
+#include <cassert>
+
+namespace almondlever {
+
+namespace {
+
+    constexpr std::size_t readBufferBytes = 16 * 1024;
+
+    std::string serialize(const HttpRequest& request, const std::string& host)
+    {
+        std::string text = request.method + ' ' + request.target + " HTTP/1.1\r\nHost: " + host + "\r\n";
+        for (const HttpHeader& field : request.headers)
+            text += field.first + ": " + field.second + "\r\n";
+        if (!request.body.empty() || request.method != "GET")
+            text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+        text += "\r\n";
+        text += request.body;
+        return text;
+    }
+
+    class AsioHttpConnection final : public HttpConnection, public std::enable_shared_from_this<AsioHttpConnection> {
+    public:
+        explicit AsioHttpConnection(asio::io_context& context)
+            : socket_(context)
+            , timer_(context)
+        {
+        }
+
+        void connect(const HttpAddress& address, Duration timeout, ConnectCallback callback) override
+        {
+            assert(!open_ && !connectCallback_);
+            std::error_code error;
+            const auto ip = asio::ip::make_address(address.host, error);
+            if (error)
+                return callback(HttpFailure { false, "'" + address.host + "' is not an IP number" });
+            host_ = address.host + ':' + std::to_string(address.port);
+            connectCallback_ = std::move(callback);
+            startTimer(timeout);
+            socket_.async_connect({ ip, address.port },
+                [self = shared_from_this()](std::error_code result) { self->finishConnect(result); });
+        }
+
+        void send(const HttpRequest& request, Duration timeout, ResponseCallback callback) override
+        {
+            assert(!isBusy());
+            if (!open_)
+                return callback(HttpFailure { false, "connection is closed" });
+            callback_ = std::move(callback);
+            output_ = serialize(request, host_);
+            parser_.reset();
+            startTimer(timeout);
+            asio::async_write(
+                socket_, asio::buffer(output_), [self = shared_from_this()](std::error_code error, std::size_t) {
+                    if (error)
+                        self->fail("cannot send: " + error.message());
+                });
+        }
+
+        bool isOpen() const override { return open_; }
+        bool isBusy() const override { return static_cast<bool>(callback_); }
+
+        void close() override { fail("connection closed locally"); }
+
+        void onIdleClose(std::function<void()> callback) override { idleCloseCallback_ = std::move(callback); }
+
+    private:
+        void finishConnect(std::error_code error)
+        {
+            if (!connectCallback_)
+                return;
+            if (error)
+                return fail("cannot connect: " + error.message());
+            timer_.cancel();
+            std::error_code ignored;
+            socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+            open_ = true;
+            read();
+            const auto callback = std::move(connectCallback_);
+            connectCallback_ = nullptr;
+            callback(Done {});
+        }
+
+        void read()
+        {
+            socket_.async_read_some(asio::buffer(input_),
+                [self = shared_from_this()](std::error_code error, std::size_t size) { self->consume(error, size); });
+        }
+
+        void consume(std::error_code error, std::size_t size)
+        {
+            if (!open_)
+                return;
+            if (error)
+                return fail("connection lost: " + error.message());
+            if (!isBusy())
+                return fail("data without a request");
+            const std::string reason = parser_.feed(input_.data(), size);
+            if (!reason.empty())
+                return fail(reason);
+            if (!parser_.isDone())
+                return read();
+            finishResponse();
+        }
+
+        void finishResponse()
+        {
+            const bool isKeepAlive = parser_.isKeepAlive();
+            HttpResponse response = parser_.release();
+            timer_.cancel();
+            if (isKeepAlive)
+                read();
+            else
+                shutdown();
+            const auto callback = std::move(callback_);
+            callback_ = nullptr;
+            callback(std::move(response));
+        }
+
+        void startTimer(Duration timeout)
+        {
+            timer_.expires_after(timeout);
+            timer_.async_wait([self = shared_from_this()](std::error_code error) {
+                const bool isStillDue = self->timer_.expiry() <= Clock::now();
+                if (!error && isStillDue && (self->callback_ || self->connectCallback_))
+                    self->fail("timed out");
+            });
+        }
+
+        void shutdown()
+        {
+            open_ = false;
+            std::error_code ignored;
+            socket_.close(ignored);
+        }
+
+        void fail(const std::string& reason)
+        {
+            const bool wasOpen = open_;
+            shutdown();
+            timer_.cancel();
+            if (connectCallback_) {
+                const auto callback = std::move(connectCallback_);
+                connectCallback_ = nullptr;
+                return callback(HttpFailure { false, reason });
+            }
+            if (callback_) {
+                const auto callback = std::move(callback_);
+                callback_ = nullptr;
+                return callback(HttpFailure { true, reason });
+            }
+            if (wasOpen && idleCloseCallback_)
+                idleCloseCallback_();
+        }
+
+        asio::ip::tcp::socket socket_;
+        asio::steady_timer timer_;
+        std::string host_;
+        std::string output_;
+        std::array<char, readBufferBytes> input_ {};
+        HttpResponseParser parser_;
+        ConnectCallback connectCallback_;
+        ResponseCallback callback_;
+        std::function<void()> idleCloseCallback_;
+        bool open_ = false;
+    };
+
+} // namespace
+
+std::shared_ptr<HttpConnection> HttpConnection::create(asio::io_context& context)
+{
+    return std::make_shared<AsioHttpConnection>(context);
+}
+
+} // namespace almondlever
