--- /dev/null
+++ b/src/caller_api/ProblemDetails.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "almondlever/entry/CallerRequest.h"
+#include "almondlever/transport/HttpMessage.h"
+
+namespace almondlever {
+
+/** HTTP status that fits an error. */
+unsigned statusOf(CallerErrorCode);
+
+/** Problem details (RFC 9457) with the member `outcome`, and Retry-After where a time is known. */
+HttpResponse problemResponse(const CallerError&, const RequestId&);
+
+} // namespace almondlever
--- /dev/null
+++ b/src/entry/EntryRouter.cpp
@@ -0,0 +1,446 @@
+#include "almondlever/entry/EntryRouter.h"
+
+#include <algorithm>
+#include <array>
+#include <fmt/format.h>
+#include <openssl/evp.h>
+
+namespace almondlever {
+
+namespace {
+
+/** Redirects and repeats of one request, so that daemons that disagree cannot pass it around for ever. */
+constexpr int maximumForwards = 24;
+/** Pause before a request is routed again after daemons disagreed about owner or primary. */
+constexpr Milliseconds disagreementDelay { 15 };
+/** Told to callers when nothing better is known. */
+constexpr Milliseconds usualRetryAfter { 1000 };
+
+std::string sha256Prefix(const std::string& text)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
+    unsigned size = 0;
+    EVP_Digest(text.data(), text.size(), digest.data(), &size, EVP_sha256(), nullptr);
+    std::string hex;
+    for (std::size_t i = 0; i < 16; ++i)
+        fmt::format_to(std::back_inserter(hex), "{:02x}", digest[i]);
+    return hex;
+}
+
+/** The VM that serves a transaction, which its id contains before the last dot. */
+VmId servingVm(const TransactionId& transaction)
+{
+    const auto dot = transaction.text().rfind('.');
+    return dot == std::string::npos ? VmId() : VmId(transaction.text().substr(0, dot));
+}
+
+CallerErrorCode callerCode(ForwardErrorCode code)
+{
+    switch (code) {
+    case ForwardErrorCode::Overloaded:
+        return CallerErrorCode::Overloaded;
+    case ForwardErrorCode::DeadlineExceeded:
+        return CallerErrorCode::DeadlineExceeded;
+    case ForwardErrorCode::TransactionLost:
+        return CallerErrorCode::TransactionLost;
+    case ForwardErrorCode::NotConfirmed:
+        return CallerErrorCode::NotConfirmed;
+    case ForwardErrorCode::Rejected:
+        return CallerErrorCode::BadRequest;
+    default:
+        return CallerErrorCode::Unavailable;
+    }
+}
+
+} // namespace
+
+/** One request between its arrival and its final answer. */
+struct EntryRouter::Exchange {
+    CallerRequest request;
+    CallerCallback callback;
+    RequestId requestId;
+    SnapshotPtr snapshot;
+    const CallerRule* rule = nullptr;
+    const DatabaseDescription* database = nullptr;
+    SessionState session;
+    bool hasToken = false;
+    TimePoint arrival;
+    TimePoint deadline;
+    std::vector<EndpointId> excluded;
+    int forwards = 0;
+    /** Set when an earlier attempt may have run, so that the final answer must not say not_run. */
+    bool mayHaveRun = false;
+
+    bool isRead() const
+    {
+        return request.kind == ForwardKind::Statement && request.operation == OperationKind::Read
+            && request.transaction.isEmpty();
+    }
+    LogPosition minimumPosition() const
+    {
+        const auto found = session.positions.find(request.database);
+        return found == session.positions.end() ? LogPosition {} : found->second;
+    }
+    /** True when the session cannot show what it has seen of the database although its rules need it. */
+    bool isPositionLost() const
+    {
+        return rule->readYourWrites && (!hasToken || session.isTruncated) && minimumPosition() == LogPosition {};
+    }
+    std::optional<Milliseconds> maximumStaleness() const
+    {
+        if (rule->maxStaleness.count() > 0)
+            return rule->maxStaleness;
+        return std::nullopt;
+    }
+    bool mayUseReplica() const
+    {
+        if (isPositionLost())
+            return false;
+        return maximumStaleness() || minimumPosition() != LogPosition {};
+    }
+};
+
+EntryRouter::EntryRouter(Forwarder& forwarder, TimerService& timers, const SessionTokenCodec& tokenCodec,
+    RetryBudget& retryBudget, Metrics& metrics, DecisionLog& decisionLog, std::uint64_t seed)
+    : forwarder_(forwarder)
+    , timers_(timers)
+    , tokenCodec_(tokenCodec)
+    , retryBudget_(retryBudget)
+    , metrics_(metrics)
+    , decisionLog_(decisionLog)
+    , random_(seed)
+{
+}
+
+EntryRouter::~EntryRouter() = default;
+
+void EntryRouter::setSnapshot(SnapshotPtr snapshot)
+{
+    snapshot_ = std::move(snapshot);
+}
+
+void EntryRouter::handle(CallerRequest request, TimePoint now, CallerCallback callback)
+{
+    ++pendingCount_;
+    const auto exchange = std::make_shared<Exchange>();
+    exchange->request = std::move(request);
+    exchange->callback = std::move(callback);
+    exchange->snapshot = snapshot_;
+    exchange->arrival = now;
+    if (auto error = admit(*exchange, now))
+        return fail(exchange, std::move(*error), now);
+    exchange->requestId = makeRequestId(exchange->request);
+    retryBudget_.addRequest(now);
+    route(exchange, now);
+}
+
+std::optional<CallerError> EntryRouter::admit(Exchange& exchange, TimePoint now) const
+{
+    const CallerRequest& request = exchange.request;
+    if (!snapshot_ || !snapshot_->configuration)
+        return CallerError { CallerErrorCode::NotReady, Outcome::NotRun, "no configuration is in force yet", usualRetryAfter };
+    const Configuration& configuration = *snapshot_->configuration;
+    exchange.rule = configuration.findCaller(request.caller);
+    if (!exchange.rule)
+        return CallerError { CallerErrorCode::UnknownCaller, Outcome::NotRun,
+            "caller '" + request.caller.text() + "' is not in the inventory", {} };
+    exchange.database = configuration.findDatabase(request.database);
+    if (!exchange.database)
+        return CallerError { CallerErrorCode::UnknownDatabase, Outcome::NotRun,
+            "database '" + request.database.text() + "' is not in the inventory", {} };
+    const auto& allowed = exchange.rule->databases;
+    if (std::find(allowed.begin(), allowed.end(), request.database) == allowed.end())
+        return CallerError { CallerErrorCode::DatabaseNotAllowed, Outcome::NotRun,
+            "the inventory does not list database '" + request.database.text() + "' for this caller", {} };
+    if (!request.sessionToken.empty()) {
+        auto session = tokenCodec_.decode(request.sessionToken);
+        if (!session)
+            return CallerError { CallerErrorCode::BadSessionToken, Outcome::NotRun, toText(session.error()), {} };
+        exchange.session = std::move(session.value());
+        exchange.hasToken = true;
+    }
+    const Milliseconds longest = configuration.ranks[exchange.rule->rank].deadline;
+    const Milliseconds wanted = request.deadline.value_or(longest);
+    if (wanted.count() <= 0)
+        return CallerError { CallerErrorCode::DeadlineExceeded, Outcome::NotRun, "the deadline has passed on arrival", {} };
+    exchange.deadline = now + std::min(wanted, longest);
+    return std::nullopt;
+}
+
+void EntryRouter::route(const ExchangePtr& exchange, TimePoint now)
+{
+    if (now >= exchange->deadline)
+        return fail(exchange, { CallerErrorCode::DeadlineExceeded, Outcome::NotRun, "the deadline has passed", usualRetryAfter },
+            now);
+    if (++exchange->forwards > maximumForwards)
+        return fail(exchange,
+            { CallerErrorCode::Unavailable, Outcome::NotRun, "no endpoint took the request", usualRetryAfter }, now);
+    if (!exchange->request.transaction.isEmpty())
+        return routeTransaction(exchange, now);
+    if (exchange->isRead())
+        return routeRead(exchange, now);
+    routeWrite(exchange, now);
+}
+
+void EntryRouter::routeTransaction(const ExchangePtr& exchange, TimePoint now)
+{
+    const VmId owner = servingVm(exchange->request.transaction);
+    if (owner.isEmpty() || !snapshot_->members.find(owner))
+        return fail(exchange,
+            { CallerErrorCode::TransactionLost, Outcome::NotRun, "the daemon that held the transaction is gone", {} }, now);
+    sendTo(exchange, owner, EndpointId(), "open_transaction", now);
+}
+
+void EntryRouter::routeRead(const ExchangePtr& exchange, TimePoint now)
+{
+    const EndpointId primary = likelyPrimary(*exchange->database);
+    if (!exchange->mayUseReplica())
+        return forward(exchange, primary,
+            exchange->isPositionLost() ? "no_session_position" : "no_staleness_allowed", now);
+    const ReadDemand demand { exchange->rule->rank, exchange->minimumPosition(), exchange->maximumStaleness() };
+    const auto order = knowledge_.readOrder(*exchange->database, *exchange->snapshot->configuration,
+        snapshot_->failureDomain, primary, exchange->excluded, demand, now);
+    if (order.empty()) {
+        // Every endpoint refused once; start over after a pause, since all of it was without effect.
+        exchange->excluded.clear();
+        return routeAgainLater(exchange, disagreementDelay);
+    }
+    forward(exchange, order.front(), order.front() == primary ? "replicas_exhausted" : "best_replica", now);
+}
+
+void EntryRouter::routeWrite(const ExchangePtr& exchange, TimePoint now)
+{
+    forward(exchange, likelyPrimary(*exchange->database), "primary", now);
+}
+
+void EntryRouter::forward(const ExchangePtr& exchange, const EndpointId& endpoint, const char* reason, TimePoint now)
+{
+    const VmId owner = snapshot_->owners->ownerOf(endpoint);
+    if (owner.isEmpty())
+        return routeAgainLater(exchange, disagreementDelay);
+    const auto wait = knowledge_.expectedWait(endpoint, exchange->rule->rank, now);
+    const bool isFirstChoice = exchange->forwards == 1;
+    if (wait && now + *wait >= exchange->deadline && isFirstChoice && !exchange->isRead()) {
+        logDecision(*exchange, "refuse", endpoint, owner, "owner_overloaded", now);
+        return fail(exchange, { CallerErrorCode::Overloaded, Outcome::NotRun, "the queue is longer than the deadline", *wait },
+            now);
+    }
+    sendTo(exchange, owner, endpoint, reason, now);
+}
+
+void EntryRouter::sendTo(
+    const ExchangePtr& exchange, const VmId& owner, const EndpointId& endpoint, const char* reason, TimePoint now)
+{
+    logDecision(*exchange, "route", endpoint, owner, reason, now);
+    const CallerRequest& request = exchange->request;
+    ForwardRequest message;
+    message.kind = request.kind;
+    message.requestId = exchange->requestId;
+    message.caller = request.caller;
+    message.database = request.database;
+    message.endpoint = endpoint;
+    message.rank = exchange->rule->rank;
+    message.operation = request.operation;
+    message.key = request.key;
+    message.value = request.value;
+    message.transaction = request.transaction;
+    message.isRepeatable = request.isRepeatable && request.idempotencyKey.empty();
+    message.timeLeft = std::chrono::duration_cast<Milliseconds>(exchange->deadline - now);
+    message.minimumPosition = exchange->minimumPosition();
+    message.maximumStaleness = exchange->maximumStaleness();
+    message.needsConfirmedLeadership = exchange->isRead() && !exchange->mayUseReplica();
+    message.traceparent = request.traceparent;
+    forwarder_.forward(owner, std::move(message), exchange->deadline,
+        [this, exchange, endpoint, now](ForwardReply reply, TimePoint later) {
+            onReply(exchange, endpoint, now, std::move(reply), later);
+        });
+}
+
+void EntryRouter::onReply(
+    const ExchangePtr& exchange, const EndpointId& endpoint, TimePoint sentAt, ForwardReply reply, TimePoint now)
+{
+    const ForwardError* error = std::get_if<ForwardError>(&reply.result);
+    const bool isUnreachable = error && error->code == ForwardErrorCode::EndpointUnavailable;
+    if (isUnreachable)
+        knowledge_.onUnavailable(endpoint, now);
+    else if (!endpoint.isEmpty())
+        knowledge_.onReply(endpoint, reply, now - sentAt, now);
+    if (!error)
+        return succeed(exchange, std::get<ForwardSuccess>(reply.result), now);
+    learnPrimary(error->primary);
+    onError(exchange, endpoint, *error, now);
+}
+
+void EntryRouter::onError(
+    const ExchangePtr& exchange, const EndpointId& endpoint, const ForwardError& error, TimePoint now)
+{
+    if (error.outcome == Outcome::Unknown && !exchange->isRead())
+        exchange->mayHaveRun = true;
+    const bool isNotRun = error.outcome == Outcome::NotRun;
+    switch (error.code) {
+    case ForwardErrorCode::NotOwner:
+    case ForwardErrorCode::ShuttingDown:
+        return routeAgainLater(exchange, disagreementDelay);
+    case ForwardErrorCode::NotPrimary:
+        if (!error.primary.primary.isEmpty() && error.primary.primary != endpoint)
+            return route(exchange, now);
+        return routeAgainLater(exchange, disagreementDelay);
+    case ForwardErrorCode::Behind:
+        exchange->excluded.push_back(endpoint);
+        return route(exchange, now);
+    default:
+        break;
+    }
+    const CallerError final { callerCode(error.code), error.outcome, error.detail, error.retryAfter };
+    const bool isTransactional = !exchange->request.transaction.isEmpty();
+    const bool hasTime = now < exchange->deadline && error.code != ForwardErrorCode::DeadlineExceeded;
+    if (isTransactional || !hasTime || !mayRepeat(*exchange, error))
+        return fail(exchange, final, now);
+    // A request that reached no endpoint adds no load when it is routed again, so it needs no budget.
+    const bool isLoad = !isNotRun || error.code == ForwardErrorCode::Overloaded;
+    if (isLoad && !retryBudget_.tryRetry(now)) {
+        metrics_.count("almondlever_retries_refused_total", "");
+        return fail(exchange, final, now);
+    }
+    metrics_.count("almondlever_retries_total", "");
+    if (exchange->isRead()) {
+        exchange->excluded.push_back(endpoint);
+        return route(exchange, now);
+    }
+    routeAgainLater(exchange, isNotRun ? disagreementDelay : Duration::zero());
+}
+
+bool EntryRouter::mayRepeat(const Exchange& exchange, const ForwardError& error) const
+{
+    if (error.code == ForwardErrorCode::Rejected)
+        return false;
+    if (error.code == ForwardErrorCode::Overloaded)
+        return exchange.isRead() && exchange.mayUseReplica();
+    if (exchange.isRead() || error.outcome == Outcome::NotRun)
+        return true;
+    // The endpoint recognises the request id, so a write that did run is not run again.
+    return exchange.request.kind == ForwardKind::Statement && exchange.request.isRepeatable
+        && exchange.request.idempotencyKey.empty();
+}
+
+void EntryRouter::routeAgainLater(const ExchangePtr& exchange, Duration delay)
+{
+    timers_.callAfter(delay, [this, exchange](TimePoint now) { route(exchange, now); });
+}
+
+void EntryRouter::succeed(const ExchangePtr& exchange, const ForwardSuccess& success, TimePoint now)
+{
+    if (success.position.term > 0)
+        exchange->session.observe(exchange->request.database, success.position);
+    const std::string rank = "rank=\"" + exchange->snapshot->configuration->ranks[exchange->rule->rank].name.text() + '"';
+    if (exchange->isRead())
+        metrics_.count("almondlever_reads_total", success.isFromReplica ? "from=\"replica\"" : "from=\"primary\"");
+    metrics_.observe("almondlever_request_seconds", rank, now - exchange->arrival);
+    CallerReply reply;
+    reply.result = CallerSuccess { success.value, success.transaction, success.isDuplicate, success.isFromReplica,
+        success.position, success.staleness };
+    reply.sessionToken = tokenCodec_.encode(exchange->session);
+    finish(exchange, std::move(reply), now);
+}
+
+void EntryRouter::fail(const ExchangePtr& exchange, CallerError error, TimePoint now)
+{
+    if (exchange->mayHaveRun)
+        error.outcome = Outcome::Unknown;
+    if (exchange->rule)
+        logDecision(*exchange, "answer", EndpointId(), VmId(), toText(error.code), now);
+    metrics_.count("almondlever_errors_total",
+        fmt::format("code=\"{}\",outcome=\"{}\"", toText(error.code), toText(error.outcome)));
+    CallerReply reply;
+    reply.result = std::move(error);
+    finish(exchange, std::move(reply), now);
+}
+
+void EntryRouter::finish(const ExchangePtr& exchange, CallerReply reply, TimePoint)
+{
+    --pendingCount_;
+    reply.requestId = exchange->requestId;
+    exchange->callback(std::move(reply));
+}
+
+EndpointId EntryRouter::likelyPrimary(const DatabaseDescription& database) const
+{
+    const PrimaryView* known = snapshot_->findPrimary(database.id);
+    const auto hinted = hintedPrimaries_.find(database.id);
+    if (hinted != hintedPrimaries_.end() && (!known || hinted->second.term > known->term))
+        known = &hinted->second;
+    const bool isListed = known
+        && std::any_of(database.endpoints.begin(), database.endpoints.end(),
+            [&](const EndpointDescription& endpoint) { return endpoint.id == known->primary; });
+    // Without knowledge any owner will do: it names the primary in its refusal.
+    return isListed ? known->primary : database.endpoints.front().id;
+}
+
+void EntryRouter::learnPrimary(const PrimaryView& view)
+{
+    if (view.primary.isEmpty())
+        return;
+    PrimaryView& known = hintedPrimaries_[view.database];
+    if (view.term > known.term)
+        known = view;
+}
+
+RequestId EntryRouter::makeRequestId(const CallerRequest& request)
+{
+    if (!request.idempotencyKey.empty())
+        return RequestId(sha256Prefix(
+            request.caller.text() + '\n' + request.database.text() + '\n' + request.idempotencyKey));
+    return RequestId(fmt::format("{:016x}{:016x}", random_(), random_()));
+}
+
+void EntryRouter::logDecision(const Exchange& exchange, const char* event, const EndpointId& endpoint, const VmId& owner,
+    const char* reason, TimePoint now)
+{
+    if (!decisionLog_.admits(exchange.rule->rank, now))
+        return;
+    const std::string& token = exchange.request.sessionToken;
+    decisionLog_.write(event,
+        { { "request", exchange.requestId.text() },
+            { "session", token.empty() ? "none" : std::string_view(token).substr(token.size() - std::min<std::size_t>(8, token.size())) },
+            { "caller", exchange.request.caller.text() }, { "database", exchange.request.database.text() },
+            { "op", toText(exchange.request.operation) }, { "endpoint", endpoint.isEmpty() ? "none" : endpoint.text() },
+            { "owner", owner.isEmpty() ? "none" : owner.text() }, { "reason", reason } });
+}
+
+RouteExplanation EntryRouter::explain(
+    const CallerId& caller, const DatabaseId& databaseId, OperationKind operation, TimePoint now) const
+{
+    RouteExplanation explanation;
+    Exchange exchange;
+    exchange.request.caller = caller;
+    exchange.request.database = databaseId;
+    exchange.request.operation = operation;
+    exchange.snapshot = snapshot_;
+    if (const auto error = admit(exchange, now)) {
+        explanation.reason = std::string(toText(error->code)) + ": " + error->detail;
+        return explanation;
+    }
+    explanation.isAccepted = true;
+    explanation.rank = snapshot_->configuration->ranks[exchange.rule->rank].name.text();
+    const EndpointId primary = likelyPrimary(*exchange.database);
+    std::vector<EndpointId> order { primary };
+    // A session is taken to have shown its position, which is the usual case.
+    exchange.hasToken = true;
+    if (operation == OperationKind::Read && exchange.mayUseReplica()) {
+        explanation.reason = "reads may be stale: replicas first, primary last";
+        order = knowledge_.readOrder(*exchange.database, *snapshot_->configuration, snapshot_->failureDomain, primary, {},
+            { exchange.rule->rank, {}, exchange.maximumStaleness() }, now);
+    } else {
+        explanation.reason = operation == OperationKind::Write
+            ? "writes go to the primary"
+            : "the rules allow no stale read: the primary, or a replica that has reached the session's position";
+    }
+    for (const EndpointId& endpoint : order) {
+        const auto wait = knowledge_.expectedWait(endpoint, exchange.rule->rank, now);
+        explanation.steps.push_back({ endpoint, snapshot_->owners->ownerOf(endpoint), endpoint == primary,
+            wait.value_or(Milliseconds(-1)) });
+    }
+    return explanation;
+}
+
+} // namespace almondlever
--- /dev/null
+++ b/src/observability/DecisionLog.cpp
@@ -0,0 +1,152 @@
+#include "almondlever/observability/DecisionLog.h"
+
+#include <algorithm>
+#include <chrono>
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/fileappender.h>
+#include <log4cxx/helpers/exception.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+namespace almondlever {
+
+namespace {
+
+const log4cxx::LoggerPtr& processLogger()
+{
+    static const log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger("almondlever");
+    return logger;
+}
+
+const log4cxx::LoggerPtr& decisionLogger()
+{
+    static const log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger("almondlever.decision");
+    return logger;
+}
+
+bool needsQuotes(std::string_view text)
+{
+    return text.empty() || std::any_of(text.begin(), text.end(), [](unsigned char c) {
+        return c <= ' ' || c == '"' || c == '=' || c >= 0x7f;
+    });
+}
+
+void appendValue(std::string& line, std::string_view value)
+{
+    if (!needsQuotes(value)) {
+        line += value;
+        return;
+    }
+    line += '"';
+    for (const char c : value) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (c == '"' || c == '\\')
+            line += '\\';
+        line += byte < ' ' ? ' ' : c;
+    }
+    line += '"';
+}
+
+std::string format(std::string_view event, std::initializer_list<LogField> fields)
+{
+    std::string line;
+    line.reserve(192);
+    line += "event=";
+    appendValue(line, event);
+    for (const LogField& field : fields) {
+        line += ' ';
+        line += field.first;
+        line += '=';
+        appendValue(line, field.second);
+    }
+    return line;
+}
+
+log4cxx::LevelPtr levelFromText(const std::string& text)
+{
+    if (text == "debug")
+        return log4cxx::Level::getDebug();
+    if (text == "info")
+        return log4cxx::Level::getInfo();
+    if (text == "warn")
+        return log4cxx::Level::getWarn();
+    if (text == "error")
+        return log4cxx::Level::getError();
+    return nullptr;
+}
+
+} // namespace
+
+std::string configureLog(const LogSettings& settings)
+{
+    const log4cxx::LevelPtr level = levelFromText(settings.level);
+    if (!level)
+        return "log level '" + settings.level + "' is unknown; use debug, info, warn or error";
+    const auto layout = std::make_shared<log4cxx::PatternLayout>(
+        LOG4CXX_STR("time=%d{yyyy-MM-dd'T'HH:mm:ss.SSS} level=%p logger=%c %m%n"));
+    log4cxx::AppenderPtr appender;
+    try {
+        if (settings.file.empty())
+            appender = std::make_shared<log4cxx::ConsoleAppender>(layout);
+        else
+            appender = std::make_shared<log4cxx::FileAppender>(layout, settings.file, true);
+    } catch (const log4cxx::helpers::Exception& error) {
+        return "cannot write the log to '" + settings.file + "': " + error.what();
+    }
+    log4cxx::BasicConfigurator::resetConfiguration();
+    log4cxx::BasicConfigurator::configure(appender);
+    log4cxx::Logger::getRootLogger()->setLevel(level);
+    return {};
+}
+
+void logInfo(std::string_view event, std::initializer_list<LogField> fields)
+{
+    LOG4CXX_INFO(processLogger(), format(event, fields));
+}
+
+void logWarning(std::string_view event, std::initializer_list<LogField> fields)
+{
+    LOG4CXX_WARN(processLogger(), format(event, fields));
+}
+
+void logError(std::string_view event, std::initializer_list<LogField> fields)
+{
+    LOG4CXX_ERROR(processLogger(), format(event, fields));
+}
+
+DecisionLog::DecisionLog(double linesPerSecond)
+    : linesPerSecond_(linesPerSecond)
+    , tokens_(linesPerSecond)
+{
+}
+
+bool DecisionLog::admits(std::size_t rank, TimePoint now)
+{
+    if (!decisionLogger()->isInfoEnabled())
+        return false;
+    if (rank == 0)
+        return true;
+    const std::chrono::duration<double> elapsed = now - refilledAt_;
+    if (refilledAt_ != TimePoint())
+        tokens_ = std::min(linesPerSecond_, tokens_ + elapsed.count() * linesPerSecond_);
+    refilledAt_ = now;
+    if (tokens_ < 1) {
+        ++suppressed_;
+        return false;
+    }
+    tokens_ -= 1;
+    return true;
+}
+
+void DecisionLog::write(std::string_view decision, std::initializer_list<LogField> fields)
+{
+    LOG4CXX_INFO(decisionLogger(), format(decision, fields));
+}
+
+std::uint64_t DecisionLog::takeSuppressedCount()
+{
+    return std::exchange(suppressed_, 0);
+}
+
+} // namespace almondlever
--- /dev/null
+++ b/src/serving/ServedEndpoint.cpp
@@ -0,0 +1,608 @@
+#include "almondlever/serving/ServedEndpoint.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace almondlever {
+
+namespace {
+
+/** Pause before a request that a server refused without effect is tried again. */
+constexpr Milliseconds refusedPause { 20 };
+constexpr Milliseconds positionRequestTimeout { 400 };
+/** A statement gets no less time than this, so that a nearly expired one is refused instead of left in doubt. */
+constexpr Milliseconds shortestStatementTime { 2 };
+
+EndpointPoolLimits poolLimitsFor(const EndpointDescription& endpoint, const ServingSettings& settings)
+{
+    const std::size_t reserved = std::min(settings.controlReserve, endpoint.connections - 1);
+    EndpointPoolLimits limits;
+    limits.connections = std::min(endpoint.slots, endpoint.connections - reserved);
+    limits.opening = std::max<std::size_t>(1, endpoint.slots / 2);
+    limits.openTimeout = std::max<Milliseconds>(Milliseconds(500), endpoint.openTime * 10);
+    return limits;
+}
+
+ConcurrencyLimiter::Kind kindOf(const ForwardJob& job)
+{
+    if (job.request.kind != ForwardKind::Statement)
+        return ConcurrencyLimiter::Kind::Other;
+    return job.request.operation == OperationKind::Read ? ConcurrencyLimiter::Kind::Read : ConcurrencyLimiter::Kind::Write;
+}
+
+} // namespace
+
+ServedEndpoint::ServedEndpoint(
+    ServingContext& context, SnapshotPtr snapshot, const DatabaseId& database, const EndpointDescription& endpoint)
+    : context_(context)
+    , snapshot_(std::move(snapshot))
+    , database_(database)
+    , endpoint_(endpoint)
+    , control_(context.connector.control(endpoint.address))
+    , claim_(*control_, context.timers, snapshot_->self)
+    , pool_(context.connector, context.timers, endpoint.address, poolLimitsFor(endpoint, context.settings))
+    , scheduler_(context.makeScheduler(snapshot_->configuration->ranks, endpoint.slots))
+    , limiter_(endpoint.slots)
+    , alive_(std::make_shared<bool>(true))
+{
+    pool_.onChange([this](TimePoint now) { dispatch(now); });
+    claim_.onHeld([this](std::uint64_t epoch, const EndpointStatus& status) {
+        learn(status.logEnd, status.staleness);
+        context_.decisionLog.write("claim",
+            { { "database", database_.text() }, { "endpoint", endpoint_.id.text() }, { "epoch", std::to_string(epoch) },
+                { "reason", "placement" } });
+        pool_.start(epoch);
+    });
+    const DatabaseDescription* group = snapshot_->configuration->findDatabase(database_);
+    assert(group);
+    confirmer_ = std::make_unique<CommitConfirmer>(*group, endpoint_.id, context.connector, context.timers);
+    claim_.acquire(snapshot_->members, context.timers.now());
+}
+
+ServedEndpoint::~ServedEndpoint()
+{
+    *alive_ = false;
+    const TimePoint now = context_.timers.now();
+    for (auto& [ticket, job] : queued_)
+        refuse(job, ForwardErrorCode::ShuttingDown, Outcome::NotRun, "the daemon stops serving this endpoint", {}, now);
+    for (ForwardJob& job : held_)
+        refuse(job, ForwardErrorCode::ShuttingDown, Outcome::NotRun, "the daemon stops serving this endpoint", {}, now);
+    confirmer_.reset();
+}
+
+void ServedEndpoint::setSnapshot(SnapshotPtr snapshot, TimePoint now)
+{
+    snapshot_ = std::move(snapshot);
+    claim_.setMembers(snapshot_->members);
+    releaseHeld(now);
+}
+
+const PrimaryView* ServedEndpoint::primaryView() const
+{
+    return snapshot_->findPrimary(database_);
+}
+
+bool ServedEndpoint::isPrimaryHere() const
+{
+    const PrimaryView* view = primaryView();
+    return view && view->primary == endpoint_.id;
+}
+
+void ServedEndpoint::submit(ForwardJob job, TimePoint now)
+{
+    if (!job.request.transaction.isEmpty())
+        return submitToTransaction(std::move(job), now);
+    job.positionWaitEnd = now + std::min<Duration>(context_.settings.positionWaitLimit, (job.deadline - now) / 3);
+    place(std::move(job), now);
+}
+
+ServedEndpoint::Gate ServedEndpoint::gateFor(const ForwardJob& job, TimePoint now) const
+{
+    if (isRetired_)
+        return Gate::Leave;
+    if (now < job.notBefore)
+        return Gate::Hold;
+    if (job.needsPrimary()) {
+        const PrimaryView* view = primaryView();
+        if (!view || view->primary.isEmpty())
+            return Gate::Hold;
+        if (view->primary != endpoint_.id)
+            return Gate::Redirect;
+        if (!job.isRead() && snapshot_->pausedWrites.count(database_) > 0)
+            return Gate::Hold;
+        // One slot stays free of transactions, so that statements go on while transactions idle.
+        const std::size_t transactionLimit = std::max<std::size_t>(1, endpoint_.slots - 1);
+        if (job.request.kind == ForwardKind::Begin && transactions_.size() >= transactionLimit)
+            return Gate::Hold;
+        return Gate::Open;
+    }
+    return knownPosition_ < job.request.minimumPosition ? Gate::Hold : Gate::Open;
+}
+
+void ServedEndpoint::place(ForwardJob job, TimePoint now)
+{
+    switch (gateFor(job, now)) {
+    case Gate::Leave:
+        return refuse(job, ForwardErrorCode::NotOwner, Outcome::NotRun, "the endpoint moved to another daemon", {}, now);
+    case Gate::Redirect:
+        return refuse(job, ForwardErrorCode::NotPrimary, Outcome::NotRun, "another endpoint is the primary", {}, now);
+    case Gate::Hold:
+        return hold(std::move(job), now);
+    case Gate::Open:
+        return enqueue(std::move(job), now);
+    }
+}
+
+void ServedEndpoint::hold(ForwardJob job, TimePoint now)
+{
+    const std::size_t limit = snapshot_->configuration->ranks[job.request.rank].queueRequests;
+    if (held_.size() >= limit)
+        return refuse(job, ForwardErrorCode::Overloaded, Outcome::NotRun, "too many requests wait for the primary or a position",
+            Milliseconds(200), now);
+    held_.push_back(std::move(job));
+    askForPosition(now);
+}
+
+void ServedEndpoint::enqueue(ForwardJob job, TimePoint now)
+{
+    if (job.isRead() && pool_.isUnreachable())
+        return refuse(job, ForwardErrorCode::EndpointUnavailable, Outcome::NotRun, "the endpoint cannot be reached", {}, now);
+    const Ticket ticket = context_.nextNumber();
+    job.queued = { ticket, job.request.caller, job.request.rank, job.bytes(), job.arrival, job.deadline };
+    if (const auto refusal = scheduler_->offer(job.queued, now)) {
+        const bool isFull = refusal->reason == Refusal::Reason::QueueFull;
+        refuse(job, ForwardErrorCode::Overloaded, Outcome::NotRun,
+            isFull ? "the queue of this rank is full" : "the queue is longer than the deadline", refusal->retryAfter, now);
+        return expireQueued(now);
+    }
+    queued_.emplace(ticket, std::move(job));
+    dispatch(now);
+}
+
+void ServedEndpoint::dispatch(TimePoint now)
+{
+    if (!claim_.isHeld())
+        return;
+    scheduler_->setSlots(limiter_.slots(now));
+    while (scheduler_->size() > 0 && running_ < limiter_.slots(now)) {
+        const auto connection = pool_.take();
+        if (!connection)
+            break;
+        const auto taken = scheduler_->take(now);
+        if (!taken) {
+            pool_.giveBack(connection);
+            break;
+        }
+        const auto found = queued_.find(taken->ticket);
+        assert(found != queued_.end());
+        ForwardJob job = std::move(found->second);
+        queued_.erase(found);
+        run(std::move(job), connection, now);
+    }
+    expireQueued(now);
+}
+
+EndpointStatement ServedEndpoint::statementFor(const ForwardJob& job) const
+{
+    EndpointStatement statement;
+    statement.requestId = job.request.requestId;
+    statement.kind = job.request.operation;
+    statement.key = job.request.key;
+    statement.value = job.request.value;
+    statement.claimEpoch = claim_.epoch();
+    const PrimaryView* view = primaryView();
+    if (!job.isRead() && view)
+        statement.term = view->term;
+    statement.minimumPosition = job.request.minimumPosition;
+    statement.maximumStaleness = job.request.maximumStaleness;
+    return statement;
+}
+
+void ServedEndpoint::run(ForwardJob job, const EndpointPool::ConnectionPtr& connection, TimePoint now)
+{
+    ++running_;
+    const Gate gate = gateFor(job, now);
+    const bool hasTime = now + shortestStatementTime <= job.deadline;
+    if (gate != Gate::Open || !hasTime) {
+        pool_.giveBack(connection);
+        releaseSlot(job, Duration::zero(), now);
+        if (!hasTime)
+            return refuse(job, ForwardErrorCode::DeadlineExceeded, Outcome::NotRun, "the deadline passed in the queue",
+                Milliseconds(200), now);
+        return place(std::move(job), now);
+    }
+    const bool isWrite = !job.isRead();
+    runningWrites_ += isWrite ? 1 : 0;
+    const EndpointStatement statement = statementFor(job);
+    const Duration timeout = job.deadline - now;
+    const ForwardKind kind = job.request.kind;
+    const auto shared = std::make_shared<ForwardJob>(std::move(job));
+    auto callback = [this, alive = alive_, shared, connection, now](const EndpointResult<EndpointReply>& result) {
+        if (!*alive)
+            return connection->close();
+        onReply(std::move(*shared), connection, result, now, context_.timers.now());
+    };
+    if (kind == ForwardKind::Begin)
+        return connection->begin(statement, timeout, std::move(callback));
+    connection->execute(statement, timeout, std::move(callback));
+}
+
+void ServedEndpoint::releaseSlot(const ForwardJob& job, Duration slotTime, TimePoint now)
+{
+    assert(running_ > 0);
+    --running_;
+    scheduler_->finish(job.queued, slotTime, now);
+}
+
+void ServedEndpoint::learn(LogPosition position, Milliseconds staleness)
+{
+    knownPosition_ = std::max(knownPosition_, position);
+    knownStaleness_ = staleness;
+}
+
+void ServedEndpoint::onReply(ForwardJob job, const EndpointPool::ConnectionPtr& connection,
+    const EndpointResult<EndpointReply>& result, TimePoint sentAt, TimePoint now)
+{
+    const bool isWrite = !job.isRead();
+    runningWrites_ -= isWrite ? 1 : 0;
+    if (result && job.request.kind == ForwardKind::Begin) {
+        Transaction transaction { connection, job.queued, job.request.caller, primaryView() ? primaryView()->term : 0, now, now };
+        const TransactionId id(snapshot_->self.text() + '.' + std::to_string(context_.nextNumber()));
+        transactions_.emplace(id, std::move(transaction));
+        return reply(job, { {}, std::nullopt, id, false, false, {} }, now);
+    }
+    pool_.giveBack(connection);
+    releaseSlot(job, now - sentAt, now);
+    if (result) {
+        limiter_.addSuccess(kindOf(job), now - sentAt, now);
+        learn(result.value().position, result.value().staleness);
+        confirm(std::move(job), result.value(), now);
+    } else {
+        onRefused(std::move(job), result.error(), now);
+    }
+    dispatch(now);
+}
+
+void ServedEndpoint::onRefused(ForwardJob job, const EndpointError& error, TimePoint now)
+{
+    using Code = EndpointErrorCode;
+    if (error.code == Code::ConnectionLost || error.code == Code::TimedOut || error.code == Code::Busy)
+        limiter_.addFailure(now);
+    if (error.code == Code::ConnectionLost || error.code == Code::TimedOut || error.code == Code::NotPrimary)
+        context_.evidence.primaryFailed(database_, endpoint_.id);
+    if (error.code == Code::ClaimLost)
+        claim_.onLost(now);
+    if (error.outcome != Outcome::NotRun)
+        return refuse(job, ForwardErrorCode::EndpointUnavailable, Outcome::Unknown, error.detail, {}, now);
+    switch (error.code) {
+    case Code::Behind:
+        if (now < job.positionWaitEnd) {
+            job.notBefore = now + refusedPause;
+            return hold(std::move(job), now);
+        }
+        return refuse(job, ForwardErrorCode::Behind, Outcome::NotRun, "the replica has not reached the position", {}, now);
+    case Code::TooStale:
+        return refuse(job, ForwardErrorCode::Behind, Outcome::NotRun, "the replica is too stale", {}, now);
+    case Code::Rejected:
+        return refuse(job, ForwardErrorCode::Rejected, Outcome::NotRun, error.detail, {}, now);
+    case Code::NotPrimary:
+    case Code::ClaimLost:
+    case Code::Busy:
+        job.notBefore = now + refusedPause;
+        return hold(std::move(job), now);
+    default:
+        break;
+    }
+    if (job.isRead())
+        return refuse(job, ForwardErrorCode::EndpointUnavailable, Outcome::NotRun, error.detail, {}, now);
+    job.notBefore = now + refusedPause;
+    hold(std::move(job), now);
+}
+
+void ServedEndpoint::confirm(ForwardJob job, const EndpointReply& answer, TimePoint now)
+{
+    ForwardSuccess success { answer.position, answer.value, TransactionId(), answer.isDuplicate,
+        answer.role == EndpointRole::Replica, answer.staleness };
+    if (answer.role == EndpointRole::Replica)
+        return reply(job, std::move(success), now);
+    const PrimaryView* view = primaryView();
+    if (!view || view->primary != endpoint_.id)
+        return refuse(job, ForwardErrorCode::NotConfirmed, job.isRead() ? Outcome::NotRun : Outcome::Unknown,
+            "the primary changed before the answer was confirmed", {}, now);
+    context_.evidence.primaryAnswered(database_, endpoint_.id, view->term);
+    if (answer.isDuplicate && answer.position.term != view->term)
+        return confirmDuplicate(std::move(job), answer, now);
+    const TimePoint deadline = job.deadline;
+    const bool isRead = job.isRead();
+    const auto shared = std::make_shared<ForwardJob>(std::move(job));
+    auto callback = [this, alive = alive_, shared, success](Confirmation::Verdict verdict, TimePoint later) {
+        if (verdict == Confirmation::Verdict::Confirmed)
+            return finishConfirmed(std::move(*shared), success, later);
+        const bool isSuperseded = verdict == Confirmation::Verdict::Superseded;
+        refuse(*shared, ForwardErrorCode::NotConfirmed, shared->isRead() ? Outcome::NotRun : Outcome::Unknown,
+            isSuperseded ? "the primary was superseded" : "no majority confirmed in time", {}, later);
+    };
+    if (isRead)
+        return confirmer_->awaitLeadership(view->term, deadline, now, std::move(callback));
+    confirmer_->awaitPosition(answer.position, deadline, now, std::move(callback));
+}
+
+void ServedEndpoint::confirmDuplicate(ForwardJob job, const EndpointReply& answer, TimePoint now)
+{
+    // The first result is of an earlier term; it is safe once an entry of the present term after it is confirmed.
+    const TimePoint deadline = job.deadline;
+    const auto shared = std::make_shared<ForwardJob>(std::move(job));
+    control_->status(deadline - now, [this, alive = alive_, shared, answer](const EndpointResult<EndpointStatus>& status) {
+        if (!*alive)
+            return;
+        const TimePoint later = context_.timers.now();
+        const PrimaryView* view = primaryView();
+        const bool isLeading = status && view && status.value().role == EndpointRole::Primary
+            && status.value().logEnd.term == view->term;
+        if (!isLeading)
+            return refuse(*shared, ForwardErrorCode::NotConfirmed, Outcome::Unknown, "the primary changed", {}, later);
+        EndpointReply current = answer;
+        current.position = status.value().logEnd;
+        confirm(std::move(*shared), current, later);
+    });
+}
+
+void ServedEndpoint::finishConfirmed(ForwardJob job, ForwardSuccess success, TimePoint now)
+{
+    reply(job, std::move(success), now);
+}
+
+void ServedEndpoint::submitToTransaction(ForwardJob job, TimePoint now)
+{
+    const auto found = transactions_.find(job.request.transaction);
+    if (found == transactions_.end() || found->second.caller != job.request.caller)
+        return refuse(job, ForwardErrorCode::TransactionLost, Outcome::NotRun, "the transaction is not open", {}, now);
+    if (found->second.isBusy)
+        return refuse(job, ForwardErrorCode::Rejected, Outcome::NotRun, "a statement of the transaction is still running", {},
+            now);
+    runInTransaction(std::move(job), found->second, now);
+}
+
+void ServedEndpoint::runInTransaction(ForwardJob job, Transaction& transaction, TimePoint now)
+{
+    transaction.isBusy = true;
+    transaction.lastUsed = now;
+    EndpointStatement statement = statementFor(job);
+    statement.term = transaction.term;
+    const Duration timeout = std::max<Duration>(job.deadline - now, shortestStatementTime);
+    const ForwardKind kind = job.request.kind;
+    const auto connection = transaction.connection;
+    const auto shared = std::make_shared<ForwardJob>(std::move(job));
+    auto callback = [this, alive = alive_, shared, now](const EndpointResult<EndpointReply>& result) {
+        if (*alive)
+            onTransactionReply(std::move(*shared), result, now, context_.timers.now());
+    };
+    switch (kind) {
+    case ForwardKind::Commit:
+        return connection->commit(statement, timeout, std::move(callback));
+    case ForwardKind::Rollback:
+        return connection->rollback(statement, timeout, std::move(callback));
+    default:
+        return connection->execute(statement, timeout, std::move(callback));
+    }
+}
+
+void ServedEndpoint::onTransactionReply(
+    ForwardJob job, const EndpointResult<EndpointReply>& result, TimePoint sentAt, TimePoint now)
+{
+    const TransactionId id = job.request.transaction;
+    const auto found = transactions_.find(id);
+    if (found != transactions_.end()) {
+        found->second.isBusy = false;
+        found->second.lastUsed = now;
+    }
+    limiter_.addSuccess(ConcurrencyLimiter::Kind::Other, now - sentAt, now);
+    const bool isEnd = job.request.kind == ForwardKind::Commit || job.request.kind == ForwardKind::Rollback;
+    if (result && !isEnd)
+        return reply(job, { {}, result.value().value, id, false, false, {} }, now);
+    if (result) {
+        endTransaction(id, true, now);
+        if (job.request.kind == ForwardKind::Rollback || result.value().position.term == 0)
+            return reply(job, { {}, std::nullopt, TransactionId(), false, false, {} }, now);
+        return confirm(std::move(job), result.value(), now);
+    }
+    endTransaction(id, false, now);
+    const bool isUnknown = result.error().outcome != Outcome::NotRun && job.request.kind == ForwardKind::Commit;
+    refuse(job, ForwardErrorCode::TransactionLost, isUnknown ? Outcome::Unknown : Outcome::NotRun, result.error().detail, {}, now);
+}
+
+void ServedEndpoint::endTransaction(const TransactionId& id, bool isConnectionUsable, TimePoint now)
+{
+    const auto found = transactions_.find(id);
+    if (found == transactions_.end())
+        return;
+    const Transaction transaction = std::move(found->second);
+    transactions_.erase(found);
+    if (!isConnectionUsable)
+        transaction.connection->close();
+    pool_.giveBack(transaction.connection);
+    ForwardJob job;
+    job.queued = transaction.queued;
+    releaseSlot(job, now - transaction.beganAt, now);
+    dispatch(now);
+}
+
+void ServedEndpoint::endIdleTransactions(TimePoint now)
+{
+    std::vector<TransactionId> ended;
+    for (const auto& [id, transaction] : transactions_) {
+        const bool isIdle = !transaction.isBusy && now - transaction.lastUsed > context_.settings.transactionIdleLimit;
+        const bool isTooOld = !transaction.isBusy && now - transaction.beganAt > context_.settings.transactionLifeLimit;
+        if (isIdle || isTooOld)
+            ended.push_back(id);
+    }
+    for (const TransactionId& id : ended) {
+        context_.decisionLog.write("end_transaction",
+            { { "transaction", id.text() }, { "endpoint", endpoint_.id.text() }, { "reason", "idle_or_life_limit" } });
+        endTransaction(id, false, now);
+    }
+}
+
+void ServedEndpoint::releaseHeld(TimePoint now)
+{
+    std::list<ForwardJob> held;
+    held.swap(held_);
+    for (ForwardJob& job : held) {
+        if (now >= job.deadline) {
+            refuse(job, ForwardErrorCode::DeadlineExceeded, Outcome::NotRun, "the deadline passed while the request waited",
+                Milliseconds(500), now);
+            continue;
+        }
+        const bool isPositionWait = !job.needsPrimary() && now >= job.positionWaitEnd;
+        if (isPositionWait) {
+            refuse(job, ForwardErrorCode::Behind, Outcome::NotRun, "the replica has not reached the position", {}, now);
+            continue;
+        }
+        if (gateFor(job, now) == Gate::Hold)
+            held_.push_back(std::move(job));
+        else
+            place(std::move(job), now);
+    }
+}
+
+void ServedEndpoint::expireQueued(TimePoint now)
+{
+    for (const QueuedRequest& expired : scheduler_->removeExpired(now)) {
+        const auto found = queued_.find(expired.ticket);
+        if (found == queued_.end())
+            continue;
+        ForwardJob job = std::move(found->second);
+        queued_.erase(found);
+        const Milliseconds wait = std::chrono::duration_cast<Milliseconds>(scheduler_->expectedWait(expired.rank, now));
+        refuse(job, ForwardErrorCode::DeadlineExceeded, Outcome::NotRun, "the queue is longer than the deadline",
+            std::max(wait, Milliseconds(100)), now);
+    }
+}
+
+void ServedEndpoint::refuseReadsIfUnreachable(TimePoint now)
+{
+    if (!pool_.isUnreachable() || queued_.empty())
+        return;
+    std::vector<Ticket> reads;
+    for (const auto& [ticket, job] : queued_) {
+        if (job.isRead())
+            reads.push_back(ticket);
+    }
+    for (const Ticket ticket : reads) {
+        ForwardJob job = std::move(queued_[ticket]);
+        queued_.erase(ticket);
+        scheduler_->cancel(ticket);
+        refuse(job, ForwardErrorCode::EndpointUnavailable, Outcome::NotRun, "the endpoint cannot be reached", {}, now);
+    }
+}
+
+void ServedEndpoint::askForPosition(TimePoint now)
+{
+    if (isAskingForPosition_ || isRetired_)
+        return;
+    const ForwardJob* first = nullptr;
+    for (const ForwardJob& job : held_) {
+        const bool isWaiting = !job.needsPrimary() && knownPosition_ < job.request.minimumPosition;
+        if (isWaiting && (!first || job.request.minimumPosition < first->request.minimumPosition))
+            first = &job;
+    }
+    if (!first)
+        return;
+    isAskingForPosition_ = true;
+    const auto wait = std::chrono::duration_cast<Milliseconds>(
+        std::max<Duration>(first->positionWaitEnd - now, Duration::zero()) + Milliseconds(1));
+    control_->waitForPosition(first->request.minimumPosition, wait, wait + positionRequestTimeout,
+        [this, alive = alive_](const EndpointResult<EndpointStatus>& status) {
+            if (!*alive)
+                return;
+            isAskingForPosition_ = false;
+            if (status)
+                learn(status.value().logEnd, status.value().staleness);
+            releaseHeld(context_.timers.now());
+        });
+}
+
+void ServedEndpoint::reportPausedWrites()
+{
+    const bool isPaused = snapshot_->pausedWrites.count(database_) > 0;
+    if (isPaused && isPrimaryHere() && runningWrites_ == 0 && transactions_.empty() && confirmer_->waitingCount() == 0)
+        context_.evidence.writesPaused(database_, endpoint_.id, knownPosition_);
+}
+
+void ServedEndpoint::onTick(TimePoint now)
+{
+    claim_.onTick(now);
+    confirmer_->onTick(now);
+    endIdleTransactions(now);
+    releaseHeld(now);
+    refuseReadsIfUnreachable(now);
+    reportPausedWrites();
+    dispatch(now);
+    if (isRetired_ && !isClaimReleased_ && running_ == transactions_.size() && confirmer_->waitingCount() == 0) {
+        isClaimReleased_ = true;
+        pool_.stop();
+        claim_.release();
+    }
+}
+
+void ServedEndpoint::retire(TimePoint now)
+{
+    if (isRetired_)
+        return;
+    isRetired_ = true;
+    context_.decisionLog.write("retire",
+        { { "database", database_.text() }, { "endpoint", endpoint_.id.text() }, { "reason", "placement" } });
+    std::vector<ForwardJob> waiting;
+    for (auto& [ticket, job] : queued_) {
+        scheduler_->cancel(ticket);
+        waiting.push_back(std::move(job));
+    }
+    queued_.clear();
+    for (ForwardJob& job : held_)
+        waiting.push_back(std::move(job));
+    held_.clear();
+    for (ForwardJob& job : waiting)
+        refuse(job, ForwardErrorCode::NotOwner, Outcome::NotRun, "the endpoint moved to another daemon", {}, now);
+}
+
+bool ServedEndpoint::isDone() const
+{
+    return isClaimReleased_ && running_ == 0 && transactions_.empty();
+}
+
+std::size_t ServedEndpoint::queuedCount() const
+{
+    return queued_.size() + held_.size();
+}
+
+ForwardReply ServedEndpoint::makeReply(const ForwardJob& job, TimePoint now) const
+{
+    ForwardReply answer;
+    answer.correlation = job.request.correlation;
+    const std::size_t ranks = snapshot_->configuration->ranks.size();
+    for (std::size_t rank = 0; rank < ranks; ++rank)
+        answer.expectedWait.push_back(std::chrono::duration_cast<Milliseconds>(scheduler_->expectedWait(rank, now)));
+    answer.endpointPosition = knownPosition_;
+    answer.endpointStaleness = knownStaleness_;
+    return answer;
+}
+
+void ServedEndpoint::reply(ForwardJob& job, ForwardSuccess success, TimePoint now)
+{
+    ForwardReply answer = makeReply(job, now);
+    answer.result = std::move(success);
+    job.callback(std::move(answer), now);
+}
+
+void ServedEndpoint::refuse(ForwardJob& job, ForwardErrorCode code, Outcome outcome, std::string detail,
+    Milliseconds retryAfter, TimePoint now)
+{
+    ForwardReply answer = makeReply(job, now);
+    ForwardError error { code, outcome, std::move(detail), retryAfter, {} };
+    if (const PrimaryView* view = primaryView())
+        error.primary = *view;
+    answer.result = std::move(error);
+    job.callback(std::move(answer), now);
+}
+
+} // namespace almondlever
--- /dev/null
+++ b/tests/entry/TestEntryRouter.cpp
@@ -0,0 +1,240 @@
+#include "almondlever/entry/EntryRouter.h"
+#include "mocks/FakeForwarder.h"
+#include "mocks/FakeTimerService.h"
+#include "mocks/SampleConfiguration.h"
+
+#include <criterion/criterion.h>
+
+using namespace almondlever;
+
+namespace {
+
+struct RouterFixture {
+    RouterFixture() { router.setSnapshot(snapshot); }
+
+    std::vector<CallerReply>& send(const char* caller, OperationKind operation, const std::string& token = "",
+        const std::string& idempotencyKey = "", bool isRepeatable = true)
+    {
+        CallerRequest request;
+        request.caller = CallerId(caller);
+        request.database = DatabaseId("ledger-1");
+        request.operation = operation;
+        request.key = "lot-7";
+        request.value = "v";
+        request.sessionToken = token;
+        request.idempotencyKey = idempotencyKey;
+        request.isRepeatable = isRepeatable;
+        router.handle(request, timers.now(), [this](CallerReply reply) { replies.push_back(std::move(reply)); });
+        return replies;
+    }
+
+    const CallerError& error(std::size_t index) { return std::get<CallerError>(replies.at(index).result); }
+    bool isSuccess(std::size_t index) { return std::holds_alternative<CallerSuccess>(replies.at(index).result); }
+
+    FakeForwarder forwarder;
+    FakeTimerService timers;
+    SessionTokenCodec codec { "a cluster key of a test" };
+    RetryBudget budget;
+    Metrics metrics;
+    DecisionLog decisions { 0 };
+    EntryRouter router { forwarder, timers, codec, budget, metrics, decisions, 1 };
+    std::shared_ptr<Snapshot> snapshot = makeSampleSnapshot();
+    std::vector<CallerReply> replies;
+};
+
+const DatabaseId database("ledger-1");
+
+} // namespace
+
+// Guards P1: a write's position must reach the session's token, or the next read could miss the write.
+Test(EntryRouter, writePositionTravelsInTokenToNextRead)
+{
+    RouterFixture f;
+    f.send("clerk", OperationKind::Write);
+    f.forwarder.succeed(0, { 1, 42 }, f.timers.now());
+    cr_assert(f.isSuccess(0));
+    f.send("clerk", OperationKind::Read, f.replies[0].sessionToken);
+    cr_assert((f.forwarder.sent.at(1).request.minimumPosition == LogPosition { 1, 42 }));
+}
+
+// Guards P1 for a lost token: without a position the read must come from a primary whose leadership is confirmed.
+Test(EntryRouter, lostTokenReadsFromConfirmedPrimary)
+{
+    RouterFixture f;
+    f.send("clerk", OperationKind::Read);
+    cr_assert(f.forwarder.sent.at(0).request.endpoint == EndpointId("ledger-1-a"));
+    cr_assert(f.forwarder.sent.at(0).request.needsConfirmedLeadership);
+}
+
+// Guards the share of reads on replicas: a stale read that the rules allow must not go to the primary.
+Test(EntryRouter, staleReadsGoToReplicas)
+{
+    RouterFixture f;
+    f.send("buyer", OperationKind::Read);
+    cr_assert(f.forwarder.sent.at(0).request.endpoint != EndpointId("ledger-1-a"));
+    cr_assert(!f.forwarder.sent.at(0).request.needsConfirmedLeadership);
+}
+
+// Guards against a read that fails because one replica is behind: the other replica and then the primary are tried.
+Test(EntryRouter, readFallsBackFromReplicasToPrimary)
+{
+    RouterFixture f;
+    f.send("buyer", OperationKind::Read);
+    f.forwarder.fail(0, ForwardErrorCode::Behind, Outcome::NotRun, f.timers.now());
+    f.forwarder.fail(1, ForwardErrorCode::Behind, Outcome::NotRun, f.timers.now());
+    cr_assert(f.forwarder.sent.size() == 3);
+    cr_assert(f.forwarder.sent[2].request.endpoint == EndpointId("ledger-1-a"));
+}
+
+// Guards P6: a request with an Idempotency-Key must not be sent again once it may have reached an endpoint.
+Test(EntryRouter, doesNotRepeatAKeyedWriteOfUnknownOutcome)
+{
+    RouterFixture f;
+    f.send("clerk", OperationKind::Write, "", "order-1");
+    f.forwarder.fail(0, ForwardErrorCode::EndpointUnavailable, Outcome::Unknown, f.timers.now());
+    f.timers.advance(Milliseconds(500));
+    cr_assert(f.forwarder.sent.size() == 1);
+    cr_assert(f.error(0).outcome == Outcome::Unknown);
+}
+
+// Guards P6 for the explicit mark without a key.
+Test(EntryRouter, doesNotRepeatAWriteMarkedNotRepeatable)
+{
+    RouterFixture f;
+    f.send("clerk", OperationKind::Write, "", "", false);
+    f.forwarder.fail(0, ForwardErrorCode::EndpointUnavailable, Outcome::Unknown, f.timers.now());
+    f.timers.advance(Milliseconds(500));
+    cr_assert(f.forwarder.sent.size() == 1);
+    cr_assert(f.error(0).outcome == Outcome::Unknown);
+}
+
+// Guards P2 against doubling: a repeat of a write carries the same request id, by which the endpoint recognises it.
+Test(EntryRouter, repeatsAnOrdinaryWriteUnderTheSameRequestId)
+{
+    RouterFixture f;
+    f.send("shed", OperationKind::Write);
+    f.forwarder.fail(0, ForwardErrorCode::NotConfirmed, Outcome::Unknown, f.timers.now());
+    f.timers.advance(Milliseconds(100));
+    cr_assert(f.forwarder.sent.size() == 2);
+    cr_assert(f.forwarder.sent[0].request.requestId == f.forwarder.sent[1].request.requestId);
+}
+
+// Guards P5: once an attempt may have run, a later refusal must not be reported as not run.
+Test(EntryRouter, neverSaysNotRunAfterAnAttemptOfUnknownOutcome)
+{
+    RouterFixture f;
+    f.send("shed", OperationKind::Write);
+    f.forwarder.fail(0, ForwardErrorCode::NotConfirmed, Outcome::Unknown, f.timers.now());
+    f.timers.advance(Milliseconds(100));
+    f.forwarder.fail(1, ForwardErrorCode::Overloaded, Outcome::NotRun, f.timers.now());
+    cr_assert(f.error(0).outcome == Outcome::Unknown);
+}
+
+// Guards the failover gap: a redirect must be followed at once, and later writes must go to the new primary directly.
+Test(EntryRouter, followsAndRemembersANewPrimary)
+{
+    RouterFixture f;
+    f.send("clerk", OperationKind::Write);
+    f.forwarder.fail(0, ForwardErrorCode::NotPrimary, Outcome::NotRun, f.timers.now(), { database, 2, EndpointId("ledger-1-b") });
+    cr_assert(f.forwarder.sent.at(1).request.endpoint == EndpointId("ledger-1-b"));
+    f.send("clerk", OperationKind::Write);
+    cr_assert(f.forwarder.sent.at(2).request.endpoint == EndpointId("ledger-1-b"));
+}
+
+// Guards against a late hint of an old term that would send writes back to a superseded primary.
+Test(EntryRouter, ignoresAHintOfAnOlderTerm)
+{
+    RouterFixture f;
+    f.snapshot->primaries[database] = { database, 5, EndpointId("ledger-1-c") };
+    f.send("clerk", OperationKind::Write);
+    f.forwarder.fail(0, ForwardErrorCode::NotPrimary, Outcome::NotRun, f.timers.now(), { database, 2, EndpointId("ledger-1-b") });
+    f.timers.advance(Milliseconds(100));
+    cr_assert(f.forwarder.sent.back().request.endpoint == EndpointId("ledger-1-c"));
+}
+
+// Guards retries against multiplying an overload: beyond the budget a failed read gets its error.
+Test(EntryRouter, retriesStayInsideTheBudget)
+{
+    RouterFixture f;
+    std::size_t answered = 0;
+    for (int i = 0; i < 200; ++i) {
+        f.send("buyer", OperationKind::Read);
+        while (answered < f.forwarder.sent.size())
+            f.forwarder.fail(answered++, ForwardErrorCode::EndpointUnavailable, Outcome::Unknown, f.timers.now());
+    }
+    const std::size_t repeats = f.forwarder.sent.size() - 200;
+    cr_assert(repeats <= 200 / 10 + 3, "%zu repeats for 200 requests", repeats);
+}
+
+// Guards against a request that is passed around for ever while daemons disagree about the owner.
+Test(EntryRouter, endsWhenNoDaemonOwnsTheEndpoint)
+{
+    RouterFixture f;
+    f.send("clerk", OperationKind::Write);
+    std::size_t answered = 0;
+    for (int i = 0; i < 200 && f.replies.empty(); ++i) {
+        while (answered < f.forwarder.sent.size())
+            f.forwarder.fail(answered++, ForwardErrorCode::NotOwner, Outcome::NotRun, f.timers.now());
+        f.timers.advance(Milliseconds(20));
+    }
+    cr_assert(f.replies.size() == 1);
+    cr_assert(f.error(0).outcome == Outcome::NotRun);
+}
+
+// Guards the session promise against a token of another cluster or a changed one being taken for an empty session.
+Test(EntryRouter, refusesAForgedToken)
+{
+    RouterFixture f;
+    SessionState state;
+    state.observe(database, { 3, 3 });
+    f.send("clerk", OperationKind::Read, SessionTokenCodec("another cluster's key!").encode(state));
+    cr_assert(f.error(0).code == CallerErrorCode::BadSessionToken);
+    cr_assert(f.error(0).outcome == Outcome::NotRun);
+    cr_assert(f.forwarder.sent.empty());
+}
+
+// Guards early refusal: when the owner says that the queue is longer than the deadline, the entry daemon refuses at once.
+Test(EntryRouter, refusesEarlyWhenTheOwnerIsOverwhelmed)
+{
+    RouterFixture f;
+    f.send("shed", OperationKind::Write);
+    ForwardReply reply;
+    reply.result = ForwardSuccess { { 1, 1 }, std::nullopt, TransactionId(), false, false, {} };
+    reply.expectedWait = { Milliseconds(1), Milliseconds(9000), Milliseconds(9000) };
+    f.forwarder.sent.at(0).callback(reply, f.timers.now());
+    f.send("shed", OperationKind::Write);
+    cr_assert(f.forwarder.sent.size() == 1);
+    cr_assert(f.error(1).code == CallerErrorCode::Overloaded);
+    cr_assert(f.error(1).retryAfter == Milliseconds(9000));
+    f.send("clerk", OperationKind::Write);
+    cr_assert(f.forwarder.sent.size() == 2, "the urgent rank has a short queue and must go on");
+}
+
+// Guards callers against use of databases that the inventory does not give them.
+Test(EntryRouter, refusesUnknownCallersAndDatabases)
+{
+    RouterFixture f;
+    f.send("stranger", OperationKind::Read);
+    cr_assert(f.error(0).code == CallerErrorCode::UnknownCaller);
+    CallerRequest request;
+    request.caller = CallerId("clerk");
+    request.database = DatabaseId("ledger-9");
+    f.router.handle(request, f.timers.now(), [&](CallerReply reply) { f.replies.push_back(std::move(reply)); });
+    cr_assert(f.error(1).code == CallerErrorCode::UnknownDatabase);
+}
+
+// Guards P3: a statement of a transaction must go to the daemon that holds it, and fail when that daemon is gone.
+Test(EntryRouter, transactionStatementsGoToTheirDaemon)
+{
+    RouterFixture f;
+    CallerRequest request;
+    request.caller = CallerId("clerk");
+    request.database = database;
+    request.operation = OperationKind::Write;
+    request.transaction = TransactionId("vm-3.17");
+    f.router.handle(request, f.timers.now(), [&](CallerReply reply) { f.replies.push_back(std::move(reply)); });
+    cr_assert(f.forwarder.sent.at(0).owner == VmId("vm-3"));
+    request.transaction = TransactionId("vm-8.17");
+    f.router.handle(request, f.timers.now(), [&](CallerReply reply) { f.replies.push_back(std::move(reply)); });
+    cr_assert(f.error(0).code == CallerErrorCode::TransactionLost);
+}
