--- /dev/null
+++ b/include/almondlever/admission/RankScheduler.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "almondlever/admission/Scheduler.h"
+#include "almondlever/config/Configuration.h"
+
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace almondlever {
+
+/**
+ * Gives slots by rank with floors. A free slot goes to the backlogged rank that is furthest below its floor, else to
+ * the most urgent backlogged rank. Inside a rank the caller that has had the least slot time comes first, and inside a
+ * caller the request that arrived first.
+ *
+ * A request that cannot finish inside its deadline is refused on arrival, or set aside by take() once waiting has made
+ * it too old. When a rank's queue is full, a request of a caller with fewer queued requests displaces the newest
+ * request of the caller with the most. The owner calls removeExpired() after each offer() and take() to answer such
+ * requests.
+ *
+ * Every operation takes O(ranks + log queued) time, amortised. Not thread-safe.
+ *
+ * @see Scheduler, ConcurrencyLimiter
+ */
+class RankScheduler final : public Scheduler {
+public:
+    /** The ranks in order of urgency and the slots of the endpoint. At least one rank; floors sum to at most 1. */
+    RankScheduler(const std::vector<RankRule>& ranks, std::size_t slots);
+    ~RankScheduler() override;
+    RankScheduler(const RankScheduler&) = delete;
+    RankScheduler& operator=(const RankScheduler&) = delete;
+
+    std::optional<Refusal> offer(const QueuedRequest&, TimePoint now) override;
+    std::optional<QueuedRequest> take(TimePoint now) override;
+    void finish(const QueuedRequest&, Duration slotTime, TimePoint now) override;
+    bool cancel(Ticket) override;
+    /** Also returns the requests that were displaced from a full queue or set aside by take(). None of them has run. */
+    std::vector<QueuedRequest> removeExpired(TimePoint now) override;
+    /** Number of requests that wait for a slot; those set aside for removeExpired() are not counted. */
+    std::size_t size() const override;
+    /** Zero is accepted while the endpoint gets no work; waits are then estimated as if it had one slot. */
+    void setSlots(std::size_t) override;
+    /** Assumes a caller without queued requests of its own and therefore the whole queue of the rank ahead. */
+    Duration expectedWait(std::size_t rank, TimePoint now) const override;
+
+private:
+    struct RankState;
+    /** A request that holds a slot. */
+    struct Running {
+        std::size_t rank = 0;
+        Duration charged { 0 };
+        bool isBelowFloor = false;
+    };
+
+    void advance(TimePoint now);
+    std::optional<std::size_t> chooseRank() const;
+    void setAsideExpired(RankState&, TimePoint now);
+    bool makeRoom(RankState&, const QueuedRequest&);
+    Duration waitBehind(std::size_t rank, std::size_t requestsAhead, TimePoint now) const;
+    std::size_t requestsAhead(const RankState&, const CallerId&) const;
+    double shareOfPriority(std::size_t rank, TimePoint now) const;
+    Refusal refuse(Refusal::Reason, Duration retryAfter) const;
+
+    std::vector<RankState> ranks_;
+    std::size_t slots_;
+    TimePoint advancedTo_;
+    std::unordered_map<Ticket, Running> running_;
+    /** Requests that leave without a slot, until removeExpired() returns them. */
+    std::map<Ticket, QueuedRequest> setAside_;
+};
+
+} // namespace almondlever
--- /dev/null
+++ b/src/admission/FloorAccount.cpp
@@ -0,0 +1,50 @@
+#include "FloorAccount.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace almondlever {
+
+namespace {
+
+    /** Seconds of use and of unserved credit that count. */
+    constexpr double accountingWindow = 1.0;
+    /**
+     * Seconds of credit that a rank without work keeps, and of debt from slots that no other rank wanted. Short: saved
+     * credit delays more urgent ranks, and debt delays the floor when a flood begins.
+     */
+    constexpr double idleWindow = 0.1;
+    /** Seconds of debt from slots taken below the floor; one long statement must not cost a rank its floor for longer.
+     */
+    constexpr double longestDebt = 5.0;
+
+    double toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+} // namespace
+
+void FloorAccount::advance(Duration elapsed, std::size_t slots, bool isBacklogged, Duration meanSlotTime)
+{
+    const double seconds = toSeconds(elapsed);
+    const double rate = floor_ * static_cast<double>(slots);
+    const double window = isBacklogged ? accountingWindow : idleWindow;
+    const double bound = std::max(rate * window, toSeconds(meanSlotTime));
+    credit_ = std::min(credit_ + rate * seconds, bound);
+    used_ *= std::exp(-seconds / accountingWindow);
+}
+
+void FloorAccount::charge(Duration slotTime, std::size_t slots, bool isBelowFloor)
+{
+    const double seconds = toSeconds(slotTime);
+    const double window = isBelowFloor ? longestDebt : idleWindow;
+    const double lowest = -floor_ * static_cast<double>(slots) * window;
+    credit_ = std::max(credit_ - seconds, std::min(credit_, lowest));
+    used_ = std::max(0.0, used_ + seconds);
+}
+
+double FloorAccount::usedShare(Duration sinceAdvance, std::size_t slots) const
+{
+    const double decayed = used_ * std::exp(-toSeconds(sinceAdvance) / accountingWindow);
+    return std::min(1.0, decayed / (accountingWindow * static_cast<double>(std::max<std::size_t>(slots, 1))));
+}
+
+} // namespace almondlever
--- /dev/null
+++ b/src/admission/FloorAccount.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "almondlever/common/Time.h"
+
+#include <cstddef>
+
+namespace almondlever {
+
+/**
+ * Slot time that a rank has used, against its floor. Credit accrues at floor x slots and is spent by slot time; a rank
+ * with positive credit is below its floor. Credit and debt are bounded, so that only the recent past counts.
+ */
+class FloorAccount {
+public:
+    explicit FloorAccount(double floor)
+        : floor_(floor)
+    {
+    }
+
+    /** Lets time pass. The mean slot time is the least bound of the credit, so that slow endpoints keep floors too. */
+    void advance(Duration elapsed, std::size_t slots, bool isBacklogged, Duration meanSlotTime);
+    /** Adds slot time, or takes back an overestimate when negative. */
+    void charge(Duration slotTime, std::size_t slots, bool isBelowFloor);
+
+    bool isBelowFloor() const { return credit_ > 0; }
+    /** Time for which the rank has been without its floor, in seconds x slots. */
+    double shortfall() const { return floor_ > 0 ? credit_ / floor_ : 0; }
+    double floor() const { return floor_; }
+    /** Share of the slots that the rank has used of late, as seen a while after the last advance. */
+    double usedShare(Duration sinceAdvance, std::size_t slots) const;
+
+private:
+    double floor_;
+    /** Slot seconds. */
+    double credit_ = 0;
+    /** Slot seconds, decaying over the accounting window. */
+    double used_ = 0;
+};
+
+} // namespace almondlever
