--- /dev/null
+++ b/src/placement/Rendezvous.cpp
@@ -0,0 +1,85 @@
+#include "Rendezvous.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <map>
+
+namespace almondlever {
+
+namespace {
+
+    struct Scored {
+        const LiveDaemon* daemon;
+        std::uint64_t score;
+    };
+
+    bool isChosen(const std::vector<VmId>& chosen, const VmId& id)
+    {
+        return std::find(chosen.begin(), chosen.end(), id) != chosen.end();
+    }
+
+    /** The best daemons of one failure domain for a key, the best one first; at most `count`. */
+    void keepBest(std::vector<Scored>& best, const Scored& candidate, std::size_t count)
+    {
+        const auto isBetter = [](const Scored& left, const Scored& right) {
+            return wins(left.score, left.daemon->id, right.score, right.daemon->id);
+        };
+        if (best.size() == count && !isBetter(candidate, best.back()))
+            return;
+        best.insert(std::upper_bound(best.begin(), best.end(), candidate, isBetter), candidate);
+        if (best.size() > count)
+            best.pop_back();
+    }
+
+} // namespace
+
+std::uint64_t hashName(const std::string& name) { return XXH3_64bits(name.data(), name.size()); }
+
+std::uint64_t rendezvousScore(std::uint64_t keyHash, std::uint64_t daemonHash)
+{
+    const std::uint64_t pair[] = { keyHash, daemonHash };
+    return XXH3_64bits(pair, sizeof(pair));
+}
+
+void completeSpread(std::vector<VmId>& chosen, std::size_t count, const std::string& key, const MembershipView& view)
+{
+    if (chosen.size() >= count)
+        return;
+    const std::size_t missing = count - chosen.size();
+    const std::uint64_t keyHash = hashName(key);
+    std::map<FailureDomainId, std::size_t> held;
+    std::map<FailureDomainId, std::vector<Scored>> bestByDomain;
+    for (const LiveDaemon& daemon : view.daemons) {
+        if (isChosen(chosen, daemon.id))
+            ++held[daemon.failureDomain];
+        else if (!daemon.isLeaving)
+            keepBest(bestByDomain[daemon.failureDomain],
+                { &daemon, rendezvousScore(keyHash, hashName(daemon.id.text())) }, missing);
+    }
+    while (chosen.size() < count) {
+        std::vector<Scored>* next = nullptr;
+        std::size_t nextHeld = 0;
+        for (auto& [domain, best] : bestByDomain) {
+            if (best.empty())
+                continue;
+            const std::size_t domainHeld = held[domain];
+            const Scored& first = best.front();
+            const bool isBetter = !next || domainHeld < nextHeld
+                || (domainHeld == nextHeld
+                    && wins(first.score, first.daemon->id, next->front().score, next->front().daemon->id));
+            if (!isBetter)
+                continue;
+            next = &best;
+            nextHeld = domainHeld;
+        }
+        if (!next)
+            return;
+        const LiveDaemon& daemon = *next->front().daemon;
+        chosen.push_back(daemon.id);
+        ++held[daemon.failureDomain];
+        next->erase(next->begin());
+    }
+}
+
+} // namespace almondlever
--- /dev/null
+++ b/src/placement/Rendezvous.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "almondlever/common/Identifier.h"
+#include "almondlever/membership/MembershipView.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace almondlever {
+
+/** Hash of a name; the same in every process and release, since all daemons must place alike. */
+std::uint64_t hashName(const std::string&);
+
+/** Rendezvous score of a daemon for a key; the daemon with the highest score wins. */
+std::uint64_t rendezvousScore(std::uint64_t keyHash, std::uint64_t daemonHash);
+
+/** True when the left daemon wins; equal scores are decided by the id. */
+inline bool wins(std::uint64_t leftScore, const VmId& leftId, std::uint64_t rightScore, const VmId& rightId)
+{
+    return leftScore != rightScore ? leftScore > rightScore : leftId < rightId;
+}
+
+/**
+ * Adds daemons that are not leaving to those chosen until the count is reached or none is left. Each comes from a
+ * failure domain that holds the fewest chosen so far; among these the highest score for the key wins.
+ */
+void completeSpread(std::vector<VmId>& chosen, std::size_t count, const std::string& key, const MembershipView&);
+
+} // namespace almondlever
