Confirm writes by majority and sign session tokens

Cause: the serving and entry modules need confirmations and session positions. Change: CommitTracker counts a server only when its promised term and the term of its log end both equal the position's term. Tokens carry a key name and their length, so that truncated tokens and those of another cluster get errors of their own (TokenError gains Truncated and OtherCluster). Conclusion: a repeat answered with a position of an older term is confirmed by waiting for {current term, 0}.

--- /dev/null
+++ b/fuzz/FuzzSessionToken.cpp
@@ -0,0 +1,18 @@
+// libFuzzer target: no input may crash the decoder, and no input that it accepts may change when written again.
+// Build: clang++-14 -std=c++17 -fsanitize=fuzzer,address -Iinclude fuzz/FuzzSessionToken.cpp
+//        src/consistency/SessionToken.cpp -lcrypto -o build/FuzzSessionToken
+#include "almondlever/consistency/SessionToken.h"
+
+#include <cstdint>
+#include <cstdlib>
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    using namespace almondlever;
+    static const SessionTokenCodec codec("fuzz");
+    const std::string token(reinterpret_cast<const char*>(data), size);
+    const auto decoded = codec.decode(token);
+    if (decoded.hasValue() && codec.encode(decoded.value()) != token)
+        std::abort();
+    return 0;
+}
--- a/include/almondlever/consistency/CommitTracker.h
+++ b/include/almondlever/consistency/CommitTracker.h
@@ -28,7 +28,7 @@
     enum class Verdict {
         /** A majority has the position under its term. */
         Confirmed,
-        /** A later term exists; the position may be lost. */
+        /** So many servers promised a later term that no majority can confirm; the position may be lost. */
         Superseded,
         /** The deadline passed. */
         TimedOut,
@@ -50,7 +50,10 @@
 public:
     CommitTracker(std::vector<EndpointId> group);
 
-    /** Starts to wait for a write at a position that the given primary reported. */
+    /**
+     * Starts to wait for a write at a position that the given primary reported. When the primary of term T answers a
+     * repeat with a position of an older term, wait for {T, 0}: a log that ends in T contains that older entry.
+     */
     std::vector<Confirmation> awaitPosition(
         ConfirmationId, const EndpointId& primary, LogPosition, TimePoint deadline, TimePoint now);
     /** Starts to wait for a majority that still holds the term, asked at or after since. */
@@ -79,7 +82,10 @@
     };
 
     std::size_t majority() const { return group_.size() / 2 + 1; }
+    void store(const PositionReport&);
     bool counts(const Wait&, const EndpointId&) const;
+    bool isPast(Term, const EndpointId&) const;
+    void raiseConfirmed();
     std::optional<Confirmation::Verdict> judge(const Wait&, TimePoint now) const;
     std::vector<Confirmation> collect(TimePoint now);
 
--- a/include/almondlever/consistency/SessionToken.h
+++ b/include/almondlever/consistency/SessionToken.h
@@ -22,14 +22,19 @@
     /** True when positions were dropped to keep the token bounded: reads of unlisted databases need the primary. */
     bool isTruncated = false;
 
-    /** Raises the position of a database; never lowers it. Drops the oldest term's entry when the bound is exceeded. */
+    /** Raises the position of a database; never lowers it. Drops the lowest other position beyond the bound. */
     void observe(const DatabaseId&, LogPosition);
 };
 
 enum class TokenError {
     Oversized,
+    /** Not base64url, of an unknown version, or with unexpected content. */
     Malformed,
-    /** Signed by another cluster, or changed. */
+    /** Shorter than the length that the token states. */
+    Truncated,
+    /** Made under another cluster key. */
+    OtherCluster,
+    /** Changed or forged. */
     BadSignature,
 };
 
@@ -44,11 +49,13 @@
 public:
     explicit SessionTokenCodec(const std::string& clusterKey);
 
+    /** The token; drops the lowest positions, and marks the state as truncated, when it would exceed the bound. */
     std::string encode(const SessionState&) const;
     Result<SessionState, TokenError> decode(const std::string& token) const;
 
 private:
     std::string signingKey_;
+    std::string keyName_;
 };
 
 } // namespace almondlever
