--- /dev/null
+++ b/tests/serving/TestServedEndpoint.cpp
@@ -0,0 +1,323 @@
+#include "almondlever/serving/ServingHost.h"
+#include "mocks/FakeEndpoint.h"
+#include "mocks/FakeTimerService.h"
+#include "mocks/SampleConfiguration.h"
+
+#include <criterion/criterion.h>
+
+using namespace almondlever;
+
+namespace {
+
+const DatabaseId database("ledger-1");
+const EndpointId here("ledger-1-a");
+
+struct RecordingEvidence final : PrimaryEvidence {
+    void primaryAnswered(const DatabaseId&, const EndpointId&, Term) override { ++answered; }
+    void primaryFailed(const DatabaseId&, const EndpointId&) override { ++failed; }
+    void writesPaused(const DatabaseId&, const EndpointId&, LogPosition) override { ++paused; }
+
+    int answered = 0;
+    int failed = 0;
+    int paused = 0;
+};
+
+struct ServingFixture {
+    ServingFixture()
+        : host(ServingContext { connector, timers, evidence, metrics, decisions, {},
+            [](const std::vector<RankRule>& ranks, std::size_t slots) {
+                return std::make_unique<RankScheduler>(ranks, slots);
+            },
+            [this] { return ++number; } })
+    {
+    }
+
+    void start() { publish(); }
+    void publish() { host.setSnapshot(std::make_shared<Snapshot>(*snapshot), timers.now()); }
+    void tick(Duration by = Milliseconds(10))
+    {
+        timers.advance(by);
+        host.onTick(timers.now());
+    }
+
+    std::size_t submit(OperationKind operation, ForwardKind kind = ForwardKind::Statement, const TransactionId& transaction = {},
+        LogPosition minimumPosition = {})
+    {
+        ForwardRequest request;
+        request.kind = kind;
+        request.requestId = RequestId("r" + std::to_string(replies.size()));
+        request.caller = CallerId("clerk");
+        request.database = database;
+        request.endpoint = here;
+        request.operation = operation;
+        request.key = "k";
+        request.transaction = transaction;
+        request.timeLeft = Milliseconds(1000);
+        request.minimumPosition = minimumPosition;
+        const std::size_t index = replies.size();
+        replies.emplace_back();
+        host.submit(std::move(request), timers.now(), [this, index](ForwardReply reply, TimePoint) {
+            cr_assert(!replies[index], "a request was answered twice");
+            replies[index] = std::move(reply);
+        });
+        return index;
+    }
+
+    bool isSuccess(std::size_t index) { return replies[index] && std::holds_alternative<ForwardSuccess>(replies[index]->result); }
+    const ForwardError& error(std::size_t index) { return std::get<ForwardError>(replies[index].value().result); }
+    FakeServer& server(int number) { return connector.servers["127.0.0.1:" + std::to_string(21000 + number)]; }
+    /** Answers the position wait of a replica. */
+    void report(int replica, Term promised, LogPosition logEnd)
+    {
+        FakeServer& fake = server(replica);
+        for (std::size_t i = fake.controlCalls.size(); i-- > 0;) {
+            if (fake.controlCalls[i].operation != "wait" || !fake.controlCalls[i].callback)
+                continue;
+            EndpointStatus status = fake.status;
+            status.promisedTerm = promised;
+            status.logEnd = logEnd;
+            const auto callback = std::exchange(fake.controlCalls[i].callback, nullptr);
+            return callback(status);
+        }
+        cr_assert_fail("no position wait is outstanding");
+    }
+
+    FakeEndpointConnector connector;
+    FakeTimerService timers;
+    RecordingEvidence evidence;
+    Metrics metrics;
+    DecisionLog decisions { 0 };
+    std::uint64_t number = 0;
+    std::vector<std::optional<ForwardReply>> replies;
+    std::shared_ptr<Snapshot> snapshot = makeSampleSnapshot();
+    ServingHost host;
+};
+
+} // namespace
+
+// Guards P2: a write must not be acknowledged on the primary's word alone.
+Test(ServedEndpoint, acknowledgesAWriteOnlyAfterAMajority)
+{
+    ServingFixture f;
+    f.start();
+    f.submit(OperationKind::Write);
+    f.server(1).answer(0, { 1, 7 });
+    cr_assert(!f.replies[0]);
+    f.report(2, 1, { 1, 6 });
+    cr_assert(!f.replies[0], "a replica behind the position does not count");
+    f.tick();
+    f.report(2, 1, { 1, 7 });
+    cr_assert(f.isSuccess(0));
+}
+
+// Guards P2: servers that promised a later term must turn the answer into "unknown", never into success.
+Test(ServedEndpoint, reportsUnknownWhenThePrimaryWasSuperseded)
+{
+    ServingFixture f;
+    f.start();
+    f.submit(OperationKind::Write);
+    f.server(1).answer(0, { 1, 7 });
+    f.report(2, 2, { 1, 7 });
+    f.tick();
+    if (!f.replies[0])
+        f.report(3, 2, { 1, 7 });
+    cr_assert(!f.isSuccess(0));
+    cr_assert(f.error(0).outcome == Outcome::Unknown);
+}
+
+// Guards P2: without a majority until the deadline the answer is "unknown".
+Test(ServedEndpoint, reportsUnknownWhenNoMajorityConfirms)
+{
+    ServingFixture f;
+    f.start();
+    f.submit(OperationKind::Write);
+    f.server(1).answer(0, { 1, 7 });
+    f.tick(Milliseconds(1001));
+    cr_assert(f.error(0).code == ForwardErrorCode::NotConfirmed);
+    cr_assert(f.error(0).outcome == Outcome::Unknown);
+}
+
+// Guards P1: a replica read must wait until the replica has reached the session's position, then run.
+Test(ServedEndpoint, readWaitsForItsPosition)
+{
+    ServingFixture f;
+    f.snapshot->primaries[database] = { database, 1, EndpointId("ledger-1-b") };
+    f.start();
+    f.submit(OperationKind::Read, ForwardKind::Statement, {}, { 1, 9 });
+    cr_assert(f.server(1).calls.empty());
+    f.report(1, 1, { 1, 9 });
+    cr_assert(f.server(1).calls.size() == 1);
+    f.server(1).answer(0, { 1, 9 }, EndpointRole::Replica);
+    cr_assert(f.isSuccess(0));
+}
+
+// Guards reads against waiting to their deadline at a replica that does not catch up: the entry daemon tries another.
+Test(ServedEndpoint, readLeavesAReplicaThatStaysBehind)
+{
+    ServingFixture f;
+    f.snapshot->primaries[database] = { database, 1, EndpointId("ledger-1-b") };
+    f.start();
+    f.submit(OperationKind::Read, ForwardKind::Statement, {}, { 1, 9 });
+    for (int i = 0; i < 20 && !f.replies[0]; ++i)
+        f.tick();
+    cr_assert(f.error(0).code == ForwardErrorCode::Behind);
+    cr_assert(f.error(0).outcome == Outcome::NotRun);
+}
+
+// Guards writes during a primary change: they wait while nobody leads and are redirected without having run.
+Test(ServedEndpoint, writesWaitForThePrimaryAndAreRedirected)
+{
+    ServingFixture f;
+    f.snapshot->primaries.clear();
+    f.start();
+    f.submit(OperationKind::Write);
+    cr_assert(!f.replies[0]);
+    f.snapshot->primaries[database] = { database, 2, EndpointId("ledger-1-c") };
+    f.publish();
+    cr_assert(f.error(0).code == ForwardErrorCode::NotPrimary);
+    cr_assert(f.error(0).outcome == Outcome::NotRun);
+    cr_assert(f.error(0).primary.primary == EndpointId("ledger-1-c"));
+    cr_assert(f.server(1).calls.empty());
+}
+
+// Guards P5 and P4: after a broken connection the outcome is unknown and the connection is not used again.
+Test(ServedEndpoint, brokenConnectionIsUnknownAndNotPooled)
+{
+    ServingFixture f;
+    f.start();
+    f.submit(OperationKind::Write);
+    const int broken = f.server(1).calls[0].connection;
+    f.server(1).fail(0, EndpointErrorCode::ConnectionLost, Outcome::Unknown);
+    cr_assert(f.error(0).outcome == Outcome::Unknown);
+    cr_assert(f.evidence.failed == 1);
+    for (int i = 0; i < 4; ++i)
+        f.submit(OperationKind::Write);
+    for (std::size_t i = 1; i < f.server(1).calls.size(); ++i)
+        cr_assert(f.server(1).calls[i].connection != broken);
+}
+
+// Guards the connection and slot limits under load.
+Test(ServedEndpoint, neverExceedsSlotsOrConnections)
+{
+    ServingFixture f;
+    f.start();
+    for (int i = 0; i < 50; ++i)
+        f.submit(OperationKind::Write);
+    cr_assert(f.server(1).calls.size() == 2, "%zu statements run at once on 2 slots", f.server(1).calls.size());
+    cr_assert(f.server(1).peakConnections <= 2);
+}
+
+// Guards the connection limit while two daemons believe that they own an endpoint: a living holder keeps the claim.
+Test(ServedEndpoint, waitsForALivingHolderOfTheClaim)
+{
+    ServingFixture f;
+    f.server(1).status.claim = { 4, VmId("vm-2") };
+    f.start();
+    f.submit(OperationKind::Write);
+    f.tick(Milliseconds(500));
+    cr_assert(f.server(1).calls.empty());
+    f.server(1).status.claim = { 5, VmId() };
+    f.tick(Milliseconds(100));
+    cr_assert(f.server(1).calls.size() == 1);
+    cr_assert(f.server(1).calls[0].statement.claimEpoch == 6);
+}
+
+// Guards the failover gap of a dead daemon: its claim is taken at once.
+Test(ServedEndpoint, takesTheClaimOfADeadHolderAtOnce)
+{
+    ServingFixture f;
+    f.server(1).status.claim = { 4, VmId("vm-gone") };
+    f.start();
+    f.submit(OperationKind::Write);
+    cr_assert(f.server(1).calls.size() == 1);
+}
+
+// Guards P3: statements of a transaction use its connection and no other request gets that connection.
+Test(ServedEndpoint, transactionKeepsItsConnection)
+{
+    ServingFixture f;
+    f.start();
+    f.submit(OperationKind::Write, ForwardKind::Begin);
+    f.server(1).answer(0, {});
+    const TransactionId id = std::get<ForwardSuccess>(f.replies[0]->result).transaction;
+    const int pinned = f.server(1).calls[0].connection;
+    f.submit(OperationKind::Write);
+    cr_assert(f.server(1).calls[1].connection != pinned);
+    f.submit(OperationKind::Write, ForwardKind::Statement, id);
+    cr_assert(f.server(1).calls[2].connection == pinned);
+    f.submit(OperationKind::Write, ForwardKind::Statement, id);
+    cr_assert(f.error(3).outcome == Outcome::NotRun, "a second statement must not enter while one runs");
+}
+
+// Guards slots against transactions that their caller forgot.
+Test(ServedEndpoint, idleTransactionIsEndedAndItsSlotFreed)
+{
+    ServingFixture f;
+    f.start();
+    f.submit(OperationKind::Write, ForwardKind::Begin);
+    f.server(1).answer(0, {});
+    const TransactionId id = std::get<ForwardSuccess>(f.replies[0]->result).transaction;
+    f.tick(Milliseconds(5100));
+    f.submit(OperationKind::Write, ForwardKind::Statement, id);
+    cr_assert(f.error(1).code == ForwardErrorCode::TransactionLost);
+    f.submit(OperationKind::Write);
+    f.submit(OperationKind::Write);
+    cr_assert(f.server(1).calls.size() == 3);
+}
+
+// Guards P8: when the placement moves an endpoint, waiting requests are told "not run" and running ones finish first.
+Test(ServedEndpoint, handOverRedirectsWaitingAndFinishesRunning)
+{
+    ServingFixture f;
+    f.start();
+    for (int i = 0; i < 3; ++i)
+        f.submit(OperationKind::Write);
+    auto owners = std::make_shared<OwnerTable>(*f.snapshot->owners);
+    owners->owners[here] = VmId("vm-2");
+    f.snapshot->owners = owners;
+    f.publish();
+    cr_assert(f.error(2).code == ForwardErrorCode::NotOwner);
+    f.tick();
+    cr_assert(f.server(1).status.claim.owner == VmId("vm-1"), "the claim must be held while statements run");
+    f.server(1).answer(0, { 1, 7 });
+    f.server(1).answer(1, { 1, 8 });
+    f.report(2, 1, { 1, 8 });
+    f.tick();
+    cr_assert(f.isSuccess(0) && f.isSuccess(1));
+    f.tick();
+    cr_assert(f.server(1).status.claim.owner.isEmpty());
+    cr_assert(f.host.isIdle());
+}
+
+// Guards P2 for a repeated key after a primary change: the first result counts only once the new term is confirmed.
+Test(ServedEndpoint, duplicateOfAnEarlierTermIsConfirmedInThePresentTerm)
+{
+    ServingFixture f;
+    f.snapshot->primaries[database] = { database, 3, here };
+    f.server(1).status.role = EndpointRole::Primary;
+    f.server(1).status.logEnd = { 3, 20 };
+    f.start();
+    f.submit(OperationKind::Write);
+    f.server(1).answer(0, { 2, 15 }, EndpointRole::Primary, true);
+    cr_assert(!f.replies[0]);
+    f.report(2, 3, { 3, 20 });
+    cr_assert(f.isSuccess(0));
+    cr_assert(std::get<ForwardSuccess>(f.replies[0]->result).isDuplicate);
+}
+
+// Guards reads against hanging at an endpoint that is down: they are handed back as not run.
+Test(ServedEndpoint, readsLeaveAnUnreachableEndpoint)
+{
+    ServingFixture f;
+    f.snapshot->primaries[database] = { database, 1, EndpointId("ledger-1-b") };
+    f.start();
+    f.server(1).isReachable = false;
+    f.submit(OperationKind::Read);
+    f.server(1).fail(0, EndpointErrorCode::ConnectionLost, Outcome::Unknown);
+    f.submit(OperationKind::Read);
+    f.server(1).fail(1, EndpointErrorCode::ConnectionLost, Outcome::Unknown);
+    f.tick(Milliseconds(100));
+    f.submit(OperationKind::Read);
+    cr_assert(f.error(2).code == ForwardErrorCode::EndpointUnavailable);
+    cr_assert(f.error(2).outcome == Outcome::NotRun);
+}
