Detect a failed primary and change it by majority

Cause: a group whose primary fails must get another without an operator. FailoverCoordinator gains onWritesPaused, wantsWritesPaused and handOverTarget; FailoverSettings gains handOverPatience and handOverRetry.

--- a/include/almondlever/failover/FailoverCoordinator.h
+++ b/include/almondlever/failover/FailoverCoordinator.h
@@ -42,13 +42,20 @@
     Milliseconds rankDelay { 150 };
     /** Time-out of each control operation during a change. */
     Milliseconds operationTimeout { 400 };
+    /** Longest pause of writes for a planned change before they are resumed. */
+    Milliseconds handOverPatience { 1000 };
+    /** Time between attempts of a planned change. */
+    Milliseconds handOverRetry { 3000 };
 };
 
 /** Asks an endpoint for its status; answer with onStatus. */
 struct ProbeAction {
     EndpointId endpoint;
 };
-/** Asks an endpoint to promise a term; answer with onTermReply. */
+/**
+ * Asks an endpoint to promise a term; answer with onTermReply. The proposer's name that the caller sends must be unique
+ * to this coordinator object, since a server repeats its promise to the same proposer.
+ */
 struct RaiseTermAction {
     EndpointId endpoint;
     Term term = 0;
@@ -119,6 +126,18 @@
     /** Evidence from traffic: the primary did not answer; probes it at once. */
     virtual FailoverActions onPrimaryFailed(const EndpointId&, TimePoint now) = 0;
 
+    /**
+     * Writes are paused, none is running, and the primary's log ends at the given position. Called by the daemon that
+     * serves the primary after wantsWritesPaused() became true; starts the planned change once a staying server has
+     * the whole log.
+     */
+    virtual FailoverActions onWritesPaused(LogPosition primaryLogEnd, TimePoint now) = 0;
+
+    /** True while the daemon that serves the primary must start no write, because a planned change is prepared. */
+    virtual bool wantsWritesPaused() const = 0;
+    /** The staying server that the planned change is expected to promote; nullopt when none is prepared. */
+    virtual std::optional<EndpointId> handOverTarget() const = 0;
+
     /** The primary as known; nullopt before it was found or while a change is under way. */
     virtual std::optional<PrimaryView> primary() const = 0;
     /** True while a change of primary is under way or wanted. */
