--- /dev/null
+++ b/src/control/GroupObserver.cpp
@@ -0,0 +1,168 @@
+#include "almondlever/control/GroupObserver.h"
+
+#include "almondlever/observability/DecisionLog.h"
+
+#include <string>
+
+namespace almondlever {
+
+struct GroupObserver::State : std::enable_shared_from_this<GroupObserver::State> {
+    State(const DatabaseDescription& group, VmId vm, const FailoverSettings& failoverSettings, EndpointConnector& connector,
+        TimerService& timerService, GroupObserverHooks observerHooks)
+        : database(group)
+        , self(std::move(vm))
+        , settings(failoverSettings)
+        , timers(timerService)
+        , hooks(std::move(observerHooks))
+        , coordinator(makeFailoverCoordinator(group, self, failoverSettings, timerService.now()))
+    {
+        for (const EndpointDescription& endpoint : database.endpoints) {
+            addresses[endpoint.id] = endpoint.address;
+            controls[endpoint.id] = connector.control(endpoint.address);
+        }
+    }
+
+    /** Carries out actions and reports when the primary as known changed. */
+    void apply(const FailoverActions& actions)
+    {
+        for (const FailoverAction& action : actions)
+            std::visit([this](const auto& detail) { perform(detail); }, action);
+        const auto view = coordinator->primary();
+        const bool isPaused = coordinator->wantsWritesPaused();
+        const bool isSame = view.has_value() == lastView.has_value()
+            && (!view || (view->term == lastView->term && view->primary == lastView->primary)) && isPaused == lastPaused;
+        if (isSame)
+            return;
+        lastView = view;
+        lastPaused = isPaused;
+        hooks.changed();
+    }
+
+    using Handler = FailoverActions (FailoverCoordinator::*)(
+        const EndpointId&, Term, const EndpointResult<EndpointStatus>&, TimePoint);
+
+    EndpointControl::StatusCallback answerTo(Handler handler, const EndpointId& endpoint, Term term)
+    {
+        return [self = shared_from_this(), handler, endpoint, term](const EndpointResult<EndpointStatus>& result) {
+            if (!self->isStopped)
+                self->apply((self->coordinator.get()->*handler)(endpoint, term, result, self->timers.now()));
+        };
+    }
+
+    void perform(const ProbeAction& action)
+    {
+        controls[action.endpoint]->status(settings.probeTimeout,
+            [self = shared_from_this(), endpoint = action.endpoint](const EndpointResult<EndpointStatus>& result) {
+                if (!self->isStopped)
+                    self->apply(self->coordinator->onStatus(endpoint, result, self->timers.now()));
+            });
+    }
+    void perform(const RaiseTermAction& action)
+    {
+        controls[action.endpoint]->raiseTerm(action.term, self, settings.operationTimeout,
+            answerTo(&FailoverCoordinator::onTermReply, action.endpoint, action.term));
+    }
+    void perform(const PromoteAction& action)
+    {
+        controls[action.endpoint]->promote(action.term, settings.operationTimeout,
+            answerTo(&FailoverCoordinator::onPromoteReply, action.endpoint, action.term));
+    }
+    void perform(const FollowAction& action)
+    {
+        controls[action.endpoint]->follow(action.term, action.primary, addresses[action.primary], settings.operationTimeout,
+            answerTo(&FailoverCoordinator::onFollowReply, action.endpoint, action.term));
+    }
+    void perform(const ReportSuspicionAction& action) { hooks.sendSuspicion(action.report); }
+    void perform(const AnnouncePrimaryAction& action) { hooks.announce(action.view); }
+    void perform(const LogDecisionAction& action)
+    {
+        logInfo("primary_change",
+            { { "database", action.database.text() }, { "decision", action.decision }, { "reason", action.reason } });
+    }
+
+    DatabaseDescription database;
+    VmId self;
+    FailoverSettings settings;
+    TimerService& timers;
+    GroupObserverHooks hooks;
+    std::unique_ptr<FailoverCoordinator> coordinator;
+    std::map<EndpointId, std::string> addresses;
+    std::map<EndpointId, std::shared_ptr<EndpointControl>> controls;
+    std::vector<VmId> others;
+    std::optional<PrimaryView> lastView;
+    bool lastPaused = false;
+    bool isStopped = false;
+};
+
+GroupObserver::GroupObserver(const DatabaseDescription& database, const VmId& self, const FailoverSettings& settings,
+    EndpointConnector& connector, TimerService& timers, GroupObserverHooks hooks)
+    : state_(std::make_shared<State>(database, self, settings, connector, timers, std::move(hooks)))
+{
+}
+
+GroupObserver::~GroupObserver()
+{
+    state_->isStopped = true;
+}
+
+void GroupObserver::setObservers(const std::vector<std::pair<VmId, FailureDomainId>>& observers)
+{
+    state_->others.clear();
+    for (const auto& [vm, unused] : observers) {
+        if (vm != state_->self)
+            state_->others.push_back(vm);
+    }
+    state_->coordinator->setObservers(observers);
+}
+
+void GroupObserver::setLeaving(const std::set<EndpointId>& leaving)
+{
+    state_->coordinator->setLeaving(leaving);
+}
+
+void GroupObserver::onTick(TimePoint now)
+{
+    state_->apply(state_->coordinator->onTick(now));
+}
+
+void GroupObserver::onSuspicion(const SuspicionReport& report, TimePoint now)
+{
+    state_->apply(state_->coordinator->onSuspicion(report, now));
+}
+
+void GroupObserver::onAnnouncement(const PrimaryView& view, TimePoint now)
+{
+    state_->apply(state_->coordinator->onAnnouncement(view, now));
+}
+
+void GroupObserver::onPrimaryAnswered(const EndpointId& endpoint, Term term, TimePoint now)
+{
+    state_->coordinator->onPrimaryAnswered(endpoint, term, now);
+}
+
+void GroupObserver::onPrimaryFailed(const EndpointId& endpoint, TimePoint now)
+{
+    state_->apply(state_->coordinator->onPrimaryFailed(endpoint, now));
+}
+
+void GroupObserver::onWritesPaused(LogPosition logEnd, TimePoint now)
+{
+    state_->apply(state_->coordinator->onWritesPaused(logEnd, now));
+}
+
+const std::vector<VmId>& GroupObserver::otherObservers() const
+{
+    return state_->others;
+}
+
+std::optional<PrimaryView> GroupObserver::primary() const
+{
+    return state_->coordinator->primary();
+}
+
+bool GroupObserver::wantsWritesPaused() const
+{
+    return state_->coordinator->wantsWritesPaused();
+}
+
+} // namespace almondlever
