Add HTTP platform adapters and the configuration store

Cause: daemons and almondleverctl have to read and apply configurations through the platform's key-value service, whose answers may be lost. Change: adapters of KeyValueService and VmList after docs/PLATFORM_CONTRACT.md; KeyValueError gets the code NotSent, since NoAnswer says that a change may have taken effect; ConfigurationStore writes parts, switches the head by compare-and-swap, resolves a lost answer by the apply id in the head, reports a conflict with the other's configuration, and collects unused parts.

--- a/include/almondlever/platform/KeyValueService.h
+++ b/include/almondlever/platform/KeyValueService.h
@@ -30,6 +30,8 @@
         RateLimited,
         /** The request is malformed or too large; nothing changed. */
         Rejected,
+        /** The service could not be reached and no byte was sent; nothing changed. */
+        NotSent,
     };
     Code code = Code::NoAnswer;
     std::string detail;
--- a/src/config/JsonReader.cpp
+++ b/src/config/JsonReader.cpp
@@ -57,7 +57,7 @@
 
 std::string writeJson(const nlohmann::json& document)
 {
-    return document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return document.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
 }
 
 } // namespace almondlever
--- a/src/config/JsonReader.h
+++ b/src/config/JsonReader.h
@@ -19,7 +19,9 @@
 std::string readText(const nlohmann::json&, const char* key);
 const nlohmann::json& readList(const nlohmann::json&, const char* key);
 
-/** Text of a document; bytes that are not UTF-8 are replaced, so that it never throws. */
+/**
+ * Text of a document in ASCII, so that it can be cut anywhere. Bytes that are not UTF-8 are replaced; never throws.
+ */
 std::string writeJson(const nlohmann::json&);
 
 } // namespace almondlever
--- /dev/null
+++ b/src/control/ApplyConfiguration.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "ConfigurationStoreServices.h"
+
+namespace almondlever {
+
+/** Writes the parts of a release, then switches the head from the expected revision. */
+void applyRelease(
+    const StoreServices&, PreparedRelease, std::uint64_t expectedHeadRevision, ConfigurationStore::ApplyCallback);
+
+} // namespace almondlever
