Add peer messages and the WebSocket peer network

Cause: daemons need to exchange gossip, configurations and forwarded requests.

PeerNetwork gains traffic() and makePeerNetwork an optional PeerNetworkSettings, which tests use to shorten the time-outs.

Conclusion: a peer without the cluster key gets no message in or out.

--- /dev/null
+++ b/src/wire/Handshake.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "almondlever/common/Result.h"
+#include "almondlever/wire/PeerNetwork.h"
+
+#include <optional>
+#include <string>
+
+namespace almondlever {
+
+/** Number of random bytes in a nonce. */
+inline constexpr std::size_t nonceBytes = 32;
+
+/** First message on a channel, sent by both sides. */
+struct Hello {
+    PeerIdentity identity;
+    /** Chosen afresh for each channel, so that a recorded proof is worthless on another one. */
+    std::string nonce;
+};
+
+/** The end of a channel that computes a proof. Part of the proof, so that a proof cannot be reflected to its sender. */
+enum class ChannelEnd {
+    Dialler,
+    Acceptor,
+};
+
+/** A Hello with a new random nonce. */
+Hello makeHello(const PeerIdentity& self);
+
+std::string encodeHello(const Hello&);
+/** Reads a Hello; the error says what is malformed, or that the peer has another wire version. Never throws. */
+Result<Hello, std::string> decodeHello(const std::string& bytes);
+
+std::string encodeHelloProof(const std::string& proof);
+/** Reads the proof bytes of a HelloProof; nullopt when the message is anything else. Never throws. */
+std::optional<std::string> decodeHelloProof(const std::string& bytes);
+
+/** Computes and checks proofs that a daemon knows the cluster key. */
+class HandshakeKey {
+public:
+    explicit HandshakeKey(const std::string& clusterKey);
+
+    /**
+     * HMAC-SHA-256 over the sender's end of the channel and both encoded Hello messages, hence over both nonces, ids,
+     * failure domains and addresses.
+     */
+    std::string prove(ChannelEnd sender, const std::string& diallerHello, const std::string& acceptorHello) const;
+
+private:
+    std::string key_;
+};
+
+/** Compares in a time that does not depend on where the texts differ. */
+bool isEqualInConstantTime(const std::string& left, const std::string& right);
+
+} // namespace almondlever
--- /dev/null
+++ b/tests/wire/TestPeerNetwork.cpp
@@ -0,0 +1,331 @@
+#include "almondlever/wire/PeerNetwork.h"
+#include "wire/PeerChannel.h"
+
+#include <asio.hpp>
+#include <criterion/criterion.h>
+
+#include <functional>
+
+using namespace almondlever;
+
+namespace {
+
+constexpr const char* clusterKey = "key of the test cluster";
+
+std::string freeAddress()
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+PeerNetworkSettings shortTimes()
+{
+    PeerNetworkSettings settings;
+    settings.handshakeTimeout = Milliseconds(300);
+    settings.pingInterval = Milliseconds(200);
+    settings.pongTimeout = Milliseconds(200);
+    settings.firstRetryDelay = Milliseconds(20);
+    return settings;
+}
+
+/** A daemon's network that records what it receives and loses. */
+struct Daemon {
+    Daemon(asio::io_context& context, const std::string& name, const std::string& key = clusterKey,
+        const PeerNetworkSettings& settings = shortTimes(), const std::string& listenAddress = freeAddress())
+        : identity { VmId(name), FailureDomainId("khomas-a"), listenAddress }
+        , network(makePeerNetwork(context, identity, listenAddress, key, settings))
+    {
+        cr_assert(network->listen().hasValue());
+        network->onMessage([this](const PeerIdentity& from, Message message) {
+            senders.push_back(from);
+            received.push_back(std::move(message));
+        });
+        network->onLoss([this](const VmId& peer) { losses.push_back(peer); });
+    }
+
+    bool sendTo(const Daemon& other, std::uint64_t number)
+    {
+        return network->send(other.identity.id, other.identity.address, ConfigRequest { number, 0 });
+    }
+    std::uint64_t number(std::size_t place) const { return std::get<ConfigRequest>(received.at(place)).knownVersion; }
+
+    PeerIdentity identity;
+    std::unique_ptr<PeerNetwork> network;
+    std::vector<PeerIdentity> senders;
+    std::vector<Message> received;
+    std::vector<VmId> losses;
+};
+
+/** Runs the loop until a condition holds; false after ten seconds. */
+bool runUntil(asio::io_context& context, const std::function<bool()>& isReached)
+{
+    const TimePoint end = Clock::now() + std::chrono::seconds(10);
+    while (!isReached()) {
+        if (Clock::now() > end)
+            return false;
+        context.run_one_for(Milliseconds(10));
+    }
+    return true;
+}
+
+void runFor(asio::io_context& context, Milliseconds span) { context.run_for(span); }
+
+/** A peer that speaks WebSocket but follows the handshake only as far as a test tells it. */
+struct RawPeer {
+    RawPeer(asio::io_context& context, const std::string& address)
+    {
+        client.init_asio(&context);
+        std::error_code error;
+        connection = client.get_connection("ws://" + address + "/peer/raw", error);
+        connection->set_open_handler([this](const auto&) { isOpen = true; });
+        connection->set_close_handler([this](const auto&) { isClosed = true; });
+        connection->set_fail_handler([this](const auto&) { isClosed = true; });
+        connection->set_message_handler([this](const auto&, const PeerConnection::message_ptr& message) {
+            received.push_back(message->get_payload());
+        });
+        client.connect(connection);
+    }
+    ~RawPeer()
+    {
+        connection->set_close_handler(nullptr);
+        connection->set_fail_handler(nullptr);
+        connection->terminate({});
+    }
+    void send(const std::string& payload) const
+    {
+        cr_assert(!connection->send(payload.data(), payload.size(), websocketpp::frame::opcode::binary));
+    }
+    /** Sends Hello, waits for the peer's, and proves the key. */
+    void shakeHands(asio::io_context& context, const std::string& key)
+    {
+        ownHello = encodeHello(makeHello({ VmId("raw"), FailureDomainId("khomas-a"), "127.0.0.1:1" }));
+        cr_assert(runUntil(context, [this] { return isOpen; }));
+        send(ownHello);
+        cr_assert(runUntil(context, [this] { return !received.empty(); }));
+        proof = encodeHelloProof(HandshakeKey(key).prove(ChannelEnd::Dialler, ownHello, received.front()));
+        send(proof);
+    }
+
+    PeerClient client;
+    PeerConnection::ptr connection;
+    std::vector<std::string> received;
+    std::string ownHello;
+    std::string proof;
+    bool isOpen = false;
+    bool isClosed = false;
+};
+
+const std::string aMessage = encodeMessage(ConfigRequest { 7, 0 });
+
+} // namespace
+
+// Guards against messages that are lost or reordered between two daemons, also when both dial at the same moment.
+Test(PeerNetwork, exchangesMessagesInOrderWhenBothDial)
+{
+    asio::io_context context;
+    Daemon left(context, "left");
+    Daemon right(context, "right");
+    constexpr std::uint64_t count = 100;
+    for (std::uint64_t number = 0; number < count; ++number)
+        cr_assert(left.sendTo(right, number) && right.sendTo(left, number));
+    cr_assert(runUntil(context, [&] { return left.received.size() == count && right.received.size() == count; }));
+    for (std::uint64_t number = 0; number < count; ++number)
+        cr_assert(left.number(number) == number && right.number(number) == number);
+    cr_assert(right.senders.front().id == left.identity.id);
+    cr_assert(right.senders.front().failureDomain == left.identity.failureDomain);
+    cr_assert(right.senders.front().address == left.identity.address);
+    cr_assert(left.losses.empty() && right.losses.empty());
+}
+
+// Guards against traffic that is charged to the control budget or not counted at all.
+Test(PeerNetwork, countsBytesByClass)
+{
+    asio::io_context context;
+    Daemon left(context, "left");
+    Daemon right(context, "right");
+    cr_assert(left.sendTo(right, 1));
+    cr_assert(runUntil(context, [&] { return !right.received.empty(); }));
+    cr_assert(left.network->traffic().forwardedBytes == 0 && left.network->traffic().controlBytes > 0);
+    ForwardRequest request;
+    request.value = std::string(10000, 'x');
+    const auto controlBytes = left.network->traffic().controlBytes;
+    cr_assert(left.network->send(right.identity.id, right.identity.address, request));
+    cr_assert(runUntil(context, [&] { return right.received.size() == 2; }));
+    const PeerTraffic sent = left.network->traffic();
+    cr_assert(sent.forwardedBytes > 10000 && sent.forwardedBytes < 10200);
+    cr_assert(sent.controlBytes == controlBytes);
+    cr_assert(left.network->bytesTransferred() == sent.controlBytes + sent.forwardedBytes);
+    cr_assert(right.network->traffic().forwardedBytes == sent.forwardedBytes);
+}
+
+// Guards against a daemon of another cluster that gets messages in or out.
+Test(PeerNetwork, refusesWrongClusterKey)
+{
+    asio::io_context context;
+    Daemon left(context, "left");
+    Daemon right(context, "right", "another key");
+    left.sendTo(right, 1);
+    right.sendTo(left, 1);
+    cr_assert(runUntil(context, [&] { return !left.losses.empty() && !right.losses.empty(); }));
+    cr_assert(left.received.empty() && right.received.empty());
+}
+
+// Guards against a message that is acted on although its sender has not proved the cluster key.
+Test(PeerNetwork, closesChannelThatSendsBeforeProof)
+{
+    asio::io_context context;
+    Daemon daemon(context, "daemon");
+    RawPeer early(context, daemon.identity.address);
+    cr_assert(runUntil(context, [&] { return early.isOpen; }));
+    early.send(aMessage);
+    cr_assert(runUntil(context, [&] { return early.isClosed; }));
+    RawPeer afterHello(context, daemon.identity.address);
+    cr_assert(runUntil(context, [&] { return afterHello.isOpen; }));
+    afterHello.send(encodeHello(makeHello({ VmId("raw"), FailureDomainId(), "" })));
+    afterHello.send(aMessage);
+    cr_assert(runUntil(context, [&] { return afterHello.isClosed; }));
+    cr_assert(daemon.received.empty());
+}
+
+// Guards against a recorded handshake that opens another channel, and against a proof reflected to its sender.
+Test(PeerNetwork, refusesReplayedAndReflectedProof)
+{
+    asio::io_context context;
+    Daemon daemon(context, "daemon");
+    RawPeer honest(context, daemon.identity.address);
+    honest.shakeHands(context, clusterKey);
+    honest.send(aMessage);
+    cr_assert(runUntil(context, [&] { return daemon.received.size() == 1; }));
+
+    RawPeer replaying(context, daemon.identity.address);
+    cr_assert(runUntil(context, [&] { return replaying.isOpen; }));
+    replaying.send(honest.ownHello);
+    replaying.send(honest.proof);
+    replaying.send(aMessage);
+    cr_assert(runUntil(context, [&] { return replaying.isClosed; }));
+
+    RawPeer reflecting(context, daemon.identity.address);
+    cr_assert(runUntil(context, [&] { return reflecting.isOpen; }));
+    reflecting.send(encodeHello(makeHello({ VmId("raw"), FailureDomainId(), "" })));
+    cr_assert(runUntil(context, [&] { return reflecting.received.size() == 2; }));
+    reflecting.send(reflecting.received[1]);
+    reflecting.send(aMessage);
+    cr_assert(runUntil(context, [&] { return reflecting.isClosed; }));
+    cr_assert(daemon.received.size() == 1);
+}
+
+// Guards against a malformed message that does more than close its channel.
+Test(PeerNetwork, closesChannelOnMalformedMessage)
+{
+    asio::io_context context;
+    Daemon daemon(context, "daemon");
+    RawPeer peer(context, daemon.identity.address);
+    peer.shakeHands(context, clusterKey);
+    peer.send("no message");
+    cr_assert(runUntil(context, [&] { return peer.isClosed; }));
+    RawPeer large(context, daemon.identity.address);
+    large.shakeHands(context, clusterKey);
+    large.send(encodeMessage(ConfigReply { 1, 0, 1, std::string(maximumMessageBytes, 'x') }));
+    cr_assert(runUntil(context, [&] { return large.isClosed; }));
+    cr_assert(daemon.received.empty());
+}
+
+// Guards against a peer that holds a channel open for ever without proving the key.
+Test(PeerNetwork, closesChannelWithoutHandshakeInTime)
+{
+    asio::io_context context;
+    Daemon daemon(context, "daemon");
+    RawPeer silent(context, daemon.identity.address);
+    cr_assert(runUntil(context, [&] { return silent.isClosed; }));
+}
+
+// Guards against requests that wait for ever on a channel whose other end is gone without closing it.
+Test(PeerNetwork, findsHalfOpenChannel)
+{
+    asio::io_context context;
+    asio::io_context frozenContext;
+    Daemon daemon(context, "daemon");
+    Daemon frozen(frozenContext, "frozen");
+    cr_assert(daemon.sendTo(frozen, 1));
+    const TimePoint end = Clock::now() + std::chrono::seconds(10);
+    while (frozen.received.empty() && Clock::now() < end) {
+        context.run_one_for(Milliseconds(1));
+        frozenContext.run_one_for(Milliseconds(1));
+    }
+    cr_assert(frozen.received.size() == 1);
+    cr_assert(daemon.losses.empty());
+    // The kernel still acknowledges for the frozen process, so only the missing pong shows that it is gone.
+    cr_assert(runUntil(context, [&] { return !daemon.losses.empty(); }));
+    cr_assert(daemon.losses.front() == frozen.identity.id);
+}
+
+// Guards against a lost channel that is never opened again, and against a loss that is not reported.
+Test(PeerNetwork, reopensLostChannel)
+{
+    asio::io_context context;
+    Daemon left(context, "left");
+    auto right = std::make_unique<Daemon>(context, "right");
+    const std::string address = right->identity.address;
+    cr_assert(left.sendTo(*right, 1));
+    cr_assert(runUntil(context, [&] { return !right->received.empty(); }));
+    right.reset();
+    cr_assert(runUntil(context, [&] { return !left.losses.empty(); }));
+    right = std::make_unique<Daemon>(context, "right", clusterKey, shortTimes(), address);
+    cr_assert(runUntil(context, [&] {
+        left.sendTo(*right, 2);
+        return !right->received.empty();
+    }));
+    cr_assert(right->number(0) == 2);
+}
+
+// Guards against unbounded memory while a peer is being dialled, and against messages queued to an unreachable one.
+Test(PeerNetwork, boundsQueueAndRefusesWhileUnreachable)
+{
+    asio::io_context context;
+    Daemon left(context, "left");
+    Daemon right(context, "right");
+    ForwardRequest request;
+    request.value = std::string(300 * 1024, 'x');
+    int accepted = 0;
+    while (accepted < 10 && left.network->send(right.identity.id, right.identity.address, request))
+        ++accepted;
+    cr_assert(accepted == 3);
+    cr_assert(runUntil(context, [&] { return right.received.size() == 3; }));
+
+    const std::string unused = freeAddress();
+    cr_assert(left.network->send(VmId("absent"), unused, ConfigRequest {}));
+    cr_assert(runUntil(context, [&] { return !left.losses.empty(); }));
+    cr_assert(left.losses.front() == VmId("absent"));
+    cr_assert(!left.network->send(VmId("absent"), unused, ConfigRequest {}));
+}
+
+// Guards against requests for a replaced VM that reach the VM which now has its address.
+Test(PeerNetwork, refusesAnotherVmAtTheAddress)
+{
+    asio::io_context context;
+    Daemon left(context, "left");
+    Daemon right(context, "right");
+    cr_assert(left.network->send(VmId("predecessor"), right.identity.address, ConfigRequest {}));
+    cr_assert(runUntil(context, [&] { return !left.losses.empty(); }));
+    cr_assert(right.received.empty());
+}
+
+// Guards against channels that stay open for ever in a large fleet, and against a loss reported for an idle channel.
+Test(PeerNetwork, closesIdleChannelWithoutLoss)
+{
+    asio::io_context context;
+    PeerNetworkSettings settings = shortTimes();
+    settings.idleTimeout = Milliseconds(100);
+    Daemon left(context, "left", clusterKey, settings);
+    Daemon right(context, "right", clusterKey, settings);
+    cr_assert(left.sendTo(right, 1));
+    cr_assert(runUntil(context, [&] { return right.received.size() == 1; }));
+    const auto afterFirst = left.network->traffic().controlBytes;
+    runFor(context, Milliseconds(400));
+    cr_assert(left.losses.empty() && right.losses.empty());
+    cr_assert(left.sendTo(right, 2));
+    cr_assert(runUntil(context, [&] { return right.received.size() == 2; }));
+    // A second handshake shows that the first channel was closed.
+    cr_assert(left.network->traffic().controlBytes > afterFirst + 400);
+}
