--- a/src/placement/Rendezvous.cpp
+++ b/src/placement/Rendezvous.cpp
@@ -1,7 +1,5 @@
 #include "Rendezvous.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <map>
 
@@ -36,12 +34,6 @@
 
 std::uint64_t hashName(const std::string& name) { return XXH3_64bits(name.data(), name.size()); }
 
-std::uint64_t rendezvousScore(std::uint64_t keyHash, std::uint64_t daemonHash)
-{
-    const std::uint64_t pair[] = { keyHash, daemonHash };
-    return XXH3_64bits(pair, sizeof(pair));
-}
-
 void completeSpread(std::vector<VmId>& chosen, std::size_t count, const std::string& key, const MembershipView& view)
 {
     if (chosen.size() >= count)
--- a/src/placement/Rendezvous.h
+++ b/src/placement/Rendezvous.h
@@ -3,6 +3,10 @@
 #include "almondlever/common/Identifier.h"
 #include "almondlever/membership/MembershipView.h"
 
+// Inlined, since a whole placement at design size computes six million scores of 16 bytes.
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -14,7 +18,11 @@
 std::uint64_t hashName(const std::string&);
 
 /** Rendezvous score of a daemon for a key; the daemon with the highest score wins. */
-std::uint64_t rendezvousScore(std::uint64_t keyHash, std::uint64_t daemonHash);
+inline std::uint64_t rendezvousScore(std::uint64_t keyHash, std::uint64_t daemonHash)
+{
+    const std::uint64_t pair[] = { keyHash, daemonHash };
+    return XXH3_64bits(pair, sizeof(pair));
+}
 
 /** True when the left daemon wins; equal scores are decided by the id. */
 inline bool wins(std::uint64_t leftScore, const VmId& leftId, std::uint64_t rightScore, const VmId& rightId)
