--- a/include/almondlever/endpoints/HttpEndpointConnector.h
+++ b/include/almondlever/endpoints/HttpEndpointConnector.h
@@ -11,8 +11,10 @@
 /** Opens connections to endpoints that speak the HTTP contract of docs/ENDPOINT_CONTRACT.md. */
 class HttpEndpointConnector final : public EndpointConnector {
 public:
-    explicit HttpEndpointConnector(asio::io_context& context)
+    /** All requests carry the id of the own VM, for the logs of the servers. */
+    HttpEndpointConnector(asio::io_context& context, VmId ownVm)
         : context_(context)
+        , ownVm_(std::move(ownVm))
     {
     }
 
@@ -21,6 +23,7 @@
 
 private:
     asio::io_context& context_;
+    VmId ownVm_;
 };
 
 } // namespace almondlever
--- a/src/endpoints/HttpEndpointConnector.cpp
+++ b/src/endpoints/HttpEndpointConnector.cpp
@@ -16,8 +16,9 @@
 
     class HttpEndpointConnection final : public EndpointConnection {
     public:
-        explicit HttpEndpointConnection(std::shared_ptr<HttpConnection> connection)
+        HttpEndpointConnection(std::shared_ptr<HttpConnection> connection, const VmId& ownVm)
             : connection_(std::move(connection))
+            , headers_ { jsonContent, { "Almondlever-Vm", ownVm.text() } }
         {
         }
 
@@ -46,18 +47,20 @@
     private:
         void post(const char* path, const EndpointStatement& statement, Duration timeout, ReplyCallback callback)
         {
-            connection_->send({ "POST", path, { jsonContent }, encodeStatement(statement) }, timeout,
+            connection_->send({ "POST", path, headers_, encodeStatement(statement) }, timeout,
                 [callback = std::move(callback)](const HttpResult& result) { callback(decodeReply(result)); });
         }
 
         std::shared_ptr<HttpConnection> connection_;
+        std::vector<HttpHeader> headers_;
     };
 
     class HttpEndpointControl final : public EndpointControl {
     public:
-        HttpEndpointControl(asio::io_context& context, HttpAddress address)
+        HttpEndpointControl(asio::io_context& context, HttpAddress address, const VmId& ownVm)
             : client_(context)
             , address_(std::move(address))
+            , vmHeader_("Almondlever-Vm", ownVm.text())
         {
         }
 
@@ -100,12 +103,12 @@
     private:
         void get(const std::string& target, Duration timeout, StatusCallback callback)
         {
-            send({ "GET", target, { controlHeader }, "" }, timeout, std::move(callback));
+            send({ "GET", target, { controlHeader, vmHeader_ }, "" }, timeout, std::move(callback));
         }
 
         void post(const std::string& target, const nlohmann::json& body, Duration timeout, StatusCallback callback)
         {
-            send({ "POST", target, { controlHeader, jsonContent }, body.dump() }, timeout, std::move(callback));
+            send({ "POST", target, { controlHeader, vmHeader_, jsonContent }, body.dump() }, timeout, std::move(callback));
         }
 
         void send(const HttpRequest& request, Duration timeout, StatusCallback callback)
@@ -116,6 +119,7 @@
 
         HttpClient client_;
         HttpAddress address_;
+        HttpHeader vmHeader_;
     };
 
     /** Stands for an endpoint whose address cannot be used. */
@@ -132,17 +136,17 @@
 {
     const auto connection = HttpConnection::create(context_);
     connection->connect(addressOrUnusable(address), timeout,
-        [connection, callback = std::move(callback)](const Result<Done, HttpFailure>& connected) {
+        [connection, ownVm = ownVm_, callback = std::move(callback)](const Result<Done, HttpFailure>& connected) {
             if (!connected)
                 return callback(
                     EndpointError { EndpointErrorCode::ConnectionLost, Outcome::NotRun, connected.error().reason, 0 });
-            callback(std::shared_ptr<EndpointConnection>(std::make_shared<HttpEndpointConnection>(connection)));
+            callback(std::shared_ptr<EndpointConnection>(std::make_shared<HttpEndpointConnection>(connection, ownVm)));
         });
 }
 
 std::shared_ptr<EndpointControl> HttpEndpointConnector::control(const std::string& address)
 {
-    return std::make_shared<HttpEndpointControl>(context_, addressOrUnusable(address));
+    return std::make_shared<HttpEndpointControl>(context_, addressOrUnusable(address), ownVm_);
 }
 
 } // namespace almondlever
