--- a/include/almondlever/control/GroupObserver.h
+++ b/include/almondlever/control/GroupObserver.h
@@ -4,6 +4,7 @@
 #include "almondlever/endpoints/EndpointConnection.h"
 #include "almondlever/failover/FailoverCoordinator.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -32,7 +33,8 @@
  */
 class GroupObserver {
 public:
-    GroupObserver(const DatabaseDescription&, const VmId& self, const FailoverSettings&, EndpointConnector&, TimerService&,
+    /** The nonce must be unique to the object, since it names the proposer to whom servers promise terms. */
+    GroupObserver(const DatabaseDescription&, const VmId& self, std::uint64_t nonce, const FailoverSettings&, EndpointConnector&, TimerService&,
         GroupObserverHooks);
     ~GroupObserver();
     GroupObserver(const GroupObserver&) = delete;
--- a/include/almondlever/daemon/DaemonSettings.h
+++ b/include/almondlever/daemon/DaemonSettings.h
@@ -3,6 +3,7 @@
 #include "almondlever/common/Finding.h"
 #include "almondlever/common/Identifier.h"
 #include "almondlever/common/Time.h"
+#include "almondlever/membership/MembershipView.h"
 #include "almondlever/observability/DecisionLog.h"
 #include "almondlever/transport/HttpMessage.h"
 
@@ -23,8 +24,8 @@
     std::string peerAdvertise;
     HttpAddress keyValueAddress;
     HttpAddress vmListAddress;
-    /** Addresses of daemons asked at the start, so that a daemon can start during an outage of the platform. */
-    std::vector<std::string> seeds;
+    /** Daemons contacted at the start, so that a daemon can start during an outage of the platform. */
+    std::vector<LiveDaemon> seeds;
     std::string clusterKey;
     LogSettings log;
     /** Log lines a second for decisions below the most urgent rank. */
--- a/src/control/GroupObserver.cpp
+++ b/src/control/GroupObserver.cpp
@@ -7,10 +7,11 @@
 namespace almondlever {
 
 struct GroupObserver::State : std::enable_shared_from_this<GroupObserver::State> {
-    State(const DatabaseDescription& group, VmId vm, const FailoverSettings& failoverSettings, EndpointConnector& connector,
+    State(const DatabaseDescription& group, VmId vm, std::uint64_t nonce, const FailoverSettings& failoverSettings, EndpointConnector& connector,
         TimerService& timerService, GroupObserverHooks observerHooks)
         : database(group)
         , self(std::move(vm))
+        , proposer(self.text() + '.' + std::to_string(nonce))
         , settings(failoverSettings)
         , timers(timerService)
         , hooks(std::move(observerHooks))
@@ -59,7 +60,7 @@
     }
     void perform(const RaiseTermAction& action)
     {
-        controls[action.endpoint]->raiseTerm(action.term, self, settings.operationTimeout,
+        controls[action.endpoint]->raiseTerm(action.term, proposer, settings.operationTimeout,
             answerTo(&FailoverCoordinator::onTermReply, action.endpoint, action.term));
     }
     void perform(const PromoteAction& action)
@@ -82,6 +83,8 @@
 
     DatabaseDescription database;
     VmId self;
+    /** Name under which servers promise terms. A server repeats a promise to the same name, so each object has its own. */
+    VmId proposer;
     FailoverSettings settings;
     TimerService& timers;
     GroupObserverHooks hooks;
@@ -94,9 +97,9 @@
     bool isStopped = false;
 };
 
-GroupObserver::GroupObserver(const DatabaseDescription& database, const VmId& self, const FailoverSettings& settings,
+GroupObserver::GroupObserver(const DatabaseDescription& database, const VmId& self, std::uint64_t nonce, const FailoverSettings& settings,
     EndpointConnector& connector, TimerService& timers, GroupObserverHooks hooks)
-    : state_(std::make_shared<State>(database, self, settings, connector, timers, std::move(hooks)))
+    : state_(std::make_shared<State>(database, self, nonce, settings, connector, timers, std::move(hooks)))
 {
 }
 
--- a/src/daemon/DaemonSettings.cpp
+++ b/src/daemon/DaemonSettings.cpp
@@ -76,15 +76,16 @@
     return {};
 }
 
-std::string takeList(const std::string& text, std::vector<std::string>& target)
+std::string takeSeeds(const std::string& text, std::vector<LiveDaemon>& target)
 {
     std::size_t begin = 0;
     while (begin < text.size()) {
         const std::size_t end = std::min(text.find(',', begin), text.size());
         const std::string entry = text.substr(begin, end - begin);
-        if (!parseHttpAddress(entry))
-            return "'" + entry + "' is not ip:port; separate addresses by commas";
-        target.push_back(entry);
+        const auto at = entry.find('@');
+        if (at == std::string::npos || at == 0 || !parseHttpAddress(entry.substr(at + 1)))
+            return "'" + entry + "' is not vm-id@ip:port; separate daemons by commas";
+        target.push_back({ VmId(entry.substr(0, at)), FailureDomainId(), entry.substr(at + 1), false });
         begin = end + 1;
     }
     return {};
@@ -120,8 +121,8 @@
             [](const std::string& text, DaemonSettings& s) { return takeAddress(text, s.keyValueAddress); } },
         { "vm-list-address", "ip:port of the platform's VM list", "",
             [](const std::string& text, DaemonSettings& s) { return takeAddress(text, s.vmListAddress); } },
-        { "seeds", "ip:port of other daemons, separated by commas, to start during an outage of the platform", "",
-            [](const std::string& text, DaemonSettings& s) { return takeList(text, s.seeds); } },
+        { "seeds", "other daemons as vm-id@ip:port, separated by commas, to start during an outage of the platform", "",
+            [](const std::string& text, DaemonSettings& s) { return takeSeeds(text, s.seeds); } },
         { "log-level", "debug, info, warn or error", "info",
             [](const std::string& text, DaemonSettings& s) { return takeText(text, s.log.level); } },
         { "log-file", "file for the log; standard output when empty", "",
