--- a/tests/failover/FakeGroup.cpp
+++ b/tests/failover/FakeGroup.cpp
@@ -416,11 +416,14 @@
 
 FakeGroup::Daemon& FakeGroup::ownerOf(const EndpointId& endpoint)
 {
+    const auto canServe = [&](const Daemon& daemon) {
+        return !daemon.isCrashed && paused_.count(daemon.name) == 0 && isLinked(daemon.name, endpoint.text());
+    };
     Daemon& near = *findDaemon("v" + endpoint.text().substr(1));
-    if (!near.isCrashed)
+    if (canServe(near))
         return near;
-    return *std::find_if(daemons_.begin(), daemons_.end(),
-        [&](const Daemon& daemon) { return !daemon.isCrashed || &daemon == &daemons_.back(); });
+    const auto other = std::find_if(daemons_.begin(), daemons_.end(), canServe);
+    return other == daemons_.end() ? near : *other;
 }
 
 FakeGroup::Daemon* FakeGroup::findDaemon(const std::string& name)
--- a/tests/failover/FakeGroup.h
+++ b/tests/failover/FakeGroup.h
@@ -51,8 +51,9 @@
 /**
  * One group of three servers s0..s2 and three observing daemons v0..v2 in failure domains d0..d2, in virtual time.
  *
- * Every daemon sends writes; the daemon in the primary's domain serves them with a CommitTracker. Violations of the
- * promises are collected at every acknowledgement, promotion and read.
+ * Every daemon sends writes; the daemon in the primary's domain, or another one when it cannot reach the primary,
+ * serves them with a CommitTracker. Membership and claims, which choose that daemon in production, are assumed to be up
+ * to date. Violations of the promises are collected at every acknowledgement, promotion and read.
  */
 class FakeGroup {
 public:
@@ -147,10 +148,13 @@
     void prepareHandOver(Daemon& owner);
     void poll(Daemon&);
     void finish(Daemon&, const std::vector<Confirmation>&);
+    /** Sends an unconfirmed write again under its request id. */
+    void repeat(const PendingWrite&);
     void acknowledge(const PendingWrite&);
     void readOwnWrites(Daemon&);
     void checkPromotion(FakeServer&);
 
+    /** The daemon that serves an endpoint. */
     Daemon& ownerOf(const EndpointId&);
     Daemon* findDaemon(const std::string& name);
     FakeServer& serverOf(const std::string& name);
--- a/tests/failover/FakeServer.cpp
+++ b/tests/failover/FakeServer.cpp
@@ -1,9 +1,15 @@
 #include "FakeServer.h"
 
-#include <algorithm>
-
 namespace almondlever::test {
 
+namespace {
+
+    /** Entries that are searched for a known request id; more than any scenario writes between a write and its repeat.
+     */
+    constexpr std::size_t requestMemory = 1000;
+
+} // namespace
+
 EndpointStatus FakeServer::status() const
 {
     EndpointStatus status;
@@ -56,10 +62,16 @@
 {
     if (role_ != EndpointRole::Primary || term != promised_)
         return refuse(EndpointErrorCode::NotPrimary);
-    const bool isKnown = std::any_of(log_.rbegin(), log_.rbegin() + std::min<std::ptrdiff_t>(100, log_.size()),
-        [&](const LogEntry& entry) { return entry.request == request; });
-    if (!isKnown)
-        log_.push_back({ term, request });
+    // A known request is not run again; its first position is returned.
+    const std::size_t oldest = log_.size() > requestMemory ? log_.size() - requestMemory : 0;
+    for (std::size_t place = log_.size(); place > oldest; --place) {
+        if (log_[place - 1].request != request)
+            continue;
+        EndpointStatus known = status();
+        known.logEnd = { log_[place - 1].term, place };
+        return known;
+    }
+    log_.push_back({ term, request });
     return status();
 }
 
--- a/tests/failover/FakeTraffic.cpp
+++ b/tests/failover/FakeTraffic.cpp
@@ -60,7 +60,9 @@
             const LogPosition position = result.value().logEnd;
             const ConfirmationId id = nextConfirmation_++;
             self->pending[id] = { request, position, entry, false };
-            finish(*self, self->tracker->awaitPosition(id, view.primary, position, now_ + writeDeadline, now_));
+            // A repeat that an earlier term holds is confirmed by the marker of the current one.
+            const LogPosition awaited = position.term == view.term ? position : LogPosition { view.term, 0 };
+            finish(*self, self->tracker->awaitPosition(id, view.primary, awaited, now_ + writeDeadline, now_));
             poll(*self);
         });
 }
@@ -134,7 +136,10 @@
                 if (incarnationOf(self->name) != incarnation)
                     return;
                 send("position_reply", name, self->name, [=] {
-                    self->polls.erase(name);
+                    // A doubled reply ends only the poll that it answers.
+                    const auto current = self->polls.find(name);
+                    if (current != self->polls.end() && current->second == askedAt)
+                        self->polls.erase(current);
                     finish(*self, self->tracker->onReport({ id, status.promisedTerm, status.logEnd, askedAt }, now_));
                     poll(*self);
                 });
@@ -151,8 +156,10 @@
     for (const Confirmation& confirmation : ended) {
         const PendingWrite write = daemon.pending[confirmation.id];
         daemon.pending.erase(confirmation.id);
-        if (confirmation.verdict != Confirmation::Verdict::Confirmed)
+        if (confirmation.verdict != Confirmation::Verdict::Confirmed) {
+            repeat(write);
             continue;
+        }
         if (write.isRead) {
             ++readsChecked_;
             if (write.request > 0)
@@ -163,6 +170,19 @@
     }
 }
 
+void FakeGroup::repeat(const PendingWrite& write)
+{
+    Daemon* entry = findDaemon(write.entry);
+    if (write.isRead || entry->isCrashed || paused_.count(entry->name) > 0)
+        return;
+    const auto view = entry->coordinator->primary();
+    if (!view)
+        return;
+    Daemon* owner = &ownerOf(view->primary);
+    send("forward", entry->name, owner->name,
+        [=, view = *view] { serveWrite(*owner, view, write.request, write.entry); });
+}
+
 void FakeGroup::acknowledge(const PendingWrite& write)
 {
     for (const auto& [term, primary] : primaries_) {
