Add almondleverctl

Cause: operators check, plan and apply inventory and rules, and ask daemons for their status, from the command line. Change: subcommands validate, plan, apply, status and explain with TCLAP, flags over environment variables, JSON on the read commands, six exit codes. Conclusion: usable by hand.

--- /dev/null
+++ b/programs/almondleverctl/CommandLine.cpp
@@ -0,0 +1,160 @@
+#include "CommandLine.h"
+
+#include "AlmondleverVersion.h"
+#include "config/UnitParser.h"
+
+#include <map>
+#include <tclap/CmdLine.h>
+
+namespace almondlever {
+
+namespace {
+
+    constexpr const char* description
+        = "Checks and applies the inventory and the rules of almondlever, and asks daemons for their status.\n\n"
+          "validate DIR  checks DIR/inventory.yaml and DIR/rules.yaml and reports all findings\n"
+          "plan DIR      shows what apply would change\n"
+          "apply DIR     applies the files\n"
+          "status        shows the status of a daemon\n"
+          "explain       shows how a daemon would route an operation (--caller, --database, --op)\n\n"
+          "Exit codes: 0 success, 1 findings or refused, 2 wrong usage, 3 another operator's apply came first, "
+          "4 service or daemon unreachable, 5 outcome of an apply unknown.";
+
+    const std::map<std::string, Command> commands { { "validate", Command::Validate }, { "plan", Command::Plan },
+        { "apply", Command::Apply }, { "status", Command::Status }, { "explain", Command::Explain } };
+
+    bool usesFiles(Command command)
+    {
+        return command == Command::Validate || command == Command::Plan || command == Command::Apply;
+    }
+    bool usesKeyValueService(Command command) { return command == Command::Plan || command == Command::Apply; }
+    bool usesDaemon(Command command) { return command == Command::Status || command == Command::Explain; }
+
+    /** Arguments as TCLAP reads them. */
+    struct Arguments {
+        TCLAP::CmdLine line { description, ' ', buildVersion };
+        TCLAP::UnlabeledValueArg<std::string> command { "command", "validate, plan, apply, status or explain", true, "",
+            "command", line };
+        TCLAP::UnlabeledValueArg<std::string> directory { "directory", "Folder with inventory.yaml and rules.yaml",
+            false, "", "DIR", line };
+        TCLAP::ValueArg<std::string> keyValueAddress { "", "kv-address",
+            "Address of the platform's key-value service (environment: ALMONDLEVER_KV_ADDRESS)", false, "", "ip:port",
+            line };
+        TCLAP::ValueArg<std::string> daemonAddress { "", "daemon-address",
+            "Address of a daemon (environment: ALMONDLEVER_DAEMON_ADDRESS)", false, "", "ip:port", line };
+        TCLAP::ValueArg<std::string> caller { "", "caller", "Caller to explain", false, "", "name", line };
+        TCLAP::ValueArg<std::string> database { "", "database", "Database to explain", false, "", "name", line };
+        TCLAP::ValueArg<std::string> operation { "", "op", "Operation to explain", false, "", "read|write", line };
+        TCLAP::ValueArg<std::string> author { "", "author",
+            "Name stored with an apply (environment: ALMONDLEVER_AUTHOR, then USER)", false, "", "name", line };
+        TCLAP::ValueArg<std::string> timeout { "", "timeout",
+            "Time for each call, for example 500ms (environment: ALMONDLEVER_TIMEOUT; default: 2s)", false, "", "time",
+            line };
+        TCLAP::SwitchArg json { "", "json", "Print JSON; for validate, plan, status and explain", line };
+    };
+
+    /** The flag's value, else the environment variable's. */
+    std::string choose(
+        const TCLAP::ValueArg<std::string>& flag, const char* variable, const ReadEnvironment& environment)
+    {
+        return flag.isSet() ? flag.getValue() : environment(variable);
+    }
+
+    HttpAddress requireAddress(const std::string& text, const std::string& flag, const std::string& variable)
+    {
+        if (text.empty())
+            throw CommandLineStop { ExitCode::Usage, "the address is missing; set --" + flag + " or " + variable };
+        const auto address = parseHttpAddress(text);
+        if (!address)
+            throw CommandLineStop { ExitCode::Usage, "--" + flag + " or " + variable + ": " + address.error() };
+        return address.value();
+    }
+
+    void requireUse(bool isSet, bool isUsed, const std::string& argument, const std::string& command)
+    {
+        if (isSet && !isUsed)
+            throw CommandLineStop { ExitCode::Usage, argument + " has no meaning for " + command };
+        if (!isSet && isUsed)
+            throw CommandLineStop { ExitCode::Usage, command + " needs " + argument };
+    }
+
+    void readExplainArguments(const Arguments& arguments, Options& options)
+    {
+        const bool isExplain = options.command == Command::Explain;
+        const std::string& command = arguments.command.getValue();
+        requireUse(arguments.caller.isSet(), isExplain, "--caller", command);
+        requireUse(arguments.database.isSet(), isExplain, "--database", command);
+        requireUse(arguments.operation.isSet(), isExplain, "--op", command);
+        options.caller = arguments.caller.getValue();
+        options.database = arguments.database.getValue();
+        options.operation = arguments.operation.getValue();
+        if (isExplain && options.operation != "read" && options.operation != "write")
+            throw CommandLineStop { ExitCode::Usage, "--op is '" + options.operation + "'; write read or write" };
+    }
+
+    std::string chooseAuthor(const Arguments& arguments, const ReadEnvironment& environment)
+    {
+        const std::string author = choose(arguments.author, "ALMONDLEVER_AUTHOR", environment);
+        return author.empty() ? environment("USER") : author;
+    }
+
+    Milliseconds readTimeout(const std::string& text)
+    {
+        constexpr Milliseconds defaultTimeout { 2000 };
+        if (text.empty())
+            return defaultTimeout;
+        const auto timeout = parseDuration(text);
+        if (!timeout || timeout.value() <= Milliseconds(0))
+            throw CommandLineStop { ExitCode::Usage,
+                "--timeout or ALMONDLEVER_TIMEOUT is '" + text + "'; write a time above zero with a unit, such as 2s" };
+        return timeout.value();
+    }
+
+    Options readOptions(const Arguments& arguments, const ReadEnvironment& environment)
+    {
+        const std::string& name = arguments.command.getValue();
+        const auto command = commands.find(name);
+        if (command == commands.end())
+            throw CommandLineStop { ExitCode::Usage,
+                "'" + name + "' is no command; commands are validate, plan, apply, status and explain" };
+        Options options;
+        options.command = command->second;
+        requireUse(arguments.directory.isSet(), usesFiles(options.command), "DIR", name);
+        options.directory = arguments.directory.getValue();
+        readExplainArguments(arguments, options);
+        if (arguments.json.getValue() && options.command == Command::Apply)
+            requireUse(true, false, "--json", name);
+        options.isJson = arguments.json.getValue();
+        if (usesKeyValueService(options.command))
+            options.keyValueAddress
+                = requireAddress(choose(arguments.keyValueAddress, "ALMONDLEVER_KV_ADDRESS", environment), "kv-address",
+                    "ALMONDLEVER_KV_ADDRESS");
+        if (usesDaemon(options.command))
+            options.daemonAddress
+                = requireAddress(choose(arguments.daemonAddress, "ALMONDLEVER_DAEMON_ADDRESS", environment),
+                    "daemon-address", "ALMONDLEVER_DAEMON_ADDRESS");
+        options.author = chooseAuthor(arguments, environment);
+        options.timeout = readTimeout(choose(arguments.timeout, "ALMONDLEVER_TIMEOUT", environment));
+        return options;
+    }
+
+} // namespace
+
+Result<Options, CommandLineStop> parseCommandLine(
+    std::vector<std::string> arguments, const ReadEnvironment& environment)
+{
+    try {
+        Arguments parsed;
+        parsed.line.setExceptionHandling(false);
+        parsed.line.parse(arguments);
+        return readOptions(parsed, environment);
+    } catch (const TCLAP::ExitException&) {
+        return CommandLineStop { ExitCode::Success, {} };
+    } catch (const TCLAP::ArgException& error) {
+        return CommandLineStop { ExitCode::Usage, error.error() + " " + error.argId() };
+    } catch (const CommandLineStop& stop) {
+        return stop;
+    }
+}
+
+} // namespace almondlever
