--- a/programs/measure/PlacementMeasurement.cpp
+++ b/programs/measure/PlacementMeasurement.cpp
@@ -120,6 +120,7 @@
             leaving.milliseconds.push_back(millisecondsOf([&] { leaving.moved += index->update(reduced).size(); }));
             joining.milliseconds.push_back(millisecondsOf([&] { joining.moved += index->update(view).size(); }));
         }
+        const double unchanged = millisecondsOf([&] { index->update(view); });
         const double observers = millisecondsOf([&] {
             for (const DatabaseDescription& database : configuration->databases)
                 index->observersOf(database.id, view);
@@ -129,8 +130,8 @@
             { "plain_function_all_ms", measurePlainFunction(*configuration, view) }, { "index_whole_ms", whole },
             { "index_heap_bytes", heapAfter - heapBefore }, { "vm_leaves", describe(leaving, endpoints, size.daemons) },
             { "vm_joins", describe(joining, endpoints, size.daemons) },
-            { "failure_domain", measureDomainLoss(*index, view) }, { "all_observers_ms", observers },
-            { "watchers_ms", watchers } };
+            { "failure_domain", measureDomainLoss(*index, view) }, { "unchanged_ms", unchanged },
+            { "all_observers_ms", observers }, { "watchers_ms", watchers } };
     }
 
 } // namespace
