Refund overestimated slot time only as far as credit bore it

Cause: slot time beyond the bound of the debt was not charged, but its overestimate was given back, so a rank that lives on spare slots gained credit and passed for one below its floor. Change: remember what the credit bore; the debt bound is at least one mean slot time.

--- a/include/almondlever/admission/RankScheduler.h
+++ b/include/almondlever/admission/RankScheduler.h
@@ -50,6 +50,8 @@
     struct Running {
         std::size_t rank = 0;
         Duration charged { 0 };
+        /** Part of the charge that the rank's credit bore. */
+        Duration borne { 0 };
         bool isBelowFloor = false;
     };
 
--- a/src/admission/FloorAccount.cpp
+++ b/src/admission/FloorAccount.cpp
@@ -29,16 +29,26 @@
     const double window = isBacklogged ? accountingWindow : idleWindow;
     const double bound = std::max(rate * window, toSeconds(meanSlotTime));
     credit_ = std::min(credit_ + rate * seconds, bound);
+    meanSlotSeconds_ = toSeconds(meanSlotTime);
     used_ *= std::exp(-seconds / accountingWindow);
 }
 
-void FloorAccount::charge(Duration slotTime, std::size_t slots, bool isBelowFloor)
+Duration FloorAccount::charge(Duration slotTime, std::size_t slots, bool isBelowFloor)
 {
     const double seconds = toSeconds(slotTime);
     const double window = isBelowFloor ? longestDebt : idleWindow;
-    const double lowest = -floor_ * static_cast<double>(slots) * window;
-    credit_ = std::max(credit_ - seconds, std::min(credit_, lowest));
-    used_ = std::max(0.0, used_ + seconds);
+    const double bound = std::max(floor_ * static_cast<double>(slots) * window, meanSlotSeconds_);
+    const double charged = std::max(credit_ - seconds, std::min(credit_, -bound));
+    const double borne = credit_ - charged;
+    credit_ = charged;
+    used_ += seconds;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(borne));
+}
+
+void FloorAccount::refund(Duration slotTime, Duration borne)
+{
+    credit_ += toSeconds(borne);
+    used_ = std::max(0.0, used_ - toSeconds(slotTime));
 }
 
 double FloorAccount::usedShare(Duration sinceAdvance, std::size_t slots) const
--- a/src/admission/FloorAccount.h
+++ b/src/admission/FloorAccount.h
@@ -19,8 +19,13 @@
 
     /** Lets time pass. The mean slot time is the least bound of the credit, so that slow endpoints keep floors too. */
     void advance(Duration elapsed, std::size_t slots, bool isBacklogged, Duration meanSlotTime);
-    /** Adds slot time, or takes back an overestimate when negative. */
-    void charge(Duration slotTime, std::size_t slots, bool isBelowFloor);
+    /** Charges slot time and returns how much of it the credit bore; the rest is beyond the bound of the debt. */
+    Duration charge(Duration slotTime, std::size_t slots, bool isBelowFloor);
+    /**
+     * Gives back an overestimate of slot time, to the credit only what it bore. Otherwise a rank that lives on slots
+     * beyond its floor would gain credit from each overestimate and pass for one below its floor.
+     */
+    void refund(Duration slotTime, Duration borne);
 
     bool isBelowFloor() const { return credit_ > 0; }
     /** Time for which the rank has been without its floor, in seconds x slots. */
@@ -33,6 +38,7 @@
     double floor_;
     /** Slot seconds. */
     double credit_ = 0;
+    double meanSlotSeconds_ = 0;
     /** Slot seconds, decaying over the accounting window. */
     double used_ = 0;
 };
--- a/src/admission/RankScheduler.cpp
+++ b/src/admission/RankScheduler.cpp
@@ -92,8 +92,8 @@
     const Duration expected = rank.service.mean();
     const bool isGrant = rank.account.isBelowFloor();
     std::optional<QueuedRequest> request = rank.queue.pop(expected);
-    rank.account.charge(expected, slots_, isGrant);
-    running_[request->ticket] = Running { *chosen, expected, isGrant };
+    const Duration borne = rank.account.charge(expected, slots_, isGrant);
+    running_[request->ticket] = Running { *chosen, expected, borne, isGrant };
     return request;
 }
 
@@ -107,7 +107,10 @@
     running_.erase(found);
     RankState& rank = ranks_[running.rank];
     rank.service.add(slotTime);
-    rank.account.charge(slotTime - running.charged, slots_, running.isBelowFloor);
+    if (slotTime >= running.charged)
+        rank.account.charge(slotTime - running.charged, slots_, running.isBelowFloor);
+    else
+        rank.account.refund(running.charged - slotTime, std::max(running.borne - slotTime, Duration(0)));
     rank.queue.finish(request.caller, slotTime - running.charged);
 }
 
