--- a/include/almondlever/wire/Messages.h
+++ b/include/almondlever/wire/Messages.h
@@ -132,8 +132,13 @@
         Ack,
         /** Asks the receiver to ping the target and pass its answer on. */
         PingRequest,
+        /** Asks for the records of all members whose id follows the target; sent by a joining daemon. */
+        StateRequest,
+        /** Next records by id in answer to a StateRequest, whose target it repeats; no records mean the end. */
+        StateReply,
     };
     Kind kind = Kind::Ping;
+    /** Repeated by the Ack. A Ping with sequence zero only carries news and is not answered. */
     std::uint64_t sequence = 0;
     /** Target of a PingRequest, or the member whose answer an Ack passes on. */
     VmId target;
@@ -141,6 +146,8 @@
     std::uint64_t configurationVersion = 0;
     /** Version of the VM list as numbered by the watchers; the newer list is fetched like a configuration. */
     std::uint64_t vmListVersion = 0;
+    /** True when leavingVms is the set of vmListVersion; false when the set was left out. */
+    bool hasLeavingVms = false;
     /** Endpoint VMs and daemons that the platform's list shows as leaving; sent only when the receiver's version is
      * older. */
     std::vector<VmId> leavingVms;
--- a/src/wire/CborReader.cpp
+++ b/src/wire/CborReader.cpp
@@ -84,7 +84,7 @@
 
 Json parseCbor(const std::string& bytes)
 {
-    const Json discarded(Json::value_t::discarded);
+    Json discarded(Json::value_t::discarded);
     try {
         BoundedBuilder builder;
         if (!Json::sax_parse(bytes, &builder, Json::input_format_t::cbor))
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -259,6 +259,7 @@
         }
         writer.number("cv", gossip.configurationVersion);
         writer.number("lv", gossip.vmListVersion);
+        writer.flag("hl", gossip.hasLeavingVms);
         if (!gossip.leavingVms.empty()) {
             Json& leaving = map["l"] = Json::array();
             for (const VmId& id : gossip.leavingVms)
@@ -284,12 +285,13 @@
     Gossip readGossip(CborReader& reader)
     {
         Gossip gossip;
-        gossip.kind = reader.enumeration("k", Gossip::Kind::PingRequest);
+        gossip.kind = reader.enumeration("k", Gossip::Kind::StateReply);
         gossip.sequence = reader.number("s");
         gossip.target = reader.identifier<VmId>("ta");
         readRecords(reader, gossip.records);
         gossip.configurationVersion = reader.number("cv");
         gossip.vmListVersion = reader.number("lv");
+        gossip.hasLeavingVms = reader.flag("hl");
         for (const Json& id : reader.array("l", maximumLeavingVms)) {
             if (!isName(id)) {
                 reader.fail("l", "holds a malformed id");
--- /dev/null
+++ b/tests/membership/TestConfigurationSpread.cpp
@@ -0,0 +1,103 @@
+#include "almondlever/membership/ConfigurationSpread.h"
+
+#include <criterion/criterion.h>
+
+using namespace almondlever;
+
+namespace {
+
+const TimePoint start { std::chrono::hours(1) };
+const ConfigurationHolder first { 7, VmId("first"), "10.0.0.1:1" };
+const ConfigurationHolder second { 7, VmId("second"), "10.0.0.2:1" };
+
+std::string someBytes() { return std::string(configurationChunkBytes, 'a') + std::string(1000, 'b'); }
+
+ConfigurationSpread holderOf(std::uint64_t version, const std::string& bytes)
+{
+    ConfigurationSpread spread;
+    spread.hold(version, bytes);
+    return spread;
+}
+
+} // namespace
+
+// Guards against chunks that are lost, doubled or put together in a wrong order.
+Test(ConfigurationSpread, fetchesAllChunks)
+{
+    const ConfigurationSpread server = holderOf(7, someBytes());
+    ConfigurationSpread client;
+    auto request = client.onVersionHeard(first, start);
+    std::size_t requests = 0;
+    while (request) {
+        ++requests;
+        const auto reply = server.onRequest(request->request);
+        cr_assert(reply.has_value());
+        const auto next = client.onReply(first.holder, *reply, start);
+        cr_assert(!client.onReply(first.holder, *reply, start));
+        request = next;
+    }
+    cr_assert(requests == 2);
+    const auto received = client.takeReceived();
+    cr_assert(received.has_value());
+    cr_assert(received->version == 7 && received->bytes == someBytes() && received->from == first.holder);
+}
+
+// Guards against a daemon that goes back to an older configuration (P9).
+Test(ConfigurationSpread, neverGoesBack)
+{
+    ConfigurationSpread spread = holderOf(9, "nine");
+    spread.hold(8, "eight");
+    cr_assert(spread.heldVersion() == 9);
+    cr_assert(!spread.onVersionHeard(first, start));
+    cr_assert(!spread.onRequest({ 9, 0 }));
+    cr_assert(spread.onRequest({ 8, 0 })->bytes == "nine");
+}
+
+// Guards against a fetch that hangs on a peer which died or stopped to answer.
+Test(ConfigurationSpread, asksAnotherPeerAfterTimeoutOrLoss)
+{
+    ConfigurationSpread spread;
+    cr_assert(spread.onVersionHeard(first, start)->to == first.holder);
+    cr_assert(!spread.onVersionHeard(second, start));
+    cr_assert(!spread.onTick(start + Milliseconds(900)));
+    cr_assert(spread.onTick(start + Milliseconds(1000))->to == second.holder);
+    cr_assert(!spread.onReply(first.holder, { 7, 0, 1, "late" }, start + Milliseconds(1001)));
+    spread.onVersionHeard(first, start + Milliseconds(1100));
+    cr_assert(spread.onPeerLost(second.holder, start + Milliseconds(1200))->to == first.holder);
+}
+
+// Guards against a mixture of two versions when the peer changes its configuration between two chunks.
+Test(ConfigurationSpread, startsAgainWhenVersionChanges)
+{
+    ConfigurationSpread client;
+    client.onVersionHeard(first, start);
+    const auto next = client.onReply(first.holder, *holderOf(7, someBytes()).onRequest({ 0, 0 }), start);
+    const ConfigurationSpread newer = holderOf(8, std::string(2 * configurationChunkBytes, 'c'));
+    auto request = client.onReply(first.holder, *newer.onRequest(next->request), start);
+    while (request)
+        request = client.onReply(first.holder, *newer.onRequest(request->request), start);
+    const auto received = client.takeReceived();
+    cr_assert(received->version == 8 && received->bytes == std::string(2 * configurationChunkBytes, 'c'));
+}
+
+// Guards against a configuration that was found invalid and is fetched from the same peer for ever.
+Test(ConfigurationSpread, doesNotFetchRejectedVersionAgain)
+{
+    ConfigurationSpread spread;
+    spread.onVersionHeard(first, start);
+    spread.onReply(first.holder, { 7, 0, 1, "bad" }, start);
+    spread.reject(7, spread.takeReceived()->from);
+    cr_assert(!spread.onVersionHeard(first, start));
+    cr_assert(spread.onVersionHeard(second, start)->to == second.holder);
+}
+
+// Guards against truncated chunks and sizes that exhaust memory.
+Test(ConfigurationSpread, givesUpOnMalformedReply)
+{
+    ConfigurationSpread spread;
+    spread.onVersionHeard(first, start);
+    spread.onVersionHeard(second, start);
+    cr_assert(spread.onReply(first.holder, { 7, 0, 2, "short" }, start)->to == second.holder);
+    cr_assert(!spread.onReply(second.holder, { 7, 0, 1U << 20U, "x" }, start));
+    cr_assert(!spread.takeReceived());
+}
--- a/tests/wire/TestMessages.cpp
+++ b/tests/wire/TestMessages.cpp
@@ -45,7 +45,8 @@
 }
 static auto fields(const Gossip& g)
 {
-    return std::tie(g.kind, g.sequence, g.target, g.records, g.configurationVersion, g.vmListVersion, g.leavingVms);
+    return std::tie(g.kind, g.sequence, g.target, g.records, g.configurationVersion, g.vmListVersion, g.hasLeavingVms,
+        g.leavingVms);
 }
 
 } // namespace almondlever
@@ -99,8 +100,8 @@
 {
     const MemberRecord record { VmId("vm" + anyText().substr(0, 20)), anyId<FailureDomainId>(), "10.0.0.1:7000",
         anyEnum(MemberRecord::State::Leaving), anyNumber() };
-    return { anyEnum(Gossip::Kind::PingRequest), anyNumber(), anyId<VmId>(), { record, record }, anyNumber(),
-        anyNumber(), { anyId<VmId>() } };
+    return { anyEnum(Gossip::Kind::StateReply), anyNumber(), anyId<VmId>(), { record, record }, anyNumber(),
+        anyNumber(), anyFlag(), { anyId<VmId>() } };
 }
 
 template <typename Alternative> void checkRoundTrip(Alternative (*make)())
