--- a/src/observability/DecisionLog.cpp
+++ b/src/observability/DecisionLog.cpp
@@ -84,7 +84,7 @@
     if (!level)
         return "log level '" + settings.level + "' is unknown; use debug, info, warn or error";
     const auto layout = std::make_shared<log4cxx::PatternLayout>(
-        LOG4CXX_STR("time=%d{yyyy-MM-dd'T'HH:mm:ss.SSS} level=%p logger=%c %m%n"));
+        LOG4CXX_STR("time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p logger=%c %m%n"));
     log4cxx::AppenderPtr appender;
     try {
         if (settings.file.empty())
