Redirect queued writes when another endpoint leads

Cause: a write that waited in the queue for a connection to a dead primary was not looked at again when the primary changed, so it ran into its deadline. Before: write sent at a kill answered after 1.07 s with deadline_exceeded although the change took 0.60 s. After: test fails without the change and passes with it. Conclusion: queue and hold must both follow the primary.

--- a/include/almondlever/serving/ServedEndpoint.h
+++ b/include/almondlever/serving/ServedEndpoint.h
@@ -113,6 +113,8 @@
     void endIdleTransactions(TimePoint now);
 
     void releaseHeld(TimePoint now);
+    /** Takes work that only the primary may do out of the queue when another endpoint leads. */
+    void redirectQueued(TimePoint now);
     void expireQueued(TimePoint now);
     void refuseReadsIfUnreachable(TimePoint now);
     void askForPosition(TimePoint now);
--- a/src/serving/ServedEndpoint.cpp
+++ b/src/serving/ServedEndpoint.cpp
@@ -75,6 +75,25 @@
     snapshot_ = std::move(snapshot);
     claim_.setMembers(snapshot_->members);
     releaseHeld(now);
+    redirectQueued(now);
+}
+
+void ServedEndpoint::redirectQueued(TimePoint now)
+{
+    std::vector<Ticket> misplaced;
+    for (const auto& [ticket, job] : queued_) {
+        if (job.needsPrimary() && gateFor(job, now) != Gate::Open)
+            misplaced.push_back(ticket);
+    }
+    for (const Ticket ticket : misplaced) {
+        const auto found = queued_.find(ticket);
+        if (found == queued_.end())
+            continue;
+        ForwardJob job = std::move(found->second);
+        queued_.erase(found);
+        scheduler_->cancel(ticket);
+        place(std::move(job), now);
+    }
 }
 
 const PrimaryView* ServedEndpoint::primaryView() const
--- a/tests/serving/TestServedEndpoint.cpp
+++ b/tests/serving/TestServedEndpoint.cpp
@@ -180,6 +180,21 @@
     cr_assert(f.server(1).calls.empty());
 }
 
+// Guards the write gap: a write that waits for a connection to a dead primary must be redirected when another leads.
+// Seen with real processes: such a write stayed in the queue until its deadline.
+Test(ServedEndpoint, queuedWritesAreRedirectedToANewPrimary)
+{
+    ServingFixture f;
+    f.server(1).isReachable = false;
+    f.start();
+    f.submit(OperationKind::Write);
+    cr_assert(!f.replies[0]);
+    f.snapshot->primaries[database] = { database, 2, EndpointId("ledger-1-c") };
+    f.publish();
+    cr_assert(f.error(0).code == ForwardErrorCode::NotPrimary);
+    cr_assert(f.error(0).outcome == Outcome::NotRun);
+}
+
 // Guards P5 and P4: after a broken connection the outcome is unknown and the connection is not used again.
 Test(ServedEndpoint, brokenConnectionIsUnknownAndNotPooled)
 {
