Wait for the answer to a claim's release before ending

Cause: the process ended right after sending the release, so the request was never written and the next owner waited its patience of 2 s for a holder that was gone. Change: an endpoint is done only when the release was answered or timed out. Before: a write during SIGTERM of the owner took 1.68 s and failed with deadline_exceeded. Conclusion: hand-over needs the release on the wire.

--- a/include/almondlever/serving/ClaimKeeper.h
+++ b/include/almondlever/serving/ClaimKeeper.h
@@ -33,12 +33,14 @@
     void setMembers(const MembershipView&);
     /** The endpoint refused a statement because of the claim; takes it again. */
     void onLost(TimePoint now);
-    /** Gives the claim up for another owner. */
+    /** Gives the claim up for another owner; isIdle tells when that is done. */
     void release();
     /** Makes the next attempt when it is due. */
     void onTick(TimePoint now);
 
     bool isHeld() const;
+    /** True when the claim is neither held nor wanted, and a release was answered or timed out. */
+    bool isIdle() const;
     std::uint64_t epoch() const;
 
 private:
--- a/src/serving/ClaimKeeper.cpp
+++ b/src/serving/ClaimKeeper.cpp
@@ -15,6 +15,7 @@
         Wanted,
         Asking,
         Held,
+        Releasing,
     };
 
     State(EndpointControl& endpointControl, TimerService& timerService, VmId vm)
@@ -60,6 +61,14 @@
             heldCallback(epoch, result.value());
     }
 
+    void releaseClaim()
+    {
+        control->claim(epoch, VmId(), requestTimeout, [state = shared_from_this()](const EndpointResult<EndpointStatus>&) {
+            // A lost answer or an unreachable endpoint leaves the claim to the next owner's patience.
+            state->phase = Phase::Idle;
+        });
+    }
+
     void pause(TimePoint now)
     {
         phase = Phase::Wanted;
@@ -118,9 +127,9 @@
 void ClaimKeeper::release()
 {
     const bool wasHeld = state_->phase == State::Phase::Held;
-    state_->phase = State::Phase::Idle;
+    state_->phase = wasHeld ? State::Phase::Releasing : State::Phase::Idle;
     if (wasHeld)
-        state_->control->claim(state_->epoch, VmId(), requestTimeout, [](const EndpointResult<EndpointStatus>&) {});
+        state_->releaseClaim();
 }
 
 void ClaimKeeper::onTick(TimePoint now)
@@ -134,6 +143,11 @@
     return state_->phase == State::Phase::Held;
 }
 
+bool ClaimKeeper::isIdle() const
+{
+    return state_->phase == State::Phase::Idle;
+}
+
 std::uint64_t ClaimKeeper::epoch() const
 {
     return state_->epoch;
--- a/src/serving/ServedEndpoint.cpp
+++ b/src/serving/ServedEndpoint.cpp
@@ -586,7 +586,7 @@
 
 bool ServedEndpoint::isDone() const
 {
-    return isClaimReleased_ && running_ == 0 && transactions_.empty();
+    return isClaimReleased_ && claim_.isIdle() && running_ == 0 && transactions_.empty();
 }
 
 std::size_t ServedEndpoint::queuedCount() const
--- a/tests/serving/TestServedEndpoint.cpp
+++ b/tests/serving/TestServedEndpoint.cpp
@@ -304,6 +304,26 @@
     cr_assert(f.host.isIdle());
 }
 
+// Guards P8: a process that ends before its release is answered leaves the claim to the patience of the next owner.
+// Seen with real processes: writes waited 1.7 s after a graceful shutdown.
+Test(ServedEndpoint, isNotIdleBeforeTheReleaseIsAnswered)
+{
+    ServingFixture f;
+    f.start();
+    f.server(1).answersControl = false;
+    auto owners = std::make_shared<OwnerTable>(*f.snapshot->owners);
+    owners->owners[here] = VmId("vm-2");
+    f.snapshot->owners = owners;
+    f.publish();
+    f.tick();
+    f.tick();
+    cr_assert(!f.host.isIdle());
+    cr_assert(f.server(1).controlCalls.back().operation == "claim");
+    f.server(1).controlCalls.back().callback(f.server(1).status);
+    f.tick();
+    cr_assert(f.host.isIdle());
+}
+
 // Guards P2 for a repeated key after a primary change: the first result counts only once the new term is confirmed.
 Test(ServedEndpoint, duplicateOfAnEarlierTermIsConfirmedInThePresentTerm)
 {
