Check that a cut-off daemon accuses no one

Cause: with the isolation rule of Membership switched off on purpose all tests still passed.

Change: acceptsCutOffDaemonAgain also checks the cut-off daemon's own view and that no other daemon is removed after the return.

--- a/tests/membership/TestMembership.cpp
+++ b/tests/membership/TestMembership.cpp
@@ -74,7 +74,14 @@
     fleet.run(seconds(60));
     const VmId cutOff = fleet.self(4).id;
     cr_assert(fleet.all([&](Membership& other) { return !other.contains(cutOff); }, 4));
+    // It cannot tell its own loss from that of the others, and must not spread their death once it is back.
+    cr_assert(fleet.at(4).view().daemons.size() == smallFleet);
     fleet.isConnected = [](std::size_t, std::size_t) { return true; };
+    for (int step = 0; step < 100; ++step) {
+        fleet.run(Milliseconds(50));
+        for (std::size_t place = 0; place < smallFleet; ++place)
+            cr_assert(fleet.at(place).view().daemons.size() >= smallFleet - 1);
+    }
     const Duration time = fleet.timeUntil([&] { return fleet.allSee(smallFleet); }, seconds(60));
     cr_assert(inSeconds(time) < 20, "%f", inSeconds(time));
     fleet.run(seconds(30));
