Count a rank's share of the window before its floor is granted

Cause: the bounded debt forgets spare slot time after 100 ms, so a flooding lowest rank passed for one below its floor while it held half of the slots. Change: a rank is below its floor only while it has credit and its share of the accounting window (1 s) is less than the floor.

--- a/src/admission/FloorAccount.h
+++ b/src/admission/FloorAccount.h
@@ -7,8 +7,10 @@
 namespace almondlever {
 
 /**
- * Slot time that a rank has used, against its floor. Credit accrues at floor x slots and is spent by slot time; a rank
- * with positive credit is below its floor. Credit and debt are bounded, so that only the recent past counts.
+ * Slot time that a rank has used, against its floor. Credit accrues at floor x slots and is spent by slot time. Credit
+ * and debt are bounded, so that only the recent past counts. A rank is below its floor while it has credit and its
+ * share of the accounting window is less than the floor; the share alone would not make up for a floor missed earlier,
+ * and the bounded credit alone would forget slot time beyond the floor too soon.
  */
 class FloorAccount {
 public:
@@ -27,7 +29,7 @@
      */
     void refund(Duration slotTime, Duration borne);
 
-    bool isBelowFloor() const { return credit_ > 0; }
+    bool isBelowFloor(std::size_t slots) const { return credit_ > 0 && usedShare(Duration(0), slots) < floor_; }
     /** Time for which the rank has been without its floor, in seconds x slots. */
     double shortfall() const { return floor_ > 0 ? credit_ / floor_ : 0; }
     double floor() const { return floor_; }
--- a/src/admission/RankScheduler.cpp
+++ b/src/admission/RankScheduler.cpp
@@ -90,7 +90,7 @@
         return std::nullopt;
     RankState& rank = ranks_[*chosen];
     const Duration expected = rank.service.mean();
-    const bool isGrant = rank.account.isBelowFloor();
+    const bool isGrant = rank.account.isBelowFloor(slots_);
     std::optional<QueuedRequest> request = rank.queue.pop(expected);
     const Duration borne = rank.account.charge(expected, slots_, isGrant);
     running_[request->ticket] = Running { *chosen, expected, borne, isGrant };
@@ -170,7 +170,7 @@
             continue;
         if (!mostUrgent)
             mostUrgent = index;
-        if (!rank.account.isBelowFloor())
+        if (!rank.account.isBelowFloor(slots_))
             continue;
         if (!furthestBelow || rank.account.shortfall() > ranks_[*furthestBelow].account.shortfall())
             furthestBelow = index;
--- a/tests/admission/TestRankScheduler.cpp
+++ b/tests/admission/TestRankScheduler.cpp
@@ -41,6 +41,17 @@
     cr_assert(lowest <= 4, "lowest rank got %zu of 10 slots", lowest);
 }
 
+// Guards against a rank that has had far more than its floor of late passing for one below its floor.
+Test(RankScheduler, countsSlotTimeOfWholeWindow)
+{
+    RankScheduler scheduler({ makeRank("urgent", 0, 1s), makeRank("lowest", 0.2, 1s) }, 1);
+    TimePoint now = teachSlotTime(scheduler, 1, 20ms, testStart);
+    now += 150ms;
+    scheduler.offer(makeRequest(1, 1, "a", now), now);
+    scheduler.offer(makeRequest(2, 0, "b", now), now);
+    cr_assert(scheduler.take(now)->ticket == 2);
+}
+
 // Guards against a flooding caller crowding out its peers inside a rank.
 Test(RankScheduler, sharesSlotTimeAmongCallersOfRank)
 {
