--- a/programs/standin/DatabaseServer.cpp
+++ b/programs/standin/DatabaseServer.cpp
@@ -96,14 +96,14 @@
 DatabaseServer::Checked DatabaseServer::check(
     const EndpointStatement& statement, const Transaction* transaction, TimePoint now) const
 {
-    if (const Checked claimed = checkClaim(statement); !claimed)
+    if (Checked claimed = checkClaim(statement); !claimed)
         return claimed;
     if (statement.key.empty())
         return refuse(EndpointErrorCode::Rejected, "key is missing");
     if (statement.kind == OperationKind::Write && statement.requestId.isEmpty())
         return refuse(EndpointErrorCode::Rejected, "request id of a write is missing");
     if (transaction) {
-        if (const Checked primary = checkPrimary(transaction->term); !primary)
+        if (Checked primary = checkPrimary(transaction->term); !primary)
             return primary;
     }
     if (statement.kind == OperationKind::Write)
@@ -143,7 +143,7 @@
 
 DatabaseServer::Checked DatabaseServer::checkBegin(const EndpointStatement& header) const
 {
-    if (const Checked claimed = checkClaim(header); !claimed)
+    if (Checked claimed = checkClaim(header); !claimed)
         return claimed;
     return checkPrimary(header.term);
 }
--- a/programs/standin/StandinConfig.cpp
+++ b/programs/standin/StandinConfig.cpp
@@ -70,7 +70,7 @@
 
         std::string required(const YAML::Node& node, const char* key)
         {
-            const std::string value = scalar<std::string>(node, key, "");
+            auto value = scalar<std::string>(node, key, "");
             if (value.empty())
                 report(node, std::string("'") + key + "' is missing", std::string("add ") + key);
             return value;
