--- a/include/almondlever/admission/RankScheduler.h
+++ b/include/almondlever/admission/RankScheduler.h
@@ -34,6 +34,7 @@
     std::optional<Refusal> offer(const QueuedRequest&, TimePoint now) override;
     std::optional<QueuedRequest> take(TimePoint now) override;
     void finish(const QueuedRequest&, Duration slotTime, TimePoint now) override;
+    void release(const QueuedRequest&, Duration slotTime, TimePoint now) override;
     bool cancel(Ticket) override;
     /** Also returns the requests that were displaced from a full queue or set aside by take(). None of them has run. */
     std::vector<QueuedRequest> removeExpired(TimePoint now) override;
@@ -55,6 +56,7 @@
         bool isBelowFloor = false;
     };
 
+    void endRunning(const QueuedRequest&, Duration slotTime, TimePoint now, bool isStatement);
     void advance(TimePoint now);
     std::optional<std::size_t> chooseRank() const;
     void setAsideExpired(RankState&, TimePoint now);
--- a/include/almondlever/admission/Scheduler.h
+++ b/include/almondlever/admission/Scheduler.h
@@ -57,6 +57,11 @@
     virtual std::optional<QueuedRequest> take(TimePoint now) = 0;
     /** Tells how long a taken request held its slot. */
     virtual void finish(const QueuedRequest&, Duration slotTime, TimePoint now) = 0;
+    /**
+     * As finish, for a slot that was held by something else than one whole statement: a transaction, a statement that
+     * failed, or nothing. The slot time is charged to rank and caller, but says nothing about later statements.
+     */
+    virtual void release(const QueuedRequest&, Duration slotTime, TimePoint now) = 0;
     /** Removes a queued request, for example because its caller went away; false when it is not queued. */
     virtual bool cancel(Ticket) = 0;
     /** Removes and returns the queued requests that can no longer finish inside their deadline. */
--- a/include/almondlever/daemon/PeerForwarder.h
+++ b/include/almondlever/daemon/PeerForwarder.h
@@ -26,6 +26,8 @@
     void onReply(ForwardReply, TimePoint now);
     /** A request from another daemon. */
     void onRequest(const PeerIdentity& from, ForwardRequest, TimePoint now);
+    /** A request was dropped before it was sent. */
+    void onUnsent(std::uint64_t correlation, TimePoint now);
     /** The channel to a daemon broke. */
     void onPeerLost(const VmId&, TimePoint now);
     /** Ends requests whose deadline passed. */
--- a/include/almondlever/entry/EntryRouter.h
+++ b/include/almondlever/entry/EntryRouter.h
@@ -69,7 +69,7 @@
     void sendTo(const ExchangePtr&, const VmId& owner, const EndpointId&, const char* reason, TimePoint now);
     void onReply(const ExchangePtr&, const EndpointId&, TimePoint sentAt, ForwardReply, TimePoint now);
     void onError(const ExchangePtr&, const EndpointId&, const ForwardError&, TimePoint now);
-    void routeAgainLater(const ExchangePtr&, Duration delay);
+    void routeAgainLater(const ExchangePtr&);
     bool mayRepeat(const Exchange&, const ForwardError&) const;
     void succeed(const ExchangePtr&, const ForwardSuccess&, TimePoint now);
     void fail(const ExchangePtr&, CallerError, TimePoint now);
--- a/include/almondlever/serving/ServedEndpoint.h
+++ b/include/almondlever/serving/ServedEndpoint.h
@@ -104,7 +104,8 @@
     void confirmDuplicate(ForwardJob, const EndpointReply&, TimePoint now);
     void finishConfirmed(ForwardJob, ForwardSuccess, TimePoint now);
     void learn(LogPosition, Milliseconds staleness);
-    void releaseSlot(const ForwardJob&, Duration slotTime, TimePoint now);
+    void finishSlot(const QueuedRequest&, Duration slotTime, TimePoint now);
+    void releaseSlot(const QueuedRequest&, Duration slotTime, TimePoint now);
 
     void submitToTransaction(ForwardJob, TimePoint now);
     void runInTransaction(ForwardJob, Transaction&, TimePoint now);
--- a/programs/measure/BaselineScheduler.cpp
+++ b/programs/measure/BaselineScheduler.cpp
@@ -120,6 +120,8 @@
     ranks_[request.rank].service.add(slotTime);
 }
 
+void BaselineScheduler::release(const QueuedRequest&, Duration, TimePoint) { }
+
 bool BaselineScheduler::cancel(Ticket ticket)
 {
     for (RankState& rank : ranks_) {
--- a/programs/measure/BaselineScheduler.h
+++ b/programs/measure/BaselineScheduler.h
@@ -31,6 +31,7 @@
     std::optional<Refusal> offer(const QueuedRequest&, TimePoint now) override;
     std::optional<QueuedRequest> take(TimePoint now) override;
     void finish(const QueuedRequest&, Duration slotTime, TimePoint now) override;
+    void release(const QueuedRequest&, Duration slotTime, TimePoint now) override;
     bool cancel(Ticket) override;
     std::vector<QueuedRequest> removeExpired(TimePoint now) override;
     std::size_t size() const override;
--- a/src/admission/RankScheduler.cpp
+++ b/src/admission/RankScheduler.cpp
@@ -98,6 +98,16 @@
 }
 
 void RankScheduler::finish(const QueuedRequest& request, Duration slotTime, TimePoint now)
+{
+    endRunning(request, slotTime, now, true);
+}
+
+void RankScheduler::release(const QueuedRequest& request, Duration slotTime, TimePoint now)
+{
+    endRunning(request, slotTime, now, false);
+}
+
+void RankScheduler::endRunning(const QueuedRequest& request, Duration slotTime, TimePoint now, bool isStatement)
 {
     const auto found = running_.find(request.ticket);
     if (found == running_.end())
@@ -106,7 +116,8 @@
     const Running running = found->second;
     running_.erase(found);
     RankState& rank = ranks_[running.rank];
-    rank.service.add(slotTime);
+    if (isStatement)
+        rank.service.add(slotTime);
     if (slotTime >= running.charged)
         rank.account.charge(slotTime - running.charged, slots_, running.isBelowFloor);
     else
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -285,6 +285,7 @@
     logInfo("listening",
         { { "address", address.value().host + ':' + std::to_string(address.value().port) }, { "vm", state.settings.vm.text() } });
     state.network->onMessage([&state](const PeerIdentity& from, Message message) { state.onPeerMessage(from, std::move(message)); });
+    state.network->onUnsent([&state](std::uint64_t correlation) { state.forwarder.onUnsent(correlation, Clock::now()); });
     state.network->onLoss([&state](const VmId& peer) { state.onPeerLost(peer); });
     state.signals.async_wait([&state](std::error_code error, int) {
         if (!error)
--- a/src/daemon/PeerForwarder.cpp
+++ b/src/daemon/PeerForwarder.cpp
@@ -78,6 +78,12 @@
     });
 }
 
+void PeerForwarder::onUnsent(std::uint64_t correlation, TimePoint now)
+{
+    finish(correlation,
+        errorReply(ForwardErrorCode::EndpointUnavailable, Outcome::NotRun, "the serving daemon cannot be reached"), now);
+}
+
 void PeerForwarder::onPeerLost(const VmId& peer, TimePoint now)
 {
     std::vector<std::uint64_t> lost;
--- a/src/entry/EntryRouter.cpp
+++ b/src/entry/EntryRouter.cpp
@@ -10,9 +10,13 @@
 namespace {
 
 /** Redirects and repeats of one request, so that daemons that disagree cannot pass it around for ever. */
-constexpr int maximumForwards = 24;
-/** Pause before a request is routed again after daemons disagreed about owner or primary. */
-constexpr Milliseconds disagreementDelay { 15 };
+constexpr int maximumForwards = 64;
+/**
+ * Pauses before a request is routed again after daemons disagreed about owner or primary, or a daemon could not be
+ * reached. They grow by half each time, so that waiting for a new owner costs few messages.
+ */
+constexpr Milliseconds firstPause { 10 };
+constexpr Milliseconds longestPause { 100 };
 /** Told to callers when nothing better is known. */
 constexpr Milliseconds usualRetryAfter { 1000 };
 
@@ -68,6 +72,7 @@
     TimePoint deadline;
     std::vector<EndpointId> excluded;
     int forwards = 0;
+    Duration nextPause { firstPause };
     /** Set when an earlier attempt may have run, so that the final answer must not say not_run. */
     bool mayHaveRun = false;
 
@@ -203,7 +208,7 @@
     if (order.empty()) {
         // Every endpoint refused once; start over after a pause, since all of it was without effect.
         exchange->excluded.clear();
-        return routeAgainLater(exchange, disagreementDelay);
+        return routeAgainLater(exchange);
     }
     forward(exchange, order.front(), order.front() == primary ? "replicas_exhausted" : "best_replica", now);
 }
@@ -217,7 +222,7 @@
 {
     const VmId owner = snapshot_->owners->ownerOf(endpoint);
     if (owner.isEmpty())
-        return routeAgainLater(exchange, disagreementDelay);
+        return routeAgainLater(exchange);
     const auto wait = knowledge_.expectedWait(endpoint, exchange->rule->rank, now);
     const bool isFirstChoice = exchange->forwards == 1;
     if (wait && now + *wait >= exchange->deadline && isFirstChoice && !exchange->isRead()) {
@@ -280,11 +285,11 @@
     switch (error.code) {
     case ForwardErrorCode::NotOwner:
     case ForwardErrorCode::ShuttingDown:
-        return routeAgainLater(exchange, disagreementDelay);
+        return routeAgainLater(exchange);
     case ForwardErrorCode::NotPrimary:
         if (!error.primary.primary.isEmpty() && error.primary.primary != endpoint)
             return route(exchange, now);
-        return routeAgainLater(exchange, disagreementDelay);
+        return routeAgainLater(exchange);
     case ForwardErrorCode::Behind:
         exchange->excluded.push_back(endpoint);
         return route(exchange, now);
@@ -307,7 +312,7 @@
         exchange->excluded.push_back(endpoint);
         return route(exchange, now);
     }
-    routeAgainLater(exchange, isNotRun ? disagreementDelay : Duration::zero());
+    isNotRun ? routeAgainLater(exchange) : route(exchange, now);
 }
 
 bool EntryRouter::mayRepeat(const Exchange& exchange, const ForwardError& error) const
@@ -323,9 +328,11 @@
         && exchange.request.idempotencyKey.empty();
 }
 
-void EntryRouter::routeAgainLater(const ExchangePtr& exchange, Duration delay)
+void EntryRouter::routeAgainLater(const ExchangePtr& exchange)
 {
-    timers_.callAfter(delay, [this, exchange](TimePoint now) { route(exchange, now); });
+    const Duration pause = exchange->nextPause;
+    exchange->nextPause = std::min<Duration>(longestPause, pause + pause / 2);
+    timers_.callAfter(pause, [this, exchange](TimePoint now) { route(exchange, now); });
 }
 
 void EntryRouter::succeed(const ExchangePtr& exchange, const ForwardSuccess& success, TimePoint now)
--- a/src/serving/ServedEndpoint.cpp
+++ b/src/serving/ServedEndpoint.cpp
@@ -224,7 +224,7 @@
     const bool hasTime = now + shortestStatementTime <= job.deadline;
     if (gate != Gate::Open || !hasTime) {
         pool_.giveBack(connection);
-        releaseSlot(job, Duration::zero(), now);
+        releaseSlot(job.queued, Duration::zero(), now);
         if (!hasTime)
             return refuse(job, ForwardErrorCode::DeadlineExceeded, Outcome::NotRun, "the deadline passed in the queue",
                 Milliseconds(200), now);
@@ -246,11 +246,18 @@
     connection->execute(statement, timeout, std::move(callback));
 }
 
-void ServedEndpoint::releaseSlot(const ForwardJob& job, Duration slotTime, TimePoint now)
+void ServedEndpoint::finishSlot(const QueuedRequest& request, Duration slotTime, TimePoint now)
 {
     assert(running_ > 0);
     --running_;
-    scheduler_->finish(job.queued, slotTime, now);
+    scheduler_->finish(request, slotTime, now);
+}
+
+void ServedEndpoint::releaseSlot(const QueuedRequest& request, Duration slotTime, TimePoint now)
+{
+    assert(running_ > 0);
+    --running_;
+    scheduler_->release(request, slotTime, now);
 }
 
 void ServedEndpoint::learn(LogPosition position, Milliseconds staleness)
@@ -271,12 +278,13 @@
         return reply(job, { {}, std::nullopt, id, false, false, {} }, now);
     }
     pool_.giveBack(connection);
-    releaseSlot(job, now - sentAt, now);
     if (result) {
+        finishSlot(job.queued, now - sentAt, now);
         limiter_.addSuccess(kindOf(job), now - sentAt, now);
         learn(result.value().position, result.value().staleness);
         confirm(std::move(job), result.value(), now);
     } else {
+        releaseSlot(job.queued, now - sentAt, now);
         onRefused(std::move(job), result.error(), now);
     }
     dispatch(now);
@@ -440,9 +448,7 @@
     if (!isConnectionUsable)
         transaction.connection->close();
     pool_.giveBack(transaction.connection);
-    ForwardJob job;
-    job.queued = transaction.queued;
-    releaseSlot(job, now - transaction.beganAt, now);
+    releaseSlot(transaction.queued, now - transaction.beganAt, now);
     dispatch(now);
 }
 
--- a/src/wire/WebSocketPeerNetwork.cpp
+++ b/src/wire/WebSocketPeerNetwork.cpp
@@ -111,7 +111,8 @@
     if (peer.queuedBytes + payload.size() > settings_.maximumQueuedBytes)
         return false;
     peer.queuedBytes += payload.size();
-    peer.queue.emplace_back(std::move(payload), isForwarded(message));
+    const auto* request = std::get_if<ForwardRequest>(&message);
+    peer.queue.push_back({ std::move(payload), isForwarded(message), request ? request->correlation : 0 });
     return true;
 }
 
@@ -367,11 +368,25 @@
     delayRetry(peer);
     if (!peer.channels.empty())
         return;
-    const bool hadMessages = !peer.queue.empty();
-    peer.queue.clear();
+    if (peer.queue.empty())
+        return;
+    std::deque<QueuedMessage> unsent;
+    unsent.swap(peer.queue);
     peer.queuedBytes = 0;
-    if (hadMessages)
-        reportLoss(id);
+    reportUnsent(std::move(unsent));
+    reportLoss(id);
+}
+
+void WebSocketPeerCore::reportUnsent(std::deque<QueuedMessage> messages)
+{
+    if (isStopped_ || !unsentHandler_)
+        return;
+    asio::post(context_, [core = shared_from_this(), messages = std::move(messages)] {
+        for (const QueuedMessage& message : messages) {
+            if (message.correlation != 0 && !core->isStopped_)
+                core->unsentHandler_(message.correlation);
+        }
+    });
 }
 
 void WebSocketPeerCore::reportLoss(const VmId& id)
@@ -408,14 +423,16 @@
 void WebSocketPeerCore::flush(const VmId& id, const PeerChannelPointer& channel)
 {
     Peer& peer = peers_[id];
-    std::deque<std::pair<std::string, bool>> queue;
+    std::deque<QueuedMessage> queue;
     queue.swap(peer.queue);
     peer.queuedBytes = 0;
-    for (const auto& [payload, isForwardedMessage] : queue) {
-        if (!transmit(*channel, payload, isForwardedMessage)) {
+    while (!queue.empty()) {
+        if (!transmit(*channel, queue.front().payload, queue.front().isForwarded)) {
+            reportUnsent(std::move(queue));
             reportLoss(id);
             return;
         }
+        queue.pop_front();
     }
 }
 
@@ -511,6 +528,7 @@
         }
         void onMessage(MessageHandler handler) override { core_->setMessageHandler(std::move(handler)); }
         void onLoss(LossHandler handler) override { core_->setLossHandler(std::move(handler)); }
+        void onUnsent(UnsentHandler handler) override { core_->setUnsentHandler(std::move(handler)); }
         std::uint64_t bytesTransferred() const override
         {
             return core_->traffic().controlBytes + core_->traffic().forwardedBytes;
--- a/src/wire/WebSocketPeerNetwork.h
+++ b/src/wire/WebSocketPeerNetwork.h
@@ -28,18 +28,25 @@
     bool send(const VmId&, const std::string& address, const Message&);
     void setMessageHandler(PeerNetwork::MessageHandler handler) { messageHandler_ = std::move(handler); }
     void setLossHandler(PeerNetwork::LossHandler handler) { lossHandler_ = std::move(handler); }
+    void setUnsentHandler(PeerNetwork::UnsentHandler handler) { unsentHandler_ = std::move(handler); }
     const PeerTraffic& traffic() const { return traffic_; }
     void stop();
 
 private:
+    /** An encoded message that waits for a proven channel. */
+    struct QueuedMessage {
+        std::string payload;
+        bool isForwarded = false;
+        /** Number of a ForwardRequest; zero for other messages. */
+        std::uint64_t correlation = 0;
+    };
     /** What is kept for each peer that was sent to or that connected. */
     struct Peer {
         /** Proven channels; the last one opened is used. */
         std::vector<PeerChannelPointer> channels;
         /** The channel being opened from here, or null. */
         PeerChannelPointer dialled;
-        /** Encoded messages that wait for a proven channel. */
-        std::deque<std::pair<std::string, bool>> queue;
+        std::deque<QueuedMessage> queue;
         std::size_t queuedBytes = 0;
         int failures = 0;
         TimePoint retryAt;
@@ -69,6 +76,7 @@
     void checkChannel(const PeerChannelPointer&, TimePoint now);
     void forgetUnusedPeers(TimePoint now);
     void reportLoss(const VmId&);
+    void reportUnsent(std::deque<QueuedMessage>);
     std::size_t unprovedAccepted() const;
 
     asio::io_context& context_;
@@ -85,6 +93,7 @@
     std::set<PeerChannelPointer> channels_;
     PeerNetwork::MessageHandler messageHandler_;
     PeerNetwork::LossHandler lossHandler_;
+    PeerNetwork::UnsentHandler unsentHandler_;
     PeerTraffic traffic_;
     bool isStopped_ = false;
 };
