--- a/programs/almondleverctl/CommandLine.cpp
+++ b/programs/almondleverctl/CommandLine.cpp
@@ -33,10 +33,11 @@
     /** Arguments as TCLAP reads them. */
     struct Arguments {
         TCLAP::CmdLine line { description, ' ', buildVersion };
-        TCLAP::UnlabeledValueArg<std::string> command { "command", "validate, plan, apply, status or explain", true, "",
-            "command", line };
-        TCLAP::UnlabeledValueArg<std::string> directory { "directory", "Folder with inventory.yaml and rules.yaml",
-            false, "", "DIR", line };
+        /** One argument for both, since TCLAP allows an optional word only once in a process. */
+        TCLAP::UnlabeledMultiArg<std::string> words { "command",
+            "validate, plan, apply, status or explain; the first three take DIR, the folder with inventory.yaml and "
+            "rules.yaml",
+            true, "command and DIR", line };
         TCLAP::ValueArg<std::string> keyValueAddress { "", "kv-address",
             "Address of the platform's key-value service (environment: ALMONDLEVER_KV_ADDRESS)", false, "", "ip:port",
             line };
@@ -81,7 +82,7 @@
     void readExplainArguments(const Arguments& arguments, Options& options)
     {
         const bool isExplain = options.command == Command::Explain;
-        const std::string& command = arguments.command.getValue();
+        const std::string& command = arguments.words.getValue().front();
         requireUse(arguments.caller.isSet(), isExplain, "--caller", command);
         requireUse(arguments.database.isSet(), isExplain, "--database", command);
         requireUse(arguments.operation.isSet(), isExplain, "--op", command);
@@ -112,15 +113,18 @@
 
     Options readOptions(const Arguments& arguments, const ReadEnvironment& environment)
     {
-        const std::string& name = arguments.command.getValue();
+        const std::vector<std::string>& words = arguments.words.getValue();
+        const std::string& name = words.front();
         const auto command = commands.find(name);
         if (command == commands.end())
             throw CommandLineStop { ExitCode::Usage,
                 "'" + name + "' is no command; commands are validate, plan, apply, status and explain" };
         Options options;
         options.command = command->second;
-        requireUse(arguments.directory.isSet(), usesFiles(options.command), "DIR", name);
-        options.directory = arguments.directory.getValue();
+        requireUse(words.size() > 1, usesFiles(options.command), "DIR", name);
+        if (words.size() > 2)
+            throw CommandLineStop { ExitCode::Usage, "'" + words[2] + "' has no meaning for " + name };
+        options.directory = words.size() > 1 ? words[1] : std::string();
         readExplainArguments(arguments, options);
         if (arguments.json.getValue() && options.command == Command::Apply)
             requireUse(true, false, "--json", name);
