Read one YAML document only, so that the loader always ends

Cause: the fuzzer found that YAML::LoadAll of yaml-cpp 0.7 never ends on the text ',3,.0': each document is empty and consumes nothing, until memory is used up. Change: the first document is loaded and a second one is only looked for; the case is a test. Conclusion: the loader ends on this input and reports it as a finding.

--- a/programs/almondleverctl/ConfigurationCommands.cpp
+++ b/programs/almondleverctl/ConfigurationCommands.cpp
@@ -151,7 +151,7 @@
     store.readNewest([options, &store, details, streams, done, configuration = loaded.value()](const auto& result) {
         if (!result)
             return done(reportError(result.error(), streams));
-        const std::optional<StoredConfiguration> base = result.value();
+        const std::optional<StoredConfiguration>& base = result.value();
         const auto changes = compareConfigurations(configurationOf(base), configuration);
         printPlan(base, changes, options, streams);
         if (base && changes.empty())
--- a/src/config/YamlReader.cpp
+++ b/src/config/YamlReader.cpp
@@ -6,6 +6,9 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
+#include <sstream>
+#include <yaml-cpp/eventhandler.h>
 
 namespace almondlever {
 
@@ -60,6 +63,37 @@
             && std::all_of(text.begin(), text.end(), isNameCharacter);
     }
 
+    /** Notes where a document begins. */
+    class DocumentStartHandler : public YAML::EventHandler {
+    public:
+        void OnDocumentStart(const YAML::Mark& mark) override { place = { mark.line + 1, mark.column + 1 }; }
+        void OnDocumentEnd() override { }
+        void OnNull(const YAML::Mark&, YAML::anchor_t) override { }
+        void OnAlias(const YAML::Mark&, YAML::anchor_t) override { }
+        void OnScalar(const YAML::Mark&, const std::string&, YAML::anchor_t, const std::string&) override { }
+        void OnSequenceStart(const YAML::Mark&, const std::string&, YAML::anchor_t, YAML::EmitterStyle::value) override
+        {
+        }
+        void OnSequenceEnd() override { }
+        void OnMapStart(const YAML::Mark&, const std::string&, YAML::anchor_t, YAML::EmitterStyle::value) override { }
+        void OnMapEnd() override { }
+
+        Place place;
+    };
+
+    /**
+     * Place of a second document. Not read by YAML::LoadAll, which in yaml-cpp 0.7 never ends on texts such as ",3,.0",
+     * where each document is empty and consumes nothing.
+     */
+    std::optional<Place> findSecondDocument(const std::string& text)
+    {
+        std::istringstream stream(text);
+        YAML::Parser parser(stream);
+        DocumentStartHandler handler;
+        const bool hasSecond = parser.HandleNextDocument(handler) && parser.HandleNextDocument(handler);
+        return hasSecond ? std::optional<Place>(handler.place) : std::nullopt;
+    }
+
     std::string rangeAdvice(const std::string& least, const std::string& greatest)
     {
         return "write a value from " + least + " to " + greatest;
@@ -266,16 +300,18 @@
         return {};
     }
     try {
-        const std::vector<YAML::Node> documents = YAML::LoadAll(text);
-        if (documents.empty() || documents.front().IsNull()) {
+        const YAML::Node document = YAML::Load(text);
+        if (!document.IsDefined() || document.IsNull()) {
             sink.report({}, "the file is empty", "write a map of settings");
             return {};
         }
-        if (documents.size() > 1) {
-            sink.report(placeOf(documents[1]), "the file has several YAML documents", "remove the line '---'");
+        const auto second = findSecondDocument(text);
+        if (second) {
+            sink.report(*second, "the first YAML document ends here and another begins",
+                "write one document; remove the line '---' or the text that does not belong to the map");
             return {};
         }
-        return { documents.front(), placeOf(documents.front()), true };
+        return { document, placeOf(document), true };
     } catch (const YAML::Exception& error) {
         const Place place = error.mark.is_null() ? Place {} : Place { error.mark.line + 1, error.mark.column + 1 };
         sink.report(place, "the file is not valid YAML: " + error.msg, "correct the syntax at this place");
--- a/tests/config/TestConfigurationLoader.cpp
+++ b/tests/config/TestConfigurationLoader.cpp
@@ -220,12 +220,14 @@
         "odd number of at least 3");
 }
 
-// Guards against a crash or an accepted configuration on files that are no map, no YAML, or nested without end.
+// Guards against a crash, a read without end or an accepted configuration on files that are no map, no YAML, several
+// documents, or nested without end.
 Test(ConfigurationLoader, rejectsFilesOfAnotherShape)
 {
     const std::vector<std::string> texts { "", "just text", "[1, 2]", "a: [", "\t- x", "--- {}\n--- {}\n", "&a [*a]",
         "databases: &a [*a]", "databases: [{name: &n x, endpoints: [*n]}]", "? [a, b]\n: c", std::string(5000, '['),
-        "!!binary \"\\x\"", std::string("a\0b: c", 6), "deployment: \"\\uD800\"" };
+        "!!binary \"\\x\"", std::string("a\0b: c", 6), "deployment: \"\\uD800\"", ",3,.0",
+        inventoryText() + ", trailing" };
     for (const std::string& text : texts) {
         cr_assert(!findingsOf(text, rulesText()).empty(), "accepted: %s", text.c_str());
         cr_assert(!findingsOf(inventoryText(), text).empty(), "accepted: %s", text.c_str());
