--- a/programs/load/FaultScript.cpp
+++ b/programs/load/FaultScript.cpp
@@ -57,7 +57,7 @@
 std::string FaultScript::sendSignal(const Fault& fault)
 {
     int processId = 0;
-    if (const std::string error = findProcess(fault.process, processId); !error.empty())
+    if (std::string error = findProcess(fault.process, processId); !error.empty())
         return error;
     if (kill(processId, signalNumber(fault.signal)) != 0)
         return std::string("kill: ") + std::strerror(errno);
