--- a/include/almondlever/control/GroupObserver.h
+++ b/include/almondlever/control/GroupObserver.h
@@ -34,8 +34,8 @@
 class GroupObserver {
 public:
     /** The nonce must be unique to the object, since it names the proposer to whom servers promise terms. */
-    GroupObserver(const DatabaseDescription&, const VmId& self, std::uint64_t nonce, const FailoverSettings&, EndpointConnector&, TimerService&,
-        GroupObserverHooks);
+    GroupObserver(const DatabaseDescription&, const VmId& self, std::uint64_t nonce, const FailoverSettings&,
+        EndpointConnector&, TimerService&, GroupObserverHooks);
     ~GroupObserver();
     GroupObserver(const GroupObserver&) = delete;
     GroupObserver& operator=(const GroupObserver&) = delete;
--- a/include/almondlever/entry/EntryRouter.h
+++ b/include/almondlever/entry/EntryRouter.h
@@ -46,7 +46,8 @@
  */
 class EntryRouter final : public CallerRequestHandler {
 public:
-    EntryRouter(Forwarder&, TimerService&, const SessionTokenCodec&, RetryBudget&, Metrics&, DecisionLog&, std::uint64_t seed);
+    EntryRouter(
+        Forwarder&, TimerService&, const SessionTokenCodec&, RetryBudget&, Metrics&, DecisionLog&, std::uint64_t seed);
     ~EntryRouter() override;
 
     void setSnapshot(SnapshotPtr);
@@ -77,7 +78,8 @@
     EndpointId likelyPrimary(const DatabaseDescription&) const;
     void learnPrimary(const PrimaryView&);
     RequestId makeRequestId(const CallerRequest&);
-    void logDecision(const Exchange&, const char* event, const EndpointId&, const VmId& owner, const char* reason, TimePoint now);
+    void logDecision(
+        const Exchange&, const char* event, const EndpointId&, const VmId& owner, const char* reason, TimePoint now);
 
     Forwarder& forwarder_;
     TimerService& timers_;
--- a/include/almondlever/serving/CommitConfirmer.h
+++ b/include/almondlever/serving/CommitConfirmer.h
@@ -31,8 +31,11 @@
 
     /** Waits until a majority holds a position that the primary reported under the position's term. */
     void awaitPosition(LogPosition, TimePoint deadline, TimePoint now, Callback);
-    /** Waits until a majority, asked from now on, still holds the term. */
-    void awaitLeadership(Term, TimePoint deadline, TimePoint now, Callback);
+    /**
+     * Waits until a majority, asked at or after the given moment, still holds the term. The primary's answer to a
+     * statement that was sent at that moment counts as its own report.
+     */
+    void awaitLeadership(LogPosition answered, TimePoint sentAt, TimePoint deadline, TimePoint now, Callback);
     /** Ends waits whose deadline passed and repeats requests that failed. */
     void onTick(TimePoint now);
 
--- a/include/almondlever/serving/ServedEndpoint.h
+++ b/include/almondlever/serving/ServedEndpoint.h
@@ -98,11 +98,10 @@
     void enqueue(ForwardJob, TimePoint now);
     void dispatch(TimePoint now);
     void run(ForwardJob, const EndpointPool::ConnectionPtr&, TimePoint now);
-    void onReply(ForwardJob, const EndpointPool::ConnectionPtr&, const EndpointResult<EndpointReply>&, TimePoint sentAt, TimePoint now);
+    void onReply(ForwardJob, const EndpointPool::ConnectionPtr&, const EndpointResult<EndpointReply>&, TimePoint sentAt,
+        TimePoint now);
     void onRefused(ForwardJob, const EndpointError&, TimePoint now);
-    void confirm(ForwardJob, const EndpointReply&, TimePoint now);
-    void confirmDuplicate(ForwardJob, const EndpointReply&, TimePoint now);
-    void finishConfirmed(ForwardJob, ForwardSuccess, TimePoint now);
+    void confirm(ForwardJob, const EndpointReply&, TimePoint sentAt, TimePoint now);
     void learn(LogPosition, Milliseconds staleness);
     void finishSlot(const QueuedRequest&, Duration slotTime, TimePoint now);
     void releaseSlot(const QueuedRequest&, Duration slotTime, TimePoint now);
--- a/src/caller_api/CallerApi.cpp
+++ b/src/caller_api/CallerApi.cpp
@@ -9,126 +9,127 @@
 
 namespace {
 
-using Json = nlohmann::json;
+    using Json = nlohmann::json;
 
-constexpr const char* databasePrefix = "/v1/databases/";
-constexpr std::size_t maximumKeyBytes = 1024;
-constexpr std::size_t maximumIdempotencyKeyBytes = 256;
+    constexpr const char* databasePrefix = "/v1/databases/";
+    constexpr std::size_t maximumKeyBytes = 1024;
+    constexpr std::size_t maximumIdempotencyKeyBytes = 256;
 
-HttpResponse textResponse(unsigned status, const std::string& type, std::string body)
-{
-    return { status, { { "Content-Type", type } }, std::move(body) };
-}
+    HttpResponse textResponse(unsigned status, const std::string& type, std::string body)
+    {
+        return { status, { { "Content-Type", type } }, std::move(body) };
+    }
 
-CallerError badRequest(std::string detail)
-{
-    return { CallerErrorCode::BadRequest, Outcome::NotRun, std::move(detail), {} };
-}
+    CallerError badRequest(std::string detail)
+    {
+        return { CallerErrorCode::BadRequest, Outcome::NotRun, std::move(detail), {} };
+    }
 
-std::vector<std::string> splitPath(const std::string& path)
-{
-    std::vector<std::string> parts;
-    std::size_t begin = 0;
-    while (begin <= path.size()) {
-        const std::size_t end = std::min(path.find('/', begin), path.size());
-        parts.push_back(path.substr(begin, end - begin));
-        begin = end + 1;
+    std::vector<std::string> splitPath(const std::string& path)
+    {
+        std::vector<std::string> parts;
+        std::size_t begin = 0;
+        while (begin <= path.size()) {
+            const std::size_t end = std::min(path.find('/', begin), path.size());
+            parts.push_back(path.substr(begin, end - begin));
+            begin = end + 1;
+        }
+        return parts;
     }
-    return parts;
-}
 
-/** Reads what the path says: database, kind and transaction. Empty optional when the path is unknown. */
-std::optional<CallerRequest> requestFromPath(const std::string& path)
-{
-    const auto parts = splitPath(path.substr(std::string(databasePrefix).size()));
-    CallerRequest request;
-    request.database = DatabaseId(parts[0]);
-    if (parts.size() == 2 && parts[1] == "statements")
-        return request;
-    const bool isTransaction = parts.size() >= 2 && parts[1] == "transactions";
-    if (isTransaction && parts.size() == 2) {
-        request.kind = ForwardKind::Begin;
+    /** Reads what the path says: database, kind and transaction. Empty optional when the path is unknown. */
+    std::optional<CallerRequest> requestFromPath(const std::string& path)
+    {
+        const auto parts = splitPath(path.substr(std::string(databasePrefix).size()));
+        CallerRequest request;
+        request.database = DatabaseId(parts[0]);
+        if (parts.size() == 2 && parts[1] == "statements")
+            return request;
+        const bool isTransaction = parts.size() >= 2 && parts[1] == "transactions";
+        if (isTransaction && parts.size() == 2) {
+            request.kind = ForwardKind::Begin;
+            request.operation = OperationKind::Write;
+            return request;
+        }
+        if (!isTransaction || parts.size() != 4 || parts[2].empty())
+            return std::nullopt;
+        if (parts[3] != "commit" && parts[3] != "rollback")
+            return std::nullopt;
+        request.kind = parts[3] == "commit" ? ForwardKind::Commit : ForwardKind::Rollback;
         request.operation = OperationKind::Write;
+        request.transaction = TransactionId(parts[2]);
         return request;
     }
-    if (!isTransaction || parts.size() != 4 || parts[2].empty())
-        return std::nullopt;
-    if (parts[3] != "commit" && parts[3] != "rollback")
-        return std::nullopt;
-    request.kind = parts[3] == "commit" ? ForwardKind::Commit : ForwardKind::Rollback;
-    request.operation = OperationKind::Write;
-    request.transaction = TransactionId(parts[2]);
-    return request;
-}
 
-/** Reads the headers into the request; the error says which one is wrong. */
-std::optional<CallerError> readHeaders(const HttpExchange& exchange, CallerRequest& request)
-{
-    request.caller = CallerId(exchange.header("Almondlever-Caller"));
-    if (request.caller.isEmpty())
-        return badRequest("the header Almondlever-Caller is missing");
-    request.sessionToken = exchange.header("Almondlever-Session");
-    request.idempotencyKey = exchange.header("Idempotency-Key");
-    if (request.idempotencyKey.size() > maximumIdempotencyKeyBytes)
-        return badRequest("the header Idempotency-Key is longer than 256 bytes");
-    request.traceparent = exchange.header("traceparent");
-    const std::string deadline = exchange.header("Almondlever-Deadline-Ms");
-    if (deadline.empty())
+    /** Reads the headers into the request; the error says which one is wrong. */
+    std::optional<CallerError> readHeaders(const HttpExchange& exchange, CallerRequest& request)
+    {
+        request.caller = CallerId(exchange.header("Almondlever-Caller"));
+        if (request.caller.isEmpty())
+            return badRequest("the header Almondlever-Caller is missing");
+        request.sessionToken = exchange.header("Almondlever-Session");
+        request.idempotencyKey = exchange.header("Idempotency-Key");
+        if (request.idempotencyKey.size() > maximumIdempotencyKeyBytes)
+            return badRequest("the header Idempotency-Key is longer than 256 bytes");
+        request.traceparent = exchange.header("traceparent");
+        const std::string deadline = exchange.header("Almondlever-Deadline-Ms");
+        if (deadline.empty())
+            return std::nullopt;
+        std::int64_t milliseconds = 0;
+        const auto parsed = std::from_chars(deadline.data(), deadline.data() + deadline.size(), milliseconds);
+        if (parsed.ec != std::errc() || parsed.ptr != deadline.data() + deadline.size())
+            return badRequest("the header Almondlever-Deadline-Ms is not a whole number of milliseconds");
+        request.deadline = Milliseconds(milliseconds);
         return std::nullopt;
-    std::int64_t milliseconds = 0;
-    const auto parsed = std::from_chars(deadline.data(), deadline.data() + deadline.size(), milliseconds);
-    if (parsed.ec != std::errc() || parsed.ptr != deadline.data() + deadline.size())
-        return badRequest("the header Almondlever-Deadline-Ms is not a whole number of milliseconds");
-    request.deadline = Milliseconds(milliseconds);
-    return std::nullopt;
-}
+    }
 
-/** Reads a statement from the body; the error says what is wrong with it. */
-std::optional<CallerError> readStatement(const std::string& text, CallerRequest& request)
-{
-    const Json body = Json::parse(text, nullptr, false);
-    if (!body.is_object())
-        return badRequest("the body is not a JSON object");
-    const auto text_of = [&](const char* name) {
-        const auto found = body.find(name);
-        return found != body.end() && found->is_string() ? std::optional<std::string>(found->get<std::string>()) : std::nullopt;
-    };
-    const auto operation = text_of("op");
-    if (!operation || (*operation != "read" && *operation != "write"))
-        return badRequest("the member 'op' must be \"read\" or \"write\"");
-    request.operation = *operation == "read" ? OperationKind::Read : OperationKind::Write;
-    const auto key = text_of("key");
-    if (!key || key->empty() || key->size() > maximumKeyBytes)
-        return badRequest("the member 'key' must be a text of 1 to 1024 bytes");
-    request.key = *key;
-    const auto value = text_of("value");
-    if (request.operation == OperationKind::Write && !value)
-        return badRequest("a write needs the member 'value', a text");
-    request.value = value.value_or("");
-    request.transaction = TransactionId(text_of("transaction").value_or(""));
-    const auto repeatable = body.find("repeatable");
-    if (repeatable != body.end() && !repeatable->is_boolean())
-        return badRequest("the member 'repeatable' must be true or false");
-    request.isRepeatable = repeatable == body.end() || repeatable->get<bool>();
-    return std::nullopt;
-}
+    /** Reads a statement from the body; the error says what is wrong with it. */
+    std::optional<CallerError> readStatement(const std::string& text, CallerRequest& request)
+    {
+        const Json body = Json::parse(text, nullptr, false);
+        if (!body.is_object())
+            return badRequest("the body is not a JSON object");
+        const auto text_of = [&](const char* name) {
+            const auto found = body.find(name);
+            return found != body.end() && found->is_string() ? std::optional<std::string>(found->get<std::string>())
+                                                             : std::nullopt;
+        };
+        const auto operation = text_of("op");
+        if (!operation || (*operation != "read" && *operation != "write"))
+            return badRequest("the member 'op' must be \"read\" or \"write\"");
+        request.operation = *operation == "read" ? OperationKind::Read : OperationKind::Write;
+        const auto key = text_of("key");
+        if (!key || key->empty() || key->size() > maximumKeyBytes)
+            return badRequest("the member 'key' must be a text of 1 to 1024 bytes");
+        request.key = *key;
+        const auto value = text_of("value");
+        if (request.operation == OperationKind::Write && !value)
+            return badRequest("a write needs the member 'value', a text");
+        request.value = value.value_or("");
+        request.transaction = TransactionId(text_of("transaction").value_or(""));
+        const auto repeatable = body.find("repeatable");
+        if (repeatable != body.end() && !repeatable->is_boolean())
+            return badRequest("the member 'repeatable' must be true or false");
+        request.isRepeatable = repeatable == body.end() || repeatable->get<bool>();
+        return std::nullopt;
+    }
 
-HttpResponse successResponse(const CallerSuccess& success, const RequestId& requestId)
-{
-    Json body { { "outcome", "run" }, { "request_id", requestId.text() } };
-    if (success.value)
-        body["value"] = *success.value;
-    if (!success.transaction.isEmpty())
-        body["transaction"] = success.transaction.text();
-    if (success.isDuplicate)
-        body["duplicate"] = true;
-    if (success.position.term > 0)
-        body["position"] = { success.position.term, success.position.index };
-    body["from"] = success.isFromReplica ? "replica" : "primary";
-    if (success.isFromReplica)
-        body["staleness_ms"] = success.staleness.count();
-    return textResponse(200, "application/json", body.dump());
-}
+    HttpResponse successResponse(const CallerSuccess& success, const RequestId& requestId)
+    {
+        Json body { { "outcome", "run" }, { "request_id", requestId.text() } };
+        if (success.value)
+            body["value"] = *success.value;
+        if (!success.transaction.isEmpty())
+            body["transaction"] = success.transaction.text();
+        if (success.isDuplicate)
+            body["duplicate"] = true;
+        if (success.position.term > 0)
+            body["position"] = { success.position.term, success.position.index };
+        body["from"] = success.isFromReplica ? "replica" : "primary";
+        if (success.isFromReplica)
+            body["staleness_ms"] = success.staleness.count();
+        return textResponse(200, "application/json", body.dump());
+    }
 
 } // namespace
 
--- a/src/control/ConfigurationWatcher.cpp
+++ b/src/control/ConfigurationWatcher.cpp
@@ -55,25 +55,13 @@
 {
 }
 
-ConfigurationWatcher::~ConfigurationWatcher()
-{
-    state_->isStopped = true;
-}
+ConfigurationWatcher::~ConfigurationWatcher() { state_->isStopped = true; }
 
-void ConfigurationWatcher::start(TimePoint now)
-{
-    state_->patienceEnd = now + patienceForPeers;
-}
+void ConfigurationWatcher::start(TimePoint now) { state_->patienceEnd = now + patienceForPeers; }
 
-void ConfigurationWatcher::setWatching(bool isWatching)
-{
-    state_->isWatching = isWatching;
-}
+void ConfigurationWatcher::setWatching(bool isWatching) { state_->isWatching = isWatching; }
 
-void ConfigurationWatcher::setKnown()
-{
-    state_->isKnown = true;
-}
+void ConfigurationWatcher::setKnown() { state_->isKnown = true; }
 
 void ConfigurationWatcher::onTick(TimePoint now)
 {
--- a/src/control/ControlLoop.cpp
+++ b/src/control/ControlLoop.cpp
@@ -10,18 +10,15 @@
 
 namespace {
 
-constexpr Milliseconds vmListTimeout { 2000 };
-constexpr Milliseconds seedContactInterval { 1000 };
+    constexpr Milliseconds vmListTimeout { 2000 };
+    constexpr Milliseconds seedContactInterval { 1000 };
 
-/** Bytes of one probe with its answer, TCP and IP headers included, as measured (docs/CAPACITY.md). */
-constexpr double probeBytes = 700;
-/** Half of the control budget of 5 KB/s. */
-constexpr double probeBytesPerSecond = 2500;
+    /** Bytes of one probe with its answer, TCP and IP headers included, as measured (docs/CAPACITY.md). */
+    constexpr double probeBytes = 700;
+    /** Half of the control budget of 5 KB/s. */
+    constexpr double probeBytesPerSecond = 2500;
 
-LiveDaemon toDaemon(const PeerIdentity& peer)
-{
-    return { peer.id, peer.failureDomain, peer.address, false };
-}
+    LiveDaemon toDaemon(const PeerIdentity& peer) { return { peer.id, peer.failureDomain, peer.address, false }; }
 
 } // namespace
 
@@ -36,10 +33,7 @@
 {
 }
 
-ControlLoop::~ControlLoop()
-{
-    *alive_ = false;
-}
+ControlLoop::~ControlLoop() { *alive_ = false; }
 
 void ControlLoop::start(TimePoint now)
 {
@@ -68,10 +62,7 @@
         context_.send(action.to, action.address, action.gossip);
 }
 
-bool ControlLoop::isFirstWatcher() const
-{
-    return !watchers_.empty() && watchers_.front() == context_.self.id;
-}
+bool ControlLoop::isFirstWatcher() const { return !watchers_.empty() && watchers_.front() == context_.self.id; }
 
 void ControlLoop::readVmListIfDue(TimePoint now)
 {
@@ -107,7 +98,8 @@
     const bool isNumbering = isFirstWatcher() && !isFirst;
     if (isNumbering)
         lastRenumbering_ = now;
-    const std::uint64_t version = isNumbering ? membership_.vmListVersion() + 1 : std::max<std::uint64_t>(1, membership_.vmListVersion());
+    const std::uint64_t version
+        = isNumbering ? membership_.vmListVersion() + 1 : std::max<std::uint64_t>(1, membership_.vmListVersion());
     sendGossip(membership_.onVmList(entries, version, now));
 }
 
@@ -121,7 +113,8 @@
             continue;
         Gossip ping;
         ping.sequence = 1;
-        ping.records.push_back({ context_.self.id, context_.self.failureDomain, context_.self.peerAddress, MemberRecord::State::Alive, 0 });
+        ping.records.push_back({ context_.self.id, context_.self.failureDomain, context_.self.peerAddress,
+            MemberRecord::State::Alive, 0 });
         context_.send(seed.id, seed.peerAddress, ping);
     }
 }
@@ -132,7 +125,8 @@
         return;
     const auto decoded = decodeConfiguration(candidate.bytes, candidate.version);
     if (!decoded) {
-        logError("configuration_rejected", { { "version", std::to_string(candidate.version) }, { "detail", decoded.error() } });
+        logError("configuration_rejected",
+            { { "version", std::to_string(candidate.version) }, { "detail", decoded.error() } });
         return;
     }
     configuration_ = std::make_shared<const Configuration>(decoded.value());
@@ -212,8 +206,8 @@
     for (const auto& [database, vms] : wanted) {
         auto& observer = observers_[database];
         if (!observer)
-            observer = std::make_unique<GroupObserver>(*configuration_->findDatabase(database), context_.self.id, random_(), settings,
-                context_.connector, context_.timers, hooksFor(database));
+            observer = std::make_unique<GroupObserver>(*configuration_->findDatabase(database), context_.self.id,
+                random_(), settings, context_.connector, context_.timers, hooksFor(database));
         std::vector<std::pair<VmId, FailureDomainId>> observers;
         for (const VmId& vm : vms) {
             const LiveDaemon* daemon = members_.find(vm);
--- a/src/control/GroupObserver.cpp
+++ b/src/control/GroupObserver.cpp
@@ -7,8 +7,8 @@
 namespace almondlever {
 
 struct GroupObserver::State : std::enable_shared_from_this<GroupObserver::State> {
-    State(const DatabaseDescription& group, VmId vm, std::uint64_t nonce, const FailoverSettings& failoverSettings, EndpointConnector& connector,
-        TimerService& timerService, GroupObserverHooks observerHooks)
+    State(const DatabaseDescription& group, VmId vm, std::uint64_t nonce, const FailoverSettings& failoverSettings,
+        EndpointConnector& connector, TimerService& timerService, GroupObserverHooks observerHooks)
         : database(group)
         , self(std::move(vm))
         , proposer(self.text() + '.' + std::to_string(nonce))
@@ -31,7 +31,8 @@
         const auto view = coordinator->primary();
         const bool isPaused = coordinator->wantsWritesPaused();
         const bool isSame = view.has_value() == lastView.has_value()
-            && (!view || (view->term == lastView->term && view->primary == lastView->primary)) && isPaused == lastPaused;
+            && (!view || (view->term == lastView->term && view->primary == lastView->primary))
+            && isPaused == lastPaused;
         if (isSame)
             return;
         lastView = view;
@@ -70,8 +71,8 @@
     }
     void perform(const FollowAction& action)
     {
-        controls[action.endpoint]->follow(action.term, action.primary, addresses[action.primary], settings.operationTimeout,
-            answerTo(&FailoverCoordinator::onFollowReply, action.endpoint, action.term));
+        controls[action.endpoint]->follow(action.term, action.primary, addresses[action.primary],
+            settings.operationTimeout, answerTo(&FailoverCoordinator::onFollowReply, action.endpoint, action.term));
     }
     void perform(const ReportSuspicionAction& action) { hooks.sendSuspicion(action.report); }
     void perform(const AnnouncePrimaryAction& action) { hooks.announce(action.view); }
@@ -83,7 +84,8 @@
 
     DatabaseDescription database;
     VmId self;
-    /** Name under which servers promise terms. A server repeats a promise to the same name, so each object has its own. */
+    /** Name under which servers promise terms. A server repeats a promise to the same name, so each object has its own.
+     */
     VmId proposer;
     FailoverSettings settings;
     TimerService& timers;
@@ -97,16 +99,13 @@
     bool isStopped = false;
 };
 
-GroupObserver::GroupObserver(const DatabaseDescription& database, const VmId& self, std::uint64_t nonce, const FailoverSettings& settings,
-    EndpointConnector& connector, TimerService& timers, GroupObserverHooks hooks)
+GroupObserver::GroupObserver(const DatabaseDescription& database, const VmId& self, std::uint64_t nonce,
+    const FailoverSettings& settings, EndpointConnector& connector, TimerService& timers, GroupObserverHooks hooks)
     : state_(std::make_shared<State>(database, self, nonce, settings, connector, timers, std::move(hooks)))
 {
 }
 
-GroupObserver::~GroupObserver()
-{
-    state_->isStopped = true;
-}
+GroupObserver::~GroupObserver() { state_->isStopped = true; }
 
 void GroupObserver::setObservers(const std::vector<std::pair<VmId, FailureDomainId>>& observers)
 {
@@ -118,15 +117,9 @@
     state_->coordinator->setObservers(observers);
 }
 
-void GroupObserver::setLeaving(const std::set<EndpointId>& leaving)
-{
-    state_->coordinator->setLeaving(leaving);
-}
+void GroupObserver::setLeaving(const std::set<EndpointId>& leaving) { state_->coordinator->setLeaving(leaving); }
 
-void GroupObserver::onTick(TimePoint now)
-{
-    state_->apply(state_->coordinator->onTick(now));
-}
+void GroupObserver::onTick(TimePoint now) { state_->apply(state_->coordinator->onTick(now)); }
 
 void GroupObserver::onSuspicion(const SuspicionReport& report, TimePoint now)
 {
@@ -153,19 +146,10 @@
     state_->apply(state_->coordinator->onWritesPaused(logEnd, now));
 }
 
-const std::vector<VmId>& GroupObserver::otherObservers() const
-{
-    return state_->others;
-}
+const std::vector<VmId>& GroupObserver::otherObservers() const { return state_->others; }
 
-std::optional<PrimaryView> GroupObserver::primary() const
-{
-    return state_->coordinator->primary();
-}
+std::optional<PrimaryView> GroupObserver::primary() const { return state_->coordinator->primary(); }
 
-bool GroupObserver::wantsWritesPaused() const
-{
-    return state_->coordinator->wantsWritesPaused();
-}
+bool GroupObserver::wantsWritesPaused() const { return state_->coordinator->wantsWritesPaused(); }
 
 } // namespace almondlever
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -20,25 +20,25 @@
 
 namespace {
 
-constexpr Milliseconds trafficTick { 10 };
-constexpr std::chrono::seconds suppressedReportInterval { 10 };
-/** Connections without a request for this long after readiness went off are closed by the end of the process. */
-constexpr Milliseconds quietTimeBeforeExit { 300 };
+    constexpr Milliseconds trafficTick { 10 };
+    constexpr std::chrono::seconds suppressedReportInterval { 10 };
+    /** Connections without a request for this long after readiness went off are closed by the end of the process. */
+    constexpr Milliseconds quietTimeBeforeExit { 300 };
 
-std::uint64_t randomSeed()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32) | device();
-}
+    std::uint64_t randomSeed()
+    {
+        std::random_device device;
+        return (static_cast<std::uint64_t>(device()) << 32) | device();
+    }
 
-HttpServerSettings serverSettings(const DaemonSettings& settings)
-{
-    HttpServerSettings server;
-    server.host = settings.listenHost;
-    server.port = settings.listenPort;
-    server.maximumConnections = settings.maximumConnections;
-    return server;
-}
+    HttpServerSettings serverSettings(const DaemonSettings& settings)
+    {
+        HttpServerSettings server;
+        server.host = settings.listenHost;
+        server.port = settings.listenPort;
+        server.maximumConnections = settings.maximumConnections;
+        return server;
+    }
 
 } // namespace
 
@@ -51,8 +51,8 @@
         , controlConnector(control, settings.vm)
         , keyValue(makeHttpKeyValueService(control, settings.keyValueAddress, settings.vm))
         , vmList(makeHttpVmList(control, settings.vmListAddress, settings.vm))
-        , network(makePeerNetwork(traffic, { settings.vm, settings.failureDomain, settings.peerAdvertise }, settings.peerListen,
-              settings.clusterKey))
+        , network(makePeerNetwork(traffic, { settings.vm, settings.failureDomain, settings.peerAdvertise },
+              settings.peerListen, settings.clusterKey))
         , decisions(settings.decisionLinesPerSecond)
         , tokenCodec(settings.clusterKey)
         , evidence(trafficTimers,
@@ -77,7 +77,9 @@
         ServingSettings serving_settings;
         serving_settings.transactionIdleLimit = settings.transactionIdleLimit;
         return { connector, trafficTimers, evidence, metrics, decisions, serving_settings,
-            [](const std::vector<RankRule>& ranks, std::size_t slots) { return std::make_unique<RankScheduler>(ranks, slots); },
+            [](const std::vector<RankRule>& ranks, std::size_t slots) {
+                return std::make_unique<RankScheduler>(ranks, slots);
+            },
             [this] { return ++lastNumber; } };
     }
 
@@ -100,7 +102,8 @@
         serving.exportMetrics();
         metrics.setGauge("almondlever_client_connections", "", static_cast<double>(server->openConnections()));
         metrics.setGauge("almondlever_pending_requests", "", static_cast<double>(router.pendingCount()));
-        metrics.setGauge("almondlever_daemons_known", "", snapshot ? static_cast<double>(snapshot->members.daemons.size()) : 0);
+        metrics.setGauge(
+            "almondlever_daemons_known", "", snapshot ? static_cast<double>(snapshot->members.daemons.size()) : 0);
         metrics.setGauge("almondlever_configuration_version", "",
             snapshot && snapshot->configuration ? static_cast<double>(snapshot->configuration->version) : 0);
         const PeerTraffic bytes = network->traffic();
@@ -125,11 +128,10 @@
         ControlContext context { { settings.vm, settings.failureDomain, settings.peerAdvertise, false }, controlTimers,
             controlConnector, *keyValue, *vmList,
             [this](const VmId& vm, const std::string& address, Message message) {
-                asio::post(traffic, [this, vm, address, message = std::move(message)] { network->send(vm, address, message); });
-            },
-            [this](SnapshotPtr next) {
-                asio::post(traffic, [this, next = std::move(next)] { takeSnapshot(next); });
+                asio::post(traffic,
+                    [this, vm, address, message = std::move(message)] { network->send(vm, address, message); });
             },
+            [this](SnapshotPtr next) { asio::post(traffic, [this, next = std::move(next)] { takeSnapshot(next); }); },
             {}, settings.seeds, randomSeed() };
         controlLoop = std::make_unique<ControlLoop>(std::move(context));
         asio::post(control, [this] {
@@ -169,7 +171,8 @@
         nextSuppressedReport = now + suppressedReportInterval;
         const std::uint64_t count = decisions.takeSuppressedCount();
         if (count > 0)
-            logWarning("decisions_not_logged", { { "count", std::to_string(count) }, { "reason", "bound_of_lines_per_second" } });
+            logWarning("decisions_not_logged",
+                { { "count", std::to_string(count) }, { "reason", "bound_of_lines_per_second" } });
     }
 
     void takeSnapshot(const SnapshotPtr& next)
@@ -188,7 +191,8 @@
             return forwarder.onRequest(from, std::move(*request), now);
         if (auto* reply = std::get_if<ForwardReply>(&message))
             return forwarder.onReply(std::move(*reply), now);
-        asio::post(control, [this, from, message = std::move(message)] { controlLoop->onMessage(from, message, Clock::now()); });
+        asio::post(control,
+            [this, from, message = std::move(message)] { controlLoop->onMessage(from, message, Clock::now()); });
     }
 
     void onPeerLost(const VmId& peer)
@@ -268,10 +272,7 @@
 {
 }
 
-Daemon::~Daemon()
-{
-    state_->stopThreads();
-}
+Daemon::~Daemon() { state_->stopThreads(); }
 
 std::string Daemon::start()
 {
@@ -283,9 +284,12 @@
     if (!address)
         return address.error();
     logInfo("listening",
-        { { "address", address.value().host + ':' + std::to_string(address.value().port) }, { "vm", state.settings.vm.text() } });
-    state.network->onMessage([&state](const PeerIdentity& from, Message message) { state.onPeerMessage(from, std::move(message)); });
-    state.network->onUnsent([&state](std::uint64_t correlation) { state.forwarder.onUnsent(correlation, Clock::now()); });
+        { { "address", address.value().host + ':' + std::to_string(address.value().port) },
+            { "vm", state.settings.vm.text() } });
+    state.network->onMessage(
+        [&state](const PeerIdentity& from, Message message) { state.onPeerMessage(from, std::move(message)); });
+    state.network->onUnsent(
+        [&state](std::uint64_t correlation) { state.forwarder.onUnsent(correlation, Clock::now()); });
     state.network->onLoss([&state](const VmId& peer) { state.onPeerLost(peer); });
     state.signals.async_wait([&state](std::error_code error, int) {
         if (!error)
--- a/src/daemon/DaemonSettings.cpp
+++ b/src/daemon/DaemonSettings.cpp
@@ -15,152 +15,156 @@
 
 namespace {
 
-constexpr std::size_t shortestClusterKey = 16;
-
-/** One setting: its flag, its environment variable, and how its text is taken over. */
-struct Setting {
-    std::string flag;
-    std::string description;
-    std::string defaultText;
-    /** Returns what would be right when the text is wrong, else "". */
-    std::function<std::string(const std::string&, DaemonSettings&)> apply;
-};
-
-std::string environmentName(const std::string& flag)
-{
-    std::string name = "ALMONDLEVER_";
-    for (const char c : flag)
-        name += c == '-' ? '_' : static_cast<char>(std::toupper(static_cast<unsigned char>(c)));
-    return name;
-}
+    constexpr std::size_t shortestClusterKey = 16;
+
+    /** One setting: its flag, its environment variable, and how its text is taken over. */
+    struct Setting {
+        std::string flag;
+        std::string description;
+        std::string defaultText;
+        /** Returns what would be right when the text is wrong, else "". */
+        std::function<std::string(const std::string&, DaemonSettings&)> apply;
+    };
 
-std::string takeNumber(const std::string& text, double least, double most, const std::function<void(double)>& take)
-{
-    double number = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
-    const bool isNumber = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
-    if (!isNumber || number < least || number > most)
-        return "give a number from " + std::to_string(static_cast<long long>(least)) + " to "
-            + std::to_string(static_cast<long long>(most));
-    take(number);
-    return {};
-}
+    std::string environmentName(const std::string& flag)
+    {
+        std::string name = "ALMONDLEVER_";
+        for (const char c : flag)
+            name += c == '-' ? '_' : static_cast<char>(std::toupper(static_cast<unsigned char>(c)));
+        return name;
+    }
 
-std::string takeMilliseconds(const std::string& text, Milliseconds& target)
-{
-    return takeNumber(text, 0, 3600000, [&](double number) { target = Milliseconds(static_cast<std::int64_t>(number)); });
-}
+    std::string takeNumber(const std::string& text, double least, double most, const std::function<void(double)>& take)
+    {
+        double number = 0;
+        const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+        const bool isNumber = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+        if (!isNumber || number < least || number > most)
+            return "give a number from " + std::to_string(static_cast<long long>(least)) + " to "
+                + std::to_string(static_cast<long long>(most));
+        take(number);
+        return {};
+    }
 
-std::string takeAddress(const std::string& text, HttpAddress& target)
-{
-    const auto address = parseHttpAddress(text);
-    if (!address)
-        return address.error();
-    target = address.value();
-    return {};
-}
+    std::string takeMilliseconds(const std::string& text, Milliseconds& target)
+    {
+        return takeNumber(
+            text, 0, 3600000, [&](double number) { target = Milliseconds(static_cast<std::int64_t>(number)); });
+    }
 
-std::string takeListenAddress(const std::string& text, DaemonSettings& settings)
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos || colon == 0)
-        return "write ip:port; port 0 picks a free one";
-    settings.listenHost = text.substr(0, colon);
-    return takeNumber(text.substr(colon + 1), 0, 65535,
-        [&](double port) { settings.listenPort = static_cast<std::uint16_t>(port); });
-}
+    std::string takeAddress(const std::string& text, HttpAddress& target)
+    {
+        const auto address = parseHttpAddress(text);
+        if (!address)
+            return address.error();
+        target = address.value();
+        return {};
+    }
 
-std::string takeText(const std::string& text, std::string& target)
-{
-    target = text;
-    return {};
-}
+    std::string takeListenAddress(const std::string& text, DaemonSettings& settings)
+    {
+        const auto colon = text.rfind(':');
+        if (colon == std::string::npos || colon == 0)
+            return "write ip:port; port 0 picks a free one";
+        settings.listenHost = text.substr(0, colon);
+        return takeNumber(text.substr(colon + 1), 0, 65535,
+            [&](double port) { settings.listenPort = static_cast<std::uint16_t>(port); });
+    }
 
-std::string takeSeeds(const std::string& text, std::vector<LiveDaemon>& target)
-{
-    std::size_t begin = 0;
-    while (begin < text.size()) {
-        const std::size_t end = std::min(text.find(',', begin), text.size());
-        const std::string entry = text.substr(begin, end - begin);
-        const auto at = entry.find('@');
-        if (at == std::string::npos || at == 0 || !parseHttpAddress(entry.substr(at + 1)))
-            return "'" + entry + "' is not vm-id@ip:port; separate daemons by commas";
-        target.push_back({ VmId(entry.substr(0, at)), FailureDomainId(), entry.substr(at + 1), false });
-        begin = end + 1;
+    std::string takeText(const std::string& text, std::string& target)
+    {
+        target = text;
+        return {};
     }
-    return {};
-}
 
-std::vector<Setting> allSettings()
-{
-    return {
-        { "vm-id", "id of this VM; never used again after the VM is removed", "",
-            [](const std::string& text, DaemonSettings& s) {
-                s.vm = VmId(text);
-                return text.empty() ? std::string("give the id of this VM") : std::string();
-            } },
-        { "failure-domain", "failure domain of this VM, as named in the inventory", "",
-            [](const std::string& text, DaemonSettings& s) {
-                s.failureDomain = FailureDomainId(text);
-                return text.empty() ? std::string("give the failure domain of this VM") : std::string();
-            } },
-        { "listen", "ip:port for callers; port 0 picks a free one", "127.0.0.1:8080", takeListenAddress },
-        { "peer-listen", "ip:port for other daemons", "",
-            [](const std::string& text, DaemonSettings& s) {
-                s.peerListen = text;
-                const auto address = parseHttpAddress(text);
-                return address ? std::string() : address.error();
-            } },
-        { "peer-advertise", "ip:port told to other daemons; the value of peer-listen when empty", "",
-            [](const std::string& text, DaemonSettings& s) {
-                s.peerAdvertise = text;
-                const bool isRight = text.empty() || parseHttpAddress(text).hasValue();
-                return isRight ? std::string() : std::string("write ip:port");
-            } },
-        { "kv-address", "ip:port of the platform's key-value service", "",
-            [](const std::string& text, DaemonSettings& s) { return takeAddress(text, s.keyValueAddress); } },
-        { "vm-list-address", "ip:port of the platform's VM list", "",
-            [](const std::string& text, DaemonSettings& s) { return takeAddress(text, s.vmListAddress); } },
-        { "seeds", "other daemons as vm-id@ip:port, separated by commas, to start during an outage of the platform", "",
-            [](const std::string& text, DaemonSettings& s) { return takeSeeds(text, s.seeds); } },
-        { "log-level", "debug, info, warn or error", "info",
-            [](const std::string& text, DaemonSettings& s) { return takeText(text, s.log.level); } },
-        { "log-file", "file for the log; standard output when empty", "",
-            [](const std::string& text, DaemonSettings& s) { return takeText(text, s.log.file); } },
-        { "decision-lines-per-second", "bound of decision log lines for ranks below the most urgent", "500",
-            [](const std::string& text, DaemonSettings& s) {
-                return takeNumber(text, 0, 1000000, [&](double number) { s.decisionLinesPerSecond = number; });
-            } },
-        { "max-connections", "client connections accepted at the same time", "20000",
-            [](const std::string& text, DaemonSettings& s) {
-                return takeNumber(
-                    text, 1, 1000000, [&](double number) { s.maximumConnections = static_cast<std::size_t>(number); });
-            } },
-        { "drain-delay-ms", "milliseconds between readiness going off and handing work over", "1000",
-            [](const std::string& text, DaemonSettings& s) { return takeMilliseconds(text, s.drainDelay); } },
-        { "drain-limit-ms", "longest time in milliseconds that a shutdown waits for work in hand", "15000",
-            [](const std::string& text, DaemonSettings& s) { return takeMilliseconds(text, s.drainLimit); } },
-        { "transaction-idle-limit-ms", "milliseconds after which an idle transaction is rolled back", "5000",
-            [](const std::string& text, DaemonSettings& s) { return takeMilliseconds(text, s.transactionIdleLimit); } },
-    };
-}
+    std::string takeSeeds(const std::string& text, std::vector<LiveDaemon>& target)
+    {
+        std::size_t begin = 0;
+        while (begin < text.size()) {
+            const std::size_t end = std::min(text.find(',', begin), text.size());
+            const std::string entry = text.substr(begin, end - begin);
+            const auto at = entry.find('@');
+            if (at == std::string::npos || at == 0 || !parseHttpAddress(entry.substr(at + 1)))
+                return "'" + entry + "' is not vm-id@ip:port; separate daemons by commas";
+            target.push_back({ VmId(entry.substr(0, at)), FailureDomainId(), entry.substr(at + 1), false });
+            begin = end + 1;
+        }
+        return {};
+    }
 
-std::string valueOf(const Setting& setting, const TCLAP::ValueArg<std::string>& argument)
-{
-    if (argument.isSet())
-        return argument.getValue();
-    const char* fromEnvironment = std::getenv(environmentName(setting.flag).c_str());
-    return fromEnvironment ? fromEnvironment : setting.defaultText;
-}
+    std::vector<Setting> allSettings()
+    {
+        return {
+            { "vm-id", "id of this VM; never used again after the VM is removed", "",
+                [](const std::string& text, DaemonSettings& s) {
+                    s.vm = VmId(text);
+                    return text.empty() ? std::string("give the id of this VM") : std::string();
+                } },
+            { "failure-domain", "failure domain of this VM, as named in the inventory", "",
+                [](const std::string& text, DaemonSettings& s) {
+                    s.failureDomain = FailureDomainId(text);
+                    return text.empty() ? std::string("give the failure domain of this VM") : std::string();
+                } },
+            { "listen", "ip:port for callers; port 0 picks a free one", "127.0.0.1:8080", takeListenAddress },
+            { "peer-listen", "ip:port for other daemons", "",
+                [](const std::string& text, DaemonSettings& s) {
+                    s.peerListen = text;
+                    const auto address = parseHttpAddress(text);
+                    return address ? std::string() : address.error();
+                } },
+            { "peer-advertise", "ip:port told to other daemons; the value of peer-listen when empty", "",
+                [](const std::string& text, DaemonSettings& s) {
+                    s.peerAdvertise = text;
+                    const bool isRight = text.empty() || parseHttpAddress(text).hasValue();
+                    return isRight ? std::string() : std::string("write ip:port");
+                } },
+            { "kv-address", "ip:port of the platform's key-value service", "",
+                [](const std::string& text, DaemonSettings& s) { return takeAddress(text, s.keyValueAddress); } },
+            { "vm-list-address", "ip:port of the platform's VM list", "",
+                [](const std::string& text, DaemonSettings& s) { return takeAddress(text, s.vmListAddress); } },
+            { "seeds", "other daemons as vm-id@ip:port, separated by commas, to start during an outage of the platform",
+                "", [](const std::string& text, DaemonSettings& s) { return takeSeeds(text, s.seeds); } },
+            { "log-level", "debug, info, warn or error", "info",
+                [](const std::string& text, DaemonSettings& s) { return takeText(text, s.log.level); } },
+            { "log-file", "file for the log; standard output when empty", "",
+                [](const std::string& text, DaemonSettings& s) { return takeText(text, s.log.file); } },
+            { "decision-lines-per-second", "bound of decision log lines for ranks below the most urgent", "500",
+                [](const std::string& text, DaemonSettings& s) {
+                    return takeNumber(text, 0, 1000000, [&](double number) { s.decisionLinesPerSecond = number; });
+                } },
+            { "max-connections", "client connections accepted at the same time", "20000",
+                [](const std::string& text, DaemonSettings& s) {
+                    return takeNumber(text, 1, 1000000,
+                        [&](double number) { s.maximumConnections = static_cast<std::size_t>(number); });
+                } },
+            { "drain-delay-ms", "milliseconds between readiness going off and handing work over", "1000",
+                [](const std::string& text, DaemonSettings& s) { return takeMilliseconds(text, s.drainDelay); } },
+            { "drain-limit-ms", "longest time in milliseconds that a shutdown waits for work in hand", "15000",
+                [](const std::string& text, DaemonSettings& s) { return takeMilliseconds(text, s.drainLimit); } },
+            { "transaction-idle-limit-ms", "milliseconds after which an idle transaction is rolled back", "5000",
+                [](const std::string& text, DaemonSettings& s) {
+                    return takeMilliseconds(text, s.transactionIdleLimit);
+                } },
+        };
+    }
 
-void checkClusterKey(DaemonSettingsResult& result)
-{
-    const char* key = std::getenv("ALMONDLEVER_CLUSTER_KEY");
-    result.settings.clusterKey = key ? key : "";
-    if (result.settings.clusterKey.size() < shortestClusterKey)
-        result.findings.push_back({ "ALMONDLEVER_CLUSTER_KEY", 0, 0, "the cluster key is missing or shorter than 16 bytes",
-            "set the same secret of at least 16 bytes on every VM of this deployment" });
-}
+    std::string valueOf(const Setting& setting, const TCLAP::ValueArg<std::string>& argument)
+    {
+        if (argument.isSet())
+            return argument.getValue();
+        const char* fromEnvironment = std::getenv(environmentName(setting.flag).c_str());
+        return fromEnvironment ? fromEnvironment : setting.defaultText;
+    }
+
+    void checkClusterKey(DaemonSettingsResult& result)
+    {
+        const char* key = std::getenv("ALMONDLEVER_CLUSTER_KEY");
+        result.settings.clusterKey = key ? key : "";
+        if (result.settings.clusterKey.size() < shortestClusterKey)
+            result.findings.push_back(
+                { "ALMONDLEVER_CLUSTER_KEY", 0, 0, "the cluster key is missing or shorter than 16 bytes",
+                    "set the same secret of at least 16 bytes on every VM of this deployment" });
+    }
 
 } // namespace
 
--- a/src/daemon/EvidenceForwarder.cpp
+++ b/src/daemon/EvidenceForwarder.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/** A fraction of the probe interval: often enough to spare probes, seldom enough to cost nothing. */
-constexpr Milliseconds evidenceInterval { 50 };
+    /** A fraction of the probe interval: often enough to spare probes, seldom enough to cost nothing. */
+    constexpr Milliseconds evidenceInterval { 50 };
 
 } // namespace
 
@@ -31,16 +31,16 @@
 {
     if (!isDue(answeredAt_, endpoint, timers_.now()))
         return;
-    post_([database, endpoint, term](ControlLoop& control, TimePoint now) {
-        control.onPrimaryAnswered(database, endpoint, term, now);
-    });
+    post_([database, endpoint, term](
+              ControlLoop& control, TimePoint now) { control.onPrimaryAnswered(database, endpoint, term, now); });
 }
 
 void EvidenceForwarder::primaryFailed(const DatabaseId& database, const EndpointId& endpoint)
 {
     if (!isDue(failedAt_, endpoint, timers_.now()))
         return;
-    post_([database, endpoint](ControlLoop& control, TimePoint now) { control.onPrimaryFailed(database, endpoint, now); });
+    post_([database, endpoint](
+              ControlLoop& control, TimePoint now) { control.onPrimaryFailed(database, endpoint, now); });
 }
 
 void EvidenceForwarder::writesPaused(const DatabaseId& database, const EndpointId& endpoint, LogPosition logEnd)
--- a/src/daemon/PeerForwarder.cpp
+++ b/src/daemon/PeerForwarder.cpp
@@ -4,15 +4,15 @@
 
 namespace {
 
-/** Time beyond the deadline in which the owner's own refusal may still arrive. */
-constexpr Milliseconds replyGrace { 100 };
+    /** Time beyond the deadline in which the owner's own refusal may still arrive. */
+    constexpr Milliseconds replyGrace { 100 };
 
-ForwardReply errorReply(ForwardErrorCode code, Outcome outcome, const char* detail)
-{
-    ForwardReply reply;
-    reply.result = ForwardError { code, outcome, detail, {}, {} };
-    return reply;
-}
+    ForwardReply errorReply(ForwardErrorCode code, Outcome outcome, const char* detail)
+    {
+        ForwardReply reply;
+        reply.result = ForwardError { code, outcome, detail, {}, {} };
+        return reply;
+    }
 
 } // namespace
 
@@ -42,12 +42,14 @@
         return serving_.submit(std::move(request), now, std::move(callback));
     const LiveDaemon* peer = snapshot_->members.find(owner);
     if (!peer)
-        return callback(errorReply(ForwardErrorCode::NotOwner, Outcome::NotRun, "the owner is not believed to live"), now);
+        return callback(
+            errorReply(ForwardErrorCode::NotOwner, Outcome::NotRun, "the owner is not believed to live"), now);
     const std::uint64_t correlation = ++lastCorrelation_;
     request.correlation = correlation;
     if (!network_.send(owner, peer->peerAddress, request))
         return callback(
-            errorReply(ForwardErrorCode::EndpointUnavailable, Outcome::NotRun, "the serving daemon cannot be reached"), now);
+            errorReply(ForwardErrorCode::EndpointUnavailable, Outcome::NotRun, "the serving daemon cannot be reached"),
+            now);
     const auto expiry = expiries_.emplace(deadline + replyGrace, correlation);
     pending_.emplace(correlation, Pending { owner, std::move(callback), expiry });
 }
@@ -81,7 +83,8 @@
 void PeerForwarder::onUnsent(std::uint64_t correlation, TimePoint now)
 {
     finish(correlation,
-        errorReply(ForwardErrorCode::EndpointUnavailable, Outcome::NotRun, "the serving daemon cannot be reached"), now);
+        errorReply(ForwardErrorCode::EndpointUnavailable, Outcome::NotRun, "the serving daemon cannot be reached"),
+        now);
 }
 
 void PeerForwarder::onPeerLost(const VmId& peer, TimePoint now)
@@ -93,14 +96,18 @@
     }
     for (const std::uint64_t correlation : lost)
         finish(correlation,
-            errorReply(ForwardErrorCode::EndpointUnavailable, Outcome::Unknown, "the channel to the serving daemon broke"), now);
+            errorReply(
+                ForwardErrorCode::EndpointUnavailable, Outcome::Unknown, "the channel to the serving daemon broke"),
+            now);
 }
 
 void PeerForwarder::onTick(TimePoint now)
 {
     while (!expiries_.empty() && expiries_.begin()->first <= now)
         finish(expiries_.begin()->second,
-            errorReply(ForwardErrorCode::DeadlineExceeded, Outcome::Unknown, "the serving daemon did not answer in time"), now);
+            errorReply(
+                ForwardErrorCode::DeadlineExceeded, Outcome::Unknown, "the serving daemon did not answer in time"),
+            now);
 }
 
 } // namespace almondlever
--- a/src/daemon/StatusPages.cpp
+++ b/src/daemon/StatusPages.cpp
@@ -39,7 +39,8 @@
     Json page { { "accepted", explanation.isAccepted }, { "reason", explanation.reason }, { "rank", explanation.rank },
         { "steps", Json::array() } };
     for (const RouteExplanation::Step& step : explanation.steps) {
-        Json entry { { "endpoint", step.endpoint.text() }, { "owner", step.owner.text() }, { "primary", step.isPrimary } };
+        Json entry { { "endpoint", step.endpoint.text() }, { "owner", step.owner.text() },
+            { "primary", step.isPrimary } };
         if (step.expectedWait.count() >= 0)
             entry["expected_wait_ms"] = step.expectedWait.count();
         page["steps"].push_back(std::move(entry));
--- a/src/endpoints/HttpEndpointConnector.cpp
+++ b/src/endpoints/HttpEndpointConnector.cpp
@@ -108,7 +108,8 @@
 
         void post(const std::string& target, const nlohmann::json& body, Duration timeout, StatusCallback callback)
         {
-            send({ "POST", target, { controlHeader, vmHeader_, jsonContent }, body.dump() }, timeout, std::move(callback));
+            send({ "POST", target, { controlHeader, vmHeader_, jsonContent }, body.dump() }, timeout,
+                std::move(callback));
         }
 
         void send(const HttpRequest& request, Duration timeout, StatusCallback callback)
--- a/src/entry/EndpointKnowledge.cpp
+++ b/src/entry/EndpointKnowledge.cpp
@@ -6,41 +6,44 @@
 
 namespace {
 
-using std::chrono::milliseconds;
+    using std::chrono::milliseconds;
 
-/** Round trips assumed before any was measured. */
-constexpr milliseconds sameDomainRoundTrip { 1 };
-constexpr milliseconds sameRegionRoundTrip { 4 };
-constexpr milliseconds otherRegionRoundTrip { 30 };
+    /** Round trips assumed before any was measured. */
+    constexpr milliseconds sameDomainRoundTrip { 1 };
+    constexpr milliseconds sameRegionRoundTrip { 4 };
+    constexpr milliseconds otherRegionRoundTrip { 30 };
 
-/** Load and position told by an owner are forgotten after this time, so that an avoided endpoint is tried again. */
-constexpr milliseconds knowledgeLifetime { 1000 };
-/** Time for which an endpoint that could not be reached is tried last. */
-constexpr milliseconds unavailablePenaltyTime { 500 };
-/** Costs that put an endpoint behind all that are not affected. */
-constexpr milliseconds unavailableCost { 100000 };
-constexpr milliseconds staleCost { 10000 };
-constexpr milliseconds behindCost { 20 };
+    /** Load and position told by an owner are forgotten after this time, so that an avoided endpoint is tried again. */
+    constexpr milliseconds knowledgeLifetime { 1000 };
+    /** Time for which an endpoint that could not be reached is tried last. */
+    constexpr milliseconds unavailablePenaltyTime { 500 };
+    /** Costs that put an endpoint behind all that are not affected. */
+    constexpr milliseconds unavailableCost { 100000 };
+    constexpr milliseconds staleCost { 10000 };
+    constexpr milliseconds behindCost { 20 };
 
-Duration assumedRoundTrip(const EndpointDescription& endpoint, const Configuration& configuration, const FailureDomainId& from)
-{
-    if (endpoint.failureDomain == from)
-        return sameDomainRoundTrip;
-    if (configuration.regionOf(endpoint.failureDomain) == configuration.regionOf(from))
-        return sameRegionRoundTrip;
-    return otherRegionRoundTrip;
-}
+    Duration assumedRoundTrip(
+        const EndpointDescription& endpoint, const Configuration& configuration, const FailureDomainId& from)
+    {
+        if (endpoint.failureDomain == from)
+            return sameDomainRoundTrip;
+        if (configuration.regionOf(endpoint.failureDomain) == configuration.regionOf(from))
+            return sameRegionRoundTrip;
+        return otherRegionRoundTrip;
+    }
 
 } // namespace
 
-void EndpointKnowledge::onReply(const EndpointId& endpoint, const ForwardReply& reply, Duration roundTrip, TimePoint now)
+void EndpointKnowledge::onReply(
+    const EndpointId& endpoint, const ForwardReply& reply, Duration roundTrip, TimePoint now)
 {
     Known& known = known_[endpoint];
     known.position = std::max(known.position, reply.endpointPosition);
     known.staleness = reply.endpointStaleness;
     known.expectedWait = reply.expectedWait;
-    known.smoothedRoundTrip
-        = known.updatedAt == TimePoint() ? roundTrip : known.smoothedRoundTrip + (roundTrip - known.smoothedRoundTrip) / 8;
+    known.smoothedRoundTrip = known.updatedAt == TimePoint()
+        ? roundTrip
+        : known.smoothedRoundTrip + (roundTrip - known.smoothedRoundTrip) / 8;
     known.updatedAt = now;
     known.unavailableUntil = TimePoint();
 }
@@ -81,9 +84,9 @@
     return total;
 }
 
-std::vector<EndpointId> EndpointKnowledge::readOrder(const DatabaseDescription& database, const Configuration& configuration,
-    const FailureDomainId& from, const EndpointId& primary, const std::vector<EndpointId>& excluded,
-    const ReadDemand& demand, TimePoint now) const
+std::vector<EndpointId> EndpointKnowledge::readOrder(const DatabaseDescription& database,
+    const Configuration& configuration, const FailureDomainId& from, const EndpointId& primary,
+    const std::vector<EndpointId>& excluded, const ReadDemand& demand, TimePoint now) const
 {
     std::vector<std::pair<Duration, EndpointId>> order;
     bool hasPrimary = false;
--- a/src/entry/EntryRouter.cpp
+++ b/src/entry/EntryRouter.cpp
@@ -9,52 +9,52 @@
 
 namespace {
 
-/** Redirects and repeats of one request, so that daemons that disagree cannot pass it around for ever. */
-constexpr int maximumForwards = 64;
-/**
- * Pauses before a request is routed again after daemons disagreed about owner or primary, or a daemon could not be
- * reached. They grow by half each time, so that waiting for a new owner costs few messages.
- */
-constexpr Milliseconds firstPause { 10 };
-constexpr Milliseconds longestPause { 100 };
-/** Told to callers when nothing better is known. */
-constexpr Milliseconds usualRetryAfter { 1000 };
-
-std::string sha256Prefix(const std::string& text)
-{
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
-    unsigned size = 0;
-    EVP_Digest(text.data(), text.size(), digest.data(), &size, EVP_sha256(), nullptr);
-    std::string hex;
-    for (std::size_t i = 0; i < 16; ++i)
-        fmt::format_to(std::back_inserter(hex), "{:02x}", digest[i]);
-    return hex;
-}
+    /** Redirects and repeats of one request, so that daemons that disagree cannot pass it around for ever. */
+    constexpr int maximumForwards = 64;
+    /**
+     * Pauses before a request is routed again after daemons disagreed about owner or primary, or a daemon could not be
+     * reached. They grow by half each time, so that waiting for a new owner costs few messages.
+     */
+    constexpr Milliseconds firstPause { 10 };
+    constexpr Milliseconds longestPause { 100 };
+    /** Told to callers when nothing better is known. */
+    constexpr Milliseconds usualRetryAfter { 1000 };
+
+    std::string sha256Prefix(const std::string& text)
+    {
+        std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
+        unsigned size = 0;
+        EVP_Digest(text.data(), text.size(), digest.data(), &size, EVP_sha256(), nullptr);
+        std::string hex;
+        for (std::size_t i = 0; i < 16; ++i)
+            fmt::format_to(std::back_inserter(hex), "{:02x}", digest[i]);
+        return hex;
+    }
 
-/** The VM that serves a transaction, which its id contains before the last dot. */
-VmId servingVm(const TransactionId& transaction)
-{
-    const auto dot = transaction.text().rfind('.');
-    return dot == std::string::npos ? VmId() : VmId(transaction.text().substr(0, dot));
-}
+    /** The VM that serves a transaction, which its id contains before the last dot. */
+    VmId servingVm(const TransactionId& transaction)
+    {
+        const auto dot = transaction.text().rfind('.');
+        return dot == std::string::npos ? VmId() : VmId(transaction.text().substr(0, dot));
+    }
 
-CallerErrorCode callerCode(ForwardErrorCode code)
-{
-    switch (code) {
-    case ForwardErrorCode::Overloaded:
-        return CallerErrorCode::Overloaded;
-    case ForwardErrorCode::DeadlineExceeded:
-        return CallerErrorCode::DeadlineExceeded;
-    case ForwardErrorCode::TransactionLost:
-        return CallerErrorCode::TransactionLost;
-    case ForwardErrorCode::NotConfirmed:
-        return CallerErrorCode::NotConfirmed;
-    case ForwardErrorCode::Rejected:
-        return CallerErrorCode::BadRequest;
-    default:
-        return CallerErrorCode::Unavailable;
+    CallerErrorCode callerCode(ForwardErrorCode code)
+    {
+        switch (code) {
+        case ForwardErrorCode::Overloaded:
+            return CallerErrorCode::Overloaded;
+        case ForwardErrorCode::DeadlineExceeded:
+            return CallerErrorCode::DeadlineExceeded;
+        case ForwardErrorCode::TransactionLost:
+            return CallerErrorCode::TransactionLost;
+        case ForwardErrorCode::NotConfirmed:
+            return CallerErrorCode::NotConfirmed;
+        case ForwardErrorCode::Rejected:
+            return CallerErrorCode::BadRequest;
+        default:
+            return CallerErrorCode::Unavailable;
+        }
     }
-}
 
 } // namespace
 
@@ -119,10 +119,7 @@
 
 EntryRouter::~EntryRouter() = default;
 
-void EntryRouter::setSnapshot(SnapshotPtr snapshot)
-{
-    snapshot_ = std::move(snapshot);
-}
+void EntryRouter::setSnapshot(SnapshotPtr snapshot) { snapshot_ = std::move(snapshot); }
 
 void EntryRouter::handle(CallerRequest request, TimePoint now, CallerCallback callback)
 {
@@ -143,7 +140,8 @@
 {
     const CallerRequest& request = exchange.request;
     if (!snapshot_ || !snapshot_->configuration)
-        return CallerError { CallerErrorCode::NotReady, Outcome::NotRun, "no configuration is in force yet", usualRetryAfter };
+        return CallerError { CallerErrorCode::NotReady, Outcome::NotRun, "no configuration is in force yet",
+            usualRetryAfter };
     const Configuration& configuration = *snapshot_->configuration;
     exchange.rule = configuration.findCaller(request.caller);
     if (!exchange.rule)
@@ -167,7 +165,8 @@
     const Milliseconds longest = configuration.ranks[exchange.rule->rank].deadline;
     const Milliseconds wanted = request.deadline.value_or(longest);
     if (wanted.count() <= 0)
-        return CallerError { CallerErrorCode::DeadlineExceeded, Outcome::NotRun, "the deadline has passed on arrival", {} };
+        return CallerError { CallerErrorCode::DeadlineExceeded, Outcome::NotRun, "the deadline has passed on arrival",
+            {} };
     exchange.deadline = now + std::min(wanted, longest);
     return std::nullopt;
 }
@@ -175,8 +174,8 @@
 void EntryRouter::route(const ExchangePtr& exchange, TimePoint now)
 {
     if (now >= exchange->deadline)
-        return fail(exchange, { CallerErrorCode::DeadlineExceeded, Outcome::NotRun, "the deadline has passed", usualRetryAfter },
-            now);
+        return fail(exchange,
+            { CallerErrorCode::DeadlineExceeded, Outcome::NotRun, "the deadline has passed", usualRetryAfter }, now);
     if (++exchange->forwards > maximumForwards)
         return fail(exchange,
             { CallerErrorCode::Unavailable, Outcome::NotRun, "no endpoint took the request", usualRetryAfter }, now);
@@ -192,7 +191,8 @@
     const VmId owner = servingVm(exchange->request.transaction);
     if (owner.isEmpty() || !snapshot_->members.find(owner))
         return fail(exchange,
-            { CallerErrorCode::TransactionLost, Outcome::NotRun, "the daemon that held the transaction is gone", {} }, now);
+            { CallerErrorCode::TransactionLost, Outcome::NotRun, "the daemon that held the transaction is gone", {} },
+            now);
     sendTo(exchange, owner, EndpointId(), "open_transaction", now);
 }
 
@@ -200,8 +200,8 @@
 {
     const EndpointId primary = likelyPrimary(*exchange->database);
     if (!exchange->mayUseReplica())
-        return forward(exchange, primary,
-            exchange->isPositionLost() ? "no_session_position" : "no_staleness_allowed", now);
+        return forward(
+            exchange, primary, exchange->isPositionLost() ? "no_session_position" : "no_staleness_allowed", now);
     const ReadDemand demand { exchange->rule->rank, exchange->minimumPosition(), exchange->maximumStaleness() };
     const auto order = knowledge_.readOrder(*exchange->database, *exchange->snapshot->configuration,
         snapshot_->failureDomain, primary, exchange->excluded, demand, now);
@@ -227,8 +227,8 @@
     const bool isFirstChoice = exchange->forwards == 1;
     if (wait && now + *wait >= exchange->deadline && isFirstChoice && !exchange->isRead()) {
         logDecision(*exchange, "refuse", endpoint, owner, "owner_overloaded", now);
-        return fail(exchange, { CallerErrorCode::Overloaded, Outcome::NotRun, "the queue is longer than the deadline", *wait },
-            now);
+        return fail(exchange,
+            { CallerErrorCode::Overloaded, Outcome::NotRun, "the queue is longer than the deadline", *wait }, now);
     }
     sendTo(exchange, owner, endpoint, reason, now);
 }
@@ -256,9 +256,8 @@
     message.needsConfirmedLeadership = exchange->isRead() && !exchange->mayUseReplica();
     message.traceparent = request.traceparent;
     forwarder_.forward(owner, std::move(message), exchange->deadline,
-        [this, exchange, endpoint, now](ForwardReply reply, TimePoint later) {
-            onReply(exchange, endpoint, now, std::move(reply), later);
-        });
+        [this, exchange, endpoint, now](
+            ForwardReply reply, TimePoint later) { onReply(exchange, endpoint, now, std::move(reply), later); });
 }
 
 void EntryRouter::onReply(
@@ -339,7 +338,8 @@
 {
     if (success.position.term > 0)
         exchange->session.observe(exchange->request.database, success.position);
-    const std::string rank = "rank=\"" + exchange->snapshot->configuration->ranks[exchange->rule->rank].name.text() + '"';
+    const std::string rank
+        = "rank=\"" + exchange->snapshot->configuration->ranks[exchange->rule->rank].name.text() + '"';
     if (exchange->isRead())
         metrics_.count("almondlever_reads_total", success.isFromReplica ? "from=\"replica\"" : "from=\"primary\"");
     metrics_.observe("almondlever_request_seconds", rank, now - exchange->arrival);
@@ -395,20 +395,22 @@
 RequestId EntryRouter::makeRequestId(const CallerRequest& request)
 {
     if (!request.idempotencyKey.empty())
-        return RequestId(sha256Prefix(
-            request.caller.text() + '\n' + request.database.text() + '\n' + request.idempotencyKey));
+        return RequestId(
+            sha256Prefix(request.caller.text() + '\n' + request.database.text() + '\n' + request.idempotencyKey));
     return RequestId(fmt::format("{:016x}{:016x}", random_(), random_()));
 }
 
-void EntryRouter::logDecision(const Exchange& exchange, const char* event, const EndpointId& endpoint, const VmId& owner,
-    const char* reason, TimePoint now)
+void EntryRouter::logDecision(const Exchange& exchange, const char* event, const EndpointId& endpoint,
+    const VmId& owner, const char* reason, TimePoint now)
 {
     if (!decisionLog_.admits(exchange.rule->rank, now))
         return;
     const std::string& token = exchange.request.sessionToken;
     decisionLog_.write(event,
         { { "request", exchange.requestId.text() },
-            { "session", token.empty() ? "none" : std::string_view(token).substr(token.size() - std::min<std::size_t>(8, token.size())) },
+            { "session",
+                token.empty() ? "none"
+                              : std::string_view(token).substr(token.size() - std::min<std::size_t>(8, token.size())) },
             { "caller", exchange.request.caller.text() }, { "database", exchange.request.database.text() },
             { "op", toText(exchange.request.operation) }, { "endpoint", endpoint.isEmpty() ? "none" : endpoint.text() },
             { "owner", owner.isEmpty() ? "none" : owner.text() }, { "reason", reason } });
@@ -435,8 +437,8 @@
     exchange.hasToken = true;
     if (operation == OperationKind::Read && exchange.mayUseReplica()) {
         explanation.reason = "reads may be stale: replicas first, primary last";
-        order = knowledge_.readOrder(*exchange.database, *snapshot_->configuration, snapshot_->failureDomain, primary, {},
-            { exchange.rule->rank, {}, exchange.maximumStaleness() }, now);
+        order = knowledge_.readOrder(*exchange.database, *snapshot_->configuration, snapshot_->failureDomain, primary,
+            {}, { exchange.rule->rank, {}, exchange.maximumStaleness() }, now);
     } else {
         explanation.reason = operation == OperationKind::Write
             ? "writes go to the primary"
@@ -444,8 +446,8 @@
     }
     for (const EndpointId& endpoint : order) {
         const auto wait = knowledge_.expectedWait(endpoint, exchange.rule->rank, now);
-        explanation.steps.push_back({ endpoint, snapshot_->owners->ownerOf(endpoint), endpoint == primary,
-            wait.value_or(Milliseconds(-1)) });
+        explanation.steps.push_back(
+            { endpoint, snapshot_->owners->ownerOf(endpoint), endpoint == primary, wait.value_or(Milliseconds(-1)) });
     }
     return explanation;
 }
--- a/src/observability/DecisionLog.cpp
+++ b/src/observability/DecisionLog.cpp
@@ -13,68 +13,68 @@
 
 namespace {
 
-const log4cxx::LoggerPtr& processLogger()
-{
-    static const log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger("almondlever");
-    return logger;
-}
-
-const log4cxx::LoggerPtr& decisionLogger()
-{
-    static const log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger("almondlever.decision");
-    return logger;
-}
+    const log4cxx::LoggerPtr& processLogger()
+    {
+        static const log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger("almondlever");
+        return logger;
+    }
 
-bool needsQuotes(std::string_view text)
-{
-    return text.empty() || std::any_of(text.begin(), text.end(), [](unsigned char c) {
-        return c <= ' ' || c == '"' || c == '=' || c >= 0x7f;
-    });
-}
+    const log4cxx::LoggerPtr& decisionLogger()
+    {
+        static const log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger("almondlever.decision");
+        return logger;
+    }
 
-void appendValue(std::string& line, std::string_view value)
-{
-    if (!needsQuotes(value)) {
-        line += value;
-        return;
+    bool needsQuotes(std::string_view text)
+    {
+        return text.empty() || std::any_of(text.begin(), text.end(), [](unsigned char c) {
+            return c <= ' ' || c == '"' || c == '=' || c >= 0x7f;
+        });
     }
-    line += '"';
-    for (const char c : value) {
-        const auto byte = static_cast<unsigned char>(c);
-        if (c == '"' || c == '\\')
-            line += '\\';
-        line += byte < ' ' ? ' ' : c;
+
+    void appendValue(std::string& line, std::string_view value)
+    {
+        if (!needsQuotes(value)) {
+            line += value;
+            return;
+        }
+        line += '"';
+        for (const char c : value) {
+            const auto byte = static_cast<unsigned char>(c);
+            if (c == '"' || c == '\\')
+                line += '\\';
+            line += byte < ' ' ? ' ' : c;
+        }
+        line += '"';
     }
-    line += '"';
-}
 
-std::string format(std::string_view event, std::initializer_list<LogField> fields)
-{
-    std::string line;
-    line.reserve(192);
-    line += "event=";
-    appendValue(line, event);
-    for (const LogField& field : fields) {
-        line += ' ';
-        line += field.first;
-        line += '=';
-        appendValue(line, field.second);
+    std::string format(std::string_view event, std::initializer_list<LogField> fields)
+    {
+        std::string line;
+        line.reserve(192);
+        line += "event=";
+        appendValue(line, event);
+        for (const LogField& field : fields) {
+            line += ' ';
+            line += field.first;
+            line += '=';
+            appendValue(line, field.second);
+        }
+        return line;
     }
-    return line;
-}
 
-log4cxx::LevelPtr levelFromText(const std::string& text)
-{
-    if (text == "debug")
-        return log4cxx::Level::getDebug();
-    if (text == "info")
-        return log4cxx::Level::getInfo();
-    if (text == "warn")
-        return log4cxx::Level::getWarn();
-    if (text == "error")
-        return log4cxx::Level::getError();
-    return nullptr;
-}
+    log4cxx::LevelPtr levelFromText(const std::string& text)
+    {
+        if (text == "debug")
+            return log4cxx::Level::getDebug();
+        if (text == "info")
+            return log4cxx::Level::getInfo();
+        if (text == "warn")
+            return log4cxx::Level::getWarn();
+        if (text == "error")
+            return log4cxx::Level::getError();
+        return nullptr;
+    }
 
 } // namespace
 
@@ -144,9 +144,6 @@
     LOG4CXX_INFO(decisionLogger(), format(decision, fields));
 }
 
-std::uint64_t DecisionLog::takeSuppressedCount()
-{
-    return std::exchange(suppressed_, 0);
-}
+std::uint64_t DecisionLog::takeSuppressedCount() { return std::exchange(suppressed_, 0); }
 
 } // namespace almondlever
--- a/src/observability/Metrics.cpp
+++ b/src/observability/Metrics.cpp
@@ -8,50 +8,50 @@
 
 namespace {
 
-namespace bh = boost::histogram;
+    namespace bh = boost::histogram;
 
-constexpr unsigned bucketCount = 60;
-constexpr double lowestSeconds = 1e-5;
-constexpr double highestSeconds = 1e2;
+    constexpr unsigned bucketCount = 60;
+    constexpr double lowestSeconds = 1e-5;
+    constexpr double highestSeconds = 1e2;
 
-using LogAxis = bh::axis::regular<double, bh::axis::transform::log>;
+    using LogAxis = bh::axis::regular<double, bh::axis::transform::log>;
 
-struct LatencyHistogram {
-    decltype(bh::make_histogram(LogAxis(bucketCount, lowestSeconds, highestSeconds))) histogram
-        = bh::make_histogram(LogAxis(bucketCount, lowestSeconds, highestSeconds));
-    double sumSeconds = 0;
-    std::uint64_t count = 0;
-};
+    struct LatencyHistogram {
+        decltype(bh::make_histogram(LogAxis(bucketCount, lowestSeconds, highestSeconds))) histogram
+            = bh::make_histogram(LogAxis(bucketCount, lowestSeconds, highestSeconds));
+        double sumSeconds = 0;
+        std::uint64_t count = 0;
+    };
 
-using Key = std::pair<std::string, std::string>;
+    using Key = std::pair<std::string, std::string>;
 
-std::string withLabels(const std::string& family, const std::string& labels)
-{
-    return labels.empty() ? family : family + '{' + labels + '}';
-}
+    std::string withLabels(const std::string& family, const std::string& labels)
+    {
+        return labels.empty() ? family : family + '{' + labels + '}';
+    }
 
-void writeHistogram(std::ostream& out, const Key& key, const LatencyHistogram& latency)
-{
-    const std::string separator = key.second.empty() ? "" : ",";
-    double cumulated = latency.histogram.at(-1);
-    for (int bin = 0; bin < static_cast<int>(bucketCount); ++bin) {
-        cumulated += latency.histogram.at(bin);
-        out << key.first << "_bucket{" << key.second << separator << "le=\"" << latency.histogram.axis().bin(bin).upper()
-            << "\"} " << static_cast<std::uint64_t>(cumulated) << '\n';
+    void writeHistogram(std::ostream& out, const Key& key, const LatencyHistogram& latency)
+    {
+        const std::string separator = key.second.empty() ? "" : ",";
+        double cumulated = latency.histogram.at(-1);
+        for (int bin = 0; bin < static_cast<int>(bucketCount); ++bin) {
+            cumulated += latency.histogram.at(bin);
+            out << key.first << "_bucket{" << key.second << separator << "le=\""
+                << latency.histogram.axis().bin(bin).upper() << "\"} " << static_cast<std::uint64_t>(cumulated) << '\n';
+        }
+        out << key.first << "_bucket{" << key.second << separator << "le=\"+Inf\"} " << latency.count << '\n';
+        out << withLabels(key.first + "_sum", key.second) << ' ' << latency.sumSeconds << '\n';
+        out << withLabels(key.first + "_count", key.second) << ' ' << latency.count << '\n';
     }
-    out << key.first << "_bucket{" << key.second << separator << "le=\"+Inf\"} " << latency.count << '\n';
-    out << withLabels(key.first + "_sum", key.second) << ' ' << latency.sumSeconds << '\n';
-    out << withLabels(key.first + "_count", key.second) << ' ' << latency.count << '\n';
-}
 
-/** Writes the TYPE line before the first metric of a family. */
-void writeType(std::ostream& out, std::string& lastFamily, const std::string& family, const char* type)
-{
-    if (family == lastFamily)
-        return;
-    out << "# TYPE " << family << ' ' << type << '\n';
-    lastFamily = family;
-}
+    /** Writes the TYPE line before the first metric of a family. */
+    void writeType(std::ostream& out, std::string& lastFamily, const std::string& family, const char* type)
+    {
+        if (family == lastFamily)
+            return;
+        out << "# TYPE " << family << ' ' << type << '\n';
+        lastFamily = family;
+    }
 
 } // namespace
 
--- a/src/serving/ClaimKeeper.cpp
+++ b/src/serving/ClaimKeeper.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-constexpr Milliseconds requestTimeout { 500 };
-constexpr Milliseconds attemptPause { 30 };
+    constexpr Milliseconds requestTimeout { 500 };
+    constexpr Milliseconds attemptPause { 30 };
 
 } // namespace
 
@@ -28,9 +28,8 @@
     void ask()
     {
         phase = Phase::Asking;
-        control->status(requestTimeout, [state = shared_from_this()](const EndpointResult<EndpointStatus>& result) {
-            state->onStatus(result);
-        });
+        control->status(requestTimeout,
+            [state = shared_from_this()](const EndpointResult<EndpointStatus>& result) { state->onStatus(result); });
     }
 
     void onStatus(const EndpointResult<EndpointStatus>& result)
@@ -63,10 +62,11 @@
 
     void releaseClaim()
     {
-        control->claim(epoch, VmId(), requestTimeout, [state = shared_from_this()](const EndpointResult<EndpointStatus>&) {
-            // A lost answer or an unreachable endpoint leaves the claim to the next owner's patience.
-            state->phase = Phase::Idle;
-        });
+        control->claim(
+            epoch, VmId(), requestTimeout, [state = shared_from_this()](const EndpointResult<EndpointStatus>&) {
+                // A lost answer or an unreachable endpoint leaves the claim to the next owner's patience.
+                state->phase = Phase::Idle;
+            });
     }
 
     void pause(TimePoint now)
@@ -111,10 +111,7 @@
     state_->ask();
 }
 
-void ClaimKeeper::setMembers(const MembershipView& members)
-{
-    state_->members = members;
-}
+void ClaimKeeper::setMembers(const MembershipView& members) { state_->members = members; }
 
 void ClaimKeeper::onLost(TimePoint now)
 {
@@ -138,19 +135,10 @@
         state_->ask();
 }
 
-bool ClaimKeeper::isHeld() const
-{
-    return state_->phase == State::Phase::Held;
-}
+bool ClaimKeeper::isHeld() const { return state_->phase == State::Phase::Held; }
 
-bool ClaimKeeper::isIdle() const
-{
-    return state_->phase == State::Phase::Idle;
-}
+bool ClaimKeeper::isIdle() const { return state_->phase == State::Phase::Idle; }
 
-std::uint64_t ClaimKeeper::epoch() const
-{
-    return state_->epoch;
-}
+std::uint64_t ClaimKeeper::epoch() const { return state_->epoch; }
 
 } // namespace almondlever
--- a/src/serving/CommitConfirmer.cpp
+++ b/src/serving/CommitConfirmer.cpp
@@ -4,11 +4,11 @@
 
 namespace {
 
-/** Longest time that a server holds a position wait; short enough that a changed wish is noticed. */
-constexpr Milliseconds positionWait { 500 };
-constexpr Milliseconds requestTimeout { 400 };
-/** Pause after a request that failed, so that an unreachable server is not asked in a loop. */
-constexpr Milliseconds retryPause { 50 };
+    /** Longest time that a server holds a position wait; short enough that a changed wish is noticed. */
+    constexpr Milliseconds positionWait { 500 };
+    constexpr Milliseconds requestTimeout { 400 };
+    /** Pause after a request that failed, so that an unreachable server is not asked in a loop. */
+    constexpr Milliseconds retryPause { 50 };
 
 } // namespace
 
@@ -127,11 +127,14 @@
     state_->ask(now);
 }
 
-void CommitConfirmer::awaitLeadership(Term term, TimePoint deadline, TimePoint now, Callback callback)
+void CommitConfirmer::awaitLeadership(
+    LogPosition answered, TimePoint sentAt, TimePoint deadline, TimePoint now, Callback callback)
 {
     const ConfirmationId id = ++state_->lastId;
     state_->callbacks.emplace(id, std::move(callback));
-    state_->settle(state_->tracker.awaitLeadership(id, state_->primary, term, now, deadline, now), now);
+    // A server answers as primary only while its promised term is its own, so the answer is a report.
+    state_->settle(state_->tracker.onReport({ state_->primary, answered.term, answered, sentAt }, now), now);
+    state_->settle(state_->tracker.awaitLeadership(id, state_->primary, answered.term, sentAt, deadline, now), now);
     state_->ask(now);
 }
 
@@ -141,14 +144,8 @@
     state_->ask(now);
 }
 
-std::size_t CommitConfirmer::waitingCount() const
-{
-    return state_->tracker.waitingCount();
-}
+std::size_t CommitConfirmer::waitingCount() const { return state_->tracker.waitingCount(); }
 
-LogPosition CommitConfirmer::confirmedPosition() const
-{
-    return state_->tracker.confirmedPosition();
-}
+LogPosition CommitConfirmer::confirmedPosition() const { return state_->tracker.confirmedPosition(); }
 
 } // namespace almondlever
--- a/src/serving/EndpointPool.cpp
+++ b/src/serving/EndpointPool.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-constexpr Milliseconds shortestReopenDelay { 20 };
-constexpr Milliseconds longestReopenDelay { 500 };
+    constexpr Milliseconds shortestReopenDelay { 20 };
+    constexpr Milliseconds longestReopenDelay { 500 };
 
 } // namespace
 
@@ -63,7 +63,8 @@
         if (!isStarted)
             return;
         isWaiting = true;
-        const Duration delay = std::min<Duration>(longestReopenDelay, shortestReopenDelay * (1 << std::min(failures, 6)));
+        const Duration delay
+            = std::min<Duration>(longestReopenDelay, shortestReopenDelay * (1 << std::min(failures, 6)));
         timers.callAfter(delay, [self = shared_from_this()](TimePoint) {
             self->isWaiting = false;
             self->fill();
@@ -73,7 +74,8 @@
 
     void dropClosed()
     {
-        idle.erase(std::remove_if(idle.begin(), idle.end(), [](const ConnectionPtr& c) { return !c->isOpen(); }), idle.end());
+        idle.erase(
+            std::remove_if(idle.begin(), idle.end(), [](const ConnectionPtr& c) { return !c->isOpen(); }), idle.end());
         fill();
     }
 
@@ -109,10 +111,7 @@
     stop();
 }
 
-void EndpointPool::onChange(std::function<void(TimePoint)> callback)
-{
-    state_->changeCallback = std::move(callback);
-}
+void EndpointPool::onChange(std::function<void(TimePoint)> callback) { state_->changeCallback = std::move(callback); }
 
 void EndpointPool::start(std::uint64_t claimEpoch)
 {
@@ -155,19 +154,10 @@
     state_->fill();
 }
 
-std::size_t EndpointPool::size() const
-{
-    return state_->size();
-}
+std::size_t EndpointPool::size() const { return state_->size(); }
 
-std::size_t EndpointPool::idleCount() const
-{
-    return state_->idle.size();
-}
+std::size_t EndpointPool::idleCount() const { return state_->idle.size(); }
 
-bool EndpointPool::isUnreachable() const
-{
-    return state_->failures > 0 && state_->idle.empty() && state_->inUse == 0;
-}
+bool EndpointPool::isUnreachable() const { return state_->failures > 0 && state_->idle.empty() && state_->inUse == 0; }
 
 } // namespace almondlever
--- a/src/serving/ServedEndpoint.cpp
+++ b/src/serving/ServedEndpoint.cpp
@@ -7,28 +7,29 @@
 
 namespace {
 
-/** Pause before a request that a server refused without effect is tried again. */
-constexpr Milliseconds refusedPause { 20 };
-constexpr Milliseconds positionRequestTimeout { 400 };
-/** A statement gets no less time than this, so that a nearly expired one is refused instead of left in doubt. */
-constexpr Milliseconds shortestStatementTime { 2 };
-
-EndpointPoolLimits poolLimitsFor(const EndpointDescription& endpoint, const ServingSettings& settings)
-{
-    const std::size_t reserved = std::min(settings.controlReserve, endpoint.connections - 1);
-    EndpointPoolLimits limits;
-    limits.connections = std::min(endpoint.slots, endpoint.connections - reserved);
-    limits.opening = std::max<std::size_t>(1, endpoint.slots / 2);
-    limits.openTimeout = std::max<Milliseconds>(Milliseconds(500), endpoint.openTime * 10);
-    return limits;
-}
+    /** Pause before a request that a server refused without effect is tried again. */
+    constexpr Milliseconds refusedPause { 20 };
+    constexpr Milliseconds positionRequestTimeout { 400 };
+    /** A statement gets no less time than this, so that a nearly expired one is refused instead of left in doubt. */
+    constexpr Milliseconds shortestStatementTime { 2 };
+
+    EndpointPoolLimits poolLimitsFor(const EndpointDescription& endpoint, const ServingSettings& settings)
+    {
+        const std::size_t reserved = std::min(settings.controlReserve, endpoint.connections - 1);
+        EndpointPoolLimits limits;
+        limits.connections = std::min(endpoint.slots, endpoint.connections - reserved);
+        limits.opening = std::max<std::size_t>(1, endpoint.slots / 2);
+        limits.openTimeout = std::max<Milliseconds>(Milliseconds(500), endpoint.openTime * 10);
+        return limits;
+    }
 
-ConcurrencyLimiter::Kind kindOf(const ForwardJob& job)
-{
-    if (job.request.kind != ForwardKind::Statement)
-        return ConcurrencyLimiter::Kind::Other;
-    return job.request.operation == OperationKind::Read ? ConcurrencyLimiter::Kind::Read : ConcurrencyLimiter::Kind::Write;
-}
+    ConcurrencyLimiter::Kind kindOf(const ForwardJob& job)
+    {
+        if (job.request.kind != ForwardKind::Statement)
+            return ConcurrencyLimiter::Kind::Other;
+        return job.request.operation == OperationKind::Read ? ConcurrencyLimiter::Kind::Read
+                                                            : ConcurrencyLimiter::Kind::Write;
+    }
 
 } // namespace
 
@@ -96,10 +97,7 @@
     }
 }
 
-const PrimaryView* ServedEndpoint::primaryView() const
-{
-    return snapshot_->findPrimary(database_);
-}
+const PrimaryView* ServedEndpoint::primaryView() const { return snapshot_->findPrimary(database_); }
 
 bool ServedEndpoint::isPrimaryHere() const
 {
@@ -142,7 +140,8 @@
 {
     switch (gateFor(job, now)) {
     case Gate::Leave:
-        return refuse(job, ForwardErrorCode::NotOwner, Outcome::NotRun, "the endpoint moved to another daemon", {}, now);
+        return refuse(
+            job, ForwardErrorCode::NotOwner, Outcome::NotRun, "the endpoint moved to another daemon", {}, now);
     case Gate::Redirect:
         return refuse(job, ForwardErrorCode::NotPrimary, Outcome::NotRun, "another endpoint is the primary", {}, now);
     case Gate::Hold:
@@ -156,8 +155,8 @@
 {
     const std::size_t limit = snapshot_->configuration->ranks[job.request.rank].queueRequests;
     if (held_.size() >= limit)
-        return refuse(job, ForwardErrorCode::Overloaded, Outcome::NotRun, "too many requests wait for the primary or a position",
-            Milliseconds(200), now);
+        return refuse(job, ForwardErrorCode::Overloaded, Outcome::NotRun,
+            "too many requests wait for the primary or a position", Milliseconds(200), now);
     held_.push_back(std::move(job));
     askForPosition(now);
 }
@@ -165,13 +164,15 @@
 void ServedEndpoint::enqueue(ForwardJob job, TimePoint now)
 {
     if (job.isRead() && pool_.isUnreachable())
-        return refuse(job, ForwardErrorCode::EndpointUnavailable, Outcome::NotRun, "the endpoint cannot be reached", {}, now);
+        return refuse(
+            job, ForwardErrorCode::EndpointUnavailable, Outcome::NotRun, "the endpoint cannot be reached", {}, now);
     const Ticket ticket = context_.nextNumber();
     job.queued = { ticket, job.request.caller, job.request.rank, job.bytes(), job.arrival, job.deadline };
     if (const auto refusal = scheduler_->offer(job.queued, now)) {
         const bool isFull = refusal->reason == Refusal::Reason::QueueFull;
         refuse(job, ForwardErrorCode::Overloaded, Outcome::NotRun,
-            isFull ? "the queue of this rank is full" : "the queue is longer than the deadline", refusal->retryAfter, now);
+            isFull ? "the queue of this rank is full" : "the queue is longer than the deadline", refusal->retryAfter,
+            now);
         return expireQueued(now);
     }
     queued_.emplace(ticket, std::move(job));
@@ -272,7 +273,8 @@
     const bool isWrite = !job.isRead();
     runningWrites_ -= isWrite ? 1 : 0;
     if (result && job.request.kind == ForwardKind::Begin) {
-        Transaction transaction { connection, job.queued, job.request.caller, primaryView() ? primaryView()->term : 0, now, now };
+        Transaction transaction { connection, job.queued, job.request.caller, primaryView() ? primaryView()->term : 0,
+            now, now };
         const TransactionId id(snapshot_->self.text() + '.' + std::to_string(context_.nextNumber()));
         transactions_.emplace(id, std::move(transaction));
         return reply(job, { {}, std::nullopt, id, false, false, {} }, now);
@@ -282,7 +284,7 @@
         finishSlot(job.queued, now - sentAt, now);
         limiter_.addSuccess(kindOf(job), now - sentAt, now);
         learn(result.value().position, result.value().staleness);
-        confirm(std::move(job), result.value(), now);
+        confirm(std::move(job), result.value(), sentAt, now);
     } else {
         releaseSlot(job.queued, now - sentAt, now);
         onRefused(std::move(job), result.error(), now);
@@ -307,7 +309,8 @@
             job.notBefore = now + refusedPause;
             return hold(std::move(job), now);
         }
-        return refuse(job, ForwardErrorCode::Behind, Outcome::NotRun, "the replica has not reached the position", {}, now);
+        return refuse(
+            job, ForwardErrorCode::Behind, Outcome::NotRun, "the replica has not reached the position", {}, now);
     case Code::TooStale:
         return refuse(job, ForwardErrorCode::Behind, Outcome::NotRun, "the replica is too stale", {}, now);
     case Code::Rejected:
@@ -326,7 +329,7 @@
     hold(std::move(job), now);
 }
 
-void ServedEndpoint::confirm(ForwardJob job, const EndpointReply& answer, TimePoint now)
+void ServedEndpoint::confirm(ForwardJob job, const EndpointReply& answer, TimePoint sentAt, TimePoint now)
 {
     ForwardSuccess success { answer.position, answer.value, TransactionId(), answer.isDuplicate,
         answer.role == EndpointRole::Replica, answer.staleness };
@@ -337,46 +340,23 @@
         return refuse(job, ForwardErrorCode::NotConfirmed, job.isRead() ? Outcome::NotRun : Outcome::Unknown,
             "the primary changed before the answer was confirmed", {}, now);
     context_.evidence.primaryAnswered(database_, endpoint_.id, view->term);
-    if (answer.isDuplicate && answer.position.term != view->term)
-        return confirmDuplicate(std::move(job), answer, now);
+    // The first result of a repeat may be of an earlier term; it is safe once any entry of the present term is
+    // confirmed.
+    const bool isOfEarlierTerm = answer.isDuplicate && answer.position.term < view->term;
+    const LogPosition awaited = isOfEarlierTerm ? LogPosition { view->term, 0 } : answer.position;
     const TimePoint deadline = job.deadline;
     const bool isRead = job.isRead();
     const auto shared = std::make_shared<ForwardJob>(std::move(job));
     auto callback = [this, alive = alive_, shared, success](Confirmation::Verdict verdict, TimePoint later) {
         if (verdict == Confirmation::Verdict::Confirmed)
-            return finishConfirmed(std::move(*shared), success, later);
+            return reply(*shared, success, later);
         const bool isSuperseded = verdict == Confirmation::Verdict::Superseded;
         refuse(*shared, ForwardErrorCode::NotConfirmed, shared->isRead() ? Outcome::NotRun : Outcome::Unknown,
             isSuperseded ? "the primary was superseded" : "no majority confirmed in time", {}, later);
     };
     if (isRead)
-        return confirmer_->awaitLeadership(view->term, deadline, now, std::move(callback));
-    confirmer_->awaitPosition(answer.position, deadline, now, std::move(callback));
-}
-
-void ServedEndpoint::confirmDuplicate(ForwardJob job, const EndpointReply& answer, TimePoint now)
-{
-    // The first result is of an earlier term; it is safe once an entry of the present term after it is confirmed.
-    const TimePoint deadline = job.deadline;
-    const auto shared = std::make_shared<ForwardJob>(std::move(job));
-    control_->status(deadline - now, [this, alive = alive_, shared, answer](const EndpointResult<EndpointStatus>& status) {
-        if (!*alive)
-            return;
-        const TimePoint later = context_.timers.now();
-        const PrimaryView* view = primaryView();
-        const bool isLeading = status && view && status.value().role == EndpointRole::Primary
-            && status.value().logEnd.term == view->term;
-        if (!isLeading)
-            return refuse(*shared, ForwardErrorCode::NotConfirmed, Outcome::Unknown, "the primary changed", {}, later);
-        EndpointReply current = answer;
-        current.position = status.value().logEnd;
-        confirm(std::move(*shared), current, later);
-    });
-}
-
-void ServedEndpoint::finishConfirmed(ForwardJob job, ForwardSuccess success, TimePoint now)
-{
-    reply(job, std::move(success), now);
+        return confirmer_->awaitLeadership(answer.position, sentAt, deadline, now, std::move(callback));
+    confirmer_->awaitPosition(awaited, deadline, now, std::move(callback));
 }
 
 void ServedEndpoint::submitToTransaction(ForwardJob job, TimePoint now)
@@ -385,8 +365,8 @@
     if (found == transactions_.end() || found->second.caller != job.request.caller)
         return refuse(job, ForwardErrorCode::TransactionLost, Outcome::NotRun, "the transaction is not open", {}, now);
     if (found->second.isBusy)
-        return refuse(job, ForwardErrorCode::Rejected, Outcome::NotRun, "a statement of the transaction is still running", {},
-            now);
+        return refuse(job, ForwardErrorCode::Rejected, Outcome::NotRun,
+            "a statement of the transaction is still running", {}, now);
     runInTransaction(std::move(job), found->second, now);
 }
 
@@ -431,11 +411,12 @@
         endTransaction(id, true, now);
         if (job.request.kind == ForwardKind::Rollback || result.value().position.term == 0)
             return reply(job, { {}, std::nullopt, TransactionId(), false, false, {} }, now);
-        return confirm(std::move(job), result.value(), now);
+        return confirm(std::move(job), result.value(), sentAt, now);
     }
     endTransaction(id, false, now);
     const bool isUnknown = result.error().outcome != Outcome::NotRun && job.request.kind == ForwardKind::Commit;
-    refuse(job, ForwardErrorCode::TransactionLost, isUnknown ? Outcome::Unknown : Outcome::NotRun, result.error().detail, {}, now);
+    refuse(job, ForwardErrorCode::TransactionLost, isUnknown ? Outcome::Unknown : Outcome::NotRun,
+        result.error().detail, {}, now);
 }
 
 void ServedEndpoint::endTransaction(const TransactionId& id, bool isConnectionUsable, TimePoint now)
@@ -474,8 +455,8 @@
     held.swap(held_);
     for (ForwardJob& job : held) {
         if (now >= job.deadline) {
-            refuse(job, ForwardErrorCode::DeadlineExceeded, Outcome::NotRun, "the deadline passed while the request waited",
-                Milliseconds(500), now);
+            refuse(job, ForwardErrorCode::DeadlineExceeded, Outcome::NotRun,
+                "the deadline passed while the request waited", Milliseconds(500), now);
             continue;
         }
         const bool isPositionWait = !job.needsPrimary() && now >= job.positionWaitEnd;
@@ -575,8 +556,8 @@
     if (isRetired_)
         return;
     isRetired_ = true;
-    context_.decisionLog.write("retire",
-        { { "database", database_.text() }, { "endpoint", endpoint_.id.text() }, { "reason", "placement" } });
+    context_.decisionLog.write(
+        "retire", { { "database", database_.text() }, { "endpoint", endpoint_.id.text() }, { "reason", "placement" } });
     std::vector<ForwardJob> waiting;
     for (auto& [ticket, job] : queued_) {
         scheduler_->cancel(ticket);
@@ -595,10 +576,7 @@
     return isClaimReleased_ && claim_.isIdle() && running_ == 0 && transactions_.empty();
 }
 
-std::size_t ServedEndpoint::queuedCount() const
-{
-    return queued_.size() + held_.size();
-}
+std::size_t ServedEndpoint::queuedCount() const { return queued_.size() + held_.size(); }
 
 ForwardReply ServedEndpoint::makeReply(const ForwardJob& job, TimePoint now) const
 {
@@ -619,8 +597,8 @@
     job.callback(std::move(answer), now);
 }
 
-void ServedEndpoint::refuse(ForwardJob& job, ForwardErrorCode code, Outcome outcome, std::string detail,
-    Milliseconds retryAfter, TimePoint now)
+void ServedEndpoint::refuse(
+    ForwardJob& job, ForwardErrorCode code, Outcome outcome, std::string detail, Milliseconds retryAfter, TimePoint now)
 {
     ForwardReply answer = makeReply(job, now);
     ForwardError error { code, outcome, std::move(detail), retryAfter, {} };
--- a/src/serving/ServingHost.cpp
+++ b/src/serving/ServingHost.cpp
@@ -7,32 +7,33 @@
 
 namespace {
 
-/** True when an endpoint of a new configuration cannot go on with the queue and pool made for the old one. */
-bool needsRestart(const Configuration& before, const Configuration& after, const DatabaseId& databaseId, const EndpointId& id)
-{
-    const auto find = [&](const Configuration& configuration) -> const EndpointDescription* {
-        const DatabaseDescription* database = configuration.findDatabase(databaseId);
-        if (!database)
+    /** True when an endpoint of a new configuration cannot go on with the queue and pool made for the old one. */
+    bool needsRestart(
+        const Configuration& before, const Configuration& after, const DatabaseId& databaseId, const EndpointId& id)
+    {
+        const auto find = [&](const Configuration& configuration) -> const EndpointDescription* {
+            const DatabaseDescription* database = configuration.findDatabase(databaseId);
+            if (!database)
+                return nullptr;
+            for (const EndpointDescription& endpoint : database->endpoints) {
+                if (endpoint.id == id)
+                    return &endpoint;
+            }
             return nullptr;
-        for (const EndpointDescription& endpoint : database->endpoints) {
-            if (endpoint.id == id)
-                return &endpoint;
-        }
-        return nullptr;
-    };
-    const EndpointDescription* old = find(before);
-    const EndpointDescription* current = find(after);
-    if (!old || !current)
-        return true;
-    const bool isSameServer = old->address == current->address && old->slots == current->slots
-        && old->connections == current->connections;
-    const auto sameRank = [](const RankRule& a, const RankRule& b) {
-        return a.name == b.name && a.floor == b.floor && a.deadline == b.deadline && a.queueRequests == b.queueRequests
-            && a.queueBytes == b.queueBytes;
-    };
-    return !isSameServer
-        || !std::equal(before.ranks.begin(), before.ranks.end(), after.ranks.begin(), after.ranks.end(), sameRank);
-}
+        };
+        const EndpointDescription* old = find(before);
+        const EndpointDescription* current = find(after);
+        if (!old || !current)
+            return true;
+        const bool isSameServer = old->address == current->address && old->slots == current->slots
+            && old->connections == current->connections;
+        const auto sameRank = [](const RankRule& a, const RankRule& b) {
+            return a.name == b.name && a.floor == b.floor && a.deadline == b.deadline
+                && a.queueRequests == b.queueRequests && a.queueBytes == b.queueBytes;
+        };
+        return !isSameServer
+            || !std::equal(before.ranks.begin(), before.ranks.end(), after.ranks.begin(), after.ranks.end(), sameRank);
+    }
 
 } // namespace
 
@@ -78,8 +79,7 @@
     servedConfiguration_ = snapshot_->configuration;
 }
 
-void ServingHost::submit(
-    ForwardRequest request, TimePoint now, std::function<void(ForwardReply, TimePoint)> callback)
+void ServingHost::submit(ForwardRequest request, TimePoint now, std::function<void(ForwardReply, TimePoint)> callback)
 {
     if (!snapshot_ || !snapshot_->configuration)
         return refuse(request, ForwardErrorCode::NotOwner, "no configuration is in force yet", now, callback);
@@ -91,11 +91,13 @@
     } else {
         const auto found = endpoints_.find(request.endpoint);
         if (found == endpoints_.end())
-            return refuse(request, ForwardErrorCode::NotOwner, "this daemon does not serve the endpoint", now, callback);
+            return refuse(
+                request, ForwardErrorCode::NotOwner, "this daemon does not serve the endpoint", now, callback);
         endpoint = found->second.get();
     }
     if (request.rank >= snapshot_->configuration->ranks.size())
-        return refuse(request, ForwardErrorCode::Rejected, "the rank is unknown to this daemon's configuration", now, callback);
+        return refuse(
+            request, ForwardErrorCode::Rejected, "the rank is unknown to this daemon's configuration", now, callback);
     ForwardJob job;
     job.arrival = now;
     job.deadline = now + request.timeLeft;
@@ -124,14 +126,12 @@
         endpoint->onTick(now);
     for (auto& endpoint : retired_)
         endpoint->onTick(now);
-    retired_.erase(std::remove_if(retired_.begin(), retired_.end(), [](const auto& endpoint) { return endpoint->isDone(); }),
+    retired_.erase(
+        std::remove_if(retired_.begin(), retired_.end(), [](const auto& endpoint) { return endpoint->isDone(); }),
         retired_.end());
 }
 
-bool ServingHost::isIdle() const
-{
-    return endpoints_.empty() && retired_.empty();
-}
+bool ServingHost::isIdle() const { return endpoints_.empty() && retired_.empty(); }
 
 std::vector<EndpointId> ServingHost::servedEndpoints() const
 {
@@ -147,7 +147,8 @@
         const std::string label = "endpoint=\"" + id.text() + '"';
         context_.metrics.setGauge("almondlever_queued_requests", label, static_cast<double>(endpoint->queuedCount()));
         context_.metrics.setGauge("almondlever_busy_slots", label, static_cast<double>(endpoint->runningCount()));
-        context_.metrics.setGauge("almondlever_open_transactions", label, static_cast<double>(endpoint->transactionCount()));
+        context_.metrics.setGauge(
+            "almondlever_open_transactions", label, static_cast<double>(endpoint->transactionCount()));
     }
 }
 
--- a/tests/entry/TestEntryRouter.cpp
+++ b/tests/entry/TestEntryRouter.cpp
@@ -135,7 +135,8 @@
 {
     RouterFixture f;
     f.send("clerk", OperationKind::Write);
-    f.forwarder.fail(0, ForwardErrorCode::NotPrimary, Outcome::NotRun, f.timers.now(), { database, 2, EndpointId("ledger-1-b") });
+    f.forwarder.fail(
+        0, ForwardErrorCode::NotPrimary, Outcome::NotRun, f.timers.now(), { database, 2, EndpointId("ledger-1-b") });
     cr_assert(f.forwarder.sent.at(1).request.endpoint == EndpointId("ledger-1-b"));
     f.send("clerk", OperationKind::Write);
     cr_assert(f.forwarder.sent.at(2).request.endpoint == EndpointId("ledger-1-b"));
@@ -147,7 +148,8 @@
     RouterFixture f;
     f.snapshot->primaries[database] = { database, 5, EndpointId("ledger-1-c") };
     f.send("clerk", OperationKind::Write);
-    f.forwarder.fail(0, ForwardErrorCode::NotPrimary, Outcome::NotRun, f.timers.now(), { database, 2, EndpointId("ledger-1-b") });
+    f.forwarder.fail(
+        0, ForwardErrorCode::NotPrimary, Outcome::NotRun, f.timers.now(), { database, 2, EndpointId("ledger-1-b") });
     f.timers.advance(Milliseconds(100));
     cr_assert(f.forwarder.sent.back().request.endpoint == EndpointId("ledger-1-c"));
 }
@@ -193,7 +195,8 @@
     cr_assert(f.forwarder.sent.empty());
 }
 
-// Guards early refusal: when the owner says that the queue is longer than the deadline, the entry daemon refuses at once.
+// Guards early refusal: when the owner says that the queue is longer than the deadline, the entry daemon refuses at
+// once.
 Test(EntryRouter, refusesEarlyWhenTheOwnerIsOverwhelmed)
 {
     RouterFixture f;
--- a/tests/mocks/FakeEndpoint.h
+++ b/tests/mocks/FakeEndpoint.h
@@ -35,7 +35,8 @@
     std::vector<Call> calls;
     std::vector<ControlCall> controlCalls;
 
-    void answer(std::size_t index, LogPosition position, EndpointRole role = EndpointRole::Primary, bool isDuplicate = false)
+    void answer(
+        std::size_t index, LogPosition position, EndpointRole role = EndpointRole::Primary, bool isDuplicate = false)
     {
         calls.at(index).callback(EndpointReply { position, "value", isDuplicate, role, {} });
     }
--- a/tests/mocks/SampleConfiguration.h
+++ b/tests/mocks/SampleConfiguration.h
@@ -17,7 +17,8 @@
     int number = 0;
     for (const char* zone : { "a", "b", "c" }) {
         ++number;
-        configuration->failureDomains.push_back({ FailureDomainId(std::string("zone-") + zone), RegionId(std::string("region-") + zone) });
+        configuration->failureDomains.push_back(
+            { FailureDomainId(std::string("zone-") + zone), RegionId(std::string("region-") + zone) });
         EndpointDescription endpoint;
         endpoint.id = EndpointId(std::string("ledger-1-") + zone);
         endpoint.vm = VmId("db-" + std::to_string(number));
@@ -30,7 +31,8 @@
     }
     configuration->databases.push_back(database);
     configuration->ranks = { { RankName("urgent"), 0.6, Milliseconds(1000), 100, 1 << 20 },
-        { RankName("middle"), 0.2, Milliseconds(2000), 100, 1 << 20 }, { RankName("lowest"), 0.1, Milliseconds(3000), 100, 1 << 20 } };
+        { RankName("middle"), 0.2, Milliseconds(2000), 100, 1 << 20 },
+        { RankName("lowest"), 0.1, Milliseconds(3000), 100, 1 << 20 } };
     configuration->callers = { { CallerId("clerk"), 0, { DatabaseId("ledger-1") }, true, Milliseconds(0) },
         { CallerId("shed"), 1, { DatabaseId("ledger-1") }, false, Milliseconds(1000) },
         { CallerId("buyer"), 2, { DatabaseId("ledger-1") }, false, Milliseconds(2000) } };
@@ -48,7 +50,8 @@
     int number = 0;
     for (const char* zone : { "a", "b", "c" }) {
         const std::string vm = "vm-" + std::to_string(++number);
-        snapshot->members.daemons.push_back({ VmId(vm), FailureDomainId(std::string("zone-") + zone), "127.0.0.1:3000" + std::to_string(number), false });
+        snapshot->members.daemons.push_back({ VmId(vm), FailureDomainId(std::string("zone-") + zone),
+            "127.0.0.1:3000" + std::to_string(number), false });
         owners->owners[EndpointId(std::string("ledger-1-") + zone)] = VmId(vm);
     }
     snapshot->owners = owners;
--- a/tests/serving/TestServedEndpoint.cpp
+++ b/tests/serving/TestServedEndpoint.cpp
@@ -40,8 +40,8 @@
         host.onTick(timers.now());
     }
 
-    std::size_t submit(OperationKind operation, ForwardKind kind = ForwardKind::Statement, const TransactionId& transaction = {},
-        LogPosition minimumPosition = {})
+    std::size_t submit(OperationKind operation, ForwardKind kind = ForwardKind::Statement,
+        const TransactionId& transaction = {}, LogPosition minimumPosition = {})
     {
         ForwardRequest request;
         request.kind = kind;
@@ -63,7 +63,10 @@
         return index;
     }
 
-    bool isSuccess(std::size_t index) { return replies[index] && std::holds_alternative<ForwardSuccess>(replies[index]->result); }
+    bool isSuccess(std::size_t index)
+    {
+        return replies[index] && std::holds_alternative<ForwardSuccess>(replies[index]->result);
+    }
     const ForwardError& error(std::size_t index) { return std::get<ForwardError>(replies[index].value().result); }
     FakeServer& server(int number) { return connector.servers["127.0.0.1:" + std::to_string(21000 + number)]; }
     /** Answers the position wait of a replica. */
@@ -329,8 +332,6 @@
 {
     ServingFixture f;
     f.snapshot->primaries[database] = { database, 3, here };
-    f.server(1).status.role = EndpointRole::Primary;
-    f.server(1).status.logEnd = { 3, 20 };
     f.start();
     f.submit(OperationKind::Write);
     f.server(1).answer(0, { 2, 15 }, EndpointRole::Primary, true);
@@ -340,6 +341,31 @@
     cr_assert(std::get<ForwardSuccess>(f.replies[0]->result).isDuplicate);
 }
 
+// Guards reads of the primary: one replica that is down must not keep a majority from confirming its leadership.
+Test(ServedEndpoint, primaryReadIsConfirmedWithOneReplicaDown)
+{
+    ServingFixture f;
+    f.server(2).isReachable = false;
+    f.server(3).status.promisedTerm = 1;
+    f.start();
+    f.submit(OperationKind::Read);
+    f.server(1).answer(0, { 1, 7 });
+    cr_assert(f.isSuccess(0));
+}
+
+// Guards against stale reads: a primary that a majority has left must not answer.
+Test(ServedEndpoint, primaryReadIsRefusedWhenAMajorityHasALaterTerm)
+{
+    ServingFixture f;
+    f.server(2).status.promisedTerm = 2;
+    f.server(3).status.promisedTerm = 2;
+    f.start();
+    f.submit(OperationKind::Read);
+    f.server(1).answer(0, { 1, 7 });
+    cr_assert(!f.isSuccess(0));
+    cr_assert(f.error(0).outcome == Outcome::NotRun);
+}
+
 // Guards reads against hanging at an endpoint that is down: they are handed back as not run.
 Test(ServedEndpoint, readsLeaveAnUnreachableEndpoint)
 {
