Refuse other servers in a group, keep observers, bound waiting work by rank

Cause: (1) a changed set of servers could let two majorities without a common server decide, and acknowledged writes would be lost; (2) every change of the configuration dropped what observers knew, so writes waited for new probes; (3) waiting work of the lowest rank could fill the place of urgent work during a primary change; (4) leaving VMs were unknown while the first watcher could not read the list. Change: apply refuses other servers in a group; observers of unchanged groups go on; waiting work is bounded by rank; the other watchers add newly leaving VMs. The gap at a configuration change was not measured. Conclusion: replacing a server under a new name stays open.

--- a/include/almondlever/control/ControlLoop.h
+++ b/include/almondlever/control/ControlLoop.h
@@ -49,7 +49,7 @@
     /** Daemons that watch the configuration and the VM list on behalf of all. */
     static constexpr std::size_t watcherCount = 3;
     static constexpr Milliseconds tickInterval { 20 };
-    /** Interval at which the first watcher reads the VM list; a leaving VM must be known everywhere within 3 s. */
+    /** Interval at which each watcher reads the VM list; a leaving VM must be known everywhere within 3 s. */
     static constexpr Milliseconds vmListInterval { 500 };
     /** The list gets a new version at least this often, so that watchers that numbered apart come together again. */
     static constexpr std::chrono::seconds vmListRenumbering { 30 };
@@ -77,6 +77,7 @@
     void onVmList(const std::vector<VmListEntry>&, TimePoint now);
     void contactSeeds(TimePoint now);
     void adopt(const ConfigurationCandidate&, TimePoint now);
+    void dropOutdatedObservers(const Configuration* previous);
     void spreadConfiguration(TimePoint now);
     void followMembership(TimePoint now);
     void placeObservers(TimePoint now);
@@ -87,6 +88,7 @@
     void announce(const PrimaryView&);
     void notePrimary(const PrimaryView&);
     void publishIfChanged();
+    bool isWatcher() const;
     bool isFirstWatcher() const;
 
     ControlContext context_;
--- a/programs/almondleverctl/ConfigurationCommands.cpp
+++ b/programs/almondleverctl/ConfigurationCommands.cpp
@@ -2,6 +2,7 @@
 
 #include "Output.h"
 #include "almondlever/config/ConfigurationLoader.h"
+#include "almondlever/config/ConfigurationTransition.h"
 
 #include <fstream>
 #include <iterator>
@@ -156,6 +157,9 @@
         printPlan(base, changes, options, streams);
         if (base && changes.empty())
             return done(ExitCode::Success);
+        const Findings unsafe = base ? findUnsafeChanges(base->configuration, configuration) : Findings();
+        if (!unsafe.empty())
+            return done(reportFindings(unsafe, options, streams));
         store.apply(configuration, base, details, [&store, base, streams, done](const ApplyResult& applied) {
             if (const auto* error = std::get_if<ConfigurationStoreError>(&applied))
                 return done(reportError(*error, streams));
--- a/src/control/ControlLoop.cpp
+++ b/src/control/ControlLoop.cpp
@@ -62,11 +62,16 @@
         context_.send(action.to, action.address, action.gossip);
 }
 
+bool ControlLoop::isWatcher() const
+{
+    return std::find(watchers_.begin(), watchers_.end(), context_.self.id) != watchers_.end();
+}
+
 bool ControlLoop::isFirstWatcher() const { return !watchers_.empty() && watchers_.front() == context_.self.id; }
 
 void ControlLoop::readVmListIfDue(TimePoint now)
 {
-    if (isReadingList_ || now < nextListRead_ || (hasList_ && !isFirstWatcher()))
+    if (isReadingList_ || now < nextListRead_ || (hasList_ && !isWatcher()))
         return;
     isReadingList_ = true;
     context_.vmList.list(
@@ -94,13 +99,25 @@
     if (!isFirst && !isNew)
         return;
     lastList_ = std::move(list);
-    // Only the first watcher numbers lists; a starting daemon uses its first one as a seed under the lowest version.
-    const bool isNumbering = isFirstWatcher() && !isFirst;
+    // The first watcher numbers lists. The others only add VMs that are newly leaving, in case the first one cannot
+    // read the list; their copy may be older, so they keep VMs that are known to leave. A starting daemon uses its
+    // first list as a seed under the lowest version.
+    std::vector<VmListEntry> merged = entries;
+    bool hasNewLeaving = false;
+    for (VmListEntry& entry : merged) {
+        const bool isKnownLeaving = membership_.leavingVms().count(entry.id) > 0;
+        hasNewLeaving = hasNewLeaving || (entry.state == VmState::Leaving && !isKnownLeaving);
+        if (!isFirstWatcher() && isKnownLeaving)
+            entry.state = VmState::Leaving;
+    }
+    if (!isFirst && !isFirstWatcher() && !hasNewLeaving)
+        return;
+    const bool isNumbering = isWatcher() && !isFirst;
     if (isNumbering)
         lastRenumbering_ = now;
     const std::uint64_t version
         = isNumbering ? membership_.vmListVersion() + 1 : std::max<std::uint64_t>(1, membership_.vmListVersion());
-    sendGossip(membership_.onVmList(entries, version, now));
+    sendGossip(membership_.onVmList(merged, version, now));
 }
 
 void ControlLoop::contactSeeds(TimePoint now)
@@ -129,12 +146,13 @@
             { { "version", std::to_string(candidate.version) }, { "detail", decoded.error() } });
         return;
     }
+    const std::shared_ptr<const Configuration> previous = configuration_;
     configuration_ = std::make_shared<const Configuration>(decoded.value());
+    dropOutdatedObservers(previous.get());
     spread_.hold(candidate.version, candidate.bytes);
     membership_.setConfigurationVersion(candidate.version);
     watcher_.setKnown();
     placement_ = std::make_unique<PlacementIndex>(configuration_);
-    observers_.clear();
     seenRevision_ = 0;
     logInfo("configuration_in_force",
         { { "version", std::to_string(candidate.version) }, { "deployment", configuration_->deployment } });
@@ -142,6 +160,22 @@
     publishIfChanged();
 }
 
+void ControlLoop::dropOutdatedObservers(const Configuration* previous)
+{
+    const auto sameServer = [](const EndpointDescription& a, const EndpointDescription& b) {
+        return a.id == b.id && a.address == b.address && a.vm == b.vm && a.failureDomain == b.failureDomain;
+    };
+    for (auto entry = observers_.begin(); entry != observers_.end();) {
+        const DatabaseDescription* before = previous ? previous->findDatabase(entry->first) : nullptr;
+        const DatabaseDescription* after = configuration_->findDatabase(entry->first);
+        // An observer that goes on knows its primary, so that writes do not wait at every change of the rules.
+        const bool isSame = before && after
+            && std::equal(before->endpoints.begin(), before->endpoints.end(), after->endpoints.begin(),
+                after->endpoints.end(), sameServer);
+        entry = isSame ? std::next(entry) : observers_.erase(entry);
+    }
+}
+
 void ControlLoop::spreadConfiguration(TimePoint now)
 {
     const ConfigurationHolder& newest = membership_.newestConfiguration();
@@ -162,7 +196,7 @@
     knownLeaving_ = membership_.leavingVms();
     members_ = membership_.view();
     watchers_ = watchersOf(members_, watcherCount);
-    watcher_.setWatching(std::find(watchers_.begin(), watchers_.end(), context_.self.id) != watchers_.end());
+    watcher_.setWatching(isWatcher());
     isChanged_ = true;
     if (!placement_)
         return;
--- a/src/serving/ServedEndpoint.cpp
+++ b/src/serving/ServedEndpoint.cpp
@@ -153,8 +153,10 @@
 
 void ServedEndpoint::hold(ForwardJob job, TimePoint now)
 {
-    const std::size_t limit = snapshot_->configuration->ranks[job.request.rank].queueRequests;
-    if (held_.size() >= limit)
+    const std::size_t rank = job.request.rank;
+    const auto held = static_cast<std::size_t>(std::count_if(
+        held_.begin(), held_.end(), [rank](const ForwardJob& other) { return other.request.rank == rank; }));
+    if (held >= snapshot_->configuration->ranks[rank].queueRequests)
         return refuse(job, ForwardErrorCode::Overloaded, Outcome::NotRun,
             "too many requests wait for the primary or a position", Milliseconds(200), now);
     held_.push_back(std::move(job));
--- a/src/serving/ServingHost.cpp
+++ b/src/serving/ServingHost.cpp
@@ -11,27 +11,22 @@
     bool needsRestart(
         const Configuration& before, const Configuration& after, const DatabaseId& databaseId, const EndpointId& id)
     {
-        const auto find = [&](const Configuration& configuration) -> const EndpointDescription* {
-            const DatabaseDescription* database = configuration.findDatabase(databaseId);
-            if (!database)
-                return nullptr;
-            for (const EndpointDescription& endpoint : database->endpoints) {
-                if (endpoint.id == id)
-                    return &endpoint;
-            }
-            return nullptr;
-        };
-        const EndpointDescription* old = find(before);
-        const EndpointDescription* current = find(after);
+        const DatabaseDescription* old = before.findDatabase(databaseId);
+        const DatabaseDescription* current = after.findDatabase(databaseId);
         if (!old || !current)
             return true;
-        const bool isSameServer = old->address == current->address && old->slots == current->slots
-            && old->connections == current->connections;
+        // The other servers matter too, since writes are confirmed by them.
+        const auto sameServer = [&](const EndpointDescription& a, const EndpointDescription& b) {
+            const bool isSameOwn = a.id != id || (a.slots == b.slots && a.connections == b.connections);
+            return a.id == b.id && a.address == b.address && isSameOwn;
+        };
+        const bool isSameGroup = std::equal(old->endpoints.begin(), old->endpoints.end(), current->endpoints.begin(),
+            current->endpoints.end(), sameServer);
         const auto sameRank = [](const RankRule& a, const RankRule& b) {
             return a.name == b.name && a.floor == b.floor && a.deadline == b.deadline
                 && a.queueRequests == b.queueRequests && a.queueBytes == b.queueBytes;
         };
-        return !isSameServer
+        return !isSameGroup
             || !std::equal(before.ranks.begin(), before.ranks.end(), after.ranks.begin(), after.ranks.end(), sameRank);
     }
 
@@ -97,7 +92,7 @@
     }
     if (request.rank >= snapshot_->configuration->ranks.size())
         return refuse(
-            request, ForwardErrorCode::Rejected, "the rank is unknown to this daemon's configuration", now, callback);
+            request, ForwardErrorCode::NotOwner, "the rank is unknown to this daemon's configuration", now, callback);
     ForwardJob job;
     job.arrival = now;
     job.deadline = now + request.timeLeft;
--- a/tests/serving/TestServedEndpoint.cpp
+++ b/tests/serving/TestServedEndpoint.cpp
@@ -49,6 +49,7 @@
         request.caller = CallerId("clerk");
         request.database = database;
         request.endpoint = here;
+        request.rank = rank;
         request.operation = operation;
         request.key = "k";
         request.transaction = transaction;
@@ -91,6 +92,7 @@
     Metrics metrics;
     DecisionLog decisions { 0 };
     std::uint64_t number = 0;
+    std::size_t rank = 0;
     std::vector<std::optional<ForwardReply>> replies;
     std::shared_ptr<Snapshot> snapshot = makeSampleSnapshot();
     ServingHost host;
@@ -198,6 +200,21 @@
     cr_assert(f.error(0).outcome == Outcome::NotRun);
 }
 
+// Guards urgent work during a primary change: waiting work of another rank must not fill its place.
+Test(ServedEndpoint, waitingWorkIsBoundedByRank)
+{
+    ServingFixture f;
+    f.snapshot->primaries.clear();
+    f.start();
+    f.rank = 2;
+    for (int i = 0; i < 101; ++i)
+        f.submit(OperationKind::Write);
+    cr_assert(f.error(100).code == ForwardErrorCode::Overloaded);
+    f.rank = 0;
+    f.submit(OperationKind::Write);
+    cr_assert(!f.replies[101]);
+}
+
 // Guards P5 and P4: after a broken connection the outcome is unknown and the connection is not used again.
 Test(ServedEndpoint, brokenConnectionIsUnknownAndNotPooled)
 {
