Probe seldom while calm and at once on a doubt

Cause: the probe interval was stretched to stay inside the control budget (0.84 s with three groups), also while a primary was in doubt, and the two other observers began to probe only after the first one suspected. Change: the stretched interval holds only without a doubt; evidence from traffic, a miss, or another observer's word probes at once and every 200 ms; a statement without an answer for 100 ms and six times the usual time raises a doubt. Before: no test of it. Conclusion: detection under traffic no longer depends on the size of the fleet.

--- a/include/almondlever/failover/FailoverCoordinator.h
+++ b/include/almondlever/failover/FailoverCoordinator.h
@@ -32,7 +32,10 @@
 
 /** Times that govern detection and change. */
 struct FailoverSettings {
+    /** Interval between probes while there is any doubt about the primary. */
     Milliseconds probeInterval { 200 };
+    /** Interval while there is none; at least probeInterval. Longer on daemons that observe many groups. */
+    Milliseconds calmProbeInterval { 200 };
     Milliseconds probeTimeout { 250 };
     /** Misses in a row that make an observer suspect the primary. */
     int missesToSuspect = 2;
@@ -123,7 +126,7 @@
 
     /** Evidence from traffic: the primary answered a statement in this term, so no probe is due. */
     virtual void onPrimaryAnswered(const EndpointId&, Term, TimePoint now) = 0;
-    /** Evidence from traffic: the primary did not answer; probes it at once. */
+    /** Evidence from traffic: the primary did not answer; probes it at once and lets the other observers probe it. */
     virtual FailoverActions onPrimaryFailed(const EndpointId&, TimePoint now) = 0;
 
     /**
--- a/include/almondlever/serving/ServedEndpoint.h
+++ b/include/almondlever/serving/ServedEndpoint.h
@@ -14,6 +14,7 @@
 
 #include <list>
 #include <memory>
+#include <set>
 #include <unordered_map>
 
 namespace almondlever {
@@ -119,6 +120,8 @@
     void refuseReadsIfUnreachable(TimePoint now);
     void askForPosition(TimePoint now);
     void reportPausedWrites();
+    /** Raises a doubt about the primary while a statement waits for its answer far longer than usual. */
+    void reportSlowPrimary(TimePoint now);
 
     EndpointStatement statementFor(const ForwardJob&) const;
     void reply(ForwardJob&, ForwardSuccess, TimePoint now);
@@ -140,6 +143,9 @@
     std::unordered_map<TransactionId, Transaction> transactions_;
     std::size_t running_ = 0;
     std::size_t runningWrites_ = 0;
+    /** When each statement in flight was sent. */
+    std::multiset<TimePoint> sentTimes_;
+    Duration usualLatency_ { 0 };
     LogPosition knownPosition_;
     Milliseconds knownStaleness_ { 0 };
     bool isAskingForPosition_ = false;
--- a/src/failover/GroupCoordinator.cpp
+++ b/src/failover/GroupCoordinator.cpp
@@ -166,8 +166,8 @@
         lastAnnouncement_ = now;
         actions.emplace_back(AnnouncePrimaryAction { *primary_ });
     }
-    if (!isOutdated && report.isSuspected && primary_ && !isSuspecting_)
-        servers_.probeSoon(primary_->primary, now);
+    if (!isOutdated && primary_ && !isSuspecting_)
+        doubt(now);
     updateAgreement(actions, now);
     return actions;
 }
@@ -193,9 +193,19 @@
 
 FailoverActions GroupCoordinator::onPrimaryFailed(const EndpointId& endpoint, TimePoint now)
 {
-    if (isObserver() && isPrimary(endpoint))
-        servers_.probeSoon(endpoint, now);
-    return {};
+    FailoverActions actions;
+    if (!isObserver() || !isPrimary(endpoint))
+        return actions;
+    doubt(now);
+    if (now >= nextReport_)
+        report(actions, isSuspecting_, now);
+    return actions;
+}
+
+void GroupCoordinator::doubt(TimePoint now)
+{
+    doubtUntil_ = now + settings_.suspicionLifetime;
+    servers_.probeSoon(primary_->primary, now);
 }
 
 FailoverActions GroupCoordinator::onWritesPaused(LogPosition primaryLogEnd, TimePoint now)
@@ -240,12 +250,12 @@
 {
     if (handOver_.isPaused() && !isPrimary(endpoint))
         return settings_.probeInterval / handOverProbeFactor;
-    const bool isCalm = primary_ && !isSuspecting_ && !change_;
-    if (!isCalm || isPrimary(endpoint))
+    const bool isCalm = primary_ && !isSuspecting_ && !change_ && misses_ == 0 && lastTick_ >= doubtUntil_;
+    if (!isCalm)
         return settings_.probeInterval;
-    if (isSettled(endpoint) || !servers_.hasAnsweredSince(endpoint, lastTick_ - settings_.suspicionLifetime))
-        return settings_.probeInterval * replicaProbeFactor;
-    return settings_.probeInterval;
+    const bool isReplicaAtRest = !isPrimary(endpoint)
+        && (isSettled(endpoint) || !servers_.hasAnsweredSince(endpoint, lastTick_ - settings_.suspicionLifetime));
+    return isReplicaAtRest ? settings_.calmProbeInterval * replicaProbeFactor : settings_.calmProbeInterval;
 }
 
 void GroupCoordinator::log(FailoverActions& actions, const std::string& decision, const std::string& reason) const
--- a/src/failover/GroupCoordinator.h
+++ b/src/failover/GroupCoordinator.h
@@ -57,6 +57,8 @@
     void adopt(FailoverActions&, const PrimaryView&, const std::string& reason, TimePoint now);
 
     void recoverFromPause(FailoverActions&, TimePoint now);
+    /** Probes the primary at once and often for a while. */
+    void doubt(TimePoint now);
     void countMiss(TimePoint now);
     void clearMisses();
     void expireProbes(TimePoint now);
@@ -102,6 +104,8 @@
     std::optional<TimePoint> lastMiss_;
     bool isSuspecting_ = false;
     TimePoint nextReport_;
+    /** Until then the primary is probed often, because traffic or another observer raised a doubt. */
+    TimePoint doubtUntil_;
     TimePoint nextDiscovery_;
     std::optional<TimePoint> unfinishedSince_;
 
--- a/src/serving/ServedEndpoint.cpp
+++ b/src/serving/ServedEndpoint.cpp
@@ -12,6 +12,9 @@
     constexpr Milliseconds positionRequestTimeout { 400 };
     /** A statement gets no less time than this, so that a nearly expired one is refused instead of left in doubt. */
     constexpr Milliseconds shortestStatementTime { 2 };
+    /** A statement without an answer for this long, and for this many times the usual time, raises a doubt. */
+    constexpr Milliseconds slowAnswer { 100 };
+    constexpr int slowAnswerFactor = 6;
 
     EndpointPoolLimits poolLimitsFor(const EndpointDescription& endpoint, const ServingSettings& settings)
     {
@@ -235,6 +238,7 @@
     }
     const bool isWrite = !job.isRead();
     runningWrites_ += isWrite ? 1 : 0;
+    sentTimes_.insert(now);
     const EndpointStatement statement = statementFor(job);
     const Duration timeout = job.deadline - now;
     const ForwardKind kind = job.request.kind;
@@ -274,6 +278,9 @@
 {
     const bool isWrite = !job.isRead();
     runningWrites_ -= isWrite ? 1 : 0;
+    sentTimes_.erase(sentTimes_.find(sentAt));
+    if (result)
+        usualLatency_ += ((now - sentAt) - usualLatency_) / 16;
     if (result && job.request.kind == ForwardKind::Begin) {
         Transaction transaction { connection, job.queued, job.request.caller, primaryView() ? primaryView()->term : 0,
             now, now };
@@ -537,6 +544,14 @@
         context_.evidence.writesPaused(database_, endpoint_.id, knownPosition_);
 }
 
+void ServedEndpoint::reportSlowPrimary(TimePoint now)
+{
+    if (sentTimes_.empty() || !isPrimaryHere())
+        return;
+    if (now - *sentTimes_.begin() > std::max<Duration>(slowAnswer, usualLatency_ * slowAnswerFactor))
+        context_.evidence.primaryFailed(database_, endpoint_.id);
+}
+
 void ServedEndpoint::onTick(TimePoint now)
 {
     claim_.onTick(now);
@@ -545,6 +560,7 @@
     releaseHeld(now);
     refuseReadsIfUnreachable(now);
     reportPausedWrites();
+    reportSlowPrimary(now);
     dispatch(now);
     if (isRetired_ && !isClaimReleased_ && running_ == transactions_.size() && confirmer_->waitingCount() == 0) {
         isClaimReleased_ = true;
--- a/tests/serving/TestServedEndpoint.cpp
+++ b/tests/serving/TestServedEndpoint.cpp
@@ -383,6 +383,18 @@
     cr_assert(f.error(0).outcome == Outcome::NotRun);
 }
 
+// Guards the write gap: a primary that stops answering must be doubted long before the statement's deadline.
+Test(ServedEndpoint, unansweredStatementRaisesADoubtEarly)
+{
+    ServingFixture f;
+    f.start();
+    f.submit(OperationKind::Write);
+    f.tick(Milliseconds(90));
+    cr_assert(f.evidence.failed == 0);
+    f.tick(Milliseconds(30));
+    cr_assert(f.evidence.failed == 1);
+}
+
 // Guards reads against hanging at an endpoint that is down: they are handed back as not run.
 Test(ServedEndpoint, readsLeaveAnUnreachableEndpoint)
 {
