Stop reads at leaving replicas

Change: the entry side leaves out leaving replicas when it orders endpoints for a read; the serving side refuses reads that are queued or arrive at a leaving replica as not run, so that daemons which learn of it later cannot send work there. A leaving primary serves until it has handed over. Checked by unit tests of both sides, which fail without the change. Conclusion: reads go to staying replicas, else to the primary.

--- a/include/almondlever/entry/EntryRouter.h
+++ b/include/almondlever/entry/EntryRouter.h
@@ -66,6 +66,8 @@
     void routeTransaction(const ExchangePtr&, TimePoint now);
     void routeRead(const ExchangePtr&, TimePoint now);
     void routeWrite(const ExchangePtr&, TimePoint now);
+    /** Endpoints that a read must not use: those that refused it, and leaving ones other than the primary. */
+    std::vector<EndpointId> excludedFrom(const Exchange&, const EndpointId& primary) const;
     void forward(const ExchangePtr&, const EndpointId&, const char* reason, TimePoint now);
     void sendTo(const ExchangePtr&, const VmId& owner, const EndpointId&, const char* reason, TimePoint now);
     void onReply(const ExchangePtr&, const EndpointId&, TimePoint sentAt, ForwardReply, TimePoint now);
--- a/include/almondlever/serving/ServedEndpoint.h
+++ b/include/almondlever/serving/ServedEndpoint.h
@@ -88,11 +88,15 @@
         Hold,
         Redirect,
         Leave,
+        /** The endpoint leaves, so reads go to another one of the group. */
+        Elsewhere,
     };
 
     Gate gateFor(const ForwardJob&, TimePoint now) const;
     const PrimaryView* primaryView() const;
     bool isPrimaryHere() const;
+    /** True when the platform's list shows the endpoint as leaving and another endpoint is known to be the primary. */
+    bool isLeavingReplica() const;
     void place(ForwardJob, TimePoint now);
     void hold(ForwardJob, TimePoint now);
     void enqueue(ForwardJob, TimePoint now);
--- a/src/entry/EntryRouter.cpp
+++ b/src/entry/EntryRouter.cpp
@@ -204,7 +204,7 @@
             exchange, primary, exchange->isPositionLost() ? "no_session_position" : "no_staleness_allowed", now);
     const ReadDemand demand { exchange->rule->rank, exchange->minimumPosition(), exchange->maximumStaleness() };
     const auto order = knowledge_.readOrder(*exchange->database, *exchange->snapshot->configuration,
-        snapshot_->failureDomain, primary, exchange->excluded, demand, now);
+        snapshot_->failureDomain, primary, excludedFrom(*exchange, primary), demand, now);
     if (order.empty()) {
         // Every endpoint refused once; start over after a pause, since all of it was without effect.
         exchange->excluded.clear();
@@ -213,6 +213,16 @@
     forward(exchange, order.front(), order.front() == primary ? "replicas_exhausted" : "best_replica", now);
 }
 
+std::vector<EndpointId> EntryRouter::excludedFrom(const Exchange& exchange, const EndpointId& primary) const
+{
+    std::vector<EndpointId> excluded = exchange.excluded;
+    for (const EndpointDescription& endpoint : exchange.database->endpoints) {
+        if (endpoint.id != primary && snapshot_->leavingEndpoints.count(endpoint.id) > 0)
+            excluded.push_back(endpoint.id);
+    }
+    return excluded;
+}
+
 void EntryRouter::routeWrite(const ExchangePtr& exchange, TimePoint now)
 {
     forward(exchange, likelyPrimary(*exchange->database), "primary", now);
@@ -438,7 +448,7 @@
     if (operation == OperationKind::Read && exchange.mayUseReplica()) {
         explanation.reason = "reads may be stale: replicas first, primary last";
         order = knowledge_.readOrder(*exchange.database, *snapshot_->configuration, snapshot_->failureDomain, primary,
-            {}, { exchange.rule->rank, {}, exchange.maximumStaleness() }, now);
+            excludedFrom(exchange, primary), { exchange.rule->rank, {}, exchange.maximumStaleness() }, now);
     } else {
         explanation.reason = operation == OperationKind::Write
             ? "writes go to the primary"
--- a/src/serving/ServedEndpoint.cpp
+++ b/src/serving/ServedEndpoint.cpp
@@ -83,7 +83,8 @@
 {
     std::vector<Ticket> misplaced;
     for (const auto& [ticket, job] : queued_) {
-        if (job.needsPrimary() && gateFor(job, now) != Gate::Open)
+        const Gate gate = gateFor(job, now);
+        if (gate == Gate::Elsewhere || (job.needsPrimary() && gate != Gate::Open))
             misplaced.push_back(ticket);
     }
     for (const Ticket ticket : misplaced) {
@@ -105,6 +106,11 @@
     return view && view->primary == endpoint_.id;
 }
 
+bool ServedEndpoint::isLeavingReplica() const
+{
+    return snapshot_->leavingEndpoints.count(endpoint_.id) > 0 && primaryView() && !isPrimaryHere();
+}
+
 void ServedEndpoint::submit(ForwardJob job, TimePoint now)
 {
     if (!job.request.transaction.isEmpty())
@@ -133,6 +139,8 @@
             return Gate::Hold;
         return Gate::Open;
     }
+    if (isLeavingReplica())
+        return Gate::Elsewhere;
     return knownPosition_ < job.request.minimumPosition ? Gate::Hold : Gate::Open;
 }
 
@@ -144,6 +152,8 @@
             job, ForwardErrorCode::NotOwner, Outcome::NotRun, "the endpoint moved to another daemon", {}, now);
     case Gate::Redirect:
         return refuse(job, ForwardErrorCode::NotPrimary, Outcome::NotRun, "another endpoint is the primary", {}, now);
+    case Gate::Elsewhere:
+        return refuse(job, ForwardErrorCode::Behind, Outcome::NotRun, "the endpoint is leaving", {}, now);
     case Gate::Hold:
         return hold(std::move(job), now);
     case Gate::Open:
--- a/tests/entry/TestEntryRouter.cpp
+++ b/tests/entry/TestEntryRouter.cpp
@@ -75,6 +75,20 @@
     cr_assert(!f.forwarder.sent.at(0).request.needsConfirmedLeadership);
 }
 
+// Guards P7: a replica that the VM list shows as leaving must get no new reads; the rest of the group takes them.
+Test(EntryRouter, readsAvoidLeavingReplicas)
+{
+    RouterFixture f;
+    f.snapshot->leavingEndpoints = { EndpointId("ledger-1-b") };
+    f.send("buyer", OperationKind::Read);
+    cr_assert(f.forwarder.sent.at(0).request.endpoint == EndpointId("ledger-1-c"));
+    f.forwarder.fail(0, ForwardErrorCode::Behind, Outcome::NotRun, f.timers.now());
+    cr_assert(f.forwarder.sent.at(1).request.endpoint == EndpointId("ledger-1-a"));
+    f.snapshot->leavingEndpoints.insert(EndpointId("ledger-1-c"));
+    f.send("buyer", OperationKind::Read);
+    cr_assert(f.forwarder.sent.at(2).request.endpoint == EndpointId("ledger-1-a"));
+}
+
 // Guards against a read that fails because one replica is behind: the other replica and then the primary are tried.
 Test(EntryRouter, readFallsBackFromReplicasToPrimary)
 {
--- a/tests/serving/TestServedEndpoint.cpp
+++ b/tests/serving/TestServedEndpoint.cpp
@@ -382,3 +382,40 @@
     cr_assert(f.error(2).code == ForwardErrorCode::EndpointUnavailable);
     cr_assert(f.error(2).outcome == Outcome::NotRun);
 }
+
+// Guards P7: queued and new reads must leave a replica that is shown as leaving, also those of daemons that do not know
+// it yet.
+Test(ServedEndpoint, leavingReplicaRunsNoNewReads)
+{
+    ServingFixture f;
+    f.snapshot->primaries[database] = { database, 1, EndpointId("ledger-1-b") };
+    f.start();
+    for (int i = 0; i < 3; ++i)
+        f.submit(OperationKind::Read);
+    const std::size_t started = f.server(1).calls.size();
+    cr_assert(started < 3, "the third read must queue behind two slots");
+    f.snapshot->leavingEndpoints = { here };
+    f.publish();
+    f.submit(OperationKind::Read);
+    for (const std::size_t index : { 2, 3 }) {
+        cr_assert(f.replies[index].has_value());
+        cr_assert(f.error(index).code == ForwardErrorCode::Behind);
+        cr_assert(f.error(index).outcome == Outcome::NotRun);
+    }
+    f.server(1).answer(0, { 1, 9 }, EndpointRole::Replica);
+    cr_assert(f.isSuccess(0));
+    cr_assert(f.server(1).calls.size() == started);
+}
+
+// Guards a group whose leaving primary has not handed over yet: it goes on serving.
+Test(ServedEndpoint, leavingPrimaryServesUntilItHandsOver)
+{
+    ServingFixture f;
+    f.server(2).status.promisedTerm = 1;
+    f.server(3).status.promisedTerm = 1;
+    f.snapshot->leavingEndpoints = { here };
+    f.start();
+    f.submit(OperationKind::Read);
+    f.server(1).answer(0, { 1, 7 });
+    cr_assert(f.isSuccess(0));
+}
