Do not call a daemon's own repeat a duplicate

Ruled out: a write applied twice (no repeated request id in the logs), a false not_run (vm-1 had classed the first attempt as unknown; no decision lines were suppressed, and the repeat followed without the pause that not_run attempts get). Change: an answer is called a duplicate only when this daemon made no attempt of unknown outcome itself.

--- a/src/entry/EntryRouter.cpp
+++ b/src/entry/EntryRouter.cpp
@@ -353,8 +353,10 @@
     if (exchange->isRead())
         metrics_.count("almondlever_reads_total", success.isFromReplica ? "from=\"replica\"" : "from=\"primary\"");
     metrics_.observe("almondlever_request_seconds", rank, now - exchange->arrival);
+    // A first result that stems from a repeat inside this daemon is the caller's own, not that of an earlier request.
+    const bool isDuplicate = success.isDuplicate && !exchange->mayHaveRun;
     CallerReply reply;
-    reply.result = CallerSuccess { success.value, success.transaction, success.isDuplicate, success.isFromReplica,
+    reply.result = CallerSuccess { success.value, success.transaction, isDuplicate, success.isFromReplica,
         success.position, success.staleness };
     reply.sessionToken = tokenCodec_.encode(exchange->session);
     finish(exchange, std::move(reply), now);
--- a/tests/entry/TestEntryRouter.cpp
+++ b/tests/entry/TestEntryRouter.cpp
@@ -133,6 +133,23 @@
     cr_assert(f.forwarder.sent[0].request.requestId == f.forwarder.sent[1].request.requestId);
 }
 
+// Guards callers against a first result that is called a duplicate of an earlier request although only this daemon
+// repeated it; one without such a repeat is still reported.
+Test(EntryRouter, ownRepeatIsNotReportedAsADuplicate)
+{
+    RouterFixture f;
+    f.send("shed", OperationKind::Write);
+    f.forwarder.fail(0, ForwardErrorCode::NotConfirmed, Outcome::Unknown, f.timers.now());
+    f.timers.advance(Milliseconds(100));
+    f.send("clerk", OperationKind::Write, "", "order-1");
+    ForwardReply reply;
+    reply.result = ForwardSuccess { { 1, 7 }, std::nullopt, TransactionId(), true, false, {} };
+    f.forwarder.sent.at(1).callback(reply, f.timers.now());
+    f.forwarder.sent.at(2).callback(reply, f.timers.now());
+    cr_assert(!std::get<CallerSuccess>(f.replies.at(0).result).isDuplicate);
+    cr_assert(std::get<CallerSuccess>(f.replies.at(1).result).isDuplicate);
+}
+
 // Guards P5: once an attempt may have run, a later refusal must not be reported as not run.
 Test(EntryRouter, neverSaysNotRunAfterAnAttemptOfUnknownOutcome)
 {
