Tell callers that the transaction of a dead daemon is lost

Cause: until membership has found the death of the daemon that held a transaction, an entry daemon answered its statements with 503 unavailable, and callers did not learn that the transaction was rolled back. Change: a statement of a transaction that could not be sent is routed again until the deadline; it reaches the daemon or is refused as transaction_lost once the daemon is known to be dead. Conclusion: with a deadline shorter than the detection of a death the answer is still deadline_exceeded, not run.

--- a/src/entry/EntryRouter.cpp
+++ b/src/entry/EntryRouter.cpp
@@ -307,6 +307,10 @@
     }
     const CallerError final { callerCode(error.code), error.outcome, error.detail, error.retryAfter };
     const bool isTransactional = !exchange->request.transaction.isEmpty();
+    // The statement never left this daemon. It is sent once the daemon is back in reach, or refused once that is known
+    // to be dead, since only then the transaction is certainly lost.
+    if (isTransactional && isNotRun && error.code == ForwardErrorCode::EndpointUnavailable)
+        return routeAgainLater(exchange);
     const bool hasTime = now < exchange->deadline && error.code != ForwardErrorCode::DeadlineExceeded;
     if (isTransactional || !hasTime || !mayRepeat(*exchange, error))
         return fail(exchange, final, now);
--- a/tests/entry/TestEntryRouter.cpp
+++ b/tests/entry/TestEntryRouter.cpp
@@ -272,3 +272,25 @@
     f.router.handle(request, f.timers.now(), [&](CallerReply reply) { f.replies.push_back(std::move(reply)); });
     cr_assert(f.error(0).code == CallerErrorCode::TransactionLost);
 }
+
+// Guards a caller against a transaction that seems to go on although its daemon died: it is told once that is known.
+Test(EntryRouter, transactionOfAnUnreachableDaemonIsReportedAsLost)
+{
+    RouterFixture f;
+    CallerRequest request;
+    request.kind = ForwardKind::Commit;
+    request.caller = CallerId("clerk");
+    request.database = database;
+    request.transaction = TransactionId("vm-3.17");
+    f.router.handle(request, f.timers.now(), [&](CallerReply reply) { f.replies.push_back(std::move(reply)); });
+    f.forwarder.fail(0, ForwardErrorCode::EndpointUnavailable, Outcome::NotRun, f.timers.now());
+    f.timers.advance(Milliseconds(50));
+    cr_assert(f.replies.empty());
+    auto next = std::make_shared<Snapshot>(*f.snapshot);
+    next->members.daemons.pop_back();
+    f.router.setSnapshot(next);
+    f.forwarder.fail(1, ForwardErrorCode::EndpointUnavailable, Outcome::NotRun, f.timers.now());
+    f.timers.advance(Milliseconds(200));
+    cr_assert(f.error(0).code == CallerErrorCode::TransactionLost);
+    cr_assert(f.error(0).outcome == Outcome::NotRun);
+}
