--- a/include/almondlever/daemon/DaemonSettings.h
+++ b/include/almondlever/daemon/DaemonSettings.h
@@ -30,6 +30,8 @@
     LogSettings log;
     /** Log lines a second for decisions below the most urgent rank. */
     double decisionLinesPerSecond = 500;
+    /** Time after which a client that idles or does not finish its request is dropped. */
+    Milliseconds clientReadTimeout { 60000 };
     std::size_t maximumConnections = 20000;
     /** Time between readiness going off and the first refusal, for the load balancer to notice. */
     Milliseconds drainDelay { 1000 };
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -238,15 +238,16 @@
   "$ALMONDLEVER_BUILD/almondleverctl" apply "$almondlever_work/config" --kv-address "$kv_address" --author loopback
 }
 
-# start_daemon NUMBER: starts vm-NUMBER. The callers' port is reserved too, so that a restart keeps it.
+# start_daemon NUMBER [FLAG...]: starts vm-NUMBER. The callers' port is reserved too, so that a restart keeps it.
 start_daemon() {
   local number=$1 listen advertise
+  shift
   read -r listen advertise <<<"${daemon_peer_addresses[$((number - 1))]}"
   reserve_port
   start_process "vm-$number" "$ALMONDLEVER_BUILD/almondleverd" --vm-id "vm-$number" \
     --failure-domain "${daemon_domains[$((number - 1))]}" --listen "127.0.0.1:$REPLY" --peer-listen "$listen" \
     --peer-advertise "$advertise" --kv-address "$kv_address" --vm-list-address "$kv_address" \
-    --log-file "$almondlever_work/logs/vm-$number.log"
+    --log-file "$almondlever_work/logs/vm-$number.log" "$@"
   daemon_addresses[number - 1]=127.0.0.1:$REPLY
 }
 
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -37,6 +37,7 @@
         server.host = settings.listenHost;
         server.port = settings.listenPort;
         server.maximumConnections = settings.maximumConnections;
+        server.readTimeout = settings.clientReadTimeout;
         return server;
     }
 
--- a/src/daemon/DaemonSettings.cpp
+++ b/src/daemon/DaemonSettings.cpp
@@ -137,6 +137,11 @@
                     return takeNumber(text, 1, 1000000,
                         [&](double number) { s.maximumConnections = static_cast<std::size_t>(number); });
                 } },
+            { "client-read-timeout-ms",
+                "milliseconds after which a client that idles or sends half a request is dropped", "60000",
+                [](const std::string& text, DaemonSettings& s) {
+                    return takeMilliseconds(text, s.clientReadTimeout);
+                } },
             { "drain-delay-ms", "milliseconds between readiness going off and handing work over", "1000",
                 [](const std::string& text, DaemonSettings& s) { return takeMilliseconds(text, s.drainDelay); } },
             { "drain-limit-ms", "longest time in milliseconds that a shutdown waits for work in hand", "15000",
