Find daemons that refuse connections sooner

Cause: after kill -9 of the daemon that serves a primary, writes stopped until membership had found the death: 600 ms of probes and 1 s of suspicion. Change: a daemon whose channel broke is contacted again every 50 ms. When the channel cannot be opened again, it is probed through others at once, suspected after 200 ms, and taken for dead 300 ms later unless something is heard from it. One that others reach is kept. A silent daemon (paused, cut off) is found as before. A false death costs a change of owners only, since the claim decides.

--- a/include/almondlever/membership/Membership.h
+++ b/include/almondlever/membership/Membership.h
@@ -26,6 +26,14 @@
     std::size_t indirectProbes = 2;
     /** Time from suspicion to death in a fleet of ten or less; grows with the logarithm of the fleet size. */
     Milliseconds suspicionTime { 1000 };
+    /** Interval at which a daemon whose channel broke is contacted again, until that succeeds or is refused. */
+    Milliseconds reconnectProbeInterval { 50 };
+    /**
+     * Time for indirect probes of a daemon whose channel broke and that refuses connections, and then from suspicion to
+     * death. Longer than a round trip through another region; a false death costs only a change of owners.
+     */
+    Milliseconds refusedProbeTimeout { 200 };
+    Milliseconds refusedSuspicionTime { 300 };
     /** Records in one message. */
     std::size_t recordsPerMessage = 8;
     /** Records in one StateReply, about 3 KB. */
@@ -89,7 +97,10 @@
      * lists that drop more than half of the daemons at once, which points to a fault of the platform.
      */
     GossipActions onVmList(const std::vector<VmListEntry>&, std::uint64_t version, TimePoint now);
-    /** The channel to a daemon broke; it is probed at once. */
+    /**
+     * The channel to a daemon broke, or could not be opened again. The daemon is probed at once; when the channel
+     * cannot be opened again either, it is probed through others and suspected sooner.
+     */
     GossipActions onPeerLost(const VmId&, TimePoint now);
     /** Announces that this daemon shuts down. */
     GossipActions leave(TimePoint now);
@@ -130,6 +141,11 @@
         std::uint64_t sequence = 0;
         TimePoint sentAt;
         bool isIndirect = false;
+        /** Set when the channel broke while or before the target was probed. */
+        bool isChannelLost = false;
+        TimePoint repeatedAt;
+        /** When the channel could not be opened again. */
+        std::optional<TimePoint> refusedAt;
     };
     /** An indirect probe on behalf of another daemon. */
     struct Relay {
@@ -170,6 +186,9 @@
     void onStateRequest(GossipActions&, const VmId& from, const Gossip&);
     void onStateReply(GossipActions&, const VmId& from, const Gossip&, TimePoint now);
     void checkProbes(GossipActions&, TimePoint now);
+    void probeThroughOthers(GossipActions&, Probe&);
+    void onProbeFailed(const Probe&, TimePoint now);
+    bool hasFailed(const Probe&, TimePoint now) const;
     void checkSuspects(TimePoint now);
     void expireRemoved(TimePoint now);
     void rotatePartners(TimePoint now);
@@ -181,7 +200,7 @@
     std::size_t randomBelow(std::size_t bound);
     bool isIsolated(TimePoint now) const;
     Milliseconds currentProbeInterval() const;
-    Duration currentSuspicionTime() const;
+    Duration suspicionTimeOf(const VmId&) const;
     std::size_t sendLimit() const;
 
     LiveDaemon self_;
@@ -197,6 +216,8 @@
     std::vector<Probe> probes_;
     std::vector<Relay> relays_;
     std::map<VmId, TimePoint> suspects_;
+    /** Daemons that refused connections after their channel broke, until something is heard from them. */
+    std::set<VmId> refusing_;
     /** Dead members in order of death. */
     std::deque<std::pair<TimePoint, VmId>> removed_;
     std::vector<News> news_;
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -68,6 +68,7 @@
     if (from.id == self_.id)
         return actions;
     lastHeardAt_ = now;
+    refusing_.erase(from.id);
     meet(from, now);
     for (const MemberRecord& heard : gossip.records)
         apply(heard, gossip.kind == Gossip::Kind::StateReply ? Spread::No : Spread::Yes, now);
@@ -133,10 +134,21 @@
 {
     GossipActions actions;
     const auto position = members_.find(id);
-    const bool isProbed
-        = std::any_of(probes_.begin(), probes_.end(), [&id](const Probe& probe) { return probe.target == id; });
-    if (position != members_.end() && position->second.state != State::Dead && !isProbed)
+    if (position == members_.end() || position->second.state == State::Dead)
+        return actions;
+    auto probe = std::find_if(
+        probes_.begin(), probes_.end(), [&id](const Probe& candidate) { return candidate.target == id; });
+    if (probe == probes_.end()) {
         startProbe(actions, id, now);
+        probe = std::prev(probes_.end());
+    }
+    if (!probe->isChannelLost) {
+        probe->isChannelLost = true;
+        probe->repeatedAt = now;
+    } else if (!probe->refusedAt) {
+        probe->refusedAt = now;
+        probeThroughOthers(actions, *probe);
+    }
     return actions;
 }
 
@@ -270,6 +282,8 @@
     if (heard.state == State::Alive || heard.state == State::Leaving)
         member.isLeaving = heard.state == State::Leaving;
     suspects_.erase(id);
+    if (heard.state != State::Suspect)
+        refusing_.erase(id);
     if (heard.state == State::Suspect)
         suspects_[id] = now;
     if (wasDead && !isDead)
@@ -391,7 +405,7 @@
 
 void Membership::startProbe(GossipActions& actions, const VmId& target, TimePoint now)
 {
-    probes_.push_back({ target, ++sequence_, now, false });
+    probes_.push_back({ target, ++sequence_, now, false, false, {}, {} });
     send(actions, target, compose(Gossip::Kind::Ping, sequence_, target));
 }
 
@@ -467,47 +481,72 @@
     send(actions, *peer, std::move(request));
 }
 
+void Membership::probeThroughOthers(GossipActions& actions, Probe& probe)
+{
+    if (probe.isIndirect)
+        return;
+    probe.isIndirect = true;
+    std::set<VmId> excluded { probe.target };
+    for (std::size_t helper = 0; helper < settings_.indirectProbes; ++helper) {
+        const auto through = randomMember(excluded);
+        if (!through)
+            break;
+        excluded.insert(*through);
+        Gossip request = compose(Gossip::Kind::PingRequest, probe.sequence, *through);
+        request.target = probe.target;
+        send(actions, *through, std::move(request));
+    }
+}
+
+bool Membership::hasFailed(const Probe& probe, TimePoint now) const
+{
+    if (probe.refusedAt && now - *probe.refusedAt >= settings_.refusedProbeTimeout)
+        return true;
+    return now - probe.sentAt >= 2 * settings_.probeTimeout;
+}
+
 void Membership::checkProbes(GossipActions& actions, TimePoint now)
 {
     std::vector<Probe> failed;
     for (Probe& probe : probes_) {
-        if (now - probe.sentAt >= 2 * settings_.probeTimeout) {
+        if (hasFailed(probe, now)) {
             failed.push_back(probe);
             continue;
         }
-        if (probe.isIndirect || now - probe.sentAt < settings_.probeTimeout)
-            continue;
-        probe.isIndirect = true;
-        std::set<VmId> excluded { probe.target };
-        for (std::size_t helper = 0; helper < settings_.indirectProbes; ++helper) {
-            const auto through = randomMember(excluded);
-            if (!through)
-                break;
-            excluded.insert(*through);
-            Gossip request = compose(Gossip::Kind::PingRequest, probe.sequence, *through);
-            request.target = probe.target;
-            send(actions, *through, std::move(request));
+        const bool isReconnecting = probe.isChannelLost && !probe.refusedAt && !probe.isIndirect;
+        if (isReconnecting && now - probe.repeatedAt >= settings_.reconnectProbeInterval) {
+            probe.repeatedAt = now;
+            send(actions, probe.target, compose(Gossip::Kind::Ping, probe.sequence, probe.target));
         }
+        if (now - probe.sentAt >= settings_.probeTimeout)
+            probeThroughOthers(actions, probe);
     }
     for (const Probe& probe : failed) {
         probes_.erase(std::remove_if(probes_.begin(), probes_.end(),
                           [&probe](const Probe& other) { return other.sequence == probe.sequence; }),
             probes_.end());
-        const auto position = members_.find(probe.target);
-        if (position == members_.end() || position->second.state == State::Dead
-            || position->second.state == State::Suspect || isIsolated(now))
-            continue;
-        change(position, { probe.target, {}, {}, State::Suspect, position->second.incarnation }, Spread::Yes, now);
+        onProbeFailed(probe, now);
     }
 }
 
+void Membership::onProbeFailed(const Probe& probe, TimePoint now)
+{
+    const auto position = members_.find(probe.target);
+    if (position == members_.end() || position->second.state == State::Dead || isIsolated(now))
+        return;
+    if (probe.refusedAt)
+        refusing_.insert(probe.target);
+    if (position->second.state != State::Suspect)
+        change(position, { probe.target, {}, {}, State::Suspect, position->second.incarnation }, Spread::Yes, now);
+}
+
 void Membership::checkSuspects(TimePoint now)
 {
     if (isIsolated(now))
         return;
     std::vector<VmId> expired;
     for (const auto& [id, since] : suspects_) {
-        if (now - since >= currentSuspicionTime())
+        if (now - since >= suspicionTimeOf(id))
             expired.push_back(id);
     }
     for (const VmId& id : expired) {
@@ -651,8 +690,10 @@
     return settings_.probeInterval + Milliseconds(std::llround(share * static_cast<double>(extra)));
 }
 
-Duration Membership::currentSuspicionTime() const
+Duration Membership::suspicionTimeOf(const VmId& id) const
 {
+    if (refusing_.count(id) > 0)
+        return settings_.refusedSuspicionTime;
     const double factor = std::max(1.0, std::log10(static_cast<double>(live_.size() + 1)));
     return std::chrono::duration_cast<Duration>(settings_.suspicionTime * factor);
 }
--- a/tests/membership/TestMembership.cpp
+++ b/tests/membership/TestMembership.cpp
@@ -47,6 +47,41 @@
     cr_assert(inSeconds(time) <= 2.0, "%f", inSeconds(time));
 }
 
+// Guards the write gap after a crash: a daemon whose channel broke and that refuses connections must be found sooner
+// than one that is only silent.
+Test(Membership, findsRefusingDaemonSooner)
+{
+    for (std::uint64_t run = 0; run < 20; ++run) {
+        FakeFleet fleet(3, seed + run);
+        fleet.run(seconds(10));
+        const VmId victim = fleet.self(1).id;
+        fleet.kill(1);
+        for (const std::size_t place : { 0, 2 })
+            fleet.lose(place, victim);
+        fleet.run(Milliseconds(100));
+        for (const std::size_t place : { 0, 2 })
+            fleet.lose(place, victim);
+        const Duration time = fleet.timeUntil([&] { return fleet.allMiss(victim); }, seconds(30));
+        // 0.2 s of probes through others, 0.3 s of suspicion, and the delay of ticks and messages.
+        cr_assert(inSeconds(time) <= 0.8, "seed %lu: %f", seed + run, inSeconds(time));
+    }
+}
+
+// Guards against a live daemon that is removed because a single other daemon cannot connect to it.
+Test(Membership, keepsDaemonThatOthersReach)
+{
+    FakeFleet fleet(smallFleet, seed);
+    fleet.run(seconds(10));
+    const VmId victim = fleet.self(4).id;
+    fleet.isConnected
+        = [](std::size_t from, std::size_t to) { return std::minmax(from, to) != std::minmax<std::size_t>(0, 4); };
+    for (int round = 0; round < 50; ++round) {
+        fleet.lose(0, victim);
+        fleet.run(Milliseconds(100));
+        cr_assert(fleet.all([&](Membership& membership) { return membership.contains(victim); }), "round %d", round);
+    }
+}
+
 // Guards against a live daemon that is removed because one other daemon cannot reach it.
 Test(Membership, refutesFalseSuspicion)
 {
