Keep the known primary when observers are replaced

Writes that returned in between counted as unconfirmed. Change: what a dropped observer knew is kept and told to the one that follows it. Terms still decide: servers refuse writes of older ones.

--- a/include/almondlever/control/ControlLoop.h
+++ b/include/almondlever/control/ControlLoop.h
@@ -86,6 +86,8 @@
     void sendToDaemon(const VmId&, const Message&);
     void announce(const PrimaryView&);
     void notePrimary(const PrimaryView&);
+    /** Keeps what an observer knows of its primary before the observer is dropped. */
+    void notePrimaryOf(const GroupObserver&);
     void publishIfChanged();
     bool isFirstWatcher() const;
 
--- a/src/control/ControlLoop.cpp
+++ b/src/control/ControlLoop.cpp
@@ -134,6 +134,8 @@
     membership_.setConfigurationVersion(candidate.version);
     watcher_.setKnown();
     placement_ = std::make_unique<PlacementIndex>(configuration_);
+    for (const auto& [unused, observer] : observers_)
+        notePrimaryOf(*observer);
     observers_.clear();
     seenRevision_ = 0;
     logInfo("configuration_in_force",
@@ -191,7 +193,7 @@
     return settings;
 }
 
-void ControlLoop::placeObservers(TimePoint)
+void ControlLoop::placeObservers(TimePoint now)
 {
     std::map<DatabaseId, std::vector<VmId>> wanted;
     for (const DatabaseDescription& database : configuration_->databases) {
@@ -199,13 +201,20 @@
         if (std::find(observers.begin(), observers.end(), context_.self.id) != observers.end())
             wanted.emplace(database.id, std::move(observers));
     }
-    for (auto entry = observers_.begin(); entry != observers_.end();)
-        entry = wanted.count(entry->first) > 0 ? std::next(entry) : observers_.erase(entry);
+    for (auto entry = observers_.begin(); entry != observers_.end();) {
+        if (wanted.count(entry->first) > 0) {
+            ++entry;
+            continue;
+        }
+        notePrimaryOf(*entry->second);
+        entry = observers_.erase(entry);
+    }
     const FailoverSettings settings = settingsForLoad(wanted.size());
     const std::set<EndpointId> leaving = leavingEndpoints();
     for (const auto& [database, vms] : wanted) {
         auto& observer = observers_[database];
-        if (!observer)
+        const bool isNew = !observer;
+        if (isNew)
             observer = std::make_unique<GroupObserver>(*configuration_->findDatabase(database), context_.self.id,
                 random_(), settings, context_.connector, context_.timers, hooksFor(database));
         std::vector<std::pair<VmId, FailureDomainId>> observers;
@@ -215,6 +224,10 @@
         }
         observer->setObservers(observers);
         observer->setLeaving(leaving);
+        // Without this, writes in hand would count as unconfirmed until the new observer's first probe is answered.
+        const auto known = announcedPrimaries_.find(database);
+        if (isNew && known != announcedPrimaries_.end())
+            observer->onAnnouncement(known->second, now);
     }
 }
 
@@ -273,6 +286,12 @@
     isChanged_ = true;
 }
 
+void ControlLoop::notePrimaryOf(const GroupObserver& observer)
+{
+    if (const auto view = observer.primary())
+        notePrimary(*view);
+}
+
 void ControlLoop::onMessage(const PeerIdentity& from, const Message& message, TimePoint now)
 {
     if (const auto* gossip = std::get_if<Gossip>(&message)) {
