Keep a slot for statements beside idle transactions

Slow answers had shrunk the adapted limit of the endpoint (3 slots to 2), abandoned transactions held as many slots, and every statement waited until their idle limit of 5 s. The bound of transactions counts declared slots only. Change: as long as the limit is above zero, statements may use one slot more than open transactions take, within the declared slots. Ruled out: a primary change (term unchanged), a missing owner (refusals came from queues, not as not_owner). Checked by a unit test that fails without the change.

--- a/include/almondlever/serving/ServedEndpoint.h
+++ b/include/almondlever/serving/ServedEndpoint.h
@@ -100,6 +100,9 @@
     void place(ForwardJob, TimePoint now);
     void hold(ForwardJob, TimePoint now);
     void enqueue(ForwardJob, TimePoint now);
+    /** Slots that may be taken: the adapted limit, but one more than open transactions take as long as it is not zero.
+     */
+    std::size_t usableSlots(TimePoint now) const;
     void dispatch(TimePoint now);
     void run(ForwardJob, const EndpointPool::ConnectionPtr&, TimePoint now);
     void onReply(ForwardJob, const EndpointPool::ConnectionPtr&, const EndpointResult<EndpointReply>&, TimePoint sentAt,
--- a/src/serving/ServedEndpoint.cpp
+++ b/src/serving/ServedEndpoint.cpp
@@ -189,12 +189,21 @@
     dispatch(now);
 }
 
+std::size_t ServedEndpoint::usableSlots(TimePoint now) const
+{
+    const std::size_t slots = limiter_.slots(now);
+    if (slots == 0)
+        return 0;
+    // Idle transactions would otherwise take every slot of a shrunk limit, and all statements wait for their end.
+    return std::max(slots, std::min(endpoint_.slots, transactions_.size() + 1));
+}
+
 void ServedEndpoint::dispatch(TimePoint now)
 {
     if (!claim_.isHeld())
         return;
-    scheduler_->setSlots(limiter_.slots(now));
-    while (scheduler_->size() > 0 && running_ < limiter_.slots(now)) {
+    scheduler_->setSlots(usableSlots(now));
+    while (scheduler_->size() > 0 && running_ < usableSlots(now)) {
         const auto connection = pool_.take();
         if (!connection)
             break;
--- a/tests/serving/TestServedEndpoint.cpp
+++ b/tests/serving/TestServedEndpoint.cpp
@@ -419,3 +419,26 @@
     f.server(1).answer(0, { 1, 7 });
     cr_assert(f.isSuccess(0));
 }
+
+// Guards against statements that wait for the end of idle transactions, which take every slot once slow answers have
+// shrunk the limit.
+Test(ServedEndpoint, idleTransactionsLeaveASlotOfAShrunkLimit)
+{
+    ServingFixture f;
+    f.snapshot->primaries[database] = { database, 1, here };
+    f.start();
+    const auto runWrites = [&](int count, Duration latency) {
+        for (int i = 0; i < count; ++i) {
+            f.submit(OperationKind::Write);
+            f.timers.advance(latency);
+            f.server(1).answer(f.server(1).calls.size() - 1, { 1, 7 });
+        }
+    };
+    runWrites(100, Milliseconds(4));
+    runWrites(60, Milliseconds(200));
+    f.submit(OperationKind::Write, ForwardKind::Begin);
+    f.server(1).answer(f.server(1).calls.size() - 1, { 1, 7 });
+    const std::size_t before = f.server(1).calls.size();
+    f.submit(OperationKind::Write);
+    cr_assert(f.server(1).calls.size() == before + 1, "the write waits although a slot is free");
+}
