--- a/include/almondlever/serving/ServedEndpoint.h
+++ b/include/almondlever/serving/ServedEndpoint.h
@@ -89,14 +89,21 @@
         Hold,
         Redirect,
         Leave,
+        /** The endpoint leaves, so reads go to another one of the group. */
+        Elsewhere,
     };
 
     Gate gateFor(const ForwardJob&, TimePoint now) const;
     const PrimaryView* primaryView() const;
     bool isPrimaryHere() const;
+    /** True when the platform's list shows the endpoint as leaving and another endpoint is known to be the primary. */
+    bool isLeavingReplica() const;
     void place(ForwardJob, TimePoint now);
     void hold(ForwardJob, TimePoint now);
     void enqueue(ForwardJob, TimePoint now);
+    /** Slots that may be taken: the adapted limit, but one more than open transactions take as long as it is not zero.
+     */
+    std::size_t usableSlots(TimePoint now) const;
     void dispatch(TimePoint now);
     void run(ForwardJob, const EndpointPool::ConnectionPtr&, TimePoint now);
     void onReply(ForwardJob, const EndpointPool::ConnectionPtr&, const EndpointResult<EndpointReply>&, TimePoint sentAt,
--- a/src/entry/EntryRouter.cpp
+++ b/src/entry/EntryRouter.cpp
@@ -204,7 +204,7 @@
             exchange, primary, exchange->isPositionLost() ? "no_session_position" : "no_staleness_allowed", now);
     const ReadDemand demand { exchange->rule->rank, exchange->minimumPosition(), exchange->maximumStaleness() };
     const auto order = knowledge_.readOrder(*exchange->database, *exchange->snapshot->configuration,
-        snapshot_->failureDomain, primary, exchange->excluded, demand, now);
+        snapshot_->failureDomain, primary, excludedFrom(*exchange, primary), demand, now);
     if (order.empty()) {
         // Every endpoint refused once; start over after a pause, since all of it was without effect.
         exchange->excluded.clear();
@@ -213,6 +213,16 @@
     forward(exchange, order.front(), order.front() == primary ? "replicas_exhausted" : "best_replica", now);
 }
 
+std::vector<EndpointId> EntryRouter::excludedFrom(const Exchange& exchange, const EndpointId& primary) const
+{
+    std::vector<EndpointId> excluded = exchange.excluded;
+    for (const EndpointDescription& endpoint : exchange.database->endpoints) {
+        if (endpoint.id != primary && snapshot_->leavingEndpoints.count(endpoint.id) > 0)
+            excluded.push_back(endpoint.id);
+    }
+    return excluded;
+}
+
 void EntryRouter::routeWrite(const ExchangePtr& exchange, TimePoint now)
 {
     forward(exchange, likelyPrimary(*exchange->database), "primary", now);
@@ -297,6 +307,10 @@
     }
     const CallerError final { callerCode(error.code), error.outcome, error.detail, error.retryAfter };
     const bool isTransactional = !exchange->request.transaction.isEmpty();
+    // The statement never left this daemon. It is sent once the daemon is back in reach, or refused once that is known
+    // to be dead, since only then the transaction is certainly lost.
+    if (isTransactional && isNotRun && error.code == ForwardErrorCode::EndpointUnavailable)
+        return routeAgainLater(exchange);
     const bool hasTime = now < exchange->deadline && error.code != ForwardErrorCode::DeadlineExceeded;
     if (isTransactional || !hasTime || !mayRepeat(*exchange, error))
         return fail(exchange, final, now);
@@ -343,8 +357,10 @@
     if (exchange->isRead())
         metrics_.count("almondlever_reads_total", success.isFromReplica ? "from=\"replica\"" : "from=\"primary\"");
     metrics_.observe("almondlever_request_seconds", rank, now - exchange->arrival);
+    // A first result that stems from a repeat inside this daemon is the caller's own, not that of an earlier request.
+    const bool isDuplicate = success.isDuplicate && !exchange->mayHaveRun;
     CallerReply reply;
-    reply.result = CallerSuccess { success.value, success.transaction, success.isDuplicate, success.isFromReplica,
+    reply.result = CallerSuccess { success.value, success.transaction, isDuplicate, success.isFromReplica,
         success.position, success.staleness };
     reply.sessionToken = tokenCodec_.encode(exchange->session);
     finish(exchange, std::move(reply), now);
@@ -438,7 +454,7 @@
     if (operation == OperationKind::Read && exchange.mayUseReplica()) {
         explanation.reason = "reads may be stale: replicas first, primary last";
         order = knowledge_.readOrder(*exchange.database, *snapshot_->configuration, snapshot_->failureDomain, primary,
-            {}, { exchange.rule->rank, {}, exchange.maximumStaleness() }, now);
+            excludedFrom(exchange, primary), { exchange.rule->rank, {}, exchange.maximumStaleness() }, now);
     } else {
         explanation.reason = operation == OperationKind::Write
             ? "writes go to the primary"
--- a/src/serving/ServedEndpoint.cpp
+++ b/src/serving/ServedEndpoint.cpp
@@ -86,7 +86,8 @@
 {
     std::vector<Ticket> misplaced;
     for (const auto& [ticket, job] : queued_) {
-        if (job.needsPrimary() && gateFor(job, now) != Gate::Open)
+        const Gate gate = gateFor(job, now);
+        if (gate == Gate::Elsewhere || (job.needsPrimary() && gate != Gate::Open))
             misplaced.push_back(ticket);
     }
     for (const Ticket ticket : misplaced) {
@@ -108,6 +109,11 @@
     return view && view->primary == endpoint_.id;
 }
 
+bool ServedEndpoint::isLeavingReplica() const
+{
+    return snapshot_->leavingEndpoints.count(endpoint_.id) > 0 && primaryView() && !isPrimaryHere();
+}
+
 void ServedEndpoint::submit(ForwardJob job, TimePoint now)
 {
     if (!job.request.transaction.isEmpty())
@@ -136,6 +142,8 @@
             return Gate::Hold;
         return Gate::Open;
     }
+    if (isLeavingReplica())
+        return Gate::Elsewhere;
     return knownPosition_ < job.request.minimumPosition ? Gate::Hold : Gate::Open;
 }
 
@@ -147,6 +155,8 @@
             job, ForwardErrorCode::NotOwner, Outcome::NotRun, "the endpoint moved to another daemon", {}, now);
     case Gate::Redirect:
         return refuse(job, ForwardErrorCode::NotPrimary, Outcome::NotRun, "another endpoint is the primary", {}, now);
+    case Gate::Elsewhere:
+        return refuse(job, ForwardErrorCode::Behind, Outcome::NotRun, "the endpoint is leaving", {}, now);
     case Gate::Hold:
         return hold(std::move(job), now);
     case Gate::Open:
@@ -184,12 +194,21 @@
     dispatch(now);
 }
 
+std::size_t ServedEndpoint::usableSlots(TimePoint now) const
+{
+    const std::size_t slots = limiter_.slots(now);
+    if (slots == 0)
+        return 0;
+    // Idle transactions would otherwise take every slot of a shrunk limit, and all statements wait for their end.
+    return std::max(slots, std::min(endpoint_.slots, transactions_.size() + 1));
+}
+
 void ServedEndpoint::dispatch(TimePoint now)
 {
     if (!claim_.isHeld())
         return;
-    scheduler_->setSlots(limiter_.slots(now));
-    while (scheduler_->size() > 0 && running_ < limiter_.slots(now)) {
+    scheduler_->setSlots(usableSlots(now));
+    while (scheduler_->size() > 0 && running_ < usableSlots(now)) {
         const auto connection = pool_.take();
         if (!connection)
             break;
--- a/tests/entry/TestEntryRouter.cpp
+++ b/tests/entry/TestEntryRouter.cpp
@@ -75,6 +75,20 @@
     cr_assert(!f.forwarder.sent.at(0).request.needsConfirmedLeadership);
 }
 
+// Guards P7: a replica that the VM list shows as leaving must get no new reads; the rest of the group takes them.
+Test(EntryRouter, readsAvoidLeavingReplicas)
+{
+    RouterFixture f;
+    f.snapshot->leavingEndpoints = { EndpointId("ledger-1-b") };
+    f.send("buyer", OperationKind::Read);
+    cr_assert(f.forwarder.sent.at(0).request.endpoint == EndpointId("ledger-1-c"));
+    f.forwarder.fail(0, ForwardErrorCode::Behind, Outcome::NotRun, f.timers.now());
+    cr_assert(f.forwarder.sent.at(1).request.endpoint == EndpointId("ledger-1-a"));
+    f.snapshot->leavingEndpoints.insert(EndpointId("ledger-1-c"));
+    f.send("buyer", OperationKind::Read);
+    cr_assert(f.forwarder.sent.at(2).request.endpoint == EndpointId("ledger-1-a"));
+}
+
 // Guards against a read that fails because one replica is behind: the other replica and then the primary are tried.
 Test(EntryRouter, readFallsBackFromReplicasToPrimary)
 {
@@ -119,6 +133,23 @@
     cr_assert(f.forwarder.sent[0].request.requestId == f.forwarder.sent[1].request.requestId);
 }
 
+// Guards callers against a first result that is called a duplicate of an earlier request although only this daemon
+// repeated it; one without such a repeat is still reported.
+Test(EntryRouter, ownRepeatIsNotReportedAsADuplicate)
+{
+    RouterFixture f;
+    f.send("shed", OperationKind::Write);
+    f.forwarder.fail(0, ForwardErrorCode::NotConfirmed, Outcome::Unknown, f.timers.now());
+    f.timers.advance(Milliseconds(100));
+    f.send("clerk", OperationKind::Write, "", "order-1");
+    ForwardReply reply;
+    reply.result = ForwardSuccess { { 1, 7 }, std::nullopt, TransactionId(), true, false, {} };
+    f.forwarder.sent.at(1).callback(reply, f.timers.now());
+    f.forwarder.sent.at(2).callback(reply, f.timers.now());
+    cr_assert(!std::get<CallerSuccess>(f.replies.at(0).result).isDuplicate);
+    cr_assert(std::get<CallerSuccess>(f.replies.at(1).result).isDuplicate);
+}
+
 // Guards P5: once an attempt may have run, a later refusal must not be reported as not run.
 Test(EntryRouter, neverSaysNotRunAfterAnAttemptOfUnknownOutcome)
 {
@@ -241,3 +272,25 @@
     f.router.handle(request, f.timers.now(), [&](CallerReply reply) { f.replies.push_back(std::move(reply)); });
     cr_assert(f.error(0).code == CallerErrorCode::TransactionLost);
 }
+
+// Guards a caller against a transaction that seems to go on although its daemon died: it is told once that is known.
+Test(EntryRouter, transactionOfAnUnreachableDaemonIsReportedAsLost)
+{
+    RouterFixture f;
+    CallerRequest request;
+    request.kind = ForwardKind::Commit;
+    request.caller = CallerId("clerk");
+    request.database = database;
+    request.transaction = TransactionId("vm-3.17");
+    f.router.handle(request, f.timers.now(), [&](CallerReply reply) { f.replies.push_back(std::move(reply)); });
+    f.forwarder.fail(0, ForwardErrorCode::EndpointUnavailable, Outcome::NotRun, f.timers.now());
+    f.timers.advance(Milliseconds(50));
+    cr_assert(f.replies.empty());
+    auto next = std::make_shared<Snapshot>(*f.snapshot);
+    next->members.daemons.pop_back();
+    f.router.setSnapshot(next);
+    f.forwarder.fail(1, ForwardErrorCode::EndpointUnavailable, Outcome::NotRun, f.timers.now());
+    f.timers.advance(Milliseconds(200));
+    cr_assert(f.error(0).code == CallerErrorCode::TransactionLost);
+    cr_assert(f.error(0).outcome == Outcome::NotRun);
+}
--- a/tests/serving/TestServedEndpoint.cpp
+++ b/tests/serving/TestServedEndpoint.cpp
@@ -411,3 +411,63 @@
     cr_assert(f.error(2).code == ForwardErrorCode::EndpointUnavailable);
     cr_assert(f.error(2).outcome == Outcome::NotRun);
 }
+
+// Guards P7: queued and new reads must leave a replica that is shown as leaving, also those of daemons that do not know
+// it yet.
+Test(ServedEndpoint, leavingReplicaRunsNoNewReads)
+{
+    ServingFixture f;
+    f.snapshot->primaries[database] = { database, 1, EndpointId("ledger-1-b") };
+    f.start();
+    for (int i = 0; i < 3; ++i)
+        f.submit(OperationKind::Read);
+    const std::size_t started = f.server(1).calls.size();
+    cr_assert(started < 3, "the third read must queue behind two slots");
+    f.snapshot->leavingEndpoints = { here };
+    f.publish();
+    f.submit(OperationKind::Read);
+    for (const std::size_t index : { 2, 3 }) {
+        cr_assert(f.replies[index].has_value());
+        cr_assert(f.error(index).code == ForwardErrorCode::Behind);
+        cr_assert(f.error(index).outcome == Outcome::NotRun);
+    }
+    f.server(1).answer(0, { 1, 9 }, EndpointRole::Replica);
+    cr_assert(f.isSuccess(0));
+    cr_assert(f.server(1).calls.size() == started);
+}
+
+// Guards a group whose leaving primary has not handed over yet: it goes on serving.
+Test(ServedEndpoint, leavingPrimaryServesUntilItHandsOver)
+{
+    ServingFixture f;
+    f.server(2).status.promisedTerm = 1;
+    f.server(3).status.promisedTerm = 1;
+    f.snapshot->leavingEndpoints = { here };
+    f.start();
+    f.submit(OperationKind::Read);
+    f.server(1).answer(0, { 1, 7 });
+    cr_assert(f.isSuccess(0));
+}
+
+// Guards against statements that wait for the end of idle transactions, which take every slot once slow answers have
+// shrunk the limit.
+Test(ServedEndpoint, idleTransactionsLeaveASlotOfAShrunkLimit)
+{
+    ServingFixture f;
+    f.snapshot->primaries[database] = { database, 1, here };
+    f.start();
+    const auto runWrites = [&](int count, Duration latency) {
+        for (int i = 0; i < count; ++i) {
+            f.submit(OperationKind::Write);
+            f.timers.advance(latency);
+            f.server(1).answer(f.server(1).calls.size() - 1, { 1, 7 });
+        }
+    };
+    runWrites(100, Milliseconds(4));
+    runWrites(60, Milliseconds(200));
+    f.submit(OperationKind::Write, ForwardKind::Begin);
+    f.server(1).answer(f.server(1).calls.size() - 1, { 1, 7 });
+    const std::size_t before = f.server(1).calls.size();
+    f.submit(OperationKind::Write);
+    cr_assert(f.server(1).calls.size() == before + 1, "the write waits although a slot is free");
+}
