--- a/src/control/ControlLoop.cpp
+++ b/src/control/ControlLoop.cpp
@@ -13,8 +13,11 @@
     constexpr Milliseconds vmListTimeout { 2000 };
     constexpr Milliseconds seedContactInterval { 1000 };
 
-    /** Bytes of one probe with its answer, TCP and IP headers included, as measured (docs/CAPACITY.md). */
-    constexpr double probeBytes = 700;
+    /**
+     * Bytes of a group's probes in one interval: 490 for each with its answer (docs/CAPACITY.md), one probe of the
+     * primary and a fifth of one for each of two replicas.
+     */
+    constexpr double probeBytesOfGroup = 700;
     /** Half of the control budget of 5 KB/s. */
     constexpr double probeBytesPerSecond = 2500;
 
@@ -185,7 +188,7 @@
 FailoverSettings ControlLoop::settingsForLoad(std::size_t groups) const
 {
     FailoverSettings settings = context_.failover;
-    const double seconds = static_cast<double>(groups) * probeBytes / probeBytesPerSecond;
+    const double seconds = static_cast<double>(groups) * probeBytesOfGroup / probeBytesPerSecond;
     const auto affordable = std::chrono::duration_cast<Milliseconds>(std::chrono::duration<double>(seconds));
     settings.probeInterval = std::max(settings.probeInterval, affordable);
     return settings;
