Keep the observers of groups that a new configuration does not change

Cause: each new configuration destroyed all observers, so a change of a rule made the primary unknown until the next answer and gave up a primary change under way; at the design size that is every 25 s. Change: an observer stays unless its group's servers, their VMs, failure domains or addresses changed.

--- a/include/almondlever/control/ControlLoop.h
+++ b/include/almondlever/control/ControlLoop.h
@@ -77,6 +77,7 @@
     void onVmList(const std::vector<VmListEntry>&, TimePoint now);
     void contactSeeds(TimePoint now);
     void adopt(const ConfigurationCandidate&, TimePoint now);
+    void removeOutdatedObservers(const Configuration* previous);
     void spreadConfiguration(TimePoint now);
     void followMembership(TimePoint now);
     void placeObservers(TimePoint now);
--- a/src/control/ControlLoop.cpp
+++ b/src/control/ControlLoop.cpp
@@ -21,6 +21,15 @@
     /** Half of the control budget of 5 KB/s. */
     constexpr double probeBytesPerSecond = 2500;
 
+    /** True when an observer of the one group can go on with the other. */
+    bool isSameGroup(const DatabaseDescription& left, const DatabaseDescription& right)
+    {
+        return std::equal(left.endpoints.begin(), left.endpoints.end(), right.endpoints.begin(), right.endpoints.end(),
+            [](const EndpointDescription& a, const EndpointDescription& b) {
+                return a.id == b.id && a.vm == b.vm && a.failureDomain == b.failureDomain && a.address == b.address;
+            });
+    }
+
     LiveDaemon toDaemon(const PeerIdentity& peer) { return { peer.id, peer.failureDomain, peer.address, false }; }
 
 } // namespace
@@ -132,12 +141,13 @@
             { { "version", std::to_string(candidate.version) }, { "detail", decoded.error() } });
         return;
     }
+    const std::shared_ptr<const Configuration> previous = configuration_;
     configuration_ = std::make_shared<const Configuration>(decoded.value());
     spread_.hold(candidate.version, candidate.bytes);
     membership_.setConfigurationVersion(candidate.version);
     watcher_.setKnown();
     placement_ = std::make_unique<PlacementIndex>(configuration_);
-    observers_.clear();
+    removeOutdatedObservers(previous.get());
     seenRevision_ = 0;
     logInfo("configuration_in_force",
         { { "version", std::to_string(candidate.version) }, { "deployment", configuration_->deployment } });
@@ -145,6 +155,17 @@
     publishIfChanged();
 }
 
+void ControlLoop::removeOutdatedObservers(const Configuration* previous)
+{
+    // An observer that starts anew forgets the primary and gives up a change under way, so the others are kept.
+    for (auto entry = observers_.begin(); entry != observers_.end();) {
+        const DatabaseDescription* before = previous ? previous->findDatabase(entry->first) : nullptr;
+        const DatabaseDescription* after = configuration_->findDatabase(entry->first);
+        const bool isKept = before && after && isSameGroup(*before, *after);
+        entry = isKept ? std::next(entry) : observers_.erase(entry);
+    }
+}
+
 void ControlLoop::spreadConfiguration(TimePoint now)
 {
     const ConfigurationHolder& newest = membership_.newestConfiguration();
