--- a/src/control/ControlLoop.cpp
+++ b/src/control/ControlLoop.cpp
@@ -13,11 +13,23 @@
     constexpr Milliseconds vmListTimeout { 2000 };
     constexpr Milliseconds seedContactInterval { 1000 };
 
-    /** Bytes of one probe with its answer, TCP and IP headers included, as measured (docs/CAPACITY.md). */
-    constexpr double probeBytes = 700;
+    /**
+     * Bytes of a group's probes in one interval: 490 for each with its answer (docs/CAPACITY.md), one probe of the
+     * primary and a fifth of one for each of two replicas.
+     */
+    constexpr double probeBytesOfGroup = 700;
     /** Half of the control budget of 5 KB/s. */
     constexpr double probeBytesPerSecond = 2500;
 
+    /** True when an observer of the one group can go on with the other. */
+    bool isSameGroup(const DatabaseDescription& left, const DatabaseDescription& right)
+    {
+        return std::equal(left.endpoints.begin(), left.endpoints.end(), right.endpoints.begin(), right.endpoints.end(),
+            [](const EndpointDescription& a, const EndpointDescription& b) {
+                return a.id == b.id && a.vm == b.vm && a.failureDomain == b.failureDomain && a.address == b.address;
+            });
+    }
+
     LiveDaemon toDaemon(const PeerIdentity& peer) { return { peer.id, peer.failureDomain, peer.address, false }; }
 
 } // namespace
@@ -162,16 +174,11 @@
 
 void ControlLoop::dropOutdatedObservers(const Configuration* previous)
 {
-    const auto sameServer = [](const EndpointDescription& a, const EndpointDescription& b) {
-        return a.id == b.id && a.address == b.address && a.vm == b.vm && a.failureDomain == b.failureDomain;
-    };
     for (auto entry = observers_.begin(); entry != observers_.end();) {
         const DatabaseDescription* before = previous ? previous->findDatabase(entry->first) : nullptr;
         const DatabaseDescription* after = configuration_->findDatabase(entry->first);
         // An observer that goes on knows its primary, so that writes do not wait at every change of the rules.
-        const bool isSame = before && after
-            && std::equal(before->endpoints.begin(), before->endpoints.end(), after->endpoints.begin(),
-                after->endpoints.end(), sameServer);
+        const bool isSame = before && after && isSameGroup(*before, *after);
         if (!isSame)
             notePrimaryOf(*entry->second);
         entry = isSame ? std::next(entry) : observers_.erase(entry);
@@ -221,7 +228,7 @@
 FailoverSettings ControlLoop::settingsForLoad(std::size_t groups) const
 {
     FailoverSettings settings = context_.failover;
-    const double seconds = static_cast<double>(groups) * probeBytes / probeBytesPerSecond;
+    const double seconds = static_cast<double>(groups) * probeBytesOfGroup / probeBytesPerSecond;
     const auto affordable = std::chrono::duration_cast<Milliseconds>(std::chrono::duration<double>(seconds));
     settings.calmProbeInterval = std::max(settings.probeInterval, affordable);
     return settings;
