--- a/fuzz/FuzzSessionToken.cpp
+++ b/fuzz/FuzzSessionToken.cpp
@@ -1,6 +1,4 @@
 // libFuzzer target: no input may crash the decoder, and no input that it accepts may change when written again.
-// Build: clang++-14 -std=c++17 -fsanitize=fuzzer,address -Iinclude fuzz/FuzzSessionToken.cpp
-//        src/consistency/SessionToken.cpp -lcrypto -o build/FuzzSessionToken
 #include "almondlever/consistency/SessionToken.h"
 
 #include <cstdint>
