Keep the HMAC context of session tokens

HMAC() of OpenSSL 3 looks the algorithm up in each call, twice per request. The codec now keeps one keyed context.

--- a/include/almondlever/consistency/SessionToken.h
+++ b/include/almondlever/consistency/SessionToken.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <map>
+#include <memory>
 #include <string>
 
 namespace almondlever {
@@ -43,18 +44,23 @@
 
 /**
  * Writes and reads session tokens: base64url of CBOR, signed with HMAC-SHA-256 under a key derived from the cluster
- * key.
+ * key. Used by one thread at a time.
  */
 class SessionTokenCodec {
 public:
     explicit SessionTokenCodec(const std::string& clusterKey);
+    ~SessionTokenCodec();
+    SessionTokenCodec(const SessionTokenCodec&) = delete;
+    SessionTokenCodec& operator=(const SessionTokenCodec&) = delete;
 
     /** The token; drops the lowest positions, and marks the state as truncated, when it would exceed the bound. */
     std::string encode(const SessionState&) const;
     Result<SessionState, TokenError> decode(const std::string& token) const;
 
 private:
-    std::string signingKey_;
+    class Signer;
+
+    std::unique_ptr<Signer> signer_;
     std::string keyName_;
 };
 
--- a/src/consistency/SessionToken.cpp
+++ b/src/consistency/SessionToken.cpp
@@ -3,7 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
-#include <openssl/hmac.h>
+#include <openssl/params.h>
 
 #include <algorithm>
 #include <array>
@@ -23,17 +23,10 @@
     constexpr std::size_t headerBytes = 1 + keyNameBytes + lengthBytes;
     constexpr std::size_t signatureBytes = 32;
 
-    std::string sign(const std::string& key, const std::string& text)
-    {
-        std::array<unsigned char, signatureBytes> digest {};
-        unsigned int length = 0;
-        const auto* bytes = reinterpret_cast<const unsigned char*>(text.data());
-        const unsigned char* made
-            = HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()), bytes, text.size(), digest.data(), &length);
-        assert(made != nullptr && length == signatureBytes);
-        (void)made;
-        return std::string(digest.begin(), digest.end());
-    }
+    struct MacDeleter {
+        void operator()(EVP_MAC* mac) const { EVP_MAC_free(mac); }
+        void operator()(EVP_MAC_CTX* context) const { EVP_MAC_CTX_free(context); }
+    };
 
     std::string encodeBase64Url(const std::string& bytes)
     {
@@ -118,6 +111,41 @@
 
 } // namespace
 
+/** HMAC-SHA-256 under one key. The context is kept, since looking up the algorithm costs more than signing a token. */
+class SessionTokenCodec::Signer {
+public:
+    explicit Signer(const std::string& key)
+        : mac_(EVP_MAC_fetch(nullptr, "HMAC", nullptr))
+        , context_(EVP_MAC_CTX_new(mac_.get()))
+    {
+        std::string digest = "SHA256";
+        const std::array<OSSL_PARAM, 2> parameters { OSSL_PARAM_construct_utf8_string("digest", digest.data(), 0),
+            OSSL_PARAM_construct_end() };
+        const auto* bytes = reinterpret_cast<const unsigned char*>(key.data());
+        const int isReady = EVP_MAC_init(context_.get(), bytes, key.size(), parameters.data());
+        assert(isReady == 1);
+        (void)isReady;
+    }
+
+    std::string sign(const char* text, std::size_t size) const
+    {
+        std::string digest(signatureBytes, '\0');
+        std::size_t length = 0;
+        // Without a key the context starts again with the one it has.
+        const bool isSigned = EVP_MAC_init(context_.get(), nullptr, 0, nullptr) == 1
+            && EVP_MAC_update(context_.get(), reinterpret_cast<const unsigned char*>(text), size) == 1
+            && EVP_MAC_final(context_.get(), reinterpret_cast<unsigned char*>(&digest[0]), &length, digest.size()) == 1;
+        assert(isSigned && length == signatureBytes);
+        (void)isSigned;
+        return digest;
+    }
+    std::string sign(const std::string& text) const { return sign(text.data(), text.size()); }
+
+private:
+    std::unique_ptr<EVP_MAC, MacDeleter> mac_;
+    std::unique_ptr<EVP_MAC_CTX, MacDeleter> context_;
+};
+
 void SessionState::observe(const DatabaseId& database, LogPosition position)
 {
     LogPosition& known = positions[database];
@@ -144,11 +172,14 @@
 }
 
 SessionTokenCodec::SessionTokenCodec(const std::string& clusterKey)
-    : signingKey_(sign(clusterKey, "almondlever session token 1: signing key"))
-    , keyName_(sign(clusterKey, "almondlever session token 1: key name").substr(0, keyNameBytes))
 {
+    const Signer derivation(clusterKey);
+    signer_ = std::make_unique<Signer>(derivation.sign("almondlever session token 1: signing key"));
+    keyName_ = derivation.sign("almondlever session token 1: key name").substr(0, keyNameBytes);
 }
 
+SessionTokenCodec::~SessionTokenCodec() = default;
+
 std::string SessionTokenCodec::encode(const SessionState& state) const
 {
     SessionState kept = state;
@@ -164,7 +195,7 @@
     bytes += static_cast<char>(content.size() >> 8U);
     bytes += static_cast<char>(content.size() & 0xffU);
     bytes += content;
-    bytes += sign(signingKey_, bytes);
+    bytes += signer_->sign(bytes);
     return encodeBase64Url(bytes);
 }
 
@@ -190,7 +221,7 @@
         return TokenError::Malformed;
     if (bytes.compare(1, keyNameBytes, keyName_) != 0)
         return TokenError::OtherCluster;
-    const std::string expected = sign(signingKey_, bytes.substr(0, signedBytes));
+    const std::string expected = signer_->sign(bytes.data(), signedBytes);
     if (CRYPTO_memcmp(expected.data(), bytes.data() + signedBytes, signatureBytes) != 0)
         return TokenError::BadSignature;
     const std::optional<SessionState> state = fromCbor(bytes.substr(headerBytes, contentBytes));
