Write statements and answers without a tree of JSON values

Each statement built two nlohmann trees only to print them. JsonWriter appends the members to one string; reading is unchanged.

--- a/src/caller_api/CallerApi.cpp
+++ b/src/caller_api/CallerApi.cpp
@@ -1,6 +1,7 @@
 #include "almondlever/caller_api/CallerApi.h"
 
 #include "ProblemDetails.h"
+#include "almondlever/common/JsonWriter.h"
 
 #include <charconv>
 #include <nlohmann/json.hpp>
@@ -116,19 +117,21 @@
 
     HttpResponse successResponse(const CallerSuccess& success, const RequestId& requestId)
     {
-        Json body { { "outcome", "run" }, { "request_id", requestId.text() } };
+        JsonWriter body;
+        body.add("outcome", "run");
+        body.add("request_id", requestId.text());
         if (success.value)
-            body["value"] = *success.value;
+            body.add("value", *success.value);
         if (!success.transaction.isEmpty())
-            body["transaction"] = success.transaction.text();
+            body.add("transaction", success.transaction.text());
         if (success.isDuplicate)
-            body["duplicate"] = true;
+            body.add("duplicate", true);
         if (success.position.term > 0)
-            body["position"] = { success.position.term, success.position.index };
-        body["from"] = success.isFromReplica ? "replica" : "primary";
+            body.add("position", success.position.term, success.position.index);
+        body.add("from", success.isFromReplica ? "replica" : "primary");
         if (success.isFromReplica)
-            body["staleness_ms"] = success.staleness.count();
-        return textResponse(200, "application/json", body.dump());
+            body.add("staleness_ms", static_cast<std::int64_t>(success.staleness.count()));
+        return textResponse(200, "application/json", body.finish());
     }
 
 } // namespace
--- a/src/endpoints/HttpEndpointCodec.cpp
+++ b/src/endpoints/HttpEndpointCodec.cpp
@@ -1,5 +1,7 @@
 #include "HttpEndpointCodec.h"
 
+#include "almondlever/common/JsonWriter.h"
+
 #include <nlohmann/json.hpp>
 
 namespace almondlever {
@@ -60,15 +62,19 @@
 
 std::string encodeStatement(const EndpointStatement& statement)
 {
-    Json body { { "request_id", statement.requestId.text() }, { "op", toText(statement.kind) },
-        { "key", statement.key }, { "claim_epoch", statement.claimEpoch }, { "term", statement.term } };
+    JsonWriter body;
+    body.add("request_id", statement.requestId.text());
+    body.add("op", toText(statement.kind));
+    body.add("key", statement.key);
+    body.add("claim_epoch", statement.claimEpoch);
+    body.add("term", statement.term);
     if (statement.kind == OperationKind::Write)
-        body["value"] = statement.value;
+        body.add("value", statement.value);
     if (statement.minimumPosition != LogPosition {})
-        body["minimum_position"] = { statement.minimumPosition.term, statement.minimumPosition.index };
+        body.add("minimum_position", statement.minimumPosition.term, statement.minimumPosition.index);
     if (statement.maximumStaleness)
-        body["maximum_staleness_ms"] = statement.maximumStaleness->count();
-    return body.dump();
+        body.add("maximum_staleness_ms", static_cast<std::int64_t>(statement.maximumStaleness->count()));
+    return body.finish();
 }
 
 Result<EndpointStatement, std::string> decodeStatement(const std::string& text)
