--- a/src/entry/EntryRouter.cpp
+++ b/src/entry/EntryRouter.cpp
@@ -336,7 +336,8 @@
 
 void EntryRouter::succeed(const ExchangePtr& exchange, const ForwardSuccess& success, TimePoint now)
 {
-    if (success.position.term > 0)
+    const bool isNews = success.position.term > 0 && exchange->minimumPosition() < success.position;
+    if (isNews)
         exchange->session.observe(exchange->request.database, success.position);
     const std::string rank
         = "rank=\"" + exchange->snapshot->configuration->ranks[exchange->rule->rank].name.text() + '"';
@@ -346,7 +347,9 @@
     CallerReply reply;
     reply.result = CallerSuccess { success.value, success.transaction, success.isDuplicate, success.isFromReplica,
         success.position, success.staleness };
-    reply.sessionToken = tokenCodec_.encode(exchange->session);
+    // Signing costs more than copying, and reads often show a session nothing new.
+    reply.sessionToken
+        = exchange->hasToken && !isNews ? exchange->request.sessionToken : tokenCodec_.encode(exchange->session);
     finish(exchange, std::move(reply), now);
 }
 
