End idle transactions sooner while requests wait for a slot

The limit is 1 s while requests wait. The cause is a conclusion from the workload and the transaction limits; the effect on the flood is not yet measured.

--- a/include/almondlever/serving/ServedEndpoint.h
+++ b/include/almondlever/serving/ServedEndpoint.h
@@ -27,6 +27,11 @@
     std::size_t controlReserve = 9;
     /** An open transaction without a statement for this long is rolled back. */
     Milliseconds transactionIdleLimit { 5000 };
+    /**
+     * The same while requests wait in the queue. In a flood with abandoned transactions the longer limit left one slot
+     * of five to all statements.
+     */
+    Milliseconds transactionIdleLimitWhenQueued { 1000 };
     /** An open transaction is rolled back after this time in any case. */
     Milliseconds transactionLifeLimit { 30000 };
     /** Longest time that a read waits for a replica to reach its position. */
--- a/src/serving/ServedEndpoint.cpp
+++ b/src/serving/ServedEndpoint.cpp
@@ -435,9 +435,13 @@
 
 void ServedEndpoint::endIdleTransactions(TimePoint now)
 {
+    const bool isSlotWanted = scheduler_->size() > 0 || !held_.empty();
+    const Duration idleLimit = isSlotWanted
+        ? std::min(context_.settings.transactionIdleLimit, context_.settings.transactionIdleLimitWhenQueued)
+        : context_.settings.transactionIdleLimit;
     std::vector<TransactionId> ended;
     for (const auto& [id, transaction] : transactions_) {
-        const bool isIdle = !transaction.isBusy && now - transaction.lastUsed > context_.settings.transactionIdleLimit;
+        const bool isIdle = !transaction.isBusy && now - transaction.lastUsed > idleLimit;
         const bool isTooOld = !transaction.isBusy && now - transaction.beganAt > context_.settings.transactionLifeLimit;
         if (isIdle || isTooOld)
             ended.push_back(id);
--- a/tests/serving/TestServedEndpoint.cpp
+++ b/tests/serving/TestServedEndpoint.cpp
@@ -283,6 +283,25 @@
     cr_assert(f.server(1).calls.size() == 3);
 }
 
+// Guards slots in a flood: a forgotten transaction must not keep its slot for the longer limit while another waits.
+Test(ServedEndpoint, idleTransactionIsEndedSoonerWhenASlotIsWanted)
+{
+    ServingFixture f;
+    f.start();
+    f.submit(OperationKind::Write, ForwardKind::Begin);
+    f.server(1).answer(0, {});
+    const TransactionId id = std::get<ForwardSuccess>(f.replies[0]->result).transaction;
+    f.tick(Milliseconds(500));
+    f.submit(OperationKind::Write, ForwardKind::Begin);
+    f.tick(Milliseconds(450));
+    cr_assert(f.server(1).calls.size() == 1, "the first transaction is within its limit");
+    f.tick(Milliseconds(100));
+    f.tick();
+    cr_assert(f.server(1).calls.size() == 2);
+    f.submit(OperationKind::Write, ForwardKind::Statement, id);
+    cr_assert(f.error(2).code == ForwardErrorCode::TransactionLost);
+}
+
 // Guards P8: when the placement moves an endpoint, waiting requests are told "not run" and running ones finish first.
 Test(ServedEndpoint, handOverRedirectsWaitingAndFinishesRunning)
 {
