--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -25,6 +25,9 @@
 floods=(lowest urgent both)
 if [ -n "$short" ]; then changes=3 before_s=3 flood_s=6 after_s=2 floods=(lowest urgent); fi
 
+# Before the runs, since the branch may go on while they last.
+commit=$(git describe --always --dirty)
+
 work=$(mktemp -d "${TMPDIR:-/tmp}/almondlever-measure.XXXXXX")
 run_pid=
 # Bash starts background jobs with SIGINT ignored, so an interrupted script passes the end on.
@@ -141,7 +144,7 @@
 
 runs=$(for file in "$work"/changes.json "$work"/flood_*.json; do jq --arg name "$(basename "$file" .json)" '{ ($name): . }' "$file"; done | jq -s add)
 jq -n --argjson throughput "$throughput" --slurpfile schedulers "$work/schedulers.json" --slurpfile runs <(echo "$runs") \
-  --arg deployment "$deployment" --arg commit "$(git describe --always --dirty)" --argjson seed "$seed" --arg command "scripts/measure.sh $arguments" \
+  --arg deployment "$deployment" --arg commit "$commit" --argjson seed "$seed" --arg command "scripts/measure.sh $arguments" \
   --arg machine "$(nproc) cores, $(sed -n 's/^model name.*: //p' /proc/cpuinfo | head -1)" --arg measured_at "$(date -u +%FT%TZ)" \
   --argjson daemons "$daemon_count" -f scripts/measure_report.jq >"$out/report.json"
 scripts/measure_plots.sh "$out"
