Send reads past replicas whose queue is longer than the deadline

In the flood of kavango's lowest rank slots were 67 % busy (target 95 %) while replicas refused 48,000 attempts: reads were refused by the replicas and the primaries' slots idled, since a refused read goes on only within the retry budget. The entry daemon now passes over endpoints whose last told wait exceeds the deadline. The effect on the flood is not yet measured.

--- a/src/entry/EntryRouter.cpp
+++ b/src/entry/EntryRouter.cpp
@@ -210,7 +210,15 @@
         exchange->excluded.clear();
         return routeAgainLater(exchange);
     }
-    forward(exchange, order.front(), order.front() == primary ? "replicas_exhausted" : "best_replica", now);
+    // Owners refuse what cannot finish in time, so a replica with too long a queue is passed over for the next one or
+    // the primary. Without this the primaries' slots idled in a flood of reads while the replicas refused them.
+    const auto hasRoom = [&](const EndpointId& endpoint) {
+        const auto wait = knowledge_.expectedWait(endpoint, exchange->rule->rank, now);
+        return !wait || now + *wait < exchange->deadline;
+    };
+    const auto chosen = std::find_if(order.begin(), order.end(), hasRoom);
+    const EndpointId& endpoint = chosen == order.end() ? order.front() : *chosen;
+    forward(exchange, endpoint, endpoint == primary ? "replicas_exhausted" : "best_replica", now);
 }
 
 void EntryRouter::routeWrite(const ExchangePtr& exchange, TimePoint now)
--- a/tests/entry/TestEntryRouter.cpp
+++ b/tests/entry/TestEntryRouter.cpp
@@ -75,6 +75,22 @@
     cr_assert(!f.forwarder.sent.at(0).request.needsConfirmedLeadership);
 }
 
+// Guards the slots of primaries in a flood of reads: they must not idle while the replicas' queues exceed the deadline.
+Test(EntryRouter, readGoesToThePrimaryWhenTheReplicasHaveNoRoom)
+{
+    RouterFixture f;
+    for (std::size_t index = 0; index < 2; ++index) {
+        f.send("buyer", OperationKind::Read);
+        cr_assert(f.forwarder.sent.at(index).request.endpoint != EndpointId("ledger-1-a"));
+        ForwardReply reply;
+        reply.result = ForwardSuccess { {}, "value", TransactionId(), false, true, {} };
+        reply.expectedWait = { Milliseconds(0), Milliseconds(0), Milliseconds(5000) };
+        f.forwarder.sent[index].callback(std::move(reply), f.timers.now());
+    }
+    f.send("buyer", OperationKind::Read);
+    cr_assert(f.forwarder.sent.at(2).request.endpoint == EndpointId("ledger-1-a"));
+}
+
 // Guards against a read that fails because one replica is behind: the other replica and then the primary are tried.
 Test(EntryRouter, readFallsBackFromReplicasToPrimary)
 {
