--- a/programs/measure/HttpLoad.cpp
+++ b/programs/measure/HttpLoad.cpp
@@ -141,7 +141,8 @@
     {
         if (latencies.empty())
             return 0;
-        const auto at = std::min(latencies.size() - 1, static_cast<std::size_t>(share * latencies.size()));
+        const auto at
+            = std::min(latencies.size() - 1, static_cast<std::size_t>(share * static_cast<double>(latencies.size())));
         std::nth_element(latencies.begin(), latencies.begin() + static_cast<std::ptrdiff_t>(at), latencies.end());
         return std::chrono::duration<double, std::milli>(latencies[at]).count();
     }
