--- a/src/entry/EntryRouter.cpp
+++ b/src/entry/EntryRouter.cpp
@@ -210,7 +210,15 @@
         exchange->excluded.clear();
         return routeAgainLater(exchange);
     }
-    forward(exchange, order.front(), order.front() == primary ? "replicas_exhausted" : "best_replica", now);
+    // Owners refuse what cannot finish in time, so a replica with too long a queue is passed over for the next one or
+    // the primary. Without this the primaries' slots idled in a flood of reads while the replicas refused them.
+    const auto hasRoom = [&](const EndpointId& endpoint) {
+        const auto wait = knowledge_.expectedWait(endpoint, exchange->rule->rank, now);
+        return !wait || now + *wait < exchange->deadline;
+    };
+    const auto chosen = std::find_if(order.begin(), order.end(), hasRoom);
+    const EndpointId& endpoint = chosen == order.end() ? order.front() : *chosen;
+    forward(exchange, endpoint, endpoint == primary ? "replicas_exhausted" : "best_replica", now);
 }
 
 std::vector<EndpointId> EntryRouter::excludedFrom(const Exchange& exchange, const EndpointId& primary) const
@@ -350,7 +358,8 @@
 
 void EntryRouter::succeed(const ExchangePtr& exchange, const ForwardSuccess& success, TimePoint now)
 {
-    if (success.position.term > 0)
+    const bool isNews = success.position.term > 0 && exchange->minimumPosition() < success.position;
+    if (isNews)
         exchange->session.observe(exchange->request.database, success.position);
     const std::string rank
         = "rank=\"" + exchange->snapshot->configuration->ranks[exchange->rule->rank].name.text() + '"';
@@ -362,7 +371,9 @@
     CallerReply reply;
     reply.result = CallerSuccess { success.value, success.transaction, isDuplicate, success.isFromReplica,
         success.position, success.staleness };
-    reply.sessionToken = tokenCodec_.encode(exchange->session);
+    // Signing costs more than copying, and reads often show a session nothing new.
+    reply.sessionToken
+        = exchange->hasToken && !isNews ? exchange->request.sessionToken : tokenCodec_.encode(exchange->session);
     finish(exchange, std::move(reply), now);
 }
 
