Count attempts without an answer when not_run is checked against the log

Cause: the checker joined the attempts of a request by its id. An attempt that the client gave up on has no id, so that a write which ran in it was blamed on a later attempt that was refused. The runs with AddressSanitizer broke off with false_not_run. Change: an attempt of unknown outcome and without an id counts for all attempts with the same first attempt; a test covers that and that another request's attempt excuses nothing.

--- a/programs/load/HistoryCheckerEnd.cpp
+++ b/programs/load/HistoryCheckerEnd.cpp
@@ -3,6 +3,7 @@
 #include "SessionChecker.h"
 
 #include <algorithm>
+#include <set>
 #include <sstream>
 #include <unordered_map>
 
@@ -134,13 +135,19 @@
     for (const auto& [requestId, places] : requests)
         checkLoggedRequest(requestId, log, places);
 
+    // An attempt without an answer has no request id; the number of the first attempt tells which request it repeated.
+    std::set<std::uint64_t> unanswered;
+    for (const Operation& operation : history_.operations) {
+        if (operation.requestId.empty() && operation.outcome != Outcome::NotRun)
+            unanswered.insert(operation.firstAttempt);
+    }
     std::unordered_map<std::string, bool> mayHaveRun;
     std::unordered_map<std::string, std::uint64_t> numbers;
     for (const Operation& operation : history_.operations) {
         if (operation.requestId.empty() || operation.database != log.database)
             continue;
         bool& may = mayHaveRun[operation.requestId];
-        may = may || operation.outcome != Outcome::NotRun;
+        may = may || operation.outcome != Outcome::NotRun || unanswered.count(operation.firstAttempt) > 0;
         numbers[operation.requestId] = operation.number;
     }
     for (const auto& [requestId, may] : mayHaveRun) {
--- a/tests/load/TestHistoryChecker.cpp
+++ b/tests/load/TestHistoryChecker.cpp
@@ -211,6 +211,25 @@
     cr_assert(byLog.findsOnly(ViolationKind::FalseNotRun));
 }
 
+// Guards against a repeat that was refused being blamed for the write of an attempt that got no answer and hence no
+// request id.
+Test(HistoryChecker, allowsNotRunBesideUnansweredAttempt)
+{
+    HistoryBuilder history;
+    Operation& unanswered = history.failedWrite("clerk", "a", "a1", Outcome::Unknown);
+    unanswered.idempotencyKey = "k1";
+    unanswered.requestId.clear();
+    Operation& refused = history.failedWrite("clerk", "a", "a1", Outcome::NotRun);
+    refused.idempotencyKey = "k1";
+    refused.firstAttempt = unanswered.number;
+    history.log({ 1, 2 }, "a", refused.requestId);
+    cr_assert(history.isClean());
+
+    // The unanswered attempt of another request excuses nothing.
+    refused.firstAttempt = refused.number;
+    cr_assert(history.findsOnly(ViolationKind::FalseNotRun));
+}
+
 // Guards against a repeat after not_run being taken for evidence that the first attempt ran.
 Test(HistoryChecker, allowsRepeatAfterNotRun)
 {
