Send a changed configuration as a patch of the version that the peer holds

A patch that does not fit is followed by a request for the whole. Both fields are absent for older peers. Conclusion: a change in one place fits the budget; changes in distant places of more than 256 KiB between them are still sent whole.

--- a/include/almondlever/membership/ConfigurationSpread.h
+++ b/include/almondlever/membership/ConfigurationSpread.h
@@ -15,6 +15,10 @@
 /** Largest configuration that is fetched from a peer. */
 inline constexpr std::size_t maximumConfigurationBytes = 64 * 1024 * 1024;
 
+/** Earlier versions for which a patch can be sent; a day has 3,500 changes at design size, so these span some 13
+ * minutes. */
+inline constexpr std::size_t maximumPatchBases = 32;
+
 /** Sends a request for a chunk to a daemon. */
 struct ConfigRequestAction {
     VmId to;
@@ -30,8 +34,9 @@
 };
 
 /**
- * Fetches newer configurations from peers chunk by chunk, from one peer at a time, and serves the newest one held. A
- * state machine without input or output. The bytes are opaque. Never goes back to a lower version.
+ * Fetches newer configurations from peers, from one peer at a time, and serves the newest one held: as a patch when the
+ * asking peer holds one of the last versions, else whole and chunk by chunk. A state machine without input or output.
+ * The bytes are opaque. Never goes back to a lower version.
  */
 class ConfigurationSpread {
 public:
@@ -66,16 +71,30 @@
         std::size_t nextChunk = 0;
         std::string bytes;
         TimePoint askedAt;
+        /** False once a patch from this peer did not give the right bytes. */
+        bool acceptsPatch = true;
+    };
+    /** What the held version has in common with an earlier one. */
+    struct PatchBase {
+        std::uint64_t version = 0;
+        std::size_t keptAtStart = 0;
+        std::size_t keptAtEnd = 0;
     };
 
     std::optional<ConfigRequestAction> startFetch(TimePoint now);
     std::optional<ConfigRequestAction> giveUp(TimePoint now);
     ConfigRequestAction ask(TimePoint now);
+    void rememberBase(const std::string& newBytes);
+    std::optional<ConfigReply> makePatch(const ConfigRequest&) const;
+    std::optional<ConfigRequestAction> onPatch(const VmId& from, const ConfigReply&, TimePoint now);
     bool isRejected(std::uint64_t version, const VmId& from) const;
 
     Milliseconds replyTimeout_;
     std::uint64_t heldVersion_ = 0;
     std::string heldBytes_;
+    /** SHA-256 of the held bytes. */
+    std::string heldHash_;
+    std::vector<PatchBase> bases_;
     /** Peers known to hold a newer version, the ones to be asked first in front; bounded. */
     std::vector<ConfigurationHolder> holders_;
     std::vector<std::pair<std::uint64_t, VmId>> rejected_;
--- a/include/almondlever/wire/Messages.h
+++ b/include/almondlever/wire/Messages.h
@@ -158,6 +158,18 @@
     std::uint64_t knownVersion = 0;
     /** Index of the wanted chunk, counted from 0. */
     std::size_t chunk = 0;
+    /** True when the answer may be a patch of the known version. */
+    bool acceptsPatch = false;
+};
+
+/** Tells that the bytes replace the middle of an older version, whose start and end are kept. */
+struct ConfigPatch {
+    std::uint64_t baseVersion = 0;
+    /** Bytes kept at the start and at the end of the base. */
+    std::size_t keptAtStart = 0;
+    std::size_t keptAtEnd = 0;
+    /** SHA-256 of the whole result, 32 bytes. */
+    std::string sha256;
 };
 
 /** One chunk of a configuration as it is stored. */
@@ -166,6 +178,8 @@
     std::size_t chunk = 0;
     std::size_t chunkCount = 0;
     std::string bytes;
+    /** Set only in the single chunk of a patch. */
+    std::optional<ConfigPatch> patch = std::nullopt;
 };
 
 using Message
--- a/src/membership/ConfigurationSpread.cpp
+++ b/src/membership/ConfigurationSpread.cpp
@@ -1,6 +1,7 @@
 #include "almondlever/membership/ConfigurationSpread.h"
 
 #include <algorithm>
+#include <openssl/sha.h>
 
 namespace almondlever {
 
@@ -20,6 +21,14 @@
         return std::max<std::size_t>(1, (bytes + configurationChunkBytes - 1) / configurationChunkBytes);
     }
 
+    std::string hashOf(const std::string& bytes)
+    {
+        std::string hash(SHA256_DIGEST_LENGTH, '\0');
+        SHA256(reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
+            reinterpret_cast<unsigned char*>(hash.data()));
+        return hash;
+    }
+
 } // namespace
 
 ConfigurationSpread::ConfigurationSpread(Milliseconds replyTimeout)
@@ -31,8 +40,10 @@
 {
     if (version <= heldVersion_)
         return;
+    rememberBase(bytes);
     heldVersion_ = version;
     heldBytes_ = std::move(bytes);
+    heldHash_ = hashOf(heldBytes_);
     const auto isOld = [version](const ConfigurationHolder& holder) { return holder.version <= version; };
     holders_.erase(std::remove_if(holders_.begin(), holders_.end(), isOld), holders_.end());
     if (fetch_ && fetch_->holder.version <= version)
@@ -41,6 +52,27 @@
         received_.reset();
 }
 
+void ConfigurationSpread::rememberBase(const std::string& newBytes)
+{
+    if (heldVersion_ == 0)
+        return;
+    const std::size_t shorter = std::min(heldBytes_.size(), newBytes.size());
+    const auto startEnd = std::mismatch(
+        heldBytes_.begin(), heldBytes_.begin() + static_cast<std::ptrdiff_t>(shorter), newBytes.begin());
+    const auto atStart = static_cast<std::size_t>(startEnd.first - heldBytes_.begin());
+    const auto rest = static_cast<std::ptrdiff_t>(shorter - atStart);
+    const auto backEnd = std::mismatch(heldBytes_.rbegin(), heldBytes_.rbegin() + rest, newBytes.rbegin());
+    const auto atEnd = static_cast<std::size_t>(backEnd.first - heldBytes_.rbegin());
+    // What two steps both keep at an end is kept by both together.
+    for (PatchBase& base : bases_) {
+        base.keptAtStart = std::min(base.keptAtStart, atStart);
+        base.keptAtEnd = std::min(base.keptAtEnd, atEnd);
+    }
+    if (bases_.size() == maximumPatchBases)
+        bases_.erase(bases_.begin());
+    bases_.push_back({ heldVersion_, atStart, atEnd });
+}
+
 void ConfigurationSpread::reject(std::uint64_t version, const VmId& from)
 {
     if (rejected_.size() == maximumRejected)
@@ -106,7 +138,8 @@
 ConfigRequestAction ConfigurationSpread::ask(TimePoint now)
 {
     fetch_->askedAt = now;
-    return { fetch_->holder.holder, fetch_->holder.address, { heldVersion_, fetch_->nextChunk } };
+    return { fetch_->holder.holder, fetch_->holder.address,
+        { heldVersion_, fetch_->nextChunk, fetch_->acceptsPatch && heldVersion_ != 0 } };
 }
 
 std::optional<ConfigRequestAction> ConfigurationSpread::onReply(
@@ -114,6 +147,8 @@
 {
     if (!fetch_ || from != fetch_->holder.holder || reply.version <= heldVersion_)
         return std::nullopt;
+    if (reply.patch)
+        return onPatch(from, reply, now);
     if (reply.chunkCount == 0 || reply.chunkCount > maximumChunks)
         return giveUp(now);
     Fetch& fetch = *fetch_;
@@ -143,6 +178,29 @@
     return std::nullopt;
 }
 
+std::optional<ConfigRequestAction> ConfigurationSpread::onPatch(
+    const VmId& from, const ConfigReply& reply, TimePoint now)
+{
+    Fetch& fetch = *fetch_;
+    if (!fetch.acceptsPatch || fetch.nextChunk != 0)
+        return std::nullopt;
+    const ConfigPatch& patch = *reply.patch;
+    const std::size_t kept = patch.keptAtStart + patch.keptAtEnd;
+    const bool fits = patch.baseVersion == heldVersion_ && kept <= heldBytes_.size()
+        && kept + reply.bytes.size() <= maximumConfigurationBytes;
+    std::string bytes;
+    if (fits)
+        bytes = heldBytes_.substr(0, patch.keptAtStart) + reply.bytes
+            + heldBytes_.substr(heldBytes_.size() - patch.keptAtEnd);
+    if (!fits || hashOf(bytes) != patch.sha256) {
+        fetch.acceptsPatch = false;
+        return ask(now);
+    }
+    received_ = ReceivedConfiguration { reply.version, std::move(bytes), from };
+    fetch_.reset();
+    return std::nullopt;
+}
+
 std::optional<ReceivedConfiguration> ConfigurationSpread::takeReceived()
 {
     std::optional<ReceivedConfiguration> received;
@@ -152,11 +210,28 @@
 
 std::optional<ConfigReply> ConfigurationSpread::onRequest(const ConfigRequest& request) const
 {
+    if (request.acceptsPatch && request.chunk == 0 && heldVersion_ > request.knownVersion) {
+        if (auto patch = makePatch(request))
+            return patch;
+    }
     const std::size_t chunkCount = chunkCountOf(heldBytes_.size());
     if (heldVersion_ <= request.knownVersion || request.chunk >= chunkCount)
         return std::nullopt;
     return ConfigReply { heldVersion_, request.chunk, chunkCount,
-        heldBytes_.substr(request.chunk * configurationChunkBytes, configurationChunkBytes) };
+        heldBytes_.substr(request.chunk * configurationChunkBytes, configurationChunkBytes), std::nullopt };
+}
+
+std::optional<ConfigReply> ConfigurationSpread::makePatch(const ConfigRequest& request) const
+{
+    const auto base = std::find_if(bases_.begin(), bases_.end(),
+        [&request](const PatchBase& candidate) { return candidate.version == request.knownVersion; });
+    if (base == bases_.end())
+        return std::nullopt;
+    const std::size_t changed = heldBytes_.size() - base->keptAtStart - base->keptAtEnd;
+    if (changed > configurationChunkBytes)
+        return std::nullopt;
+    return ConfigReply { heldVersion_, 0, 1, heldBytes_.substr(base->keptAtStart, changed),
+        ConfigPatch { base->version, base->keptAtStart, base->keptAtEnd, heldHash_ } };
 }
 
 } // namespace almondlever
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -17,6 +17,8 @@
     constexpr std::size_t maximumLeavingVms = 16384;
     constexpr std::size_t maximumRanks = maximumRank + 1;
     constexpr std::uint64_t maximumChunks = 1U << 20U;
+    /** Bounds the lengths in a patch, so that their sum cannot overflow. */
+    constexpr std::uint64_t maximumPatchedBytes = std::uint64_t { 1 } << 32;
 
     /** Values of field "t"; the order is that of the alternatives of Message. */
     constexpr std::uint64_t lastMessageType = std::variant_size_v<Message> - 1;
@@ -307,6 +309,7 @@
         MapWriter writer(map);
         writer.number("kv", request.knownVersion);
         writer.number("ch", request.chunk);
+        writer.flag("ap", request.acceptsPatch);
     }
 
     ConfigRequest readConfigRequest(CborReader& reader)
@@ -314,6 +317,7 @@
         ConfigRequest request;
         request.knownVersion = reader.number("kv");
         request.chunk = reader.number("ch", maximumChunks);
+        request.acceptsPatch = reader.flag("ap");
         return request;
     }
 
@@ -325,6 +329,12 @@
         writer.number("cc", reply.chunkCount);
         if (!reply.bytes.empty())
             map["b"] = Json::binary({ reply.bytes.begin(), reply.bytes.end() });
+        if (!reply.patch)
+            return;
+        writer.number("pv", reply.patch->baseVersion);
+        writer.number("ps", reply.patch->keptAtStart);
+        writer.number("pe", reply.patch->keptAtEnd);
+        map["ph"] = Json::binary({ reply.patch->sha256.begin(), reply.patch->sha256.end() });
     }
 
     ConfigReply readConfigReply(CborReader& reader)
@@ -334,6 +344,9 @@
         reply.chunk = reader.number("ch", maximumChunks);
         reply.chunkCount = reader.number("cc", maximumChunks);
         reply.bytes = reader.bytes("b");
+        if (reader.has("ph"))
+            reply.patch = ConfigPatch { reader.number("pv"), reader.number("ps", maximumPatchedBytes),
+                reader.number("pe", maximumPatchedBytes), reader.bytes("ph") };
         if (reply.chunk != 0 && reply.chunk >= reply.chunkCount)
             reader.fail("ch", "is not below the number of chunks");
         return reply;
--- a/tests/membership/TestConfigurationSpread.cpp
+++ b/tests/membership/TestConfigurationSpread.cpp
@@ -101,3 +101,55 @@
     cr_assert(!spread.onReply(second.holder, { 7, 0, 1U << 20U, "x" }, start));
     cr_assert(!spread.takeReceived());
 }
+
+// Guards against a configuration that is sent whole for each small change, which exceeds the control budget at design
+// size.
+Test(ConfigurationSpread, sendsOnlyWhatChanged)
+{
+    std::string changed = someBytes();
+    changed.insert(5000, "one more endpoint");
+    std::string changedAgain = changed;
+    changedAgain.erase(changedAgain.size() - 500, 20);
+    ConfigurationSpread server = holderOf(5, someBytes());
+    server.hold(6, changed);
+    const auto step = server.onRequest({ 5, 0, true });
+    cr_assert(step->patch && step->bytes.size() <= 17);
+    server.hold(7, changedAgain);
+    // A peer that does not accept patches gets the whole configuration.
+    cr_assert(!server.onRequest({ 6, 0, false })->patch);
+
+    for (const auto& [version, bytes] : { std::make_pair(std::uint64_t { 5 }, someBytes()), { 6, changed } }) {
+        ConfigurationSpread client = holderOf(version, bytes);
+        auto request = client.onVersionHeard(first, start);
+        for (std::size_t replies = 0; request && replies < 3; ++replies)
+            request = client.onReply(first.holder, *server.onRequest(request->request), start);
+        const auto received = client.takeReceived();
+        cr_assert(received.has_value());
+        cr_assert(received->version == 7 && received->bytes == changedAgain);
+    }
+}
+
+// Guards against a patch that is applied to other bytes than it was made for (P9).
+Test(ConfigurationSpread, asksForTheWholeWhenAPatchDoesNotFit)
+{
+    ConfigurationSpread server = holderOf(6, "the configuration six");
+    server.hold(7, "the configuration seven");
+    ConfigurationSpread client = holderOf(6, "another configuration six");
+    const auto request = client.onVersionHeard(first, start);
+    const auto patch = server.onRequest(request->request);
+    cr_assert(patch->patch.has_value());
+    const auto again = client.onReply(first.holder, *patch, start);
+    cr_assert(again.has_value() && !again->request.acceptsPatch);
+    cr_assert(!client.onReply(first.holder, *server.onRequest(again->request), start));
+    cr_assert(client.takeReceived()->bytes == "the configuration seven");
+}
+
+// Guards against lengths in a patch that reach beyond the held bytes.
+Test(ConfigurationSpread, refusesPatchWithWrongLengths)
+{
+    ConfigurationSpread client = holderOf(6, "six");
+    client.onVersionHeard(first, start);
+    const ConfigReply reply { 7, 0, 1, "", ConfigPatch { 6, 4000000000, 4000000000, std::string(32, 'x') } };
+    cr_assert(!client.onReply(first.holder, reply, start)->request.acceptsPatch);
+    cr_assert(!client.takeReceived());
+}
--- a/tests/wire/TestMessages.cpp
+++ b/tests/wire/TestMessages.cpp
@@ -30,8 +30,16 @@
 {
     return std::tie(m.id, m.failureDomain, m.peerAddress, m.state, m.incarnation);
 }
-static auto fields(const ConfigRequest& r) { return std::tie(r.knownVersion, r.chunk); }
-static auto fields(const ConfigReply& r) { return std::tie(r.version, r.chunk, r.chunkCount, r.bytes); }
+static auto fields(const ConfigRequest& r) { return std::tie(r.knownVersion, r.chunk, r.acceptsPatch); }
+static auto fields(const ConfigPatch& p)
+{
+    return std::make_tuple(p.baseVersion, p.keptAtStart, p.keptAtEnd, p.sha256);
+}
+static auto fields(const ConfigReply& r)
+{
+    return std::make_tuple(r.version, r.chunk, r.chunkCount, r.bytes, r.patch.has_value(),
+        r.patch ? fields(*r.patch) : fields(ConfigPatch()));
+}
 static auto fields(const SuspicionReport& r)
 {
     return std::tie(r.database, r.observer, r.term, r.primary, r.isSuspected);
@@ -133,8 +141,11 @@
     checkRoundTrip<ForwardRequest>(anyRequest);
     checkRoundTrip<ForwardReply>(anyReply);
     checkRoundTrip<Gossip>(anyGossip);
-    checkRoundTrip<ConfigRequest>([] { return ConfigRequest { anyNumber(), 17 }; });
-    checkRoundTrip<ConfigReply>([] { return ConfigReply { anyNumber(), 2, 3, anyText() }; });
+    checkRoundTrip<ConfigRequest>([] { return ConfigRequest { anyNumber(), 17, anyFlag() }; });
+    checkRoundTrip<ConfigReply>([] { return ConfigReply { anyNumber(), 2, 3, anyText(), {} }; });
+    checkRoundTrip<ConfigReply>([] {
+        return ConfigReply { anyNumber(), 0, 1, anyText(), ConfigPatch { anyNumber(), 70000, 12, anyText() } };
+    });
     checkRoundTrip<SuspicionReport>([] {
         return SuspicionReport { anyId<DatabaseId>(), anyId<VmId>(), anyNumber(), anyId<EndpointId>(), anyFlag() };
     });
