--- a/scripts/process_tests.sh
+++ b/scripts/process_tests.sh
@@ -325,6 +325,7 @@
   local before after port=${daemon_addresses[0]##*:} count fd tries
   before=$(awk '/^VmRSS/ { print int($2 / 1024) }' "/proc/${almondlever_pids[vm-1]}/status")
   for ((count = 0; count < wanted; ++count)); do
+    # shellcheck disable=SC2034 # the connection stays open until the case ends
     exec {fd}<>"/dev/tcp/127.0.0.1/$port"
   done
   for ((tries = 0; tries < 5; ++tries)); do
@@ -367,7 +368,7 @@
       printf 'POST /v1/databases/lots/statements HTTP/1.1\r\nHost: x\r\nAlmondlever-Caller: customs\r\nContent-Length: %s\r\n\r\n%s' \
         "${#body}" "$body"
       sleep 0.05
-    done >&"$deaf" 2>/dev/null
+    done 1>&"$deaf" 2>/dev/null
   ) &
   local writer=$!
   sleep 2.5
