--- a/src/caller_api/CallerApi.cpp
+++ b/src/caller_api/CallerApi.cpp
@@ -90,24 +90,24 @@
         const Json body = Json::parse(text, nullptr, false);
         if (!body.is_object())
             return badRequest("the body is not a JSON object");
-        const auto text_of = [&](const char* name) {
+        const auto textOf = [&](const char* name) {
             const auto found = body.find(name);
             return found != body.end() && found->is_string() ? std::optional<std::string>(found->get<std::string>())
                                                              : std::nullopt;
         };
-        const auto operation = text_of("op");
+        const auto operation = textOf("op");
         if (!operation || (*operation != "read" && *operation != "write"))
             return badRequest("the member 'op' must be \"read\" or \"write\"");
         request.operation = *operation == "read" ? OperationKind::Read : OperationKind::Write;
-        const auto key = text_of("key");
+        const auto key = textOf("key");
         if (!key || key->empty() || key->size() > maximumKeyBytes)
             return badRequest("the member 'key' must be a text of 1 to 1024 bytes");
         request.key = *key;
-        const auto value = text_of("value");
+        const auto value = textOf("value");
         if (request.operation == OperationKind::Write && !value)
             return badRequest("a write needs the member 'value', a text");
         request.value = value.value_or("");
-        request.transaction = TransactionId(text_of("transaction").value_or(""));
+        request.transaction = TransactionId(textOf("transaction").value_or(""));
         const auto repeatable = body.find("repeatable");
         if (repeatable != body.end() && !repeatable->is_boolean())
             return badRequest("the member 'repeatable' must be true or false");
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -75,9 +75,9 @@
 
     ServingContext servingContext()
     {
-        ServingSettings serving_settings;
-        serving_settings.transactionIdleLimit = settings.transactionIdleLimit;
-        return { connector, trafficTimers, evidence, metrics, decisions, serving_settings,
+        ServingSettings servingSettings;
+        servingSettings.transactionIdleLimit = settings.transactionIdleLimit;
+        return { connector, trafficTimers, evidence, metrics, decisions, servingSettings,
             [](const std::vector<RankRule>& ranks, std::size_t slots) {
                 return std::make_unique<RankScheduler>(ranks, slots);
             },
