Refuse a repeat as unknown when an earlier attempt may have run

Before: the three new tests fail. Conclusion: not_run holds for the request, not only for the attempt; a repeat that comes later than 10 s to a new owner is the case that remains.

--- a/include/almondlever/serving/ServedEndpoint.h
+++ b/include/almondlever/serving/ServedEndpoint.h
@@ -19,6 +19,8 @@
 
 namespace almondlever {
 
+class SentRequests;
+
 /** Makes the queue of an endpoint; lets the measuring tool compare orders. */
 using SchedulerFactory = std::function<std::unique_ptr<Scheduler>(const std::vector<RankRule>&, std::size_t slots)>;
 
@@ -136,6 +138,9 @@
     void reportSlowPrimary(TimePoint now);
 
     EndpointStatement statementFor(const ForwardJob&) const;
+    /** True when an earlier attempt of a keyed write may have run, so that its refusal must not say not_run. */
+    bool mayHaveRunBefore(const ForwardJob&, TimePoint now) const;
+    void notePrimaryHere(TimePoint now);
     void reply(ForwardJob&, ForwardSuccess, TimePoint now);
     void refuse(ForwardJob&, ForwardErrorCode, Outcome, std::string detail, Milliseconds retryAfter, TimePoint now);
     ForwardReply makeReply(const ForwardJob&, TimePoint now) const;
@@ -153,6 +158,10 @@
     std::unordered_map<Ticket, ForwardJob> queued_;
     std::list<ForwardJob> held_;
     std::unordered_map<TransactionId, Transaction> transactions_;
+    std::unique_ptr<SentRequests> sentRequests_;
+    /** Since when all keyed writes of the database come through here; earlier ones went to another daemon. */
+    TimePoint servesWritesSince_;
+    Term servedTerm_ = 0;
     std::size_t running_ = 0;
     std::size_t runningWrites_ = 0;
     /** When each statement in flight was sent. */
--- a/src/entry/EntryRouter.cpp
+++ b/src/entry/EntryRouter.cpp
@@ -73,6 +73,8 @@
     std::vector<EndpointId> excluded;
     int forwards = 0;
     Duration nextPause { firstPause };
+    /** Set when the error is the word of the daemon that serves the primary. */
+    bool isRefusedByOwner = false;
     /** Set when the last step followed a redirect at once. */
     bool wasRedirected = false;
     /** Set when an earlier attempt may have run, so that the final answer must not say not_run. */
@@ -175,6 +177,7 @@
 
 void EntryRouter::route(const ExchangePtr& exchange, TimePoint now)
 {
+    exchange->isRefusedByOwner = false;
     if (now >= exchange->deadline)
         return fail(exchange,
             { CallerErrorCode::DeadlineExceeded, Outcome::NotRun, "the deadline has passed", usualRetryAfter }, now);
@@ -245,7 +248,8 @@
         return routeAgainLater(exchange);
     const auto wait = knowledge_.expectedWait(endpoint, exchange->rule->rank, now);
     const bool isFirstChoice = exchange->forwards == 1;
-    if (wait && now + *wait >= exchange->deadline && isFirstChoice && !exchange->isRead()) {
+    const bool isKeyed = !exchange->request.idempotencyKey.empty();
+    if (wait && now + *wait >= exchange->deadline && isFirstChoice && !exchange->isRead() && !isKeyed) {
         logDecision(*exchange, "refuse", endpoint, owner, "owner_overloaded", now);
         return fail(exchange,
             { CallerErrorCode::Overloaded, Outcome::NotRun, "the queue is longer than the deadline", *wait }, now);
@@ -319,6 +323,7 @@
     default:
         break;
     }
+    exchange->isRefusedByOwner = error.code != ForwardErrorCode::EndpointUnavailable;
     const bool isTransactional = !exchange->request.transaction.isEmpty();
     const bool isTransactionLost = isTransactional && error.code == ForwardErrorCode::EndpointUnavailable;
     const CallerErrorCode code = isTransactionLost ? CallerErrorCode::TransactionLost : callerCode(error.code);
@@ -387,7 +392,10 @@
 
 void EntryRouter::fail(const ExchangePtr& exchange, CallerError error, TimePoint now)
 {
-    if (exchange->mayHaveRun)
+    const bool isKeyedWrite = !exchange->request.idempotencyKey.empty() && !exchange->isRead();
+    // Only the owner of the primary knows whether an earlier attempt of the key was sent to an endpoint.
+    const bool isVouchedFor = exchange->isRefusedByOwner || exchange->forwards == 0;
+    if (exchange->mayHaveRun || (isKeyedWrite && !isVouchedFor))
         error.outcome = Outcome::Unknown;
     if (exchange->rule)
         logDecision(*exchange, "answer", EndpointId(), VmId(), toText(error.code), now);
--- a/src/serving/ServedEndpoint.cpp
+++ b/src/serving/ServedEndpoint.cpp
@@ -1,5 +1,7 @@
 #include "almondlever/serving/ServedEndpoint.h"
 
+#include "SentRequests.h"
+
 #include <algorithm>
 #include <cassert>
 
@@ -12,6 +14,8 @@
     constexpr Milliseconds positionRequestTimeout { 400 };
     /** A statement gets no less time than this, so that a nearly expired one is refused instead of left in doubt. */
     constexpr Milliseconds shortestStatementTime { 2 };
+    /** Time in which callers repeat a keyed request whose answer they did not get. */
+    constexpr std::chrono::seconds repeatWindow { 10 };
     /** A statement without an answer for this long, and for this many times the usual time, raises a doubt. */
     constexpr Milliseconds slowAnswer { 100 };
     constexpr int slowAnswerFactor = 6;
@@ -47,11 +51,13 @@
     , pool_(context.connector, context.timers, endpoint.address, poolLimitsFor(endpoint, context.settings))
     , scheduler_(context.makeScheduler(snapshot_->configuration->ranks, endpoint.slots))
     , limiter_(endpoint.slots)
+    , sentRequests_(std::make_unique<SentRequests>())
     , alive_(std::make_shared<bool>(true))
 {
     pool_.onChange([this](TimePoint now) { dispatch(now); });
     claim_.onHeld([this](std::uint64_t epoch, const EndpointStatus& status) {
         learn(status.logEnd, status.staleness);
+        servesWritesSince_ = context_.timers.now();
         context_.decisionLog.write("claim",
             { { "database", database_.text() }, { "endpoint", endpoint_.id.text() }, { "epoch", std::to_string(epoch) },
                 { "reason", "placement" } });
@@ -78,10 +84,28 @@
 {
     snapshot_ = std::move(snapshot);
     claim_.setMembers(snapshot_->members);
+    notePrimaryHere(now);
     releaseHeld(now);
     redirectQueued(now);
 }
 
+bool ServedEndpoint::mayHaveRunBefore(const ForwardJob& job, TimePoint now) const
+{
+    const bool isKeyedWrite = job.request.kind == ForwardKind::Statement && !job.isRead() && !job.request.isRepeatable;
+    if (!isKeyedWrite)
+        return false;
+    return now < servesWritesSince_ + repeatWindow || sentRequests_->contains(job.request.requestId);
+}
+
+void ServedEndpoint::notePrimaryHere(TimePoint now)
+{
+    const PrimaryView* view = primaryView();
+    if (!view || view->primary != endpoint_.id || view->term == servedTerm_)
+        return;
+    servedTerm_ = view->term;
+    servesWritesSince_ = now;
+}
+
 void ServedEndpoint::redirectQueued(TimePoint now)
 {
     std::vector<Ticket> misplaced;
@@ -258,6 +282,8 @@
     const bool isWrite = !job.isRead();
     runningWrites_ += isWrite ? 1 : 0;
     sentTimes_.insert(now);
+    if (isWrite && !job.request.isRepeatable)
+        sentRequests_->add(job.request.requestId, now);
     const EndpointStatement statement = statementFor(job);
     const Duration timeout = job.deadline - now;
     const ForwardKind kind = job.request.kind;
@@ -329,6 +355,8 @@
 void ServedEndpoint::onRefused(ForwardJob job, const EndpointError& error, TimePoint now)
 {
     using Code = EndpointErrorCode;
+    if (error.outcome == Outcome::NotRun && !job.isRead() && !job.request.isRepeatable)
+        sentRequests_->remove(job.request.requestId);
     if (error.code == Code::ConnectionLost || error.code == Code::TimedOut || error.code == Code::Busy)
         limiter_.addFailure(now);
     if (error.code == Code::ConnectionLost || error.code == Code::TimedOut || error.code == Code::NotPrimary)
@@ -396,8 +424,11 @@
 void ServedEndpoint::submitToTransaction(ForwardJob job, TimePoint now)
 {
     const auto found = transactions_.find(job.request.transaction);
+    // A keyed commit may be the repeat of one that took effect.
+    const bool isCommit = job.request.kind == ForwardKind::Commit && !job.request.isRepeatable;
     if (found == transactions_.end() || found->second.caller != job.request.caller)
-        return refuse(job, ForwardErrorCode::TransactionLost, Outcome::NotRun, "the transaction is not open", {}, now);
+        return refuse(job, ForwardErrorCode::TransactionLost, isCommit ? Outcome::Unknown : Outcome::NotRun,
+            "the transaction is not open", {}, now);
     if (found->second.isBusy)
         return refuse(job, ForwardErrorCode::Rejected, Outcome::NotRun,
             "a statement of the transaction is still running", {}, now);
@@ -650,6 +681,10 @@
     ForwardJob& job, ForwardErrorCode code, Outcome outcome, std::string detail, Milliseconds retryAfter, TimePoint now)
 {
     ForwardReply answer = makeReply(job, now);
+    // Only refusals that end the request; after the others it is routed again and may still run.
+    const bool isFinal = code == ForwardErrorCode::Overloaded || code == ForwardErrorCode::DeadlineExceeded;
+    if (isFinal && mayHaveRunBefore(job, now))
+        outcome = Outcome::Unknown;
     ForwardError error { code, outcome, std::move(detail), retryAfter, {} };
     if (const PrimaryView* view = primaryView())
         error.primary = *view;
--- a/tests/entry/TestEntryRouter.cpp
+++ b/tests/entry/TestEntryRouter.cpp
@@ -217,6 +217,23 @@
     cr_assert(f.replies.empty());
 }
 
+// Guards P5 for a repeated key: without the word of the primary's owner, an earlier attempt may have run.
+Test(EntryRouter, keyedWriteThatReachedNoOwnerIsUnknown)
+{
+    RouterFixture f;
+    f.send("clerk", OperationKind::Write, "", "order-1");
+    std::size_t answered = 0;
+    for (int i = 0; i < 200 && f.replies.empty(); ++i) {
+        while (answered < f.forwarder.sent.size())
+            f.forwarder.fail(answered++, ForwardErrorCode::NotOwner, Outcome::NotRun, f.timers.now());
+        f.timers.advance(Milliseconds(20));
+    }
+    cr_assert(f.error(0).outcome == Outcome::Unknown);
+    f.send("clerk", OperationKind::Write, "", "order-2");
+    f.forwarder.fail(answered, ForwardErrorCode::Overloaded, Outcome::NotRun, f.timers.now());
+    cr_assert(f.error(1).outcome == Outcome::NotRun, "the owner knows what it sent");
+}
+
 // Guards P3: a commit whose daemon dies before it answers must be told as a lost transaction of unknown outcome.
 Test(EntryRouter, brokenChannelInACommitIsALostTransaction)
 {
--- a/tests/serving/TestServedEndpoint.cpp
+++ b/tests/serving/TestServedEndpoint.cpp
@@ -45,7 +45,7 @@
     {
         ForwardRequest request;
         request.kind = kind;
-        request.requestId = RequestId("r" + std::to_string(replies.size()));
+        request.requestId = RequestId(requestId.empty() ? "r" + std::to_string(replies.size()) : requestId);
         request.caller = CallerId("clerk");
         request.database = database;
         request.endpoint = here;
@@ -53,7 +53,7 @@
         request.operation = operation;
         request.key = "k";
         request.transaction = transaction;
-        request.timeLeft = Milliseconds(1000);
+        request.timeLeft = timeLeft;
         request.minimumPosition = minimumPosition;
         const std::size_t index = replies.size();
         replies.emplace_back();
@@ -93,6 +93,8 @@
     DecisionLog decisions { 0 };
     std::uint64_t number = 0;
     std::size_t rank = 0;
+    std::string requestId;
+    Milliseconds timeLeft { 1000 };
     std::vector<std::optional<ForwardReply>> replies;
     std::shared_ptr<Snapshot> snapshot = makeSampleSnapshot();
     ServingHost host;
@@ -323,6 +325,38 @@
     cr_assert(f.host.isIdle());
 }
 
+// Guards P5 for a repeated key: a repeat refused in the queue must not say not_run when an earlier attempt may have
+// run. Seen with real processes: repeats of a booking that timed out were refused with not_run although it was in the
+// log.
+Test(ServedEndpoint, refusedRepeatOfASentWriteIsUnknown)
+{
+    ServingFixture f;
+    f.start();
+    f.tick(std::chrono::seconds(11));
+    f.requestId = "booking";
+    f.submit(OperationKind::Write);
+    f.server(1).fail(0, EndpointErrorCode::TimedOut, Outcome::Unknown);
+    f.timeLeft = Milliseconds(0);
+    f.submit(OperationKind::Write);
+    cr_assert(f.error(1).outcome == Outcome::Unknown);
+    f.requestId = "another";
+    f.submit(OperationKind::Write);
+    cr_assert(f.error(2).outcome == Outcome::NotRun, "a first attempt that was refused has not run");
+}
+
+// Guards P5 after a hand-over: the new owner does not know what the one before it sent.
+Test(ServedEndpoint, refusedKeyedWriteAfterATakeOverIsUnknown)
+{
+    ServingFixture f;
+    f.start();
+    f.timeLeft = Milliseconds(0);
+    f.submit(OperationKind::Write);
+    cr_assert(f.error(0).outcome == Outcome::Unknown);
+    f.tick(std::chrono::seconds(11));
+    f.submit(OperationKind::Write);
+    cr_assert(f.error(1).outcome == Outcome::NotRun);
+}
+
 // Guards slots against transactions that their caller forgot.
 Test(ServedEndpoint, idleTransactionIsEndedAndItsSlotFreed)
 {
