--- a/src/caller_api/CallerApi.cpp
+++ b/src/caller_api/CallerApi.cpp
@@ -15,6 +15,8 @@
     constexpr const char* databasePrefix = "/v1/databases/";
     constexpr std::size_t maximumKeyBytes = 1024;
     constexpr std::size_t maximumIdempotencyKeyBytes = 256;
+    /** Largest body of a request; the server drops connections only far beyond it, so that callers get an answer. */
+    constexpr std::size_t maximumBodyBytes = 1024 * 1024;
 
     HttpResponse textResponse(unsigned status, const std::string& type, std::string body)
     {
@@ -161,18 +163,19 @@
         return exchange->respond(textResponse(200, "application/json",
             pages_.explain(CallerId(exchange->query("caller")), DatabaseId(exchange->query("database")), operation)));
     }
-    HttpResponse response = problemResponse(badRequest("the path is unknown"), RequestId());
-    response.status = 404;
-    exchange->respond(response);
+    exchange->respond(problemResponse(badRequest("the path is unknown"), RequestId(), 404));
 }
 
 void CallerApi::handleDatabaseRequest(const std::shared_ptr<HttpExchange>& exchange)
 {
     if (exchange->method() != "POST")
-        return exchange->respond(problemResponse(badRequest("the method must be POST"), RequestId()));
+        return exchange->respond(problemResponse(badRequest("the method must be POST"), RequestId(), 405));
+    if (exchange->body().size() > maximumBodyBytes) {
+        return exchange->respond(problemResponse(badRequest("the body is longer than 1 MiB"), RequestId(), 413), true);
+    }
     auto request = requestFromPath(exchange->path());
     if (!request)
-        return exchange->respond(problemResponse(badRequest("the path is unknown"), RequestId()));
+        return exchange->respond(problemResponse(badRequest("the path is unknown"), RequestId(), 404));
     if (const auto error = readHeaders(*exchange, *request))
         return exchange->respond(problemResponse(*error, RequestId()));
     if (request->kind == ForwardKind::Statement) {
--- a/src/caller_api/ProblemDetails.cpp
+++ b/src/caller_api/ProblemDetails.cpp
@@ -31,7 +31,11 @@
 
 HttpResponse problemResponse(const CallerError& error, const RequestId& requestId)
 {
-    const unsigned status = statusOf(error.code);
+    return problemResponse(error, requestId, statusOf(error.code));
+}
+
+HttpResponse problemResponse(const CallerError& error, const RequestId& requestId, unsigned status)
+{
     nlohmann::json body { { "type", std::string("urn:almondlever:problem:") + toText(error.code) },
         { "title", toText(error.code) }, { "status", status }, { "detail", error.detail },
         { "outcome", toText(error.outcome) } };
--- a/src/caller_api/ProblemDetails.h
+++ b/src/caller_api/ProblemDetails.h
@@ -10,5 +10,7 @@
 
 /** Problem details (RFC 9457) with the member `outcome`, and Retry-After where a time is known. */
 HttpResponse problemResponse(const CallerError&, const RequestId&);
+/** The same with another HTTP status than the usual one of the error. */
+HttpResponse problemResponse(const CallerError&, const RequestId&, unsigned status);
 
 } // namespace almondlever
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -37,6 +37,9 @@
         server.host = settings.listenHost;
         server.port = settings.listenPort;
         server.maximumConnections = settings.maximumConnections;
+        // Beyond the limits that callers are told of, so that they get an answer that names the limit.
+        server.maximumBodyBytes = 4 * 1024 * 1024;
+        server.maximumHeaderValueBytes = 32 * 1024;
         server.readTimeout = settings.clientReadTimeout;
         return server;
     }
