Cap the time told to callers

Cause: the wait that a starved rank expects is estimated at up to an hour, and was told as Retry-After; a load run on a quiet machine did not end because its callers waited for that time. Ruled out: a request without an answer (no daemon had any pending, queued or open). Change: at most 30 s, the bound that the queue's own refusals have. Before: the new test fails. After: entry 24 of 24. The load run was not repeated.

--- a/src/entry/EntryRouter.cpp
+++ b/src/entry/EntryRouter.cpp
@@ -19,6 +19,8 @@
     constexpr Milliseconds longestPause { 100 };
     /** Told to callers when nothing better is known. */
     constexpr Milliseconds usualRetryAfter { 1000 };
+    /** Longest time told to callers. */
+    constexpr Milliseconds longestRetryAfter { 30000 };
 
     std::string sha256Prefix(const std::string& text)
     {
@@ -397,6 +399,8 @@
     const bool isVouchedFor = exchange->isRefusedByOwner || exchange->forwards == 0;
     if (exchange->mayHaveRun || (isKeyedWrite && !isVouchedFor))
         error.outcome = Outcome::Unknown;
+    // Estimates of a starved rank reach an hour; the load will have changed long before.
+    error.retryAfter = std::min(error.retryAfter, longestRetryAfter);
     if (exchange->rule)
         logDecision(*exchange, "answer", EndpointId(), VmId(), toText(error.code), now);
     metrics_.count("almondlever_errors_total",
--- a/tests/entry/TestEntryRouter.cpp
+++ b/tests/entry/TestEntryRouter.cpp
@@ -309,6 +309,18 @@
     cr_assert(f.forwarder.sent.size() == 2, "the urgent rank has a short queue and must go on");
 }
 
+// Guards callers against a Retry-After of an hour, which an estimate for a starved rank gave during a flood.
+Test(EntryRouter, capsRetryAfter)
+{
+    RouterFixture f;
+    f.send("shed", OperationKind::Write);
+    ForwardReply reply;
+    reply.result
+        = ForwardError { ForwardErrorCode::DeadlineExceeded, Outcome::NotRun, "starved", Milliseconds(3600000), {} };
+    f.forwarder.sent.at(0).callback(reply, f.timers.now());
+    cr_assert(f.error(0).retryAfter <= Milliseconds(30000));
+}
+
 // Guards callers against use of databases that the inventory does not give them.
 Test(EntryRouter, refusesUnknownCallersAndDatabases)
 {
