Say how many members the cost measurement needs

Cause: with 3 members the measurement replaced members beyond the end of the fleet, since it spares the 3 watchers; the signal came from the test, not from Membership. Before: ends by a signal. After: ends by the assertion; 9 and 100 are unchanged.

--- a/tests/membership/TestMembershipCost.cpp
+++ b/tests/membership/TestMembershipCost.cpp
@@ -79,6 +79,7 @@
 
 void measure(std::size_t size)
 {
+    cr_assert(size >= watchers + 3, "%zu members: two are replaced and one killed beside the watchers", size);
     FakeFleet fleet(size, seed);
     fleet.run(seconds(90));
     fleet.resetCounts();
