--- /dev/null
+++ b/include/almondlever/front/FrontDaemon.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "almondlever/common/TimerService.h"
+#include "almondlever/front/InventoryDecoder.h"
+#include "almondlever/front/PromotionDriver.h"
+#include "almondlever/front/StopSequence.h"
+#include "almondlever/observability/DecisionLog.h"
+#include "almondlever/observability/Metrics.h"
+#include "almondlever/sessions/Session.h"
+#include "almondlever/store/PrefixFollower.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace almondlever {
+
+struct FrontSettings {
+    VmId vm;
+    FailureDomainId failureDomain;
+    DispatcherSettings dispatcher;
+    PromotionDriverSettings promotion;
+    StopSettings stop;
+    /** Budget of decision lines a second beside those of the most urgent rank. */
+    double decisionLinesPerSecond = 20;
+    /** A caller that connects before the first configuration waits at most this long; the caller gives up after 2 s. */
+    Milliseconds openPatience { 1700 };
+    /** Lifetime of this daemon's entry among the members; others share endpoint connections by their number. */
+    Milliseconds memberLease { 10000 };
+    Milliseconds memberRenewal { 3000 };
+};
+
+/**
+ * A daemon that speaks with callers in sessions and keeps what must last in the platform's store.
+ *
+ * Follows the configuration, the endpoints' entries and the product's own keys, owns the sessions, and stops gracefully.
+ * Runs on one thread.
+ */
+class FrontDaemon final : public RoutingSource, private PrefixObserver {
+public:
+    /** The session, or why there is none. */
+    using OpenCallback = std::function<void(Session*, std::optional<StatementError>)>;
+
+    FrontDaemon(
+        const FrontSettings&, MetadataStore&, EndpointConnector&, PromotionService&, const InventoryDecoder&, TimerService&);
+    ~FrontDaemon() override;
+    FrontDaemon(const FrontDaemon&) = delete;
+    FrontDaemon& operator=(const FrontDaemon&) = delete;
+
+    void start();
+    /** Opens a session; the callback may come later, when the first configuration is still awaited. */
+    void open(const DatabaseId&, CallerLink&, OpenCallback);
+    /** The caller's connection is gone, also while its session is being opened. */
+    void close(CallerLink&);
+    /** Begins a graceful stop; the callback comes when the process may exit. */
+    void beginStop(std::function<void()> onStopped);
+
+    bool isReady() const { return routing_ && hasEndpoints_ && !stop_.isStopping(); }
+    TimePoint now() const { return timers_.now(); }
+    bool acceptsCallers() const { return stop_.acceptsCallers(timers_.now()); }
+    std::shared_ptr<const RoutingConfiguration> routing() const override { return routing_; }
+    Metrics& metrics() { return metrics_; }
+
+private:
+    struct Opening {
+        DatabaseId database;
+        CallerLink* link = nullptr;
+        OpenCallback callback;
+        TimePoint since;
+    };
+
+    void onStoreSnapshot(const std::string& prefix, const std::vector<StoreItem>&, TimePoint now) override;
+    void onStoreChanges(const std::string& prefix, const std::vector<StoreItem>&, TimePoint now) override;
+    void onStoreReturned(const std::string& prefix, TimePoint now) override;
+    void onStoreLost(const std::string& prefix, const StoreFailure&, TimePoint now) override;
+
+    void takeConfiguration(const StoreItem&, TimePoint now);
+    void takeEndpoints(const std::vector<StoreItem>&, bool isSnapshot, TimePoint now);
+    void takeOwnKeys(const std::vector<StoreItem>&, bool isSnapshot, TimePoint now);
+    void onMembersChange();
+    void finishOpening(TimePoint now);
+    void openNow(const Opening&, TimePoint now);
+    void registerMember();
+    void renewMember(std::uint64_t lease);
+    void tick(TimePoint now);
+    void tickStop(TimePoint now);
+
+    FrontSettings settings_;
+    MetadataStore& store_;
+    const InventoryDecoder& decoder_;
+    TimerService& timers_;
+    DecisionLog log_;
+    Metrics metrics_;
+    EndpointDirectory directory_;
+    StatementDispatcher dispatcher_;
+    PromotionDriver promotions_;
+    StopSequence stop_;
+    PrefixFollower configurationFollower_;
+    PrefixFollower endpointFollower_;
+    PrefixFollower ownFollower_;
+    std::shared_ptr<const RoutingConfiguration> routing_;
+    bool hasEndpoints_ = false;
+    std::set<std::string> members_;
+    std::map<CallerLink*, std::unique_ptr<Session>> sessions_;
+    std::vector<Opening> openings_;
+    std::function<void()> onStopped_;
+    std::size_t sessionsAtStop_ = 0;
+    TimePoint slowTickAt_ {};
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+} // namespace almondlever
--- /dev/null
+++ b/include/almondlever/front/InventoryDecoder.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "almondlever/common/Result.h"
+#include "almondlever/groups/EndpointEntry.h"
+#include "almondlever/sessions/Routing.h"
+#include "almondlever/store/MetadataStore.h"
+
+#include <string>
+
+namespace almondlever {
+
+/** Reads what operators and endpoints write into the platform's store. Errors say what is wrong with the item. */
+class InventoryDecoder {
+public:
+    virtual ~InventoryDecoder() = default;
+
+    /** Prefix of the keys that hold the operator's configuration. */
+    virtual std::string configurationPrefix() const = 0;
+    /** Prefix of the keys that hold the endpoints' entries. */
+    virtual std::string endpointPrefix() const = 0;
+    virtual Result<RoutingConfiguration, std::string> decodeConfiguration(const StoreItem&) const = 0;
+    virtual Result<EndpointEntry, std::string> decodeEndpoint(const StoreItem&) const = 0;
+    /** Id of the endpoint that a key belongs to. */
+    virtual EndpointId endpointOf(const std::string& key) const = 0;
+};
+
+} // namespace almondlever
--- /dev/null
+++ b/include/almondlever/front/PromotionDriver.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "almondlever/common/TimerService.h"
+#include "almondlever/failover/GroupPromotion.h"
+#include "almondlever/failover/PromotionService.h"
+#include "almondlever/pooling/EndpointLink.h"
+#include "almondlever/pooling/StatementDispatcher.h"
+#include "almondlever/store/PromotionClaim.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace almondlever {
+
+/** When a daemon starts to change a primary. */
+struct PromotionDriverSettings {
+    std::string holder;
+    PromotionSettings promotion;
+    /** Delay between daemons of consecutive order, so that usually only the first one asks for the claim. */
+    Milliseconds orderDelay { 80 };
+    /** Pause after a failed attempt. */
+    Milliseconds retryPause { 400 };
+    /** Time for one order to an endpoint, connecting included. */
+    Milliseconds orderTimeout { 900 };
+};
+
+/**
+ * Decides when this daemon changes the primary of a group, takes the claim and carries the orders of GroupPromotion out.
+ *
+ * @see GroupPromotion, PromotionClaim
+ */
+class PromotionDriver {
+public:
+    PromotionDriver(EndpointDirectory&, StatementDispatcher&, EndpointConnector&, MetadataStore&, PromotionService&,
+        TimerService&, const PromotionDriverSettings&);
+    ~PromotionDriver();
+    PromotionDriver(const PromotionDriver&) = delete;
+    PromotionDriver& operator=(const PromotionDriver&) = delete;
+
+    void setGroups(const std::map<GroupId, GroupRule>& groups) { groups_ = groups; }
+    /** Position of this daemon among the live ones, from 0; differs by group so that work spreads. */
+    void setMembers(const std::set<std::string>& members) { members_ = members; }
+    /** What the store says of claims and of unfinished changes. */
+    void onClaim(const GroupId&, bool isHeld, TimePoint now);
+    void onChangeRecord(const GroupId&, bool isOpen, TimePoint now);
+    void onTick(TimePoint now);
+    /** Starts no further change; running ones go on. */
+    void stop() { isStopping_ = true; }
+    bool isIdle() const { return changes_.empty(); }
+
+private:
+    struct Change;
+
+    /** What is known of a group between changes. */
+    struct Watch {
+        bool isClaimed = false;
+        bool isOpen = false;
+        std::optional<TimePoint> reasonSince;
+        PromotionReason reason = PromotionReason::PrimaryFailed;
+        TimePoint notBefore {};
+    };
+
+    std::optional<PromotionReason> reasonFor(const GroupId&, const Watch&, TimePoint now) const;
+    Duration orderDelay(const GroupId&) const;
+    void begin(const GroupId&, PromotionReason, TimePoint now);
+    void onClaimed(const GroupId&, const StoreResult<std::uint64_t>&);
+    void carryOut(const GroupId&, const GroupPromotion::Orders&, TimePoint now);
+    void sendOrder(const GroupId&, const GroupPromotion::Order&);
+    void promote(const GroupId&, const EndpointId&, TimePoint now);
+    void finishIfDone(const GroupId&, TimePoint now);
+
+    EndpointDirectory& directory_;
+    StatementDispatcher& dispatcher_;
+    EndpointConnector& connector_;
+    MetadataStore& store_;
+    PromotionService& service_;
+    TimerService& timers_;
+    PromotionDriverSettings settings_;
+    std::map<GroupId, GroupRule> groups_;
+    std::set<std::string> members_;
+    std::map<GroupId, Watch> watches_;
+    std::map<GroupId, std::unique_ptr<Change>> changes_;
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+    std::uint64_t attempts_ = 0;
+    bool isStopping_ = false;
+};
+
+} // namespace almondlever
--- /dev/null
+++ b/include/almondlever/pooling/StatementDispatcher.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "almondlever/admission/Scheduler.h"
+#include "almondlever/consistency/PositionHistory.h"
+#include "almondlever/groups/EndpointDirectory.h"
+#include "almondlever/observability/DecisionLog.h"
+#include "almondlever/observability/Metrics.h"
+#include "almondlever/pooling/StatementRequest.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace almondlever {
+
+/** Bounds of the dispatcher. */
+struct DispatcherSettings {
+    /** The VM's own failure domain. */
+    FailureDomainId failureDomain;
+    /** Connections of an endpoint that stay free for orders about replication and for peers that start. */
+    std::size_t reservedConnections = 4;
+    /** Age at which the primary is asked for its position again; a quarter of the shortest usual staleness. */
+    Milliseconds positionRefresh { 300 };
+    /** Interval at which the endpoints of a group without a known primary are asked who leads. */
+    Milliseconds leaderSearchInterval { 120 };
+    /** A group in which nobody was found to lead for this long has lost its primary. */
+    Milliseconds leaderSearchPatience { 1500 };
+    /** A leaving primary gets no new work after this; the platform allows a little more. */
+    Milliseconds drainLimit { 6000 };
+    /** Usual time from the first sign of a failed primary until another one leads; shown to callers that are refused. */
+    Milliseconds usualPrimaryChange { 2200 };
+    /** Pause before a statement is offered again to an endpoint that was behind or full. */
+    Milliseconds retryPause { 25 };
+    /** Endpoints that one statement is offered to before its caller gets the refusal. */
+    std::size_t maximumAttempts = 6;
+    /** Statements of one rank that wait for one group. */
+    std::size_t queueLimit = 400;
+    std::size_t queueLimitBytes = 4U * 1024 * 1024;
+    /** Ranks that are told apart; less urgent ones share the last. */
+    std::size_t ranks = 4;
+    /** Share of slot time that each rank but the most urgent keeps under any flood. */
+    double floor = 0.1;
+    /** A gap between two ticks that shows that this process did not run. */
+    Milliseconds stallLimit { 300 };
+};
+
+/**
+ * Runs statements on endpoints: queues them by rank, chooses the endpoint, prepares a pooled connection so that it holds
+ * exactly what the session needs, and repeats elsewhere what certainly did not run.
+ *
+ * Every group has two queues: one for what only the primary may run, one for reads that any endpoint with a late enough
+ * log may run. A read for the primary runs inside a transaction that the proxy begins and rolls back, because only
+ * statements of a transaction are refused by an endpoint that has lost the lead. Runs on one thread.
+ */
+class StatementDispatcher {
+public:
+    StatementDispatcher(EndpointDirectory&, EndpointConnector&, DecisionLog&, Metrics&, const DispatcherSettings&);
+    ~StatementDispatcher();
+    StatementDispatcher(const StatementDispatcher&) = delete;
+    StatementDispatcher& operator=(const StatementDispatcher&) = delete;
+
+    /** Queues a statement. The callback comes exactly once, possibly from inside this call, unless it is abandoned. */
+    Ticket submit(StatementRequest, StatementCallback, TimePoint now);
+    /** Runs a statement of an open transaction on its connection. */
+    Ticket submit(const TransactionLink&, StatementRequest, StatementCallback, TimePoint now);
+    /** The caller left: a waiting statement is dropped, the result of a running one is not reported. */
+    void abandon(Ticket, TimePoint now);
+    /** Rolls an open transaction back and takes its connection into the pool again. */
+    void endTransaction(const TransactionLink&, TimePoint now);
+
+    /** Follows a new configuration. */
+    void setGroups(const std::map<GroupId, GroupRule>&, TimePoint now);
+    /** Number of live daemons that share the endpoints' connections. */
+    void setDaemonCount(std::size_t);
+    /** Follows changes of the directory: new endpoints, lost ones, another primary. */
+    void onDirectoryChange(TimePoint now);
+    /** Handles time-outs, asks primaries for their positions and opens connections. Call every tickInterval. */
+    void onTick(TimePoint now);
+    static constexpr Milliseconds tickInterval { 25 };
+
+    /** Since when the known primary of a group gives signs of failure; nullopt while it answers. */
+    std::optional<TimePoint> primaryFailingSince(const GroupId&, TimePoint now) const;
+    /** True when there is an open connection to the endpoint. */
+    bool isReachable(const EndpointId&) const;
+    /** Highest position known of the group's log, from answers of any endpoint. */
+    LogPosition newestPositionOf(const GroupId&) const;
+
+private:
+    std::unique_ptr<class DispatcherState> state_;
+};
+
+} // namespace almondlever
--- /dev/null
+++ b/src/front/FrontDaemon.cpp
@@ -0,0 +1,349 @@
+#include "almondlever/front/FrontDaemon.h"
+
+#include <algorithm>
+
+namespace almondlever {
+
+namespace {
+
+    /** Interval at which sessions are checked for idle transactions; the limits are seconds. */
+    constexpr Milliseconds sessionCheckInterval { 250 };
+    /** Interval at which an unsuccessful registration is tried again. */
+    constexpr Milliseconds registrationRetry { 1000 };
+
+    std::string withoutPrefix(const std::string& key, const std::string& prefix) { return key.substr(prefix.size()); }
+
+    bool hasPrefix(const std::string& key, const std::string& prefix) { return key.rfind(prefix, 0) == 0; }
+
+} // namespace
+
+FrontDaemon::FrontDaemon(const FrontSettings& settings, MetadataStore& store, EndpointConnector& connector,
+    PromotionService& promotions, const InventoryDecoder& decoder, TimerService& timers)
+    : settings_(settings)
+    , store_(store)
+    , decoder_(decoder)
+    , timers_(timers)
+    , log_(settings.decisionLinesPerSecond)
+    , dispatcher_(directory_, connector, log_, metrics_, settings.dispatcher)
+    , promotions_(directory_, dispatcher_, connector, store, promotions, timers, settings.promotion)
+    , stop_(settings.stop)
+    , configurationFollower_(store, timers, decoder.configurationPrefix(), *this)
+    , endpointFollower_(store, timers, decoder.endpointPrefix(), *this)
+    , ownFollower_(store, timers, storeKeys::root, *this)
+{
+}
+
+FrontDaemon::~FrontDaemon() = default;
+
+void FrontDaemon::start()
+{
+    logInfo("start", { { "vm", settings_.vm.text() }, { "failure_domain", settings_.failureDomain.text() } });
+    configurationFollower_.start();
+    endpointFollower_.start();
+    ownFollower_.start();
+    registerMember();
+    tick(timers_.now());
+}
+
+void FrontDaemon::open(const DatabaseId& database, CallerLink& link, OpenCallback callback)
+{
+    const TimePoint now = timers_.now();
+    const Opening opening { database, &link, std::move(callback), now };
+    if (routing_)
+        return openNow(opening, now);
+    openings_.push_back(opening);
+}
+
+void FrontDaemon::openNow(const Opening& opening, TimePoint now)
+{
+    if (!routing_)
+        return opening.callback(nullptr, StatementError::Busy);
+    if (routing_->routes.count(opening.database) == 0) {
+        if (log_.admits(1, now))
+            log_.write("refuse_session",
+                { { "database", opening.database.text() }, { "reason", "unknown_database" },
+                    { "configuration", std::to_string(routing_->version) } });
+        return opening.callback(nullptr, StatementError::UnknownDatabase);
+    }
+    auto session = std::make_unique<Session>(opening.database, *opening.link, *this, dispatcher_, metrics_);
+    Session* opened = session.get();
+    sessions_[opening.link] = std::move(session);
+    metrics_.count("almondlever_sessions_total", "");
+    opening.callback(opened, std::nullopt);
+}
+
+void FrontDaemon::finishOpening(TimePoint now)
+{
+    const std::vector<Opening> openings = std::move(openings_);
+    openings_.clear();
+    for (const Opening& opening : openings) {
+        if (routing_ || now - opening.since > settings_.openPatience)
+            openNow(opening, now);
+        else
+            openings_.push_back(opening);
+    }
+}
+
+void FrontDaemon::close(CallerLink& link)
+{
+    openings_.erase(std::remove_if(openings_.begin(), openings_.end(),
+                        [&link](const Opening& opening) { return opening.link == &link; }),
+        openings_.end());
+    const auto found = sessions_.find(&link);
+    if (found == sessions_.end())
+        return;
+    found->second->onCallerClosed(timers_.now());
+    // The call may come from inside the session.
+    std::shared_ptr<Session> ended = std::move(found->second);
+    sessions_.erase(found);
+    timers_.callAfter(Duration(0), [ended](TimePoint) {});
+}
+
+void FrontDaemon::onStoreSnapshot(const std::string& prefix, const std::vector<StoreItem>& items, TimePoint now)
+{
+    if (prefix == decoder_.configurationPrefix()) {
+        for (const StoreItem& item : items)
+            takeConfiguration(item, now);
+    } else if (prefix == decoder_.endpointPrefix()) {
+        takeEndpoints(items, true, now);
+    } else {
+        takeOwnKeys(items, true, now);
+    }
+}
+
+void FrontDaemon::onStoreChanges(const std::string& prefix, const std::vector<StoreItem>& items, TimePoint now)
+{
+    if (prefix == decoder_.configurationPrefix()) {
+        for (const StoreItem& item : items)
+            takeConfiguration(item, now);
+    } else if (prefix == decoder_.endpointPrefix()) {
+        takeEndpoints(items, false, now);
+    } else {
+        takeOwnKeys(items, false, now);
+    }
+}
+
+void FrontDaemon::onStoreReturned(const std::string& prefix, TimePoint now)
+{
+    logInfo("store_returned", { { "prefix", prefix } });
+    if (prefix == decoder_.endpointPrefix())
+        directory_.noteStoreReturned(now);
+}
+
+void FrontDaemon::onStoreLost(const std::string& prefix, const StoreFailure& failure, TimePoint)
+{
+    logWarning("store_lost",
+        { { "prefix", prefix }, { "failure", toText(failure.kind) }, { "detail", failure.detail } });
+    metrics_.count("almondlever_store_lost_total", "prefix=\"" + prefix + '"');
+}
+
+void FrontDaemon::takeConfiguration(const StoreItem& item, TimePoint now)
+{
+    if (item.isDeleted)
+        return;
+    const Result<RoutingConfiguration, std::string> decoded = decoder_.decodeConfiguration(item);
+    if (!decoded)
+        return logWarning("configuration_rejected",
+            { { "key", item.key }, { "revision", std::to_string(item.revision) }, { "reason", decoded.error() } });
+    const RoutingConfiguration& configuration = decoded.value();
+    if (routing_ && configuration.version <= routing_->version)
+        return;
+    logInfo("configuration_in_force",
+        { { "version", std::to_string(configuration.version) },
+            { "previous", routing_ ? std::to_string(routing_->version) : "none" },
+            { "revision", std::to_string(item.revision) }, { "routes", std::to_string(configuration.routes.size()) },
+            { "groups", std::to_string(configuration.groups.size()) } });
+    routing_ = std::make_shared<const RoutingConfiguration>(configuration);
+    dispatcher_.setGroups(routing_->groups, now);
+    promotions_.setGroups(routing_->groups);
+    finishOpening(now);
+}
+
+void FrontDaemon::takeEndpoints(const std::vector<StoreItem>& items, bool isSnapshot, TimePoint now)
+{
+    std::vector<EndpointEntry> entries;
+    for (const StoreItem& item : items) {
+        if (item.isDeleted) {
+            const EndpointId id = decoder_.endpointOf(item.key);
+            logInfo("endpoint_lapsed", { { "endpoint", id.text() }, { "revision", std::to_string(item.revision) } });
+            directory_.lapse(id, now);
+            continue;
+        }
+        const Result<EndpointEntry, std::string> decoded = decoder_.decodeEndpoint(item);
+        if (!decoded) {
+            logWarning("endpoint_entry_rejected",
+                { { "key", item.key }, { "revision", std::to_string(item.revision) }, { "reason", decoded.error() } });
+            directory_.lapse(decoder_.endpointOf(item.key), now);
+            continue;
+        }
+        const EndpointEntry& entry = decoded.value();
+        const EndpointEntry* known = directory_.find(entry.id);
+        const bool isNews = !known || known->isLeaving != entry.isLeaving || known->saysPrimary != entry.saysPrimary
+            || known->address != entry.address || known->startedAt != entry.startedAt;
+        if (isNews)
+            logInfo("endpoint_entry",
+                { { "endpoint", entry.id.text() }, { "group", entry.group.text() }, { "address", entry.address },
+                    { "says_primary", entry.saysPrimary ? "yes" : "no" }, { "leaving", entry.isLeaving ? "yes" : "no" },
+                    { "revision", std::to_string(entry.revision) } });
+        entries.push_back(entry);
+    }
+    if (isSnapshot) {
+        directory_.replaceAll(entries, now);
+        hasEndpoints_ = true;
+    } else {
+        for (const EndpointEntry& entry : entries)
+            directory_.update(entry, now);
+    }
+    dispatcher_.onDirectoryChange(now);
+}
+
+void FrontDaemon::takeOwnKeys(const std::vector<StoreItem>& items, bool isSnapshot, TimePoint now)
+{
+    if (isSnapshot) {
+        members_.clear();
+        if (routing_) {
+            for (const auto& [group, rule] : routing_->groups)
+                promotions_.onClaim(group, false, now);
+        }
+    }
+    for (const StoreItem& item : items) {
+        if (hasPrefix(item.key, storeKeys::members)) {
+            const std::string name = withoutPrefix(item.key, storeKeys::members);
+            if (item.isDeleted)
+                members_.erase(name);
+            else
+                members_.insert(name);
+        } else if (hasPrefix(item.key, storeKeys::claims)) {
+            promotions_.onClaim(GroupId(withoutPrefix(item.key, storeKeys::claims)), !item.isDeleted, now);
+        } else if (hasPrefix(item.key, storeKeys::changes)) {
+            const bool isOpen = !item.isDeleted && item.value == storeKeys::changeOpen;
+            promotions_.onChangeRecord(GroupId(withoutPrefix(item.key, storeKeys::changes)), isOpen, now);
+        }
+    }
+    onMembersChange();
+}
+
+void FrontDaemon::onMembersChange()
+{
+    members_.insert(settings_.vm.text());
+    dispatcher_.setDaemonCount(members_.size());
+    promotions_.setMembers(members_);
+}
+
+void FrontDaemon::registerMember()
+{
+    if (stop_.isStopping())
+        return;
+    const auto retry = [this, alive = std::weak_ptr<int>(alive_)](const StoreFailure& failure) {
+        logWarning("member_not_registered", { { "failure", toText(failure.kind) }, { "detail", failure.detail } });
+        timers_.callAfter(registrationRetry, [this, alive](TimePoint) {
+            if (!alive.expired())
+                registerMember();
+        });
+    };
+    store_.grantLease(settings_.memberLease,
+        [this, retry, alive = std::weak_ptr<int>(alive_)](const StoreResult<StoreLease>& granted) {
+            if (alive.expired())
+                return;
+            if (!granted)
+                return retry(granted.error());
+            const std::uint64_t lease = granted.value().id;
+            StoreTransaction transaction;
+            transaction.puts.push_back(
+                { storeKeys::members + settings_.vm.text(), settings_.failureDomain.text(), lease });
+            store_.transact(transaction, [this, retry, lease, alive](const StoreResult<std::uint64_t>& written) {
+                if (alive.expired())
+                    return;
+                if (!written)
+                    return retry(written.error());
+                renewMember(lease);
+            });
+        });
+}
+
+void FrontDaemon::renewMember(std::uint64_t lease)
+{
+    timers_.callAfter(settings_.memberRenewal, [this, lease, alive = std::weak_ptr<int>(alive_)](TimePoint) {
+        if (alive.expired() || stop_.isStopping())
+            return;
+        store_.renewLease(lease, [this, lease, alive](const StoreResult<Done>& renewed) {
+            if (alive.expired())
+                return;
+            if (!renewed && renewed.error().kind == StoreFailure::Kind::LeaseGone)
+                return registerMember();
+            if (!renewed)
+                logWarning("member_not_renewed",
+                    { { "failure", toText(renewed.error().kind) }, { "detail", renewed.error().detail } });
+            renewMember(lease);
+        });
+    });
+}
+
+void FrontDaemon::tick(TimePoint now)
+{
+    const std::vector<EndpointId> removed = directory_.removeLapsed(now);
+    for (const EndpointId& id : removed)
+        logInfo("endpoint_gone", { { "endpoint", id.text() } });
+    if (!removed.empty())
+        dispatcher_.onDirectoryChange(now);
+    dispatcher_.onTick(now);
+    promotions_.onTick(now);
+    if (now - slowTickAt_ >= sessionCheckInterval) {
+        slowTickAt_ = now;
+        for (const auto& [link, session] : sessions_)
+            session->onTick(now);
+        finishOpening(now);
+        const std::uint64_t suppressed = log_.takeSuppressedCount();
+        if (suppressed > 0)
+            logInfo("decision_lines_left_out", { { "count", std::to_string(suppressed) } });
+    }
+    if (stop_.isStopping())
+        tickStop(now);
+    timers_.callAfter(StatementDispatcher::tickInterval, [this, alive = std::weak_ptr<int>(alive_)](TimePoint at) {
+        if (!alive.expired())
+            tick(at);
+    });
+}
+
+void FrontDaemon::beginStop(std::function<void()> onStopped)
+{
+    if (stop_.isStopping())
+        return;
+    const TimePoint now = timers_.now();
+    logInfo("stop_begins", { { "sessions", std::to_string(sessions_.size()) } });
+    onStopped_ = std::move(onStopped);
+    stop_.begin(now);
+    promotions_.stop();
+    StoreTransaction leave;
+    leave.deletes.push_back(storeKeys::members + settings_.vm.text());
+    store_.transact(leave, [](const StoreResult<std::uint64_t>& result) {
+        if (!result)
+            logWarning("member_not_removed", { { "failure", toText(result.error().kind) } });
+    });
+}
+
+void FrontDaemon::tickStop(TimePoint now)
+{
+    const double share = stop_.shareToClose(now);
+    if (share <= 0)
+        sessionsAtStop_ = sessions_.size();
+    std::vector<Session*> all;
+    for (const auto& [link, session] : sessions_)
+        all.push_back(session.get());
+    const auto keep = static_cast<std::size_t>(static_cast<double>(sessionsAtStop_) * (1 - share));
+    for (Session* session : all) {
+        if (stop_.endsTransactions(now))
+            session->abortTransaction("the daemon stops", now);
+        if (share > 0 && (sessions_.size() > keep || share >= 1))
+            session->closeWhenAtRest();
+    }
+    const bool isQuiet = share >= 1 && sessions_.empty() && promotions_.isIdle();
+    if (!onStopped_ || (!isQuiet && !stop_.mustExit(now)))
+        return;
+    logInfo("stop_ends", { { "sessions", std::to_string(sessions_.size()) } });
+    const auto stopped = std::move(onStopped_);
+    onStopped_ = nullptr;
+    stopped();
+}
+
+} // namespace almondlever
--- /dev/null
+++ b/src/front/PromotionDriver.cpp
@@ -0,0 +1,274 @@
+#include "almondlever/front/PromotionDriver.h"
+
+#include "OrderLink.h"
+#include "almondlever/observability/DecisionLog.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace almondlever {
+
+/** A change that this daemon tries to make. */
+struct PromotionDriver::Change {
+    Change(MetadataStore& store, TimerService& timers, const GroupId& group, const std::string& holder)
+        : claim(store, timers, group, holder)
+    {
+    }
+
+    PromotionClaim claim;
+    PromotionReason reason = PromotionReason::PrimaryFailed;
+    std::unique_ptr<GroupPromotion> promotion;
+    std::map<EndpointId, std::shared_ptr<OrderLink>> links;
+    TimePoint startedAt;
+};
+
+PromotionDriver::PromotionDriver(EndpointDirectory& directory, StatementDispatcher& dispatcher,
+    EndpointConnector& connector, MetadataStore& store, PromotionService& service, TimerService& timers,
+    const PromotionDriverSettings& settings)
+    : directory_(directory)
+    , dispatcher_(dispatcher)
+    , connector_(connector)
+    , store_(store)
+    , service_(service)
+    , timers_(timers)
+    , settings_(settings)
+{
+}
+
+PromotionDriver::~PromotionDriver() = default;
+
+void PromotionDriver::onClaim(const GroupId& group, bool isHeld, TimePoint now)
+{
+    Watch& watch = watches_[group];
+    if (watch.isClaimed && !isHeld)
+        watch.notBefore = now;
+    watch.isClaimed = isHeld;
+}
+
+void PromotionDriver::onChangeRecord(const GroupId& group, bool isOpen, TimePoint)
+{
+    watches_[group].isOpen = isOpen;
+}
+
+std::optional<PromotionReason> PromotionDriver::reasonFor(
+    const GroupId& group, const Watch& watch, TimePoint now) const
+{
+    if (dispatcher_.primaryFailingSince(group, now))
+        return PromotionReason::PrimaryFailed;
+    if (watch.isOpen)
+        return PromotionReason::Recovery;
+    const EndpointEntry* primary = directory_.primaryOf(group);
+    if (!primary || !primary->isLeaving)
+        return std::nullopt;
+    const std::vector<const EndpointEntry*> endpoints = directory_.endpointsOf(group);
+    const bool hasStaying = std::any_of(
+        endpoints.begin(), endpoints.end(), [](const EndpointEntry* entry) { return !entry->isLeaving; });
+    return hasStaying ? std::optional<PromotionReason>(PromotionReason::PrimaryLeaving) : std::nullopt;
+}
+
+Duration PromotionDriver::orderDelay(const GroupId& group) const
+{
+    // Daemons with a lower hash of their own name and the group's come first.
+    const auto hash = [&group](const std::string& member) {
+        const std::string text = member + ' ' + group.text();
+        return XXH3_64bits(text.data(), text.size());
+    };
+    const auto own = hash(settings_.holder);
+    const auto earlier = std::count_if(
+        members_.begin(), members_.end(), [&](const std::string& member) { return hash(member) < own; });
+    return settings_.orderDelay * earlier;
+}
+
+void PromotionDriver::onTick(TimePoint now)
+{
+    for (const auto& [group, rule] : groups_) {
+        const auto running = changes_.find(group);
+        if (running != changes_.end()) {
+            if (running->second->promotion)
+                carryOut(group, running->second->promotion->onTick(now), now);
+            continue;
+        }
+        Watch& watch = watches_[group];
+        const std::optional<PromotionReason> reason = reasonFor(group, watch, now);
+        if (!reason || watch.reason != *reason)
+            watch.reasonSince.reset();
+        if (!reason)
+            continue;
+        watch.reason = *reason;
+        if (!watch.reasonSince)
+            watch.reasonSince = now;
+        const bool isDue = now - *watch.reasonSince >= orderDelay(group) && now >= watch.notBefore;
+        if (isDue && !watch.isClaimed && !isStopping_)
+            begin(group, *reason, now);
+    }
+}
+
+void PromotionDriver::begin(const GroupId& group, PromotionReason reason, TimePoint now)
+{
+    auto change = std::make_unique<Change>(store_, timers_, group, settings_.holder);
+    change->reason = reason;
+    change->startedAt = now;
+    const EndpointEntry* primary = directory_.primaryOf(group);
+    logInfo("promotion_claim_asked",
+        { { "group", group.text() }, { "reason", toText(reason) }, { "primary", primary ? primary->id.text() : "" },
+            { "term", std::to_string(directory_.newestTermOf(group)) } });
+    PromotionClaim& claim = change->claim;
+    changes_[group] = std::move(change);
+    claim.acquire(++attempts_, [this, group](const StoreResult<std::uint64_t>& result) { onClaimed(group, result); });
+}
+
+void PromotionDriver::onClaimed(const GroupId& group, const StoreResult<std::uint64_t>& result)
+{
+    const TimePoint now = timers_.now();
+    const auto found = changes_.find(group);
+    if (found == changes_.end())
+        return;
+    Change& change = *found->second;
+    Watch& watch = watches_[group];
+    const std::optional<PromotionReason> reason = reasonFor(group, watch, now);
+    const bool isMoot = result && !reason && change.reason != PromotionReason::Recovery;
+    if (!result || isMoot) {
+        logInfo("promotion_not_claimed",
+            { { "group", group.text() }, { "outcome", result ? "reason_gone" : toText(result.error().kind) },
+                { "detail", result ? "" : result.error().detail } });
+        watch.notBefore = now + settings_.retryPause;
+        change.claim.release(true);
+        // The claim is destroyed outside of its own callback.
+        timers_.callAfter(Duration(0), [this, group, alive = std::weak_ptr<int>(alive_)](TimePoint) {
+            if (!alive.expired())
+                changes_.erase(group);
+        });
+        return;
+    }
+    std::vector<PromotionMember> members;
+    const EndpointEntry* primary = directory_.primaryOf(group);
+    for (const EndpointEntry* entry : directory_.endpointsOf(group))
+        members.push_back({ entry->id, entry == primary, entry->isLeaving });
+    const std::size_t synchronous = groups_[group].synchronousReplicas;
+    change.promotion = std::make_unique<GroupPromotion>(
+        members, synchronous, directory_.newestTermOf(group), change.reason, settings_.promotion);
+    logInfo("promotion_started",
+        { { "group", group.text() }, { "reason", toText(change.reason) }, { "fence", std::to_string(result.value()) },
+            { "members", std::to_string(members.size()) },
+            { "newest_position_term", std::to_string(dispatcher_.newestPositionOf(group).term) },
+            { "newest_position_index", std::to_string(dispatcher_.newestPositionOf(group).index) } });
+    carryOut(group, change.promotion->start(now), now);
+}
+
+void PromotionDriver::carryOut(const GroupId& group, const GroupPromotion::Orders& orders, TimePoint now)
+{
+    for (const GroupPromotion::Order& order : orders) {
+        if (order.kind == GroupPromotion::Order::Kind::Promote)
+            promote(group, order.endpoint, now);
+        else
+            sendOrder(group, order);
+    }
+    finishIfDone(group, now);
+}
+
+void PromotionDriver::sendOrder(const GroupId& group, const GroupPromotion::Order& order)
+{
+    const auto found = changes_.find(group);
+    if (found == changes_.end())
+        return;
+    std::shared_ptr<OrderLink>& link = found->second->links[order.endpoint];
+    if (!link || link->isClosed()) {
+        const EndpointEntry* entry = directory_.find(order.endpoint);
+        if (!entry)
+            return;
+        link = std::make_shared<OrderLink>(timers_);
+        link->open(connector_, *entry);
+    }
+    EndpointCommand command;
+    command.term = order.term;
+    switch (order.kind) {
+    case GroupPromotion::Order::Kind::Pause:
+        command.kind = EndpointCommand::Kind::PauseReplication;
+        break;
+    case GroupPromotion::Order::Kind::Resume:
+        command.kind = EndpointCommand::Kind::ResumeReplication;
+        break;
+    default:
+        command.kind = EndpointCommand::Kind::QueryStatus;
+        break;
+    }
+    link->send(command, settings_.orderTimeout,
+        [this, group, order, alive = std::weak_ptr<int>(alive_)](
+            const std::optional<EndpointReplicationStatus>& status, const std::string& detail, TimePoint at) {
+            logInfo("promotion_order",
+                { { "group", group.text() }, { "endpoint", order.endpoint.text() },
+                    { "order", toText(order.kind) }, { "outcome", status ? "ok" : "failed" }, { "detail", detail },
+                    { "is_primary", status && status->isPrimary ? "yes" : "no" },
+                    { "term", status ? std::to_string(status->term) : "" },
+                    { "received", status ? std::to_string(status->received.index) : "" } });
+            if (alive.expired())
+                return;
+            const auto change = changes_.find(group);
+            if (change == changes_.end() || !change->second->promotion)
+                return;
+            carryOut(group, change->second->promotion->onStatus(order.endpoint, order.kind, status, at), at);
+        });
+}
+
+void PromotionDriver::promote(const GroupId& group, const EndpointId& endpoint, TimePoint now)
+{
+    const auto found = changes_.find(group);
+    if (found == changes_.end())
+        return;
+    Change& change = *found->second;
+    const auto report = [this, group, endpoint, alive = std::weak_ptr<int>(alive_)](
+                            PromotionAnswer answer, const std::string& detail) {
+        if (alive.expired())
+            return;
+        const TimePoint at = timers_.now();
+        logInfo("promotion_answer",
+            { { "group", group.text() }, { "endpoint", endpoint.text() },
+                { "outcome",
+                    answer == PromotionAnswer::Accepted      ? "accepted"
+                        : answer == PromotionAnswer::Refused ? "refused"
+                                                             : "unknown" },
+                { "detail", detail } });
+        const auto running = changes_.find(group);
+        if (running != changes_.end() && running->second->promotion)
+            carryOut(group, running->second->promotion->onPromotionAnswer(answer, at), at);
+    };
+    if (!change.claim.isHeld(now)) {
+        timers_.callAfter(Duration(0), [report](TimePoint) { report(PromotionAnswer::Refused, "the claim has ended"); });
+        return;
+    }
+    const LogPosition position = change.promotion->chosenPosition();
+    logInfo("promotion_ordered",
+        { { "group", group.text() }, { "endpoint", endpoint.text() },
+            { "fence", std::to_string(change.claim.fence()) }, { "position_term", std::to_string(position.term) },
+            { "position_index", std::to_string(position.index) } });
+    service_.promote(group, endpoint, settings_.holder, change.claim.fence(), report);
+}
+
+void PromotionDriver::finishIfDone(const GroupId& group, TimePoint now)
+{
+    const auto found = changes_.find(group);
+    if (found == changes_.end() || !found->second->promotion || !found->second->promotion->isFinished())
+        return;
+    Change& change = *found->second;
+    const GroupPromotion& promotion = *change.promotion;
+    logInfo("promotion_ended",
+        { { "group", group.text() }, { "outcome", promotion.hasSucceeded() ? "ok" : "failed" },
+            { "detail", promotion.failure() }, { "endpoint", promotion.chosen().text() },
+            { "ms",
+                std::to_string(std::chrono::duration_cast<Milliseconds>(now - change.startedAt).count()) } });
+    if (promotion.hasSucceeded()) {
+        directory_.noteLeading(promotion.chosen(), directory_.newestTermOf(group) + 1);
+        dispatcher_.onDirectoryChange(now);
+    }
+    change.claim.release(!promotion.needsRecovery());
+    Watch& watch = watches_[group];
+    watch.isOpen = promotion.needsRecovery();
+    watch.reasonSince.reset();
+    watch.notBefore = now + (promotion.hasSucceeded() ? settings_.retryPause * 2 : settings_.retryPause);
+    // The change is destroyed outside of the callbacks of its own parts.
+    std::shared_ptr<Change> ended = std::move(found->second);
+    changes_.erase(found);
+    timers_.callAfter(Duration(0), [ended](TimePoint) {});
+}
+
+} // namespace almondlever
--- /dev/null
+++ b/src/groups/EndpointDirectory.cpp
@@ -0,0 +1,171 @@
+#include "almondlever/groups/EndpointDirectory.h"
+
+#include <algorithm>
+
+namespace almondlever {
+
+void EndpointDirectory::replaceAll(const std::vector<EndpointEntry>& entries, TimePoint now)
+{
+    std::set<EndpointId> present;
+    for (const EndpointEntry& entry : entries) {
+        present.insert(entry.id);
+        update(entry, now);
+    }
+    for (const auto& [id, listed] : endpoints_) {
+        if (present.count(id) == 0)
+            lapse(id, now);
+    }
+}
+
+void EndpointDirectory::update(const EndpointEntry& entry, TimePoint now)
+{
+    Listed& listed = endpoints_[entry.id];
+    if (entry.revision < listed.entry.revision)
+        return;
+    const bool isReborn = listed.entry.startedAt.count() != 0 && listed.entry.startedAt != entry.startedAt;
+    if (isReborn) {
+        Leadership& leadership = leadership_[entry.group];
+        if (leadership.proven == entry.id)
+            leadership.proven = EndpointId();
+        listed.refusedAtRevision = 0;
+    }
+    if (!entry.saysPrimary)
+        listed.primarySinceRevision = 0;
+    else if (listed.primarySinceRevision == 0)
+        listed.primarySinceRevision = entry.revision;
+    if (!entry.isLeaving)
+        listed.leavingSince.reset();
+    else if (!listed.leavingSince)
+        listed.leavingSince = now;
+    listed.entry = entry;
+    listed.lapsedAt.reset();
+}
+
+void EndpointDirectory::lapse(const EndpointId& id, TimePoint now)
+{
+    const auto found = endpoints_.find(id);
+    if (found != endpoints_.end() && !found->second.lapsedAt)
+        found->second.lapsedAt = now;
+}
+
+void EndpointDirectory::noteStoreReturned(TimePoint now)
+{
+    for (auto& [id, listed] : endpoints_) {
+        if (listed.lapsedAt)
+            listed.lapsedAt = now;
+    }
+}
+
+std::vector<EndpointId> EndpointDirectory::removeLapsed(TimePoint now)
+{
+    std::vector<EndpointId> removed;
+    for (auto it = endpoints_.begin(); it != endpoints_.end();) {
+        if (!it->second.lapsedAt || now - *it->second.lapsedAt < lapseGrace) {
+            ++it;
+            continue;
+        }
+        removed.push_back(it->first);
+        it = endpoints_.erase(it);
+    }
+    return removed;
+}
+
+const EndpointEntry* EndpointDirectory::find(const EndpointId& id) const
+{
+    const auto found = endpoints_.find(id);
+    return found == endpoints_.end() ? nullptr : &found->second.entry;
+}
+
+std::vector<const EndpointEntry*> EndpointDirectory::endpointsOf(const GroupId& group) const
+{
+    std::vector<const EndpointEntry*> members;
+    for (const auto& [id, listed] : endpoints_) {
+        if (listed.entry.group == group)
+            members.push_back(&listed.entry);
+    }
+    return members;
+}
+
+std::set<GroupId> EndpointDirectory::groups() const
+{
+    std::set<GroupId> groups;
+    for (const auto& [id, listed] : endpoints_)
+        groups.insert(listed.entry.group);
+    return groups;
+}
+
+bool EndpointDirectory::isLapsing(const EndpointId& id) const
+{
+    const auto found = endpoints_.find(id);
+    return found != endpoints_.end() && found->second.lapsedAt.has_value();
+}
+
+std::optional<TimePoint> EndpointDirectory::leavingSince(const EndpointId& id) const
+{
+    const auto found = endpoints_.find(id);
+    return found == endpoints_.end() ? std::nullopt : found->second.leavingSince;
+}
+
+void EndpointDirectory::noteLeading(const EndpointId& id, Term term)
+{
+    const auto found = endpoints_.find(id);
+    if (found == endpoints_.end())
+        return;
+    Leadership& leadership = leadership_[found->second.entry.group];
+    leadership.newestTerm = std::max(leadership.newestTerm, term);
+    if (term < leadership.provenTerm)
+        return;
+    found->second.refusedAtRevision = 0;
+    leadership.proven = id;
+    leadership.provenTerm = term;
+}
+
+void EndpointDirectory::noteNotLeading(const EndpointId& id)
+{
+    const auto found = endpoints_.find(id);
+    if (found == endpoints_.end())
+        return;
+    found->second.refusedAtRevision = std::max<std::uint64_t>(found->second.entry.revision, 1);
+    Leadership& leadership = leadership_[found->second.entry.group];
+    if (leadership.proven == id)
+        leadership.proven = EndpointId();
+}
+
+void EndpointDirectory::noteTerm(const GroupId& group, Term term)
+{
+    Leadership& leadership = leadership_[group];
+    leadership.newestTerm = std::max(leadership.newestTerm, term);
+}
+
+const EndpointEntry* EndpointDirectory::primaryOf(const GroupId& group) const
+{
+    const auto leadership = leadership_.find(group);
+    const Listed* best = nullptr;
+    for (const auto& [id, listed] : endpoints_) {
+        if (listed.entry.group != group)
+            continue;
+        const bool isRefused = listed.refusedAtRevision >= std::max<std::uint64_t>(listed.entry.revision, 1);
+        if (!listed.entry.saysPrimary || isRefused)
+            continue;
+        if (!best || listed.primarySinceRevision > best->primarySinceRevision)
+            best = &listed;
+    }
+    if (leadership == leadership_.end() || leadership->second.proven.isEmpty())
+        return best ? &best->entry : nullptr;
+    const auto proven = endpoints_.find(leadership->second.proven);
+    if (proven == endpoints_.end())
+        return best ? &best->entry : nullptr;
+    // An endpoint that announced its lead after the proven one last wrote has taken over since.
+    if (best && best->entry.id != proven->first && best->primarySinceRevision > proven->second.entry.revision
+        && best->primarySinceRevision > proven->second.primarySinceRevision)
+        return &best->entry;
+    return &proven->second.entry;
+}
+
+Term EndpointDirectory::newestTermOf(const GroupId& group) const
+{
+    const auto found = leadership_.find(group);
+    return found == leadership_.end() ? 0 : found->second.newestTerm;
+}
+
+} // namespace almondlever
--- /dev/null
+++ b/src/pooling/DispatcherLinks.cpp
@@ -0,0 +1,213 @@
+#include "DispatcherState.h"
+
+#include <algorithm>
+
+namespace almondlever {
+
+namespace {
+
+    /** Connections to one endpoint that are opened at the same time; each takes a slot of the endpoint meanwhile. */
+    constexpr std::size_t openingsAtOnce = 2;
+    /** Time for a connection to open; three round trips between regions and the usual cost on the endpoint. */
+    constexpr Milliseconds openTimeout { 1000 };
+
+} // namespace
+
+EndpointLinks& DispatcherState::linksOf(const EndpointId& endpoint)
+{
+    const auto found = endpoints_.find(endpoint);
+    if (found != endpoints_.end())
+        return found->second;
+    return endpoints_.try_emplace(endpoint, endpoint, health_).first->second;
+}
+
+const EndpointLinks* DispatcherState::findLinks(const EndpointId& endpoint) const
+{
+    const auto found = endpoints_.find(endpoint);
+    return found == endpoints_.end() ? nullptr : &found->second;
+}
+
+std::size_t DispatcherState::connectionShare(const EndpointEntry& entry) const
+{
+    const auto found = groups_.find(entry.group);
+    const std::size_t all = found == groups_.end() ? 0 : found->second.rule.maximumConnections;
+    const std::size_t usable = all > settings_.reservedConnections ? all - settings_.reservedConnections : 1;
+    return std::max<std::size_t>(usable / daemonCount_, 1);
+}
+
+void DispatcherState::openLinks(EndpointLinks& links, std::size_t wanted, TimePoint now)
+{
+    const EndpointEntry* entry = directory_.find(links.id());
+    if (!entry || !links.mayConnect(now))
+        return;
+    const std::size_t share = connectionShare(*entry);
+    // A transaction between two statements keeps its connection from others for as long as its caller likes.
+    const std::size_t resting = std::min(links.count(PooledLink::State::InTransaction), share);
+    const std::size_t opening = links.count(PooledLink::State::Opening);
+    const std::size_t limit = std::min(wanted, openingsAtOnce);
+    for (std::size_t number = opening; number < limit && links.openCount() < share + resting; ++number) {
+        const auto link = std::make_shared<PooledLink>(*this, links.id(), now);
+        links.links().push_back(link);
+        metrics_.count("almondlever_endpoint_connections_total", "");
+        link->attach(connector_.connect(*entry, link));
+    }
+}
+
+void DispatcherState::openWarmLinks(TimePoint now)
+{
+    for (const GroupId& group : directory_.groups()) {
+        for (const EndpointEntry* entry : directory_.endpointsOf(group)) {
+            EndpointLinks& links = linksOf(entry->id);
+            if (links.openCount() == 0 && !directory_.isLapsing(entry->id))
+                openLinks(links, 1, now);
+        }
+    }
+}
+
+void DispatcherState::onPooledLinkOpened(PooledLink& link, const Reply& reply, TimePoint now)
+{
+    EndpointLinks& links = linksOf(link.endpoint());
+    links.noteOpened(now);
+    onPooledLinkReply(link, reply, now);
+    if (const EndpointEntry* entry = directory_.find(link.endpoint()))
+        dispatch(entry->group, now);
+}
+
+void DispatcherState::onPooledLinkReply(PooledLink& link, const Reply& reply, TimePoint now)
+{
+    linksOf(link.endpoint()).noteReply(reply, now);
+    const EndpointEntry* entry = directory_.find(link.endpoint());
+    if (entry && reply.position)
+        directory_.noteTerm(entry->group, reply.position->term);
+}
+
+void DispatcherState::onPooledLinkClosed(
+    PooledLink& link, const std::string& reason, std::optional<StatementError> refusal, TimePoint now)
+{
+    EndpointLinks& links = linksOf(link.endpoint());
+    const std::size_t before = links.links().size();
+    const bool wasOpening = !link.wasOpened();
+    links.noteClosed(refusal, wasOpening, now);
+    metrics_.count("almondlever_endpoint_connections_closed_total", wasOpening ? "state=\"opening\"" : "state=\"open\"");
+    const bool isChange = before == 1 || refusal;
+    if (isChange && log_.admits(0, now)) {
+        log_.write("endpoint_connection_lost",
+            { { "endpoint", link.endpoint().text() }, { "reason", reason },
+                { "refusal", refusal ? toText(*refusal) : "none" }, { "left", std::to_string(links.openCount()) } });
+    }
+}
+
+void DispatcherState::closeStuckLinks(TimePoint now)
+{
+    std::vector<std::pair<std::shared_ptr<PooledLink>, std::string>> closing;
+    for (auto& [id, links] : endpoints_) {
+        for (const auto& link : links.links()) {
+            if (link->state() == PooledLink::State::Opening && now - link->openedAt() > openTimeout)
+                closing.emplace_back(link, "connecting timed out");
+        }
+        const std::optional<TimePoint> since = links.suspectSince(now);
+        if (!since)
+            continue;
+        // Reads can run elsewhere at once; a write is awaited until its deadline, because it may have run.
+        for (const auto& [ticket, run] : runs_) {
+            const StatementRequest& request = pending_.at(ticket).request;
+            const bool isRepeatable = !run.isInTransaction && (!request.isWrite || request.opensTransaction);
+            if (run.link->endpoint() == id && isRepeatable)
+                closing.emplace_back(run.link, "endpoint is silent");
+        }
+        for (const auto& link : links.links()) {
+            const bool isProbe = link->state() == PooledLink::State::Busy && link->isWaiting()
+                && now - link->waitingSince() > 2 * health_.silenceLimit;
+            const bool hasRun = std::any_of(
+                runs_.begin(), runs_.end(), [&link](const auto& entry) { return entry.second.link == link; });
+            if (isProbe && !hasRun)
+                closing.emplace_back(link, "endpoint is silent");
+        }
+    }
+    for (const auto& [link, reason] : closing)
+        link->close(reason, now);
+}
+
+void DispatcherState::noteLeading(
+    const GroupId& group, const EndpointId& endpoint, const LogPosition& position, TimePoint askedAt)
+{
+    const EndpointEntry* before = directory_.primaryOf(group);
+    const EndpointId previous = before ? before->id : EndpointId();
+    directory_.noteLeading(endpoint, position.term);
+    GroupQueues& queues = queuesOf(group);
+    const EndpointEntry* primary = directory_.primaryOf(group);
+    if (!primary || primary->id != endpoint)
+        return;
+    if (previous != endpoint || queues.lastPrimary != endpoint) {
+        logInfo("primary_proven",
+            { { "group", group.text() }, { "endpoint", endpoint.text() }, { "previous", previous.text() },
+                { "term", std::to_string(position.term) } });
+        queues.lastPrimary = endpoint;
+        queues.history.clear();
+    }
+    queues.history.add(askedAt, position);
+}
+
+void DispatcherState::askPosition(
+    const GroupId& group, const std::shared_ptr<PooledLink>& link, bool isRegular, TimePoint now)
+{
+    // A transaction that may write is begun only by a primary, and beginning one takes no slot.
+    link->setState(PooledLink::State::Busy);
+    EndpointCommand begin;
+    begin.kind = EndpointCommand::Kind::Begin;
+    link->send(
+        begin,
+        [this, group, link, isRegular, sentAt = now](const Reply* reply, TimePoint at) {
+            if (isRegular)
+                queuesOf(group).isProbing = false;
+            if (!reply)
+                return;
+            if (reply->error) {
+                noteRefusal(link->endpoint(), *reply->error, at);
+                putBack(link, reply->state, at);
+                return onDirectoryChange(at);
+            }
+            if (reply->position)
+                noteLeading(group, link->endpoint(), *reply->position, sentAt);
+            rollBack(link, at);
+            dispatch(group, at);
+        },
+        now);
+}
+
+void DispatcherState::askWhoLeads(GroupQueues& queues, const GroupId& group, TimePoint now)
+{
+    if (now - queues.searchedAt < settings_.leaderSearchInterval)
+        return;
+    queues.searchedAt = now;
+    for (const EndpointEntry* entry : directory_.endpointsOf(group)) {
+        EndpointLinks& links = linksOf(entry->id);
+        if (links.isSuspect(now))
+            continue;
+        if (const auto link = links.findIdle(SessionContents()))
+            askPosition(group, link, false, now);
+    }
+}
+
+void DispatcherState::askForPositions(TimePoint now)
+{
+    for (const GroupId& group : directory_.groups()) {
+        GroupQueues& queues = queuesOf(group);
+        EndpointLinks* primary = usablePrimary(group, now);
+        if (!primary) {
+            askWhoLeads(queues, group, now);
+            continue;
+        }
+        const std::optional<TimePoint> newest = queues.history.newestQuestion();
+        const bool isFresh = newest && now - *newest < settings_.positionRefresh;
+        if (isFresh || queues.isProbing)
+            continue;
+        const auto link = primary->findIdle(SessionContents());
+        if (!link)
+            continue;
+        queues.isProbing = true;
+        askPosition(group, link, true, now);
+    }
+}
+
+} // namespace almondlever
--- /dev/null
+++ b/src/pooling/DispatcherRuns.cpp
@@ -0,0 +1,370 @@
+#include "DispatcherState.h"
+
+#include <cassert>
+
+namespace almondlever {
+
+namespace {
+
+    /** True when the statement ends its transaction with an effect. */
+    bool isCommit(const StatementRequest& request) { return request.statement.kind == StatementKind::Commit; }
+
+    EndpointCommand makeForward(const StatementRequest& request)
+    {
+        EndpointCommand command;
+        command.id = request.statement.id;
+        command.text = request.statement.text;
+        if (request.statement.kind != StatementKind::Execute)
+            return command;
+        const auto prepared = request.contents->prepared.find(request.statement.name);
+        assert(prepared != request.contents->prepared.end());
+        command.kind = EndpointCommand::Kind::ForwardPrepared;
+        command.name = LinkContents::nameOnEndpoint(prepared->second);
+        command.argument = request.statement.argument;
+        return command;
+    }
+
+} // namespace
+
+Ticket DispatcherState::submitInTransaction(
+    const TransactionLink& link, StatementRequest request, StatementCallback callback, TimePoint now)
+{
+    const Ticket ticket = ++lastTicket_;
+    request.rank = std::min(request.rank, ranks_.size() - 1);
+    PendingStatement pending;
+    pending.request = std::move(request);
+    pending.callback = std::move(callback);
+    pending_.emplace(ticket, std::move(pending));
+    if (link->state() != PooledLink::State::InTransaction) {
+        StatementResult result;
+        result.endpoint = link->endpoint();
+        result.reply.error = StatementError::Aborted;
+        result.reply.detail = "the connection to the endpoint was lost";
+        finish(ticket, std::move(result), now);
+        return ticket;
+    }
+    StatementRun run;
+    run.link = link;
+    run.isInTransaction = true;
+    startRun(ticket, std::move(run), now);
+    return ticket;
+}
+
+void DispatcherState::startRun(Ticket ticket, StatementRun run, TimePoint now)
+{
+    PendingStatement& pending = pending_.at(ticket);
+    const StatementRequest& request = pending.request;
+    const std::shared_ptr<PooledLink> link = run.link;
+    ++pending.attempts;
+    link->setState(PooledLink::State::Busy);
+    std::vector<EndpointCommand> commands = link->contents().match(*request.contents, request.statement);
+    run.changesContentsInTransaction = run.isInTransaction && !commands.empty();
+    if (request.opensTransaction || run.isWrapped) {
+        EndpointCommand begin;
+        // A transaction on the primary is refused once it has lost the lead, unless it only reads.
+        const bool isOnReplica = request.opensTransaction && !run.fromPrimaryQueue;
+        begin.kind = isOnReplica ? EndpointCommand::Kind::BeginReadOnly : EndpointCommand::Kind::Begin;
+        if (isOnReplica)
+            begin.after = run.after;
+        commands.push_back(begin);
+        run.after.reset();
+    }
+    run.setupLeft = commands.size();
+    run.startedAt = now;
+    runs_.emplace(ticket, std::move(run));
+    if (commands.empty())
+        return forward(ticket, now);
+    for (const EndpointCommand& command : commands) {
+        link->send(
+            command,
+            [this, ticket, kind = command.kind, sentAt = now](
+                const Reply* reply, TimePoint at) { onSetupReply(ticket, kind, sentAt, reply, at); },
+            now);
+    }
+}
+
+void DispatcherState::onSetupReply(
+    Ticket ticket, const EndpointCommand::Kind& kind, TimePoint sentAt, const Reply* reply, TimePoint now)
+{
+    const auto found = runs_.find(ticket);
+    if (found == runs_.end())
+        return;
+    StatementRun& run = found->second;
+    if (!reply)
+        return onLost(ticket, "connection lost before the statement was sent", now);
+    if (reply->error) {
+        if (kind == EndpointCommand::Kind::Begin || kind == EndpointCommand::Kind::BeginReadOnly)
+            return retryElsewhere(ticket, *reply, now);
+        const std::shared_ptr<PooledLink> link = run.link;
+        onLost(ticket, "the endpoint refused a session value or prepared statement", now);
+        return link->close("session state refused", now);
+    }
+    if (kind == EndpointCommand::Kind::Begin && reply->position)
+        noteLeading(pending_.at(ticket).request.group, run.link->endpoint(), *reply->position, sentAt);
+    assert(run.setupLeft > 0);
+    if (--run.setupLeft == 0)
+        forward(ticket, now);
+}
+
+void DispatcherState::forward(Ticket ticket, TimePoint now)
+{
+    StatementRun& run = runs_.at(ticket);
+    EndpointCommand command = makeForward(pending_.at(ticket).request);
+    command.after = run.after;
+    run.isForwarded = true;
+    run.forwardedAt = now;
+    run.link->send(
+        command, [this, ticket](const Reply* reply, TimePoint at) { onForwardReply(ticket, reply, at); }, now);
+}
+
+void DispatcherState::onForwardReply(Ticket ticket, const Reply* reply, TimePoint now)
+{
+    if (runs_.count(ticket) == 0)
+        return;
+    if (!reply)
+        return onLost(ticket, "connection lost while the statement ran", now);
+    if (!reply->error)
+        return succeed(ticket, *reply, now);
+    const StatementRun& run = runs_.at(ticket);
+    const StatementError error = *reply->error;
+    noteRefusal(run.link->endpoint(), error, now);
+    if (isPromiseOfNoEffect(error) && !run.isInTransaction)
+        return retryElsewhere(ticket, *reply, now);
+    passOn(ticket, *reply, now);
+}
+
+void DispatcherState::noteRefusal(const EndpointId& endpoint, StatementError error, TimePoint now)
+{
+    if (error == StatementError::ReadOnly)
+        directory_.noteNotLeading(endpoint);
+    if (error == StatementError::Lagging)
+        linksOf(endpoint).noteLagging(now);
+    if (error == StatementError::Busy)
+        linksOf(endpoint).noteBusy(now);
+}
+
+StatementRun DispatcherState::takeRun(Ticket ticket, TimePoint now, bool isStatement)
+{
+    const auto found = runs_.find(ticket);
+    assert(found != runs_.end());
+    StatementRun run = std::move(found->second);
+    runs_.erase(found);
+    if (!run.queued)
+        return run;
+    GroupQueues& queues = queuesOf(pending_.at(ticket).request.group);
+    RankScheduler& queue = run.fromPrimaryQueue ? queues.primaryQueue : queues.readQueue;
+    if (isStatement)
+        queue.finish(*run.queued, now - run.startedAt, now);
+    else
+        queue.release(*run.queued, now - run.startedAt, now);
+    return run;
+}
+
+void DispatcherState::succeed(Ticket ticket, const Reply& reply, TimePoint now)
+{
+    const StatementRun run = takeRun(ticket, now, true);
+    const StatementRequest request = pending_.at(ticket).request;
+    linksOf(run.link->endpoint()).noteLatency(now - run.forwardedAt);
+    // Only a primary acknowledges a write or serves a transaction that may write.
+    const bool provesLead = request.isWrite || run.isWrapped;
+    if (provesLead && reply.position)
+        noteLeading(request.group, run.link->endpoint(), *reply.position, run.forwardedAt);
+    StatementResult result;
+    result.reply = reply;
+    result.endpoint = run.link->endpoint();
+    result.attempts = pending_.at(ticket).attempts;
+    if (run.changesContentsInTransaction)
+        run.link->contents().invalidate();
+    const bool keepsTransaction = (request.opensTransaction || run.isInTransaction)
+        && reply.state == TransactionState::Open && !isCommit(request);
+    if (keepsTransaction) {
+        run.link->setState(PooledLink::State::InTransaction);
+        result.transaction = run.link;
+    }
+    logEnd(request, "serve", result.endpoint, "ok", run.isWrapped ? "primary_read" : toText(request.statement.kind),
+        now);
+    finish(ticket, std::move(result), now);
+    if (!keepsTransaction)
+        putBack(run.link, reply.state, now);
+    dispatch(request.group, now);
+}
+
+void DispatcherState::passOn(Ticket ticket, Reply reply, TimePoint now)
+{
+    const StatementRun run = takeRun(ticket, now, true);
+    const StatementRequest request = pending_.at(ticket).request;
+    StatementResult result;
+    result.reply = std::move(reply);
+    result.endpoint = run.link->endpoint();
+    result.attempts = pending_.at(ticket).attempts;
+    const TransactionState state = result.reply.state;
+    const StatementError error = *result.reply.error;
+    logEnd(request, "fail", result.endpoint, isPromiseOfNoEffect(error) ? "not_run" : "run", toText(error), now);
+    metrics_.count("almondlever_endpoint_errors_total", std::string("error=\"") + toText(error) + '"');
+    if (run.changesContentsInTransaction)
+        run.link->contents().invalidate();
+    finish(ticket, std::move(result), now);
+    putBack(run.link, state, now);
+    dispatch(request.group, now);
+}
+
+void DispatcherState::putBack(const std::shared_ptr<PooledLink>& link, TransactionState state, TimePoint now)
+{
+    if (link->state() == PooledLink::State::Closed)
+        return;
+    if (state != TransactionState::None)
+        return rollBack(link, now);
+    link->setState(PooledLink::State::Idle);
+}
+
+void DispatcherState::rollBack(const std::shared_ptr<PooledLink>& link, TimePoint now)
+{
+    if (link->state() == PooledLink::State::Closed)
+        return;
+    link->setState(PooledLink::State::Busy);
+    EndpointCommand rollback;
+    rollback.kind = EndpointCommand::Kind::Rollback;
+    link->send(
+        rollback,
+        [this, link](const Reply* reply, TimePoint at) {
+            if (!reply)
+                return;
+            if (reply->error || reply->state != TransactionState::None)
+                return link->close("rollback refused", at);
+            link->setState(PooledLink::State::Idle);
+            if (const EndpointEntry* entry = directory_.find(link->endpoint()))
+                dispatch(entry->group, at);
+        },
+        now);
+}
+
+void DispatcherState::endTransaction(const TransactionLink& link, TimePoint now)
+{
+    if (link->state() == PooledLink::State::InTransaction)
+        return rollBack(link, now);
+    link->close("transaction ended while a statement ran", now);
+}
+
+void DispatcherState::retryElsewhere(Ticket ticket, const Reply& reply, TimePoint now)
+{
+    const StatementError error = *reply.error;
+    const bool isForwarded = runs_.at(ticket).isForwarded;
+    const StatementRun run = takeRun(ticket, now, false);
+    PendingStatement& pending = pending_.at(ticket);
+    const StatementRequest& request = pending.request;
+    const EndpointId endpoint = run.link->endpoint();
+    const GroupId group = request.group;
+    if (!isForwarded)
+        noteRefusal(endpoint, error, now);
+    const bool isLinkInDoubt = error == StatementError::Misrouted || error == StatementError::UnknownStatement;
+    if (isLinkInDoubt) {
+        run.link->close(std::string("endpoint answered ") + toText(error), now);
+    } else {
+        putBack(run.link, reply.state, now);
+    }
+    metrics_.count("almondlever_retries_total", std::string("reason=\"") + toText(error) + '"');
+    logEnd(request, "retry", endpoint, "not_run", toText(error), now);
+    const bool mayRetry = pending.attempts < settings_.maximumAttempts && pending.callback;
+    if (!mayRetry) {
+        StatementResult result;
+        result.reply.error = StatementError::Busy;
+        result.reply.detail = std::string("endpoints refused, last ") + toText(error) + ' ' + reply.detail + ", retry after "
+            + std::to_string(settings_.usualPrimaryChange.count() / 8) + " ms";
+        result.attempts = pending.attempts;
+        finish(ticket, std::move(result), now);
+        return dispatch(group, now);
+    }
+    pending.refusedBy.insert(endpoint);
+    if (error == StatementError::ReadOnly)
+        onDirectoryChange(now);
+    const bool needsPause = error == StatementError::Busy || pending.waitsForPrimary;
+    if (needsPause) {
+        pending.retryAt = now + settings_.retryPause;
+        return dispatch(group, now);
+    }
+    enqueue(ticket, now);
+}
+
+Reply DispatcherState::lostReply(
+    const StatementRequest& request, bool isInTransaction, const std::string& reason) const
+{
+    Reply reply;
+    reply.detail = reason;
+    // Only a commit or a single write can leave an effect; all else is rolled back with its connection.
+    const bool endsWithEffect = isCommit(request) || (!isInTransaction && !request.opensTransaction);
+    const bool mayHaveEffect = request.isWrite && endsWithEffect;
+    if (mayHaveEffect)
+        reply.error = StatementError::Unknown;
+    else
+        reply.error = isInTransaction || request.opensTransaction ? StatementError::Aborted : StatementError::Busy;
+    return reply;
+}
+
+void DispatcherState::onLost(Ticket ticket, const std::string& reason, TimePoint now)
+{
+    const StatementRun run = takeRun(ticket, now, false);
+    PendingStatement& pending = pending_.at(ticket);
+    const StatementRequest& request = pending.request;
+    const Reply reply = lostReply(request, run.isInTransaction, reason);
+    const bool isSafeToRepeat = !run.isForwarded || *reply.error != StatementError::Unknown;
+    const bool mayRetry = isSafeToRepeat && !run.isInTransaction && pending.callback
+        && pending.attempts < settings_.maximumAttempts && now < request.deadline;
+    logEnd(request, mayRetry ? "retry" : "fail", run.link->endpoint(), isSafeToRepeat ? "not_run" : "unknown", reason,
+        now);
+    metrics_.count("almondlever_lost_connections_total", mayRetry ? "result=\"retried\"" : "result=\"failed\"");
+    if (mayRetry) {
+        pending.refusedBy.insert(run.link->endpoint());
+        pending.retryAt = now + settings_.retryPause;
+        return;
+    }
+    StatementResult result;
+    result.reply = reply;
+    if (isSafeToRepeat && !run.isInTransaction)
+        result.reply.error = StatementError::Busy;
+    result.endpoint = run.link->endpoint();
+    result.attempts = pending.attempts;
+    finish(ticket, std::move(result), now);
+}
+
+void DispatcherState::timeOut(Ticket ticket, TimePoint now)
+{
+    const auto found = runs_.find(ticket);
+    if (found == runs_.end())
+        return;
+    const bool isForwarded = found->second.isForwarded;
+    const StatementRun run = takeRun(ticket, now, false);
+    const StatementRequest request = pending_.at(ticket).request;
+    StatementResult result;
+    result.endpoint = run.link->endpoint();
+    result.attempts = pending_.at(ticket).attempts;
+    result.reply = lostReply(request, run.isInTransaction, "no answer from the endpoint within the time-out");
+    if (!isForwarded && result.reply.error == StatementError::Unknown)
+        result.reply.error = run.isInTransaction ? StatementError::Aborted : StatementError::Busy;
+    logEnd(request, "time_out", result.endpoint, result.reply.error == StatementError::Unknown ? "unknown" : "not_run",
+        isForwarded ? "no_answer" : "connection_not_prepared", now);
+    metrics_.count("almondlever_timeouts_total", isForwarded ? "phase=\"statement\"" : "phase=\"setup\"");
+    finish(ticket, std::move(result), now);
+    run.link->close("statement timed out", now);
+}
+
+void DispatcherState::logEnd(const StatementRequest& request, std::string_view decision, const EndpointId& endpoint,
+    std::string_view outcome, std::string_view reason, TimePoint now)
+{
+    // Ends without success are what users ask about; they share the budget of the most urgent rank.
+    const bool isSuccess = outcome == "ok";
+    if (!log_.admits(isSuccess ? settings_.ranks : request.rank, now))
+        return;
+    const GroupQueues& queues = queuesOf(request.group);
+    const std::optional<TimePoint> sample = queues.history.newestQuestion();
+    const auto milliseconds = [](Duration duration) {
+        return std::to_string(std::chrono::duration_cast<Milliseconds>(duration).count());
+    };
+    log_.write(decision,
+        { { "request", request.statement.id }, { "group", request.group.text() }, { "endpoint", endpoint.text() },
+            { "statement", toText(request.statement.kind) }, { "outcome", outcome }, { "reason", reason },
+            { "rank", std::to_string(request.rank) }, { "waited_ms", milliseconds(now - request.arrival) },
+            { "position_age_ms", sample ? milliseconds(now - *sample) : "none" },
+            { "primary", queues.lastPrimary.text() } });
+}
+
+} // namespace almondlever
--- /dev/null
+++ b/src/pooling/DispatcherState.cpp
@@ -0,0 +1,419 @@
+#include "DispatcherState.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace almondlever {
+
+namespace {
+
+    std::vector<RankRule> makeRanks(const DispatcherSettings& settings)
+    {
+        std::vector<RankRule> ranks;
+        for (std::size_t rank = 0; rank < settings.ranks; ++rank) {
+            RankRule rule;
+            rule.name = RankName("rank-" + std::to_string(rank));
+            rule.floor = rank == 0 ? 0 : settings.floor;
+            rule.queueRequests = settings.queueLimit;
+            rule.queueBytes = settings.queueLimitBytes;
+            ranks.push_back(rule);
+        }
+        return ranks;
+    }
+
+} // namespace
+
+DispatcherState::DispatcherState(EndpointDirectory& directory, EndpointConnector& connector, DecisionLog& log,
+    Metrics& metrics, const DispatcherSettings& settings)
+    : directory_(directory)
+    , connector_(connector)
+    , log_(log)
+    , metrics_(metrics)
+    , settings_(settings)
+    , ranks_(makeRanks(settings))
+{
+}
+
+DispatcherState::~DispatcherState()
+{
+    for (auto& [id, endpoint] : endpoints_) {
+        for (const auto& link : endpoint.links())
+            link->abandon();
+    }
+}
+
+GroupQueues& DispatcherState::queuesOf(const GroupId& group)
+{
+    const auto found = groups_.find(group);
+    if (found != groups_.end())
+        return found->second;
+    return groups_.try_emplace(group, ranks_).first->second;
+}
+
+Ticket DispatcherState::submit(StatementRequest request, StatementCallback callback, TimePoint now)
+{
+    const Ticket ticket = ++lastTicket_;
+    request.rank = std::min(request.rank, ranks_.size() - 1);
+    PendingStatement pending;
+    pending.request = std::move(request);
+    pending.callback = std::move(callback);
+    pending_.emplace(ticket, std::move(pending));
+    enqueue(ticket, now);
+    return ticket;
+}
+
+std::optional<LogPosition> DispatcherState::minimumFor(const GroupQueues& queues, const StatementRequest& request) const
+{
+    std::optional<LogPosition> minimum = queues.history.oldestSince(request.visibleBefore);
+    if (minimum && request.sessionPosition)
+        minimum = std::max(*minimum, *request.sessionPosition);
+    return minimum;
+}
+
+void DispatcherState::enqueue(Ticket ticket, TimePoint now)
+{
+    const GroupId group = pending_.at(ticket).request.group;
+    offer(ticket, now);
+    dispatch(group, now);
+}
+
+void DispatcherState::offer(Ticket ticket, TimePoint now)
+{
+    PendingStatement& pending = pending_.at(ticket);
+    const StatementRequest& request = pending.request;
+    const GroupId group = request.group;
+    GroupQueues& queues = queuesOf(group);
+    pending.retryAt.reset();
+    if (!pending.waitsForPrimary)
+        pending.waitsForPrimary = request.needsPrimary || !minimumFor(queues, request);
+    if (pending.waitsForPrimary) {
+        const Duration wait = untilPrimary(queues, group, now);
+        if (now + wait > request.deadline)
+            return refuse(ticket, wait, "no_primary", now);
+    }
+    QueuedRequest queued;
+    queued.ticket = ticket;
+    queued.rank = request.rank;
+    queued.bytes = request.statement.text.size();
+    queued.arrival = request.arrival;
+    queued.deadline = request.deadline;
+    RankScheduler& queue = pending.waitsForPrimary ? queues.primaryQueue : queues.readQueue;
+    const std::optional<Refusal> refusal = queue.offer(queued, now);
+    if (refusal)
+        return refuse(ticket, refusal->retryAfter, toText(refusal->reason), now);
+}
+
+void DispatcherState::dispatch(const GroupId& group, TimePoint now)
+{
+    GroupQueues& queues = queuesOf(group);
+    dispatchPrimary(queues, group, now);
+    dispatchReads(queues, group, now);
+    // Reads that no replica can serve have joined the primary's queue.
+    dispatchPrimary(queues, group, now);
+    answerExpired(queues, now);
+}
+
+EndpointLinks* DispatcherState::usablePrimary(const GroupId& group, TimePoint now)
+{
+    const EndpointEntry* primary = directory_.primaryOf(group);
+    if (!primary)
+        return nullptr;
+    const std::optional<TimePoint> leaving = directory_.leavingSince(primary->id);
+    if (leaving && now - *leaving > settings_.drainLimit)
+        return nullptr;
+    EndpointLinks& links = linksOf(primary->id);
+    return links.isSuspect(now) ? nullptr : &links;
+}
+
+Duration DispatcherState::untilPrimary(GroupQueues& queues, const GroupId& group, TimePoint now)
+{
+    if (usablePrimary(group, now)) {
+        queues.withoutPrimarySince.reset();
+        return Duration(0);
+    }
+    if (!queues.withoutPrimarySince)
+        queues.withoutPrimarySince = now;
+    // Past the usual time nothing is known; a share of the usual time keeps callers from returning all the while.
+    const Duration left = *queues.withoutPrimarySince + settings_.usualPrimaryChange - now;
+    return std::max<Duration>(left, settings_.usualPrimaryChange / 8);
+}
+
+void DispatcherState::dispatchPrimary(GroupQueues& queues, const GroupId& group, TimePoint now)
+{
+    while (queues.primaryQueue.size() > 0) {
+        EndpointLinks* primary = usablePrimary(group, now);
+        if (!primary || primary->isBusy(now))
+            return;
+        if (primary->count(PooledLink::State::Idle) == 0)
+            return openLinks(*primary, queues.primaryQueue.size(), now);
+        const std::optional<QueuedRequest> queued = queues.primaryQueue.take(now);
+        if (!queued)
+            return;
+        const auto pending = pending_.find(queued->ticket);
+        if (pending == pending_.end()) {
+            queues.primaryQueue.release(*queued, Duration(0), now);
+            continue;
+        }
+        StatementRun run;
+        run.link = primary->findIdle(*pending->second.request.contents);
+        run.queued = queued;
+        run.fromPrimaryQueue = true;
+        run.isWrapped = !pending->second.request.isWrite && !pending->second.request.opensTransaction;
+        startRun(queued->ticket, std::move(run), now);
+    }
+}
+
+std::vector<ReadCandidate> DispatcherState::readCandidates(GroupQueues& queues, const GroupId& group, TimePoint now)
+{
+    std::vector<ReadCandidate> candidates;
+    const EndpointEntry* primary = directory_.primaryOf(group);
+    std::size_t index = 0;
+    for (const EndpointEntry* entry : directory_.endpointsOf(group)) {
+        ReadCandidate candidate;
+        candidate.index = index++;
+        EndpointLinks& links = linksOf(entry->id);
+        candidate.isPrimary = entry == primary;
+        const std::size_t idle = links.count(PooledLink::State::Idle);
+        // What only the primary can run goes before reads that others can serve.
+        const std::size_t kept = candidate.isPrimary && connectionShare(*entry) > 1 ? queues.primaryQueue.size() + 1 : 0;
+        const bool isUsable = !entry->isLeaving && !directory_.isLapsing(entry->id) && !links.isSuspect(now)
+            && !links.isBusy(now);
+        candidate.hasFreeLink = isUsable && idle > kept;
+        candidate.running = links.count(PooledLink::State::Busy);
+        candidate.latency = links.latency();
+        candidate.position = links.position();
+        candidate.wasLaggingLately = links.wasLaggingLately(now);
+        if (isUsable && idle == 0 && links.openCount() > 0)
+            openLinks(links, 1, now);
+        candidates.push_back(candidate);
+    }
+    return candidates;
+}
+
+void DispatcherState::dispatchReads(GroupQueues& queues, const GroupId& group, TimePoint now)
+{
+    while (queues.readQueue.size() > 0) {
+        const std::vector<ReadCandidate> candidates = readCandidates(queues, group, now);
+        const bool hasFree = std::any_of(candidates.begin(), candidates.end(),
+            [](const ReadCandidate& candidate) { return candidate.hasFreeLink; });
+        if (!hasFree)
+            return;
+        const std::optional<QueuedRequest> queued = queues.readQueue.take(now);
+        if (!queued)
+            return;
+        if (placeRead(queues, group, *queued, now))
+            continue;
+        queues.readQueue.release(*queued, Duration(0), now);
+        const auto pending = pending_.find(queued->ticket);
+        if (pending != pending_.end() && pending->second.waitsForPrimary)
+            offer(queued->ticket, now);
+    }
+}
+
+bool DispatcherState::placeRead(
+    GroupQueues& queues, const GroupId& group, const QueuedRequest& queued, TimePoint now)
+{
+    const auto found = pending_.find(queued.ticket);
+    if (found == pending_.end())
+        return false;
+    PendingStatement& pending = found->second;
+    const std::vector<const EndpointEntry*> entries = directory_.endpointsOf(group);
+    std::vector<ReadCandidate> candidates = readCandidates(queues, group, now);
+    for (ReadCandidate& candidate : candidates) {
+        if (pending.refusedBy.count(entries[candidate.index]->id) > 0)
+            candidate.hasFreeLink = false;
+    }
+    const std::optional<LogPosition> minimum = minimumFor(queues, pending.request);
+    const std::optional<std::size_t> chosen = minimum ? chooseForRead(candidates, *minimum) : std::nullopt;
+    if (chosen) {
+        StatementRun run;
+        run.link = linksOf(entries[*chosen]->id).findIdle(*pending.request.contents);
+        run.queued = queued;
+        run.after = minimum;
+        startRun(queued.ticket, std::move(run), now);
+        return true;
+    }
+    // Without a usable primary the replicas are asked again, since they catch up.
+    pending.waitsForPrimary = usablePrimary(group, now) != nullptr || !minimum;
+    if (pending.waitsForPrimary)
+        return false;
+    pending.refusedBy.clear();
+    pending.retryAt = now + settings_.retryPause;
+    return false;
+}
+
+void DispatcherState::answerExpired(GroupQueues& queues, TimePoint now)
+{
+    for (RankScheduler* queue : { &queues.primaryQueue, &queues.readQueue }) {
+        for (const QueuedRequest& queued : queue->removeExpired(now))
+            refuse(queued.ticket, queue->expectedWait(queued.rank, now), "waited_too_long", now);
+    }
+}
+
+void DispatcherState::refuse(Ticket ticket, Duration retryAfter, std::string_view reason, TimePoint now)
+{
+    const auto found = pending_.find(ticket);
+    if (found == pending_.end())
+        return;
+    const StatementRequest& request = found->second.request;
+    const auto wait = std::chrono::duration_cast<Milliseconds>(retryAfter) + Milliseconds(1);
+    logEnd(request, "refuse", EndpointId(), "not_run", reason, now);
+    metrics_.count("almondlever_refusals_total", "reason=\"" + std::string(reason) + '"');
+    StatementResult result;
+    result.reply.error = StatementError::Busy;
+    result.reply.detail = std::string(reason) + ", retry after " + std::to_string(wait.count()) + " ms";
+    result.attempts = found->second.attempts;
+    finish(ticket, std::move(result), now);
+}
+
+void DispatcherState::finish(Ticket ticket, StatementResult&& result, TimePoint now)
+{
+    const auto found = pending_.find(ticket);
+    if (found == pending_.end()) {
+        if (result.transaction)
+            rollBack(result.transaction, now);
+        return;
+    }
+    const StatementCallback callback = std::move(found->second.callback);
+    pending_.erase(found);
+    if (callback)
+        callback(std::move(result), now);
+}
+
+void DispatcherState::abandon(Ticket ticket, TimePoint now)
+{
+    const auto found = pending_.find(ticket);
+    if (found == pending_.end())
+        return;
+    if (runs_.count(ticket) > 0) {
+        // The endpoint's answer is awaited, so that the connection can be used again.
+        found->second.callback = nullptr;
+        return;
+    }
+    GroupQueues& queues = queuesOf(found->second.request.group);
+    queues.primaryQueue.cancel(ticket);
+    queues.readQueue.cancel(ticket);
+    logEnd(found->second.request, "abandon", EndpointId(), "not_run", "caller_left", now);
+    pending_.erase(found);
+}
+
+void DispatcherState::setGroups(const std::map<GroupId, GroupRule>& groups, TimePoint now)
+{
+    for (const auto& [id, rule] : groups)
+        queuesOf(id).rule = rule;
+    onDirectoryChange(now);
+}
+
+void DispatcherState::onDirectoryChange(TimePoint now)
+{
+    for (auto it = endpoints_.begin(); it != endpoints_.end();) {
+        if (directory_.find(it->first)) {
+            ++it;
+            continue;
+        }
+        const std::vector<std::shared_ptr<PooledLink>> links = it->second.links();
+        for (const auto& link : links)
+            link->close("endpoint is gone", now);
+        it = endpoints_.erase(it);
+    }
+    for (const GroupId& group : directory_.groups()) {
+        GroupQueues& queues = queuesOf(group);
+        std::size_t total = 0;
+        for (const EndpointEntry* entry : directory_.endpointsOf(group))
+            total += connectionShare(*entry);
+        const EndpointEntry* primary = directory_.primaryOf(group);
+        queues.primaryQueue.setSlots(primary ? connectionShare(*primary) : 1);
+        queues.readQueue.setSlots(std::max<std::size_t>(total, 1));
+        const EndpointId id = primary ? primary->id : EndpointId();
+        if (id != queues.lastPrimary && !id.isEmpty()) {
+            logInfo("primary_believed",
+                { { "group", group.text() }, { "endpoint", id.text() }, { "previous", queues.lastPrimary.text() },
+                    { "term", std::to_string(directory_.newestTermOf(group)) } });
+            queues.lastPrimary = id;
+            // Positions of the former primary may contain commits that the new one never received.
+            queues.history.clear();
+        }
+    }
+    openWarmLinks(now);
+    for (const GroupId& group : directory_.groups())
+        dispatch(group, now);
+}
+
+void DispatcherState::onTick(TimePoint now)
+{
+    const bool hasStalled = lastTick_ && now - *lastTick_ > settings_.stallLimit;
+    if (hasStalled) {
+        logWarning("process_stalled",
+            { { "ms", std::to_string(std::chrono::duration_cast<Milliseconds>(now - *lastTick_).count()) } });
+        for (auto& [id, endpoint] : endpoints_)
+            endpoint.forgiveSilence(now);
+    }
+    lastTick_ = now;
+    std::vector<Ticket> late;
+    for (const auto& [ticket, run] : runs_) {
+        if (now >= pending_.at(ticket).request.deadline)
+            late.push_back(ticket);
+    }
+    for (const Ticket ticket : late)
+        timeOut(ticket, now);
+    closeStuckLinks(now);
+    std::vector<Ticket> retried;
+    for (auto& [ticket, pending] : pending_) {
+        if (pending.retryAt && now >= *pending.retryAt)
+            retried.push_back(ticket);
+    }
+    for (const Ticket ticket : retried) {
+        if (pending_.count(ticket) > 0)
+            enqueue(ticket, now);
+    }
+    openWarmLinks(now);
+    askForPositions(now);
+    for (auto& [group, queues] : groups_) {
+        const Duration wait = untilPrimary(queues, group, now);
+        if (wait > Duration(0) && queues.primaryQueue.size() > 0) {
+            std::vector<Ticket> hopeless;
+            for (const auto& [ticket, pending] : pending_) {
+                if (pending.request.group == group && pending.waitsForPrimary && !pending.retryAt
+                    && runs_.count(ticket) == 0 && now + wait > pending.request.deadline)
+                    hopeless.push_back(ticket);
+            }
+            for (const Ticket ticket : hopeless) {
+                queues.primaryQueue.cancel(ticket);
+                refuse(ticket, wait, "no_primary", now);
+            }
+        }
+        dispatch(group, now);
+    }
+}
+
+std::optional<TimePoint> DispatcherState::primaryFailingSince(const GroupId& group, TimePoint now) const
+{
+    const EndpointEntry* primary = directory_.primaryOf(group);
+    if (!primary) {
+        // Entries of a group come one after the other when it starts.
+        const auto queues = groups_.find(group);
+        const bool isKnown = queues != groups_.end() && queues->second.withoutPrimarySince;
+        const bool isLong = isKnown && now - *queues->second.withoutPrimarySince >= settings_.leaderSearchPatience;
+        return isLong && !directory_.endpointsOf(group).empty() ? queues->second.withoutPrimarySince : std::nullopt;
+    }
+    const EndpointLinks* links = findLinks(primary->id);
+    return links ? links->suspectSince(now) : std::nullopt;
+}
+
+bool DispatcherState::isReachable(const EndpointId& endpoint) const
+{
+    const EndpointLinks* links = findLinks(endpoint);
+    return links && links->openCount() > links->count(PooledLink::State::Opening);
+}
+
+LogPosition DispatcherState::newestPositionOf(const GroupId& group) const
+{
+    LogPosition newest;
+    for (const EndpointEntry* entry : directory_.endpointsOf(group)) {
+        if (const EndpointLinks* links = findLinks(entry->id))
+            newest = std::max(newest, links->position());
+    }
+    return newest;
+}
+
+} // namespace almondlever
--- /dev/null
+++ b/src/pooling/DispatcherState.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include "EndpointLinks.h"
+#include "almondlever/admission/RankScheduler.h"
+#include "almondlever/pooling/EndpointChoice.h"
+#include "almondlever/pooling/StatementDispatcher.h"
+
+#include <set>
+#include <unordered_map>
+
+namespace almondlever {
+
+/** A statement that was submitted and has no result yet. */
+struct PendingStatement {
+    StatementRequest request;
+    StatementCallback callback;
+    std::size_t attempts = 0;
+    /** Endpoints that refused it and are not asked again while others remain. */
+    std::set<EndpointId> refusedBy;
+    /** Waits for the primary, because no other endpoint may run it or could. */
+    bool waitsForPrimary = false;
+    /** Set while it is not queued, until it is offered again. */
+    std::optional<TimePoint> retryAt;
+};
+
+/** A statement on an endpoint connection. */
+struct StatementRun {
+    std::shared_ptr<PooledLink> link;
+    /** Set when the run came out of a queue, which must be told its end. */
+    std::optional<QueuedRequest> queued;
+    bool fromPrimaryQueue = false;
+    /** The statement continues an open transaction. */
+    bool isInTransaction = false;
+    /** The proxy began a transaction only so that the endpoint refuses when it does not lead. */
+    bool isWrapped = false;
+    /** Values were set inside the transaction. */
+    bool changesContentsInTransaction = false;
+    std::optional<LogPosition> after;
+    std::size_t setupLeft = 0;
+    bool isForwarded = false;
+    TimePoint startedAt;
+    TimePoint forwardedAt;
+};
+
+/** Queues and knowledge of one group. */
+struct GroupQueues {
+    explicit GroupQueues(const std::vector<RankRule>& ranks)
+        : primaryQueue(ranks, 1)
+        , readQueue(ranks, 1)
+    {
+    }
+
+    GroupRule rule;
+    RankScheduler primaryQueue;
+    RankScheduler readQueue;
+    PositionHistory history;
+    EndpointId lastPrimary;
+    /** Since when no usable primary is known. */
+    std::optional<TimePoint> withoutPrimarySince;
+    TimePoint searchedAt {};
+    bool isProbing = false;
+};
+
+/** State of StatementDispatcher; see there. */
+class DispatcherState final : public PooledLinkOwner {
+public:
+    DispatcherState(EndpointDirectory&, EndpointConnector&, DecisionLog&, Metrics&, const DispatcherSettings&);
+    ~DispatcherState() override;
+
+    Ticket submit(StatementRequest, StatementCallback, TimePoint now);
+    Ticket submitInTransaction(const TransactionLink&, StatementRequest, StatementCallback, TimePoint now);
+    void abandon(Ticket, TimePoint now);
+    void endTransaction(const TransactionLink&, TimePoint now);
+    void setGroups(const std::map<GroupId, GroupRule>&, TimePoint now);
+    void setDaemonCount(std::size_t count) { daemonCount_ = std::max<std::size_t>(count, 1); }
+    void onDirectoryChange(TimePoint now);
+    void onTick(TimePoint now);
+    std::optional<TimePoint> primaryFailingSince(const GroupId&, TimePoint now) const;
+    bool isReachable(const EndpointId&) const;
+    LogPosition newestPositionOf(const GroupId&) const;
+
+    void onPooledLinkOpened(PooledLink&, const Reply&, TimePoint now) override;
+    void onPooledLinkReply(PooledLink&, const Reply&, TimePoint now) override;
+    void onPooledLinkClosed(
+        PooledLink&, const std::string& reason, std::optional<StatementError>, TimePoint now) override;
+
+private:
+    // Queues (DispatcherState.cpp).
+    GroupQueues& queuesOf(const GroupId&);
+    void enqueue(Ticket, TimePoint now);
+    /** Puts the statement into the queue that it belongs to, or refuses it. */
+    void offer(Ticket, TimePoint now);
+    void dispatch(const GroupId&, TimePoint now);
+    void dispatchPrimary(GroupQueues&, const GroupId&, TimePoint now);
+    void dispatchReads(GroupQueues&, const GroupId&, TimePoint now);
+    bool placeRead(GroupQueues&, const GroupId&, const QueuedRequest&, TimePoint now);
+    std::vector<ReadCandidate> readCandidates(GroupQueues&, const GroupId&, TimePoint now);
+    void answerExpired(GroupQueues&, TimePoint now);
+    void refuse(Ticket, Duration retryAfter, std::string_view reason, TimePoint now);
+    void finish(Ticket, StatementResult&&, TimePoint now);
+    std::optional<LogPosition> minimumFor(const GroupQueues&, const StatementRequest&) const;
+    EndpointLinks* usablePrimary(const GroupId&, TimePoint now);
+    /** Time until a usable primary is expected; zero while there is one. */
+    Duration untilPrimary(GroupQueues&, const GroupId&, TimePoint now);
+
+    // Runs (DispatcherRuns.cpp).
+    void startRun(Ticket, StatementRun, TimePoint now);
+    void forward(Ticket, TimePoint now);
+    void onSetupReply(Ticket, const EndpointCommand::Kind&, TimePoint sentAt, const Reply*, TimePoint now);
+    void onForwardReply(Ticket, const Reply*, TimePoint now);
+    void succeed(Ticket, const Reply&, TimePoint now);
+    void passOn(Ticket, Reply, TimePoint now);
+    /** The statement certainly did not run here. */
+    void retryElsewhere(Ticket, const Reply&, TimePoint now);
+    void onLost(Ticket, const std::string& reason, TimePoint now);
+    StatementRun takeRun(Ticket, TimePoint now, bool isStatement);
+    void timeOut(Ticket, TimePoint now);
+    void noteRefusal(const EndpointId&, StatementError, TimePoint now);
+    void putBack(const std::shared_ptr<PooledLink>&, TransactionState, TimePoint now);
+    void rollBack(const std::shared_ptr<PooledLink>&, TimePoint now);
+    Reply lostReply(const StatementRequest&, bool isInTransaction, const std::string& reason) const;
+    void logEnd(const StatementRequest&, std::string_view decision, const EndpointId&, std::string_view outcome,
+        std::string_view reason, TimePoint now);
+
+    // Connections (DispatcherLinks.cpp).
+    EndpointLinks& linksOf(const EndpointId&);
+    const EndpointLinks* findLinks(const EndpointId&) const;
+    std::size_t connectionShare(const EndpointEntry&) const;
+    void openLinks(EndpointLinks&, std::size_t wanted, TimePoint now);
+    void openWarmLinks(TimePoint now);
+    void askForPositions(TimePoint now);
+    void askWhoLeads(GroupQueues&, const GroupId&, TimePoint now);
+    void askPosition(const GroupId&, const std::shared_ptr<PooledLink>&, bool isRegular, TimePoint now);
+    void noteLeading(const GroupId&, const EndpointId&, const LogPosition&, TimePoint askedAt);
+    void closeStuckLinks(TimePoint now);
+
+    EndpointDirectory& directory_;
+    EndpointConnector& connector_;
+    DecisionLog& log_;
+    Metrics& metrics_;
+    DispatcherSettings settings_;
+    EndpointHealthSettings health_;
+    std::vector<RankRule> ranks_;
+    std::size_t daemonCount_ = 1;
+    std::map<GroupId, GroupQueues> groups_;
+    std::map<EndpointId, EndpointLinks> endpoints_;
+    std::unordered_map<Ticket, PendingStatement> pending_;
+    std::unordered_map<Ticket, StatementRun> runs_;
+    Ticket lastTicket_ = 0;
+    std::optional<TimePoint> lastTick_;
+};
+
+} // namespace almondlever
--- /dev/null
+++ b/src/pooling/EndpointLinks.cpp
@@ -0,0 +1,102 @@
+#include "EndpointLinks.h"
+
+#include <algorithm>
+
+namespace almondlever {
+
+namespace {
+
+    /** A sample counts one eighth: follows a slow endpoint within about ten statements. */
+    constexpr int latencyWeight = 8;
+
+} // namespace
+
+void EndpointLinks::noteOpened(TimePoint now)
+{
+    failingSince_.reset();
+    connectPause_ = Milliseconds(0);
+    lastReplyAt_ = now;
+}
+
+void EndpointLinks::noteReply(const Reply& reply, TimePoint now)
+{
+    failingSince_.reset();
+    lastReplyAt_ = now;
+    if (reply.position)
+        position_ = *reply.position;
+}
+
+void EndpointLinks::noteLatency(Duration sample) { latency_ += (sample - latency_) / latencyWeight; }
+
+void EndpointLinks::noteClosed(std::optional<StatementError> refusal, bool wasOpening, TimePoint now)
+{
+    links_.erase(std::remove_if(links_.begin(), links_.end(),
+                     [](const auto& link) { return link->state() == PooledLink::State::Closed; }),
+        links_.end());
+    if (refusal == StatementError::TooManyConnections) {
+        connectAfter_ = now + settings_.tooManyPause;
+        return;
+    }
+    if (!failingSince_)
+        failingSince_ = now;
+    if (!wasOpening)
+        return;
+    connectPause_ = std::clamp(connectPause_ * 2, settings_.firstConnectPause, settings_.longestConnectPause);
+    connectAfter_ = now + connectPause_;
+}
+
+std::shared_ptr<PooledLink> EndpointLinks::findIdle(const SessionContents& contents)
+{
+    std::shared_ptr<PooledLink> best;
+    std::size_t fewest = 0;
+    for (const auto& link : links_) {
+        if (link->state() != PooledLink::State::Idle)
+            continue;
+        const std::size_t differences = link->contents().countDifferences(contents);
+        if (best && differences >= fewest)
+            continue;
+        best = link;
+        fewest = differences;
+    }
+    return best;
+}
+
+std::size_t EndpointLinks::count(PooledLink::State state) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        links_.begin(), links_.end(), [state](const auto& link) { return link->state() == state; }));
+}
+
+std::size_t EndpointLinks::openCount() const { return links_.size() - count(PooledLink::State::Closed); }
+
+std::optional<TimePoint> EndpointLinks::waitingSince() const
+{
+    std::optional<TimePoint> earliest;
+    for (const auto& link : links_) {
+        const bool isOpening = link->state() == PooledLink::State::Opening;
+        if (!isOpening && !link->isWaiting())
+            continue;
+        const TimePoint since = isOpening ? link->openedAt() : link->waitingSince();
+        if (!earliest || since < *earliest)
+            earliest = since;
+    }
+    return earliest;
+}
+
+bool EndpointLinks::isSuspect(TimePoint now) const { return suspectSince(now).has_value(); }
+
+std::optional<TimePoint> EndpointLinks::suspectSince(TimePoint now) const
+{
+    const bool hasOpenLink = openCount() > count(PooledLink::State::Opening);
+    if (failingSince_ && !hasOpenLink && now - *failingSince_ >= settings_.failureLimit)
+        return failingSince_;
+    const std::optional<TimePoint> waiting = waitingSince();
+    if (!waiting)
+        return std::nullopt;
+    const TimePoint silentSince = std::max(*waiting, lastReplyAt_);
+    if (now - silentSince < settings_.silenceLimit)
+        return std::nullopt;
+    return silentSince;
+}
+
+} // namespace almondlever
--- /dev/null
+++ b/src/pooling/EndpointLinks.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "PooledLink.h"
+
+#include <vector>
+
+namespace almondlever {
+
+/** How the pool judges endpoints. */
+struct EndpointHealthSettings {
+    /** No answer to anything for this long while something waits. Twice the longest statement under a full queue. */
+    Milliseconds silenceLimit { 900 };
+    /** Connections fail for this long while none is open; covers a second attempt after the first pause. */
+    Milliseconds failureLimit { 150 };
+    /** Pause after a failed attempt to connect; doubles up to the longest pause. */
+    Milliseconds firstConnectPause { 60 };
+    Milliseconds longestConnectPause { 1000 };
+    /** Pause after the endpoint refused a connection because it has too many. */
+    Milliseconds tooManyPause { 1000 };
+    /** An endpoint that did not have a position is not asked for a later one again before this. */
+    Milliseconds laggingPause { 120 };
+    /** Pause after the endpoint refused a statement because its queue is full. */
+    Milliseconds busyPause { 30 };
+};
+
+/** The connections to one endpoint, and what its answers show of its health and position. */
+class EndpointLinks {
+public:
+    EndpointLinks(EndpointId id, const EndpointHealthSettings& settings)
+        : id_(std::move(id))
+        , settings_(settings)
+    {
+    }
+
+    const EndpointId& id() const { return id_; }
+    std::vector<std::shared_ptr<PooledLink>>& links() { return links_; }
+
+    void noteOpened(TimePoint now);
+    void noteReply(const Reply&, TimePoint now);
+    void noteLatency(Duration);
+    void noteClosed(std::optional<StatementError> refusal, bool wasOpening, TimePoint now);
+    void noteLagging(TimePoint now) { laggingUntil_ = now + settings_.laggingPause; }
+    void noteBusy(TimePoint now) { busyUntil_ = now + settings_.busyPause; }
+    /** Silence before this does not count, because this process did not run. */
+    void forgiveSilence(TimePoint now) { lastReplyAt_ = now; }
+
+    /** The idle connection that needs the fewest commands for the session; nullptr when none is idle. */
+    std::shared_ptr<PooledLink> findIdle(const SessionContents&);
+    std::size_t count(PooledLink::State) const;
+    /** Connections that are open or being opened. */
+    std::size_t openCount() const;
+    bool mayConnect(TimePoint now) const { return now >= connectAfter_; }
+    /** The endpoint probably does not answer. */
+    bool isSuspect(TimePoint now) const;
+    /** Time of the first sign of the present failure; nullopt while healthy. */
+    std::optional<TimePoint> suspectSince(TimePoint now) const;
+    bool isBusy(TimePoint now) const { return now < busyUntil_; }
+    bool wasLaggingLately(TimePoint now) const { return now < laggingUntil_; }
+    Duration latency() const { return latency_; }
+    const LogPosition& position() const { return position_; }
+
+private:
+    std::optional<TimePoint> waitingSince() const;
+
+    EndpointId id_;
+    EndpointHealthSettings settings_;
+    std::vector<std::shared_ptr<PooledLink>> links_;
+    /** Assumed until the first answer; between a statement nearby and one across regions. */
+    Duration latency_ = std::chrono::milliseconds(30);
+    LogPosition position_;
+    TimePoint lastReplyAt_ {};
+    std::optional<TimePoint> failingSince_;
+    TimePoint connectAfter_ {};
+    TimePoint laggingUntil_ {};
+    TimePoint busyUntil_ {};
+    Milliseconds connectPause_ { 0 };
+};
+
+} // namespace almondlever
--- /dev/null
+++ b/src/pooling/StatementDispatcher.cpp
@@ -0,0 +1,56 @@
+#include "almondlever/pooling/StatementDispatcher.h"
+
+#include "DispatcherState.h"
+
+namespace almondlever {
+
+StatementDispatcher::StatementDispatcher(EndpointDirectory& directory, EndpointConnector& connector, DecisionLog& log,
+    Metrics& metrics, const DispatcherSettings& settings)
+    : state_(std::make_unique<DispatcherState>(directory, connector, log, metrics, settings))
+{
+}
+
+StatementDispatcher::~StatementDispatcher() = default;
+
+Ticket StatementDispatcher::submit(StatementRequest request, StatementCallback callback, TimePoint now)
+{
+    return state_->submit(std::move(request), std::move(callback), now);
+}
+
+Ticket StatementDispatcher::submit(
+    const TransactionLink& link, StatementRequest request, StatementCallback callback, TimePoint now)
+{
+    return state_->submitInTransaction(link, std::move(request), std::move(callback), now);
+}
+
+void StatementDispatcher::abandon(Ticket ticket, TimePoint now) { state_->abandon(ticket, now); }
+
+void StatementDispatcher::endTransaction(const TransactionLink& link, TimePoint now)
+{
+    state_->endTransaction(link, now);
+}
+
+void StatementDispatcher::setGroups(const std::map<GroupId, GroupRule>& groups, TimePoint now)
+{
+    state_->setGroups(groups, now);
+}
+
+void StatementDispatcher::setDaemonCount(std::size_t count) { state_->setDaemonCount(count); }
+
+void StatementDispatcher::onDirectoryChange(TimePoint now) { state_->onDirectoryChange(now); }
+
+void StatementDispatcher::onTick(TimePoint now) { state_->onTick(now); }
+
+std::optional<TimePoint> StatementDispatcher::primaryFailingSince(const GroupId& group, TimePoint now) const
+{
+    return state_->primaryFailingSince(group, now);
+}
+
+bool StatementDispatcher::isReachable(const EndpointId& endpoint) const { return state_->isReachable(endpoint); }
+
+LogPosition StatementDispatcher::newestPositionOf(const GroupId& group) const
+{
+    return state_->newestPositionOf(group);
+}
+
+} // namespace almondlever
--- /dev/null
+++ b/src/store/PrefixFollower.cpp
@@ -0,0 +1,120 @@
+#include "almondlever/store/PrefixFollower.h"
+
+#include <algorithm>
+
+namespace almondlever {
+
+const char* toText(StoreFailure::Kind kind)
+{
+    switch (kind) {
+    case StoreFailure::Kind::NoAnswer:
+        return "no_answer";
+    case StoreFailure::Kind::Unavailable:
+        return "unavailable";
+    case StoreFailure::Kind::HistoryGone:
+        return "history_gone";
+    case StoreFailure::Kind::Conflict:
+        return "conflict";
+    case StoreFailure::Kind::LeaseGone:
+        return "lease_gone";
+    case StoreFailure::Kind::Rejected:
+        break;
+    }
+    return "rejected";
+}
+
+PrefixFollower::PrefixFollower(
+    MetadataStore& store, TimerService& timers, std::string prefix, PrefixObserver& observer)
+    : store_(store)
+    , timers_(timers)
+    , prefix_(std::move(prefix))
+    , observer_(observer)
+{
+}
+
+PrefixFollower::~PrefixFollower() = default;
+
+void PrefixFollower::start() { readAll(); }
+
+void PrefixFollower::readAll()
+{
+    collected_.clear();
+    firstPageRevision_.reset();
+    readPage("");
+}
+
+void PrefixFollower::readPage(const std::string& afterKey)
+{
+    store_.readRange(prefix_, afterKey,
+        [this, alive = std::weak_ptr<int>(alive_)](StoreResult<StorePage> result) {
+            if (!alive.expired())
+                onPage(std::move(result));
+        });
+}
+
+void PrefixFollower::onPage(StoreResult<StorePage> result)
+{
+    if (!result)
+        return retryAfter(result.error(), &PrefixFollower::readAll);
+    noteSuccess();
+    StorePage& page = result.value();
+    // Pages are not one snapshot; changes after the first page are heard from the watch.
+    if (!firstPageRevision_)
+        firstPageRevision_ = page.asOf;
+    std::move(page.items.begin(), page.items.end(), std::back_inserter(collected_));
+    if (page.isTruncated && !collected_.empty())
+        return readPage(collected_.back().key);
+    revision_ = *firstPageRevision_;
+    const std::vector<StoreItem> items = std::move(collected_);
+    collected_.clear();
+    observer_.onStoreSnapshot(prefix_, items, timers_.now());
+    waitForChanges();
+}
+
+void PrefixFollower::waitForChanges()
+{
+    store_.watch(prefix_, revision_, watchWait,
+        [this, alive = std::weak_ptr<int>(alive_)](StoreResult<StorePage> result) {
+            if (!alive.expired())
+                onChanges(std::move(result));
+        });
+}
+
+void PrefixFollower::onChanges(StoreResult<StorePage> result)
+{
+    if (!result) {
+        if (result.error().kind == StoreFailure::Kind::HistoryGone)
+            return readAll();
+        return retryAfter(result.error(), &PrefixFollower::waitForChanges);
+    }
+    noteSuccess();
+    const StorePage& page = result.value();
+    revision_ = std::max(revision_, page.asOf);
+    if (!page.items.empty())
+        observer_.onStoreChanges(prefix_, page.items, timers_.now());
+    waitForChanges();
+}
+
+void PrefixFollower::noteSuccess()
+{
+    pause_ = Milliseconds(0);
+    if (!isLost_)
+        return;
+    isLost_ = false;
+    observer_.onStoreReturned(prefix_, timers_.now());
+}
+
+void PrefixFollower::retryAfter(const StoreFailure& failure, void (PrefixFollower::*step)())
+{
+    if (!isLost_) {
+        isLost_ = true;
+        observer_.onStoreLost(prefix_, failure, timers_.now());
+    }
+    pause_ = std::clamp(pause_ * 2, firstPause, longestPause);
+    timers_.callAfter(pause_, [this, step, alive = std::weak_ptr<int>(alive_)](TimePoint) {
+        if (!alive.expired())
+            (this->*step)();
+    });
+}
+
+} // namespace almondlever
--- /dev/null
+++ b/src/store/PromotionClaim.cpp
@@ -0,0 +1,126 @@
+#include "almondlever/store/PromotionClaim.h"
+
+#include "almondlever/observability/DecisionLog.h"
+
+namespace almondlever {
+
+PromotionClaim::PromotionClaim(MetadataStore& store, TimerService& timers, GroupId group, std::string holder)
+    : store_(store)
+    , timers_(timers)
+    , group_(std::move(group))
+    , holder_(std::move(holder))
+{
+}
+
+PromotionClaim::~PromotionClaim() = default;
+
+bool PromotionClaim::isHeld(TimePoint now) const { return fence_ != 0 && !isReleased_ && now - renewedAt_ < safeUse; }
+
+void PromotionClaim::acquire(std::uint64_t attempt, ClaimCallback callback)
+{
+    callback_ = std::move(callback);
+    value_ = holder_ + ' ' + std::to_string(attempt);
+    askedAt_ = timers_.now();
+    store_.grantLease(leaseDuration, [this, alive = std::weak_ptr<int>(alive_)](const StoreResult<StoreLease>& result) {
+        if (!alive.expired())
+            onLease(result);
+    });
+}
+
+void PromotionClaim::onLease(const StoreResult<StoreLease>& result)
+{
+    if (!result)
+        return finish(result.error());
+    lease_ = result.value().id;
+    renewedAt_ = askedAt_;
+    StoreTransaction transaction;
+    transaction.expected.push_back({ claimKey(), 0 });
+    transaction.puts.push_back({ claimKey(), value_, lease_ });
+    transaction.puts.push_back({ storeKeys::changes + group_.text(), storeKeys::changeOpen, 0 });
+    store_.transact(
+        transaction, [this, alive = std::weak_ptr<int>(alive_)](const StoreResult<std::uint64_t>& claimed) {
+            if (!alive.expired())
+                onClaimed(claimed);
+        });
+}
+
+void PromotionClaim::onClaimed(const StoreResult<std::uint64_t>& result)
+{
+    if (result) {
+        scheduleRenewal();
+        return finish(result.value());
+    }
+    if (result.error().kind == StoreFailure::Kind::NoAnswer)
+        return readBack();
+    finish(result.error());
+}
+
+void PromotionClaim::readBack()
+{
+    // The change may have been made although its answer was lost.
+    store_.readRange(claimKey(), "", [this, alive = std::weak_ptr<int>(alive_)](const StoreResult<StorePage>& result) {
+        if (alive.expired())
+            return;
+        if (!result)
+            return finish(result.error());
+        for (const StoreItem& item : result.value().items) {
+            if (item.key != claimKey() || item.value != value_)
+                continue;
+            scheduleRenewal();
+            return finish(item.revision);
+        }
+        finish(StoreFailure { StoreFailure::Kind::NoAnswer, "the claim was not made" });
+    });
+}
+
+void PromotionClaim::finish(StoreResult<std::uint64_t> result)
+{
+    if (result)
+        fence_ = result.value();
+    const ClaimCallback callback = std::move(callback_);
+    callback_ = nullptr;
+    if (callback)
+        callback(std::move(result));
+}
+
+void PromotionClaim::scheduleRenewal()
+{
+    timers_.callAfter(renewInterval, [this, alive = std::weak_ptr<int>(alive_)](TimePoint now) {
+        if (alive.expired() || isReleased_)
+            return;
+        store_.renewLease(lease_, [this, alive, sentAt = now](const StoreResult<Done>& result) {
+            if (alive.expired())
+                return;
+            if (result)
+                renewedAt_ = sentAt;
+            else
+                logWarning("promotion_claim_not_renewed",
+                    { { "group", group_.text() }, { "fence", std::to_string(fence_) },
+                        { "failure", toText(result.error().kind) }, { "detail", result.error().detail } });
+        });
+        scheduleRenewal();
+    });
+}
+
+void PromotionClaim::release(bool isDone)
+{
+    if (isReleased_)
+        return;
+    isReleased_ = true;
+    if (fence_ == 0)
+        return;
+    StoreTransaction transaction;
+    transaction.expected.push_back({ claimKey(), fence_ });
+    transaction.deletes.push_back(claimKey());
+    if (isDone)
+        transaction.puts.push_back({ storeKeys::changes + group_.text(), storeKeys::changeDone, 0 });
+    store_.transact(transaction, [group = group_](const StoreResult<std::uint64_t>& result) {
+        // The lease ends the claim; the change stays open and is recovered by the next holder.
+        if (!result)
+            logWarning("promotion_claim_not_released",
+                { { "group", group.text() }, { "failure", toText(result.error().kind) },
+                    { "detail", result.error().detail } });
+    });
+}
+
+} // namespace almondlever
