Send orders about replication over pooled connections, and read all after a failed watch

Change: orders use a pooled connection that is idle; a failed watch is followed by a full read instead of a new watch.

--- a/include/almondlever/front/PromotionDriver.h
+++ b/include/almondlever/front/PromotionDriver.h
@@ -3,7 +3,6 @@
 #include "almondlever/common/TimerService.h"
 #include "almondlever/failover/GroupPromotion.h"
 #include "almondlever/failover/PromotionService.h"
-#include "almondlever/pooling/EndpointLink.h"
 #include "almondlever/pooling/StatementDispatcher.h"
 #include "almondlever/store/PromotionClaim.h"
 
@@ -21,9 +20,7 @@
     /** Delay between daemons of consecutive order, so that usually only the first one asks for the claim. */
     Milliseconds orderDelay { 80 };
     /** Pause after a failed attempt. */
-    Milliseconds retryPause { 400 };
-    /** Time for one order to an endpoint, connecting included. */
-    Milliseconds orderTimeout { 900 };
+    Milliseconds retryPause { 500 };
 };
 
 /**
@@ -33,8 +30,8 @@
  */
 class PromotionDriver {
 public:
-    PromotionDriver(EndpointDirectory&, StatementDispatcher&, EndpointConnector&, MetadataStore&, PromotionService&,
-        TimerService&, const PromotionDriverSettings&);
+    PromotionDriver(EndpointDirectory&, StatementDispatcher&, MetadataStore&, PromotionService&, TimerService&,
+        const PromotionDriverSettings&);
     ~PromotionDriver();
     PromotionDriver(const PromotionDriver&) = delete;
     PromotionDriver& operator=(const PromotionDriver&) = delete;
@@ -73,7 +70,6 @@
 
     EndpointDirectory& directory_;
     StatementDispatcher& dispatcher_;
-    EndpointConnector& connector_;
     MetadataStore& store_;
     PromotionService& service_;
     TimerService& timers_;
--- a/include/almondlever/pooling/StatementDispatcher.h
+++ b/include/almondlever/pooling/StatementDispatcher.h
@@ -23,6 +23,8 @@
     std::size_t reservedConnections = 4;
     /** Age at which the primary is asked for its position again; a quarter of the shortest usual staleness. */
     Milliseconds positionRefresh { 300 };
+    /** Time for the answer to an order about replication, connecting included. */
+    Milliseconds orderTimeout { 900 };
     /** Interval at which the endpoints of a group without a known primary are asked who leads. */
     Milliseconds leaderSearchInterval { 120 };
     /** A group in which nobody was found to lead for this long has lost its primary. */
@@ -70,6 +72,15 @@
     /** Rolls an open transaction back and takes its connection into the pool again. */
     void endTransaction(const TransactionLink&, TimePoint now);
 
+    /** The status, or nullopt with the reason why there is none. */
+    using OrderCallback = std::function<void(
+        const std::optional<EndpointReplicationStatus>&, const std::string& detail, TimePoint now)>;
+    /**
+     * Sends a status query or an order about replication. It uses an open connection, because an endpoint under load
+     * accepts no further one; statements of transactions are not mixed with it.
+     */
+    void order(const EndpointId&, const EndpointCommand&, OrderCallback, TimePoint now);
+
     /** Follows a new configuration. */
     void setGroups(const std::map<GroupId, GroupRule>&, TimePoint now);
     /** Number of live daemons that share the endpoints' connections. */
--- a/include/almondlever/store/PrefixFollower.h
+++ b/include/almondlever/store/PrefixFollower.h
@@ -48,7 +48,7 @@
     void waitForChanges();
     void onChanges(StoreResult<StorePage>);
     void noteSuccess();
-    void retryAfter(const StoreFailure&, void (PrefixFollower::*step)());
+    void retryAfter(const StoreFailure&);
     void readAll();
 
     MetadataStore& store_;
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -25,7 +25,7 @@
     , timers_(timers)
     , log_(settings.decisionLinesPerSecond)
     , dispatcher_(directory_, connector, log_, metrics_, settings.dispatcher)
-    , promotions_(directory_, dispatcher_, connector, store, promotions, timers, settings.promotion)
+    , promotions_(directory_, dispatcher_, store, promotions, timers, settings.promotion)
     , stop_(settings.stop)
     , configurationFollower_(store, timers, decoder.configurationPrefix(), *this)
     , endpointFollower_(store, timers, decoder.endpointPrefix(), *this)
--- a/src/front/PromotionDriver.cpp
+++ b/src/front/PromotionDriver.cpp
@@ -1,6 +1,5 @@
 #include "almondlever/front/PromotionDriver.h"
 
-#include "OrderLink.h"
 #include "almondlever/observability/DecisionLog.h"
 
 #include <algorithm>
@@ -8,6 +7,25 @@
 
 namespace almondlever {
 
+namespace {
+
+    const char* toText(GroupPromotion::Order::Kind kind)
+    {
+        switch (kind) {
+        case GroupPromotion::Order::Kind::QueryStatus:
+            return "query_status";
+        case GroupPromotion::Order::Kind::Pause:
+            return "pause";
+        case GroupPromotion::Order::Kind::Resume:
+            return "resume";
+        case GroupPromotion::Order::Kind::Promote:
+            break;
+        }
+        return "promote";
+    }
+
+} // namespace
+
 /** A change that this daemon tries to make. */
 struct PromotionDriver::Change {
     Change(MetadataStore& store, TimerService& timers, const GroupId& group, const std::string& holder)
@@ -18,16 +36,14 @@
     PromotionClaim claim;
     PromotionReason reason = PromotionReason::PrimaryFailed;
     std::unique_ptr<GroupPromotion> promotion;
-    std::map<EndpointId, std::shared_ptr<OrderLink>> links;
     TimePoint startedAt;
 };
 
 PromotionDriver::PromotionDriver(EndpointDirectory& directory, StatementDispatcher& dispatcher,
-    EndpointConnector& connector, MetadataStore& store, PromotionService& service, TimerService& timers,
+    MetadataStore& store, PromotionService& service, TimerService& timers,
     const PromotionDriverSettings& settings)
     : directory_(directory)
     , dispatcher_(dispatcher)
-    , connector_(connector)
     , store_(store)
     , service_(service)
     , timers_(timers)
@@ -168,17 +184,6 @@
 
 void PromotionDriver::sendOrder(const GroupId& group, const GroupPromotion::Order& order)
 {
-    const auto found = changes_.find(group);
-    if (found == changes_.end())
-        return;
-    std::shared_ptr<OrderLink>& link = found->second->links[order.endpoint];
-    if (!link || link->isClosed()) {
-        const EndpointEntry* entry = directory_.find(order.endpoint);
-        if (!entry)
-            return;
-        link = std::make_shared<OrderLink>(timers_);
-        link->open(connector_, *entry);
-    }
     EndpointCommand command;
     command.term = order.term;
     switch (order.kind) {
@@ -192,7 +197,7 @@
         command.kind = EndpointCommand::Kind::QueryStatus;
         break;
     }
-    link->send(command, settings_.orderTimeout,
+    dispatcher_.order(order.endpoint, command,
         [this, group, order, alive = std::weak_ptr<int>(alive_)](
             const std::optional<EndpointReplicationStatus>& status, const std::string& detail, TimePoint at) {
             logInfo("promotion_order",
@@ -207,7 +212,8 @@
             if (change == changes_.end() || !change->second->promotion)
                 return;
             carryOut(group, change->second->promotion->onStatus(order.endpoint, order.kind, status, at), at);
-        });
+        },
+        timers_.now());
 }
 
 void PromotionDriver::promote(const GroupId& group, const EndpointId& endpoint, TimePoint now)
--- a/src/pooling/DispatcherLinks.cpp
+++ b/src/pooling/DispatcherLinks.cpp
@@ -128,6 +128,59 @@
         link->close(reason, now);
 }
 
+void DispatcherState::order(const EndpointId& endpoint, const EndpointCommand& command,
+    StatementDispatcher::OrderCallback callback, TimePoint now)
+{
+    orders_[++lastTicket_] = { endpoint, command, std::move(callback), now + settings_.orderTimeout, false };
+    sendWaitingOrders(now);
+}
+
+void DispatcherState::sendWaitingOrders(TimePoint now)
+{
+    std::vector<std::uint64_t> late;
+    for (auto& [number, order] : orders_) {
+        if (now >= order.deadline) {
+            late.push_back(number);
+            continue;
+        }
+        if (order.isSent)
+            continue;
+        EndpointLinks& links = linksOf(order.endpoint);
+        std::shared_ptr<PooledLink> link = links.findIdle(SessionContents());
+        if (!link) {
+            openLinks(links, 1, now);
+            continue;
+        }
+        order.isSent = true;
+        link->setState(PooledLink::State::Busy);
+        link->send(
+            order.command,
+            [this, number = number, link](const Reply* reply, TimePoint at) {
+                if (reply)
+                    putBack(link, reply->state, at);
+                answerOrder(number, reply, at);
+            },
+            now);
+    }
+    for (const std::uint64_t number : late)
+        answerOrder(number, nullptr, now);
+}
+
+void DispatcherState::answerOrder(std::uint64_t number, const Reply* reply, TimePoint now)
+{
+    const auto found = orders_.find(number);
+    if (found == orders_.end())
+        return;
+    const StatementDispatcher::OrderCallback callback = std::move(found->second.callback);
+    const bool wasSent = found->second.isSent;
+    orders_.erase(found);
+    if (!reply)
+        return callback(std::nullopt, wasSent ? "no answer" : "no connection", now);
+    if (reply->error)
+        return callback(std::nullopt, toText(*reply->error) + (' ' + reply->detail), now);
+    callback(reply->replication, reply->replication ? "" : "no status in the answer", now);
+}
+
 void DispatcherState::noteLeading(
     const GroupId& group, const EndpointId& endpoint, const LogPosition& position, TimePoint askedAt)
 {
--- a/src/pooling/DispatcherState.cpp
+++ b/src/pooling/DispatcherState.cpp
@@ -106,6 +106,8 @@
 void DispatcherState::dispatch(const GroupId& group, TimePoint now)
 {
     GroupQueues& queues = queuesOf(group);
+    if (!orders_.empty())
+        sendWaitingOrders(now);
     dispatchPrimary(queues, group, now);
     dispatchReads(queues, group, now);
     // Reads that no replica can serve have joined the primary's queue.
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -61,6 +61,15 @@
     bool isProbing = false;
 };
 
+/** An order about replication without an answer. */
+struct PendingOrder {
+    EndpointId endpoint;
+    EndpointCommand command;
+    StatementDispatcher::OrderCallback callback;
+    TimePoint deadline;
+    bool isSent = false;
+};
+
 /** State of StatementDispatcher; see there. */
 class DispatcherState final : public PooledLinkOwner {
 public:
@@ -71,6 +80,7 @@
     Ticket submitInTransaction(const TransactionLink&, StatementRequest, StatementCallback, TimePoint now);
     void abandon(Ticket, TimePoint now);
     void endTransaction(const TransactionLink&, TimePoint now);
+    void order(const EndpointId&, const EndpointCommand&, StatementDispatcher::OrderCallback, TimePoint now);
     void setGroups(const std::map<GroupId, GroupRule>&, TimePoint now);
     void setDaemonCount(std::size_t count) { daemonCount_ = std::max<std::size_t>(count, 1); }
     void onDirectoryChange(TimePoint now);
@@ -133,6 +143,8 @@
     void askPosition(const GroupId&, const std::shared_ptr<PooledLink>&, bool isRegular, TimePoint now);
     void noteLeading(const GroupId&, const EndpointId&, const LogPosition&, TimePoint askedAt);
     void closeStuckLinks(TimePoint now);
+    void sendWaitingOrders(TimePoint now);
+    void answerOrder(std::uint64_t number, const Reply*, TimePoint now);
 
     EndpointDirectory& directory_;
     EndpointConnector& connector_;
@@ -146,6 +158,7 @@
     std::map<EndpointId, EndpointLinks> endpoints_;
     std::unordered_map<Ticket, PendingStatement> pending_;
     std::unordered_map<Ticket, StatementRun> runs_;
+    std::map<std::uint64_t, PendingOrder> orders_;
     Ticket lastTicket_ = 0;
     std::optional<TimePoint> lastTick_;
 };
--- a/src/pooling/StatementDispatcher.cpp
+++ b/src/pooling/StatementDispatcher.cpp
@@ -30,6 +30,12 @@
     state_->endTransaction(link, now);
 }
 
+void StatementDispatcher::order(
+    const EndpointId& endpoint, const EndpointCommand& command, OrderCallback callback, TimePoint now)
+{
+    state_->order(endpoint, command, std::move(callback), now);
+}
+
 void StatementDispatcher::setGroups(const std::map<GroupId, GroupRule>& groups, TimePoint now)
 {
     state_->setGroups(groups, now);
--- a/src/store/PrefixFollower.cpp
+++ b/src/store/PrefixFollower.cpp
@@ -55,7 +55,7 @@
 void PrefixFollower::onPage(StoreResult<StorePage> result)
 {
     if (!result)
-        return retryAfter(result.error(), &PrefixFollower::readAll);
+        return retryAfter(result.error());
     noteSuccess();
     StorePage& page = result.value();
     // Pages are not one snapshot; changes after the first page are heard from the watch.
@@ -85,7 +85,8 @@
     if (!result) {
         if (result.error().kind == StoreFailure::Kind::HistoryGone)
             return readAll();
-        return retryAfter(result.error(), &PrefixFollower::waitForChanges);
+        // The history may have been dropped together with the connection, and a new watch would not tell.
+        return retryAfter(result.error());
     }
     noteSuccess();
     const StorePage& page = result.value();
@@ -104,16 +105,16 @@
     observer_.onStoreReturned(prefix_, timers_.now());
 }
 
-void PrefixFollower::retryAfter(const StoreFailure& failure, void (PrefixFollower::*step)())
+void PrefixFollower::retryAfter(const StoreFailure& failure)
 {
     if (!isLost_) {
         isLost_ = true;
         observer_.onStoreLost(prefix_, failure, timers_.now());
     }
     pause_ = std::clamp(pause_ * 2, firstPause, longestPause);
-    timers_.callAfter(pause_, [this, step, alive = std::weak_ptr<int>(alive_)](TimePoint) {
+    timers_.callAfter(pause_, [this, alive = std::weak_ptr<int>(alive_)](TimePoint) {
         if (!alive.expired())
-            (this->*step)();
+            readAll();
     });
 }
 
