Leave room at endpoints for restarted daemons, and detect silent primaries sooner

A silent primary was found after 900 ms, and the replicas were paused 250 ms after that. Ruled out: slow start of the daemon (configuration in force 82 ms after start). Change: daemons keep half of an endpoint's connections together and close spare ones after a second; pauses after 'too many' start at 150 ms; commands without a slot show silence after 400 ms; a failed primary is asked while the replicas are paused; the expected length of a change is learnt.

--- a/include/almondlever/pooling/StatementDispatcher.h
+++ b/include/almondlever/pooling/StatementDispatcher.h
@@ -21,6 +21,13 @@
     FailureDomainId failureDomain;
     /** Connections of an endpoint that stay free for orders about replication and for peers that start. */
     std::size_t reservedConnections = 4;
+    /**
+     * Share of an endpoint's connections that the daemons keep open together. The rest is opened under load only: an
+     * endpoint keeps the connections of VMs that lost power for seconds, and the restarted daemons must find room.
+     */
+    double keptShare = 0.5;
+    /** A connection beyond the kept share is closed after it was idle for this long. */
+    Milliseconds spareIdleTime { 1000 };
     /** Age at which the primary is asked for its position again; a quarter of the shortest usual staleness. */
     Milliseconds positionRefresh { 300 };
     /** Time for the answer to an order about replication, connecting included. */
@@ -31,8 +38,8 @@
     Milliseconds leaderSearchPatience { 1500 };
     /** A leaving primary gets no new work after this; the platform allows a little more. */
     Milliseconds drainLimit { 6000 };
-    /** Usual time from the first sign of a failed primary until another one leads; shown to callers that are refused. */
-    Milliseconds usualPrimaryChange { 2200 };
+    /** Time from the detection of a failed primary until another one leads, assumed until changes were observed. */
+    Milliseconds usualPrimaryChange { 900 };
     /** Pause before a statement is offered again to an endpoint that was behind or full. */
     Milliseconds retryPause { 25 };
     /** Endpoints that one statement is offered to before its caller gets the refusal. */
--- a/src/failover/GroupPromotion.cpp
+++ b/src/failover/GroupPromotion.cpp
@@ -53,11 +53,17 @@
 GroupPromotion::Orders GroupPromotion::start(TimePoint now)
 {
     enter(Phase::Asking, now);
+    if (members_.empty())
+        return fail("the group has no endpoints", now);
+    if (reason_ == PromotionReason::PrimaryFailed && primary()) {
+        // Replicas are paused while the primary is asked; an answer of the primary ends the attempt.
+        Orders orders = beginFencing(now);
+        orders.push_back({ Order::Kind::QueryStatus, primary()->id, 0 });
+        return orders;
+    }
     Orders orders;
     for (const PromotionMember& member : members_)
         orders.push_back({ Order::Kind::QueryStatus, member.id, 0 });
-    if (orders.empty())
-        return fail("the group has no endpoints", now);
     return orders;
 }
 
@@ -85,6 +91,11 @@
     }
     if (phase_ == Phase::Confirming && status->isPrimary && endpoint == chosen_)
         return resumeOthers(now);
+    if (phase_ == Phase::Fencing && reason_ == PromotionReason::PrimaryFailed && status->isPrimary) {
+        if (kind == Order::Kind::Pause)
+            paused_[endpoint] = status->received;
+        return fail("the primary answers", now);
+    }
     if (kind == Order::Kind::Pause)
         paused_[endpoint] = status->received;
     else if (kind == Order::Kind::QueryStatus)
@@ -101,7 +112,7 @@
         if (!hasAllAnswers && elapsed < settings_.answerPatience)
             return {};
         if (reason_ == PromotionReason::PrimaryFailed && primaryAnswers_)
-            return fail("the primary answers", now);
+            return fail("another endpoint leads", now);
         if (reason_ == PromotionReason::Recovery && primaryAnswers_) {
             // Naming the present primary under a newer fence makes the platform refuse older calls.
             chosen_ = primary()->id;
--- a/src/pooling/DispatcherLinks.cpp
+++ b/src/pooling/DispatcherLinks.cpp
@@ -35,6 +35,34 @@
     return std::max<std::size_t>(usable / daemonCount_, 1);
 }
 
+std::size_t DispatcherState::keptConnections(const EndpointEntry& entry) const
+{
+    const auto found = groups_.find(entry.group);
+    const std::size_t all = found == groups_.end() ? 0 : found->second.rule.maximumConnections;
+    const auto kept = static_cast<std::size_t>(static_cast<double>(all) * settings_.keptShare);
+    return std::max<std::size_t>(kept / daemonCount_, 1);
+}
+
+void DispatcherState::closeSpareLinks(TimePoint now)
+{
+    for (auto& [id, links] : endpoints_) {
+        const EndpointEntry* entry = directory_.find(id);
+        const std::size_t kept = entry ? keptConnections(*entry) : 0;
+        if (links.openCount() <= kept)
+            continue;
+        // One at a time: the load may be about to return.
+        const auto& all = links.links();
+        const auto spare = std::find_if(all.begin(), all.end(), [&](const auto& link) {
+            return link->state() == PooledLink::State::Idle && now - link->stateSince() >= settings_.spareIdleTime;
+        });
+        if (spare == all.end())
+            continue;
+        const std::shared_ptr<PooledLink> link = *spare;
+        links.forget(link);
+        link->abandon();
+    }
+}
+
 void DispatcherState::openLinks(EndpointLinks& links, std::size_t wanted, TimePoint now)
 {
     const EndpointEntry* entry = directory_.find(links.id());
@@ -42,7 +70,7 @@
         return;
     const std::size_t share = connectionShare(*entry);
     // A transaction between two statements keeps its connection from others for as long as its caller likes.
-    const std::size_t resting = std::min(links.count(PooledLink::State::InTransaction), share);
+    const std::size_t resting = std::min(links.count(PooledLink::State::InTransaction), keptConnections(*entry));
     const std::size_t opening = links.count(PooledLink::State::Opening);
     const std::size_t limit = std::min(wanted, openingsAtOnce);
     for (std::size_t number = opening; number < limit && links.openCount() < share + resting; ++number) {
@@ -152,7 +180,7 @@
             continue;
         }
         order.isSent = true;
-        link->setState(PooledLink::State::Busy);
+        link->setState(PooledLink::State::Busy, now);
         link->send(
             order.command,
             [this, number = number, link](const Reply* reply, TimePoint at) {
@@ -205,7 +233,7 @@
     const GroupId& group, const std::shared_ptr<PooledLink>& link, bool isRegular, TimePoint now)
 {
     // A transaction that may write is begun only by a primary, and beginning one takes no slot.
-    link->setState(PooledLink::State::Busy);
+    link->setState(PooledLink::State::Busy, now);
     EndpointCommand begin;
     begin.kind = EndpointCommand::Kind::Begin;
     link->send(
--- a/src/pooling/DispatcherRuns.cpp
+++ b/src/pooling/DispatcherRuns.cpp
@@ -56,7 +56,7 @@
     const StatementRequest& request = pending.request;
     const std::shared_ptr<PooledLink> link = run.link;
     ++pending.attempts;
-    link->setState(PooledLink::State::Busy);
+    link->setState(PooledLink::State::Busy, now);
     std::vector<EndpointCommand> commands = link->contents().match(*request.contents, request.statement);
     run.changesContentsInTransaction = run.isInTransaction && !commands.empty();
     if (request.opensTransaction || run.isWrapped) {
@@ -178,7 +178,7 @@
     const bool keepsTransaction = (request.opensTransaction || run.isInTransaction)
         && reply.state == TransactionState::Open && !isCommit(request);
     if (keepsTransaction) {
-        run.link->setState(PooledLink::State::InTransaction);
+        run.link->setState(PooledLink::State::InTransaction, now);
         result.transaction = run.link;
     }
     logEnd(request, "serve", result.endpoint, "ok", run.isWrapped ? "primary_read" : toText(request.statement.kind),
@@ -214,14 +214,14 @@
         return;
     if (state != TransactionState::None)
         return rollBack(link, now);
-    link->setState(PooledLink::State::Idle);
+    link->setState(PooledLink::State::Idle, now);
 }
 
 void DispatcherState::rollBack(const std::shared_ptr<PooledLink>& link, TimePoint now)
 {
     if (link->state() == PooledLink::State::Closed)
         return;
-    link->setState(PooledLink::State::Busy);
+    link->setState(PooledLink::State::Busy, now);
     EndpointCommand rollback;
     rollback.kind = EndpointCommand::Kind::Rollback;
     link->send(
@@ -231,7 +231,7 @@
                 return;
             if (reply->error || reply->state != TransactionState::None)
                 return link->close("rollback refused", at);
-            link->setState(PooledLink::State::Idle);
+            link->setState(PooledLink::State::Idle, at);
             if (const EndpointEntry* entry = directory_.find(link->endpoint()))
                 dispatch(entry->group, at);
         },
--- a/src/pooling/DispatcherState.cpp
+++ b/src/pooling/DispatcherState.cpp
@@ -129,15 +129,23 @@
 
 Duration DispatcherState::untilPrimary(GroupQueues& queues, const GroupId& group, TimePoint now)
 {
+    if (queues.usualChange == Duration(0))
+        queues.usualChange = settings_.usualPrimaryChange;
     if (usablePrimary(group, now)) {
+        if (queues.withoutPrimarySince) {
+            // The longer of two changes counts more: a caller that returns too early is refused twice.
+            const Duration taken = now - *queues.withoutPrimarySince;
+            queues.usualChange = std::clamp<Duration>(std::max((queues.usualChange + taken) / 2, taken),
+                settings_.usualPrimaryChange / 2, settings_.usualPrimaryChange * 4);
+        }
         queues.withoutPrimarySince.reset();
         return Duration(0);
     }
     if (!queues.withoutPrimarySince)
         queues.withoutPrimarySince = now;
     // Past the usual time nothing is known; a share of the usual time keeps callers from returning all the while.
-    const Duration left = *queues.withoutPrimarySince + settings_.usualPrimaryChange - now;
-    return std::max<Duration>(left, settings_.usualPrimaryChange / 8);
+    const Duration left = *queues.withoutPrimarySince + queues.usualChange - now;
+    return std::max<Duration>(left, queues.usualChange / 8);
 }
 
 void DispatcherState::dispatchPrimary(GroupQueues& queues, const GroupId& group, TimePoint now)
@@ -369,6 +377,7 @@
             enqueue(ticket, now);
     }
     openWarmLinks(now);
+    closeSpareLinks(now);
     askForPositions(now);
     for (auto& [group, queues] : groups_) {
         const Duration wait = untilPrimary(queues, group, now);
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -55,6 +55,8 @@
     RankScheduler readQueue;
     PositionHistory history;
     EndpointId lastPrimary;
+    /** How long the latest changes of the primary took, from detection to the first answer of the next one. */
+    Duration usualChange { 0 };
     /** Since when no usable primary is known. */
     std::optional<TimePoint> withoutPrimarySince;
     TimePoint searchedAt {};
@@ -135,7 +137,11 @@
     // Connections (DispatcherLinks.cpp).
     EndpointLinks& linksOf(const EndpointId&);
     const EndpointLinks* findLinks(const EndpointId&) const;
+    /** Connections to the endpoint that this daemon may open under load. */
     std::size_t connectionShare(const EndpointEntry&) const;
+    /** Connections that it keeps when they are idle. */
+    std::size_t keptConnections(const EndpointEntry&) const;
+    void closeSpareLinks(TimePoint now);
     void openLinks(EndpointLinks&, std::size_t wanted, TimePoint now);
     void openWarmLinks(TimePoint now);
     void askForPositions(TimePoint now);
--- a/src/pooling/EndpointLinks.cpp
+++ b/src/pooling/EndpointLinks.cpp
@@ -11,6 +11,11 @@
 
 } // namespace
 
+void EndpointLinks::forget(const std::shared_ptr<PooledLink>& link)
+{
+    links_.erase(std::remove(links_.begin(), links_.end(), link), links_.end());
+}
+
 void EndpointLinks::noteOpened(TimePoint now)
 {
     failingSince_.reset();
@@ -34,7 +39,9 @@
                      [](const auto& link) { return link->state() == PooledLink::State::Closed; }),
         links_.end());
     if (refusal == StatementError::TooManyConnections) {
-        connectAfter_ = now + settings_.tooManyPause;
+        connectPause_ = std::clamp(connectPause_ * 2, settings_.tooManyPause, settings_.longestConnectPause);
+        connectAfter_ = now + connectPause_;
+        lastReplyAt_ = now;
         return;
     }
     if (!failingSince_)
@@ -83,6 +90,17 @@
     return earliest;
 }
 
+std::optional<TimePoint> EndpointLinks::quickCommandSince() const
+{
+    std::optional<TimePoint> earliest;
+    for (const auto& link : links_) {
+        const std::optional<TimePoint> since = link->quickCommandSince();
+        if (since && (!earliest || *since < *earliest))
+            earliest = since;
+    }
+    return earliest;
+}
+
 bool EndpointLinks::isSuspect(TimePoint now) const { return suspectSince(now).has_value(); }
 
 std::optional<TimePoint> EndpointLinks::suspectSince(TimePoint now) const
@@ -90,6 +108,9 @@
     const bool hasOpenLink = openCount() > count(PooledLink::State::Opening);
     if (failingSince_ && !hasOpenLink && now - *failingSince_ >= settings_.failureLimit)
         return failingSince_;
+    const std::optional<TimePoint> quick = quickCommandSince();
+    if (quick && now - std::max(*quick, lastReplyAt_) >= settings_.quickSilenceLimit)
+        return std::max(*quick, lastReplyAt_);
     const std::optional<TimePoint> waiting = waitingSince();
     if (!waiting)
         return std::nullopt;
--- a/src/pooling/EndpointLinks.h
+++ b/src/pooling/EndpointLinks.h
@@ -10,13 +10,15 @@
 struct EndpointHealthSettings {
     /** No answer to anything for this long while something waits. Twice the longest statement under a full queue. */
     Milliseconds silenceLimit { 900 };
+    /** As silenceLimit, for commands that take no slot: many round trips between regions. */
+    Milliseconds quickSilenceLimit { 400 };
     /** Connections fail for this long while none is open; covers a second attempt after the first pause. */
     Milliseconds failureLimit { 150 };
     /** Pause after a failed attempt to connect; doubles up to the longest pause. */
     Milliseconds firstConnectPause { 60 };
     Milliseconds longestConnectPause { 1000 };
-    /** Pause after the endpoint refused a connection because it has too many. */
-    Milliseconds tooManyPause { 1000 };
+    /** Pause after the endpoint refused a connection because it has too many; doubles up to the longest pause. */
+    Milliseconds tooManyPause { 150 };
     /** An endpoint that did not have a position is not asked for a later one again before this. */
     Milliseconds laggingPause { 120 };
     /** Pause after the endpoint refused a statement because its queue is full. */
@@ -35,6 +37,8 @@
     const EndpointId& id() const { return id_; }
     std::vector<std::shared_ptr<PooledLink>>& links() { return links_; }
 
+    /** Removes a link that is about to be abandoned. */
+    void forget(const std::shared_ptr<PooledLink>&);
     void noteOpened(TimePoint now);
     void noteReply(const Reply&, TimePoint now);
     void noteLatency(Duration);
@@ -61,6 +65,7 @@
 
 private:
     std::optional<TimePoint> waitingSince() const;
+    std::optional<TimePoint> quickCommandSince() const;
 
     EndpointId id_;
     EndpointHealthSettings settings_;
--- a/src/pooling/PooledLink.cpp
+++ b/src/pooling/PooledLink.cpp
@@ -4,10 +4,29 @@
 
 namespace almondlever {
 
+namespace {
+
+    bool isQuick(EndpointCommand::Kind kind)
+    {
+        return kind == EndpointCommand::Kind::Begin || kind == EndpointCommand::Kind::BeginReadOnly
+            || kind == EndpointCommand::Kind::Rollback || kind == EndpointCommand::Kind::Reset
+            || kind == EndpointCommand::Kind::SetValue || kind == EndpointCommand::Kind::Prepare;
+    }
+
+} // namespace
+
+std::optional<TimePoint> PooledLink::quickCommandSince() const
+{
+    // A quick command behind a statement waits for that one.
+    if (awaiting_.empty() || !awaiting_.front().isQuick)
+        return std::nullopt;
+    return awaiting_.front().sentAt;
+}
+
 void PooledLink::send(const EndpointCommand& command, ReplyHandler handler, TimePoint now)
 {
     assert(state_ != State::Opening && state_ != State::Closed);
-    awaiting_.push_back({ std::move(handler), now });
+    awaiting_.push_back({ std::move(handler), now, isQuick(command.kind) });
     link_->send(command);
 }
 
@@ -34,7 +53,7 @@
 {
     if (state_ != State::Opening)
         return;
-    state_ = State::Idle;
+    setState(State::Idle, now);
     wasOpened_ = true;
     owner_->onPooledLinkOpened(*this, reply, now);
 }
--- a/src/pooling/PooledLink.h
+++ b/src/pooling/PooledLink.h
@@ -48,11 +48,14 @@
         : owner_(&owner)
         , endpoint_(std::move(endpoint))
         , openedAt_(now)
+        , stateSince_(now)
     {
     }
 
     void attach(std::shared_ptr<EndpointLink> link) { link_ = std::move(link); }
     void send(const EndpointCommand&, ReplyHandler, TimePoint now);
+    /** When the oldest unanswered command was sent that an endpoint answers at once, without a slot. */
+    std::optional<TimePoint> quickCommandSince() const;
     /** Closes; unanswered handlers get nullptr and the owner hears of it. */
     void close(const std::string& reason, TimePoint now);
     /** Closes without calling anything. */
@@ -64,7 +67,13 @@
 
     const EndpointId& endpoint() const { return endpoint_; }
     State state() const { return state_; }
-    void setState(State state) { state_ = state; }
+    void setState(State state, TimePoint now)
+    {
+        state_ = state;
+        stateSince_ = now;
+    }
+    /** When the state was entered. */
+    TimePoint stateSince() const { return stateSince_; }
     LinkContents& contents() { return contents_; }
     bool isWaiting() const { return !awaiting_.empty(); }
     /** Time at which the oldest unanswered command was sent. Call only while waiting. */
@@ -78,6 +87,7 @@
     struct Awaited {
         ReplyHandler handler;
         TimePoint sentAt;
+        bool isQuick = false;
     };
 
     void finishClosed(const std::string& reason, std::optional<StatementError>, TimePoint now);
@@ -89,6 +99,7 @@
     State state_ = State::Opening;
     std::deque<Awaited> awaiting_;
     TimePoint openedAt_;
+    TimePoint stateSince_;
     bool wasOpened_ = false;
 };
 
