--- a/src/pooling/DispatcherRuns.cpp
+++ b/src/pooling/DispatcherRuns.cpp
@@ -71,6 +71,7 @@
     }
     run.setupLeft = commands.size();
     run.startedAt = now;
+    linksOf(link->endpoint()).noteStarted();
     runs_.emplace(ticket, std::move(run));
     if (commands.empty())
         return forward(ticket, now);
@@ -149,6 +150,8 @@
     assert(found != runs_.end());
     StatementRun run = std::move(found->second);
     runs_.erase(found);
+    const bool isAnswer = isStatement && run.isForwarded;
+    linksOf(run.link->endpoint()).noteEnded(isAnswer ? std::optional<Duration>(now - run.forwardedAt) : std::nullopt);
     if (!run.queued)
         return run;
     GroupQueues& queues = queuesOf(pending_.at(ticket).request.group);
@@ -164,7 +167,6 @@
 {
     const StatementRun run = takeRun(ticket, now, true);
     const StatementRequest request = pending_.at(ticket).request;
-    linksOf(run.link->endpoint()).noteLatency(now - run.forwardedAt);
     // Only a primary acknowledges a write or serves a transaction that may write.
     const bool provesLead = request.isWrite || run.isWrapped;
     if (provesLead && reply.position)
--- a/src/pooling/DispatcherState.cpp
+++ b/src/pooling/DispatcherState.cpp
@@ -101,6 +101,8 @@
     const std::optional<Refusal> refusal = queue.offer(queued, now);
     if (refusal)
         return refuse(ticket, refusal->retryAfter, toText(refusal->reason), now);
+    if (pending.waitsForPrimary && queued.rank == 0)
+        ++queues.urgentQueued;
 }
 
 void DispatcherState::dispatch(const GroupId& group, TimePoint now)
@@ -152,13 +154,14 @@
 {
     while (queues.primaryQueue.size() > 0) {
         EndpointLinks* primary = usablePrimary(group, now);
-        if (!primary || primary->isBusy(now))
+        if (!primary || primary->isBusy(now) || !primary->hasRoom(queues.urgentQueued > 0))
             return;
         if (primary->count(PooledLink::State::Idle) == 0)
             return openLinks(*primary, queues.primaryQueue.size(), now);
         const std::optional<QueuedRequest> queued = queues.primaryQueue.take(now);
         if (!queued)
             return;
+        noteUnqueued(queues, *queued);
         const auto pending = pending_.find(queued->ticket);
         if (pending == pending_.end()) {
             queues.primaryQueue.release(*queued, Duration(0), now);
@@ -188,8 +191,8 @@
         const std::size_t kept = candidate.isPrimary && connectionShare(*entry) > 1 ? queues.primaryQueue.size() + 1 : 0;
         const bool isUsable = !entry->isLeaving && !directory_.isLapsing(entry->id) && !links.isSuspect(now)
             && !links.isBusy(now);
-        candidate.hasFreeLink = isUsable && idle > kept;
-        candidate.running = links.count(PooledLink::State::Busy);
+        candidate.hasFreeLink = isUsable && idle > kept && links.hasRoom(false);
+        candidate.running = links.running();
         candidate.latency = links.latency();
         candidate.position = links.position();
         candidate.wasLaggingLately = links.wasLaggingLately(now);
@@ -255,11 +258,27 @@
 void DispatcherState::answerExpired(GroupQueues& queues, TimePoint now)
 {
     for (RankScheduler* queue : { &queues.primaryQueue, &queues.readQueue }) {
-        for (const QueuedRequest& queued : queue->removeExpired(now))
+        for (const QueuedRequest& queued : queue->removeExpired(now)) {
+            if (queue == &queues.primaryQueue)
+                noteUnqueued(queues, queued);
             refuse(queued.ticket, queue->expectedWait(queued.rank, now), "waited_too_long", now);
+        }
     }
 }
 
+void DispatcherState::noteUnqueued(GroupQueues& queues, const QueuedRequest& queued)
+{
+    if (queued.rank == 0 && queues.urgentQueued > 0)
+        --queues.urgentQueued;
+}
+
+void DispatcherState::cancelQueued(GroupQueues& queues, Ticket ticket)
+{
+    const bool wasQueued = queues.primaryQueue.cancel(ticket);
+    if (wasQueued && pending_.at(ticket).request.rank == 0 && queues.urgentQueued > 0)
+        --queues.urgentQueued;
+}
+
 void DispatcherState::refuse(Ticket ticket, Duration retryAfter, std::string_view reason, TimePoint now)
 {
     const auto found = pending_.find(ticket);
@@ -301,7 +320,7 @@
         return;
     }
     GroupQueues& queues = queuesOf(found->second.request.group);
-    queues.primaryQueue.cancel(ticket);
+    cancelQueued(queues, ticket);
     queues.readQueue.cancel(ticket);
     logEnd(found->second.request, "abandon", EndpointId(), "not_run", "caller_left", now);
     pending_.erase(found);
@@ -329,8 +348,10 @@
     for (const GroupId& group : directory_.groups()) {
         GroupQueues& queues = queuesOf(group);
         std::size_t total = 0;
-        for (const EndpointEntry* entry : directory_.endpointsOf(group))
+        for (const EndpointEntry* entry : directory_.endpointsOf(group)) {
             total += connectionShare(*entry);
+            linksOf(entry->id).window().setMaximum(connectionShare(*entry));
+        }
         const EndpointEntry* primary = directory_.primaryOf(group);
         queues.primaryQueue.setSlots(primary ? connectionShare(*primary) : 1);
         queues.readQueue.setSlots(std::max<std::size_t>(total, 1));
@@ -389,7 +410,7 @@
                     hopeless.push_back(ticket);
             }
             for (const Ticket ticket : hopeless) {
-                queues.primaryQueue.cancel(ticket);
+                cancelQueued(queues, ticket);
                 refuse(ticket, wait, "no_primary", now);
             }
         }
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -55,6 +55,8 @@
     RankScheduler readQueue;
     PositionHistory history;
     EndpointId lastPrimary;
+    /** Statements of the most urgent rank in primaryQueue. */
+    std::size_t urgentQueued = 0;
     /** How long the latest changes of the primary took, from detection to the first answer of the next one. */
     Duration usualChange { 0 };
     /** Since when no usable primary is known. */
@@ -108,6 +110,8 @@
     bool placeRead(GroupQueues&, const GroupId&, const QueuedRequest&, TimePoint now);
     std::vector<ReadCandidate> readCandidates(GroupQueues&, const GroupId&, TimePoint now);
     void answerExpired(GroupQueues&, TimePoint now);
+    static void noteUnqueued(GroupQueues&, const QueuedRequest&);
+    void cancelQueued(GroupQueues&, Ticket);
     void refuse(Ticket, Duration retryAfter, std::string_view reason, TimePoint now);
     void finish(Ticket, StatementResult&&, TimePoint now);
     std::optional<LogPosition> minimumFor(const GroupQueues&, const StatementRequest&) const;
--- a/src/pooling/EndpointLinks.cpp
+++ b/src/pooling/EndpointLinks.cpp
@@ -4,13 +4,6 @@
 
 namespace almondlever {
 
-namespace {
-
-    /** A sample counts one eighth: follows a slow endpoint within about ten statements. */
-    constexpr int latencyWeight = 8;
-
-} // namespace
-
 void EndpointLinks::forget(const std::shared_ptr<PooledLink>& link)
 {
     links_.erase(std::remove(links_.begin(), links_.end(), link), links_.end());
@@ -31,8 +24,6 @@
         position_ = *reply.position;
 }
 
-void EndpointLinks::noteLatency(Duration sample) { latency_ += (sample - latency_) / latencyWeight; }
-
 void EndpointLinks::noteClosed(std::optional<StatementError> refusal, bool wasOpening, TimePoint now)
 {
     links_.erase(std::remove_if(links_.begin(), links_.end(),
--- a/src/pooling/EndpointLinks.h
+++ b/src/pooling/EndpointLinks.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "PooledLink.h"
+#include "almondlever/pooling/SharedWindow.h"
 
 #include <vector>
 
@@ -41,10 +42,26 @@
     void forget(const std::shared_ptr<PooledLink>&);
     void noteOpened(TimePoint now);
     void noteReply(const Reply&, TimePoint now);
-    void noteLatency(Duration);
     void noteClosed(std::optional<StatementError> refusal, bool wasOpening, TimePoint now);
     void noteLagging(TimePoint now) { laggingUntil_ = now + settings_.laggingPause; }
-    void noteBusy(TimePoint now) { busyUntil_ = now + settings_.busyPause; }
+    void noteBusy(TimePoint now)
+    {
+        busyUntil_ = now + settings_.busyPause;
+        window_.noteRefusal(now);
+    }
+    void noteStarted() { ++running_; }
+    /** A statement ended; the latency is that of an answer, if there was one. */
+    void noteEnded(std::optional<Duration> latency)
+    {
+        if (latency)
+            window_.noteAnswer(*latency, running_);
+        --running_;
+    }
+    SharedWindow& window() { return window_; }
+    /** Statements that the endpoint has not answered. */
+    std::size_t running() const { return running_; }
+    /** One more statement may run; the most urgent rank may exceed the window by one. */
+    bool hasRoom(bool isUrgent) const { return running_ < window_.size() + (isUrgent ? 1 : 0); }
     /** Silence before this does not count, because this process did not run. */
     void forgiveSilence(TimePoint now) { lastReplyAt_ = now; }
 
@@ -60,7 +77,7 @@
     std::optional<TimePoint> suspectSince(TimePoint now) const;
     bool isBusy(TimePoint now) const { return now < busyUntil_; }
     bool wasLaggingLately(TimePoint now) const { return now < laggingUntil_; }
-    Duration latency() const { return latency_; }
+    Duration latency() const { return window_.latency(); }
     const LogPosition& position() const { return position_; }
 
 private:
@@ -70,8 +87,8 @@
     EndpointId id_;
     EndpointHealthSettings settings_;
     std::vector<std::shared_ptr<PooledLink>> links_;
-    /** Assumed until the first answer; between a statement nearby and one across regions. */
-    Duration latency_ = std::chrono::milliseconds(30);
+    SharedWindow window_;
+    std::size_t running_ = 0;
     LogPosition position_;
     TimePoint lastReplyAt_ {};
     std::optional<TimePoint> failingSince_;
--- /dev/null
+++ b/src/pooling/SharedWindow.cpp
@@ -0,0 +1,53 @@
+#include "almondlever/pooling/SharedWindow.h"
+
+#include <algorithm>
+
+namespace almondlever {
+
+namespace {
+
+    /** An answer counts one eighth: follows a change within about ten statements. */
+    constexpr double smoothing = 1.0 / 8;
+    /** The time at rest rises this slowly, so that minutes of load are not taken for rest. */
+    constexpr double restRise = 1.0 / 2000;
+    /** Share of the way to the new size that one answer goes. */
+    constexpr double step = 0.2;
+    /** Growth for each answer while the window is full and the endpoint is not busy. */
+    constexpr double growth = 0.5;
+    constexpr double strongestDecrease = 0.5;
+
+} // namespace
+
+void SharedWindow::setMaximum(std::size_t maximum)
+{
+    const bool wasFull = size_ >= maximum_;
+    maximum_ = static_cast<double>(std::max<std::size_t>(maximum, 1));
+    size_ = wasFull ? maximum_ : std::min(size_, maximum_);
+}
+
+void SharedWindow::noteAnswer(Duration latency, std::size_t running)
+{
+    const double seconds = std::chrono::duration<double>(latency).count();
+    smoothed_ = isMeasured_ ? smoothed_ + (seconds - smoothed_) * smoothing : seconds;
+    atRest_ = isMeasured_ ? std::min(smoothed_, atRest_ + (smoothed_ - atRest_) * restRise) : seconds;
+    isMeasured_ = true;
+    const double gradient = std::clamp(atRest_ * tolerance / std::max(smoothed_, 1e-6), strongestDecrease, 1.0);
+    const bool isFull = static_cast<double>(running) + 1 > size_;
+    const double target = size_ * gradient + (isFull ? growth : 0);
+    size_ = std::clamp(size_ + (target - size_) * step, 1.0, maximum_);
+}
+
+void SharedWindow::noteRefusal(TimePoint now)
+{
+    if (now - refusedAt_ < refusalInterval)
+        return;
+    refusedAt_ = now;
+    size_ = std::max(1.0, size_ / 2);
+}
+
+Duration SharedWindow::latency() const
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(smoothed_));
+}
+
+} // namespace almondlever
