Pause between statements while an endpoint is busier than one statement a daemon

Cause: eight daemons with one statement each still queue 8 on 3 slots, so every statement of an urgent transaction waited 130 ms, and the queues counted on slots that the window did not give: 240 refusals came at the deadline. Change: windows shrink to a quarter (a pause after each statement); the queues' slots follow the windows, so refusals come on arrival.

--- a/include/almondlever/pooling/SharedWindow.h
+++ b/include/almondlever/pooling/SharedWindow.h
@@ -11,26 +11,30 @@
  *
  * An endpoint serves its queue in order of arrival, whatever the rank. The window keeps that queue short, so that
  * statements wait in the daemons, which know the ranks: it shrinks while answers take longer than they do at rest, and
- * halves when the endpoint refuses a statement because its queue is full. Never below one, so that every daemon goes on
- * to learn. Not thread-safe.
+ * halves when the endpoint refuses a statement because its queue is full. Below one statement the daemon pauses between
+ * statements, since many daemons with one statement each can still be too many for a few slots. Not thread-safe.
  *
  * @see ConcurrencyLimiter, which judges an endpoint that only one daemon uses
  */
 class SharedWindow {
 public:
     /** Answers that take this many times the time at rest show a queue; one slot's worth of waiting is normal. */
-    static constexpr double tolerance = 2.0;
+    static constexpr double tolerance = 1.6;
+    /** Smallest window: one statement, then a pause of three times its duration. */
+    static constexpr double minimum = 0.25;
     /** A refusal counts once in this time, since the refusals of one full queue come together. */
     static constexpr Milliseconds refusalInterval { 100 };
 
     /** Sets the connections that the daemon may use; the window is never larger. */
     void setMaximum(std::size_t);
     /** An answer came after this time, with so many statements running. */
-    void noteAnswer(Duration latency, std::size_t running);
+    void noteAnswer(Duration latency, std::size_t running, TimePoint now);
     /** The endpoint refused a statement because its queue is full. */
     void noteRefusal(TimePoint now);
-    /** Statements that may run; at least one. */
-    std::size_t size() const { return static_cast<std::size_t>(size_); }
+    /** True when a statement may start while so many run; the most urgent rank may exceed the window by one. */
+    bool allows(std::size_t running, bool isUrgent, TimePoint now) const;
+    /** Statements that may run on average; at least the minimum. */
+    double size() const { return size_; }
     /** Smoothed time to an answer; the assumption of the constructor before the first one. */
     Duration latency() const;
 
@@ -43,6 +47,7 @@
     /** Seconds; the smoothed time while the endpoint was least busy. */
     double atRest_ = 0;
     TimePoint refusedAt_ {};
+    TimePoint pausedUntil_ {};
 };
 
 } // namespace almondlever
--- a/src/pooling/DispatcherRuns.cpp
+++ b/src/pooling/DispatcherRuns.cpp
@@ -151,7 +151,7 @@
     StatementRun run = std::move(found->second);
     runs_.erase(found);
     const bool isAnswer = isStatement && run.isForwarded;
-    linksOf(run.link->endpoint()).noteEnded(isAnswer ? std::optional<Duration>(now - run.forwardedAt) : std::nullopt);
+    linksOf(run.link->endpoint()).noteEnded(isAnswer ? std::optional<Duration>(now - run.forwardedAt) : std::nullopt, now);
     if (!run.queued)
         return run;
     GroupQueues& queues = queuesOf(pending_.at(ticket).request.group);
--- a/src/pooling/DispatcherState.cpp
+++ b/src/pooling/DispatcherState.cpp
@@ -97,6 +97,7 @@
     queued.bytes = request.statement.text.size();
     queued.arrival = request.arrival;
     queued.deadline = request.deadline;
+    updateSlots(queues, group, now);
     RankScheduler& queue = pending.waitsForPrimary ? queues.primaryQueue : queues.readQueue;
     const std::optional<Refusal> refusal = queue.offer(queued, now);
     if (refusal)
@@ -105,6 +106,21 @@
         ++queues.urgentQueued;
 }
 
+void DispatcherState::updateSlots(GroupQueues& queues, const GroupId& group, TimePoint now)
+{
+    // The queues refuse by the expected wait, which depends on what the endpoints bear at present.
+    double reads = 0;
+    for (const EndpointEntry* entry : directory_.endpointsOf(group)) {
+        EndpointLinks& links = linksOf(entry->id);
+        if (!entry->isLeaving && !links.isSuspect(now) && !links.wasLaggingLately(now))
+            reads += links.window().size();
+    }
+    const EndpointEntry* primary = directory_.primaryOf(group);
+    const double writes = primary ? linksOf(primary->id).window().size() : 1;
+    queues.primaryQueue.setSlots(std::max<std::size_t>(static_cast<std::size_t>(writes), 1));
+    queues.readQueue.setSlots(std::max<std::size_t>(static_cast<std::size_t>(reads), 1));
+}
+
 void DispatcherState::dispatch(const GroupId& group, TimePoint now)
 {
     GroupQueues& queues = queuesOf(group);
@@ -154,7 +170,7 @@
 {
     while (queues.primaryQueue.size() > 0) {
         EndpointLinks* primary = usablePrimary(group, now);
-        if (!primary || primary->isBusy(now) || !primary->hasRoom(queues.urgentQueued > 0))
+        if (!primary || primary->isBusy(now) || !primary->hasRoom(queues.urgentQueued > 0, now))
             return;
         if (primary->count(PooledLink::State::Idle) == 0)
             return openLinks(*primary, queues.primaryQueue.size(), now);
@@ -191,7 +207,7 @@
         const std::size_t kept = candidate.isPrimary && connectionShare(*entry) > 1 ? queues.primaryQueue.size() + 1 : 0;
         const bool isUsable = !entry->isLeaving && !directory_.isLapsing(entry->id) && !links.isSuspect(now)
             && !links.isBusy(now);
-        candidate.hasFreeLink = isUsable && idle > kept && links.hasRoom(false);
+        candidate.hasFreeLink = isUsable && idle > kept && links.hasRoom(false, now);
         candidate.running = links.running();
         candidate.latency = links.latency();
         candidate.position = links.position();
@@ -347,14 +363,9 @@
     }
     for (const GroupId& group : directory_.groups()) {
         GroupQueues& queues = queuesOf(group);
-        std::size_t total = 0;
-        for (const EndpointEntry* entry : directory_.endpointsOf(group)) {
-            total += connectionShare(*entry);
+        for (const EndpointEntry* entry : directory_.endpointsOf(group))
             linksOf(entry->id).window().setMaximum(connectionShare(*entry));
-        }
         const EndpointEntry* primary = directory_.primaryOf(group);
-        queues.primaryQueue.setSlots(primary ? connectionShare(*primary) : 1);
-        queues.readQueue.setSlots(std::max<std::size_t>(total, 1));
         const EndpointId id = primary ? primary->id : EndpointId();
         if (id != queues.lastPrimary && !id.isEmpty()) {
             logInfo("primary_believed",
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -109,6 +109,7 @@
     void dispatchReads(GroupQueues&, const GroupId&, TimePoint now);
     bool placeRead(GroupQueues&, const GroupId&, const QueuedRequest&, TimePoint now);
     std::vector<ReadCandidate> readCandidates(GroupQueues&, const GroupId&, TimePoint now);
+    void updateSlots(GroupQueues&, const GroupId&, TimePoint now);
     void answerExpired(GroupQueues&, TimePoint now);
     static void noteUnqueued(GroupQueues&, const QueuedRequest&);
     void cancelQueued(GroupQueues&, Ticket);
--- a/src/pooling/EndpointLinks.h
+++ b/src/pooling/EndpointLinks.h
@@ -51,17 +51,17 @@
     }
     void noteStarted() { ++running_; }
     /** A statement ended; the latency is that of an answer, if there was one. */
-    void noteEnded(std::optional<Duration> latency)
+    void noteEnded(std::optional<Duration> latency, TimePoint now)
     {
         if (latency)
-            window_.noteAnswer(*latency, running_);
+            window_.noteAnswer(*latency, running_, now);
         --running_;
     }
     SharedWindow& window() { return window_; }
     /** Statements that the endpoint has not answered. */
     std::size_t running() const { return running_; }
-    /** One more statement may run; the most urgent rank may exceed the window by one. */
-    bool hasRoom(bool isUrgent) const { return running_ < window_.size() + (isUrgent ? 1 : 0); }
+    /** One more statement may run. */
+    bool hasRoom(bool isUrgent, TimePoint now) const { return window_.allows(running_, isUrgent, now); }
     /** Silence before this does not count, because this process did not run. */
     void forgiveSilence(TimePoint now) { lastReplyAt_ = now; }
 
--- a/src/pooling/SharedWindow.cpp
+++ b/src/pooling/SharedWindow.cpp
@@ -25,7 +25,7 @@
     size_ = wasFull ? maximum_ : std::min(size_, maximum_);
 }
 
-void SharedWindow::noteAnswer(Duration latency, std::size_t running)
+void SharedWindow::noteAnswer(Duration latency, std::size_t running, TimePoint now)
 {
     const double seconds = std::chrono::duration<double>(latency).count();
     smoothed_ = isMeasured_ ? smoothed_ + (seconds - smoothed_) * smoothing : seconds;
@@ -34,7 +34,17 @@
     const double gradient = std::clamp(atRest_ * tolerance / std::max(smoothed_, 1e-6), strongestDecrease, 1.0);
     const bool isFull = static_cast<double>(running) + 1 > size_;
     const double target = size_ * gradient + (isFull ? growth : 0);
-    size_ = std::clamp(size_ + (target - size_) * step, 1.0, maximum_);
+    size_ = std::clamp(size_ + (target - size_) * step, minimum, maximum_);
+    if (size_ < 1)
+        pausedUntil_ = now + std::chrono::duration_cast<Duration>(latency * (1 / size_ - 1));
+}
+
+bool SharedWindow::allows(std::size_t running, bool isUrgent, TimePoint now) const
+{
+    const std::size_t whole = std::max<std::size_t>(static_cast<std::size_t>(size_), 1);
+    if (isUrgent)
+        return running < whole + 1;
+    return running < whole && (size_ >= 1 || now >= pausedUntil_);
 }
 
 void SharedWindow::noteRefusal(TimePoint now)
@@ -42,7 +52,7 @@
     if (now - refusedAt_ < refusalInterval)
         return;
     refusedAt_ = now;
-    size_ = std::max(1.0, size_ / 2);
+    size_ = std::max(minimum, size_ / 2);
 }
 
 Duration SharedWindow::latency() const
