Take a refusal for too many connections as life, and open fewer connections under load

Ruled out: a lost commit (the replicas were paused; the 3 commits rolled back had not been acknowledged). Change: such a refusal counts as an answer; an endpoint never reached by the process fails only after 3 s; daemons open at most 0.7 of the connections.

--- a/include/almondlever/pooling/StatementDispatcher.h
+++ b/include/almondlever/pooling/StatementDispatcher.h
@@ -19,8 +19,8 @@
 struct DispatcherSettings {
     /** The VM's own failure domain. */
     FailureDomainId failureDomain;
-    /** Connections of an endpoint that stay free for orders about replication and for peers that start. */
-    std::size_t reservedConnections = 4;
+    /** Share of an endpoint's connections that the daemons open together under load. */
+    double loadShare = 0.7;
     /**
      * Share of an endpoint's connections that the daemons keep open together. The rest is opened under load only: an
      * endpoint keeps the connections of VMs that lost power for seconds, and the restarted daemons must find room.
--- a/src/pooling/DispatcherLinks.cpp
+++ b/src/pooling/DispatcherLinks.cpp
@@ -27,22 +27,14 @@
     return found == endpoints_.end() ? nullptr : &found->second;
 }
 
-std::size_t DispatcherState::connectionShare(const EndpointEntry& entry) const
+std::size_t DispatcherState::shareOf(const EndpointEntry& entry, double part) const
 {
     const auto found = groups_.find(entry.group);
     const std::size_t all = found == groups_.end() ? 0 : found->second.rule.maximumConnections;
-    const std::size_t usable = all > settings_.reservedConnections ? all - settings_.reservedConnections : 1;
+    const auto usable = static_cast<std::size_t>(static_cast<double>(all) * part);
     return std::max<std::size_t>(usable / daemonCount_, 1);
 }
 
-std::size_t DispatcherState::keptConnections(const EndpointEntry& entry) const
-{
-    const auto found = groups_.find(entry.group);
-    const std::size_t all = found == groups_.end() ? 0 : found->second.rule.maximumConnections;
-    const auto kept = static_cast<std::size_t>(static_cast<double>(all) * settings_.keptShare);
-    return std::max<std::size_t>(kept / daemonCount_, 1);
-}
-
 void DispatcherState::closeSpareLinks(TimePoint now)
 {
     for (auto& [id, links] : endpoints_) {
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -143,9 +143,11 @@
     EndpointLinks& linksOf(const EndpointId&);
     const EndpointLinks* findLinks(const EndpointId&) const;
     /** Connections to the endpoint that this daemon may open under load. */
-    std::size_t connectionShare(const EndpointEntry&) const;
+    std::size_t connectionShare(const EndpointEntry& entry) const { return shareOf(entry, settings_.loadShare); }
     /** Connections that it keeps when they are idle. */
-    std::size_t keptConnections(const EndpointEntry&) const;
+    std::size_t keptConnections(const EndpointEntry& entry) const { return shareOf(entry, settings_.keptShare); }
+    /** This daemon's share of a part of the endpoint's connections; at least one. */
+    std::size_t shareOf(const EndpointEntry&, double part) const;
     void closeSpareLinks(TimePoint now);
     void openLinks(EndpointLinks&, std::size_t wanted, TimePoint now);
     void openWarmLinks(TimePoint now);
--- a/src/pooling/EndpointLinks.cpp
+++ b/src/pooling/EndpointLinks.cpp
@@ -11,6 +11,7 @@
 
 void EndpointLinks::noteOpened(TimePoint now)
 {
+    wasOpen_ = true;
     failingSince_.reset();
     connectPause_ = Milliseconds(0);
     lastReplyAt_ = now;
@@ -32,7 +33,9 @@
     if (refusal == StatementError::TooManyConnections) {
         connectPause_ = std::clamp(connectPause_ * 2, settings_.tooManyPause, settings_.longestConnectPause);
         connectAfter_ = now + connectPause_;
+        // A refusal is an answer.
         lastReplyAt_ = now;
+        failingSince_.reset();
         return;
     }
     if (!failingSince_)
@@ -97,7 +100,8 @@
 std::optional<TimePoint> EndpointLinks::suspectSince(TimePoint now) const
 {
     const bool hasOpenLink = openCount() > count(PooledLink::State::Opening);
-    if (failingSince_ && !hasOpenLink && now - *failingSince_ >= settings_.failureLimit)
+    const Milliseconds failureLimit = wasOpen_ ? settings_.failureLimit : settings_.firstFailureLimit;
+    if (failingSince_ && !hasOpenLink && now - *failingSince_ >= failureLimit)
         return failingSince_;
     const std::optional<TimePoint> quick = quickCommandSince();
     if (quick && now - std::max(*quick, lastReplyAt_) >= settings_.quickSilenceLimit)
--- a/src/pooling/EndpointLinks.h
+++ b/src/pooling/EndpointLinks.h
@@ -15,6 +15,11 @@
     Milliseconds quickSilenceLimit { 400 };
     /** Connections fail for this long while none is open; covers a second attempt after the first pause. */
     Milliseconds failureLimit { 150 };
+    /**
+     * As failureLimit, for an endpoint that this process never reached: after the loss of many VMs an endpoint may take
+     * seconds until it accepts the restarted daemons.
+     */
+    Milliseconds firstFailureLimit { 3000 };
     /** Pause after a failed attempt to connect; doubles up to the longest pause. */
     Milliseconds firstConnectPause { 60 };
     Milliseconds longestConnectPause { 1000 };
@@ -89,6 +94,7 @@
     std::vector<std::shared_ptr<PooledLink>> links_;
     SharedWindow window_;
     std::size_t running_ = 0;
+    bool wasOpen_ = false;
     LogPosition position_;
     TimePoint lastReplyAt_ {};
     std::optional<TimePoint> failingSince_;
