Test the new modules, and tolerate the wait of one statement at a shared endpoint

Cause: a new test showed that a full window grew while its endpoint was busy, so it stayed at one statement. Change: the window grows only while the endpoint is not busy; a queue shows at twice the time at rest and 40 ms above it; the time at rest follows within 500 answers.

--- a/include/almondlever/pooling/SharedWindow.h
+++ b/include/almondlever/pooling/SharedWindow.h
@@ -18,8 +18,10 @@
  */
 class SharedWindow {
 public:
-    /** Answers that take this many times the time at rest show a queue; one slot's worth of waiting is normal. */
-    static constexpr double tolerance = 1.6;
+    /** Answers that take this many times the time at rest show a queue. */
+    static constexpr double tolerance = 2.0;
+    /** Waiting of this length shows no queue yet: about one statement, also at an endpoint without distance. */
+    static constexpr Milliseconds toleratedWait { 40 };
     /** Smallest window: one statement, then a pause of three times its duration. */
     static constexpr double minimum = 0.25;
     /** A refusal counts once in this time, since the refusals of one full queue come together. */
--- a/src/pooling/SharedWindow.cpp
+++ b/src/pooling/SharedWindow.cpp
@@ -9,7 +9,7 @@
     /** An answer counts one eighth: follows a change within about ten statements. */
     constexpr double smoothing = 1.0 / 8;
     /** The time at rest rises this slowly, so that minutes of load are not taken for rest. */
-    constexpr double restRise = 1.0 / 2000;
+    constexpr double restRise = 1.0 / 500;
     /** Share of the way to the new size that one answer goes. */
     constexpr double step = 0.2;
     /** Growth for each answer while the window is full and the endpoint is not busy. */
@@ -31,9 +31,12 @@
     smoothed_ = isMeasured_ ? smoothed_ + (seconds - smoothed_) * smoothing : seconds;
     atRest_ = isMeasured_ ? std::min(smoothed_, atRest_ + (smoothed_ - atRest_) * restRise) : seconds;
     isMeasured_ = true;
-    const double gradient = std::clamp(atRest_ * tolerance / std::max(smoothed_, 1e-6), strongestDecrease, 1.0);
+    const double tolerated = std::max(
+        atRest_ * tolerance, atRest_ + std::chrono::duration<double>(toleratedWait).count());
+    const double gradient = std::clamp(tolerated / std::max(smoothed_, 1e-6), strongestDecrease, 1.0);
     const bool isFull = static_cast<double>(running) + 1 > size_;
-    const double target = size_ * gradient + (isFull ? growth : 0);
+    const bool mayGrow = isFull && gradient >= 1;
+    const double target = size_ * gradient + (mayGrow ? growth : 0);
     size_ = std::clamp(size_ + (target - size_) * step, minimum, maximum_);
     if (size_ < 1)
         pausedUntil_ = now + std::chrono::duration_cast<Duration>(latency * (1 / size_ - 1));
--- /dev/null
+++ b/tests/consistency/TestPositionHistory.cpp
@@ -0,0 +1,49 @@
+#include "almondlever/consistency/PositionHistory.h"
+
+#include <criterion/criterion.h>
+
+using namespace almondlever;
+
+namespace {
+
+const TimePoint start { std::chrono::hours(1) };
+
+TimePoint at(int milliseconds) { return start + Milliseconds(milliseconds); }
+
+} // namespace
+
+// Guards against a read that takes a position asked for before the oldest commit that it must see.
+Test(PositionHistory, neverGivesAnEarlierQuestion)
+{
+    PositionHistory history;
+    history.add(at(0), { 1, 10 });
+    history.add(at(100), { 1, 20 });
+    history.add(at(200), { 1, 30 });
+    cr_assert(*history.oldestSince(at(0)) == LogPosition({ 1, 10 }));
+    cr_assert(*history.oldestSince(at(1)) == LogPosition({ 1, 20 }));
+    cr_assert(*history.oldestSince(at(200)) == LogPosition({ 1, 30 }));
+    cr_assert(!history.oldestSince(at(201)));
+}
+
+// Guards against asking replicas for a newer position than the rules need, which lagging ones would refuse.
+Test(PositionHistory, keepsOldQuestionsWhileAnswersComeOften)
+{
+    PositionHistory history;
+    for (int i = 0; i <= 1000; ++i)
+        history.add(at(i), { 1, static_cast<std::uint64_t>(i) });
+    const auto found = history.oldestSince(at(500));
+    cr_assert(found);
+    cr_assert_geq(found->index, 500U);
+    cr_assert_leq(found->index, 550U);
+    cr_assert(*history.newestQuestion() == at(1000));
+}
+
+// Guards against memory that grows with the life of the process.
+Test(PositionHistory, dropsWhatNoRouteMayUse)
+{
+    PositionHistory history;
+    history.add(at(0), { 1, 1 });
+    history.add(at(100), { 1, 2 });
+    history.add(at(20000), { 1, 3 });
+    cr_assert(*history.oldestSince(at(0)) == LogPosition({ 1, 3 }));
+}
--- /dev/null
+++ b/tests/groups/TestEndpointDirectory.cpp
@@ -0,0 +1,116 @@
+#include "almondlever/groups/EndpointDirectory.h"
+
+#include <criterion/criterion.h>
+
+using namespace almondlever;
+
+namespace {
+
+const GroupId group("ledger");
+const EndpointId a("a");
+const EndpointId b("b");
+const TimePoint start { std::chrono::hours(1) };
+
+EndpointEntry makeEntry(const EndpointId& id, bool saysPrimary, std::uint64_t revision)
+{
+    EndpointEntry entry;
+    entry.id = id;
+    entry.group = group;
+    entry.saysPrimary = saysPrimary;
+    entry.startedAt = Milliseconds(7);
+    entry.revision = revision;
+    return entry;
+}
+
+bool leads(const EndpointDirectory& directory, const EndpointId& id)
+{
+    const EndpointEntry* primary = directory.primaryOf(group);
+    return primary && primary->id == id;
+}
+
+} // namespace
+
+// Guards against dropping endpoints whose entries lapsed with an outage of the store and come back.
+Test(EndpointDirectory, keepsALapsedEntryForTheGracePeriod)
+{
+    EndpointDirectory directory;
+    directory.update(makeEntry(a, true, 1), start);
+    directory.lapse(a, start);
+    cr_assert(directory.removeLapsed(start + Milliseconds(1900)).empty());
+    cr_assert(directory.find(a));
+    directory.noteStoreReturned(start + Milliseconds(1900));
+    cr_assert(directory.removeLapsed(start + Milliseconds(3800)).empty());
+    cr_assert_eq(directory.removeLapsed(start + Milliseconds(3900)).size(), 1U);
+    cr_assert(!directory.find(a));
+}
+
+// Guards against a snapshot that leaves entries of servers that are gone.
+Test(EndpointDirectory, snapshotLapsesMissingEntries)
+{
+    EndpointDirectory directory;
+    directory.update(makeEntry(a, true, 1), start);
+    directory.update(makeEntry(b, false, 2), start);
+    directory.replaceAll({ makeEntry(b, false, 2) }, start);
+    cr_assert(directory.isLapsing(a));
+    cr_assert(!directory.isLapsing(b));
+    directory.update(makeEntry(a, true, 3), start);
+    cr_assert(!directory.isLapsing(a));
+}
+
+// Guards against work for a superseded primary behind a partition, whose entry still says that it leads.
+Test(EndpointDirectory, proofOfALaterTermWinsOverAnEntry)
+{
+    EndpointDirectory directory;
+    directory.update(makeEntry(a, true, 1), start);
+    directory.update(makeEntry(b, false, 2), start);
+    cr_assert(leads(directory, a));
+    directory.noteLeading(b, 2);
+    cr_assert(leads(directory, b));
+    directory.noteLeading(a, 1);
+    cr_assert(leads(directory, b), "an answer of an earlier term came late");
+}
+
+// Guards against going on to ask an endpoint that has refused to lead.
+Test(EndpointDirectory, refusalCountsUntilTheEntryIsWrittenAnew)
+{
+    EndpointDirectory directory;
+    directory.update(makeEntry(a, true, 1), start);
+    directory.noteNotLeading(a);
+    cr_assert(!directory.primaryOf(group));
+    directory.update(makeEntry(a, true, 5), start);
+    cr_assert(leads(directory, a));
+}
+
+// Guards against an old entry that arrives after a newer one.
+Test(EndpointDirectory, olderRevisionChangesNothing)
+{
+    EndpointDirectory directory;
+    directory.update(makeEntry(a, true, 5), start);
+    directory.update(makeEntry(a, false, 4), start);
+    cr_assert(leads(directory, a));
+}
+
+// Guards against trusting the lead of a server that was born again under its id and knows nothing of before.
+Test(EndpointDirectory, rebirthEndsAProvenLead)
+{
+    EndpointDirectory directory;
+    directory.update(makeEntry(a, false, 1), start);
+    directory.noteLeading(a, 3);
+    cr_assert(leads(directory, a));
+    EndpointEntry reborn = makeEntry(a, false, 2);
+    reborn.startedAt = Milliseconds(8);
+    directory.update(reborn, start);
+    cr_assert(!directory.primaryOf(group));
+}
+
+// Guards against counting the time of a leaving endpoint anew with each of its entries.
+Test(EndpointDirectory, leavingCountsFromTheFirstEntry)
+{
+    EndpointDirectory directory;
+    EndpointEntry entry = makeEntry(a, true, 1);
+    entry.isLeaving = true;
+    directory.update(entry, start);
+    entry.revision = 2;
+    directory.update(entry, start + Milliseconds(500));
+    cr_assert(*directory.leavingSince(a) == start);
+}
--- /dev/null
+++ b/tests/mocks/FakeEndpoints.h
@@ -0,0 +1,358 @@
+#pragma once
+
+#include "FakeTimerService.h"
+#include "almondlever/pooling/EndpointLink.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace almondlever {
+
+/** A statement of a caller as an endpoint ran it. */
+struct RunStatement {
+    EndpointId endpoint;
+    std::size_t connection = 0;
+    std::string id;
+    std::string text;
+    bool wasInTransaction = false;
+    std::map<std::string, std::string> values;
+};
+
+/**
+ * Endpoints in virtual time: each serves its connections with a few slots and one queue in order of arrival, as the
+ * platform's servers do. Tests set roles, positions and faults.
+ */
+class FakeEndpoints final : public EndpointConnector {
+public:
+    struct Server {
+        bool leads = false;
+        LogPosition position { 1, 100 };
+        std::size_t slots = 2;
+        std::size_t queueLimit = 24;
+        Milliseconds work { 10 };
+        Milliseconds distance { 1 };
+        /** Accepts nothing and answers nothing. */
+        bool isSilent = false;
+        /** Ends connections and refuses new ones. */
+        bool isDown = false;
+        std::size_t maximumConnections = 1000;
+        /** Answers that are lost: the connection closes after the run. */
+        std::size_t lostAnswers = 0;
+        Term pausedIn = 0;
+        std::size_t connections = 0;
+        std::size_t openedConnections = 0;
+        std::size_t running = 0;
+        std::deque<std::function<void()>> queue;
+        /** Statements refused because the queue was full. */
+        std::size_t refused = 0;
+    };
+
+    explicit FakeEndpoints(FakeTimerService& timers)
+        : timers_(timers)
+    {
+    }
+
+    Server& server(const EndpointId& id) { return servers_[id]; }
+    const std::vector<RunStatement>& runs() const { return runs_; }
+    /** Number of runs of a caller's statement. */
+    std::size_t runsOf(const std::string& id) const;
+    void crash(const EndpointId&);
+
+    std::shared_ptr<EndpointLink> connect(const EndpointEntry&, std::weak_ptr<EndpointLinkObserver>) override;
+
+private:
+    class Link;
+    friend class Link;
+
+    FakeTimerService& timers_;
+    std::map<EndpointId, Server> servers_;
+    std::vector<RunStatement> runs_;
+    std::vector<std::weak_ptr<Link>> links_;
+    std::size_t lastConnection_ = 0;
+};
+
+/** One connection of FakeEndpoints. */
+class FakeEndpoints::Link final : public EndpointLink, public std::enable_shared_from_this<Link> {
+public:
+    Link(FakeEndpoints& owner, EndpointId endpoint, std::weak_ptr<EndpointLinkObserver> observer, std::size_t number)
+        : owner_(owner)
+        , endpoint_(std::move(endpoint))
+        , observer_(std::move(observer))
+        , number_(number)
+    {
+    }
+
+    ~Link() override
+    {
+        if (isCounted_)
+            --server().connections;
+    }
+
+    void open()
+    {
+        after(2 * server().distance, [](Link& self) { self.accept(); });
+    }
+
+    void send(const EndpointCommand& command) override
+    {
+        waiting_.push_back(command);
+        if (waiting_.size() == 1)
+            after(server().distance, [](Link& self) { self.handle(); });
+    }
+
+    void close() override
+    {
+        observer_.reset();
+        release();
+    }
+
+    void breakOff(const std::string& reason, std::optional<StatementError> refusal = std::nullopt)
+    {
+        release();
+        const auto observer = observer_.lock();
+        observer_.reset();
+        if (observer)
+            observer->onLinkClosed(reason, refusal, owner_.timers_.now());
+    }
+
+    const EndpointId& endpoint() const { return endpoint_; }
+
+private:
+    Server& server() { return owner_.servers_[endpoint_]; }
+
+    void after(Duration delay, std::function<void(Link&)> step)
+    {
+        owner_.timers_.callAfter(delay, [weak = weak_from_this(), step](TimePoint) {
+            if (const auto self = weak.lock())
+                step(*self);
+        });
+    }
+
+    void accept()
+    {
+        if (server().isSilent)
+            return;
+        if (server().isDown)
+            return breakOff("connection refused");
+        if (server().connections >= server().maximumConnections)
+            return breakOff("too many", StatementError::TooManyConnections);
+        ++server().connections;
+        ++server().openedConnections;
+        isCounted_ = true;
+        Reply reply;
+        reply.position = server().position;
+        if (const auto observer = observer_.lock())
+            observer->onLinkOpened(reply, owner_.timers_.now());
+    }
+
+    void release()
+    {
+        if (isCounted_)
+            --server().connections;
+        isCounted_ = false;
+    }
+
+    void handle()
+    {
+        if (server().isSilent || waiting_.empty())
+            return;
+        const EndpointCommand command = waiting_.front();
+        const bool needsSlot = command.kind == EndpointCommand::Kind::Forward
+            || command.kind == EndpointCommand::Kind::ForwardPrepared;
+        if (!needsSlot)
+            return answer(execute(command), false);
+        const auto refusal = refusalOf(command);
+        if (refusal)
+            return answer(makeError(*refusal), false);
+        const auto run = [weak = weak_from_this(), command] {
+            if (const auto self = weak.lock())
+                self->runInSlot(command);
+        };
+        if (server().running < server().slots) {
+            ++server().running;
+            return run();
+        }
+        if (server().queue.size() >= server().queueLimit) {
+            ++server().refused;
+            return answer(makeError(StatementError::Busy), false);
+        }
+        server().queue.push_back(run);
+    }
+
+    void runInSlot(const EndpointCommand& command)
+    {
+        FakeEndpoints& owner = owner_;
+        const EndpointId endpoint = endpoint_;
+        owner_.timers_.callAfter(server().work, [&owner, endpoint, weak = weak_from_this(), command](TimePoint) {
+            Server& server = owner.servers_[endpoint];
+            if (server.queue.empty()) {
+                --server.running;
+            } else {
+                const auto next = server.queue.front();
+                server.queue.pop_front();
+                next();
+            }
+            if (const auto self = weak.lock())
+                self->answer(self->execute(command), true);
+        });
+    }
+
+    std::optional<StatementError> refusalOf(const EndpointCommand& command)
+    {
+        if (command.after && server().position < *command.after)
+            return StatementError::Lagging;
+        const bool isWrite = command.text.rfind("WRITE", 0) == 0 || command.name.rfind("w_", 0) == 0;
+        if (isWrite && !server().leads)
+            return StatementError::ReadOnly;
+        if (state_ == TransactionState::Open && !isReadOnly_ && !server().leads && command.text != "COMMIT")
+            return StatementError::ReadOnly;
+        if (command.kind == EndpointCommand::Kind::ForwardPrepared && prepared_.count(command.name) == 0)
+            return StatementError::UnknownStatement;
+        return std::nullopt;
+    }
+
+    Reply makeError(StatementError error)
+    {
+        Reply reply;
+        reply.error = error;
+        if (state_ == TransactionState::Open)
+            state_ = TransactionState::Failed;
+        reply.state = state_;
+        reply.position = server().position;
+        return reply;
+    }
+
+    Reply execute(const EndpointCommand& command)
+    {
+        Reply reply;
+        reply.detail = "-";
+        switch (command.kind) {
+        case EndpointCommand::Kind::Begin:
+            if (!server().leads)
+                return makeError(StatementError::ReadOnly);
+            state_ = TransactionState::Open;
+            isReadOnly_ = false;
+            break;
+        case EndpointCommand::Kind::BeginReadOnly:
+            if (command.after && server().position < *command.after)
+                return makeError(StatementError::Lagging);
+            state_ = TransactionState::Open;
+            isReadOnly_ = true;
+            break;
+        case EndpointCommand::Kind::Rollback:
+            state_ = TransactionState::None;
+            break;
+        case EndpointCommand::Kind::SetValue:
+            values_[command.name] = command.argument;
+            break;
+        case EndpointCommand::Kind::Prepare:
+            prepared_[command.name] = command.argument;
+            break;
+        case EndpointCommand::Kind::Reset:
+            values_.clear();
+            prepared_.clear();
+            break;
+        case EndpointCommand::Kind::PauseReplication:
+            server().pausedIn = command.term;
+            reply.replication = EndpointReplicationStatus { server().leads, server().position.term, server().position };
+            break;
+        case EndpointCommand::Kind::ResumeReplication:
+            server().pausedIn = 0;
+            reply.replication = EndpointReplicationStatus { server().leads, server().position.term, server().position };
+            break;
+        case EndpointCommand::Kind::QueryStatus:
+        case EndpointCommand::Kind::StepDown:
+            reply.replication = EndpointReplicationStatus { server().leads, server().position.term, server().position };
+            break;
+        case EndpointCommand::Kind::Forward:
+        case EndpointCommand::Kind::ForwardPrepared:
+            run(command, reply);
+            break;
+        }
+        reply.state = state_;
+        reply.position = server().position;
+        return reply;
+    }
+
+    void run(const EndpointCommand& command, Reply& reply)
+    {
+        const std::string text
+            = command.kind == EndpointCommand::Kind::Forward ? command.text : command.name + ' ' + command.argument;
+        owner_.runs_.push_back(
+            { endpoint_, number_, command.id, text, state_ != TransactionState::None, values_ });
+        reply.detail = "signed-by-" + endpoint_.text();
+        const bool isWrite = text.rfind("WRITE", 0) == 0 || text.rfind("w_", 0) == 0;
+        if (isWrite)
+            hasWritten_ = true;
+        const bool commits = text == "COMMIT" || (isWrite && state_ == TransactionState::None);
+        if (commits && hasWritten_)
+            ++server().position.index;
+        if (text == "COMMIT")
+            state_ = TransactionState::None;
+        if (commits)
+            hasWritten_ = false;
+    }
+
+    void answer(Reply reply, bool mayBeLost)
+    {
+        if (mayBeLost && server().lostAnswers > 0) {
+            --server().lostAnswers;
+            return breakOff("connection lost");
+        }
+        after(server().distance, [reply](Link& self) {
+            if (self.server().isSilent)
+                return;
+            self.waiting_.pop_front();
+            if (!self.waiting_.empty())
+                self.after(Duration(0), [](Link& next) { next.handle(); });
+            if (const auto observer = self.observer_.lock())
+                observer->onLinkReply(Reply(reply), self.owner_.timers_.now());
+        });
+    }
+
+    FakeEndpoints& owner_;
+    EndpointId endpoint_;
+    std::weak_ptr<EndpointLinkObserver> observer_;
+    std::size_t number_;
+    std::deque<EndpointCommand> waiting_;
+    std::map<std::string, std::string> values_;
+    std::map<std::string, std::string> prepared_;
+    TransactionState state_ = TransactionState::None;
+    bool isReadOnly_ = false;
+    bool hasWritten_ = false;
+    bool isCounted_ = false;
+};
+
+inline std::shared_ptr<EndpointLink> FakeEndpoints::connect(
+    const EndpointEntry& entry, std::weak_ptr<EndpointLinkObserver> observer)
+{
+    const auto link = std::make_shared<Link>(*this, entry.id, std::move(observer), ++lastConnection_);
+    links_.push_back(link);
+    link->open();
+    return link;
+}
+
+inline std::size_t FakeEndpoints::runsOf(const std::string& id) const
+{
+    std::size_t count = 0;
+    for (const RunStatement& run : runs_)
+        count += run.id == id ? 1 : 0;
+    return count;
+}
+
+inline void FakeEndpoints::crash(const EndpointId& id)
+{
+    servers_[id].isDown = true;
+    servers_[id].leads = false;
+    const std::vector<std::weak_ptr<Link>> links = links_;
+    for (const auto& weak : links) {
+        const auto link = weak.lock();
+        if (link && link->endpoint() == id)
+            link->breakOff("connection reset");
+    }
+}
+
+} // namespace almondlever
--- /dev/null
+++ b/tests/pooling/TestLinkContents.cpp
@@ -0,0 +1,77 @@
+#include "almondlever/pooling/LinkContents.h"
+
+#include <criterion/criterion.h>
+
+using namespace almondlever;
+using Kind = EndpointCommand::Kind;
+
+namespace {
+
+Statement makeRead() { return { "1", StatementKind::Read, "READ x", "", "", false }; }
+
+Statement makeExecute(const std::string& name) { return { "1", StatementKind::Execute, "EXECUTE", name, "x", false }; }
+
+std::vector<Kind> kindsOf(const std::vector<EndpointCommand>& commands)
+{
+    std::vector<Kind> kinds;
+    for (const EndpointCommand& command : commands)
+        kinds.push_back(command.kind);
+    return kinds;
+}
+
+} // namespace
+
+// Guards against a statement that runs with a value that another session set.
+Test(LinkContents, clearsForeignValues)
+{
+    LinkContents link;
+    SessionContents first;
+    first.values["zone"] = "1";
+    SessionContents second;
+    second.values["limit"] = "2";
+    cr_assert(kindsOf(link.match(first, makeRead())) == std::vector<Kind>({ Kind::SetValue }));
+    cr_assert(link.match(first, makeRead()).empty());
+    cr_assert(kindsOf(link.match(second, makeRead())) == std::vector<Kind>({ Kind::Reset, Kind::SetValue }));
+    cr_assert(kindsOf(link.match(SessionContents(), makeRead())) == std::vector<Kind>({ Kind::Reset }));
+}
+
+// Guards against the same name in two sessions running the shape of the other one.
+Test(LinkContents, namesOfSessionsAreIndependent)
+{
+    LinkContents link;
+    SessionContents first;
+    first.prepared["s1"] = { false, "q2c" };
+    SessionContents second;
+    second.prepared["s1"] = { true, "q2c" };
+    const auto prepared = link.match(first, makeExecute("s1"));
+    cr_assert(kindsOf(prepared) == std::vector<Kind>({ Kind::Prepare }));
+    const auto other = link.match(second, makeExecute("s1"));
+    cr_assert(kindsOf(other) == std::vector<Kind>({ Kind::Prepare }));
+    cr_assert_neq(prepared[0].name, other[0].name);
+    cr_assert(link.match(first, makeExecute("s1")).empty());
+}
+
+// Guards against a prepared statement that a reset has cleared being taken for present.
+Test(LinkContents, resetClearsPreparedStatements)
+{
+    LinkContents link;
+    SessionContents session;
+    session.prepared["s1"] = { false, "q2c" };
+    session.values["zone"] = "1";
+    link.match(session, makeExecute("s1"));
+    session.values.clear();
+    const auto again = link.match(session, makeExecute("s1"));
+    cr_assert(kindsOf(again) == std::vector<Kind>({ Kind::Reset, Kind::Prepare }));
+}
+
+// Guards against trusting values that a rollback may have undone.
+Test(LinkContents, invalidationForcesAReset)
+{
+    LinkContents link;
+    SessionContents session;
+    session.values["zone"] = "1";
+    link.match(session, makeRead());
+    link.invalidate();
+    cr_assert(link.countDifferences(session) > 0);
+    cr_assert(kindsOf(link.match(session, makeRead())) == std::vector<Kind>({ Kind::Reset, Kind::SetValue }));
+}
--- /dev/null
+++ b/tests/pooling/TestStatementDispatcher.cpp
@@ -0,0 +1,271 @@
+#include "mocks/DispatcherFixture.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+
+using namespace almondlever;
+
+// Guards against a read for the primary that runs on an endpoint that lost the lead without knowing: the transaction
+// around it is what the endpoint refuses.
+Test(StatementDispatcher, primaryReadRunsInsideATransaction)
+{
+    DispatcherFixture fixture;
+    FakeCaller caller(fixture, "orders");
+    caller.read("r1");
+    fixture.advance(Milliseconds(100));
+    cr_assert(caller.succeeded());
+    cr_assert_eq(fixture.endpoints.runs().size(), 1U);
+    cr_assert(fixture.endpoints.runs()[0].endpoint == fixture.a);
+    cr_assert(fixture.endpoints.runs()[0].wasInTransaction);
+    cr_assert(caller.replies.back().state == TransactionState::None);
+}
+
+// Guards against stale reads on a superseded primary, and against giving up although another endpoint leads.
+Test(StatementDispatcher, followsAPrimaryThatChanged)
+{
+    DispatcherFixture fixture;
+    fixture.endpoints.server(fixture.a).leads = false;
+    fixture.endpoints.server(fixture.b).leads = true;
+    fixture.endpoints.server(fixture.b).position = { 2, 101 };
+    FakeCaller caller(fixture, "orders");
+    caller.read("r1");
+    fixture.advance(Milliseconds(600));
+    cr_assert(caller.succeeded());
+    cr_assert(fixture.endpoints.runs().back().endpoint == fixture.b);
+    cr_assert_eq(fixture.endpoints.runsOf("r1"), 1U);
+}
+
+// Guards against reads of stale replicas: one that lacks the needed position refuses, and the read goes elsewhere.
+Test(StatementDispatcher, laggingReplicasAreLeftOut)
+{
+    DispatcherFixture fixture;
+    fixture.endpoints.server(fixture.a).position = { 1, 500 };
+    fixture.advance(Milliseconds(2500));
+    FakeCaller caller(fixture, "proofs");
+    caller.read("r1");
+    fixture.advance(Milliseconds(200));
+    cr_assert(caller.succeeded());
+    cr_assert(fixture.endpoints.runs().back().endpoint == fixture.a);
+}
+
+// Guards against a write that is sent twice because its answer was lost.
+Test(StatementDispatcher, lostAnswerOfAWriteIsUnknown)
+{
+    DispatcherFixture fixture;
+    fixture.endpoints.server(fixture.a).lostAnswers = 1;
+    FakeCaller caller(fixture, "orders");
+    caller.write("w1");
+    fixture.advance(Milliseconds(300));
+    cr_assert(caller.hasError(StatementError::Unknown));
+    cr_assert_eq(fixture.endpoints.runsOf("w1"), 1U);
+}
+
+// Guards against failing a read whose answer was lost although it can run elsewhere.
+Test(StatementDispatcher, lostAnswerOfAReadIsRepeated)
+{
+    DispatcherFixture fixture;
+    for (const EndpointId& id : { fixture.a, fixture.b, fixture.c })
+        fixture.endpoints.server(id).lostAnswers = 1;
+    FakeCaller caller(fixture, "jobs");
+    caller.read("r1");
+    fixture.advance(Milliseconds(600));
+    cr_assert(caller.succeeded());
+    cr_assert_geq(fixture.endpoints.runsOf("r1"), 2U);
+}
+
+// Guards against reporting a lost transaction as unknown although only its commit could have had an effect.
+Test(StatementDispatcher, connectionLostInATransactionAborts)
+{
+    DispatcherFixture fixture;
+    FakeCaller caller(fixture, "orders");
+    caller.begin();
+    caller.write("w1");
+    fixture.advance(Milliseconds(100));
+    cr_assert(caller.succeeded());
+    fixture.endpoints.server(fixture.a).lostAnswers = 1;
+    caller.write("w2");
+    fixture.advance(Milliseconds(200));
+    cr_assert(caller.hasError(StatementError::Aborted));
+    cr_assert(caller.replies.back().state == TransactionState::Failed);
+}
+
+// Guards against claiming that a commit had no effect when its answer was lost.
+Test(StatementDispatcher, lostAnswerOfACommitIsUnknown)
+{
+    DispatcherFixture fixture;
+    FakeCaller caller(fixture, "orders");
+    caller.begin();
+    caller.write("w1");
+    fixture.advance(Milliseconds(100));
+    fixture.endpoints.server(fixture.a).lostAnswers = 1;
+    caller.commit("c1");
+    fixture.advance(Milliseconds(200));
+    cr_assert(caller.hasError(StatementError::Unknown));
+}
+
+// Guards against holding a statement until its deadline although no primary can be there in time.
+Test(StatementDispatcher, refusesAtOnceWithoutAPrimary)
+{
+    DispatcherSettings settings;
+    settings.usualPrimaryChange = Milliseconds(3000);
+    DispatcherFixture fixture(settings);
+    fixture.endpoints.crash(fixture.a);
+    fixture.advance(Milliseconds(500));
+    FakeCaller caller(fixture, "orders");
+    caller.write("w1");
+    cr_assert(caller.hasError(StatementError::Busy));
+    cr_assert(caller.replies.back().detail.find("retry after") != std::string::npos);
+    cr_assert_eq(fixture.endpoints.runsOf("w1"), 0U);
+}
+
+// Guards against failing reads that a replica can serve while the primary is being replaced.
+Test(StatementDispatcher, replicasServeReadsWithoutAPrimary)
+{
+    DispatcherFixture fixture;
+    fixture.endpoints.crash(fixture.a);
+    fixture.advance(Milliseconds(300));
+    FakeCaller caller(fixture, "proofs");
+    caller.read("r1");
+    fixture.advance(Milliseconds(100));
+    cr_assert(caller.succeeded());
+}
+
+// Guards against reads from replicas when nobody knows any more what the primary acknowledged.
+Test(StatementDispatcher, doesNotReadWithoutAPositionThatIsNewEnough)
+{
+    DispatcherFixture fixture;
+    fixture.endpoints.crash(fixture.a);
+    fixture.advance(Milliseconds(2500));
+    FakeCaller caller(fixture, "proofs");
+    caller.read("r1");
+    fixture.advance(Milliseconds(1500));
+    cr_assert(!caller.replies.empty());
+    cr_assert(caller.replies.back().error.has_value());
+    cr_assert_eq(fixture.endpoints.runsOf("r1"), 0U);
+}
+
+// Guards against a silent primary being found only after the time-outs of statements.
+Test(StatementDispatcher, silentPrimaryIsSuspectedSoon)
+{
+    DispatcherFixture fixture;
+    fixture.endpoints.server(fixture.a).isSilent = true;
+    fixture.advance(Milliseconds(900));
+    cr_assert(fixture.dispatcher.primaryFailingSince(fixture.group, fixture.timers.now()));
+}
+
+// Guards against replacing a primary that only has no connection left for this daemon.
+Test(StatementDispatcher, tooManyConnectionsIsNoFailure)
+{
+    DispatcherFixture fixture;
+    auto& primary = fixture.endpoints.server(fixture.a);
+    fixture.endpoints.crash(fixture.a);
+    primary.isDown = false;
+    primary.leads = true;
+    primary.maximumConnections = 0;
+    fixture.advance(Milliseconds(4000));
+    cr_assert(!fixture.dispatcher.primaryFailingSince(fixture.group, fixture.timers.now()));
+}
+
+// Guards against suspecting endpoints after this process itself stood still.
+Test(StatementDispatcher, ownStallIsNoSilence)
+{
+    DispatcherFixture fixture;
+    fixture.endpoints.server(fixture.a).work = Milliseconds(100);
+    FakeCaller caller(fixture, "orders");
+    caller.write("w1");
+    const TimePoint wake = fixture.timers.now() + Milliseconds(5000);
+    fixture.dispatcher.onTick(wake);
+    cr_assert(!fixture.dispatcher.primaryFailingSince(fixture.group, wake));
+}
+
+// Guards against orders about replication that wait for a connection which a loaded endpoint refuses.
+Test(StatementDispatcher, ordersUseAnOpenConnection)
+{
+    DispatcherFixture fixture;
+    fixture.endpoints.server(fixture.b).maximumConnections = fixture.endpoints.server(fixture.b).connections;
+    EndpointCommand pause;
+    pause.kind = EndpointCommand::Kind::PauseReplication;
+    pause.term = 5;
+    bool isAnswered = false;
+    fixture.dispatcher.order(
+        fixture.b, pause,
+        [&](const std::optional<EndpointReplicationStatus>& status, const std::string&, TimePoint) {
+            isAnswered = status && !status->isPrimary;
+        },
+        fixture.timers.now());
+    fixture.advance(Milliseconds(50));
+    cr_assert(isAnswered);
+    cr_assert_eq(fixture.endpoints.server(fixture.b).pausedIn, 5U);
+}
+
+// Guards against a leaving primary that gets work for longer than the platform allows.
+Test(StatementDispatcher, leavingPrimaryGetsNothingAfterTheLimit)
+{
+    DispatcherSettings settings;
+    settings.drainLimit = Milliseconds(2000);
+    DispatcherFixture fixture(settings);
+    EndpointEntry entry = fixture.entryOf(fixture.a);
+    entry.isLeaving = true;
+    fixture.directory.update(entry, fixture.timers.now());
+    FakeCaller caller(fixture, "orders");
+    caller.write("w1");
+    fixture.advance(Milliseconds(100));
+    cr_assert(caller.succeeded(), "it leads until another one does");
+    fixture.advance(Milliseconds(2200));
+    caller.write("w2");
+    fixture.advance(Milliseconds(1500));
+    cr_assert(caller.replies.back().error.has_value());
+    cr_assert_eq(fixture.endpoints.runsOf("w2"), 0U);
+}
+
+// Pattern: all VMs lose power and start again while the endpoints still hold their former connections.
+// Guards against taking so many connections that restarted daemons find no room.
+Test(StatementDispatcher, keepsRoomForRestartedDaemons)
+{
+    DispatcherFixture fixture;
+    fixture.configuration->groups[fixture.group].maximumConnections = 34;
+    fixture.dispatcher.setDaemonCount(9);
+    fixture.dispatcher.setGroups(fixture.configuration->groups, fixture.timers.now());
+    std::vector<std::unique_ptr<FakeCaller>> callers;
+    for (int i = 0; i < 60; ++i) {
+        callers.push_back(std::make_unique<FakeCaller>(fixture, i % 3 == 0 ? "orders" : "jobs"));
+        callers.back()->read("r" + std::to_string(i));
+    }
+    fixture.advance(Milliseconds(400));
+    const std::size_t underLoad = fixture.endpoints.server(fixture.a).connections;
+    cr_assert_leq(underLoad * 9, 34U - 9U, "each of nine daemons must find one connection");
+    fixture.advance(Milliseconds(4000));
+    cr_assert_eq(fixture.endpoints.server(fixture.a).connections, 1U);
+}
+
+// Pattern: the lowest rank bursts while both replicas are too old for it, so that all work meets at the primary.
+// Guards against urgent statements that wait behind the burst.
+Test(StatementDispatcher, urgentWorkIsServedThroughABurstOnThePrimary)
+{
+    DispatcherFixture fixture;
+    fixture.endpoints.server(fixture.a).position = { 1, 500 };
+    fixture.advance(Milliseconds(2000));
+    std::vector<std::unique_ptr<FakeCaller>> burst;
+    std::vector<std::unique_ptr<FakeCaller>> urgent;
+    for (int round = 0; round < 40; ++round) {
+        for (int i = 0; i < 20; ++i) {
+            burst.push_back(std::make_unique<FakeCaller>(fixture, "jobs"));
+            burst.back()->read("b" + std::to_string(burst.size()));
+        }
+        urgent.push_back(std::make_unique<FakeCaller>(fixture, "orders"));
+        urgent.back()->write("u" + std::to_string(urgent.size()));
+        fixture.advance(Milliseconds(50));
+    }
+    fixture.advance(Milliseconds(150));
+    const auto served = [](const std::vector<std::unique_ptr<FakeCaller>>& callers) {
+        return std::count_if(
+            callers.begin(), callers.end(), [](const auto& caller) { return caller->succeeded(); });
+    };
+    cr_assert_eq(served(urgent), 40);
+    // 2 slots and 10 ms a statement bear 400 in the two seconds; the primary must not idle beside the urgent ones.
+    cr_assert_geq(served(burst), 200);
+    fixture.advance(Milliseconds(1500));
+    const bool areAllAnswered = std::all_of(
+        burst.begin(), burst.end(), [](const auto& caller) { return caller->replies.size() == 1; });
+    cr_assert(areAllAnswered);
+}
--- /dev/null
+++ b/tests/sessions/TestSession.cpp
@@ -0,0 +1,204 @@
+#include "mocks/DispatcherFixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace almondlever;
+
+// Guards against a transaction whose statements run on different connections, or mix with those of another caller.
+Test(Session, transactionStaysOnOneConnection)
+{
+    DispatcherFixture fixture;
+    FakeCaller first(fixture, "orders");
+    FakeCaller second(fixture, "orders");
+    first.begin();
+    first.write("1");
+    fixture.advance(Milliseconds(50));
+    second.write("2");
+    fixture.advance(Milliseconds(50));
+    first.read("3");
+    fixture.advance(Milliseconds(50));
+    first.commit("4");
+    fixture.advance(Milliseconds(50));
+    cr_assert(first.succeeded());
+    cr_assert(second.succeeded());
+    std::size_t connection = 0;
+    for (const RunStatement& run : fixture.endpoints.runs()) {
+        if (run.id == "2")
+            continue;
+        if (connection == 0)
+            connection = run.connection;
+        cr_assert_eq(run.connection, connection);
+        cr_assert(run.wasInTransaction);
+    }
+    for (const RunStatement& run : fixture.endpoints.runs()) {
+        if (run.id == "2")
+            cr_assert_neq(run.connection, connection);
+    }
+}
+
+// Guards against statements that run with the session values of another caller.
+Test(Session, valuesAreThoseOfTheCaller)
+{
+    DispatcherFixture fixture;
+    FakeCaller first(fixture, "orders");
+    FakeCaller second(fixture, "orders");
+    first.say(StatementKind::SetValue, "s", "SET zone 1", "zone", "1");
+    second.say(StatementKind::SetValue, "s", "SET limit 2", "limit", "2");
+    for (int i = 0; i < 4; ++i) {
+        first.write("f" + std::to_string(i));
+        second.write("s" + std::to_string(i));
+        fixture.advance(Milliseconds(100));
+    }
+    for (const RunStatement& run : fixture.endpoints.runs()) {
+        const std::map<std::string, std::string> expected = run.id[0] == 'f'
+            ? std::map<std::string, std::string> { { "zone", "1" } }
+            : std::map<std::string, std::string> { { "limit", "2" } };
+        cr_assert(run.values == expected, "statement %s ran with other values", run.id.c_str());
+    }
+    cr_assert_eq(fixture.endpoints.runs().size(), 8U);
+}
+
+// Guards against an acknowledged prepared statement that an endpoint does not know.
+Test(Session, preparedStatementsFollowTheSession)
+{
+    DispatcherFixture fixture;
+    FakeCaller caller(fixture, "jobs");
+    caller.say(StatementKind::Prepare, "p", "PREPARE s1 READ q2c", "s1", "q2c", false);
+    cr_assert(caller.succeeded());
+    for (int i = 0; i < 6; ++i) {
+        caller.say(StatementKind::Execute, "e" + std::to_string(i), "EXECUTE s1 x", "s1", "x");
+        fixture.advance(Milliseconds(60));
+        cr_assert(caller.succeeded());
+    }
+    caller.say(StatementKind::Deallocate, "d", "DEALLOC s1", "s1");
+    caller.say(StatementKind::Execute, "e9", "EXECUTE s1 x", "s1", "x");
+    cr_assert(caller.hasError(StatementError::UnknownStatement));
+}
+
+// Guards against reading a replica that lacks the session's own commit.
+Test(Session, readsItsOwnWrites)
+{
+    DispatcherFixture fixture;
+    FakeCaller caller(fixture, "jobs");
+    caller.write("w1");
+    fixture.advance(Milliseconds(100));
+    cr_assert(caller.succeeded());
+    caller.read("r1");
+    fixture.advance(Milliseconds(200));
+    cr_assert(caller.succeeded());
+    cr_assert(fixture.endpoints.runs().back().endpoint == fixture.a, "the replicas do not have the commit");
+}
+
+// Guards against a connection that an idle transaction holds for ever, and against telling its caller nothing.
+Test(Session, idleTransactionIsEnded)
+{
+    DispatcherFixture fixture;
+    FakeCaller caller(fixture, "orders");
+    caller.begin();
+    caller.write("w1");
+    fixture.advance(Milliseconds(100));
+    fixture.advance(Milliseconds(3000));
+    caller.session.onTick(fixture.timers.now());
+    caller.write("w2");
+    cr_assert(caller.hasError(StatementError::Aborted));
+    cr_assert(caller.replies.back().state == TransactionState::Failed);
+    caller.commit("c1");
+    cr_assert(caller.hasError(StatementError::Aborted));
+    cr_assert(caller.replies.back().state == TransactionState::None);
+    caller.write("w3");
+    fixture.advance(Milliseconds(100));
+    cr_assert(caller.succeeded());
+}
+
+// Guards against running statements after one of the transaction failed.
+Test(Session, failedTransactionOnlyEnds)
+{
+    DispatcherFixture fixture;
+    FakeCaller caller(fixture, "orders");
+    caller.begin();
+    caller.say(StatementKind::Malformed, "m", "NONSENSE");
+    cr_assert(caller.hasError(StatementError::Malformed));
+    caller.write("w1");
+    cr_assert(caller.hasError(StatementError::Malformed));
+    caller.say(StatementKind::Rollback, "b", "ROLLBACK");
+    cr_assert(caller.succeeded());
+    cr_assert(caller.replies.back().state == TransactionState::None);
+    cr_assert_eq(fixture.endpoints.runsOf("w1"), 0U);
+}
+
+// Guards against a transaction that stays open on an endpoint after its caller has left.
+Test(Session, leavingCallerRollsBack)
+{
+    DispatcherFixture fixture;
+    FakeCaller caller(fixture, "orders");
+    caller.begin();
+    caller.write("w1");
+    fixture.advance(Milliseconds(100));
+    caller.session.onCallerClosed(fixture.timers.now());
+    fixture.advance(Milliseconds(100));
+    FakeCaller next(fixture, "orders");
+    next.write("w2");
+    fixture.advance(Milliseconds(100));
+    cr_assert(next.succeeded());
+    cr_assert(!fixture.endpoints.runs().back().wasInTransaction);
+}
+
+// Guards against answers that come in another order than the statements.
+Test(Session, pipelinedStatementsAreAnsweredInOrder)
+{
+    DispatcherFixture fixture;
+    FakeCaller caller(fixture, "jobs");
+    caller.write("w1");
+    caller.read("r1");
+    caller.say(StatementKind::SetValue, "s", "SET a 1", "a", "1");
+    caller.read("r2");
+    fixture.advance(Milliseconds(400));
+    cr_assert_eq(caller.replies.size(), 4U);
+    for (const Reply& reply : caller.replies)
+        cr_assert(!reply.error);
+    cr_assert_eq(fixture.endpoints.runs()[0].id, "w1");
+    cr_assert_eq(caller.replies[2].detail, "-");
+}
+
+// Guards against a route that changes inside a transaction, and against one that is dropped staying in use.
+Test(Session, droppedRouteEndsTheSessionAtTheNextOperation)
+{
+    DispatcherFixture fixture;
+    FakeCaller caller(fixture, "orders");
+    caller.begin();
+    auto next = std::make_shared<RoutingConfiguration>(*fixture.configuration);
+    next->routes.erase(DatabaseId("orders"));
+    fixture.configuration = next;
+    caller.write("w1");
+    fixture.advance(Milliseconds(100));
+    cr_assert(caller.succeeded());
+    caller.commit("c1");
+    fixture.advance(Milliseconds(100));
+    cr_assert(caller.succeeded());
+    caller.write("w2");
+    cr_assert(caller.hasError(StatementError::UnknownDatabase));
+    cr_assert(caller.isClosed);
+}
+
+// Guards against cutting off a statement when the daemon stops.
+Test(Session, closesOnlyAtRest)
+{
+    DispatcherFixture fixture;
+    FakeCaller caller(fixture, "orders");
+    caller.write("w1");
+    caller.session.closeWhenAtRest();
+    cr_assert(!caller.isClosed);
+    fixture.advance(Milliseconds(100));
+    cr_assert(caller.succeeded());
+    cr_assert(caller.isClosed);
+}
+
+// Guards against a caller that sends without end filling the memory.
+Test(Session, tooManyPipelinedStatementsCloseTheSession)
+{
+    DispatcherFixture fixture;
+    FakeCaller caller(fixture, "orders");
+    for (std::size_t i = 0; i < Session::maximumPipelined + 2; ++i)
+        caller.write("w" + std::to_string(i));
+    cr_assert(caller.isClosed);
+}
