--- /dev/null
+++ b/include/almondlever/forwarding/ForwardedStatements.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "almondlever/pooling/StatementRunner.h"
+#include "almondlever/wire/PeerNetwork.h"
+
+#include <map>
+#include <utility>
+
+namespace almondlever {
+
+/**
+ * Runs the statements that other daemons forward to this owner, and keeps their open transactions. When the channel to
+ * a daemon is lost, its statements are abandoned and its transactions rolled back.
+ *
+ * @see StatementForwarder
+ */
+class ForwardedStatements {
+public:
+    /** The first number is random, so that transactions of a former life are never taken for present ones. */
+    ForwardedStatements(StatementRunner& local, std::uint64_t firstNumber)
+        : local_(local)
+        , lastTransaction_(firstNumber / 2)
+    {
+    }
+
+    void setNetwork(PeerNetwork* network) { network_ = network; }
+    void onStatement(const VmId& from, SessionStatement&&, TimePoint now);
+    void onAbandon(const VmId& from, const SessionAbandon&, TimePoint now);
+    void onTransactionEnd(const VmId& from, const SessionTransactionEnd&, TimePoint now);
+    void onLoss(const VmId& from, TimePoint now);
+    std::size_t openTransactions() const { return transactions_.size(); }
+
+private:
+    /** Sender and its number. */
+    using Key = std::pair<VmId, std::uint64_t>;
+
+    void answer(const VmId& to, std::uint64_t correlation, std::uint64_t transaction, StatementResult&&, TimePoint now);
+
+    StatementRunner& local_;
+    PeerNetwork* network_ = nullptr;
+    std::map<Key, Ticket> running_;
+    std::map<Key, TransactionLink> transactions_;
+    std::uint64_t lastTransaction_;
+};
+
+} // namespace almondlever
--- a/include/almondlever/front/FrontDaemon.h
+++ b/include/almondlever/front/FrontDaemon.h
@@ -1,11 +1,15 @@
 #pragma once
 
 #include "almondlever/common/TimerService.h"
+#include "almondlever/forwarding/ForwardedStatements.h"
+#include "almondlever/forwarding/StatementForwarder.h"
+#include "almondlever/front/FleetMembers.h"
 #include "almondlever/front/InventoryDecoder.h"
 #include "almondlever/front/PromotionDriver.h"
 #include "almondlever/front/StopSequence.h"
 #include "almondlever/observability/DecisionLog.h"
 #include "almondlever/observability/Metrics.h"
+#include "almondlever/placement/GroupOwners.h"
 #include "almondlever/sessions/Session.h"
 #include "almondlever/store/PrefixFollower.h"
 
@@ -21,6 +25,11 @@
 struct FrontSettings {
     VmId vm;
     FailureDomainId failureDomain;
+    /** "ip:port" where other daemons reach this one. */
+    std::string peerAddress;
+    /** A random number for what must differ between two lives of the process. */
+    std::uint64_t randomSeed = 0;
+    GroupSharing sharing;
     DispatcherSettings dispatcher;
     PromotionDriverSettings promotion;
     StopSettings stop;
@@ -44,8 +53,11 @@
     /** The session, or why there is none. */
     using OpenCallback = std::function<void(Session*, std::optional<StatementError>)>;
 
-    FrontDaemon(
-        const FrontSettings&, MetadataStore&, EndpointConnector&, PromotionService&, const InventoryDecoder&, TimerService&);
+    /** Makes the network to other daemons once the key that they share is known. */
+    using NetworkFactory = std::function<std::unique_ptr<PeerNetwork>(const std::string& clusterKey)>;
+
+    FrontDaemon(const FrontSettings&, MetadataStore&, EndpointConnector&, PromotionService&, const InventoryDecoder&,
+        TimerService&, NetworkFactory);
     ~FrontDaemon() override;
     FrontDaemon(const FrontDaemon&) = delete;
     FrontDaemon& operator=(const FrontDaemon&) = delete;
@@ -80,7 +92,12 @@
     void takeConfiguration(const StoreItem&, TimePoint now);
     void takeEndpoints(const std::vector<StoreItem>&, bool isSnapshot, TimePoint now);
     void takeOwnKeys(const std::vector<StoreItem>&, bool isSnapshot, TimePoint now);
-    void onMembersChange();
+    void takeClusterKey(const std::string& key);
+    void makeClusterKey();
+    void onPeerMessage(const VmId& from, Message&&);
+    /** Follows changes of the members or of the groups: who keeps connections to which group. */
+    void updateOwners(TimePoint now);
+    LiveDaemon self() const;
     void finishOpening(TimePoint now);
     void openNow(const Opening&, TimePoint now);
     void registerMember();
@@ -96,6 +113,8 @@
     Metrics metrics_;
     EndpointDirectory directory_;
     StatementDispatcher dispatcher_;
+    StatementForwarder forwarder_;
+    ForwardedStatements forwarded_;
     PromotionDriver promotions_;
     StopSequence stop_;
     PrefixFollower configurationFollower_;
@@ -103,7 +122,10 @@
     PrefixFollower ownFollower_;
     std::shared_ptr<const RoutingConfiguration> routing_;
     bool hasEndpoints_ = false;
-    std::set<std::string> members_;
+    std::map<GroupId, std::set<std::string>> ownersTold_;
+    FleetMembers members_;
+    NetworkFactory makeNetwork_;
+    std::unique_ptr<PeerNetwork> network_;
     std::map<CallerLink*, std::unique_ptr<Session>> sessions_;
     std::vector<Opening> openings_;
     std::function<void()> onStopped_;
--- a/include/almondlever/front/PromotionDriver.h
+++ b/include/almondlever/front/PromotionDriver.h
@@ -37,8 +37,8 @@
     PromotionDriver& operator=(const PromotionDriver&) = delete;
 
     void setGroups(const std::map<GroupId, GroupRule>& groups) { groups_ = groups; }
-    /** Position of this daemon among the live ones, from 0; differs by group so that work spreads. */
-    void setMembers(const std::set<std::string>& members) { members_ = members; }
+    /** The daemons that keep connections to each group; only they change its primary. */
+    void setOwners(std::map<GroupId, std::set<std::string>> owners) { owners_ = std::move(owners); }
     /** What the store says of claims and of unfinished changes. */
     void onClaim(const GroupId&, bool isHeld, TimePoint now);
     void onChangeRecord(const GroupId&, bool isOpen, TimePoint now);
@@ -60,7 +60,9 @@
     };
 
     std::optional<PromotionReason> reasonFor(const GroupId&, const Watch&, TimePoint now) const;
+    /** Delay by the daemon's place among the owners; differs by group so that work spreads. */
     Duration orderDelay(const GroupId&) const;
+    bool isOwner(const GroupId&) const;
     void begin(const GroupId&, PromotionReason, TimePoint now);
     void onClaimed(const GroupId&, const StoreResult<std::uint64_t>&);
     void carryOut(const GroupId&, const GroupPromotion::Orders&, TimePoint now);
@@ -75,7 +77,7 @@
     TimerService& timers_;
     PromotionDriverSettings settings_;
     std::map<GroupId, GroupRule> groups_;
-    std::set<std::string> members_;
+    std::map<GroupId, std::set<std::string>> owners_;
     std::map<GroupId, Watch> watches_;
     std::map<GroupId, std::unique_ptr<Change>> changes_;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
--- a/include/almondlever/pooling/StatementDispatcher.h
+++ b/include/almondlever/pooling/StatementDispatcher.h
@@ -5,7 +5,7 @@
 #include "almondlever/groups/EndpointDirectory.h"
 #include "almondlever/observability/DecisionLog.h"
 #include "almondlever/observability/Metrics.h"
-#include "almondlever/pooling/StatementRequest.h"
+#include "almondlever/pooling/StatementRunner.h"
 
 #include <map>
 #include <memory>
@@ -63,21 +63,17 @@
  * log may run. A read for the primary runs inside a transaction that the proxy begins and rolls back, because only
  * statements of a transaction are refused by an endpoint that has lost the lead. Runs on one thread.
  */
-class StatementDispatcher {
+class StatementDispatcher final : public StatementRunner {
 public:
     StatementDispatcher(EndpointDirectory&, EndpointConnector&, DecisionLog&, Metrics&, const DispatcherSettings&);
-    ~StatementDispatcher();
+    ~StatementDispatcher() override;
     StatementDispatcher(const StatementDispatcher&) = delete;
     StatementDispatcher& operator=(const StatementDispatcher&) = delete;
 
-    /** Queues a statement. The callback comes exactly once, possibly from inside this call, unless it is abandoned. */
-    Ticket submit(StatementRequest, StatementCallback, TimePoint now);
-    /** Runs a statement of an open transaction on its connection. */
-    Ticket submit(const TransactionLink&, StatementRequest, StatementCallback, TimePoint now);
-    /** The caller left: a waiting statement is dropped, the result of a running one is not reported. */
-    void abandon(Ticket, TimePoint now);
-    /** Rolls an open transaction back and takes its connection into the pool again. */
-    void endTransaction(const TransactionLink&, TimePoint now);
+    Ticket submit(StatementRequest, StatementCallback, TimePoint now) override;
+    Ticket submit(const TransactionLink&, StatementRequest, StatementCallback, TimePoint now) override;
+    void abandon(Ticket, TimePoint now) override;
+    void endTransaction(const TransactionLink&, TimePoint now) override;
 
     /** The status, or nullopt with the reason why there is none. */
     using OrderCallback = std::function<void(
@@ -90,8 +86,11 @@
 
     /** Follows a new configuration. */
     void setGroups(const std::map<GroupId, GroupRule>&, TimePoint now);
-    /** Number of live daemons that share the endpoints' connections. */
-    void setDaemonCount(std::size_t);
+    /**
+     * Sets for each group how many daemons share the connections to its endpoints, this one included; 0 when this daemon
+     * is none of them. It then opens connections only for the statements that are submitted all the same.
+     */
+    void setSharing(const std::map<GroupId, std::size_t>&, TimePoint now);
     /** Follows changes of the directory: new endpoints, lost ones, another primary. */
     void onDirectoryChange(TimePoint now);
     /** Handles time-outs, asks primaries for their positions and opens connections. Call every tickInterval. */
--- a/include/almondlever/pooling/StatementRequest.h
+++ b/include/almondlever/pooling/StatementRequest.h
@@ -9,10 +9,14 @@
 
 namespace almondlever {
 
-class PooledLink;
+/** A transaction that is open on an endpoint, as the StatementRunner that opened it knows it. */
+class OpenTransaction {
+public:
+    virtual ~OpenTransaction() = default;
+};
 
-/** An endpoint connection inside a transaction of one session; empty outside of transactions. */
-using TransactionLink = std::shared_ptr<PooledLink>;
+/** The open transaction of one session; empty outside of transactions. */
+using TransactionLink = std::shared_ptr<OpenTransaction>;
 
 /** One statement for an endpoint of a group, with what decides where it may run. */
 struct StatementRequest {
@@ -32,6 +36,8 @@
     bool isReadOnlyTransaction = false;
     /** Commits acknowledged before this must be visible; not used with needsPrimary. */
     TimePoint visibleBefore;
+    /** Distance of visibleBefore from the arrival. */
+    Milliseconds maximumStaleness { 0 };
     /** Position that must be visible, of the session's own commits. */
     std::optional<LogPosition> sessionPosition;
     std::shared_ptr<const SessionContents> contents;
--- a/include/almondlever/sessions/Session.h
+++ b/include/almondlever/sessions/Session.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "almondlever/pooling/StatementDispatcher.h"
+#include "almondlever/observability/Metrics.h"
+#include "almondlever/pooling/StatementRunner.h"
 #include "almondlever/sessions/Routing.h"
 #include "almondlever/sessions/SessionContents.h"
 #include "almondlever/sessions/Statement.h"
@@ -42,7 +43,7 @@
     /** Statements that may wait behind the running one; a caller that sends more is closed. */
     static constexpr std::size_t maximumPipelined = 64;
 
-    Session(DatabaseId database, CallerLink&, const RoutingSource&, StatementDispatcher&, Metrics&);
+    Session(DatabaseId database, CallerLink&, const RoutingSource&, StatementRunner&, Metrics&);
     ~Session();
     Session(const Session&) = delete;
     Session& operator=(const Session&) = delete;
@@ -80,7 +81,7 @@
     DatabaseId database_;
     CallerLink& link_;
     const RoutingSource& routing_;
-    StatementDispatcher& dispatcher_;
+    StatementRunner& runner_;
     Metrics& metrics_;
 
     std::shared_ptr<SessionContents> contents_ = std::make_shared<SessionContents>();
--- a/include/almondlever/store/PrefixFollower.h
+++ b/include/almondlever/store/PrefixFollower.h
@@ -29,13 +29,17 @@
  */
 class PrefixFollower {
 public:
-    /** Longest wait of one call; a waiting call counts as one, so long waits are cheap. */
-    static constexpr Milliseconds watchWait { 8000 };
+    /**
+     * Longest wait of one call. A call that the store never answers, as it does to VMs that it turns away, must end
+     * before the platform counts such a VM as connected again (5 s).
+     */
+    static constexpr Milliseconds watchWait { 4000 };
     /** Pause after a failure; doubles up to the longest. */
     static constexpr Milliseconds firstPause { 50 };
     static constexpr Milliseconds longestPause { 400 };
 
-    PrefixFollower(MetadataStore&, TimerService&, std::string prefix, PrefixObserver&);
+    /** After changes the next call waits for the gather time, so that a burst of changes costs few calls. */
+    PrefixFollower(MetadataStore&, TimerService&, std::string prefix, Milliseconds gatherTime, PrefixObserver&);
     ~PrefixFollower();
     PrefixFollower(const PrefixFollower&) = delete;
     PrefixFollower& operator=(const PrefixFollower&) = delete;
@@ -54,6 +58,7 @@
     MetadataStore& store_;
     TimerService& timers_;
     std::string prefix_;
+    Milliseconds gatherTime_;
     PrefixObserver& observer_;
     /** Callbacks of a destroyed follower find it expired. */
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
--- a/include/almondlever/store/PromotionClaim.h
+++ b/include/almondlever/store/PromotionClaim.h
@@ -14,6 +14,8 @@
 namespace storeKeys {
     inline const std::string root = "almondlever/";
     inline const std::string members = root + "members/";
+    /** Random text that daemons prove to each other; made by the first one. */
+    inline const std::string clusterKey = root + "cluster-key";
     /** Held with a lease by the daemon that changes a group's primary. */
     inline const std::string claims = root + "claims/";
     /** Tells whether the last change of a group's primary was finished. Outlives the daemon that makes it. */
--- a/include/almondlever/wire/Messages.h
+++ b/include/almondlever/wire/Messages.h
@@ -7,6 +7,9 @@
 #include "almondlever/common/Time.h"
 #include "almondlever/endpoints/EndpointMessages.h"
 #include "almondlever/failover/FailoverCoordinator.h"
+#include "almondlever/sessions/Routing.h"
+#include "almondlever/sessions/SessionContents.h"
+#include "almondlever/sessions/Statement.h"
 
 #include <cstdint>
 #include <optional>
@@ -182,8 +185,51 @@
     std::optional<ConfigPatch> patch = std::nullopt;
 };
 
-using Message
-    = std::variant<ForwardRequest, ForwardReply, Gossip, ConfigRequest, ConfigReply, SuspicionReport, PrimaryView>;
+/** A statement of a session on its way from the daemon of the caller to one that keeps connections to the group. */
+struct SessionStatement {
+    /** Number that the sender gives; the answer repeats it. */
+    std::uint64_t correlation = 0;
+    Statement statement;
+    GroupId group;
+    std::size_t rank = 0;
+    /** Time left until the deadline when the message was sent. */
+    Milliseconds timeLeft { 0 };
+    bool isWrite = false;
+    bool needsPrimary = false;
+    bool opensTransaction = false;
+    bool isReadOnlyTransaction = false;
+    /** Oldest state that the statement may see, counted from its arrival at the receiver. */
+    Milliseconds maximumStaleness { 0 };
+    /** Position of the session's own commits. */
+    std::optional<LogPosition> sessionPosition;
+    /** Values of the session, and the shape that the statement executes under the statement's name. */
+    SessionContents contents;
+    /** Number of the open transaction at the receiver; 0 outside of one. */
+    std::uint64_t transaction = 0;
+};
+
+/** How a SessionStatement ended. */
+struct SessionAnswer {
+    std::uint64_t correlation = 0;
+    Reply reply;
+    /** Number of the transaction that stays open; 0 when none does. */
+    std::uint64_t transaction = 0;
+    EndpointId endpoint;
+    std::size_t attempts = 0;
+};
+
+/** Rolls an open transaction back. */
+struct SessionTransactionEnd {
+    std::uint64_t transaction = 0;
+};
+
+/** The caller of a statement has left. */
+struct SessionAbandon {
+    std::uint64_t correlation = 0;
+};
+
+using Message = std::variant<ForwardRequest, ForwardReply, Gossip, ConfigRequest, ConfigReply, SuspicionReport,
+    PrimaryView, SessionStatement, SessionAnswer, SessionTransactionEnd, SessionAbandon>;
 
 /** CBOR of a message. */
 std::string encodeMessage(const Message&);
--- /dev/null
+++ b/src/forwarding/ForwardedStatements.cpp
@@ -0,0 +1,110 @@
+#include "almondlever/forwarding/ForwardedStatements.h"
+
+#include <memory>
+#include <vector>
+
+namespace almondlever {
+
+void ForwardedStatements::onStatement(const VmId& from, SessionStatement&& message, TimePoint now)
+{
+    StatementRequest request;
+    request.statement = std::move(message.statement);
+    request.group = message.group;
+    request.rank = message.rank;
+    request.arrival = now;
+    request.deadline = now + message.timeLeft;
+    request.isWrite = message.isWrite;
+    request.needsPrimary = message.needsPrimary;
+    request.opensTransaction = message.opensTransaction;
+    request.isReadOnlyTransaction = message.isReadOnlyTransaction;
+    // Counted from here, the bound is stricter than from the caller's first byte.
+    request.visibleBefore = now - message.maximumStaleness;
+    request.maximumStaleness = message.maximumStaleness;
+    request.sessionPosition = message.sessionPosition;
+    request.contents = std::make_shared<const SessionContents>(std::move(message.contents));
+
+    const Key key { from, message.correlation };
+    const std::uint64_t transaction = message.transaction;
+    const auto report = [this, key, transaction](StatementResult&& result, TimePoint at) {
+        running_.erase(key);
+        answer(key.first, key.second, transaction, std::move(result), at);
+    };
+    running_[key] = 0;
+    Ticket ticket = 0;
+    if (transaction == 0) {
+        ticket = local_.submit(std::move(request), report, now);
+    } else {
+        const auto found = transactions_.find({ from, transaction });
+        if (found == transactions_.end()) {
+            StatementResult result;
+            result.reply.error = StatementError::Aborted;
+            result.reply.detail = "the transaction is not open any more";
+            return report(std::move(result), now);
+        }
+        ticket = local_.submit(found->second, std::move(request), report, now);
+    }
+    const auto running = running_.find(key);
+    if (running != running_.end())
+        running->second = ticket;
+}
+
+void ForwardedStatements::answer(
+    const VmId& to, std::uint64_t correlation, std::uint64_t transaction, StatementResult&& result, TimePoint now)
+{
+    SessionAnswer message;
+    message.correlation = correlation;
+    message.reply = std::move(result.reply);
+    message.endpoint = result.endpoint;
+    message.attempts = result.attempts;
+    if (result.transaction) {
+        message.transaction = transaction != 0 ? transaction : ++lastTransaction_;
+        transactions_[{ to, message.transaction }] = result.transaction;
+    } else if (transaction != 0) {
+        transactions_.erase({ to, transaction });
+    }
+    // A peer without a channel has been reported as lost, or will be.
+    if (network_ && network_->send(to, "", message))
+        return;
+    if (message.transaction != 0)
+        onTransactionEnd(to, { message.transaction }, now);
+}
+
+void ForwardedStatements::onAbandon(const VmId& from, const SessionAbandon& message, TimePoint now)
+{
+    const auto found = running_.find({ from, message.correlation });
+    if (found == running_.end())
+        return;
+    const Ticket ticket = found->second;
+    running_.erase(found);
+    local_.abandon(ticket, now);
+}
+
+void ForwardedStatements::onTransactionEnd(const VmId& from, const SessionTransactionEnd& message, TimePoint now)
+{
+    const auto found = transactions_.find({ from, message.transaction });
+    if (found == transactions_.end())
+        return;
+    const TransactionLink link = found->second;
+    transactions_.erase(found);
+    local_.endTransaction(link, now);
+}
+
+void ForwardedStatements::onLoss(const VmId& from, TimePoint now)
+{
+    std::vector<std::uint64_t> statements;
+    std::vector<std::uint64_t> transactions;
+    for (const auto& [key, ticket] : running_) {
+        if (key.first == from)
+            statements.push_back(key.second);
+    }
+    for (const auto& [key, link] : transactions_) {
+        if (key.first == from)
+            transactions.push_back(key.second);
+    }
+    for (const std::uint64_t correlation : statements)
+        onAbandon(from, { correlation }, now);
+    for (const std::uint64_t transaction : transactions)
+        onTransactionEnd(from, { transaction }, now);
+}
+
+} // namespace almondlever
--- /dev/null
+++ b/src/forwarding/StatementForwarder.cpp
@@ -0,0 +1,295 @@
+#include "almondlever/forwarding/StatementForwarder.h"
+
+#include <algorithm>
+
+namespace almondlever {
+
+namespace {
+
+    /** Tickets above this are the forwarder's, those below the local runner's. */
+    constexpr Ticket firstOwnTicket = Ticket { 1 } << 62U;
+
+} // namespace
+
+/** A transaction that is open at an owner. */
+class StatementForwarder::RemoteTransaction final : public OpenTransaction {
+public:
+    RemoteTransaction(LiveDaemon owner, std::uint64_t number)
+        : owner_(std::move(owner))
+        , number_(number)
+    {
+    }
+
+    const LiveDaemon& owner() const { return owner_; }
+    std::uint64_t number() const { return number_; }
+
+private:
+    LiveDaemon owner_;
+    std::uint64_t number_;
+};
+
+StatementForwarder::StatementForwarder(
+    StatementRunner& local, DecisionLog& log, Metrics& metrics, const ForwarderSettings& settings)
+    : local_(local)
+    , log_(log)
+    , metrics_(metrics)
+    , settings_(settings)
+    , lastTicket_(firstOwnTicket + settings.firstNumber % firstOwnTicket)
+{
+}
+
+StatementForwarder::~StatementForwarder() = default;
+
+Ticket StatementForwarder::submit(StatementRequest request, StatementCallback callback, TimePoint now)
+{
+    const bool isOwner = owners_.count(request.group) == 0;
+    if (isOwner || !network_)
+        return local_.submit(std::move(request), std::move(callback), now);
+    const Ticket ticket = ++lastTicket_;
+    place(ticket, { std::move(request), std::move(callback), {}, nullptr, {} }, now);
+    return ticket;
+}
+
+Ticket StatementForwarder::submit(
+    const TransactionLink& link, StatementRequest request, StatementCallback callback, TimePoint now)
+{
+    const auto remote = std::dynamic_pointer_cast<RemoteTransaction>(link);
+    if (!remote)
+        return local_.submit(link, std::move(request), std::move(callback), now);
+    const Ticket ticket = ++lastTicket_;
+    Forwarded forwarded { std::move(request), std::move(callback), remote->owner(), remote, {} };
+    if (send(ticket, forwarded, now)) {
+        forwarded_.emplace(ticket, std::move(forwarded));
+        return ticket;
+    }
+    StatementResult result;
+    result.reply.error = StatementError::Aborted;
+    result.reply.detail = "the daemon that held the transaction cannot be reached";
+    log(forwarded, "fail", "owner_unreachable", now);
+    forwarded.callback(std::move(result), now);
+    return ticket;
+}
+
+const LiveDaemon* StatementForwarder::chooseOwner(const GroupId& group, const std::set<VmId>& tried, TimePoint now)
+{
+    const auto found = owners_.find(group);
+    if (found == owners_.end() || tried.size() >= settings_.maximumOwners)
+        return nullptr;
+    const LiveDaemon* best = nullptr;
+    const auto isBetter = [this](const LiveDaemon& left, const LiveDaemon& right) {
+        const bool isLeftNear = left.failureDomain == settings_.failureDomain;
+        const bool isRightNear = right.failureDomain == settings_.failureDomain;
+        if (isLeftNear != isRightNear)
+            return isLeftNear;
+        return known_[left.id].running < known_[right.id].running;
+    };
+    for (const LiveDaemon& owner : found->second) {
+        if (tried.count(owner.id) > 0 || now < known_[owner.id].avoidUntil)
+            continue;
+        if (!best || isBetter(owner, *best))
+            best = &owner;
+    }
+    return best;
+}
+
+void StatementForwarder::place(Ticket ticket, Forwarded forwarded, TimePoint now)
+{
+    while (const LiveDaemon* owner = chooseOwner(forwarded.request.group, forwarded.tried, now)) {
+        forwarded.owner = *owner;
+        forwarded.tried.insert(owner->id);
+        if (!send(ticket, forwarded, now)) {
+            known_[owner->id].avoidUntil = now + settings_.avoidTime;
+            continue;
+        }
+        log(forwarded, "forward", "not_owner", now);
+        forwarded_.emplace(ticket, std::move(forwarded));
+        return;
+    }
+    runHere(ticket, std::move(forwarded), now);
+}
+
+bool StatementForwarder::send(Ticket ticket, const Forwarded& forwarded, TimePoint now)
+{
+    const StatementRequest& request = forwarded.request;
+    SessionStatement message;
+    message.correlation = ticket;
+    message.statement = request.statement;
+    message.group = request.group;
+    message.rank = request.rank;
+    message.timeLeft = std::chrono::duration_cast<Milliseconds>(std::max<Duration>(request.deadline - now, Duration(0)));
+    message.isWrite = request.isWrite;
+    message.needsPrimary = request.needsPrimary;
+    message.opensTransaction = request.opensTransaction;
+    message.isReadOnlyTransaction = request.isReadOnlyTransaction;
+    message.maximumStaleness = request.maximumStaleness;
+    message.sessionPosition = request.sessionPosition;
+    message.contents.values = request.contents->values;
+    const auto prepared = request.contents->prepared.find(request.statement.name);
+    if (prepared != request.contents->prepared.end())
+        message.contents.prepared.insert(*prepared);
+    message.transaction = forwarded.transaction ? forwarded.transaction->number() : 0;
+    if (!network_ || !network_->send(forwarded.owner.id, forwarded.owner.peerAddress, message))
+        return false;
+    ++known_[forwarded.owner.id].running;
+    return true;
+}
+
+void StatementForwarder::runHere(Ticket ticket, Forwarded forwarded, TimePoint now)
+{
+    log(forwarded, "run_here", "no_owner_reachable", now);
+    metrics_.count("almondlever_forwarded_total", "result=\"no_owner\"");
+    here_[ticket] = 0;
+    const Ticket local = local_.submit(
+        std::move(forwarded.request),
+        [this, ticket, callback = std::move(forwarded.callback)](StatementResult&& result, TimePoint at) {
+            here_.erase(ticket);
+            callback(std::move(result), at);
+        },
+        now);
+    const auto found = here_.find(ticket);
+    if (found != here_.end())
+        found->second = local;
+}
+
+StatementForwarder::Forwarded StatementForwarder::take(Ticket ticket)
+{
+    const auto found = forwarded_.find(ticket);
+    Forwarded forwarded = std::move(found->second);
+    forwarded_.erase(found);
+    Owner& owner = known_[forwarded.owner.id];
+    if (owner.running > 0)
+        --owner.running;
+    return forwarded;
+}
+
+void StatementForwarder::onAnswer(const VmId& owner, SessionAnswer&& answer, TimePoint now)
+{
+    const auto found = forwarded_.find(answer.correlation);
+    const bool isAwaited = found != forwarded_.end() && found->second.owner.id == owner;
+    if (!isAwaited) {
+        // The statement was given up; nobody else knows of its transaction.
+        if (answer.transaction != 0 && network_)
+            network_->send(owner, "", SessionTransactionEnd { answer.transaction });
+        return;
+    }
+    Forwarded forwarded = take(answer.correlation);
+    metrics_.count("almondlever_forwarded_total", "result=\"answered\"");
+    StatementResult result;
+    result.reply = std::move(answer.reply);
+    result.endpoint = answer.endpoint;
+    result.attempts = answer.attempts;
+    if (answer.transaction != 0)
+        result.transaction = std::make_shared<RemoteTransaction>(forwarded.owner, answer.transaction);
+    forwarded.callback(std::move(result), now);
+}
+
+void StatementForwarder::onUnsent(std::uint64_t correlation, TimePoint now)
+{
+    if (forwarded_.count(correlation) == 0)
+        return;
+    Forwarded forwarded = take(correlation);
+    known_[forwarded.owner.id].avoidUntil = now + settings_.avoidTime;
+    if (!forwarded.transaction)
+        return place(correlation, std::move(forwarded), now);
+    StatementResult result;
+    result.reply.error = StatementError::Aborted;
+    result.reply.detail = "the daemon that held the transaction cannot be reached";
+    log(forwarded, "fail", "owner_unreachable", now);
+    forwarded.callback(std::move(result), now);
+}
+
+void StatementForwarder::onLoss(const VmId& owner, TimePoint now)
+{
+    known_[owner].avoidUntil = now + settings_.avoidTime;
+    std::vector<Ticket> lost;
+    for (const auto& [ticket, forwarded] : forwarded_) {
+        if (forwarded.owner.id == owner)
+            lost.push_back(ticket);
+    }
+    for (const Ticket ticket : lost) {
+        if (forwarded_.count(ticket) > 0)
+            fail(ticket, "the channel to the owner was lost", now);
+    }
+}
+
+void StatementForwarder::fail(Ticket ticket, const std::string& reason, TimePoint now)
+{
+    Forwarded forwarded = take(ticket);
+    const StatementRequest& request = forwarded.request;
+    const bool isTransaction = forwarded.transaction || request.opensTransaction;
+    const bool isCommit = request.statement.kind == StatementKind::Commit;
+    // The owner rolls transactions back when it loses the channel; only commits and single writes leave an effect.
+    const bool mayHaveEffect = request.isWrite && (isCommit || !isTransaction);
+    metrics_.count("almondlever_forwarded_total", "result=\"lost\"");
+    log(forwarded, mayHaveEffect || forwarded.transaction ? "fail" : "retry", reason, now);
+    if (!mayHaveEffect && !forwarded.transaction && now < request.deadline)
+        return place(ticket, std::move(forwarded), now);
+    if (forwarded.transaction)
+        endTransaction(forwarded.transaction, now);
+    StatementResult result;
+    result.reply.error = mayHaveEffect ? StatementError::Unknown
+        : forwarded.transaction        ? StatementError::Aborted
+                                       : StatementError::Busy;
+    result.reply.detail = reason;
+    forwarded.callback(std::move(result), now);
+}
+
+void StatementForwarder::onTick(TimePoint now)
+{
+    std::vector<Ticket> overdue;
+    for (const auto& [ticket, forwarded] : forwarded_) {
+        if (now >= forwarded.request.deadline + settings_.answerSlack)
+            overdue.push_back(ticket);
+    }
+    for (const Ticket ticket : overdue) {
+        const auto found = forwarded_.find(ticket);
+        if (found == forwarded_.end())
+            continue;
+        // An owner that lives would have answered.
+        known_[found->second.owner.id].avoidUntil = now + settings_.avoidTime;
+        if (network_)
+            network_->send(found->second.owner.id, found->second.owner.peerAddress, SessionAbandon { ticket });
+        fail(ticket, "no answer from the owner within the time-out", now);
+    }
+}
+
+void StatementForwarder::abandon(Ticket ticket, TimePoint now)
+{
+    if (ticket <= firstOwnTicket)
+        return local_.abandon(ticket, now);
+    const auto here = here_.find(ticket);
+    if (here != here_.end()) {
+        const Ticket local = here->second;
+        here_.erase(here);
+        return local_.abandon(local, now);
+    }
+    if (forwarded_.count(ticket) == 0)
+        return;
+    const Forwarded forwarded = take(ticket);
+    if (network_)
+        network_->send(forwarded.owner.id, forwarded.owner.peerAddress, SessionAbandon { ticket });
+}
+
+void StatementForwarder::endTransaction(const TransactionLink& link, TimePoint now)
+{
+    const auto remote = std::dynamic_pointer_cast<RemoteTransaction>(link);
+    if (!remote)
+        return local_.endTransaction(link, now);
+    if (network_)
+        network_->send(remote->owner().id, remote->owner().peerAddress, SessionTransactionEnd { remote->number() });
+}
+
+void StatementForwarder::log(
+    const Forwarded& forwarded, std::string_view decision, std::string_view reason, TimePoint now)
+{
+    const bool isRoutine = decision == "forward";
+    constexpr std::size_t leastUrgent = 255;
+    if (!log_.admits(isRoutine ? leastUrgent : forwarded.request.rank, now))
+        return;
+    log_.write(decision,
+        { { "request", forwarded.request.statement.id }, { "group", forwarded.request.group.text() },
+            { "owner", forwarded.owner.id.text() }, { "reason", reason },
+            { "rank", std::to_string(forwarded.request.rank) } });
+}
+
+} // namespace almondlever
--- /dev/null
+++ b/src/front/FleetMembers.cpp
@@ -0,0 +1,73 @@
+#include "almondlever/front/FleetMembers.h"
+
+namespace almondlever {
+
+FleetMembers::FleetMembers(LiveDaemon self)
+    : self_(std::move(self))
+{
+}
+
+std::string FleetMembers::encode(const LiveDaemon& daemon)
+{
+    return daemon.failureDomain.text() + ' ' + daemon.peerAddress;
+}
+
+bool FleetMembers::add(const std::string& name, const std::string& value)
+{
+    const std::size_t space = value.find(' ');
+    if (name.empty() || space == std::string::npos)
+        return false;
+    Member& member = members_[VmId(name)];
+    member.daemon = { VmId(name), FailureDomainId(value.substr(0, space)), value.substr(space + 1), false };
+    member.lapsedAt.reset();
+    ++revision_;
+    return true;
+}
+
+void FleetMembers::lapse(const std::string& name, TimePoint now)
+{
+    const auto found = members_.find(VmId(name));
+    if (found != members_.end() && !found->second.lapsedAt)
+        found->second.lapsedAt = now;
+}
+
+void FleetMembers::keepOnly(const std::set<std::string>& names, TimePoint now)
+{
+    for (const auto& [id, member] : members_) {
+        if (names.count(id.text()) == 0)
+            lapse(id.text(), now);
+    }
+}
+
+bool FleetMembers::removeLapsed(TimePoint now)
+{
+    bool isChanged = false;
+    for (auto it = members_.begin(); it != members_.end();) {
+        const bool isOver = it->second.lapsedAt && now - *it->second.lapsedAt >= lapseGrace;
+        isChanged = isChanged || isOver;
+        it = isOver ? members_.erase(it) : std::next(it);
+    }
+    if (isChanged)
+        ++revision_;
+    return isChanged;
+}
+
+MembershipView FleetMembers::view() const
+{
+    MembershipView view;
+    view.revision = revision_;
+    bool hasSelf = false;
+    for (const auto& [id, member] : members_) {
+        if (!hasSelf && self_.id < id) {
+            view.daemons.push_back(self_);
+            hasSelf = true;
+        }
+        if (id != self_.id)
+            view.daemons.push_back(member.daemon);
+    }
+    if (!hasSelf)
+        view.daemons.push_back(self_);
+    return view;
+}
+
+} // namespace almondlever
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -1,6 +1,7 @@
 #include "almondlever/front/FrontDaemon.h"
 
 #include <algorithm>
+#include <random>
 
 namespace almondlever {
 
@@ -11,29 +12,68 @@
     /** Interval at which an unsuccessful registration is tried again. */
     constexpr Milliseconds registrationRetry { 1000 };
 
+    /** Time in which changes gather before they are asked for; a configuration must be in force within 3 s. */
+    constexpr Milliseconds configurationGatherTime { 400 };
+    /** A new primary is found without its entry, and a leaving endpoint may get work for seconds. */
+    constexpr Milliseconds endpointGatherTime { 250 };
+    /** Daemons register one after the other when the fleet starts. */
+    constexpr Milliseconds ownGatherTime { 1000 };
+    constexpr std::size_t clusterKeyWords = 4;
+
+    std::string newClusterKey()
+    {
+        std::random_device random;
+        std::string key;
+        for (std::size_t word = 0; word < clusterKeyWords; ++word)
+            key += std::to_string(random()) + '-' + std::to_string(random()) + '-';
+        return key;
+    }
+
     std::string withoutPrefix(const std::string& key, const std::string& prefix) { return key.substr(prefix.size()); }
 
+    ForwarderSettings forwarderSettings(const FrontSettings& settings)
+    {
+        ForwarderSettings forwarder;
+        forwarder.self = settings.vm;
+        forwarder.failureDomain = settings.failureDomain;
+        forwarder.firstNumber = settings.randomSeed;
+        return forwarder;
+    }
+
     bool hasPrefix(const std::string& key, const std::string& prefix) { return key.rfind(prefix, 0) == 0; }
 
 } // namespace
 
 FrontDaemon::FrontDaemon(const FrontSettings& settings, MetadataStore& store, EndpointConnector& connector,
-    PromotionService& promotions, const InventoryDecoder& decoder, TimerService& timers)
+    PromotionService& promotions, const InventoryDecoder& decoder, TimerService& timers, NetworkFactory makeNetwork)
     : settings_(settings)
     , store_(store)
     , decoder_(decoder)
     , timers_(timers)
     , log_(settings.decisionLinesPerSecond)
     , dispatcher_(directory_, connector, log_, metrics_, settings.dispatcher)
+    , forwarder_(dispatcher_, log_, metrics_, forwarderSettings(settings))
+    , forwarded_(dispatcher_, settings.randomSeed)
     , promotions_(directory_, dispatcher_, store, promotions, timers, settings.promotion)
     , stop_(settings.stop)
-    , configurationFollower_(store, timers, decoder.configurationPrefix(), *this)
-    , endpointFollower_(store, timers, decoder.endpointPrefix(), *this)
-    , ownFollower_(store, timers, storeKeys::root, *this)
+    , configurationFollower_(store, timers, decoder.configurationPrefix(), configurationGatherTime, *this)
+    , endpointFollower_(store, timers, decoder.endpointPrefix(), endpointGatherTime, *this)
+    , ownFollower_(store, timers, storeKeys::root, ownGatherTime, *this)
+    , members_(self())
+    , makeNetwork_(std::move(makeNetwork))
 {
 }
 
-FrontDaemon::~FrontDaemon() = default;
+FrontDaemon::~FrontDaemon()
+{
+    if (network_)
+        network_->stop();
+}
+
+LiveDaemon FrontDaemon::self() const
+{
+    return { settings_.vm, settings_.failureDomain, settings_.peerAddress, false };
+}
 
 void FrontDaemon::start()
 {
@@ -65,7 +105,7 @@
                     { "configuration", std::to_string(routing_->version) } });
         return opening.callback(nullptr, StatementError::UnknownDatabase);
     }
-    auto session = std::make_unique<Session>(opening.database, *opening.link, *this, dispatcher_, metrics_);
+    auto session = std::make_unique<Session>(opening.database, *opening.link, *this, forwarder_, metrics_);
     Session* opened = session.get();
     sessions_[opening.link] = std::move(session);
     metrics_.count("almondlever_sessions_total", "");
@@ -156,6 +196,7 @@
     routing_ = std::make_shared<const RoutingConfiguration>(configuration);
     dispatcher_.setGroups(routing_->groups, now);
     promotions_.setGroups(routing_->groups);
+    updateOwners(now);
     finishOpening(now);
 }
 
@@ -199,35 +240,114 @@
 
 void FrontDaemon::takeOwnKeys(const std::vector<StoreItem>& items, bool isSnapshot, TimePoint now)
 {
-    if (isSnapshot) {
-        members_.clear();
-        if (routing_) {
-            for (const auto& [group, rule] : routing_->groups)
-                promotions_.onClaim(group, false, now);
-        }
+    bool hasClusterKey = false;
+    std::set<std::string> names;
+    if (isSnapshot && routing_) {
+        for (const auto& [group, rule] : routing_->groups)
+            promotions_.onClaim(group, false, now);
     }
     for (const StoreItem& item : items) {
         if (hasPrefix(item.key, storeKeys::members)) {
             const std::string name = withoutPrefix(item.key, storeKeys::members);
+            names.insert(name);
             if (item.isDeleted)
-                members_.erase(name);
-            else
-                members_.insert(name);
+                members_.lapse(name, now);
+            else if (!members_.add(name, item.value))
+                logWarning("member_entry_rejected", { { "key", item.key }, { "value", item.value } });
         } else if (hasPrefix(item.key, storeKeys::claims)) {
             promotions_.onClaim(GroupId(withoutPrefix(item.key, storeKeys::claims)), !item.isDeleted, now);
         } else if (hasPrefix(item.key, storeKeys::changes)) {
             const bool isOpen = !item.isDeleted && item.value == storeKeys::changeOpen;
             promotions_.onChangeRecord(GroupId(withoutPrefix(item.key, storeKeys::changes)), isOpen, now);
+        } else if (item.key == storeKeys::clusterKey && !item.isDeleted) {
+            hasClusterKey = true;
+            takeClusterKey(item.value);
         }
     }
-    onMembersChange();
+    if (isSnapshot)
+        members_.keepOnly(names, now);
+    if (isSnapshot && !hasClusterKey && !network_)
+        makeClusterKey();
+    updateOwners(now);
+}
+
+void FrontDaemon::makeClusterKey()
+{
+    StoreTransaction transaction;
+    transaction.expected.push_back({ storeKeys::clusterKey, 0 });
+    transaction.puts.push_back({ storeKeys::clusterKey, newClusterKey(), 0 });
+    store_.transact(transaction, [](const StoreResult<std::uint64_t>& result) {
+        // The key that is in the store arrives through the watch, whoever wrote it.
+        if (!result && result.error().kind != StoreFailure::Kind::Conflict)
+            logWarning("cluster_key_not_written",
+                { { "failure", toText(result.error().kind) }, { "detail", result.error().detail } });
+    });
+}
+
+void FrontDaemon::takeClusterKey(const std::string& key)
+{
+    if (network_ || !makeNetwork_)
+        return;
+    network_ = makeNetwork_(key);
+    network_->onMessage([this](const PeerIdentity& from, Message message) { onPeerMessage(from.id, std::move(message)); });
+    network_->onLoss([this](const VmId& peer) {
+        const TimePoint now = timers_.now();
+        logInfo("peer_lost", { { "peer", peer.text() } });
+        forwarder_.onLoss(peer, now);
+        forwarded_.onLoss(peer, now);
+    });
+    network_->onUnsent([this](std::uint64_t correlation) { forwarder_.onUnsent(correlation, timers_.now()); });
+    const auto listening = network_->listen();
+    if (!listening) {
+        logError("peer_listen_failed", { { "reason", listening.error() } });
+        network_.reset();
+        return;
+    }
+    forwarder_.setNetwork(network_.get());
+    forwarded_.setNetwork(network_.get());
 }
 
-void FrontDaemon::onMembersChange()
+void FrontDaemon::onPeerMessage(const VmId& from, Message&& message)
 {
-    members_.insert(settings_.vm.text());
-    dispatcher_.setDaemonCount(members_.size());
-    promotions_.setMembers(members_);
+    const TimePoint now = timers_.now();
+    if (auto* statement = std::get_if<SessionStatement>(&message))
+        forwarded_.onStatement(from, std::move(*statement), now);
+    else if (auto* answer = std::get_if<SessionAnswer>(&message))
+        forwarder_.onAnswer(from, std::move(*answer), now);
+    else if (const auto* end = std::get_if<SessionTransactionEnd>(&message))
+        forwarded_.onTransactionEnd(from, *end, now);
+    else if (const auto* abandon = std::get_if<SessionAbandon>(&message))
+        forwarded_.onAbandon(from, *abandon, now);
+    else
+        logWarning("peer_message_ignored", { { "peer", from.text() }, { "type", std::to_string(message.index()) } });
+}
+
+void FrontDaemon::updateOwners(TimePoint now)
+{
+    if (!routing_)
+        return;
+    const MembershipView view = members_.view();
+    std::map<GroupId, std::size_t> sharing;
+    std::map<GroupId, std::vector<LiveDaemon>> forwardTo;
+    std::map<GroupId, std::set<std::string>> names;
+    for (const auto& [group, rule] : routing_->groups) {
+        std::vector<LiveDaemon> owners = ownersOf(rule, view, settings_.sharing);
+        const bool isOwner = std::any_of(
+            owners.begin(), owners.end(), [this](const LiveDaemon& owner) { return owner.id == settings_.vm; });
+        sharing[group] = isOwner ? owners.size() : 0;
+        for (const LiveDaemon& owner : owners)
+            names[group].insert(owner.id.text());
+        if (!isOwner)
+            forwardTo[group] = std::move(owners);
+    }
+    if (names != ownersTold_)
+        logInfo("owners_changed",
+            { { "members", std::to_string(view.daemons.size()) }, { "groups", std::to_string(names.size()) },
+                { "groups_not_owned", std::to_string(forwardTo.size()) } });
+    ownersTold_ = names;
+    promotions_.setOwners(std::move(names));
+    forwarder_.setOwners(std::move(forwardTo));
+    dispatcher_.setSharing(sharing, now);
 }
 
 void FrontDaemon::registerMember()
@@ -250,7 +370,7 @@
             const std::uint64_t lease = granted.value().id;
             StoreTransaction transaction;
             transaction.puts.push_back(
-                { storeKeys::members + settings_.vm.text(), settings_.failureDomain.text(), lease });
+                { storeKeys::members + settings_.vm.text(), FleetMembers::encode(self()), lease });
             store_.transact(transaction, [this, retry, lease, alive](const StoreResult<std::uint64_t>& written) {
                 if (alive.expired())
                     return;
@@ -286,7 +406,10 @@
         logInfo("endpoint_gone", { { "endpoint", id.text() } });
     if (!removed.empty())
         dispatcher_.onDirectoryChange(now);
+    if (members_.removeLapsed(now))
+        updateOwners(now);
     dispatcher_.onTick(now);
+    forwarder_.onTick(now);
     promotions_.onTick(now);
     if (now - slowTickAt_ >= sessionCheckInterval) {
         slowTickAt_ = now;
--- a/src/front/PromotionDriver.cpp
+++ b/src/front/PromotionDriver.cpp
@@ -89,15 +89,26 @@
         const std::string text = member + ' ' + group.text();
         return XXH3_64bits(text.data(), text.size());
     };
+    const auto owners = owners_.find(group);
+    if (owners == owners_.end())
+        return Duration(0);
     const auto own = hash(settings_.holder);
-    const auto earlier = std::count_if(
-        members_.begin(), members_.end(), [&](const std::string& member) { return hash(member) < own; });
+    const auto earlier = std::count_if(owners->second.begin(), owners->second.end(),
+        [&](const std::string& member) { return hash(member) < own; });
     return settings_.orderDelay * earlier;
 }
 
+bool PromotionDriver::isOwner(const GroupId& group) const
+{
+    const auto owners = owners_.find(group);
+    return owners != owners_.end() && owners->second.count(settings_.holder) > 0;
+}
+
 void PromotionDriver::onTick(TimePoint now)
 {
     for (const auto& [group, rule] : groups_) {
+        if (!isOwner(group) && changes_.count(group) == 0)
+            continue;
         const auto running = changes_.find(group);
         if (running != changes_.end()) {
             if (running->second->promotion)
--- a/src/pooling/DispatcherLinks.cpp
+++ b/src/pooling/DispatcherLinks.cpp
@@ -30,9 +30,17 @@
 std::size_t DispatcherState::shareOf(const EndpointEntry& entry, double part) const
 {
     const auto found = groups_.find(entry.group);
-    const std::size_t all = found == groups_.end() ? 0 : found->second.rule.maximumConnections;
-    const auto usable = static_cast<std::size_t>(static_cast<double>(all) * part);
-    return std::max<std::size_t>(usable / daemonCount_, 1);
+    if (found == groups_.end() || found->second.sharers == 0)
+        return 1;
+    const double usable = static_cast<double>(found->second.rule.maximumConnections) * part;
+    return std::max<std::size_t>(static_cast<std::size_t>(usable) / found->second.sharers, 1);
+}
+
+std::size_t DispatcherState::keptConnections(const EndpointEntry& entry) const
+{
+    const auto found = groups_.find(entry.group);
+    const bool isSharer = found == groups_.end() || found->second.sharers > 0;
+    return isSharer ? shareOf(entry, settings_.keptShare) : 0;
 }
 
 void DispatcherState::closeSpareLinks(TimePoint now)
@@ -78,7 +86,7 @@
     for (const GroupId& group : directory_.groups()) {
         for (const EndpointEntry* entry : directory_.endpointsOf(group)) {
             EndpointLinks& links = linksOf(entry->id);
-            if (links.openCount() == 0 && !directory_.isLapsing(entry->id))
+            if (keptConnections(*entry) > 0 && links.openCount() == 0 && !directory_.isLapsing(entry->id))
                 openLinks(links, 1, now);
         }
     }
@@ -266,6 +274,8 @@
 {
     for (const GroupId& group : directory_.groups()) {
         GroupQueues& queues = queuesOf(group);
+        if (queues.sharers == 0)
+            continue;
         EndpointLinks* primary = usablePrimary(group, now);
         if (!primary) {
             askWhoLeads(queues, group, now);
--- a/src/pooling/DispatcherRuns.cpp
+++ b/src/pooling/DispatcherRuns.cpp
@@ -27,7 +27,7 @@
 } // namespace
 
 Ticket DispatcherState::submitInTransaction(
-    const TransactionLink& link, StatementRequest request, StatementCallback callback, TimePoint now)
+    const std::shared_ptr<PooledLink>& link, StatementRequest request, StatementCallback callback, TimePoint now)
 {
     const Ticket ticket = ++lastTicket_;
     request.rank = std::min(request.rank, ranks_.size() - 1);
@@ -240,7 +240,7 @@
         now);
 }
 
-void DispatcherState::endTransaction(const TransactionLink& link, TimePoint now)
+void DispatcherState::endTransaction(const std::shared_ptr<PooledLink>& link, TimePoint now)
 {
     if (link->state() == PooledLink::State::InTransaction)
         return rollBack(link, now);
--- a/src/pooling/DispatcherState.cpp
+++ b/src/pooling/DispatcherState.cpp
@@ -212,7 +212,8 @@
         candidate.latency = links.latency();
         candidate.position = links.position();
         candidate.wasLaggingLately = links.wasLaggingLately(now);
-        if (isUsable && idle == 0 && links.openCount() > 0)
+        const bool mayOpen = isUsable && idle == 0 && queues.readQueue.size() > 0;
+        if (mayOpen && (links.openCount() > 0 || queues.sharers == 0))
             openLinks(links, 1, now);
         candidates.push_back(candidate);
     }
@@ -316,13 +317,16 @@
     const auto found = pending_.find(ticket);
     if (found == pending_.end()) {
         if (result.transaction)
-            rollBack(result.transaction, now);
+            rollBack(std::static_pointer_cast<PooledLink>(result.transaction), now);
         return;
     }
     const StatementCallback callback = std::move(found->second.callback);
     pending_.erase(found);
     if (callback)
-        callback(std::move(result), now);
+        return callback(std::move(result), now);
+    // The caller left while the first statement of its transaction ran.
+    if (result.transaction)
+        rollBack(std::static_pointer_cast<PooledLink>(result.transaction), now);
 }
 
 void DispatcherState::abandon(Ticket ticket, TimePoint now)
@@ -349,6 +353,13 @@
     onDirectoryChange(now);
 }
 
+void DispatcherState::setSharing(const std::map<GroupId, std::size_t>& daemons, TimePoint now)
+{
+    for (const auto& [group, count] : daemons)
+        queuesOf(group).sharers = count;
+    onDirectoryChange(now);
+}
+
 void DispatcherState::onDirectoryChange(TimePoint now)
 {
     for (auto it = endpoints_.begin(); it != endpoints_.end();) {
@@ -432,6 +443,9 @@
 std::optional<TimePoint> DispatcherState::primaryFailingSince(const GroupId& group, TimePoint now) const
 {
     const EndpointEntry* primary = directory_.primaryOf(group);
+    const auto known = groups_.find(group);
+    if (known != groups_.end() && known->second.sharers == 0)
+        return std::nullopt;
     if (!primary) {
         // Entries of a group come one after the other when it starts.
         const auto queues = groups_.find(group);
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -51,6 +51,8 @@
     }
 
     GroupRule rule;
+    /** Daemons that share the connections; 0 when this one only stands in for them. */
+    std::size_t sharers = 1;
     RankScheduler primaryQueue;
     RankScheduler readQueue;
     PositionHistory history;
@@ -81,12 +83,12 @@
     ~DispatcherState() override;
 
     Ticket submit(StatementRequest, StatementCallback, TimePoint now);
-    Ticket submitInTransaction(const TransactionLink&, StatementRequest, StatementCallback, TimePoint now);
+    Ticket submitInTransaction(const std::shared_ptr<PooledLink>&, StatementRequest, StatementCallback, TimePoint now);
     void abandon(Ticket, TimePoint now);
-    void endTransaction(const TransactionLink&, TimePoint now);
+    void endTransaction(const std::shared_ptr<PooledLink>&, TimePoint now);
     void order(const EndpointId&, const EndpointCommand&, StatementDispatcher::OrderCallback, TimePoint now);
     void setGroups(const std::map<GroupId, GroupRule>&, TimePoint now);
-    void setDaemonCount(std::size_t count) { daemonCount_ = std::max<std::size_t>(count, 1); }
+    void setSharing(const std::map<GroupId, std::size_t>&, TimePoint now);
     void onDirectoryChange(TimePoint now);
     void onTick(TimePoint now);
     std::optional<TimePoint> primaryFailingSince(const GroupId&, TimePoint now) const;
@@ -145,7 +147,7 @@
     /** Connections to the endpoint that this daemon may open under load. */
     std::size_t connectionShare(const EndpointEntry& entry) const { return shareOf(entry, settings_.loadShare); }
     /** Connections that it keeps when they are idle. */
-    std::size_t keptConnections(const EndpointEntry& entry) const { return shareOf(entry, settings_.keptShare); }
+    std::size_t keptConnections(const EndpointEntry&) const;
     /** This daemon's share of a part of the endpoint's connections; at least one. */
     std::size_t shareOf(const EndpointEntry&, double part) const;
     void closeSpareLinks(TimePoint now);
@@ -166,7 +168,6 @@
     DispatcherSettings settings_;
     EndpointHealthSettings health_;
     std::vector<RankRule> ranks_;
-    std::size_t daemonCount_ = 1;
     std::map<GroupId, GroupQueues> groups_;
     std::map<EndpointId, EndpointLinks> endpoints_;
     std::unordered_map<Ticket, PendingStatement> pending_;
--- a/src/pooling/PooledLink.h
+++ b/src/pooling/PooledLink.h
@@ -2,6 +2,7 @@
 
 #include "almondlever/pooling/EndpointLink.h"
 #include "almondlever/pooling/LinkContents.h"
+#include "almondlever/pooling/StatementRequest.h"
 
 #include <deque>
 #include <functional>
@@ -29,7 +30,9 @@
  *
  * @see LinkContents
  */
-class PooledLink final : public EndpointLinkObserver, public std::enable_shared_from_this<PooledLink> {
+class PooledLink final : public EndpointLinkObserver,
+                         public OpenTransaction,
+                         public std::enable_shared_from_this<PooledLink> {
 public:
     /** Gets the reply, or nullptr when the connection closed before it. */
     using ReplyHandler = std::function<void(const Reply*, TimePoint now)>;
--- a/src/pooling/StatementDispatcher.cpp
+++ b/src/pooling/StatementDispatcher.cpp
@@ -20,14 +20,14 @@
 Ticket StatementDispatcher::submit(
     const TransactionLink& link, StatementRequest request, StatementCallback callback, TimePoint now)
 {
-    return state_->submitInTransaction(link, std::move(request), std::move(callback), now);
+    return state_->submitInTransaction(std::static_pointer_cast<PooledLink>(link), std::move(request), std::move(callback), now);
 }
 
 void StatementDispatcher::abandon(Ticket ticket, TimePoint now) { state_->abandon(ticket, now); }
 
 void StatementDispatcher::endTransaction(const TransactionLink& link, TimePoint now)
 {
-    state_->endTransaction(link, now);
+    state_->endTransaction(std::static_pointer_cast<PooledLink>(link), now);
 }
 
 void StatementDispatcher::order(
@@ -41,7 +41,10 @@
     state_->setGroups(groups, now);
 }
 
-void StatementDispatcher::setDaemonCount(std::size_t count) { state_->setDaemonCount(count); }
+void StatementDispatcher::setSharing(const std::map<GroupId, std::size_t>& daemons, TimePoint now)
+{
+    state_->setSharing(daemons, now);
+}
 
 void StatementDispatcher::onDirectoryChange(TimePoint now) { state_->onDirectoryChange(now); }
 
--- a/src/sessions/Session.cpp
+++ b/src/sessions/Session.cpp
@@ -23,12 +23,12 @@
 
 } // namespace
 
-Session::Session(DatabaseId database, CallerLink& link, const RoutingSource& routing, StatementDispatcher& dispatcher,
+Session::Session(DatabaseId database, CallerLink& link, const RoutingSource& routing, StatementRunner& runner,
     Metrics& metrics)
     : database_(std::move(database))
     , link_(link)
     , routing_(routing)
-    , dispatcher_(dispatcher)
+    , runner_(runner)
     , metrics_(metrics)
 {
 }
@@ -54,9 +54,9 @@
     isClosed_ = true;
     waiting_.clear();
     if (isRunning_)
-        dispatcher_.abandon(ticket_, now);
+        runner_.abandon(ticket_, now);
     if (transaction_)
-        dispatcher_.endTransaction(transaction_, now);
+        runner_.endTransaction(transaction_, now);
     transaction_ = nullptr;
     isRunning_ = false;
 }
@@ -75,7 +75,7 @@
     if (state_ == TransactionState::None || isRunning_)
         return;
     if (transaction_)
-        dispatcher_.endTransaction(transaction_, now);
+        runner_.endTransaction(transaction_, now);
     transaction_ = nullptr;
     state_ = TransactionState::Failed;
     abortReason_ = reason;
@@ -160,7 +160,7 @@
 void Session::runRollback(TimePoint now)
 {
     if (transaction_)
-        dispatcher_.endTransaction(transaction_, now);
+        runner_.endTransaction(transaction_, now);
     transaction_ = nullptr;
     abortReason_.clear();
     answer(makeLocalSuccess(), TransactionState::None);
@@ -214,6 +214,7 @@
     request.arrival = now;
     request.deadline = now + route_.statementTimeout;
     request.visibleBefore = now - route_.maximumStaleness;
+    request.maximumStaleness = route_.maximumStaleness;
     if (route_.readRule == ReadRule::ReadYourWrites)
         request.sessionPosition = position_;
     request.contents = contents_;
@@ -228,8 +229,8 @@
 {
     isRunning_ = true;
     const auto report = [this](StatementResult&& result, TimePoint at) { onResult(std::move(result), at); };
-    const Ticket ticket = transaction_ ? dispatcher_.submit(transaction_, std::move(request), report, now)
-                                       : dispatcher_.submit(std::move(request), report, now);
+    const Ticket ticket = transaction_ ? runner_.submit(transaction_, std::move(request), report, now)
+                                       : runner_.submit(std::move(request), report, now);
     if (isRunning_)
         ticket_ = ticket;
 }
--- a/src/store/PrefixFollower.cpp
+++ b/src/store/PrefixFollower.cpp
@@ -23,11 +23,12 @@
     return "rejected";
 }
 
-PrefixFollower::PrefixFollower(
-    MetadataStore& store, TimerService& timers, std::string prefix, PrefixObserver& observer)
+PrefixFollower::PrefixFollower(MetadataStore& store, TimerService& timers, std::string prefix, Milliseconds gatherTime,
+    PrefixObserver& observer)
     : store_(store)
     , timers_(timers)
     , prefix_(std::move(prefix))
+    , gatherTime_(gatherTime)
     , observer_(observer)
 {
 }
@@ -91,9 +92,14 @@
     noteSuccess();
     const StorePage& page = result.value();
     revision_ = std::max(revision_, page.asOf);
-    if (!page.items.empty())
-        observer_.onStoreChanges(prefix_, page.items, timers_.now());
-    waitForChanges();
+    if (page.items.empty())
+        return waitForChanges();
+    observer_.onStoreChanges(prefix_, page.items, timers_.now());
+    // Changes come in bursts, and every call counts: those of the pause arrive with one more call.
+    timers_.callAfter(gatherTime_, [this, alive = std::weak_ptr<int>(alive_)](TimePoint) {
+        if (!alive.expired())
+            waitForChanges();
+    });
 }
 
 void PrefixFollower::noteSuccess()
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -1,6 +1,7 @@
 #include "almondlever/wire/Messages.h"
 
-#include "CborReader.h"
+#include "MapWriter.h"
+#include "SessionMessages.h"
 
 #include <algorithm>
 #include <type_traits>
@@ -23,60 +24,6 @@
     /** Values of field "t"; the order is that of the alternatives of Message. */
     constexpr std::uint64_t lastMessageType = std::variant_size_v<Message> - 1;
 
-    /** Leaves out default values, which the decoder restores: most messages are sent by the thousand each second. */
-    class MapWriter {
-    public:
-        explicit MapWriter(Json& map)
-            : map_(map)
-        {
-        }
-
-        void number(const char* key, std::uint64_t value)
-        {
-            if (value != 0)
-                map_[key] = value;
-        }
-        void flag(const char* key, bool value)
-        {
-            if (value)
-                map_[key] = true;
-        }
-        void text(const char* key, const std::string& value)
-        {
-            if (!value.empty())
-                map_[key] = value;
-        }
-        template <typename Tag> void text(const char* key, const Identifier<Tag>& id) { text(key, id.text()); }
-        void milliseconds(const char* key, Milliseconds value)
-        {
-            number(key, static_cast<std::uint64_t>(std::max<Milliseconds::rep>(value.count(), 0)));
-        }
-        template <typename Enum> void enumeration(const char* key, Enum value)
-        {
-            number(key, static_cast<std::uint64_t>(value));
-        }
-        void position(const char* key, const LogPosition& value)
-        {
-            if (value != LogPosition {})
-                map_[key] = Json::array({ value.term, value.index });
-        }
-
-    private:
-        Json& map_;
-    };
-
-    LogPosition readPosition(CborReader& reader, const char* key)
-    {
-        if (!reader.has(key))
-            return {};
-        const Json& parts = reader.array(key, 2);
-        if (parts.size() != 2 || !parts[0].is_number_unsigned() || !parts[1].is_number_unsigned()) {
-            reader.fail(key, "is no position");
-            return {};
-        }
-        return { parts[0].get<std::uint64_t>(), parts[1].get<std::uint64_t>() };
-    }
-
     bool isName(const Json& value)
     {
         return value.is_string() && value.get_ref<const std::string&>().size() <= maximumNameBytes;
@@ -388,8 +335,16 @@
             return readConfigReply(reader);
         case 5:
             return readSuspicionReport(reader);
-        default:
+        case 6:
             return readPrimaryView(reader);
+        case 7:
+            return readSessionStatement(reader);
+        case 8:
+            return readSessionAnswer(reader);
+        case 9:
+            return readSessionTransactionEnd(reader);
+        default:
+            return readSessionAbandon(reader);
         }
     }
 
@@ -425,7 +380,14 @@
 std::string encodeMessage(const Message& message)
 {
     Json map = { { "v", static_cast<unsigned>(wireVersion) }, { "t", message.index() } };
-    std::visit([&map](const auto& alternative) { write(map, alternative); }, message);
+    std::visit(
+        [&map](const auto& alternative) {
+            if constexpr (isSessionMessage<std::decay_t<decltype(alternative)>>)
+                writeSessionMessage(map, alternative);
+            else
+                write(map, alternative);
+        },
+        message);
     std::string bytes;
     Json::to_cbor(map, bytes);
     return bytes;
--- /dev/null
+++ b/src/wire/SessionMessages.cpp
@@ -0,0 +1,143 @@
+#include "SessionMessages.h"
+
+namespace almondlever {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    // Bounds on what a peer may send; each is well above what sessions produce.
+    constexpr std::uint64_t maximumRank = 255;
+    constexpr std::size_t maximumRows = 65536;
+    constexpr std::size_t maximumValues = 1024;
+
+    void writeValues(Json& map, const std::map<std::string, std::string>& values)
+    {
+        if (values.empty())
+            return;
+        Json& pairs = map["sv"] = Json::array();
+        for (const auto& [name, value] : values)
+            pairs.push_back(Json::array({ name, value }));
+    }
+
+    std::map<std::string, std::string> readValues(CborReader& reader)
+    {
+        std::map<std::string, std::string> values;
+        for (const Json& pair : reader.array("sv", maximumValues)) {
+            if (!pair.is_array() || pair.size() != 2 || !pair[0].is_string() || !pair[1].is_string()) {
+                reader.fail("sv", "holds a malformed value");
+                break;
+            }
+            values[pair[0].get<std::string>()] = pair[1].get<std::string>();
+        }
+        return values;
+    }
+
+} // namespace
+
+void writeSessionMessage(Json& map, const SessionStatement& message)
+{
+    MapWriter writer(map);
+    writer.number("c", message.correlation);
+    writer.text("i", message.statement.id);
+    writer.enumeration("k", message.statement.kind);
+    writer.text("tt", message.statement.text);
+    writer.text("n", message.statement.name);
+    writer.text("a", message.statement.argument);
+    writer.text("g", message.group);
+    writer.number("r", message.rank);
+    writer.milliseconds("d", message.timeLeft);
+    writer.flag("w", message.isWrite);
+    writer.flag("np", message.needsPrimary);
+    writer.flag("ot", message.opensTransaction);
+    writer.flag("ro", message.isReadOnlyTransaction);
+    writer.milliseconds("ms", message.maximumStaleness);
+    writer.position("sp", message.sessionPosition.value_or(LogPosition()));
+    writeValues(map, message.contents.values);
+    const auto prepared = message.contents.prepared.find(message.statement.name);
+    if (prepared != message.contents.prepared.end()) {
+        writer.text("ps", prepared->second.shape);
+        writer.flag("pw", prepared->second.isWrite);
+    }
+    writer.number("tx", message.transaction);
+}
+
+SessionStatement readSessionStatement(CborReader& reader)
+{
+    SessionStatement message;
+    message.correlation = reader.number("c");
+    message.statement.id = reader.text("i", maximumNameBytes);
+    message.statement.kind = reader.enumeration("k", StatementKind::Malformed);
+    message.statement.text = reader.text("tt");
+    message.statement.name = reader.text("n");
+    message.statement.argument = reader.text("a");
+    message.group = reader.identifier<GroupId>("g");
+    message.rank = reader.number("r", maximumRank);
+    message.timeLeft = reader.milliseconds("d");
+    message.isWrite = reader.flag("w");
+    message.needsPrimary = reader.flag("np");
+    message.opensTransaction = reader.flag("ot");
+    message.isReadOnlyTransaction = reader.flag("ro");
+    message.maximumStaleness = reader.milliseconds("ms");
+    if (reader.has("sp"))
+        message.sessionPosition = readPosition(reader, "sp");
+    message.contents.values = readValues(reader);
+    if (reader.has("ps"))
+        message.contents.prepared[message.statement.name] = { reader.flag("pw"), reader.text("ps") };
+    if (message.statement.kind == StatementKind::Execute && !reader.has("ps"))
+        reader.fail("ps", "is missing");
+    message.transaction = reader.number("tx");
+    return message;
+}
+
+void writeSessionMessage(Json& map, const SessionAnswer& message)
+{
+    MapWriter writer(map);
+    writer.number("c", message.correlation);
+    if (!message.reply.rows.empty())
+        map["ro"] = message.reply.rows;
+    if (message.reply.error)
+        map["e"] = static_cast<unsigned>(*message.reply.error);
+    writer.text("de", message.reply.detail);
+    writer.enumeration("s", message.reply.state);
+    writer.position("p", message.reply.position.value_or(LogPosition()));
+    writer.number("tx", message.transaction);
+    writer.text("en", message.endpoint);
+    writer.number("at", message.attempts);
+}
+
+SessionAnswer readSessionAnswer(CborReader& reader)
+{
+    SessionAnswer message;
+    message.correlation = reader.number("c");
+    for (const Json& row : reader.array("ro", maximumRows)) {
+        if (!row.is_string()) {
+            reader.fail("ro", "holds a row that is no text");
+            break;
+        }
+        message.reply.rows.push_back(row.get<std::string>());
+    }
+    if (reader.has("e"))
+        message.reply.error = reader.enumeration("e", StatementError::Unknown);
+    message.reply.detail = reader.text("de");
+    message.reply.state = reader.enumeration("s", TransactionState::Failed);
+    if (reader.has("p"))
+        message.reply.position = readPosition(reader, "p");
+    message.transaction = reader.number("tx");
+    message.endpoint = reader.identifier<EndpointId>("en");
+    message.attempts = reader.number("at");
+    return message;
+}
+
+void writeSessionMessage(Json& map, const SessionTransactionEnd& message)
+{
+    MapWriter(map).number("tx", message.transaction);
+}
+
+SessionTransactionEnd readSessionTransactionEnd(CborReader& reader) { return { reader.number("tx") }; }
+
+void writeSessionMessage(Json& map, const SessionAbandon& message) { MapWriter(map).number("c", message.correlation); }
+
+SessionAbandon readSessionAbandon(CborReader& reader) { return { reader.number("c") }; }
+
+} // namespace almondlever
--- a/src/wire/WebSocketPeerNetwork.cpp
+++ b/src/wire/WebSocketPeerNetwork.cpp
@@ -37,7 +37,18 @@
 
     bool isForwarded(const Message& message)
     {
-        return std::holds_alternative<ForwardRequest>(message) || std::holds_alternative<ForwardReply>(message);
+        return std::holds_alternative<ForwardRequest>(message) || std::holds_alternative<ForwardReply>(message)
+            || std::holds_alternative<SessionStatement>(message) || std::holds_alternative<SessionAnswer>(message);
+    }
+
+    /** Number of a request whose sender wants to know when it is dropped unsent; zero for other messages. */
+    std::uint64_t correlationOf(const Message& message)
+    {
+        if (const auto* request = std::get_if<ForwardRequest>(&message))
+            return request->correlation;
+        if (const auto* statement = std::get_if<SessionStatement>(&message))
+            return statement->correlation;
+        return 0;
     }
 
 } // namespace
@@ -111,8 +122,7 @@
     if (peer.queuedBytes + payload.size() > settings_.maximumQueuedBytes)
         return false;
     peer.queuedBytes += payload.size();
-    const auto* request = std::get_if<ForwardRequest>(&message);
-    peer.queue.push_back({ std::move(payload), isForwarded(message), request ? request->correlation : 0 });
+    peer.queue.push_back({ std::move(payload), isForwarded(message), correlationOf(message) });
     return true;
 }
 
--- a/tests/pooling/TestStatementDispatcher.cpp
+++ b/tests/pooling/TestStatementDispatcher.cpp
@@ -218,14 +218,32 @@
     cr_assert_eq(fixture.endpoints.runsOf("w2"), 0U);
 }
 
+// Guards against a connection that stays in a transaction whose caller left while its first statement ran.
+Test(StatementDispatcher, abandonedFirstStatementFreesItsConnection)
+{
+    DispatcherFixture fixture;
+    for (int i = 0; i < 60; ++i) {
+        FakeCaller caller(fixture, "orders");
+        caller.begin();
+        caller.write("w" + std::to_string(i));
+        fixture.advance(Milliseconds(5));
+        caller.session.onCallerClosed(fixture.timers.now());
+        fixture.advance(Milliseconds(50));
+    }
+    FakeCaller caller(fixture, "orders");
+    caller.write("last");
+    fixture.advance(Milliseconds(100));
+    cr_assert(caller.succeeded());
+}
+
 // Pattern: all VMs lose power and start again while the endpoints still hold their former connections.
 // Guards against taking so many connections that restarted daemons find no room.
 Test(StatementDispatcher, keepsRoomForRestartedDaemons)
 {
     DispatcherFixture fixture;
     fixture.configuration->groups[fixture.group].maximumConnections = 34;
-    fixture.dispatcher.setDaemonCount(9);
     fixture.dispatcher.setGroups(fixture.configuration->groups, fixture.timers.now());
+    fixture.dispatcher.setSharing({ { fixture.group, 9 } }, fixture.timers.now());
     std::vector<std::unique_ptr<FakeCaller>> callers;
     for (int i = 0; i < 60; ++i) {
         callers.push_back(std::make_unique<FakeCaller>(fixture, i % 3 == 0 ? "orders" : "jobs"));
