Let three daemons watch the platform's store on behalf of all

Change: StoreRelay passes on what watchers know, with its age; a daemon watches the store itself when its watcher is silent for 1.2 s or its news older than 2.2 s. Changes gather before the next call.

--- a/include/almondlever/front/FrontDaemon.h
+++ b/include/almondlever/front/FrontDaemon.h
@@ -7,6 +7,7 @@
 #include "almondlever/front/InventoryDecoder.h"
 #include "almondlever/front/PromotionDriver.h"
 #include "almondlever/front/StopSequence.h"
+#include "almondlever/front/StoreRelay.h"
 #include "almondlever/observability/DecisionLog.h"
 #include "almondlever/observability/Metrics.h"
 #include "almondlever/placement/GroupOwners.h"
@@ -84,8 +85,10 @@
         TimePoint since;
     };
 
-    void onStoreSnapshot(const std::string& prefix, const std::vector<StoreItem>&, TimePoint now) override;
-    void onStoreChanges(const std::string& prefix, const std::vector<StoreItem>&, TimePoint now) override;
+    void onStoreSnapshot(const std::string& prefix, const std::vector<StoreItem>&, std::uint64_t revision,
+        TimePoint now) override;
+    void onStoreChanges(const std::string& prefix, const std::vector<StoreItem>&, std::uint64_t revision,
+        TimePoint now) override;
     void onStoreReturned(const std::string& prefix, TimePoint now) override;
     void onStoreLost(const std::string& prefix, const StoreFailure&, TimePoint now) override;
 
@@ -120,6 +123,7 @@
     PrefixFollower configurationFollower_;
     PrefixFollower endpointFollower_;
     PrefixFollower ownFollower_;
+    StoreRelay relay_;
     std::shared_ptr<const RoutingConfiguration> routing_;
     bool hasEndpoints_ = false;
     std::map<GroupId, std::set<std::string>> ownersTold_;
--- a/include/almondlever/store/PrefixFollower.h
+++ b/include/almondlever/store/PrefixFollower.h
@@ -14,9 +14,13 @@
     virtual ~PrefixObserver() = default;
 
     /** All keys with the prefix; others do not exist. */
-    virtual void onStoreSnapshot(const std::string& prefix, const std::vector<StoreItem>&, TimePoint now) = 0;
-    /** Changes in their order. */
-    virtual void onStoreChanges(const std::string& prefix, const std::vector<StoreItem>&, TimePoint now) = 0;
+    virtual void onStoreSnapshot(
+        const std::string& prefix, const std::vector<StoreItem>&, std::uint64_t revision, TimePoint now)
+        = 0;
+    /** Changes in their order, up to a revision of the store. */
+    virtual void onStoreChanges(
+        const std::string& prefix, const std::vector<StoreItem>&, std::uint64_t revision, TimePoint now)
+        = 0;
     /** The store answered again after failures. Comes before the snapshot or changes. */
     virtual void onStoreReturned(const std::string& prefix, TimePoint now) = 0;
     /** The first failed call after successful ones. */
@@ -45,6 +49,20 @@
     PrefixFollower& operator=(const PrefixFollower&) = delete;
 
     void start();
+    /** Makes no further calls until resume(); what a peer knows is taken instead. */
+    void pause() { isPaused_ = true; }
+    /** Reads all again and goes on by itself. */
+    void resume();
+    bool isPaused() const { return isPaused_; }
+    /** Takes what a peer knows: all keys, or changes since revision(). */
+    void takeNews(const std::vector<StoreItem>&, std::uint64_t revision, bool isSnapshot);
+    /** Waits of this daemon's calls; shorter on daemons that others rely on. */
+    void setWait(Milliseconds wait) { wait_ = wait; }
+    /** Every change up to this revision of the store is known; 0 before the first answer. */
+    std::uint64_t revision() const { return revision_; }
+    const std::string& prefix() const { return prefix_; }
+    /** When the store last answered a call of this follower; nullopt when it failed since or never did. */
+    std::optional<TimePoint> confirmedAt() const { return isLost_ ? std::nullopt : confirmedAt_; }
 
 private:
     void readPage(const std::string& afterKey);
@@ -66,6 +84,12 @@
     std::optional<std::uint64_t> firstPageRevision_;
     std::uint64_t revision_ = 0;
     bool isLost_ = false;
+    bool isPaused_ = false;
+    /** A call or a pause is under way, so that resume() must not start another chain. */
+    bool isActive_ = false;
+    /** Short at first, since this daemon may turn out to be one that others rely on. */
+    Milliseconds wait_ { 1500 };
+    std::optional<TimePoint> confirmedAt_;
     Milliseconds pause_ { 0 };
 };
 
--- a/include/almondlever/wire/Messages.h
+++ b/include/almondlever/wire/Messages.h
@@ -10,6 +10,7 @@
 #include "almondlever/sessions/Routing.h"
 #include "almondlever/sessions/SessionContents.h"
 #include "almondlever/sessions/Statement.h"
+#include "almondlever/store/MetadataStore.h"
 
 #include <cstdint>
 #include <optional>
@@ -228,8 +229,31 @@
     std::uint64_t correlation = 0;
 };
 
+/** Asks a watcher for what it knows of the platform's store. */
+struct StoreNewsRequest {
+    /** A prefix of keys with the revision up to which the sender knows them; 0 when it knows nothing. */
+    struct Known {
+        std::string prefix;
+        std::uint64_t revision = 0;
+    };
+    std::vector<Known> known;
+};
+
+/** What a watcher knows of the keys with one prefix, beyond the revision of the request. */
+struct StoreNews {
+    std::string prefix;
+    /** Everything up to this revision of the store is known. */
+    std::uint64_t revision = 0;
+    /** All keys with the prefix are listed; others do not exist. Else only changes are. */
+    bool isSnapshot = false;
+    /** Time since the store last confirmed it. */
+    Milliseconds age { 0 };
+    std::vector<StoreItem> items;
+};
+
 using Message = std::variant<ForwardRequest, ForwardReply, Gossip, ConfigRequest, ConfigReply, SuspicionReport,
-    PrimaryView, SessionStatement, SessionAnswer, SessionTransactionEnd, SessionAbandon>;
+    PrimaryView, SessionStatement, SessionAnswer, SessionTransactionEnd, SessionAbandon,
+    StoreNewsRequest, StoreNews>;
 
 /** CBOR of a message. */
 std::string encodeMessage(const Message&);
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -17,7 +17,7 @@
     /** A new primary is found without its entry, and a leaving endpoint may get work for seconds. */
     constexpr Milliseconds endpointGatherTime { 250 };
     /** Daemons register one after the other when the fleet starts. */
-    constexpr Milliseconds ownGatherTime { 1000 };
+    constexpr Milliseconds ownGatherTime { 500 };
     constexpr std::size_t clusterKeyWords = 4;
 
     std::string newClusterKey()
@@ -40,6 +40,13 @@
         return forwarder;
     }
 
+    StoreRelaySettings relaySettings(const FrontSettings& settings)
+    {
+        StoreRelaySettings relay;
+        relay.self = settings.vm;
+        return relay;
+    }
+
     bool hasPrefix(const std::string& key, const std::string& prefix) { return key.rfind(prefix, 0) == 0; }
 
 } // namespace
@@ -59,6 +66,7 @@
     , configurationFollower_(store, timers, decoder.configurationPrefix(), configurationGatherTime, *this)
     , endpointFollower_(store, timers, decoder.endpointPrefix(), endpointGatherTime, *this)
     , ownFollower_(store, timers, storeKeys::root, ownGatherTime, *this)
+    , relay_(relaySettings(settings), { &configurationFollower_, &endpointFollower_, &ownFollower_ })
     , members_(self())
     , makeNetwork_(std::move(makeNetwork))
 {
@@ -139,8 +147,10 @@
     timers_.callAfter(Duration(0), [ended](TimePoint) {});
 }
 
-void FrontDaemon::onStoreSnapshot(const std::string& prefix, const std::vector<StoreItem>& items, TimePoint now)
+void FrontDaemon::onStoreSnapshot(
+    const std::string& prefix, const std::vector<StoreItem>& items, std::uint64_t revision, TimePoint now)
 {
+    relay_.cacheOf(prefix).takeSnapshot(items, revision);
     if (prefix == decoder_.configurationPrefix()) {
         for (const StoreItem& item : items)
             takeConfiguration(item, now);
@@ -151,8 +161,10 @@
     }
 }
 
-void FrontDaemon::onStoreChanges(const std::string& prefix, const std::vector<StoreItem>& items, TimePoint now)
+void FrontDaemon::onStoreChanges(
+    const std::string& prefix, const std::vector<StoreItem>& items, std::uint64_t revision, TimePoint now)
 {
+    relay_.cacheOf(prefix).takeChanges(items, revision);
     if (prefix == decoder_.configurationPrefix()) {
         for (const StoreItem& item : items)
             takeConfiguration(item, now);
@@ -295,6 +307,7 @@
         logInfo("peer_lost", { { "peer", peer.text() } });
         forwarder_.onLoss(peer, now);
         forwarded_.onLoss(peer, now);
+        relay_.onLoss(peer);
     });
     network_->onUnsent([this](std::uint64_t correlation) { forwarder_.onUnsent(correlation, timers_.now()); });
     const auto listening = network_->listen();
@@ -305,6 +318,7 @@
     }
     forwarder_.setNetwork(network_.get());
     forwarded_.setNetwork(network_.get());
+    relay_.setNetwork(network_.get());
 }
 
 void FrontDaemon::onPeerMessage(const VmId& from, Message&& message)
@@ -318,6 +332,10 @@
         forwarded_.onTransactionEnd(from, *end, now);
     else if (const auto* abandon = std::get_if<SessionAbandon>(&message))
         forwarded_.onAbandon(from, *abandon, now);
+    else if (const auto* request = std::get_if<StoreNewsRequest>(&message))
+        relay_.onRequest(from, *request, now);
+    else if (const auto* news = std::get_if<StoreNews>(&message))
+        relay_.onNews(from, *news, now);
     else
         logWarning("peer_message_ignored", { { "peer", from.text() }, { "type", std::to_string(message.index()) } });
 }
@@ -327,6 +345,7 @@
     if (!routing_)
         return;
     const MembershipView view = members_.view();
+    relay_.setMembers(view);
     std::map<GroupId, std::size_t> sharing;
     std::map<GroupId, std::vector<LiveDaemon>> forwardTo;
     std::map<GroupId, std::set<std::string>> names;
@@ -410,6 +429,7 @@
         updateOwners(now);
     dispatcher_.onTick(now);
     forwarder_.onTick(now);
+    relay_.onTick(now);
     promotions_.onTick(now);
     if (now - slowTickAt_ >= sessionCheckInterval) {
         slowTickAt_ = now;
--- a/src/store/PrefixFollower.cpp
+++ b/src/store/PrefixFollower.cpp
@@ -37,8 +37,31 @@
 
 void PrefixFollower::start() { readAll(); }
 
+void PrefixFollower::resume()
+{
+    if (!isPaused_)
+        return;
+    isPaused_ = false;
+    if (!isActive_)
+        readAll();
+}
+
+void PrefixFollower::takeNews(const std::vector<StoreItem>& items, std::uint64_t revision, bool isSnapshot)
+{
+    if (!isPaused_ || revision < revision_)
+        return;
+    revision_ = revision;
+    if (isSnapshot)
+        observer_.onStoreSnapshot(prefix_, items, revision_, timers_.now());
+    else if (!items.empty())
+        observer_.onStoreChanges(prefix_, items, revision_, timers_.now());
+}
+
 void PrefixFollower::readAll()
 {
+    isActive_ = !isPaused_;
+    if (isPaused_)
+        return;
     collected_.clear();
     firstPageRevision_.reset();
     readPage("");
@@ -68,13 +91,16 @@
     revision_ = *firstPageRevision_;
     const std::vector<StoreItem> items = std::move(collected_);
     collected_.clear();
-    observer_.onStoreSnapshot(prefix_, items, timers_.now());
+    observer_.onStoreSnapshot(prefix_, items, revision_, timers_.now());
     waitForChanges();
 }
 
 void PrefixFollower::waitForChanges()
 {
-    store_.watch(prefix_, revision_, watchWait,
+    isActive_ = !isPaused_;
+    if (isPaused_)
+        return;
+    store_.watch(prefix_, revision_, wait_,
         [this, alive = std::weak_ptr<int>(alive_)](StoreResult<StorePage> result) {
             if (!alive.expired())
                 onChanges(std::move(result));
@@ -94,7 +120,7 @@
     revision_ = std::max(revision_, page.asOf);
     if (page.items.empty())
         return waitForChanges();
-    observer_.onStoreChanges(prefix_, page.items, timers_.now());
+    observer_.onStoreChanges(prefix_, page.items, revision_, timers_.now());
     // Changes come in bursts, and every call counts: those of the pause arrive with one more call.
     timers_.callAfter(gatherTime_, [this, alive = std::weak_ptr<int>(alive_)](TimePoint) {
         if (!alive.expired())
@@ -105,6 +131,7 @@
 void PrefixFollower::noteSuccess()
 {
     pause_ = Milliseconds(0);
+    confirmedAt_ = timers_.now();
     if (!isLost_)
         return;
     isLost_ = false;
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -2,6 +2,7 @@
 
 #include "MapWriter.h"
 #include "SessionMessages.h"
+#include "StoreMessages.h"
 
 #include <algorithm>
 #include <type_traits>
@@ -343,8 +344,12 @@
             return readSessionAnswer(reader);
         case 9:
             return readSessionTransactionEnd(reader);
-        default:
+        case 10:
             return readSessionAbandon(reader);
+        case 11:
+            return readStoreNewsRequest(reader);
+        default:
+            return readStoreNews(reader);
         }
     }
 
@@ -382,8 +387,11 @@
     Json map = { { "v", static_cast<unsigned>(wireVersion) }, { "t", message.index() } };
     std::visit(
         [&map](const auto& alternative) {
-            if constexpr (isSessionMessage<std::decay_t<decltype(alternative)>>)
+            using Type = std::decay_t<decltype(alternative)>;
+            if constexpr (isSessionMessage<Type>)
                 writeSessionMessage(map, alternative);
+            else if constexpr (isStoreMessage<Type>)
+                writeStoreMessage(map, alternative);
             else
                 write(map, alternative);
         },
