--- a/programs/almondleverd/main.cpp
+++ b/programs/almondleverd/main.cpp
@@ -23,5 +23,7 @@
         std::cerr << fault << '\n';
         return 1;
     }
-    return daemon.run();
+    const int status = daemon.run();
+    almondlever::flushLog();
+    return status;
 }
--- a/scripts/check_layers.sh
+++ b/scripts/check_layers.sh
@@ -7,10 +7,15 @@
 declare -A may_use=(
   [config]='common/'
   [consistency]='common/|config/'
-  [failover]='common/|config/|endpoints/EndpointMessages'
-  [placement]='common/|config/|membership/MembershipView'
+  [failover]='common/|config/|endpoints/EndpointMessages|groups/EndpointEntry|sessions/Routing'
+  [placement]='common/|config/|membership/MembershipView|sessions/Routing'
   [admission]='common/|config/'
   [membership]='common/|wire/Messages'
+  [sessions]='common/|pooling/StatementRunner|observability/Metrics'
+  [groups]='common/|sessions/'
+  [pooling]='common/|sessions/|groups/|consistency/|admission/|config/|observability/'
+  [store]='common/|sessions/Routing|observability/'
+  [forwarding]='common/|pooling/StatementRunner|wire/|membership/MembershipView|observability/'
 )
 networking='<(asio|restinio|websocketpp|boost/(asio|beast)|sys/(socket|select|epoll|un)|netinet/|arpa/|netdb|poll|unistd|fcntl|http_parser|fstream)'
 status=0
@@ -26,4 +31,19 @@
     status=1
   fi
 done
+
+# The users' platform has names of its own; only its adapter and its tests may know them.
+platform_names='kv-(key|range|watch|txn|lease|keep)|X-Fence-Token|X-Duty-Holder|X-Instance-Id|ALMONDLEVER_BOOT'
+platform_names+='|"(STARTUP|QUERY|DATAROW|COMPLETE|READONLY|LAGGING|MISROUTED|TOOMANY|NOSTMT|STEPDOWN)'
+platform_names+='|"(cold-remaining-ms|max-staleness-ms|tx-idle-ms|target-latency-ms|fault-tolerance|heartbeat-ms|sync-replicas|db-role)"'
+platform_names+='|"(op|servers)/"'
+if grep -rnE "$platform_names" include src programs --include='*.h' --include='*.cpp'; then
+  echo "check_layers: names of the users' platform belong into platform/" >&2
+  status=1
+fi
+# The adapter decides nothing: what repeats, places or gives up lives in the product.
+if grep -rnE 'callAfter|#include "almondlever/(admission|placement|consistency|forwarding)/' platform; then
+  echo "check_layers: platform/ must not decide when or where something is done" >&2
+  status=1
+fi
 exit $status
--- a/src/observability/DecisionLog.cpp
+++ b/src/observability/DecisionLog.cpp
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <chrono>
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/helpers/exception.h>
 #include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
 
 namespace almondlever {
@@ -76,6 +78,19 @@
         return nullptr;
     }
 
+    /** Lines that wait for a reader of standard output; further ones are left out and counted in a line of their own. */
+    constexpr int waitingLines = 4096;
+
+    /** A reader that stops to read must not stop the daemon. */
+    log4cxx::AppenderPtr makeNonBlocking(const log4cxx::AppenderPtr& console)
+    {
+        const auto appender = std::make_shared<log4cxx::AsyncAppender>();
+        appender->setBlocking(false);
+        appender->setBufferSize(waitingLines);
+        appender->addAppender(console);
+        return appender;
+    }
+
 } // namespace
 
 std::string configureLog(const LogSettings& settings)
@@ -88,7 +103,7 @@
     log4cxx::AppenderPtr appender;
     try {
         if (settings.file.empty())
-            appender = std::make_shared<log4cxx::ConsoleAppender>(layout);
+            appender = makeNonBlocking(std::make_shared<log4cxx::ConsoleAppender>(layout));
         else
             appender = std::make_shared<log4cxx::FileAppender>(layout, settings.file, true);
     } catch (const log4cxx::helpers::Exception& error) {
@@ -100,6 +115,8 @@
     return {};
 }
 
+void flushLog() { log4cxx::LogManager::shutdown(); }
+
 void logInfo(std::string_view event, std::initializer_list<LogField> fields)
 {
     LOG4CXX_INFO(processLogger(), format(event, fields));
@@ -116,8 +133,8 @@
 }
 
 DecisionLog::DecisionLog(double linesPerSecond)
-    : linesPerSecond_(linesPerSecond)
-    , tokens_(linesPerSecond)
+    : urgent_ { linesPerSecond * urgentFactor, linesPerSecond * urgentFactor }
+    , others_ { linesPerSecond, linesPerSecond }
 {
 }
 
@@ -125,17 +142,16 @@
 {
     if (!decisionLogger()->isInfoEnabled())
         return false;
-    if (rank == 0)
-        return true;
-    const std::chrono::duration<double> elapsed = now - refilledAt_;
-    if (refilledAt_ != TimePoint())
-        tokens_ = std::min(linesPerSecond_, tokens_ + elapsed.count() * linesPerSecond_);
-    refilledAt_ = now;
-    if (tokens_ < 1) {
+    Bucket& bucket = rank == 0 ? urgent_ : others_;
+    const std::chrono::duration<double> elapsed = now - bucket.refilledAt;
+    if (bucket.refilledAt != TimePoint())
+        bucket.tokens = std::min(bucket.rate, bucket.tokens + elapsed.count() * bucket.rate);
+    bucket.refilledAt = now;
+    if (bucket.tokens < 1) {
         ++suppressed_;
         return false;
     }
-    tokens_ -= 1;
+    bucket.tokens -= 1;
     return true;
 }
 
--- /dev/null
+++ b/tests/failover/TestGroupPromotion.cpp
@@ -0,0 +1,206 @@
+#include "almondlever/failover/GroupPromotion.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+
+using namespace almondlever;
+using Kind = GroupPromotion::Order::Kind;
+
+namespace {
+
+const EndpointId a("a");
+const EndpointId b("b");
+const EndpointId c("c");
+const EndpointId d("d");
+const TimePoint start { std::chrono::hours(1) };
+
+TimePoint at(int milliseconds) { return start + Milliseconds(milliseconds); }
+
+GroupPromotion makePromotion(PromotionReason reason, std::vector<PromotionMember> members
+    = { { a, true, false }, { b, false, false }, { c, false, false } })
+{
+    return GroupPromotion(std::move(members), 1, 3, reason, PromotionSettings());
+}
+
+EndpointReplicationStatus replica(std::uint64_t index, Term term = 3) { return { false, term, { 3, index } }; }
+EndpointReplicationStatus primary(std::uint64_t index, Term term = 3) { return { true, term, { 3, index } }; }
+
+bool has(const GroupPromotion::Orders& orders, Kind kind, const EndpointId& endpoint)
+{
+    return std::any_of(orders.begin(), orders.end(), [&](const GroupPromotion::Order& order) {
+        return order.kind == kind && order.endpoint == endpoint;
+    });
+}
+
+bool hasAny(const GroupPromotion::Orders& orders, Kind kind)
+{
+    return std::any_of(
+        orders.begin(), orders.end(), [kind](const GroupPromotion::Order& order) { return order.kind == kind; });
+}
+
+} // namespace
+
+// Guards against losing an acknowledged commit: the replica that has more is promoted, whatever answered first.
+Test(GroupPromotion, promotesTheMostAdvancedReplica)
+{
+    auto promotion = makePromotion(PromotionReason::PrimaryFailed);
+    const auto first = promotion.start(start);
+    cr_assert(has(first, Kind::Pause, b));
+    cr_assert(has(first, Kind::Pause, c));
+    cr_assert(!hasAny(promotion.onStatus(b, Kind::Pause, replica(10), at(20)), Kind::Promote));
+    const auto orders = promotion.onStatus(c, Kind::Pause, replica(12), at(40));
+    cr_assert(has(orders, Kind::Promote, c));
+    cr_assert(promotion.chosenPosition() == LogPosition({ 3, 12 }));
+}
+
+// Guards against promoting with one replica known: the other one may hold an acknowledged commit.
+Test(GroupPromotion, oneReplicaIsNotEnough)
+{
+    auto promotion = makePromotion(PromotionReason::PrimaryFailed);
+    promotion.start(start);
+    promotion.onStatus(b, Kind::Pause, replica(10), at(20));
+    cr_assert(!hasAny(promotion.onTick(at(600)), Kind::Promote));
+    const auto orders = promotion.onTick(at(1300));
+    cr_assert(!hasAny(orders, Kind::Promote));
+    cr_assert(has(orders, Kind::Resume, b), "a paused replica must not stay paused");
+    promotion.onStatus(b, Kind::Resume, replica(10), at(1320));
+    cr_assert(promotion.isFinished());
+    cr_assert(!promotion.hasSucceeded());
+}
+
+// Guards against promoting with two of three replicas known in a group of four: the third may hold the commit.
+Test(GroupPromotion, countsEveryMember)
+{
+    auto promotion = makePromotion(PromotionReason::PrimaryFailed,
+        { { a, true, false }, { b, false, false }, { c, false, false }, { d, false, true } });
+    promotion.start(start);
+    promotion.onStatus(b, Kind::Pause, replica(10), at(20));
+    cr_assert(!hasAny(promotion.onStatus(c, Kind::Pause, replica(11), at(30)), Kind::Promote));
+    cr_assert(!hasAny(promotion.onTick(at(400)), Kind::Promote));
+    cr_assert(has(promotion.onStatus(d, Kind::Pause, replica(11), at(420)), Kind::Promote, c), "the staying one");
+}
+
+// Guards against replacing a primary that only this daemon cannot reach well.
+Test(GroupPromotion, answeringPrimaryIsKept)
+{
+    auto promotion = makePromotion(PromotionReason::PrimaryFailed);
+    promotion.start(start);
+    promotion.onStatus(b, Kind::Pause, replica(10), at(20));
+    const auto orders = promotion.onStatus(a, Kind::QueryStatus, primary(10), at(30));
+    cr_assert(has(orders, Kind::Resume, b));
+    cr_assert(!hasAny(orders, Kind::Promote));
+    promotion.onStatus(b, Kind::Resume, replica(10), at(50));
+    cr_assert(promotion.isFinished());
+    cr_assert(!promotion.hasSucceeded());
+}
+
+// Guards against a gap in writes: a leaving primary goes on to serve while the other replicas are paused.
+Test(GroupPromotion, leavingPrimaryServesUntilTheChosenOneLeads)
+{
+    auto promotion = makePromotion(PromotionReason::PrimaryLeaving, { { a, true, true }, { b, false, false }, { c, false, false } });
+    promotion.start(start);
+    promotion.onStatus(a, Kind::QueryStatus, primary(20), at(10));
+    promotion.onStatus(b, Kind::QueryStatus, replica(20), at(10));
+    const auto fence = promotion.onStatus(c, Kind::QueryStatus, replica(18), at(20));
+    cr_assert(has(fence, Kind::Pause, c));
+    cr_assert(!has(fence, Kind::Pause, b), "the chosen one must go on to receive");
+    cr_assert(!has(fence, Kind::Pause, a));
+    // The paused replica has meanwhile received more than the chosen one had when it was asked.
+    cr_assert(!hasAny(promotion.onStatus(c, Kind::Pause, replica(25), at(40)), Kind::Promote));
+    const auto orders = promotion.onStatus(b, Kind::QueryStatus, replica(25), at(60));
+    cr_assert(has(orders, Kind::Promote, b));
+}
+
+// Guards against handing over to an endpoint that leaves as well.
+Test(GroupPromotion, leavingReplicaIsNotChosen)
+{
+    auto promotion = makePromotion(PromotionReason::PrimaryLeaving, { { a, true, true }, { b, false, true }, { c, false, false } });
+    promotion.start(start);
+    promotion.onStatus(a, Kind::QueryStatus, primary(20), at(10));
+    promotion.onStatus(b, Kind::QueryStatus, replica(20), at(10));
+    const auto fence = promotion.onStatus(c, Kind::QueryStatus, replica(18), at(20));
+    cr_assert(has(fence, Kind::Pause, b));
+    cr_assert(!has(fence, Kind::Pause, c));
+}
+
+// Guards against a hand-over while a replica may acknowledge commits that the chosen one does not have.
+Test(GroupPromotion, handOverNeedsEveryOtherReplicaPaused)
+{
+    auto promotion = makePromotion(PromotionReason::PrimaryLeaving, { { a, true, true }, { b, false, false }, { c, false, false } });
+    promotion.start(start);
+    promotion.onStatus(a, Kind::QueryStatus, primary(20), at(10));
+    promotion.onStatus(b, Kind::QueryStatus, replica(20), at(10));
+    promotion.onStatus(c, Kind::QueryStatus, replica(18), at(20));
+    const auto orders = promotion.onStatus(c, Kind::Pause, std::nullopt, at(40));
+    cr_assert(!hasAny(orders, Kind::Promote));
+    cr_assert(promotion.isFinished());
+    cr_assert(!promotion.hasSucceeded());
+}
+
+// Guards against a call that is carried out late: it is repeated, and the others stay paused until it is known.
+Test(GroupPromotion, repeatsACallWithoutAnswer)
+{
+    auto promotion = makePromotion(PromotionReason::PrimaryFailed);
+    promotion.start(start);
+    promotion.onStatus(b, Kind::Pause, replica(10), at(20));
+    promotion.onStatus(c, Kind::Pause, replica(9), at(30));
+    cr_assert(promotion.onPromotionAnswer(PromotionAnswer::Unknown, at(1500)).empty());
+    const auto again = promotion.onTick(at(1800));
+    cr_assert(has(again, Kind::Promote, b));
+    cr_assert(!hasAny(again, Kind::Resume));
+    cr_assert(promotion.onTick(at(1900)).empty(), "one call at a time");
+    promotion.onPromotionAnswer(PromotionAnswer::Accepted, at(1950));
+    const auto done = promotion.onStatus(b, Kind::QueryStatus, primary(10, 4), at(2300));
+    cr_assert(has(done, Kind::Resume, c));
+    promotion.onStatus(c, Kind::Resume, replica(9), at(2320));
+    cr_assert(promotion.hasSucceeded());
+    cr_assert(!promotion.needsRecovery());
+}
+
+// Guards against resuming replicas while a newer decision of another daemon may rely on their pause.
+Test(GroupPromotion, refusedCallLeavesTheRestToARecovery)
+{
+    auto promotion = makePromotion(PromotionReason::PrimaryFailed);
+    promotion.start(start);
+    promotion.onStatus(b, Kind::Pause, replica(10), at(20));
+    promotion.onStatus(c, Kind::Pause, replica(9), at(30));
+    cr_assert(promotion.onPromotionAnswer(PromotionAnswer::Refused, at(60)).empty());
+    cr_assert(promotion.isFinished());
+    cr_assert(promotion.needsRecovery());
+}
+
+// Guards against replicas that stay paused, and late calls that stay valid, after their daemon died.
+Test(GroupPromotion, recoveryNamesThePresentPrimaryAndResumesAll)
+{
+    auto promotion = makePromotion(PromotionReason::Recovery);
+    promotion.start(start);
+    promotion.onStatus(a, Kind::QueryStatus, primary(20), at(10));
+    promotion.onStatus(b, Kind::QueryStatus, replica(20), at(10));
+    const auto orders = promotion.onStatus(c, Kind::QueryStatus, replica(11), at(20));
+    cr_assert(has(orders, Kind::Promote, a));
+    promotion.onPromotionAnswer(PromotionAnswer::Accepted, at(40));
+    const auto resumed = promotion.onStatus(a, Kind::QueryStatus, primary(20), at(60));
+    cr_assert(has(resumed, Kind::Resume, b));
+    cr_assert(has(resumed, Kind::Resume, c));
+    promotion.onStatus(b, Kind::Resume, replica(20), at(80));
+    const auto repeated = promotion.onTick(at(400));
+    cr_assert(has(repeated, Kind::Resume, c));
+    cr_assert(!has(repeated, Kind::Resume, b));
+    promotion.onTick(at(2200));
+    cr_assert(promotion.isFinished());
+    cr_assert(promotion.needsRecovery(), "one replica may still be paused");
+}
+
+// Guards against a pause in a term that the replicas have already left, which they refuse.
+Test(GroupPromotion, pausesAboveEveryTermSeen)
+{
+    auto promotion = makePromotion(PromotionReason::PrimaryLeaving, { { a, true, true }, { b, false, false }, { c, false, false } });
+    promotion.start(start);
+    promotion.onStatus(a, Kind::QueryStatus, primary(20, 7), at(10));
+    promotion.onStatus(b, Kind::QueryStatus, replica(20, 7), at(10));
+    const auto fence = promotion.onStatus(c, Kind::QueryStatus, replica(20, 6), at(20));
+    for (const GroupPromotion::Order& order : fence) {
+        if (order.kind == Kind::Pause)
+            cr_assert_gt(order.term, 7U);
+    }
+}
--- /dev/null
+++ b/tests/forwarding/TestForwarding.cpp
@@ -0,0 +1,221 @@
+#include "almondlever/forwarding/ForwardedStatements.h"
+#include "almondlever/forwarding/StatementForwarder.h"
+#include "mocks/DispatcherFixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace almondlever;
+
+namespace {
+
+/** Carries messages between two daemons in virtual time; can lose the channel. */
+class FakeNetwork final : public PeerNetwork {
+public:
+    FakeNetwork(FakeTimerService& timers, PeerIdentity self)
+        : timers_(timers)
+        , self_(std::move(self))
+    {
+    }
+
+    Result<Done, std::string> listen() override { return Done {}; }
+    bool send(const VmId& id, const std::string&, const Message& message) override
+    {
+        if (isCut || !other || id != other->self_.id)
+            return false;
+        ++sent;
+        if (isSilent)
+            return true;
+        const auto decoded = decodeMessage(encodeMessage(message));
+        cr_assert(decoded.hasValue());
+        timers_.callAfter(Milliseconds(1), [this, message = decoded.value()](TimePoint) {
+            if (!isCut && other->handler_)
+                other->handler_(self_, message);
+        });
+        return true;
+    }
+    void onMessage(MessageHandler handler) override { handler_ = std::move(handler); }
+    void onLoss(LossHandler) override { }
+    void onUnsent(UnsentHandler) override { }
+    std::uint64_t bytesTransferred() const override { return 0; }
+    PeerTraffic traffic() const override { return {}; }
+    void stop() override { }
+
+    FakeNetwork* other = nullptr;
+    bool isCut = false;
+    bool isSilent = false;
+    std::size_t sent = 0;
+
+private:
+    FakeTimerService& timers_;
+    PeerIdentity self_;
+    MessageHandler handler_;
+};
+
+/** Two daemons: the caller's, which owns nothing, and the owner with the fixture's dispatcher. */
+struct Fixture : DispatcherFixture {
+    const VmId entryVm { "entry" };
+    const VmId ownerVm { "owner" };
+    FakeNetwork entryNetwork { timers, { entryVm, FailureDomainId("d"), "1" } };
+    FakeNetwork ownerNetwork { timers, { ownerVm, FailureDomainId("d"), "2" } };
+    EndpointDirectory entryDirectory;
+    StatementDispatcher entryDispatcher { entryDirectory, endpoints, log, metrics, {} };
+    StatementForwarder forwarder { entryDispatcher, log, metrics, { entryVm, FailureDomainId("d") } };
+    ForwardedStatements owner { dispatcher, 77 };
+
+    Fixture()
+    {
+        entryNetwork.other = &ownerNetwork;
+        ownerNetwork.other = &entryNetwork;
+        forwarder.setNetwork(&entryNetwork);
+        owner.setNetwork(&ownerNetwork);
+        forwarder.setOwners({ { group, { { ownerVm, FailureDomainId("d"), "2", false } } } });
+        entryDispatcher.setGroups(configuration->groups, timers.now());
+        entryDispatcher.setSharing({ { group, 0 } }, timers.now());
+        for (const EndpointId& id : { a, b, c })
+            entryDirectory.update(entryOf(id), timers.now());
+        ownerNetwork.onMessage([this](const PeerIdentity& from, Message message) {
+            if (auto* statement = std::get_if<SessionStatement>(&message))
+                owner.onStatement(from.id, std::move(*statement), timers.now());
+            else if (const auto* end = std::get_if<SessionTransactionEnd>(&message))
+                owner.onTransactionEnd(from.id, *end, timers.now());
+            else if (const auto* abandon = std::get_if<SessionAbandon>(&message))
+                owner.onAbandon(from.id, *abandon, timers.now());
+        });
+        entryNetwork.onMessage([this](const PeerIdentity& from, Message message) {
+            if (auto* answer = std::get_if<SessionAnswer>(&message))
+                forwarder.onAnswer(from.id, std::move(*answer), timers.now());
+        });
+    }
+
+    void run(Duration by)
+    {
+        const TimePoint end = timers.now() + by;
+        while (timers.now() < end) {
+            advance(std::min<Duration>(Milliseconds(25), end - timers.now()));
+            entryDispatcher.onTick(timers.now());
+            forwarder.onTick(timers.now());
+        }
+    }
+};
+
+/** A caller whose session runs over the forwarder. */
+struct RemoteCaller final : CallerLink {
+    RemoteCaller(Fixture& fixture, const std::string& database)
+        : fixture_(fixture)
+        , session(DatabaseId(database), *this, fixture, fixture.forwarder, fixture.metrics)
+    {
+    }
+    void send(const Reply& reply) override { replies.push_back(reply); }
+    void close() override { }
+    void say(StatementKind kind, const std::string& id, const std::string& text)
+    {
+        session.onStatement({ id, kind, text, "", "", false }, fixture_.timers.now());
+    }
+
+    Fixture& fixture_;
+    std::vector<Reply> replies;
+    Session session;
+};
+
+} // namespace
+
+// Guards against statements that are lost or changed on the way to the owner and back.
+Test(Forwarding, statementsRunAtTheOwner)
+{
+    Fixture fixture;
+    RemoteCaller caller(fixture, "jobs");
+    caller.say(StatementKind::Write, "w1", "WRITE x 1");
+    fixture.run(Milliseconds(100));
+    caller.say(StatementKind::Read, "r1", "READ x");
+    fixture.run(Milliseconds(200));
+    cr_assert_eq(caller.replies.size(), 2U);
+    cr_assert(!caller.replies[0].error);
+    cr_assert(!caller.replies[1].error);
+    cr_assert_eq(caller.replies[0].detail, "signed-by-a");
+    cr_assert(fixture.endpoints.runs().back().endpoint == fixture.a, "the replicas lack the session's own write");
+}
+
+// Guards against a transaction of a forwarded session that changes its connection or stays open.
+Test(Forwarding, transactionStaysOnOneConnection)
+{
+    Fixture fixture;
+    RemoteCaller caller(fixture, "orders");
+    caller.say(StatementKind::Begin, "b", "BEGIN");
+    caller.say(StatementKind::Write, "w1", "WRITE x 1");
+    caller.say(StatementKind::Read, "r1", "READ x");
+    caller.say(StatementKind::Commit, "c1", "COMMIT");
+    fixture.run(Milliseconds(300));
+    cr_assert_eq(caller.replies.size(), 4U);
+    for (const Reply& reply : caller.replies)
+        cr_assert(!reply.error);
+    const auto& runs = fixture.endpoints.runs();
+    cr_assert_eq(runs.size(), 3U);
+    cr_assert(runs[0].connection == runs[1].connection && runs[1].connection == runs[2].connection);
+    cr_assert_eq(fixture.owner.openTransactions(), 0U);
+}
+
+// Guards against saying "not run" for a write whose owner was lost while it ran.
+Test(Forwarding, lostOwnerOfAWriteIsUnknown)
+{
+    Fixture fixture;
+    RemoteCaller caller(fixture, "orders");
+    caller.say(StatementKind::Write, "w1", "WRITE x 1");
+    fixture.run(Milliseconds(5));
+    fixture.forwarder.onLoss(fixture.ownerVm, fixture.timers.now());
+    cr_assert(caller.replies.back().error == StatementError::Unknown);
+}
+
+// Guards against failing a read that can run on a connection of this daemon's own.
+Test(Forwarding, readRunsHereWhenTheOwnerIsLost)
+{
+    Fixture fixture;
+    RemoteCaller caller(fixture, "orders");
+    fixture.entryNetwork.isCut = true;
+    caller.say(StatementKind::Read, "r1", "READ x");
+    fixture.run(Milliseconds(400));
+    cr_assert_eq(caller.replies.size(), 1U);
+    cr_assert(!caller.replies[0].error);
+}
+
+// Guards against waiting for an owner that never answers, and against repeating a write there.
+Test(Forwarding, silentOwnerIsGivenUpAtTheDeadline)
+{
+    Fixture fixture;
+    RemoteCaller caller(fixture, "orders");
+    fixture.entryNetwork.isSilent = true;
+    caller.say(StatementKind::Write, "w1", "WRITE x 1");
+    fixture.run(Milliseconds(1300));
+    cr_assert_eq(caller.replies.size(), 1U);
+    cr_assert(caller.replies[0].error == StatementError::Unknown);
+    cr_assert_eq(fixture.endpoints.runsOf("w1"), 0U);
+}
+
+// Guards against transactions that stay open at the owner after their caller's daemon was lost.
+Test(Forwarding, lostDaemonRollsItsTransactionsBack)
+{
+    Fixture fixture;
+    RemoteCaller caller(fixture, "orders");
+    caller.say(StatementKind::Begin, "b", "BEGIN");
+    caller.say(StatementKind::Write, "w1", "WRITE x 1");
+    fixture.run(Milliseconds(100));
+    cr_assert_eq(fixture.owner.openTransactions(), 1U);
+    fixture.owner.onLoss(fixture.entryVm, fixture.timers.now());
+    cr_assert_eq(fixture.owner.openTransactions(), 0U);
+    caller.say(StatementKind::Commit, "c1", "COMMIT");
+    fixture.run(Milliseconds(100));
+    cr_assert(caller.replies.back().error == StatementError::Aborted);
+    cr_assert_eq(fixture.endpoints.runsOf("c1"), 0U);
+}
+
+// Guards against a transaction that stays open because its answer came after the caller had left.
+Test(Forwarding, lateAnswerOfAnAbandonedBeginEndsTheTransaction)
+{
+    Fixture fixture;
+    RemoteCaller caller(fixture, "orders");
+    caller.say(StatementKind::Begin, "b", "BEGIN");
+    caller.say(StatementKind::Write, "w1", "WRITE x 1");
+    fixture.run(Milliseconds(5));
+    caller.session.onCallerClosed(fixture.timers.now());
+    fixture.run(Milliseconds(200));
+    cr_assert_eq(fixture.owner.openTransactions(), 0U);
+}
--- /dev/null
+++ b/tests/front/TestFleetMembers.cpp
@@ -0,0 +1,52 @@
+#include "almondlever/front/FleetMembers.h"
+
+#include <criterion/criterion.h>
+
+using namespace almondlever;
+
+namespace {
+
+const TimePoint start { std::chrono::hours(1) };
+const LiveDaemon self { VmId("m"), FailureDomainId("d1"), "10.0.0.1:1", false };
+
+LiveDaemon makeDaemon(const std::string& name) { return { VmId(name), FailureDomainId("d2"), "10.0.0.2:1", false }; }
+
+} // namespace
+
+// Guards against a view without this daemon, or in another order on each daemon.
+Test(FleetMembers, viewIsSortedAndContainsSelf)
+{
+    FleetMembers members(self);
+    cr_assert_eq(members.view().daemons.size(), 1U);
+    cr_assert(members.add("z", FleetMembers::encode(makeDaemon("z"))));
+    cr_assert(members.add("a", FleetMembers::encode(makeDaemon("a"))));
+    cr_assert(members.add("m", FleetMembers::encode(self)));
+    const auto daemons = members.view().daemons;
+    cr_assert_eq(daemons.size(), 3U);
+    cr_assert(daemons[0].id == VmId("a") && daemons[1].id == VmId("m") && daemons[2].id == VmId("z"));
+    cr_assert_eq(daemons[0].peerAddress, "10.0.0.2:1");
+}
+
+// Guards against moving all connections because the keys of living daemons lapsed with an outage of the store.
+Test(FleetMembers, lapsedMemberStaysForAWhile)
+{
+    FleetMembers members(self);
+    members.add("a", FleetMembers::encode(makeDaemon("a")));
+    members.keepOnly({}, start);
+    cr_assert(!members.removeLapsed(start + Milliseconds(3900)));
+    cr_assert_eq(members.view().daemons.size(), 2U);
+    members.add("a", FleetMembers::encode(makeDaemon("a")));
+    cr_assert(!members.removeLapsed(start + Milliseconds(9000)));
+    members.lapse("a", start + Milliseconds(9000));
+    cr_assert(members.removeLapsed(start + Milliseconds(13000)));
+    cr_assert_eq(members.view().daemons.size(), 1U);
+}
+
+// Guards against entries of another writer.
+Test(FleetMembers, ignoresWhatItCannotRead)
+{
+    FleetMembers members(self);
+    cr_assert(!members.add("a", "nonsense"));
+    cr_assert(!members.add("", "d 1"));
+    cr_assert_eq(members.view().daemons.size(), 1U);
+}
--- /dev/null
+++ b/tests/front/TestPromotionDriver.cpp
@@ -0,0 +1,157 @@
+#include "almondlever/front/PromotionDriver.h"
+#include "mocks/DispatcherFixture.h"
+#include "mocks/FakeMetadataStore.h"
+
+#include <criterion/criterion.h>
+
+using namespace almondlever;
+
+namespace {
+
+/** The platform's call, which makes an endpoint of the fixture lead after a while. */
+class FakePromotions final : public PromotionService {
+public:
+    explicit FakePromotions(DispatcherFixture& fixture)
+        : fixture_(fixture)
+    {
+    }
+
+    void promote(const GroupId&, const EndpointId& endpoint, const std::string&, std::uint64_t fence,
+        std::function<void(PromotionAnswer, const std::string&)> callback) override
+    {
+        promoted.push_back(endpoint);
+        fences.push_back(fence);
+        fixture_.timers.callAfter(Milliseconds(10),
+            [callback](TimePoint) { callback(PromotionAnswer::Accepted, "status 200"); });
+        fixture_.timers.callAfter(Milliseconds(300), [this, endpoint](TimePoint) {
+            for (const EndpointId& id : { fixture_.a, fixture_.b, fixture_.c })
+                fixture_.endpoints.server(id).leads = id == endpoint;
+            auto& server = fixture_.endpoints.server(endpoint);
+            server.position.term += 1;
+            server.pausedIn = 0;
+        });
+    }
+
+    std::vector<EndpointId> promoted;
+    std::vector<std::uint64_t> fences;
+
+private:
+    DispatcherFixture& fixture_;
+};
+
+struct Fixture : DispatcherFixture {
+    FakeMetadataStore store { timers };
+    FakePromotions promotions { *this };
+    PromotionDriver driver { directory, dispatcher, store, promotions, timers, makeSettings() };
+
+    static PromotionDriverSettings makeSettings()
+    {
+        PromotionDriverSettings settings;
+        settings.holder = "vm-1";
+        return settings;
+    }
+
+    Fixture()
+    {
+        driver.setGroups(configuration->groups);
+        driver.setOwners({ { group, { "vm-1" } } });
+    }
+
+    void run(Duration by)
+    {
+        const TimePoint end = timers.now() + by;
+        while (timers.now() < end) {
+            advance(Milliseconds(25));
+            driver.onTick(timers.now());
+        }
+    }
+};
+
+} // namespace
+
+// Guards against a group that stays without a primary, and against promoting the replica that has less.
+Test(PromotionDriver, replacesACrashedPrimary)
+{
+    Fixture fixture;
+    fixture.endpoints.server(fixture.b).position = { 1, 104 };
+    fixture.endpoints.server(fixture.c).position = { 1, 106 };
+    fixture.endpoints.crash(fixture.a);
+    fixture.run(Milliseconds(2500));
+    cr_assert_eq(fixture.promotions.promoted.size(), 1U);
+    cr_assert(fixture.promotions.promoted[0] == fixture.c);
+    cr_assert_eq(fixture.endpoints.server(fixture.b).pausedIn, 0U, "the other replica must receive again");
+    cr_assert(!fixture.store.has(storeKeys::claims + "ledger"));
+    cr_assert_eq(fixture.store.valueOf(storeKeys::changes + "ledger"), storeKeys::changeDone);
+    FakeCaller caller(fixture, "orders");
+    caller.write("w1");
+    fixture.run(Milliseconds(200));
+    cr_assert(caller.succeeded());
+}
+
+// Guards against a gap in writes when a primary leaves as planned.
+Test(PromotionDriver, handsALeavingPrimaryOver)
+{
+    Fixture fixture;
+    EndpointEntry entry = fixture.entryOf(fixture.a);
+    entry.isLeaving = true;
+    fixture.directory.update(entry, fixture.timers.now());
+    std::size_t failed = 0;
+    for (int i = 0; i < 60; ++i) {
+        FakeCaller caller(fixture, "orders");
+        caller.write("w" + std::to_string(i));
+        fixture.run(Milliseconds(50));
+        failed += caller.succeeded() ? 0 : 1;
+    }
+    cr_assert_eq(fixture.promotions.promoted.size(), 1U);
+    cr_assert(fixture.promotions.promoted[0] != fixture.a);
+    cr_assert_leq(failed, 1U);
+}
+
+// Guards against changing a primary while another daemon holds the claim.
+Test(PromotionDriver, waitsForAnotherHolder)
+{
+    Fixture fixture;
+    fixture.driver.onClaim(fixture.group, true, fixture.timers.now());
+    fixture.endpoints.crash(fixture.a);
+    fixture.run(Milliseconds(2000));
+    cr_assert(fixture.promotions.promoted.empty());
+    fixture.driver.onClaim(fixture.group, false, fixture.timers.now());
+    fixture.run(Milliseconds(1500));
+    cr_assert_eq(fixture.promotions.promoted.size(), 1U);
+}
+
+// Guards against replicas that stay paused after the daemon that paused them died.
+Test(PromotionDriver, recoversAnUnfinishedChange)
+{
+    Fixture fixture;
+    fixture.endpoints.server(fixture.b).pausedIn = 9;
+    fixture.driver.onChangeRecord(fixture.group, true, fixture.timers.now());
+    fixture.run(Milliseconds(1500));
+    cr_assert_eq(fixture.endpoints.server(fixture.b).pausedIn, 0U);
+    cr_assert_eq(fixture.promotions.promoted.size(), 1U);
+    cr_assert(fixture.promotions.promoted[0] == fixture.a, "the present primary, under a newer fence");
+    cr_assert_eq(fixture.store.valueOf(storeKeys::changes + "ledger"), storeKeys::changeDone);
+}
+
+// Guards against daemons that keep no connections to a group changing its primary.
+Test(PromotionDriver, othersThanOwnersDoNothing)
+{
+    Fixture fixture;
+    fixture.driver.setOwners({ { fixture.group, { "vm-2" } } });
+    fixture.endpoints.crash(fixture.a);
+    fixture.run(Milliseconds(2000));
+    cr_assert(fixture.promotions.promoted.empty());
+}
+
+// Guards against promotions while the store cannot tell who may act.
+Test(PromotionDriver, doesNothingWithoutTheStore)
+{
+    Fixture fixture;
+    fixture.store.isDown = true;
+    fixture.endpoints.crash(fixture.a);
+    fixture.run(Milliseconds(2000));
+    cr_assert(fixture.promotions.promoted.empty());
+    fixture.store.isDown = false;
+    fixture.run(Milliseconds(2000));
+    cr_assert_eq(fixture.promotions.promoted.size(), 1U);
+}
--- /dev/null
+++ b/tests/front/TestStopSequence.cpp
@@ -0,0 +1,48 @@
+#include "almondlever/front/StopSequence.h"
+
+#include <criterion/criterion.h>
+
+using namespace almondlever;
+
+namespace {
+
+const TimePoint start { std::chrono::hours(1) };
+
+TimePoint at(int milliseconds) { return start + Milliseconds(milliseconds); }
+
+} // namespace
+
+// Guards against refusing callers whom the balancer still sends, and against closing all sessions at one moment.
+Test(StopSequence, closesSessionsAfterTheBalancerHasNoticed)
+{
+    StopSequence stop { StopSettings() };
+    cr_assert(stop.acceptsCallers(start));
+    stop.begin(start);
+    cr_assert(stop.isStopping());
+    cr_assert(stop.acceptsCallers(at(2000)));
+    cr_assert_float_eq(stop.shareToClose(at(2000)), 0, 0.001);
+    cr_assert(!stop.acceptsCallers(at(2400)));
+    const double half = stop.shareToClose(at(2900));
+    cr_assert(half > 0.2 && half < 0.8);
+    cr_assert_float_eq(stop.shareToClose(at(3600)), 1, 0.001);
+}
+
+// Guards against ending transactions before the first half of the grace period is over, and against being killed.
+Test(StopSequence, transactionsHaveHalfOfTheGracePeriod)
+{
+    StopSequence stop { StopSettings() };
+    stop.begin(start);
+    cr_assert(!stop.endsTransactions(at(2990)));
+    cr_assert(stop.endsTransactions(at(3200)));
+    cr_assert(!stop.mustExit(at(5000)));
+    cr_assert(stop.mustExit(at(5700)));
+}
+
+// Guards against a second signal that starts the sequence anew.
+Test(StopSequence, secondSignalChangesNothing)
+{
+    StopSequence stop { StopSettings() };
+    stop.begin(start);
+    stop.begin(at(3000));
+    cr_assert(stop.mustExit(at(5700)));
+}
--- /dev/null
+++ b/tests/front/TestStoreRelay.cpp
@@ -0,0 +1,198 @@
+#include "almondlever/front/StoreRelay.h"
+#include "mocks/FakeMetadataStore.h"
+
+#include <criterion/criterion.h>
+#include <memory>
+
+using namespace almondlever;
+
+namespace {
+
+/** Several daemons with followers of one store and a network that can be cut. */
+class Fleet {
+public:
+    struct Daemon final : PrefixObserver, PeerNetwork {
+        Daemon(Fleet& owner, const VmId& vm, StoreRelaySettings settings)
+            : fleet(owner)
+            , id(vm)
+            , store(owner.timers)
+            , follower(store, owner.timers, "op/", Milliseconds(50), *this)
+            , relay(settings, { &follower })
+        {
+            relay.setNetwork(this);
+        }
+
+        void onStoreSnapshot(const std::string& prefix, const std::vector<StoreItem>& items, std::uint64_t revision,
+            TimePoint) override
+        {
+            relay.cacheOf(prefix).takeSnapshot(items, revision);
+            take(items);
+        }
+        void onStoreChanges(const std::string& prefix, const std::vector<StoreItem>& items, std::uint64_t revision,
+            TimePoint) override
+        {
+            relay.cacheOf(prefix).takeChanges(items, revision);
+            take(items);
+        }
+        void onStoreReturned(const std::string&, TimePoint) override { }
+        void onStoreLost(const std::string&, const StoreFailure&, TimePoint) override { }
+        void take(const std::vector<StoreItem>& items)
+        {
+            for (const StoreItem& item : items)
+                configuration = item.value;
+        }
+
+        Result<Done, std::string> listen() override { return Done {}; }
+        bool send(const VmId& to, const std::string&, const Message& message) override
+        {
+            const auto target = fleet.daemons.find(to);
+            if (target == fleet.daemons.end() || isCut || target->second->isCut)
+                return false;
+            const auto decoded = decodeMessage(encodeMessage(message));
+            cr_assert(decoded.hasValue());
+            fleet.timers.callAfter(Milliseconds(1),
+                [from = id, daemon = target->second.get(), message = decoded.value()](TimePoint now) {
+                    if (const auto* request = std::get_if<StoreNewsRequest>(&message))
+                        daemon->relay.onRequest(from, *request, now);
+                    if (const auto* news = std::get_if<StoreNews>(&message))
+                        daemon->relay.onNews(from, *news, now);
+                });
+            return true;
+        }
+        void onMessage(MessageHandler) override { }
+        void onLoss(LossHandler) override { }
+        void onUnsent(UnsentHandler) override { }
+        std::uint64_t bytesTransferred() const override { return 0; }
+        PeerTraffic traffic() const override { return {}; }
+        void stop() override { }
+
+        Fleet& fleet;
+        VmId id;
+        FakeMetadataStore store;
+        PrefixFollower follower;
+        StoreRelay relay;
+        std::string configuration;
+        bool isCut = false;
+    };
+
+    Fleet()
+    {
+        for (const char* name : { "a", "b", "c", "d", "e" }) {
+            StoreRelaySettings settings;
+            settings.self = VmId(name);
+            settings.watchers = 2;
+            daemons[VmId(name)] = std::make_unique<Daemon>(*this, VmId(name), settings);
+            view.daemons.push_back({ VmId(name), FailureDomainId(name), "x", false });
+        }
+        put("1");
+        for (auto& [id, daemon] : daemons) {
+            daemon->follower.start();
+            daemon->relay.setMembers(view);
+        }
+        run(Milliseconds(3000));
+    }
+
+    /** Writes to the stores of all daemons, which stand for the one store. */
+    void put(const std::string& value)
+    {
+        for (auto& [id, daemon] : daemons)
+            daemon->store.put("op/config", value);
+    }
+
+    void run(Duration by)
+    {
+        const TimePoint end = timers.now() + by;
+        while (timers.now() < end) {
+            timers.advance(Milliseconds(25));
+            for (auto& [id, daemon] : daemons)
+                daemon->relay.onTick(timers.now());
+        }
+    }
+
+    std::vector<Daemon*> others()
+    {
+        std::vector<Daemon*> found;
+        for (auto& [id, daemon] : daemons) {
+            if (!daemon->relay.isWatcher())
+                found.push_back(daemon.get());
+        }
+        return found;
+    }
+    std::vector<Daemon*> watchers()
+    {
+        std::vector<Daemon*> found;
+        for (auto& [id, daemon] : daemons) {
+            if (daemon->relay.isWatcher())
+                found.push_back(daemon.get());
+        }
+        return found;
+    }
+
+    FakeTimerService timers;
+    std::map<VmId, std::unique_ptr<Daemon>> daemons;
+    MembershipView view;
+};
+
+} // namespace
+
+// Guards against calls to the store that grow with the fleet.
+Test(StoreRelay, othersMakeNoCalls)
+{
+    Fleet fleet;
+    cr_assert_eq(fleet.watchers().size(), 2U);
+    fleet.run(Milliseconds(5000));
+    std::size_t before = 0;
+    for (const auto* daemon : fleet.others())
+        before += daemon->store.calls;
+    fleet.put("2");
+    fleet.run(Milliseconds(10000));
+    std::size_t after = 0;
+    for (const auto* daemon : fleet.others()) {
+        after += daemon->store.calls;
+        cr_assert_eq(daemon->configuration, "2");
+        cr_assert(!daemon->relay.source().isEmpty());
+    }
+    cr_assert_eq(after, before);
+}
+
+// Guards against a configuration that is late because the watcher is cut off from the store without noticing.
+Test(StoreRelay, watcherWithoutConfirmationIsNotReliedOn)
+{
+    Fleet fleet;
+    for (auto* watcher : fleet.watchers()) {
+        // Calls of the watcher are never answered.
+        watcher->store.delay = Milliseconds(3600000);
+    }
+    for (auto* daemon : fleet.others())
+        daemon->store.put("op/config", "2");
+    fleet.run(Milliseconds(2900));
+    fleet.run(Milliseconds(1000));
+    for (const auto* daemon : fleet.others())
+        cr_assert_eq(daemon->configuration, "2");
+}
+
+// Guards against daemons that learn nothing more when their watcher dies.
+Test(StoreRelay, lostWatcherIsReplaced)
+{
+    Fleet fleet;
+    fleet.watchers()[0]->isCut = true;
+    fleet.run(Milliseconds(2000));
+    fleet.put("2");
+    fleet.run(Milliseconds(1500));
+    for (const auto* daemon : fleet.others()) {
+        cr_assert_eq(daemon->configuration, "2");
+        cr_assert(daemon->relay.source() != fleet.watchers()[0]->id);
+    }
+}
+
+// Guards against a daemon that the store turns away staying without news although its peers have them.
+Test(StoreRelay, daemonThatTheStoreTurnsAwayHearsFromPeers)
+{
+    Fleet fleet;
+    for (auto* daemon : fleet.others())
+        daemon->store.isDown = true;
+    fleet.put("2");
+    fleet.run(Milliseconds(1500));
+    for (const auto* daemon : fleet.others())
+        cr_assert_eq(daemon->configuration, "2");
+}
--- /dev/null
+++ b/tests/store/TestPrefixFollower.cpp
@@ -0,0 +1,149 @@
+#include "almondlever/store/PrefixFollower.h"
+#include "mocks/FakeMetadataStore.h"
+
+#include <criterion/criterion.h>
+
+using namespace almondlever;
+
+namespace {
+
+/** Keeps what a follower reports as the present keys. */
+class Recorder final : public PrefixObserver {
+public:
+    void onStoreSnapshot(
+        const std::string&, const std::vector<StoreItem>& items, std::uint64_t, TimePoint) override
+    {
+        ++snapshots;
+        keys.clear();
+        take(items);
+    }
+    void onStoreChanges(const std::string&, const std::vector<StoreItem>& items, std::uint64_t, TimePoint) override
+    {
+        take(items);
+    }
+    void onStoreReturned(const std::string&, TimePoint) override { ++returns; }
+    void onStoreLost(const std::string&, const StoreFailure&, TimePoint) override { ++losses; }
+
+    std::map<std::string, std::string> keys;
+    int snapshots = 0;
+    int losses = 0;
+    int returns = 0;
+
+private:
+    void take(const std::vector<StoreItem>& items)
+    {
+        for (const StoreItem& item : items) {
+            if (item.isDeleted)
+                keys.erase(item.key);
+            else
+                keys[item.key] = item.value;
+        }
+    }
+};
+
+struct Fixture {
+    FakeTimerService timers;
+    FakeMetadataStore store { timers };
+    Recorder recorder;
+    PrefixFollower follower { store, timers, "op/", Milliseconds(100), recorder };
+};
+
+} // namespace
+
+// Guards against missing keys beyond the first page, and changes made while pages were read.
+Test(PrefixFollower, readsAllPagesAndLaterChanges)
+{
+    Fixture fixture;
+    fixture.store.pageSize = 2;
+    for (int i = 0; i < 5; ++i)
+        fixture.store.put("op/" + std::to_string(i), "a");
+    fixture.store.put("other/1", "a");
+    fixture.follower.start();
+    fixture.timers.advance(Milliseconds(6));
+    fixture.store.put("op/0", "b");
+    fixture.timers.advance(Milliseconds(500));
+    cr_assert_eq(fixture.recorder.keys.size(), 5U);
+    cr_assert_eq(fixture.recorder.keys["op/0"], "b");
+    fixture.store.erase("op/1");
+    fixture.timers.advance(Milliseconds(500));
+    cr_assert_eq(fixture.recorder.keys.count("op/1"), 0U);
+}
+
+// Guards against staying at an old state after the store dropped its history, also when a cut hid that from the watch.
+Test(PrefixFollower, readsAllAfterACut)
+{
+    Fixture fixture;
+    fixture.store.put("op/config", "1");
+    fixture.follower.start();
+    fixture.timers.advance(Milliseconds(200));
+    fixture.store.isDown = true;
+    fixture.store.cutWatches();
+    fixture.store.put("op/config", "2");
+    fixture.store.dropHistory();
+    fixture.timers.advance(Milliseconds(1000));
+    cr_assert_eq(fixture.recorder.losses, 1);
+    fixture.store.isDown = false;
+    fixture.timers.advance(Milliseconds(600));
+    cr_assert_eq(fixture.recorder.keys["op/config"], "2");
+    cr_assert_eq(fixture.recorder.returns, 1);
+    cr_assert_eq(fixture.recorder.snapshots, 2);
+}
+
+// Guards against a 410 being taken for an outage.
+Test(PrefixFollower, readsAllWhenTheHistoryIsGone)
+{
+    Fixture fixture;
+    fixture.store.put("op/config", "1");
+    fixture.follower.start();
+    fixture.timers.advance(Milliseconds(200));
+    fixture.store.put("op/config", "2");
+    fixture.store.put("op/config", "3");
+    fixture.timers.advance(Milliseconds(6));
+    fixture.store.put("op/config", "4");
+    fixture.store.dropHistory();
+    fixture.timers.advance(Milliseconds(1000));
+    cr_assert_eq(fixture.recorder.keys["op/config"], "4");
+    cr_assert_eq(fixture.recorder.losses, 0);
+}
+
+// Guards against one call for each change of a burst, since calls are limited.
+Test(PrefixFollower, gathersChangesOfABurst)
+{
+    Fixture fixture;
+    fixture.store.put("op/config", "0");
+    fixture.follower.start();
+    fixture.timers.advance(Milliseconds(200));
+    const std::size_t before = fixture.store.calls;
+    for (int i = 0; i < 20; ++i) {
+        fixture.store.put("op/config", std::to_string(i));
+        fixture.timers.advance(Milliseconds(10));
+    }
+    fixture.timers.advance(Milliseconds(300));
+    cr_assert_leq(fixture.store.calls - before, 4U);
+    cr_assert_eq(fixture.recorder.keys["op/config"], "19");
+}
+
+// Guards against calls beside what a peer tells, and against not taking over when the peer is lost.
+Test(PrefixFollower, pausesWhileAPeerTellsTheNews)
+{
+    Fixture fixture;
+    fixture.store.put("op/config", "1");
+    fixture.follower.start();
+    fixture.timers.advance(Milliseconds(200));
+    fixture.follower.pause();
+    fixture.timers.advance(Milliseconds(5000));
+    const std::size_t before = fixture.store.calls;
+    fixture.timers.advance(Milliseconds(10000));
+    cr_assert_eq(fixture.store.calls, before);
+    StoreItem item;
+    item.key = "op/config";
+    item.value = "2";
+    fixture.follower.takeNews({ item }, 100, false);
+    cr_assert_eq(fixture.recorder.keys["op/config"], "2");
+    fixture.follower.takeNews({}, 50, true);
+    cr_assert_eq(fixture.recorder.keys["op/config"], "2", "older news change nothing");
+    fixture.store.put("op/config", "3");
+    fixture.follower.resume();
+    fixture.timers.advance(Milliseconds(100));
+    cr_assert_eq(fixture.recorder.keys["op/config"], "3");
+}
--- /dev/null
+++ b/tests/store/TestPromotionClaim.cpp
@@ -0,0 +1,97 @@
+#include "almondlever/store/PromotionClaim.h"
+#include "mocks/FakeMetadataStore.h"
+
+#include <criterion/criterion.h>
+
+using namespace almondlever;
+
+namespace {
+
+const GroupId group("ledger");
+
+struct Fixture {
+    FakeTimerService timers;
+    FakeMetadataStore store { timers };
+    PromotionClaim first { store, timers, group, "vm-1" };
+    PromotionClaim second { store, timers, group, "vm-2" };
+
+    std::uint64_t acquire(PromotionClaim& claim, std::uint64_t attempt = 1)
+    {
+        std::uint64_t fence = 0;
+        claim.acquire(attempt, [&fence](const StoreResult<std::uint64_t>& result) {
+            if (result)
+                fence = result.value();
+        });
+        timers.advance(Milliseconds(100));
+        return fence;
+    }
+};
+
+} // namespace
+
+// Guards against two daemons that change a primary at the same time.
+Test(PromotionClaim, isExclusive)
+{
+    Fixture fixture;
+    cr_assert_neq(fixture.acquire(fixture.first), 0U);
+    cr_assert_eq(fixture.acquire(fixture.second), 0U);
+    cr_assert(fixture.first.isHeld(fixture.timers.now()));
+    cr_assert(!fixture.second.isHeld(fixture.timers.now()));
+}
+
+// Guards against a fencing token that does not rise from one holder to the next.
+Test(PromotionClaim, fenceRises)
+{
+    Fixture fixture;
+    const std::uint64_t first = fixture.acquire(fixture.first);
+    fixture.first.release(true);
+    fixture.timers.advance(Milliseconds(100));
+    cr_assert_eq(fixture.store.valueOf(storeKeys::changes + "ledger"), storeKeys::changeDone);
+    cr_assert_gt(fixture.acquire(fixture.second), first);
+}
+
+// Guards against a claim that blocks the group after its holder has died, and against forgetting the unfinished change.
+Test(PromotionClaim, endsWithItsHolder)
+{
+    FakeTimerService timers;
+    FakeMetadataStore store { timers };
+    {
+        PromotionClaim dying { store, timers, group, "vm-1" };
+        dying.acquire(1, [](const StoreResult<std::uint64_t>&) {});
+        timers.advance(Milliseconds(100));
+        cr_assert(store.has(storeKeys::claims + "ledger"));
+    }
+    timers.advance(PromotionClaim::leaseDuration + Milliseconds(100));
+    cr_assert(!store.has(storeKeys::claims + "ledger"));
+    cr_assert_eq(store.valueOf(storeKeys::changes + "ledger"), storeKeys::changeOpen);
+}
+
+// Guards against a holder that goes on although its renewals fail and the lease may have ended.
+Test(PromotionClaim, holderStopsWhenRenewalsFail)
+{
+    Fixture fixture;
+    fixture.acquire(fixture.first);
+    fixture.timers.advance(Milliseconds(4000));
+    cr_assert(fixture.first.isHeld(fixture.timers.now()), "renewals succeed");
+    fixture.store.isDown = true;
+    fixture.timers.advance(PromotionClaim::leaseDuration);
+    cr_assert(!fixture.first.isHeld(fixture.timers.now()));
+}
+
+// Guards against taking a claim for failed that was made although its answer was lost.
+Test(PromotionClaim, lostAnswerIsReadBack)
+{
+    Fixture fixture;
+    fixture.store.losesAnswers = true;
+    cr_assert_neq(fixture.acquire(fixture.first), 0U);
+    cr_assert(fixture.first.isHeld(fixture.timers.now()));
+}
+
+// Guards against taking the claim of an earlier attempt for the present one.
+Test(PromotionClaim, claimOfAnotherAttemptIsNotTaken)
+{
+    Fixture fixture;
+    fixture.store.put(storeKeys::claims + "ledger", "vm-1 1");
+    fixture.store.losesAnswers = true;
+    cr_assert_eq(fixture.acquire(fixture.first, 2), 0U);
+}
--- /dev/null
+++ b/tests/users_platform/TestLineCodec.cpp
@@ -0,0 +1,148 @@
+#include "platform/LineCodec.h"
+
+#include <criterion/criterion.h>
+
+using namespace almondlever;
+using namespace almondlever::platform;
+
+namespace {
+
+Statement decode(const std::string& line)
+{
+    const CallerMessage message = decodeCallerLine(line);
+    cr_assert(std::holds_alternative<Statement>(message), "'%s' is no statement", line.c_str());
+    return std::get<Statement>(message);
+}
+
+} // namespace
+
+// Guards against statements that are read as something else, or changed on the way.
+Test(LineCodec, decodesStatements)
+{
+    const Statement write = decode("QUERY 5c0e WRITE 1a4 some data  with blanks");
+    cr_assert(write.kind == StatementKind::Write);
+    cr_assert_eq(write.id, "5c0e");
+    cr_assert_eq(write.text, "WRITE 1a4 some data  with blanks");
+    cr_assert(decode("QUERY 1 READ 1a4").kind == StatementKind::Read);
+    cr_assert(decode("QUERY 1 BEGIN").kind == StatementKind::Begin);
+    cr_assert(decode("QUERY 1 BEGIN READ").kind == StatementKind::BeginReadOnly);
+    cr_assert(decode("QUERY 1 COMMIT").kind == StatementKind::Commit);
+    cr_assert(decode("QUERY 1 ROLLBACK").kind == StatementKind::Rollback);
+    const Statement set = decode("QUERY 1 SET zone Africa/Windhoek x");
+    cr_assert_eq(set.name, "zone");
+    cr_assert_eq(set.argument, "Africa/Windhoek x");
+    const Statement prepare = decode("QUERY 1 PREPARE s1 WRITE q2c");
+    cr_assert(prepare.kind == StatementKind::Prepare && prepare.isWriteShape);
+    cr_assert_eq(prepare.argument, "q2c");
+    const Statement execute = decode("QUERY 1 EXECUTE s1 1a4 xk");
+    cr_assert_eq(execute.name, "s1");
+    cr_assert_eq(execute.argument, "1a4 xk");
+    cr_assert(decode("QUERY 1 DEALLOC s1").kind == StatementKind::Deallocate);
+}
+
+// Guards against passing on what only the proxy may say, and what cannot be understood.
+Test(LineCodec, refusesWhatIsNoStatementOfACaller)
+{
+    cr_assert(decode("QUERY 1 AFTER 3.1 READ x").kind == StatementKind::Malformed);
+    cr_assert(decode("QUERY 1 STATUS").kind == StatementKind::Malformed);
+    cr_assert(decode("QUERY - READ x").kind == StatementKind::Malformed);
+    cr_assert(decode("QUERY 1 PREPARE s1 APPEND q").kind == StatementKind::Malformed);
+    cr_assert(decode("QUERY 1 ").kind == StatementKind::Malformed);
+    cr_assert(decode("QUERY").kind == StatementKind::Malformed);
+    cr_assert(std::holds_alternative<CallerNonsense>(decodeCallerLine("")));
+    cr_assert(std::holds_alternative<CallerNonsense>(decodeCallerLine("GET / HTTP/1.1")));
+    cr_assert(std::holds_alternative<CallerNonsense>(decodeCallerLine("STARTUP")));
+    cr_assert(std::holds_alternative<CallerGoodbye>(decodeCallerLine("TERMINATE")));
+}
+
+// Guards against replies that callers or endpoints read in another way.
+Test(LineCodec, encodesRepliesAndCommands)
+{
+    Reply reply;
+    reply.rows = { "row" };
+    reply.detail = "7.1f3";
+    reply.position = LogPosition { 3, 1209 };
+    cr_assert_eq(encodeReply(reply), "DATAROW row\r\nCOMPLETE 7.1f3\r\nREADY I 3.1209\r\n");
+    Reply error;
+    error.error = StatementError::Aborted;
+    error.detail = "why";
+    error.state = TransactionState::Failed;
+    cr_assert_eq(encodeReply(error), "ERROR ABORTED why\r\nREADY E -\r\n");
+    EndpointCommand command;
+    command.id = "5c0e";
+    command.text = "READ 1a4";
+    command.after = LogPosition { 3, 1207 };
+    cr_assert_eq(encodeCommand(command), "QUERY 5c0e AFTER 3.1207 READ 1a4\r\n");
+    EndpointCommand pause;
+    pause.kind = EndpointCommand::Kind::PauseReplication;
+    pause.term = 4;
+    cr_assert_eq(encodeCommand(pause), "QUERY - PAUSE 4\r\n");
+    EndpointCommand execute;
+    execute.kind = EndpointCommand::Kind::ForwardPrepared;
+    execute.id = "9";
+    execute.name = "w_q";
+    execute.argument = "x y";
+    cr_assert_eq(encodeCommand(execute), "QUERY 9 EXECUTE w_q x y\r\n");
+    cr_assert_eq(
+        encodeEndpointStartup(GroupId("g"), EndpointId("i-1")), std::string("STARTUP g almondlever i-1\r\n"));
+}
+
+// Guards against replies that are put together wrongly when they come in pieces.
+Test(LineCodec, assemblesReplies)
+{
+    ReplyAssembler assembler;
+    cr_assert(assembler.feed("DATAROW a") == ReplyAssembler::Step::Pending);
+    cr_assert(assembler.feed("COMPLETE sig") == ReplyAssembler::Step::Pending);
+    cr_assert(assembler.feed("READY T 3.12") == ReplyAssembler::Step::Complete);
+    const Reply reply = assembler.take();
+    cr_assert_eq(reply.rows.size(), 1U);
+    cr_assert(!reply.error);
+    cr_assert(reply.state == TransactionState::Open);
+    cr_assert(*reply.position == LogPosition({ 3, 12 }));
+    cr_assert(assembler.feed("ERROR READONLY i-7") == ReplyAssembler::Step::Pending);
+    cr_assert(assembler.feed("READY E -") == ReplyAssembler::Step::Complete);
+    const Reply refused = assembler.take();
+    cr_assert(refused.error == StatementError::ReadOnly);
+    cr_assert(!refused.position);
+    cr_assert(assembler.feed("HELLO") == ReplyAssembler::Step::Invalid);
+    cr_assert(assembler.feed("READY X -") == ReplyAssembler::Step::Invalid);
+}
+
+// Guards against taking an unknown error for a promise of no effect.
+Test(LineCodec, unknownErrorPromisesNothing)
+{
+    ReplyAssembler assembler;
+    assembler.feed("ERROR SOMETHING new");
+    assembler.feed("READY I -");
+    cr_assert(!isPromiseOfNoEffect(*assembler.take().error));
+}
+
+// Guards against lines that are split by the network, and against lines without end.
+Test(LineCodec, splitsLines)
+{
+    LineBuffer lines;
+    lines.append("QUERY 1 RE");
+    cr_assert(!lines.next());
+    lines.append("AD x\r\nTERM");
+    cr_assert_eq(std::string(*lines.next()), "QUERY 1 READ x");
+    cr_assert(!lines.next());
+    lines.append("INATE\n");
+    cr_assert_eq(std::string(*lines.next()), "TERMINATE");
+    lines.append(std::string(maximumMessageBytes + 1, 'x'));
+    cr_assert(!lines.next());
+    cr_assert(lines.isTooLong());
+}
+
+// Guards against a status that is read from a malformed row.
+Test(LineCodec, decodesStatusRows)
+{
+    const auto status = decodeStatusRow("replica 3 3.1209 0 12 2 17");
+    cr_assert(status);
+    cr_assert(!status->isPrimary);
+    cr_assert_eq(status->term, 3U);
+    cr_assert(status->received == LogPosition({ 3, 1209 }));
+    cr_assert(decodeStatusRow("primary 4 4.1 0 0 0 1")->isPrimary);
+    cr_assert(!decodeStatusRow("leader 3 3.1 0 0 0 1"));
+    cr_assert(!decodeStatusRow("replica x 3.1"));
+    cr_assert(!decodeStatusRow(""));
+}
--- /dev/null
+++ b/tests/users_platform/TestStoreInventory.cpp
@@ -0,0 +1,119 @@
+#include "platform/HttpMetadataStore.h"
+#include "platform/StoreInventory.h"
+
+#include <criterion/criterion.h>
+
+using namespace almondlever;
+using namespace almondlever::platform;
+
+namespace {
+
+const std::string entryText
+    = R"({"service":"huvo","address":"10.1.0.9:80","zone":"khomas-a","version":"v1","slots":5,"phase":"ready",)"
+      R"("cold-remaining-ms":0,"db-role":"replica","sequence":4,"born":1754000000123})";
+
+const std::string configurationText
+    = R"({"version":7,"routes":[{"name":"r1","database":"fiti","prefix":"/","type":"read_your_writes",)"
+      R"("timeout-ms":1000,"target-latency-ms":900,"priority":1,"service":"huvo","max-attempts":2,)"
+      R"("max-staleness-ms":2500},{"name":"r2","database":"lepu","prefix":"/","type":"primary","timeout-ms":1000,)"
+      R"("target-latency-ms":500,"priority":0,"service":"huvo"}],"services":[{"name":"huvo","max-conns":34,)"
+      R"("sync-replicas":1}],"limits":{"max-body-bytes":262144,"tx-idle-ms":3000}})";
+
+StoreItem makeItem(const std::string& key, const std::string& value)
+{
+    StoreItem item;
+    item.key = key;
+    item.value = value;
+    item.revision = 42;
+    return item;
+}
+
+std::string replaced(std::string text, const std::string& from, const std::string& to)
+{
+    const auto at = text.find(from);
+    cr_assert_neq(at, std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+bool isEntry(const std::string& value)
+{
+    return StoreInventory().decodeEndpoint(makeItem("servers/i-1", value)).hasValue();
+}
+
+} // namespace
+
+// Guards against an endpoint that is placed or addressed wrongly.
+Test(StoreInventory, decodesEntries)
+{
+    const auto result = StoreInventory().decodeEndpoint(makeItem("servers/i-7", entryText));
+    cr_assert(result.hasValue());
+    const EndpointEntry& entry = result.value();
+    cr_assert(entry.id == EndpointId("i-7"));
+    cr_assert(entry.group == GroupId("huvo"));
+    cr_assert(!entry.isLeaving);
+    cr_assert(!entry.saysPrimary);
+    cr_assert_eq(entry.startedAt.count(), 1754000000123);
+    cr_assert_eq(entry.revision, 42U);
+}
+
+// Guards against work for entries of an unknown writer, and against a crash on bytes that cannot be read.
+Test(StoreInventory, refusesEntriesOfOtherWriters)
+{
+    cr_assert(isEntry(entryText));
+    cr_assert(!isEntry(""));
+    cr_assert(!isEntry("\xff\xfe"));
+    cr_assert(!isEntry("[]"));
+    cr_assert(!isEntry(replaced(entryText, "\"ready\"", "\"resting\"")));
+    cr_assert(!isEntry(replaced(entryText, "\"replica\"", "\"witness\"")));
+    cr_assert(!isEntry(replaced(entryText, "\"slots\":5", "\"slots\":\"5\"")));
+    cr_assert(!isEntry(replaced(entryText, "\"service\":\"huvo\",", "")));
+    cr_assert(!isEntry(replaced(entryText, "1754000000123", "1.5")));
+    cr_assert(isEntry(replaced(entryText, ",\"born\":1754000000123", "")));
+}
+
+// Guards against routes with rules of another one.
+Test(StoreInventory, decodesTheConfiguration)
+{
+    const auto result = StoreInventory().decodeConfiguration(makeItem("op/config", configurationText));
+    cr_assert(result.hasValue());
+    const RoutingConfiguration& configuration = result.value();
+    cr_assert_eq(configuration.version, 7U);
+    const Route& route = configuration.routes.at(DatabaseId("fiti"));
+    cr_assert(route.readRule == ReadRule::ReadYourWrites);
+    cr_assert(route.maximumStaleness == Milliseconds(2500));
+    cr_assert(route.statementTimeout == Milliseconds(1000));
+    cr_assert(route.targetLatency == Milliseconds(900));
+    cr_assert(configuration.routes.at(DatabaseId("lepu")).readRule == ReadRule::Primary);
+    cr_assert_eq(configuration.groups.at(GroupId("huvo")).maximumConnections, 34U);
+    cr_assert_eq(configuration.groups.at(GroupId("huvo")).synchronousReplicas, 1U);
+    cr_assert(configuration.transactionIdleLimit == Milliseconds(3000));
+}
+
+// Guards against half of a configuration coming into force.
+Test(StoreInventory, refusesABrokenConfiguration)
+{
+    const StoreInventory inventory;
+    cr_assert(!inventory.decodeConfiguration(makeItem("op/config", "{}")).hasValue());
+    const std::string unknown = replaced(configurationText, "read_your_writes", "eventual");
+    cr_assert(!inventory.decodeConfiguration(makeItem("op/config", unknown)).hasValue());
+}
+
+// Guards against values that are decoded wrongly, and against bodies that cannot be read.
+Test(StoreInventory, decodesPagesOfTheStore)
+{
+    const auto page = decodeStorePage(
+        R"({"items":[{"key":"a","value":"bm9kZS0x","revision":4,"created":4,"lease":7}],"truncated":true,"as-of":9})",
+        false);
+    cr_assert(page.hasValue());
+    cr_assert_eq(page.value().items[0].value, "node-1");
+    cr_assert_eq(page.value().items[0].lease, 7U);
+    cr_assert(page.value().isTruncated);
+    cr_assert_eq(page.value().asOf, 9U);
+    const auto changes
+        = decodeStorePage(R"({"events":[{"key":"b","revision":5,"deleted":true}],"as-of":5})", true);
+    cr_assert(changes.value().items[0].isDeleted);
+    cr_assert(!decodeStorePage(R"({"items":[{"key":"a"}],"as-of":1})", false).hasValue());
+    cr_assert(!decodeStorePage("not json", false).hasValue());
+    const auto odd = decodeStorePage(R"({"items":[{"key":"a","value":"?","revision":1}],"as-of":1})", false);
+    cr_assert(!odd.hasValue());
+}
