--- a/include/almondlever/failover/GroupPromotion.h
+++ b/include/almondlever/failover/GroupPromotion.h
@@ -66,9 +66,9 @@
  * every acknowledged commit, so the attempt waits for that many answers and takes the most advanced log.
  *
  * When the primary only leaves, all other replicas are paused and it goes on to serve until the chosen one takes over:
- * every commit in between needs the chosen one's receipt. Paused replicas are resumed once it leads. An order to promote
- * whose answer is missing is repeated until the outcome is known, with the others still paused: it may be carried out
- * late. Does no input or output.
+ * every commit in between needs the chosen one's receipt. Paused replicas are resumed once it leads. An order to
+ * promote whose answer is missing is repeated until the outcome is known, with the others still paused: it may be
+ * carried out late. Does no input or output.
  */
 class GroupPromotion {
 public:
--- a/include/almondlever/front/FleetMembers.h
+++ b/include/almondlever/front/FleetMembers.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "almondlever/membership/MembershipView.h"
 #include "almondlever/common/Time.h"
+#include "almondlever/membership/MembershipView.h"
 
 #include <map>
 #include <optional>
--- a/include/almondlever/front/FrontDaemon.h
+++ b/include/almondlever/front/FrontDaemon.h
@@ -46,8 +46,8 @@
 /**
  * A daemon that speaks with callers in sessions and keeps what must last in the platform's store.
  *
- * Follows the configuration, the endpoints' entries and the product's own keys, owns the sessions, and stops gracefully.
- * Runs on one thread.
+ * Follows the configuration, the endpoints' entries and the product's own keys, owns the sessions, and stops
+ * gracefully. Runs on one thread.
  */
 class FrontDaemon final : public RoutingSource, private PrefixObserver {
 public:
@@ -85,10 +85,10 @@
         TimePoint since;
     };
 
-    void onStoreSnapshot(const std::string& prefix, const std::vector<StoreItem>&, std::uint64_t revision,
-        TimePoint now) override;
-    void onStoreChanges(const std::string& prefix, const std::vector<StoreItem>&, std::uint64_t revision,
-        TimePoint now) override;
+    void onStoreSnapshot(
+        const std::string& prefix, const std::vector<StoreItem>&, std::uint64_t revision, TimePoint now) override;
+    void onStoreChanges(
+        const std::string& prefix, const std::vector<StoreItem>&, std::uint64_t revision, TimePoint now) override;
     void onStoreReturned(const std::string& prefix, TimePoint now) override;
     void onStoreLost(const std::string& prefix, const StoreFailure&, TimePoint now) override;
 
--- a/include/almondlever/front/PromotionDriver.h
+++ b/include/almondlever/front/PromotionDriver.h
@@ -24,7 +24,8 @@
 };
 
 /**
- * Decides when this daemon changes the primary of a group, takes the claim and carries the orders of GroupPromotion out.
+ * Decides when this daemon changes the primary of a group, takes the claim and carries the orders of GroupPromotion
+ * out.
  *
  * @see GroupPromotion, PromotionClaim
  */
--- a/include/almondlever/front/StopSequence.h
+++ b/include/almondlever/front/StopSequence.h
@@ -41,7 +41,10 @@
     {
         return isStopping_ && now - startedAt_ >= settings_.grace / 2 + settings_.reserve / 4;
     }
-    bool mustExit(TimePoint now) const { return isStopping_ && now - startedAt_ >= settings_.grace - settings_.reserve; }
+    bool mustExit(TimePoint now) const
+    {
+        return isStopping_ && now - startedAt_ >= settings_.grace - settings_.reserve;
+    }
 
 private:
     StopSettings settings_;
--- a/include/almondlever/groups/EndpointDirectory.h
+++ b/include/almondlever/groups/EndpointDirectory.h
@@ -18,7 +18,8 @@
  */
 class EndpointDirectory {
 public:
-    /** An entry that is still missing after this is gone; the platform promises the return of lapsed entries within it. */
+    /** An entry that is still missing after this is gone; the platform promises the return of lapsed entries within it.
+     */
     static constexpr Milliseconds lapseGrace { 2000 };
 
     /** Replaces the whole list; entries that are missing from it start to lapse. */
--- a/include/almondlever/pooling/StatementDispatcher.h
+++ b/include/almondlever/pooling/StatementDispatcher.h
@@ -56,8 +56,8 @@
 };
 
 /**
- * Runs statements on endpoints: queues them by rank, chooses the endpoint, prepares a pooled connection so that it holds
- * exactly what the session needs, and repeats elsewhere what certainly did not run.
+ * Runs statements on endpoints: queues them by rank, chooses the endpoint, prepares a pooled connection so that it
+ * holds exactly what the session needs, and repeats elsewhere what certainly did not run.
  *
  * Every group has two queues: one for what only the primary may run, one for reads that any endpoint with a late enough
  * log may run. A read for the primary runs inside a transaction that the proxy begins and rolls back, because only
@@ -87,8 +87,8 @@
     /** Follows a new configuration. */
     void setGroups(const std::map<GroupId, GroupRule>&, TimePoint now);
     /**
-     * Sets for each group how many daemons share the connections to its endpoints, this one included; 0 when this daemon
-     * is none of them. It then opens connections only for the statements that are submitted all the same.
+     * Sets for each group how many daemons share the connections to its endpoints, this one included; 0 when this
+     * daemon is none of them. It then opens connections only for the statements that are submitted all the same.
      */
     void setSharing(const std::map<GroupId, std::size_t>&, TimePoint now);
     /** Follows changes of the directory: new endpoints, lost ones, another primary. */
--- a/include/almondlever/store/PrefixFollower.h
+++ b/include/almondlever/store/PrefixFollower.h
@@ -28,8 +28,8 @@
 };
 
 /**
- * Keeps up with the keys under a prefix: reads all pages, then waits for changes from the revision of the first page, and
- * reads all again when the store has dropped the history in between.
+ * Keeps up with the keys under a prefix: reads all pages, then waits for changes from the revision of the first page,
+ * and reads all again when the store has dropped the history in between.
  */
 class PrefixFollower {
 public:
--- a/include/almondlever/wire/Messages.h
+++ b/include/almondlever/wire/Messages.h
@@ -252,8 +252,7 @@
 };
 
 using Message = std::variant<ForwardRequest, ForwardReply, Gossip, ConfigRequest, ConfigReply, SuspicionReport,
-    PrimaryView, SessionStatement, SessionAnswer, SessionTransactionEnd, SessionAbandon,
-    StoreNewsRequest, StoreNews>;
+    PrimaryView, SessionStatement, SessionAnswer, SessionTransactionEnd, SessionAbandon, StoreNewsRequest, StoreNews>;
 
 /** CBOR of a message. */
 std::string encodeMessage(const Message&);
--- a/include/almondlever/wire/PeerNetwork.h
+++ b/include/almondlever/wire/PeerNetwork.h
@@ -70,7 +70,8 @@
     virtual void onMessage(MessageHandler) = 0;
     /** Called when the channel to a peer is lost; requests sent to it may or may not have arrived. */
     virtual void onLoss(LossHandler) = 0;
-    /** Called for each ForwardRequest and SessionStatement that waited for a channel and was dropped unsent; it certainly has not run. */
+    /** Called for each ForwardRequest and SessionStatement that waited for a channel and was dropped unsent; it
+     * certainly has not run. */
     virtual void onUnsent(UnsentHandler) = 0;
     /** Bytes sent and received so far, for the control budget. */
     virtual std::uint64_t bytesTransferred() const = 0;
--- a/src/failover/GroupPromotion.cpp
+++ b/src/failover/GroupPromotion.cpp
@@ -67,8 +67,8 @@
     return orders;
 }
 
-GroupPromotion::Orders GroupPromotion::onStatus(const EndpointId& endpoint, Order::Kind kind,
-    const std::optional<EndpointReplicationStatus>& status, TimePoint now)
+GroupPromotion::Orders GroupPromotion::onStatus(
+    const EndpointId& endpoint, Order::Kind kind, const std::optional<EndpointReplicationStatus>& status, TimePoint now)
 {
     if (isFinished())
         return {};
--- a/src/forwarding/StatementForwarder.cpp
+++ b/src/forwarding/StatementForwarder.cpp
@@ -116,7 +116,8 @@
     message.statement = request.statement;
     message.group = request.group;
     message.rank = request.rank;
-    message.timeLeft = std::chrono::duration_cast<Milliseconds>(std::max<Duration>(request.deadline - now, Duration(0)));
+    message.timeLeft
+        = std::chrono::duration_cast<Milliseconds>(std::max<Duration>(request.deadline - now, Duration(0)));
     message.isWrite = request.isWrite;
     message.needsPrimary = request.needsPrimary;
     message.opensTransaction = request.opensTransaction;
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -78,10 +78,7 @@
         network_->stop();
 }
 
-LiveDaemon FrontDaemon::self() const
-{
-    return { settings_.vm, settings_.failureDomain, settings_.peerAddress, false };
-}
+LiveDaemon FrontDaemon::self() const { return { settings_.vm, settings_.failureDomain, settings_.peerAddress, false }; }
 
 void FrontDaemon::start()
 {
@@ -184,8 +181,8 @@
 
 void FrontDaemon::onStoreLost(const std::string& prefix, const StoreFailure& failure, TimePoint)
 {
-    logWarning("store_lost",
-        { { "prefix", prefix }, { "failure", toText(failure.kind) }, { "detail", failure.detail } });
+    logWarning(
+        "store_lost", { { "prefix", prefix }, { "failure", toText(failure.kind) }, { "detail", failure.detail } });
     metrics_.count("almondlever_store_lost_total", "prefix=\"" + prefix + '"');
 }
 
@@ -301,7 +298,8 @@
     if (network_ || !makeNetwork_)
         return;
     network_ = makeNetwork_(key);
-    network_->onMessage([this](const PeerIdentity& from, Message message) { onPeerMessage(from.id, std::move(message)); });
+    network_->onMessage(
+        [this](const PeerIdentity& from, Message message) { onPeerMessage(from.id, std::move(message)); });
     network_->onLoss([this](const VmId& peer) {
         const TimePoint now = timers_.now();
         logInfo("peer_lost", { { "peer", peer.text() } });
--- a/src/front/PromotionDriver.cpp
+++ b/src/front/PromotionDriver.cpp
@@ -39,9 +39,8 @@
     TimePoint startedAt;
 };
 
-PromotionDriver::PromotionDriver(EndpointDirectory& directory, StatementDispatcher& dispatcher,
-    MetadataStore& store, PromotionService& service, TimerService& timers,
-    const PromotionDriverSettings& settings)
+PromotionDriver::PromotionDriver(EndpointDirectory& directory, StatementDispatcher& dispatcher, MetadataStore& store,
+    PromotionService& service, TimerService& timers, const PromotionDriverSettings& settings)
     : directory_(directory)
     , dispatcher_(dispatcher)
     , store_(store)
@@ -61,13 +60,9 @@
     watch.isClaimed = isHeld;
 }
 
-void PromotionDriver::onChangeRecord(const GroupId& group, bool isOpen, TimePoint)
-{
-    watches_[group].isOpen = isOpen;
-}
+void PromotionDriver::onChangeRecord(const GroupId& group, bool isOpen, TimePoint) { watches_[group].isOpen = isOpen; }
 
-std::optional<PromotionReason> PromotionDriver::reasonFor(
-    const GroupId& group, const Watch& watch, TimePoint now) const
+std::optional<PromotionReason> PromotionDriver::reasonFor(const GroupId& group, const Watch& watch, TimePoint now) const
 {
     if (dispatcher_.primaryFailingSince(group, now))
         return PromotionReason::PrimaryFailed;
@@ -77,8 +72,8 @@
     if (!primary || !primary->isLeaving)
         return std::nullopt;
     const std::vector<const EndpointEntry*> endpoints = directory_.endpointsOf(group);
-    const bool hasStaying = std::any_of(
-        endpoints.begin(), endpoints.end(), [](const EndpointEntry* entry) { return !entry->isLeaving; });
+    const bool hasStaying
+        = std::any_of(endpoints.begin(), endpoints.end(), [](const EndpointEntry* entry) { return !entry->isLeaving; });
     return hasStaying ? std::optional<PromotionReason>(PromotionReason::PrimaryLeaving) : std::nullopt;
 }
 
@@ -93,8 +88,8 @@
     if (owners == owners_.end())
         return Duration(0);
     const auto own = hash(settings_.holder);
-    const auto earlier = std::count_if(owners->second.begin(), owners->second.end(),
-        [&](const std::string& member) { return hash(member) < own; });
+    const auto earlier = std::count_if(
+        owners->second.begin(), owners->second.end(), [&](const std::string& member) { return hash(member) < own; });
     return settings_.orderDelay * earlier;
 }
 
@@ -208,12 +203,13 @@
         command.kind = EndpointCommand::Kind::QueryStatus;
         break;
     }
-    dispatcher_.order(order.endpoint, command,
+    dispatcher_.order(
+        order.endpoint, command,
         [this, group, order, alive = std::weak_ptr<int>(alive_)](
             const std::optional<EndpointReplicationStatus>& status, const std::string& detail, TimePoint at) {
             logInfo("promotion_order",
-                { { "group", group.text() }, { "endpoint", order.endpoint.text() },
-                    { "order", toText(order.kind) }, { "outcome", status ? "ok" : "failed" }, { "detail", detail },
+                { { "group", group.text() }, { "endpoint", order.endpoint.text() }, { "order", toText(order.kind) },
+                    { "outcome", status ? "ok" : "failed" }, { "detail", detail },
                     { "is_primary", status && status->isPrimary ? "yes" : "no" },
                     { "term", status ? std::to_string(status->term) : "" },
                     { "received", status ? std::to_string(status->received.index) : "" } });
@@ -250,14 +246,14 @@
             carryOut(group, running->second->promotion->onPromotionAnswer(answer, at), at);
     };
     if (!change.claim.isHeld(now)) {
-        timers_.callAfter(Duration(0), [report](TimePoint) { report(PromotionAnswer::Refused, "the claim has ended"); });
+        timers_.callAfter(
+            Duration(0), [report](TimePoint) { report(PromotionAnswer::Refused, "the claim has ended"); });
         return;
     }
     const LogPosition position = change.promotion->chosenPosition();
     logInfo("promotion_ordered",
-        { { "group", group.text() }, { "endpoint", endpoint.text() },
-            { "fence", std::to_string(change.claim.fence()) }, { "position_term", std::to_string(position.term) },
-            { "position_index", std::to_string(position.index) } });
+        { { "group", group.text() }, { "endpoint", endpoint.text() }, { "fence", std::to_string(change.claim.fence()) },
+            { "position_term", std::to_string(position.term) }, { "position_index", std::to_string(position.index) } });
     service_.promote(group, endpoint, settings_.holder, change.claim.fence(), report);
 }
 
@@ -271,8 +267,7 @@
     logInfo("promotion_ended",
         { { "group", group.text() }, { "outcome", promotion.hasSucceeded() ? "ok" : "failed" },
             { "detail", promotion.failure() }, { "endpoint", promotion.chosen().text() },
-            { "ms",
-                std::to_string(std::chrono::duration_cast<Milliseconds>(now - change.startedAt).count()) } });
+            { "ms", std::to_string(std::chrono::duration_cast<Milliseconds>(now - change.startedAt).count()) } });
     if (promotion.hasSucceeded()) {
         directory_.noteLeading(promotion.chosen(), directory_.newestTermOf(group) + 1);
         dispatcher_.onDirectoryChange(now);
--- a/src/front/StoreRelay.cpp
+++ b/src/front/StoreRelay.cpp
@@ -12,8 +12,8 @@
     watchers_.clear();
     for (const VmId& id : watchersOf(view, settings_.watchers))
         watchers_.push_back(*view.find(id));
-    isWatcher_ = std::any_of(watchers_.begin(), watchers_.end(),
-        [this](const LiveDaemon& watcher) { return watcher.id == settings_.self; });
+    isWatcher_ = std::any_of(
+        watchers_.begin(), watchers_.end(), [this](const LiveDaemon& watcher) { return watcher.id == settings_.self; });
     for (PrefixFollower* follower : followers_)
         follower->setWait(isWatcher_ ? settings_.watcherWait : PrefixFollower::watchWait);
     if (isWatcher_)
--- a/src/observability/DecisionLog.cpp
+++ b/src/observability/DecisionLog.cpp
@@ -78,7 +78,8 @@
         return nullptr;
     }
 
-    /** Lines that wait for a reader of standard output; further ones are left out and counted in a line of their own. */
+    /** Lines that wait for a reader of standard output; further ones are left out and counted in a line of their own.
+     */
     constexpr int waitingLines = 4096;
 
     /** A reader that stops to read must not stop the daemon. */
--- a/src/placement/GroupOwners.cpp
+++ b/src/placement/GroupOwners.cpp
@@ -8,14 +8,14 @@
 
 std::vector<LiveDaemon> ownersOf(const GroupRule& rule, const MembershipView& view, const GroupSharing& sharing)
 {
-    const auto usable
-        = static_cast<std::size_t>(static_cast<double>(rule.maximumConnections) * sharing.usableShare);
+    const auto usable = static_cast<std::size_t>(static_cast<double>(rule.maximumConnections) * sharing.usableShare);
     if (view.daemons.size() <= usable || rule.maximumConnections == 0)
         return view.daemons;
     const std::size_t count = std::max<std::size_t>(usable / sharing.connectionsOfOwner, 1);
     std::vector<VmId> chosen;
     completeSpread(chosen, count, rule.id.text(), view);
     std::vector<LiveDaemon> owners;
+    owners.reserve(chosen.size());
     for (const VmId& id : chosen)
         owners.push_back(*view.find(id));
     return owners;
--- a/src/pooling/DispatcherLinks.cpp
+++ b/src/pooling/DispatcherLinks.cpp
@@ -51,15 +51,8 @@
         if (links.openCount() <= kept)
             continue;
         // One at a time: the load may be about to return.
-        const auto& all = links.links();
-        const auto spare = std::find_if(all.begin(), all.end(), [&](const auto& link) {
-            return link->state() == PooledLink::State::Idle && now - link->stateSince() >= settings_.spareIdleTime;
-        });
-        if (spare == all.end())
-            continue;
-        const std::shared_ptr<PooledLink> link = *spare;
-        links.forget(link);
-        link->abandon();
+        if (const auto link = links.takeIdleSince(now - settings_.spareIdleTime))
+            link->abandon();
     }
 }
 
@@ -116,7 +109,8 @@
     const std::size_t before = links.links().size();
     const bool wasOpening = !link.wasOpened();
     links.noteClosed(refusal, wasOpening, now);
-    metrics_.count("almondlever_endpoint_connections_closed_total", wasOpening ? "state=\"opening\"" : "state=\"open\"");
+    metrics_.count(
+        "almondlever_endpoint_connections_closed_total", wasOpening ? "state=\"opening\"" : "state=\"open\"");
     const bool isChange = before == 1 || refusal;
     if (isChange && log_.admits(0, now)) {
         log_.write("endpoint_connection_lost",
--- a/src/pooling/DispatcherRuns.cpp
+++ b/src/pooling/DispatcherRuns.cpp
@@ -151,7 +151,8 @@
     StatementRun run = std::move(found->second);
     runs_.erase(found);
     const bool isAnswer = isStatement && run.isForwarded;
-    linksOf(run.link->endpoint()).noteEnded(isAnswer ? std::optional<Duration>(now - run.forwardedAt) : std::nullopt, now);
+    linksOf(run.link->endpoint())
+        .noteEnded(isAnswer ? std::optional<Duration>(now - run.forwardedAt) : std::nullopt, now);
     if (!run.queued)
         return run;
     GroupQueues& queues = queuesOf(pending_.at(ticket).request.group);
@@ -183,8 +184,8 @@
         run.link->setState(PooledLink::State::InTransaction, now);
         result.transaction = run.link;
     }
-    logEnd(request, "serve", result.endpoint, "ok", run.isWrapped ? "primary_read" : toText(request.statement.kind),
-        now);
+    logEnd(
+        request, "serve", result.endpoint, "ok", run.isWrapped ? "primary_read" : toText(request.statement.kind), now);
     finish(ticket, std::move(result), now);
     if (!keepsTransaction)
         putBack(run.link, reply.state, now);
@@ -270,8 +271,8 @@
     if (!mayRetry) {
         StatementResult result;
         result.reply.error = StatementError::Busy;
-        result.reply.detail = std::string("endpoints refused, last ") + toText(error) + ' ' + reply.detail + ", retry after "
-            + std::to_string(settings_.usualPrimaryChange.count() / 8) + " ms";
+        result.reply.detail = std::string("endpoints refused, last ") + toText(error) + ' ' + reply.detail
+            + ", retry after " + std::to_string(settings_.usualPrimaryChange.count() / 8) + " ms";
         result.attempts = pending.attempts;
         finish(ticket, std::move(result), now);
         return dispatch(group, now);
@@ -287,8 +288,7 @@
     enqueue(ticket, now);
 }
 
-Reply DispatcherState::lostReply(
-    const StatementRequest& request, bool isInTransaction, const std::string& reason) const
+Reply DispatcherState::lostReply(const StatementRequest& request, bool isInTransaction, const std::string& reason) const
 {
     Reply reply;
     reply.detail = reason;
@@ -358,9 +358,8 @@
         return;
     const GroupQueues& queues = queuesOf(request.group);
     const std::optional<TimePoint> sample = queues.history.newestQuestion();
-    const auto milliseconds = [](Duration duration) {
-        return std::to_string(std::chrono::duration_cast<Milliseconds>(duration).count());
-    };
+    const auto milliseconds
+        = [](Duration duration) { return std::to_string(std::chrono::duration_cast<Milliseconds>(duration).count()); };
     log_.write(decision,
         { { "request", request.statement.id }, { "group", request.group.text() }, { "endpoint", endpoint.text() },
             { "statement", toText(request.statement.kind) }, { "outcome", outcome }, { "reason", reason },
--- a/src/pooling/DispatcherState.cpp
+++ b/src/pooling/DispatcherState.cpp
@@ -204,9 +204,10 @@
         candidate.isPrimary = entry == primary;
         const std::size_t idle = links.count(PooledLink::State::Idle);
         // What only the primary can run goes before reads that others can serve.
-        const std::size_t kept = candidate.isPrimary && connectionShare(*entry) > 1 ? queues.primaryQueue.size() + 1 : 0;
-        const bool isUsable = !entry->isLeaving && !directory_.isLapsing(entry->id) && !links.isSuspect(now)
-            && !links.isBusy(now);
+        const std::size_t kept
+            = candidate.isPrimary && connectionShare(*entry) > 1 ? queues.primaryQueue.size() + 1 : 0;
+        const bool isUsable
+            = !entry->isLeaving && !directory_.isLapsing(entry->id) && !links.isSuspect(now) && !links.isBusy(now);
         candidate.hasFreeLink = isUsable && idle > kept && links.hasRoom(false, now);
         candidate.running = links.running();
         candidate.latency = links.latency();
@@ -224,8 +225,8 @@
 {
     while (queues.readQueue.size() > 0) {
         const std::vector<ReadCandidate> candidates = readCandidates(queues, group, now);
-        const bool hasFree = std::any_of(candidates.begin(), candidates.end(),
-            [](const ReadCandidate& candidate) { return candidate.hasFreeLink; });
+        const bool hasFree = std::any_of(
+            candidates.begin(), candidates.end(), [](const ReadCandidate& candidate) { return candidate.hasFreeLink; });
         if (!hasFree)
             return;
         const std::optional<QueuedRequest> queued = queues.readQueue.take(now);
@@ -240,8 +241,7 @@
     }
 }
 
-bool DispatcherState::placeRead(
-    GroupQueues& queues, const GroupId& group, const QueuedRequest& queued, TimePoint now)
+bool DispatcherState::placeRead(GroupQueues& queues, const GroupId& group, const QueuedRequest& queued, TimePoint now)
 {
     const auto found = pending_.find(queued.ticket);
     if (found == pending_.end())
--- a/src/pooling/EndpointChoice.cpp
+++ b/src/pooling/EndpointChoice.cpp
@@ -4,7 +4,8 @@
 
 namespace {
 
-    /** Weight of the primary against replicas: it alone can run writes, so reads prefer replicas that are not busier. */
+    /** Weight of the primary against replicas: it alone can run writes, so reads prefer replicas that are not busier.
+     */
     constexpr double primaryWeight = 1.5;
 
     double expectedTime(const ReadCandidate& candidate)
--- a/src/pooling/EndpointLinks.cpp
+++ b/src/pooling/EndpointLinks.cpp
@@ -4,9 +4,16 @@
 
 namespace almondlever {
 
-void EndpointLinks::forget(const std::shared_ptr<PooledLink>& link)
+std::shared_ptr<PooledLink> EndpointLinks::takeIdleSince(TimePoint time)
 {
-    links_.erase(std::remove(links_.begin(), links_.end(), link), links_.end());
+    const auto found = std::find_if(links_.begin(), links_.end(), [time](const auto& link) {
+        return link->state() == PooledLink::State::Idle && link->stateSince() <= time;
+    });
+    if (found == links_.end())
+        return nullptr;
+    std::shared_ptr<PooledLink> link = std::move(*found);
+    links_.erase(found);
+    return link;
 }
 
 void EndpointLinks::noteOpened(TimePoint now)
@@ -64,8 +71,8 @@
 
 std::size_t EndpointLinks::count(PooledLink::State state) const
 {
-    return static_cast<std::size_t>(std::count_if(
-        links_.begin(), links_.end(), [state](const auto& link) { return link->state() == state; }));
+    return static_cast<std::size_t>(
+        std::count_if(links_.begin(), links_.end(), [state](const auto& link) { return link->state() == state; }));
 }
 
 std::size_t EndpointLinks::openCount() const { return links_.size() - count(PooledLink::State::Closed); }
--- a/src/pooling/EndpointLinks.h
+++ b/src/pooling/EndpointLinks.h
@@ -43,8 +43,8 @@
     const EndpointId& id() const { return id_; }
     std::vector<std::shared_ptr<PooledLink>>& links() { return links_; }
 
-    /** Removes a link that is about to be abandoned. */
-    void forget(const std::shared_ptr<PooledLink>&);
+    /** Removes and returns a connection that has been idle since a time or longer; nullptr when there is none. */
+    std::shared_ptr<PooledLink> takeIdleSince(TimePoint);
     void noteOpened(TimePoint now);
     void noteReply(const Reply&, TimePoint now);
     void noteClosed(std::optional<StatementError> refusal, bool wasOpening, TimePoint now);
--- a/src/pooling/LinkContents.cpp
+++ b/src/pooling/LinkContents.cpp
@@ -63,8 +63,8 @@
 
 bool LinkContents::hasForeignValue(const SessionContents& session) const
 {
-    return std::any_of(values_.begin(), values_.end(),
-        [&session](const auto& held) { return session.values.count(held.first) == 0; });
+    return std::any_of(
+        values_.begin(), values_.end(), [&session](const auto& held) { return session.values.count(held.first) == 0; });
 }
 
 } // namespace almondlever
--- a/src/pooling/SharedWindow.cpp
+++ b/src/pooling/SharedWindow.cpp
@@ -31,8 +31,8 @@
     smoothed_ = isMeasured_ ? smoothed_ + (seconds - smoothed_) * smoothing : seconds;
     atRest_ = isMeasured_ ? std::min(smoothed_, atRest_ + (smoothed_ - atRest_) * restRise) : seconds;
     isMeasured_ = true;
-    const double tolerated = std::max(
-        atRest_ * tolerance, atRest_ + std::chrono::duration<double>(toleratedWait).count());
+    const double tolerated
+        = std::max(atRest_ * tolerance, atRest_ + std::chrono::duration<double>(toleratedWait).count());
     const double gradient = std::clamp(tolerated / std::max(smoothed_, 1e-6), strongestDecrease, 1.0);
     const bool isFull = static_cast<double>(running) + 1 > size_;
     const bool mayGrow = isFull && gradient >= 1;
--- a/src/pooling/StatementDispatcher.cpp
+++ b/src/pooling/StatementDispatcher.cpp
@@ -20,7 +20,8 @@
 Ticket StatementDispatcher::submit(
     const TransactionLink& link, StatementRequest request, StatementCallback callback, TimePoint now)
 {
-    return state_->submitInTransaction(std::static_pointer_cast<PooledLink>(link), std::move(request), std::move(callback), now);
+    return state_->submitInTransaction(
+        std::static_pointer_cast<PooledLink>(link), std::move(request), std::move(callback), now);
 }
 
 void StatementDispatcher::abandon(Ticket ticket, TimePoint now) { state_->abandon(ticket, now); }
--- a/src/sessions/Session.cpp
+++ b/src/sessions/Session.cpp
@@ -23,8 +23,8 @@
 
 } // namespace
 
-Session::Session(DatabaseId database, CallerLink& link, const RoutingSource& routing, StatementRunner& runner,
-    Metrics& metrics)
+Session::Session(
+    DatabaseId database, CallerLink& link, const RoutingSource& routing, StatementRunner& runner, Metrics& metrics)
     : database_(std::move(database))
     , link_(link)
     , routing_(routing)
@@ -254,8 +254,7 @@
     metrics_.count("almondlever_statements_total",
         std::string("outcome=\"") + (isSuccess ? "ok" : toText(*result.reply.error)) + "\",rank=\""
             + std::to_string(route_.rank) + '"');
-    metrics_.observe(
-        "almondlever_statement_seconds", "rank=\"" + std::to_string(route_.rank) + '"', now - startedAt_);
+    metrics_.observe("almondlever_statement_seconds", "rank=\"" + std::to_string(route_.rank) + '"', now - startedAt_);
     isCommitting_ = false;
     answer(std::move(result.reply), next);
     startNext(now);
--- a/src/store/PrefixFollower.cpp
+++ b/src/store/PrefixFollower.cpp
@@ -23,8 +23,8 @@
     return "rejected";
 }
 
-PrefixFollower::PrefixFollower(MetadataStore& store, TimerService& timers, std::string prefix, Milliseconds gatherTime,
-    PrefixObserver& observer)
+PrefixFollower::PrefixFollower(
+    MetadataStore& store, TimerService& timers, std::string prefix, Milliseconds gatherTime, PrefixObserver& observer)
     : store_(store)
     , timers_(timers)
     , prefix_(std::move(prefix))
@@ -69,11 +69,10 @@
 
 void PrefixFollower::readPage(const std::string& afterKey)
 {
-    store_.readRange(prefix_, afterKey,
-        [this, alive = std::weak_ptr<int>(alive_)](StoreResult<StorePage> result) {
-            if (!alive.expired())
-                onPage(std::move(result));
-        });
+    store_.readRange(prefix_, afterKey, [this, alive = std::weak_ptr<int>(alive_)](StoreResult<StorePage> result) {
+        if (!alive.expired())
+            onPage(std::move(result));
+    });
 }
 
 void PrefixFollower::onPage(StoreResult<StorePage> result)
@@ -100,11 +99,10 @@
     isActive_ = !isPaused_;
     if (isPaused_)
         return;
-    store_.watch(prefix_, revision_, wait_,
-        [this, alive = std::weak_ptr<int>(alive_)](StoreResult<StorePage> result) {
-            if (!alive.expired())
-                onChanges(std::move(result));
-        });
+    store_.watch(prefix_, revision_, wait_, [this, alive = std::weak_ptr<int>(alive_)](StoreResult<StorePage> result) {
+        if (!alive.expired())
+            onChanges(std::move(result));
+    });
 }
 
 void PrefixFollower::onChanges(StoreResult<StorePage> result)
--- a/src/store/PromotionClaim.cpp
+++ b/src/store/PromotionClaim.cpp
@@ -37,11 +37,10 @@
     transaction.expected.push_back({ claimKey(), 0 });
     transaction.puts.push_back({ claimKey(), value_, lease_ });
     transaction.puts.push_back({ storeKeys::changes + group_.text(), storeKeys::changeOpen, 0 });
-    store_.transact(
-        transaction, [this, alive = std::weak_ptr<int>(alive_)](const StoreResult<std::uint64_t>& claimed) {
-            if (!alive.expired())
-                onClaimed(claimed);
-        });
+    store_.transact(transaction, [this, alive = std::weak_ptr<int>(alive_)](const StoreResult<std::uint64_t>& claimed) {
+        if (!alive.expired())
+            onClaimed(claimed);
+    });
 }
 
 void PromotionClaim::onClaimed(const StoreResult<std::uint64_t>& result)
--- a/src/wire/SessionMessages.h
+++ b/src/wire/SessionMessages.h
@@ -9,8 +9,9 @@
 
 /** Messages about the statements of sessions, which have a source of their own. */
 template <typename Type>
-inline constexpr bool isSessionMessage = std::is_same_v<Type, SessionStatement> || std::is_same_v<Type, SessionAnswer>
-    || std::is_same_v<Type, SessionTransactionEnd> || std::is_same_v<Type, SessionAbandon>;
+inline constexpr bool isSessionMessage
+    = std::is_same_v<Type,
+          SessionStatement> || std::is_same_v<Type, SessionAnswer> || std::is_same_v<Type, SessionTransactionEnd> || std::is_same_v<Type, SessionAbandon>;
 
 void writeSessionMessage(nlohmann::json& map, const SessionStatement&);
 void writeSessionMessage(nlohmann::json& map, const SessionAnswer&);
--- a/tests/failover/TestGroupPromotion.cpp
+++ b/tests/failover/TestGroupPromotion.cpp
@@ -16,8 +16,8 @@
 
 TimePoint at(int milliseconds) { return start + Milliseconds(milliseconds); }
 
-GroupPromotion makePromotion(PromotionReason reason, std::vector<PromotionMember> members
-    = { { a, true, false }, { b, false, false }, { c, false, false } })
+GroupPromotion makePromotion(PromotionReason reason,
+    std::vector<PromotionMember> members = { { a, true, false }, { b, false, false }, { c, false, false } })
 {
     return GroupPromotion(std::move(members), 1, 3, reason, PromotionSettings());
 }
@@ -27,9 +27,8 @@
 
 bool has(const GroupPromotion::Orders& orders, Kind kind, const EndpointId& endpoint)
 {
-    return std::any_of(orders.begin(), orders.end(), [&](const GroupPromotion::Order& order) {
-        return order.kind == kind && order.endpoint == endpoint;
-    });
+    return std::any_of(orders.begin(), orders.end(),
+        [&](const GroupPromotion::Order& order) { return order.kind == kind && order.endpoint == endpoint; });
 }
 
 bool hasAny(const GroupPromotion::Orders& orders, Kind kind)
@@ -97,7 +96,8 @@
 // Guards against a gap in writes: a leaving primary goes on to serve while the other replicas are paused.
 Test(GroupPromotion, leavingPrimaryServesUntilTheChosenOneLeads)
 {
-    auto promotion = makePromotion(PromotionReason::PrimaryLeaving, { { a, true, true }, { b, false, false }, { c, false, false } });
+    auto promotion = makePromotion(
+        PromotionReason::PrimaryLeaving, { { a, true, true }, { b, false, false }, { c, false, false } });
     promotion.start(start);
     promotion.onStatus(a, Kind::QueryStatus, primary(20), at(10));
     promotion.onStatus(b, Kind::QueryStatus, replica(20), at(10));
@@ -114,7 +114,8 @@
 // Guards against handing over to an endpoint that leaves as well.
 Test(GroupPromotion, leavingReplicaIsNotChosen)
 {
-    auto promotion = makePromotion(PromotionReason::PrimaryLeaving, { { a, true, true }, { b, false, true }, { c, false, false } });
+    auto promotion = makePromotion(
+        PromotionReason::PrimaryLeaving, { { a, true, true }, { b, false, true }, { c, false, false } });
     promotion.start(start);
     promotion.onStatus(a, Kind::QueryStatus, primary(20), at(10));
     promotion.onStatus(b, Kind::QueryStatus, replica(20), at(10));
@@ -126,7 +127,8 @@
 // Guards against a hand-over while a replica may acknowledge commits that the chosen one does not have.
 Test(GroupPromotion, handOverNeedsEveryOtherReplicaPaused)
 {
-    auto promotion = makePromotion(PromotionReason::PrimaryLeaving, { { a, true, true }, { b, false, false }, { c, false, false } });
+    auto promotion = makePromotion(
+        PromotionReason::PrimaryLeaving, { { a, true, true }, { b, false, false }, { c, false, false } });
     promotion.start(start);
     promotion.onStatus(a, Kind::QueryStatus, primary(20), at(10));
     promotion.onStatus(b, Kind::QueryStatus, replica(20), at(10));
@@ -194,7 +196,8 @@
 // Guards against a pause in a term that the replicas have already left, which they refuse.
 Test(GroupPromotion, pausesAboveEveryTermSeen)
 {
-    auto promotion = makePromotion(PromotionReason::PrimaryLeaving, { { a, true, true }, { b, false, false }, { c, false, false } });
+    auto promotion = makePromotion(
+        PromotionReason::PrimaryLeaving, { { a, true, true }, { b, false, false }, { c, false, false } });
     promotion.start(start);
     promotion.onStatus(a, Kind::QueryStatus, primary(20, 7), at(10));
     promotion.onStatus(b, Kind::QueryStatus, replica(20, 7), at(10));
--- a/tests/front/TestPromotionDriver.cpp
+++ b/tests/front/TestPromotionDriver.cpp
@@ -21,8 +21,8 @@
     {
         promoted.push_back(endpoint);
         fences.push_back(fence);
-        fixture_.timers.callAfter(Milliseconds(10),
-            [callback](TimePoint) { callback(PromotionAnswer::Accepted, "status 200"); });
+        fixture_.timers.callAfter(
+            Milliseconds(10), [callback](TimePoint) { callback(PromotionAnswer::Accepted, "status 200"); });
         fixture_.timers.callAfter(Milliseconds(300), [this, endpoint](TimePoint) {
             for (const EndpointId& id : { fixture_.a, fixture_.b, fixture_.c })
                 fixture_.endpoints.server(id).leads = id == endpoint;
--- a/tests/front/TestStoreRelay.cpp
+++ b/tests/front/TestStoreRelay.cpp
@@ -22,14 +22,14 @@
             relay.setNetwork(this);
         }
 
-        void onStoreSnapshot(const std::string& prefix, const std::vector<StoreItem>& items, std::uint64_t revision,
-            TimePoint) override
+        void onStoreSnapshot(
+            const std::string& prefix, const std::vector<StoreItem>& items, std::uint64_t revision, TimePoint) override
         {
             relay.cacheOf(prefix).takeSnapshot(items, revision);
             take(items);
         }
-        void onStoreChanges(const std::string& prefix, const std::vector<StoreItem>& items, std::uint64_t revision,
-            TimePoint) override
+        void onStoreChanges(
+            const std::string& prefix, const std::vector<StoreItem>& items, std::uint64_t revision, TimePoint) override
         {
             relay.cacheOf(prefix).takeChanges(items, revision);
             take(items);
@@ -50,8 +50,8 @@
                 return false;
             const auto decoded = decodeMessage(encodeMessage(message));
             cr_assert(decoded.hasValue());
-            fleet.timers.callAfter(Milliseconds(1),
-                [from = id, daemon = target->second.get(), message = decoded.value()](TimePoint now) {
+            fleet.timers.callAfter(
+                Milliseconds(1), [from = id, daemon = target->second.get(), message = decoded.value()](TimePoint now) {
                     if (const auto* request = std::get_if<StoreNewsRequest>(&message))
                         daemon->relay.onRequest(from, *request, now);
                     if (const auto* news = std::get_if<StoreNews>(&message))
--- a/tests/mocks/FakeEndpoints.h
+++ b/tests/mocks/FakeEndpoints.h
@@ -160,8 +160,8 @@
         if (server().isSilent || waiting_.empty())
             return;
         const EndpointCommand command = waiting_.front();
-        const bool needsSlot = command.kind == EndpointCommand::Kind::Forward
-            || command.kind == EndpointCommand::Kind::ForwardPrepared;
+        const bool needsSlot
+            = command.kind == EndpointCommand::Kind::Forward || command.kind == EndpointCommand::Kind::ForwardPrepared;
         if (!needsSlot)
             return answer(execute(command), false);
         const auto refusal = refusalOf(command);
@@ -281,8 +281,7 @@
     {
         const std::string text
             = command.kind == EndpointCommand::Kind::Forward ? command.text : command.name + ' ' + command.argument;
-        owner_.runs_.push_back(
-            { endpoint_, number_, command.id, text, state_ != TransactionState::None, values_ });
+        owner_.runs_.push_back({ endpoint_, number_, command.id, text, state_ != TransactionState::None, values_ });
         reply.detail = "signed-by-" + endpoint_.text();
         const bool isWrite = text.rfind("WRITE", 0) == 0 || text.rfind("w_", 0) == 0;
         if (isWrite)
--- a/tests/placement/TestGroupOwners.cpp
+++ b/tests/placement/TestGroupOwners.cpp
@@ -49,8 +49,8 @@
     const auto after = ownersOf(makeRule(53), view, GroupSharing());
     std::size_t kept = 0;
     for (const LiveDaemon& owner : before) {
-        kept += std::any_of(after.begin(), after.end(),
-            [&owner](const LiveDaemon& other) { return other.id == owner.id; });
+        kept += std::any_of(
+            after.begin(), after.end(), [&owner](const LiveDaemon& other) { return other.id == owner.id; });
     }
     cr_assert_geq(kept, before.size() - 2);
 }
--- a/tests/pooling/TestStatementDispatcher.cpp
+++ b/tests/pooling/TestStatementDispatcher.cpp
@@ -276,14 +276,13 @@
     }
     fixture.advance(Milliseconds(150));
     const auto served = [](const std::vector<std::unique_ptr<FakeCaller>>& callers) {
-        return std::count_if(
-            callers.begin(), callers.end(), [](const auto& caller) { return caller->succeeded(); });
+        return std::count_if(callers.begin(), callers.end(), [](const auto& caller) { return caller->succeeded(); });
     };
     cr_assert_eq(served(urgent), 40);
     // 2 slots and 10 ms a statement bear 400 in the two seconds; the primary must not idle beside the urgent ones.
     cr_assert_geq(served(burst), 200);
     fixture.advance(Milliseconds(1500));
-    const bool areAllAnswered = std::all_of(
-        burst.begin(), burst.end(), [](const auto& caller) { return caller->replies.size() == 1; });
+    const bool areAllAnswered
+        = std::all_of(burst.begin(), burst.end(), [](const auto& caller) { return caller->replies.size() == 1; });
     cr_assert(areAllAnswered);
 }
--- a/tests/store/TestPrefixFollower.cpp
+++ b/tests/store/TestPrefixFollower.cpp
@@ -10,8 +10,7 @@
 /** Keeps what a follower reports as the present keys. */
 class Recorder final : public PrefixObserver {
 public:
-    void onStoreSnapshot(
-        const std::string&, const std::vector<StoreItem>& items, std::uint64_t, TimePoint) override
+    void onStoreSnapshot(const std::string&, const std::vector<StoreItem>& items, std::uint64_t, TimePoint) override
     {
         ++snapshots;
         keys.clear();
--- a/tests/users_platform/TestLineCodec.cpp
+++ b/tests/users_platform/TestLineCodec.cpp
@@ -83,8 +83,7 @@
     execute.name = "w_q";
     execute.argument = "x y";
     cr_assert_eq(encodeCommand(execute), "QUERY 9 EXECUTE w_q x y\r\n");
-    cr_assert_eq(
-        encodeEndpointStartup(GroupId("g"), EndpointId("i-1")), std::string("STARTUP g almondlever i-1\r\n"));
+    cr_assert_eq(encodeEndpointStartup(GroupId("g"), EndpointId("i-1")), std::string("STARTUP g almondlever i-1\r\n"));
 }
 
 // Guards against replies that are put together wrongly when they come in pieces.
--- a/tests/users_platform/TestStoreInventory.cpp
+++ b/tests/users_platform/TestStoreInventory.cpp
@@ -109,8 +109,7 @@
     cr_assert_eq(page.value().items[0].lease, 7U);
     cr_assert(page.value().isTruncated);
     cr_assert_eq(page.value().asOf, 9U);
-    const auto changes
-        = decodeStorePage(R"({"events":[{"key":"b","revision":5,"deleted":true}],"as-of":5})", true);
+    const auto changes = decodeStorePage(R"({"events":[{"key":"b","revision":5,"deleted":true}],"as-of":5})", true);
     cr_assert(changes.value().items[0].isDeleted);
     cr_assert(!decodeStorePage(R"({"items":[{"key":"a"}],"as-of":1})", false).hasValue());
     cr_assert(!decodeStorePage("not json", false).hasValue());
