Answer what runs or waits before a stopping daemon ends

Change: 0.8 s before the end running statements are answered: unknown for commits and single writes, aborted in transactions, busy for reads. Tests of the session and of the sequence.

--- a/include/almondlever/front/StopSequence.h
+++ b/include/almondlever/front/StopSequence.h
@@ -41,6 +41,11 @@
     {
         return isStopping_ && now - startedAt_ >= settings_.grace / 2 + settings_.reserve / 4;
     }
+    /** Statements that still run or wait must be answered now, whatever their state. */
+    bool mustAnswer(TimePoint now) const
+    {
+        return isStopping_ && now - startedAt_ >= settings_.grace - 2 * settings_.reserve;
+    }
     bool mustExit(TimePoint now) const
     {
         return isStopping_ && now - startedAt_ >= settings_.grace - settings_.reserve;
--- a/include/almondlever/sessions/Session.h
+++ b/include/almondlever/sessions/Session.h
@@ -56,6 +56,12 @@
     /** Ends an open transaction; the caller's next statement is refused. Used while the process stops. */
     void abortTransaction(const std::string& reason, TimePoint now);
 
+    /**
+     * Answers a running statement at once and closes. The answer promises no effect only where there can be none; used
+     * when the process is about to end.
+     */
+    void endNow(const std::string& reason, TimePoint now);
+
     /** No transaction is open and no statement is outstanding. */
     bool isAtRest() const { return state_ == TransactionState::None && !isRunning_ && waiting_.empty(); }
     bool isRunning() const { return isRunning_; }
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -473,7 +473,9 @@
         all.push_back(session.get());
     const auto keep = static_cast<std::size_t>(static_cast<double>(sessionsAtStop_) * (1 - share));
     for (Session* session : all) {
-        if (stop_.endsTransactions(now))
+        if (stop_.mustAnswer(now))
+            session->endNow("the daemon stops, retry after 100 ms", now);
+        else if (stop_.endsTransactions(now))
             session->abortTransaction("the daemon stops", now);
         if (share > 0 && (sessions_.size() > keep || share >= 1))
             session->closeWhenAtRest();
--- a/src/sessions/Session.cpp
+++ b/src/sessions/Session.cpp
@@ -81,6 +81,28 @@
     abortReason_ = reason;
 }
 
+void Session::endNow(const std::string& reason, TimePoint now)
+{
+    if (isClosed_)
+        return;
+    if (isRunning_) {
+        // Only a commit or a single write can leave an effect, and it may be running now.
+        const bool mayHaveEffect = isWriting_ && (isCommitting_ || state_ == TransactionState::None);
+        runner_.abandon(ticket_, now);
+        isRunning_ = false;
+        if (transaction_)
+            runner_.endTransaction(transaction_, now);
+        transaction_ = nullptr;
+        const StatementError error = mayHaveEffect ? StatementError::Unknown
+            : state_ == TransactionState::None     ? StatementError::Busy
+                                                   : StatementError::Aborted;
+        answer(makeError(error, reason), TransactionState::None);
+    }
+    waiting_.clear();
+    isClosed_ = true;
+    link_.close();
+}
+
 void Session::closeWhenAtRest()
 {
     isClosing_ = true;
--- a/tests/front/TestStopSequence.cpp
+++ b/tests/front/TestStopSequence.cpp
@@ -34,7 +34,9 @@
     stop.begin(start);
     cr_assert(!stop.endsTransactions(at(2990)));
     cr_assert(stop.endsTransactions(at(3200)));
-    cr_assert(!stop.mustExit(at(5000)));
+    cr_assert(!stop.mustAnswer(at(5100)));
+    cr_assert(stop.mustAnswer(at(5250)));
+    cr_assert(!stop.mustExit(at(5250)), "answers need time to leave");
     cr_assert(stop.mustExit(at(5700)));
 }
 
--- a/tests/sessions/TestSession.cpp
+++ b/tests/sessions/TestSession.cpp
@@ -202,3 +202,31 @@
         caller.write("w" + std::to_string(i));
     cr_assert(caller.isClosed);
 }
+
+// Guards against a request that a stopping daemon cuts off without an answer, and against a false "not run".
+Test(Session, endingAnswersWhatRuns)
+{
+    DispatcherFixture fixture;
+    fixture.endpoints.server(fixture.a).work = Milliseconds(500);
+    FakeCaller reader(fixture, "orders");
+    FakeCaller writer(fixture, "orders");
+    FakeCaller inTransaction(fixture, "orders");
+    reader.read("r1");
+    writer.write("w1");
+    inTransaction.begin();
+    inTransaction.write("w2");
+    fixture.advance(Milliseconds(50));
+    for (FakeCaller* caller : { &reader, &writer, &inTransaction })
+        caller->session.endNow("the daemon stops", fixture.timers.now());
+    cr_assert(reader.hasError(StatementError::Busy));
+    cr_assert(writer.hasError(StatementError::Unknown));
+    cr_assert(inTransaction.hasError(StatementError::Aborted));
+    cr_assert(reader.isClosed && writer.isClosed && inTransaction.isClosed);
+    fixture.advance(Milliseconds(1500));
+    cr_assert_eq(reader.replies.size(), 1U);
+    FakeCaller next(fixture, "orders");
+    fixture.endpoints.server(fixture.a).work = Milliseconds(10);
+    next.write("w3");
+    fixture.advance(Milliseconds(200));
+    cr_assert(next.succeeded(), "the connections are free again");
+}
