--- a/include/almondlever/pooling/StatementDispatcher.h
+++ b/include/almondlever/pooling/StatementDispatcher.h
@@ -44,12 +44,6 @@
     Milliseconds retryPause { 25 };
     /** Endpoints that one statement is offered to before its caller gets the refusal. */
     std::size_t maximumAttempts = 6;
-    /** A read whose answer takes this many times the usual one is run elsewhere as well; its answer may be lost. */
-    int overdueFactor = 5;
-    /** Bounds of that time: beyond the longest usual statement, and early enough for a second try before the time-out.
-     */
-    Milliseconds shortestOverdueTime { 300 };
-    Milliseconds longestOverdueTime { 600 };
     /** Statements of one rank that wait for one group. */
     std::size_t queueLimit = 400;
     std::size_t queueLimitBytes = 4U * 1024 * 1024;
--- a/src/pooling/DispatcherLinks.cpp
+++ b/src/pooling/DispatcherLinks.cpp
@@ -10,8 +10,6 @@
     constexpr std::size_t openingsAtOnce = 2;
     /** Time for a connection to open; three round trips between regions and the usual cost on the endpoint. */
     constexpr Milliseconds openTimeout { 1000 };
-    /** A connection on which an answer was lost returns nothing further; longer than the longest usual time-out. */
-    constexpr Milliseconds longestAnswer { 4000 };
 
 } // namespace
 
@@ -128,8 +126,6 @@
         for (const auto& link : links.links()) {
             if (link->state() == PooledLink::State::Opening && now - link->openedAt() > openTimeout)
                 closing.emplace_back(link, "connecting timed out");
-            if (link->isWaiting() && now - link->waitingSince() > longestAnswer)
-                closing.emplace_back(link, "an answer is lost");
         }
         const std::optional<TimePoint> since = links.suspectSince(now);
         if (!since)
--- a/src/pooling/DispatcherRuns.cpp
+++ b/src/pooling/DispatcherRuns.cpp
@@ -71,8 +71,6 @@
     }
     run.setupLeft = commands.size();
     run.startedAt = now;
-    run.number = ++lastRun_;
-    const std::uint64_t number = run.number;
     linksOf(link->endpoint()).noteStarted();
     runs_.emplace(ticket, std::move(run));
     if (commands.empty())
@@ -80,13 +78,8 @@
     for (const EndpointCommand& command : commands) {
         link->send(
             command,
-            [this, ticket, number, link, kind = command.kind, sentAt = now](const Reply* reply, TimePoint at) {
-                if (isPresentRun(ticket, number))
-                    return onSetupReply(ticket, kind, sentAt, reply, at);
-                // The run was given up; its connection is free once everything sent is answered.
-                if (reply && !link->isWaiting())
-                    putBack(link, reply->state, at);
-            },
+            [this, ticket, kind = command.kind, sentAt = now](
+                const Reply* reply, TimePoint at) { onSetupReply(ticket, kind, sentAt, reply, at); },
             now);
     }
 }
@@ -122,73 +115,7 @@
     run.isForwarded = true;
     run.forwardedAt = now;
     run.link->send(
-        command,
-        [this, ticket, number = run.number, link = run.link](const Reply* reply, TimePoint at) {
-            if (isPresentRun(ticket, number))
-                onForwardReply(ticket, reply, at);
-            else
-                onLateReply(ticket, link, reply, at);
-        },
-        now);
-}
-
-bool DispatcherState::isPresentRun(Ticket ticket, std::uint64_t number) const
-{
-    const auto found = runs_.find(ticket);
-    return found != runs_.end() && found->second.number == number;
-}
-
-void DispatcherState::onLateReply(
-    Ticket ticket, const std::shared_ptr<PooledLink>& link, const Reply* reply, TimePoint now)
-{
-    if (!reply)
-        return;
-    const auto found = pending_.find(ticket);
-    const bool isAwaited = found != pending_.end() && !reply->error && !found->second.request.opensTransaction;
-    if (isAwaited) {
-        // The first answer counts, wherever the statement waits or runs by now.
-        const StatementRequest request = found->second.request;
-        GroupQueues& queues = queuesOf(request.group);
-        cancelQueued(queues, ticket);
-        queues.readQueue.cancel(ticket);
-        if (runs_.count(ticket) > 0)
-            takeRun(ticket, now, false);
-        StatementResult result;
-        result.reply = *reply;
-        result.endpoint = link->endpoint();
-        result.attempts = found->second.attempts;
-        logEnd(request, "serve", result.endpoint, "ok", "late_answer", now);
-        finish(ticket, std::move(result), now);
-    }
-    putBack(link, reply->state, now);
-    if (const EndpointEntry* entry = directory_.find(link->endpoint()))
-        dispatch(entry->group, now);
-}
-
-void DispatcherState::repeatOverdueReads(TimePoint now)
-{
-    std::vector<Ticket> overdue;
-    for (const auto& [ticket, run] : runs_) {
-        const PendingStatement& pending = pending_.at(ticket);
-        const bool isRepeatable = run.isForwarded && !run.isInTransaction && !pending.request.isWrite
-            && pending.attempts < settings_.maximumAttempts && pending.callback;
-        if (!isRepeatable)
-            continue;
-        const Duration usual = linksOf(run.link->endpoint()).latency() * settings_.overdueFactor;
-        const Duration limit = std::clamp<Duration>(usual, settings_.shortestOverdueTime, settings_.longestOverdueTime);
-        if (now - run.forwardedAt >= limit)
-            overdue.push_back(ticket);
-    }
-    for (const Ticket ticket : overdue) {
-        if (runs_.count(ticket) == 0)
-            continue;
-        const StatementRun run = takeRun(ticket, now, false);
-        PendingStatement& pending = pending_.at(ticket);
-        logEnd(pending.request, "retry", run.link->endpoint(), "run", "answer_overdue", now);
-        metrics_.count("almondlever_retries_total", "reason=\"answer_overdue\"");
-        pending.refusedBy.insert(run.link->endpoint());
-        enqueue(ticket, now);
-    }
+        command, [this, ticket](const Reply* reply, TimePoint at) { onForwardReply(ticket, reply, at); }, now);
 }
 
 void DispatcherState::onForwardReply(Ticket ticket, const Reply* reply, TimePoint now)
--- a/src/pooling/DispatcherState.cpp
+++ b/src/pooling/DispatcherState.cpp
@@ -410,7 +410,6 @@
     for (const Ticket ticket : late)
         timeOut(ticket, now);
     closeStuckLinks(now);
-    repeatOverdueReads(now);
     std::vector<Ticket> retried;
     for (auto& [ticket, pending] : pending_) {
         if (pending.retryAt && now >= *pending.retryAt)
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -26,8 +26,6 @@
 /** A statement on an endpoint connection. */
 struct StatementRun {
     std::shared_ptr<PooledLink> link;
-    /** Tells the answers of this run from those of an earlier one of the same statement. */
-    std::uint64_t number = 0;
     /** Set when the run came out of a queue, which must be told its end. */
     std::optional<QueuedRequest> queued;
     bool fromPrimaryQueue = false;
@@ -129,11 +127,6 @@
     void forward(Ticket, TimePoint now);
     void onSetupReply(Ticket, const EndpointCommand::Kind&, TimePoint sentAt, const Reply*, TimePoint now);
     void onForwardReply(Ticket, const Reply*, TimePoint now);
-    bool isPresentRun(Ticket, std::uint64_t number) const;
-    /** An answer of a run that was given up for another one; its connection is fit for use again. */
-    void onLateReply(Ticket, const std::shared_ptr<PooledLink>&, const Reply*, TimePoint now);
-    /** Runs reads elsewhere whose answer is probably lost; the connection is kept, since it may still come. */
-    void repeatOverdueReads(TimePoint now);
     void succeed(Ticket, const Reply&, TimePoint now);
     void passOn(Ticket, Reply, TimePoint now);
     /** The statement certainly did not run here. */
@@ -181,7 +174,6 @@
     std::unordered_map<Ticket, StatementRun> runs_;
     std::map<std::uint64_t, PendingOrder> orders_;
     Ticket lastTicket_ = 0;
-    std::uint64_t lastRun_ = 0;
     std::optional<TimePoint> lastTick_;
 };
 
--- a/src/pooling/EndpointLinks.cpp
+++ b/src/pooling/EndpointLinks.cpp
@@ -6,8 +6,9 @@
 
 std::shared_ptr<PooledLink> EndpointLinks::takeIdleSince(TimePoint time)
 {
-    const auto found = std::find_if(links_.begin(), links_.end(),
-        [time](const auto& link) { return link->state() == PooledLink::State::Idle && link->stateSince() <= time; });
+    const auto found = std::find_if(links_.begin(), links_.end(), [time](const auto& link) {
+        return link->state() == PooledLink::State::Idle && link->stateSince() <= time;
+    });
     if (found == links_.end())
         return nullptr;
     std::shared_ptr<PooledLink> link = std::move(*found);
--- a/tests/mocks/FakeEndpoints.h
+++ b/tests/mocks/FakeEndpoints.h
@@ -41,8 +41,6 @@
         std::size_t maximumConnections = 1000;
         /** Answers that are lost: the connection closes after the run. */
         std::size_t lostAnswers = 0;
-        /** Answers that are lost without a word: nothing further comes on the connection. */
-        std::size_t swallowedAnswers = 0;
         Term pausedIn = 0;
         std::size_t connections = 0;
         std::size_t openedConnections = 0;
@@ -303,10 +301,6 @@
             --server().lostAnswers;
             return breakOff("connection lost");
         }
-        if (mayBeLost && server().swallowedAnswers > 0) {
-            --server().swallowedAnswers;
-            return;
-        }
         after(server().distance, [reply](Link& self) {
             if (self.server().isSilent)
                 return;
--- a/tests/pooling/TestStatementDispatcher.cpp
+++ b/tests/pooling/TestStatementDispatcher.cpp
@@ -73,53 +73,6 @@
     cr_assert_geq(fixture.endpoints.runsOf("r1"), 2U);
 }
 
-// Pattern: endpoints run statements and their answers are lost without a word.
-// Guards against a read that waits for its time-out, and against one that is answered twice.
-Test(StatementDispatcher, overdueReadRunsElsewhere)
-{
-    DispatcherFixture fixture;
-    for (const EndpointId& id : { fixture.a, fixture.b, fixture.c })
-        fixture.endpoints.server(id).swallowedAnswers = 1;
-    FakeCaller near(fixture, "jobs");
-    near.read("r1");
-    FakeCaller urgent(fixture, "orders");
-    urgent.read("u1");
-    fixture.advance(Milliseconds(900));
-    cr_assert(near.succeeded());
-    cr_assert(urgent.succeeded());
-    cr_assert_eq(near.replies.size(), 1U);
-    fixture.advance(Milliseconds(5000));
-    cr_assert_eq(near.replies.size(), 1U);
-    cr_assert_eq(urgent.replies.size(), 1U);
-}
-
-// Guards against a write or a statement of a transaction that runs twice because its answer is late.
-Test(StatementDispatcher, overdueWriteIsNotRepeated)
-{
-    DispatcherFixture fixture;
-    fixture.endpoints.server(fixture.a).swallowedAnswers = 1;
-    FakeCaller caller(fixture, "orders");
-    caller.write("w1");
-    fixture.advance(Milliseconds(1200));
-    cr_assert(caller.hasError(StatementError::Unknown));
-    cr_assert_eq(fixture.endpoints.runsOf("w1"), 1U);
-}
-
-// Guards against discarding an answer that comes late while the statement still waits for another endpoint.
-Test(StatementDispatcher, lateAnswerIsDelivered)
-{
-    DispatcherFixture fixture;
-    fixture.endpoints.server(fixture.a).work = Milliseconds(500);
-    FakeCaller caller(fixture, "orders");
-    caller.read("r1");
-    FakeCaller second(fixture, "orders");
-    second.read("r2");
-    fixture.advance(Milliseconds(950));
-    cr_assert(caller.succeeded());
-    cr_assert(second.succeeded());
-    cr_assert_eq(caller.replies.size(), 1U);
-}
-
 // Guards against reporting a lost transaction as unknown although only its commit could have had an effect.
 Test(StatementDispatcher, connectionLostInATransactionAborts)
 {
