Ask a quiet endpoint on a new connection before taking it for failed

Ruled out: running overdue reads elsewhere (tried, no gain, reverted). The test fails without the change.

--- a/src/pooling/DispatcherLinks.cpp
+++ b/src/pooling/DispatcherLinks.cpp
@@ -56,7 +56,7 @@
     }
 }
 
-void DispatcherState::openLinks(EndpointLinks& links, std::size_t wanted, TimePoint now)
+void DispatcherState::openLinks(EndpointLinks& links, std::size_t wanted, TimePoint now, std::size_t extra)
 {
     const EndpointEntry* entry = directory_.find(links.id());
     if (!entry || !links.mayConnect(now))
@@ -66,7 +66,7 @@
     const std::size_t resting = std::min(links.count(PooledLink::State::InTransaction), keptConnections(*entry));
     const std::size_t opening = links.count(PooledLink::State::Opening);
     const std::size_t limit = std::min(wanted, openingsAtOnce);
-    for (std::size_t number = opening; number < limit && links.openCount() < share + resting; ++number) {
+    for (std::size_t number = opening; number < limit && links.openCount() < share + resting + extra; ++number) {
         const auto link = std::make_shared<PooledLink>(*this, links.id(), now);
         links.links().push_back(link);
         metrics_.count("almondlever_endpoint_connections_total", "");
@@ -127,6 +127,13 @@
             if (link->state() == PooledLink::State::Opening && now - link->openedAt() > openTimeout)
                 closing.emplace_back(link, "connecting timed out");
         }
+        for (const auto& link : links.links()) {
+            if (links.hasLostAnswer(*link, now))
+                closing.emplace_back(link, "an answer is lost");
+        }
+        // Answers may be lost on every open connection of an endpoint that lives; a new connection shows it.
+        if (links.isQuiet(now))
+            openLinks(links, 1, now, 1);
         const std::optional<TimePoint> since = links.suspectSince(now);
         if (!since)
             continue;
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -151,7 +151,8 @@
     /** This daemon's share of a part of the endpoint's connections; at least one. */
     std::size_t shareOf(const EndpointEntry&, double part) const;
     void closeSpareLinks(TimePoint now);
-    void openLinks(EndpointLinks&, std::size_t wanted, TimePoint now);
+    /** Opens connections until so many are being opened; the extra ones may exceed the daemon's share. */
+    void openLinks(EndpointLinks&, std::size_t wanted, TimePoint now, std::size_t extra = 0);
     void openWarmLinks(TimePoint now);
     void askForPositions(TimePoint now);
     void askWhoLeads(GroupQueues&, const GroupId&, TimePoint now);
--- a/src/pooling/EndpointLinks.cpp
+++ b/src/pooling/EndpointLinks.cpp
@@ -6,9 +6,8 @@
 
 std::shared_ptr<PooledLink> EndpointLinks::takeIdleSince(TimePoint time)
 {
-    const auto found = std::find_if(links_.begin(), links_.end(), [time](const auto& link) {
-        return link->state() == PooledLink::State::Idle && link->stateSince() <= time;
-    });
+    const auto found = std::find_if(links_.begin(), links_.end(),
+        [time](const auto& link) { return link->state() == PooledLink::State::Idle && link->stateSince() <= time; });
     if (found == links_.end())
         return nullptr;
     std::shared_ptr<PooledLink> link = std::move(*found);
@@ -102,6 +101,18 @@
     return earliest;
 }
 
+bool EndpointLinks::hasLostAnswer(const PooledLink& link, TimePoint now) const
+{
+    const std::optional<TimePoint> since = link.quickCommandSince();
+    return since && now - *since >= settings_.quickSilenceLimit && lastReplyAt_ > *since;
+}
+
+bool EndpointLinks::isQuiet(TimePoint now) const
+{
+    const std::optional<TimePoint> waiting = waitingSince();
+    return waiting && now - std::max(*waiting, lastReplyAt_) >= settings_.quickSilenceLimit;
+}
+
 bool EndpointLinks::isSuspect(TimePoint now) const { return suspectSince(now).has_value(); }
 
 std::optional<TimePoint> EndpointLinks::suspectSince(TimePoint now) const
--- a/src/pooling/EndpointLinks.h
+++ b/src/pooling/EndpointLinks.h
@@ -76,6 +76,10 @@
     /** Connections that are open or being opened. */
     std::size_t openCount() const;
     bool mayConnect(TimePoint now) const { return now >= connectAfter_; }
+    /** A command that is answered at once has no answer, although the endpoint answered on another connection since. */
+    bool hasLostAnswer(const PooledLink&, TimePoint now) const;
+    /** Something waits, and nothing was answered for a while; the first sign of a failure. */
+    bool isQuiet(TimePoint now) const;
     /** The endpoint probably does not answer. */
     bool isSuspect(TimePoint now) const;
     /** Time of the first sign of the present failure; nullopt while healthy. */
--- a/tests/mocks/FakeEndpoints.h
+++ b/tests/mocks/FakeEndpoints.h
@@ -41,6 +41,8 @@
         std::size_t maximumConnections = 1000;
         /** Answers that are lost: the connection closes after the run. */
         std::size_t lostAnswers = 0;
+        /** Connections opened before this number return nothing further. */
+        std::size_t deafBefore = 0;
         Term pausedIn = 0;
         std::size_t connections = 0;
         std::size_t openedConnections = 0;
@@ -57,6 +59,8 @@
 
     Server& server(const EndpointId& id) { return servers_[id]; }
     const std::vector<RunStatement>& runs() const { return runs_; }
+    /** Number of the connection that was ordered last. */
+    std::size_t lastConnection() const { return lastConnection_; }
     /** Number of runs of a caller's statement. */
     std::size_t runsOf(const std::string& id) const;
     void crash(const EndpointId&);
@@ -157,7 +161,7 @@
 
     void handle()
     {
-        if (server().isSilent || waiting_.empty())
+        if (server().isSilent || waiting_.empty() || number_ < server().deafBefore)
             return;
         const EndpointCommand command = waiting_.front();
         const bool needsSlot
--- a/tests/pooling/TestStatementDispatcher.cpp
+++ b/tests/pooling/TestStatementDispatcher.cpp
@@ -153,6 +153,38 @@
     cr_assert(fixture.dispatcher.primaryFailingSince(fixture.group, fixture.timers.now()));
 }
 
+// Pattern: answers are lost without a word on every open connection of a primary that lives (kpa-almond inc-9522).
+// Guards against replacing such a primary, and against statements that wait for connections which return nothing.
+Test(StatementDispatcher, lostAnswersOnAllConnectionsAreNoFailure)
+{
+    DispatcherFixture fixture;
+    fixture.configuration->groups[fixture.group].maximumConnections = 34;
+    fixture.dispatcher.setGroups(fixture.configuration->groups, fixture.timers.now());
+    fixture.dispatcher.setSharing({ { fixture.group, 9 } }, fixture.timers.now());
+    std::vector<std::unique_ptr<FakeCaller>> callers;
+    const auto readAll = [&](const std::string& name) {
+        for (int i = 0; i < 8; ++i) {
+            callers.push_back(std::make_unique<FakeCaller>(fixture, "orders"));
+            callers.back()->read(name + std::to_string(i));
+        }
+    };
+    readAll("warm");
+    fixture.advance(Milliseconds(200));
+    fixture.endpoints.server(fixture.a).deafBefore = fixture.endpoints.lastConnection() + 1;
+    callers.clear();
+    FakeCaller firstWriter(fixture, "orders");
+    FakeCaller secondWriter(fixture, "orders");
+    FakeCaller thirdWriter(fixture, "orders");
+    for (FakeCaller* writer : { &firstWriter, &secondWriter, &thirdWriter })
+        writer->write("w");
+    fixture.advance(Milliseconds(10));
+    readAll("r");
+    fixture.advance(Milliseconds(940));
+    cr_assert(!fixture.dispatcher.primaryFailingSince(fixture.group, fixture.timers.now()));
+    for (const auto& caller : callers)
+        cr_assert(caller->succeeded());
+}
+
 // Guards against replacing a primary that only has no connection left for this daemon.
 Test(StatementDispatcher, tooManyConnectionsIsNoFailure)
 {
