Remove what nothing uses and hold the operator's limit of a statement

Cause: a reading of the diff found a setting, two functions, an order and a field without a user, and a limit of the configuration that was decoded and not held. Change: they are gone, with the three checks of the removed function; statements beyond the limit are refused as too big (test).

--- a/include/almondlever/forwarding/StatementForwarder.h
+++ b/include/almondlever/forwarding/StatementForwarder.h
@@ -16,7 +16,6 @@
 
 /** Bounds of forwarding. */
 struct ForwarderSettings {
-    VmId self;
     FailureDomainId failureDomain;
     /** A random number, so that the numbers of a former life of this process are never taken for present ones. */
     std::uint64_t firstNumber = 0;
--- a/include/almondlever/front/FrontDaemon.h
+++ b/include/almondlever/front/FrontDaemon.h
@@ -73,7 +73,6 @@
 
     bool isReady() const { return routing_ && hasEndpoints_ && !stop_.isStopping(); }
     TimePoint now() const { return timers_.now(); }
-    bool acceptsCallers() const { return stop_.acceptsCallers(timers_.now()); }
     std::shared_ptr<const RoutingConfiguration> routing() const override { return routing_; }
     Metrics& metrics() { return metrics_; }
 
--- a/include/almondlever/front/StopSequence.h
+++ b/include/almondlever/front/StopSequence.h
@@ -32,8 +32,6 @@
         startedAt_ = now;
     }
     bool isStopping() const { return isStopping_; }
-    /** New callers may still come. */
-    bool acceptsCallers(TimePoint now) const { return !isStopping_ || now - startedAt_ < settings_.noticed; }
     /** Share of the sessions at rest that must be closed by now, 0 to 1. */
     double shareToClose(TimePoint now) const;
     /** Open transactions have had the first half of the grace period. */
--- a/include/almondlever/pooling/EndpointLink.h
+++ b/include/almondlever/pooling/EndpointLink.h
@@ -28,8 +28,6 @@
         /** Stops a replica from receiving, in a term above the newest one. */
         PauseReplication,
         ResumeReplication,
-        /** Makes a primary of a lower term a replica. */
-        StepDown,
     };
 
     Kind kind = Kind::Forward;
@@ -44,7 +42,7 @@
     bool isWriteShape = false;
     /** The endpoint refuses as lagging unless its log contains this. Reads and BeginReadOnly only. */
     std::optional<LogPosition> after;
-    /** PauseReplication, StepDown. */
+    /** PauseReplication. */
     Term term = 0;
 };
 
--- a/include/almondlever/pooling/StatementDispatcher.h
+++ b/include/almondlever/pooling/StatementDispatcher.h
@@ -17,8 +17,6 @@
 
 /** Bounds of the dispatcher. */
 struct DispatcherSettings {
-    /** The VM's own failure domain. */
-    FailureDomainId failureDomain;
     /** Share of an endpoint's connections that the daemons open together under load. */
     double loadShare = 0.7;
     /**
--- a/include/almondlever/sessions/Routing.h
+++ b/include/almondlever/sessions/Routing.h
@@ -54,7 +54,7 @@
     std::map<GroupId, GroupRule> groups;
     /** A transaction that waits longer for its caller is rolled back. */
     Milliseconds transactionIdleLimit { 0 };
-    /** Size of the largest statement. */
+    /** Size of the largest statement; 0 when there is no bound. */
     std::size_t maximumStatementBytes = 0;
 };
 
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -34,7 +34,6 @@
     ForwarderSettings forwarderSettings(const FrontSettings& settings)
     {
         ForwarderSettings forwarder;
-        forwarder.self = settings.vm;
         forwarder.failureDomain = settings.failureDomain;
         forwarder.firstNumber = settings.randomSeed;
         return forwarder;
--- a/src/pooling/EndpointLinks.h
+++ b/src/pooling/EndpointLinks.h
@@ -60,7 +60,8 @@
     {
         if (latency)
             window_.noteAnswer(*latency, running_, now);
-        --running_;
+        if (running_ > 0)
+            --running_;
     }
     SharedWindow& window() { return window_; }
     /** Statements that the endpoint has not answered. */
--- a/src/sessions/Session.cpp
+++ b/src/sessions/Session.cpp
@@ -212,6 +212,10 @@
         return failLocally(StatementError::Malformed, "the transaction has failed and must be ended first");
     if (state_ == TransactionState::None && !takeRoute())
         return;
+    const auto configuration = routing_.routing();
+    const std::size_t limit = configuration ? configuration->maximumStatementBytes : 0;
+    if (limit > 0 && statement.text.size() > limit)
+        return failLocally(StatementError::TooBig, "a statement may have " + std::to_string(limit) + " bytes");
     bool isWrite = statement.kind == StatementKind::Write;
     if (statement.kind == StatementKind::Execute) {
         const auto prepared = contents_->prepared.find(statement.name);
--- a/tests/forwarding/TestForwarding.cpp
+++ b/tests/forwarding/TestForwarding.cpp
@@ -59,7 +59,7 @@
     FakeNetwork ownerNetwork { timers, { ownerVm, FailureDomainId("d"), "2" } };
     EndpointDirectory entryDirectory;
     StatementDispatcher entryDispatcher { entryDirectory, endpoints, log, metrics, {} };
-    StatementForwarder forwarder { entryDispatcher, log, metrics, { entryVm, FailureDomainId("d") } };
+    StatementForwarder forwarder { entryDispatcher, log, metrics, { FailureDomainId("d") } };
     ForwardedStatements owner { dispatcher, 77 };
 
     Fixture()
--- a/tests/front/TestStopSequence.cpp
+++ b/tests/front/TestStopSequence.cpp
@@ -12,16 +12,13 @@
 
 } // namespace
 
-// Guards against refusing callers whom the balancer still sends, and against closing all sessions at one moment.
+// Guards against closing sessions whose callers the balancer would send back, and closing all of them at one moment.
 Test(StopSequence, closesSessionsAfterTheBalancerHasNoticed)
 {
     StopSequence stop { StopSettings() };
-    cr_assert(stop.acceptsCallers(start));
     stop.begin(start);
     cr_assert(stop.isStopping());
-    cr_assert(stop.acceptsCallers(at(2000)));
     cr_assert_float_eq(stop.shareToClose(at(2000)), 0, 0.001);
-    cr_assert(!stop.acceptsCallers(at(2400)));
     const double half = stop.shareToClose(at(2900));
     cr_assert(half > 0.2 && half < 0.8);
     cr_assert_float_eq(stop.shareToClose(at(3600)), 1, 0.001);
--- a/tests/mocks/FakeEndpoints.h
+++ b/tests/mocks/FakeEndpoints.h
@@ -268,7 +268,6 @@
             reply.replication = EndpointReplicationStatus { server().leads, server().position.term, server().position };
             break;
         case EndpointCommand::Kind::QueryStatus:
-        case EndpointCommand::Kind::StepDown:
             reply.replication = EndpointReplicationStatus { server().leads, server().position.term, server().position };
             break;
         case EndpointCommand::Kind::Forward:
--- a/tests/sessions/TestSession.cpp
+++ b/tests/sessions/TestSession.cpp
@@ -230,3 +230,17 @@
     fixture.advance(Milliseconds(200));
     cr_assert(next.succeeded(), "the connections are free again");
 }
+
+// Guards against statements beyond the operator's limit taking memory and time of endpoints.
+Test(Session, tooLargeStatementIsRefused)
+{
+    DispatcherFixture fixture;
+    fixture.configuration->maximumStatementBytes = 100;
+    FakeCaller caller(fixture, "orders");
+    caller.say(StatementKind::Write, "w1", "WRITE x " + std::string(100, 'y'));
+    cr_assert(caller.hasError(StatementError::TooBig));
+    cr_assert_eq(fixture.endpoints.runsOf("w1"), 0U);
+    caller.write("w2");
+    fixture.advance(Milliseconds(100));
+    cr_assert(caller.succeeded());
+}
