End a promotion whose pause is in a term that is not new

Change: an answer with as new a term ends the attempt and tells the directory; 1.5 s of settling after an unfinished change; the record is read before the claim; no orders without the claim.

--- a/src/failover/GroupPromotion.cpp
+++ b/src/failover/GroupPromotion.cpp
@@ -82,6 +82,12 @@
         return onTick(now);
     }
     unreachable_.erase(endpoint);
+    if (phase_ == Phase::Fencing && status->term >= pauseTerm_) {
+        // A pause must be in a term above the newest one; this one holds nothing back, so positions can still change.
+        if (kind == Order::Kind::Pause)
+            paused_[endpoint] = status->received;
+        return fail("a newer term than that of the pause was found", now);
+    }
     pauseTerm_ = std::max(pauseTerm_, status->term + 1);
     if (status->isPrimary && phase_ == Phase::Asking) {
         // What the endpoints say of themselves is newer than the list of members.
--- a/src/front/PromotionDriver.cpp
+++ b/src/front/PromotionDriver.cpp
@@ -9,6 +9,13 @@
 
 namespace {
 
+    /**
+     * Time after which a call that the platform accepted for an earlier change has taken effect: the longest promotion
+     * of the deployments takes a second. Resuming replicas before it could let a commit be acknowledged that the
+     * endpoint which is about to lead never receives.
+     */
+    constexpr Milliseconds settleTime { 1500 };
+
     const char* toText(GroupPromotion::Order::Kind kind)
     {
         switch (kind) {
@@ -106,8 +113,21 @@
             continue;
         const auto running = changes_.find(group);
         if (running != changes_.end()) {
-            if (running->second->promotion)
-                carryOut(group, running->second->promotion->onTick(now), now);
+            Change& change = *running->second;
+            if (!change.promotion)
+                continue;
+            if (change.claim.isHeld(now)) {
+                carryOut(group, change.promotion->onTick(now), now);
+                continue;
+            }
+            // Orders of this daemon would undo the pauses of the next holder.
+            logWarning("promotion_given_up",
+                { { "group", group.text() }, { "reason", "the claim has ended" },
+                    { "fence", std::to_string(change.claim.fence()) } });
+            Watch& watch = watches_[group];
+            watch.isOpen = true;
+            watch.reasonSince.reset();
+            changes_.erase(running);
             continue;
         }
         Watch& watch = watches_[group];
@@ -119,7 +139,8 @@
         watch.reason = *reason;
         if (!watch.reasonSince)
             watch.reasonSince = now;
-        const bool isDue = now - *watch.reasonSince >= orderDelay(group) && now >= watch.notBefore;
+        const Duration settling = watch.isOpen ? Duration(settleTime) : Duration(0);
+        const bool isDue = now - *watch.reasonSince >= orderDelay(group) + settling && now >= watch.notBefore;
         if (isDue && !watch.isClaimed && !isStopping_)
             begin(group, *reason, now);
     }
@@ -134,9 +155,30 @@
     logInfo("promotion_claim_asked",
         { { "group", group.text() }, { "reason", toText(reason) }, { "primary", primary ? primary->id.text() : "" },
             { "term", std::to_string(directory_.newestTermOf(group)) } });
-    PromotionClaim& claim = change->claim;
     changes_[group] = std::move(change);
-    claim.acquire(++attempts_, [this, group](const StoreResult<std::uint64_t>& result) { onClaimed(group, result); });
+    const bool knewOpen = watches_[group].isOpen;
+    const std::string record = storeKeys::changes + group.text();
+    // The news of an unfinished change may be on its way to this daemon while its claim has ended already.
+    store_.readRange(record, "",
+        [this, group, record, knewOpen, alive = std::weak_ptr<int>(alive_)](const StoreResult<StorePage>& page) {
+            if (alive.expired() || changes_.count(group) == 0)
+                return;
+            const bool isOpen = page
+                && std::any_of(page.value().items.begin(), page.value().items.end(), [&record](const StoreItem& item) {
+                       return item.key == record && item.value == storeKeys::changeOpen;
+                   });
+            if (page && (!isOpen || knewOpen))
+                return changes_.at(group)->claim.acquire(
+                    ++attempts_, [this, group](const StoreResult<std::uint64_t>& result) { onClaimed(group, result); });
+            logInfo("promotion_not_claimed",
+                { { "group", group.text() }, { "outcome", page ? "unfinished_change" : toText(page.error().kind) },
+                    { "detail", page ? "" : page.error().detail } });
+            Watch& watch = watches_[group];
+            watch.isOpen = watch.isOpen || isOpen;
+            watch.reasonSince.reset();
+            watch.notBefore = timers_.now() + settings_.retryPause;
+            changes_.erase(group);
+        });
 }
 
 void PromotionDriver::onClaimed(const GroupId& group, const StoreResult<std::uint64_t>& result)
@@ -179,6 +221,10 @@
 
 void PromotionDriver::carryOut(const GroupId& group, const GroupPromotion::Orders& orders, TimePoint now)
 {
+    // Another daemon may hold the claim by now; onTick() gives the change up.
+    const auto found = changes_.find(group);
+    if (found == changes_.end() || !found->second->claim.isHeld(now))
+        return;
     for (const GroupPromotion::Order& order : orders) {
         if (order.kind == GroupPromotion::Order::Kind::Promote)
             promote(group, order.endpoint, now);
@@ -215,6 +261,8 @@
                     { "received", status ? std::to_string(status->received.index) : "" } });
             if (alive.expired())
                 return;
+            if (status)
+                directory_.noteTerm(group, status->term);
             const auto change = changes_.find(group);
             if (change == changes_.end() || !change->second->promotion)
                 return;
--- a/tests/failover/TestGroupPromotion.cpp
+++ b/tests/failover/TestGroupPromotion.cpp
@@ -207,3 +207,19 @@
             cr_assert_gt(order.term, 7U);
     }
 }
+
+// Guards against losing a commit (kpa-almond trouble-3, seed 1009794462983): a daemon that knows only term 3 pauses in
+// term 4, which the replica has already reached, so the replica goes on to receive.
+Test(GroupPromotion, pauseInATermThatIsNotNewIsNoPause)
+{
+    auto promotion = makePromotion(PromotionReason::PrimaryFailed);
+    promotion.start(start);
+    promotion.onStatus(b, Kind::Pause, replica(10), at(20));
+    const auto orders = promotion.onStatus(c, Kind::Pause, replica(12, 4), at(30));
+    cr_assert(!hasAny(orders, Kind::Promote));
+    cr_assert(has(orders, Kind::Resume, b));
+    promotion.onStatus(b, Kind::Resume, replica(10), at(50));
+    promotion.onStatus(c, Kind::Resume, replica(12, 4), at(50));
+    cr_assert(promotion.isFinished());
+    cr_assert(!promotion.hasSucceeded());
+}
