Keep a leader that answers when a late announcement comes

The directory preferred the later announcement to the proven leader for as long as the entry stood, so the group had no usable primary for 5 s (refused: 615 statements) although the leader answered. Ruled out: a fault of the promotion (it had ended at 5.1 s); positions (the leader's own answers were fresh). Change: announcements and proofs are ordered as they reach the process; an announcement displaces a proven leader only until the latter proves its lead again. A rebirth makes an announcement new. Test: EndpointDirectory.lateAnnouncementDoesNotDisplaceALeaderThatAnswers, refusalAfterALateProofLeavesTheAnnouncedLeader; both failed before.

--- a/include/almondlever/groups/EndpointDirectory.h
+++ b/include/almondlever/groups/EndpointDirectory.h
@@ -60,15 +60,21 @@
         std::uint64_t refusedAtRevision = 0;
         /** Revision at which the entry first said that the endpoint leads. */
         std::uint64_t primarySinceRevision = 0;
+        /** Place of that announcement in the order of evidence. */
+        std::uint64_t announcedAt = 0;
     };
     struct Leadership {
         EndpointId proven;
         Term provenTerm = 0;
+        /** Place of the latest proof in the order of evidence. */
+        std::uint64_t provenAt = 0;
         Term newestTerm = 0;
     };
 
     std::map<EndpointId, Listed> endpoints_;
     std::map<GroupId, Leadership> leadership_;
+    /** Announcements and proofs so far; orders them as they reached this process. */
+    std::uint64_t evidence_ = 0;
 };
 
 } // namespace almondlever
--- a/src/groups/EndpointDirectory.cpp
+++ b/src/groups/EndpointDirectory.cpp
@@ -28,11 +28,14 @@
         if (leadership.proven == entry.id)
             leadership.proven = EndpointId();
         listed.refusedAtRevision = 0;
+        listed.primarySinceRevision = 0;
     }
-    if (!entry.saysPrimary)
+    if (!entry.saysPrimary) {
         listed.primarySinceRevision = 0;
-    else if (listed.primarySinceRevision == 0)
+    } else if (listed.primarySinceRevision == 0) {
         listed.primarySinceRevision = entry.revision;
+        listed.announcedAt = ++evidence_;
+    }
     if (!entry.isLeaving)
         listed.leavingSince.reset();
     else if (!listed.leavingSince)
@@ -118,6 +121,7 @@
     found->second.refusedAtRevision = 0;
     leadership.proven = id;
     leadership.provenTerm = term;
+    leadership.provenAt = ++evidence_;
 }
 
 void EndpointDirectory::noteNotLeading(const EndpointId& id)
@@ -155,8 +159,10 @@
     const auto proven = endpoints_.find(leadership->second.proven);
     if (proven == endpoints_.end())
         return best ? &best->entry : nullptr;
-    // An endpoint that announced its lead after the proven one last wrote has taken over since.
-    if (best && best->entry.id != proven->first && best->primarySinceRevision > proven->second.entry.revision
+    // An endpoint that announced its lead after the proven one last wrote has probably taken over since. An answer of
+    // the proven one after the announcement shows that it has not: entries of endpoints that were cut off come late.
+    if (best && best->entry.id != proven->first && best->announcedAt > leadership->second.provenAt
+        && best->primarySinceRevision > proven->second.entry.revision
         && best->primarySinceRevision > proven->second.primarySinceRevision)
         return &best->entry;
     return &proven->second.entry;
--- a/tests/groups/TestEndpointDirectory.cpp
+++ b/tests/groups/TestEndpointDirectory.cpp
@@ -114,3 +114,34 @@
     directory.update(entry, start + Milliseconds(500));
     cr_assert(*directory.leavingSince(a) == start);
 }
+
+// Pattern: an endpoint that was cut off and replaced is reachable again and writes its former entry anew.
+// Guards against leaving a leader that answers for an endpoint that only says that it leads.
+Test(EndpointDirectory, lateAnnouncementDoesNotDisplaceALeaderThatAnswers)
+{
+    EndpointDirectory directory;
+    directory.update(makeEntry(a, true, 1), start);
+    directory.update(makeEntry(b, true, 2), start);
+    directory.noteLeading(b, 2);
+    directory.lapse(a, start);
+    directory.removeLapsed(start + Milliseconds(2000));
+    directory.update(makeEntry(a, true, 9), start);
+    cr_assert(leads(directory, a), "it may have taken over; its answer decides");
+    directory.noteLeading(b, 2);
+    cr_assert(leads(directory, b));
+    directory.update(makeEntry(a, true, 12), start);
+    cr_assert(leads(directory, b), "it says nothing new");
+}
+
+// Guards against staying with a former leader whose answer was on its way when the next one announced itself.
+Test(EndpointDirectory, refusalAfterALateProofLeavesTheAnnouncedLeader)
+{
+    EndpointDirectory directory;
+    directory.update(makeEntry(a, true, 1), start);
+    directory.noteLeading(a, 1);
+    directory.update(makeEntry(b, true, 5), start);
+    directory.noteLeading(a, 1);
+    cr_assert(leads(directory, a));
+    directory.noteNotLeading(a);
+    cr_assert(leads(directory, b));
+}
