Refuse at once what no primary or replica can serve, and promote nothing below what was acknowledged

Change: the expected rest of an outage grows with what was waited in vain, and is the whole time so far while too few endpoints answer; WriteWatch notes unanswered and acknowledged writes: writes are refused while several had no answer and no replica lives, a primary without an acknowledged write for 3 s is replaced (reason primary_stalled), and no endpoint below the newest acknowledged position is promoted. MISROUTED when connecting counts as a refusal to lead. Ruled out: replacing a stalled primary sooner than 3 s (the change costs about as much as a stall of that length). The fake group now replicates for PromotionDriver, whose hand-over the new bound had stopped.

--- a/include/almondlever/failover/GroupPromotion.h
+++ b/include/almondlever/failover/GroupPromotion.h
@@ -3,6 +3,7 @@
 #include "almondlever/common/Time.h"
 #include "almondlever/groups/EndpointEntry.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -15,13 +16,15 @@
 enum class PromotionReason {
     /** The primary does not answer. */
     PrimaryFailed,
+    /** The primary answers but acknowledges no write, because it cannot replicate. */
+    PrimaryStalled,
     /** The primary will stop soon and still answers. */
     PrimaryLeaving,
     /** A daemon died during a promotion; replicas may be paused and its call may still be carried out. */
     Recovery,
 };
 
-/** "primary_failed", "primary_leaving" or "recovery". */
+/** "primary_failed", "primary_stalled", "primary_leaving" or "recovery". */
 const char* toText(PromotionReason);
 
 /** An endpoint of the group as the promotion starts. */
@@ -84,6 +87,12 @@
     GroupPromotion(std::vector<PromotionMember>, std::size_t synchronousReplicas, Term newestTerm, PromotionReason,
         const PromotionSettings&);
 
+    /**
+     * A position that callers were told of, or that a replica held beside the primary. Members come and go, and the
+     * copy of a commit goes with them; whoever lacks this position is not promoted, however many answered.
+     */
+    void noteAcknowledged(const LogPosition& position) { acknowledged_ = std::max(acknowledged_, position); }
+
     Orders start(TimePoint now);
     /** Answer to QueryStatus, Pause or Resume; nullopt when the endpoint could not be reached or refused. */
     Orders onStatus(const EndpointId&, Order::Kind, const std::optional<EndpointReplicationStatus>&, TimePoint now);
@@ -122,6 +131,11 @@
     Orders chooseTarget(TimePoint now);
     void enter(Phase, TimePoint now);
     const PromotionMember* primary() const;
+    /** The group has nobody who serves writes, so that an endpoint which leads makes the attempt needless. */
+    bool replacesFailedPrimary() const
+    {
+        return reason_ == PromotionReason::PrimaryFailed || reason_ == PromotionReason::PrimaryStalled;
+    }
     std::size_t neededAnswers() const;
     const PromotionMember* mostAdvanced(const std::map<EndpointId, LogPosition>&) const;
 
@@ -143,6 +157,7 @@
     std::set<EndpointId> unreachable_;
     /** Replicas whose answer to the order to resume is awaited. */
     std::set<EndpointId> resuming_;
+    LogPosition acknowledged_;
     EndpointId chosen_;
     std::string failure_;
     bool needsRecovery_ = false;
--- a/include/almondlever/pooling/StatementDispatcher.h
+++ b/include/almondlever/pooling/StatementDispatcher.h
@@ -38,6 +38,8 @@
     Milliseconds drainLimit { 6000 };
     /** Time from the detection of a failed primary until another one leads, assumed until changes were observed. */
     Milliseconds usualPrimaryChange { 900 };
+    /** Time that replicas need to apply what they received; the largest lag of the deployments is 360 ms. */
+    Milliseconds catchUpPatience { 400 };
     /** Pause before a statement is offered again to an endpoint that was behind or full. */
     Milliseconds retryPause { 25 };
     /** Endpoints that one statement is offered to before its caller gets the refusal. */
@@ -97,10 +99,12 @@
 
     /** Since when the known primary of a group gives signs of failure; nullopt while it answers. */
     std::optional<TimePoint> primaryFailingSince(const GroupId&, TimePoint now) const;
+    /** Since when the known primary acknowledges no write although it answers; nullopt while it does. */
+    std::optional<TimePoint> writesStalledSince(const GroupId&, TimePoint now) const;
+    /** No endpoint whose log ends below this holds every commit that this daemon saw acknowledged in the group. */
+    LogPosition acknowledgedPositionOf(const GroupId&) const;
     /** True when there is an open connection to the endpoint. */
     bool isReachable(const EndpointId&) const;
-    /** Highest position known of the group's log, from answers of any endpoint. */
-    LogPosition newestPositionOf(const GroupId&) const;
 
 private:
     std::unique_ptr<class DispatcherState> state_;
--- a/src/failover/GroupPromotion.cpp
+++ b/src/failover/GroupPromotion.cpp
@@ -9,6 +9,8 @@
     switch (reason) {
     case PromotionReason::PrimaryFailed:
         return "primary_failed";
+    case PromotionReason::PrimaryStalled:
+        return "primary_stalled";
     case PromotionReason::PrimaryLeaving:
         return "primary_leaving";
     case PromotionReason::Recovery:
@@ -55,6 +57,9 @@
     enter(Phase::Asking, now);
     if (members_.empty())
         return fail("the group has no endpoints", now);
+    // What the primary says is no reason to stop; only its writes count.
+    if (reason_ == PromotionReason::PrimaryStalled && primary())
+        return beginFencing(now);
     if (reason_ == PromotionReason::PrimaryFailed && primary()) {
         // Replicas are paused while the primary is asked; an answer of the primary ends the attempt.
         Orders orders = beginFencing(now);
@@ -97,7 +102,7 @@
     }
     if (phase_ == Phase::Confirming && status->isPrimary && endpoint == chosen_)
         return resumeOthers(now);
-    if (phase_ == Phase::Fencing && reason_ == PromotionReason::PrimaryFailed && status->isPrimary) {
+    if (phase_ == Phase::Fencing && replacesFailedPrimary() && status->isPrimary) {
         if (kind == Order::Kind::Pause)
             paused_[endpoint] = status->received;
         return fail("the primary answers", now);
@@ -117,7 +122,7 @@
         const bool hasAllAnswers = asked_.size() + unreachable_.size() >= members_.size();
         if (!hasAllAnswers && elapsed < settings_.answerPatience)
             return {};
-        if (reason_ == PromotionReason::PrimaryFailed && primaryAnswers_)
+        if (replacesFailedPrimary() && primaryAnswers_)
             return fail("another endpoint leads", now);
         if (reason_ == PromotionReason::Recovery && primaryAnswers_) {
             // Naming the present primary under a newer fence makes the platform refuse older calls.
@@ -233,6 +238,8 @@
         const PromotionMember* best = mostAdvanced(paused_);
         if (!best)
             return fail("no replica can be promoted", now);
+        if (paused_.at(best->id) < acknowledged_)
+            return fail("no replica that answers holds every acknowledged commit", now);
         chosen_ = best->id;
         return promote(now);
     }
@@ -245,7 +252,7 @@
 {
     if (phase_ != Phase::CatchingUp)
         enter(Phase::CatchingUp, now);
-    LogPosition needed;
+    LogPosition needed = acknowledged_;
     for (const auto& [id, position] : paused_)
         needed = std::max(needed, position);
     if (asked_[chosen_] >= needed)
--- a/src/front/PromotionDriver.cpp
+++ b/src/front/PromotionDriver.cpp
@@ -75,6 +75,8 @@
         return PromotionReason::PrimaryFailed;
     if (watch.isOpen)
         return PromotionReason::Recovery;
+    if (dispatcher_.writesStalledSince(group, now))
+        return PromotionReason::PrimaryStalled;
     const EndpointEntry* primary = directory_.primaryOf(group);
     if (!primary || !primary->isLeaving)
         return std::nullopt;
@@ -117,6 +119,7 @@
             if (!change.promotion)
                 continue;
             if (change.claim.isHeld(now)) {
+                change.promotion->noteAcknowledged(dispatcher_.acknowledgedPositionOf(group));
                 carryOut(group, change.promotion->onTick(now), now);
                 continue;
             }
@@ -209,13 +212,14 @@
     for (const EndpointEntry* entry : directory_.endpointsOf(group))
         members.push_back({ entry->id, entry == primary, entry->isLeaving });
     const std::size_t synchronous = groups_[group].synchronousReplicas;
+    const LogPosition acknowledged = dispatcher_.acknowledgedPositionOf(group);
     change.promotion = std::make_unique<GroupPromotion>(
         members, synchronous, directory_.newestTermOf(group), change.reason, settings_.promotion);
     logInfo("promotion_started",
         { { "group", group.text() }, { "reason", toText(change.reason) }, { "fence", std::to_string(result.value()) },
-            { "members", std::to_string(members.size()) },
-            { "newest_position_term", std::to_string(dispatcher_.newestPositionOf(group).term) },
-            { "newest_position_index", std::to_string(dispatcher_.newestPositionOf(group).index) } });
+            { "members", std::to_string(members.size()) }, { "acknowledged_term", std::to_string(acknowledged.term) },
+            { "acknowledged_index", std::to_string(acknowledged.index) } });
+    change.promotion->noteAcknowledged(acknowledged);
     carryOut(group, change.promotion->start(now), now);
 }
 
@@ -266,7 +270,9 @@
             const auto change = changes_.find(group);
             if (change == changes_.end() || !change->second->promotion)
                 return;
-            carryOut(group, change->second->promotion->onStatus(order.endpoint, order.kind, status, at), at);
+            GroupPromotion& promotion = *change->second->promotion;
+            promotion.noteAcknowledged(dispatcher_.acknowledgedPositionOf(group));
+            carryOut(group, promotion.onStatus(order.endpoint, order.kind, status, at), at);
         },
         timers_.now());
 }
--- a/src/pooling/DispatcherLinks.cpp
+++ b/src/pooling/DispatcherLinks.cpp
@@ -98,8 +98,13 @@
 {
     linksOf(link.endpoint()).noteReply(reply, now);
     const EndpointEntry* entry = directory_.find(link.endpoint());
-    if (entry && reply.position)
-        directory_.noteTerm(entry->group, reply.position->term);
+    if (!entry || !reply.position)
+        return;
+    directory_.noteTerm(entry->group, reply.position->term);
+    // Positions of an earlier term may have been rolled back.
+    const bool isOfPresentTerm = reply.position->term >= directory_.newestTermOf(entry->group);
+    if (isOfPresentTerm && directory_.primaryOf(entry->group) != entry)
+        queuesOf(entry->group).writes.noteHeldByReplica(*reply.position);
 }
 
 void DispatcherState::onPooledLinkClosed(
@@ -109,6 +114,9 @@
     const std::size_t before = links.links().size();
     const bool wasOpening = !link.wasOpened();
     links.noteClosed(refusal, wasOpening, now);
+    // Another server uses the address, so whatever the entry says comes from the past.
+    if (refusal == StatementError::Misrouted)
+        directory_.noteNotLeading(link.endpoint());
     metrics_.count(
         "almondlever_endpoint_connections_closed_total", wasOpening ? "state=\"opening\"" : "state=\"open\"");
     const bool isChange = before == 1 || refusal;
@@ -226,6 +234,7 @@
                 { "term", std::to_string(position.term) } });
         queues.lastPrimary = endpoint;
         queues.history.clear();
+        queues.writes.noteNewPrimary();
     }
     queues.history.add(askedAt, position);
 }
--- a/src/pooling/DispatcherRuns.cpp
+++ b/src/pooling/DispatcherRuns.cpp
@@ -9,6 +9,12 @@
     /** True when the statement ends its transaction with an effect. */
     bool isCommit(const StatementRequest& request) { return request.statement.kind == StatementKind::Commit; }
 
+    /** True when an answer to the statement acknowledges a write, so that replicas must have received it. */
+    bool acknowledgesWrite(const StatementRequest& request, bool isInTransaction)
+    {
+        return request.isWrite && (isCommit(request) || (!isInTransaction && !request.opensTransaction));
+    }
+
     EndpointCommand makeForward(const StatementRequest& request)
     {
         EndpointCommand command;
@@ -43,6 +49,19 @@
         finish(ticket, std::move(result), now);
         return ticket;
     }
+    const PendingStatement& added = pending_.at(ticket);
+    if (added.request.isWrite && !isCommit(added.request)
+        && areWritesHopeless(queuesOf(added.request.group), added.request.group, now)) {
+        // The commit would wait for a replica until its time-out and leave its caller in doubt.
+        logEnd(added.request, "refuse", link->endpoint(), "not_run", "no_replica", now);
+        StatementResult result;
+        result.endpoint = link->endpoint();
+        result.reply.error = StatementError::Aborted;
+        result.reply.detail = "no replica receives commits at present";
+        finish(ticket, std::move(result), now);
+        rollBack(link, now);
+        return ticket;
+    }
     StatementRun run;
     run.link = link;
     run.isInTransaction = true;
@@ -172,6 +191,8 @@
     const bool provesLead = request.isWrite || run.isWrapped;
     if (provesLead && reply.position)
         noteLeading(request.group, run.link->endpoint(), *reply.position, run.forwardedAt);
+    if (acknowledgesWrite(request, run.isInTransaction) && reply.position)
+        queuesOf(request.group).writes.noteAcknowledged(*reply.position);
     StatementResult result;
     result.reply = reply;
     result.endpoint = run.link->endpoint();
@@ -293,9 +314,7 @@
     Reply reply;
     reply.detail = reason;
     // Only a commit or a single write can leave an effect; all else is rolled back with its connection.
-    const bool endsWithEffect = isCommit(request) || (!isInTransaction && !request.opensTransaction);
-    const bool mayHaveEffect = request.isWrite && endsWithEffect;
-    if (mayHaveEffect)
+    if (acknowledgesWrite(request, isInTransaction))
         reply.error = StatementError::Unknown;
     else
         reply.error = isInTransaction || request.opensTransaction ? StatementError::Aborted : StatementError::Busy;
@@ -342,6 +361,10 @@
     result.reply = lostReply(request, run.isInTransaction, "no answer from the endpoint within the time-out");
     if (!isForwarded && result.reply.error == StatementError::Unknown)
         result.reply.error = run.isInTransaction ? StatementError::Aborted : StatementError::Busy;
+    const EndpointEntry* primary = directory_.primaryOf(request.group);
+    const bool wasToPrimary = primary && primary->id == result.endpoint;
+    if (isForwarded && wasToPrimary && acknowledgesWrite(request, run.isInTransaction))
+        queuesOf(request.group).writes.noteUnanswered(run.forwardedAt);
     logEnd(request, "time_out", result.endpoint, result.reply.error == StatementError::Unknown ? "unknown" : "not_run",
         isForwarded ? "no_answer" : "connection_not_prepared", now);
     metrics_.count("almondlever_timeouts_total", isForwarded ? "phase=\"statement\"" : "phase=\"setup\"");
--- a/src/pooling/DispatcherState.cpp
+++ b/src/pooling/DispatcherState.cpp
@@ -88,9 +88,12 @@
         pending.waitsForPrimary = request.needsPrimary || !minimumFor(queues, request);
     if (pending.waitsForPrimary) {
         const Duration wait = untilPrimary(queues, group, now);
-        if (now + wait > request.deadline)
-            return refuse(ticket, wait, "no_primary", now);
+        const Duration served = wait > Duration(0) ? wait + queues.primaryQueue.expectedWait(request.rank, now) : wait;
+        if (now + served > request.deadline)
+            return refuse(ticket, served, "no_primary", now);
     }
+    if (request.isWrite && areWritesHopeless(queues, group, now))
+        return refuse(ticket, queues.usualChange, "no_replica", now);
     QueuedRequest queued;
     queued.ticket = ticket;
     queued.rank = request.rank;
@@ -161,9 +164,73 @@
     }
     if (!queues.withoutPrimarySince)
         queues.withoutPrimarySince = now;
-    // Past the usual time nothing is known; a share of the usual time keeps callers from returning all the while.
-    const Duration left = *queues.withoutPrimarySince + queues.usualChange - now;
-    return std::max<Duration>(left, queues.usualChange / 8);
+    const Duration elapsed = now - *queues.withoutPrimarySince;
+    // Nobody can be promoted: an outage that lasts is expected to last as long again.
+    if (!canChangePrimary(queues, group, now))
+        return std::max(elapsed, queues.usualChange);
+    // Past the usual time, what is still to come grows with what was waited in vain.
+    const Duration late = elapsed - queues.usualChange;
+    return std::max({ -late, late, queues.usualChange / 8 });
+}
+
+std::size_t DispatcherState::countAnswering(const GroupId& group, bool withPrimary, TimePoint now) const
+{
+    const EndpointEntry* primary = directory_.primaryOf(group);
+    const std::vector<const EndpointEntry*> entries = directory_.endpointsOf(group);
+    const auto answers = [&](const EndpointEntry* entry) {
+        const EndpointLinks* links = findLinks(entry->id);
+        return (withPrimary || entry != primary) && links && !links->isSuspect(now);
+    };
+    return static_cast<std::size_t>(std::count_if(entries.begin(), entries.end(), answers));
+}
+
+bool DispatcherState::canChangePrimary(const GroupQueues& queues, const GroupId& group, TimePoint now)
+{
+    const std::size_t members = directory_.endpointsOf(group).size();
+    const std::size_t copies = std::max<std::size_t>(queues.rule.synchronousReplicas, 1);
+    const std::size_t needed = members > copies ? members - copies : 1;
+    return countAnswering(group, true, now) >= needed;
+}
+
+bool DispatcherState::areWritesHopeless(const GroupQueues& queues, const GroupId& group, TimePoint now)
+{
+    return queues.rule.synchronousReplicas > 0 && queues.writes.isFailing() && countAnswering(group, false, now) == 0;
+}
+
+void DispatcherState::refuseHopeless(GroupQueues& queues, const GroupId& group, TimePoint now)
+{
+    const Duration wait = untilPrimary(queues, group, now);
+    if (wait == Duration(0) || queues.primaryQueue.size() == 0)
+        return;
+    std::vector<Ticket> hopeless;
+    for (const auto& [ticket, pending] : pending_) {
+        if (pending.request.group == group && pending.waitsForPrimary && !pending.retryAt && runs_.count(ticket) == 0
+            && now + wait > pending.request.deadline)
+            hopeless.push_back(ticket);
+    }
+    for (const Ticket ticket : hopeless) {
+        cancelQueued(queues, ticket);
+        refuse(ticket, wait, "no_primary", now);
+    }
+}
+
+std::optional<TimePoint> DispatcherState::writesStalledSince(const GroupId& group, TimePoint now) const
+{
+    const auto found = groups_.find(group);
+    if (found == groups_.end() || found->second.sharers == 0)
+        return std::nullopt;
+    const GroupQueues& queues = found->second;
+    const std::size_t members = directory_.endpointsOf(group).size();
+    const std::size_t needed = members - std::min(members, std::max<std::size_t>(queues.rule.synchronousReplicas, 1));
+    // Without enough replicas to promote one of them, a change would only fail.
+    const bool canHelp = countAnswering(group, false, now) >= std::max<std::size_t>(needed, 2);
+    return canHelp ? queues.writes.stalledSince(now) : std::nullopt;
+}
+
+LogPosition DispatcherState::acknowledgedPositionOf(const GroupId& group) const
+{
+    const auto found = groups_.find(group);
+    return found == groups_.end() ? LogPosition() : found->second.writes.acknowledged();
 }
 
 void DispatcherState::dispatchPrimary(GroupQueues& queues, const GroupId& group, TimePoint now)
@@ -267,6 +334,12 @@
     pending.waitsForPrimary = usablePrimary(group, now) != nullptr || !minimum;
     if (pending.waitsForPrimary)
         return false;
+    const Duration wait = untilPrimary(queues, group, now);
+    const bool mayCatchUp = now - pending.request.arrival < settings_.catchUpPatience;
+    if (!mayCatchUp && now + wait > pending.request.deadline) {
+        refuse(queued.ticket, wait, "no_primary", now);
+        return false;
+    }
     pending.refusedBy.clear();
     pending.retryAt = now + settings_.retryPause;
     return false;
@@ -385,6 +458,7 @@
             queues.lastPrimary = id;
             // Positions of the former primary may contain commits that the new one never received.
             queues.history.clear();
+            queues.writes.noteNewPrimary();
         }
     }
     openWarmLinks(now);
@@ -423,19 +497,7 @@
     closeSpareLinks(now);
     askForPositions(now);
     for (auto& [group, queues] : groups_) {
-        const Duration wait = untilPrimary(queues, group, now);
-        if (wait > Duration(0) && queues.primaryQueue.size() > 0) {
-            std::vector<Ticket> hopeless;
-            for (const auto& [ticket, pending] : pending_) {
-                if (pending.request.group == group && pending.waitsForPrimary && !pending.retryAt
-                    && runs_.count(ticket) == 0 && now + wait > pending.request.deadline)
-                    hopeless.push_back(ticket);
-            }
-            for (const Ticket ticket : hopeless) {
-                cancelQueued(queues, ticket);
-                refuse(ticket, wait, "no_primary", now);
-            }
-        }
+        refuseHopeless(queues, group, now);
         dispatch(group, now);
     }
 }
@@ -463,14 +525,4 @@
     return links && links->openCount() > links->count(PooledLink::State::Opening);
 }
 
-LogPosition DispatcherState::newestPositionOf(const GroupId& group) const
-{
-    LogPosition newest;
-    for (const EndpointEntry* entry : directory_.endpointsOf(group)) {
-        if (const EndpointLinks* links = findLinks(entry->id))
-            newest = std::max(newest, links->position());
-    }
-    return newest;
-}
-
 } // namespace almondlever
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -4,6 +4,7 @@
 #include "almondlever/admission/RankScheduler.h"
 #include "almondlever/pooling/EndpointChoice.h"
 #include "almondlever/pooling/StatementDispatcher.h"
+#include "almondlever/pooling/WriteWatch.h"
 
 #include <set>
 #include <unordered_map>
@@ -63,6 +64,7 @@
     Duration usualChange { 0 };
     /** Since when no usable primary is known. */
     std::optional<TimePoint> withoutPrimarySince;
+    WriteWatch writes;
     TimePoint searchedAt {};
     bool isProbing = false;
 };
@@ -92,8 +94,9 @@
     void onDirectoryChange(TimePoint now);
     void onTick(TimePoint now);
     std::optional<TimePoint> primaryFailingSince(const GroupId&, TimePoint now) const;
+    std::optional<TimePoint> writesStalledSince(const GroupId&, TimePoint now) const;
+    LogPosition acknowledgedPositionOf(const GroupId&) const;
     bool isReachable(const EndpointId&) const;
-    LogPosition newestPositionOf(const GroupId&) const;
 
     void onPooledLinkOpened(PooledLink&, const Reply&, TimePoint now) override;
     void onPooledLinkReply(PooledLink&, const Reply&, TimePoint now) override;
@@ -121,6 +124,14 @@
     EndpointLinks* usablePrimary(const GroupId&, TimePoint now);
     /** Time until a usable primary is expected; zero while there is one. */
     Duration untilPrimary(GroupQueues&, const GroupId&, TimePoint now);
+    /** Enough endpoints answer to find every acknowledged commit, so that another one can be promoted. */
+    bool canChangePrimary(const GroupQueues&, const GroupId&, TimePoint now);
+    /** Refuses what waits for a primary that will probably come too late. */
+    void refuseHopeless(GroupQueues&, const GroupId&, TimePoint now);
+    /** Writes had no answer, and no endpoint is left that could receive them from the primary. */
+    bool areWritesHopeless(const GroupQueues&, const GroupId&, TimePoint now);
+    /** Endpoints of the group that answer. */
+    std::size_t countAnswering(const GroupId&, bool withPrimary, TimePoint now) const;
 
     // Runs (DispatcherRuns.cpp).
     void startRun(Ticket, StatementRun, TimePoint now);
--- a/src/pooling/StatementDispatcher.cpp
+++ b/src/pooling/StatementDispatcher.cpp
@@ -56,11 +56,16 @@
     return state_->primaryFailingSince(group, now);
 }
 
-bool StatementDispatcher::isReachable(const EndpointId& endpoint) const { return state_->isReachable(endpoint); }
+std::optional<TimePoint> StatementDispatcher::writesStalledSince(const GroupId& group, TimePoint now) const
+{
+    return state_->writesStalledSince(group, now);
+}
 
-LogPosition StatementDispatcher::newestPositionOf(const GroupId& group) const
+LogPosition StatementDispatcher::acknowledgedPositionOf(const GroupId& group) const
 {
-    return state_->newestPositionOf(group);
+    return state_->acknowledgedPositionOf(group);
 }
 
+bool StatementDispatcher::isReachable(const EndpointId& endpoint) const { return state_->isReachable(endpoint); }
+
 } // namespace almondlever
--- a/tests/failover/TestGroupPromotion.cpp
+++ b/tests/failover/TestGroupPromotion.cpp
@@ -223,3 +223,61 @@
     cr_assert(promotion.isFinished());
     cr_assert(!promotion.hasSucceeded());
 }
+
+// Pattern: the primary answers everything but acknowledges no write, as it is cut off from its replicas.
+// Guards against keeping such a primary because it answers, and against losing a commit when it is replaced.
+Test(GroupPromotion, stalledPrimaryIsReplacedAlthoughItAnswers)
+{
+    auto promotion = makePromotion(PromotionReason::PrimaryStalled);
+    const auto first = promotion.start(start);
+    cr_assert(!has(first, Kind::QueryStatus, a));
+    cr_assert(has(first, Kind::Pause, b));
+    cr_assert(has(first, Kind::Pause, c));
+    cr_assert(!hasAny(promotion.onStatus(b, Kind::Pause, replica(12), at(20)), Kind::Promote));
+    cr_assert(has(promotion.onStatus(c, Kind::Pause, replica(10), at(40)), Kind::Promote, b));
+}
+
+// Guards against a second change while another endpoint leads already.
+Test(GroupPromotion, stalledPrimaryThatWasReplacedIsLeftAlone)
+{
+    auto promotion = makePromotion(PromotionReason::PrimaryStalled);
+    promotion.start(start);
+    promotion.onStatus(b, Kind::Pause, primary(12, 2), at(20));
+    cr_assert(!hasAny(promotion.onStatus(c, Kind::Pause, replica(10), at(40)), Kind::Promote));
+}
+
+// Pattern: the replica that held a commit beside the primary is gone for good, the other one heard nothing meanwhile,
+// and then the primary crashes. The members that are left seem to be enough.
+// Guards against promoting a log that lacks what a caller was told of.
+Test(GroupPromotion, logBelowAnAcknowledgedPositionIsNotPromoted)
+{
+    auto promotion = makePromotion(PromotionReason::PrimaryFailed, { { a, true, false }, { b, false, false } });
+    promotion.noteAcknowledged({ 3, 15 });
+    promotion.start(start);
+    const auto orders = promotion.onStatus(b, Kind::Pause, replica(12), at(20));
+    cr_assert(!hasAny(orders, Kind::Promote));
+    cr_assert(has(orders, Kind::Resume, b));
+    promotion.onStatus(b, Kind::Resume, replica(12), at(40));
+    cr_assert(promotion.isFinished() && !promotion.hasSucceeded());
+}
+
+// Guards against withholding a promotion from a replica that holds everything.
+Test(GroupPromotion, logAtTheAcknowledgedPositionIsPromoted)
+{
+    auto promotion = makePromotion(PromotionReason::PrimaryFailed, { { a, true, false }, { b, false, false } });
+    promotion.noteAcknowledged({ 3, 12 });
+    promotion.start(start);
+    cr_assert(has(promotion.onStatus(b, Kind::Pause, replica(12), at(20)), Kind::Promote, b));
+}
+
+// Guards against handing over to a replica that has not received what was acknowledged since.
+Test(GroupPromotion, handOverWaitsForTheAcknowledgedPosition)
+{
+    auto promotion = makePromotion(PromotionReason::PrimaryLeaving, { { a, true, true }, { b, false, false } });
+    promotion.start(start);
+    promotion.onStatus(a, Kind::QueryStatus, primary(20), at(10));
+    promotion.noteAcknowledged({ 3, 15 });
+    cr_assert(!hasAny(promotion.onStatus(b, Kind::QueryStatus, replica(12), at(20)), Kind::Promote));
+    promotion.onTick(at(100));
+    cr_assert(has(promotion.onStatus(b, Kind::QueryStatus, replica(15), at(120)), Kind::Promote, b));
+}
--- a/tests/front/TestPromotionDriver.cpp
+++ b/tests/front/TestPromotionDriver.cpp
@@ -53,6 +53,7 @@
 
     Fixture()
     {
+        endpoints.replicates = true;
         driver.setGroups(configuration->groups);
         driver.setOwners({ { group, { "vm-1" } } });
     }
--- a/tests/mocks/FakeEndpoints.h
+++ b/tests/mocks/FakeEndpoints.h
@@ -38,11 +38,15 @@
         bool isSilent = false;
         /** Ends connections and refuses new ones. */
         bool isDown = false;
+        /** Another server uses its address. */
+        bool isElsewhere = false;
         std::size_t maximumConnections = 1000;
         /** Answers that are lost: the connection closes after the run. */
         std::size_t lostAnswers = 0;
         /** Connections opened before this number return nothing further. */
         std::size_t deafBefore = 0;
+        /** Never acknowledges a write, as a primary that no replica hears; all else is answered. */
+        bool stallsWrites = false;
         Term pausedIn = 0;
         std::size_t connections = 0;
         std::size_t openedConnections = 0;
@@ -65,12 +69,25 @@
     std::size_t runsOf(const std::string& id) const;
     void crash(const EndpointId&);
 
+    /** Replicas that are neither down nor paused receive each commit with its acknowledgement. */
+    bool replicates = false;
+
     std::shared_ptr<EndpointLink> connect(const EndpointEntry&, std::weak_ptr<EndpointLinkObserver>) override;
 
 private:
     class Link;
     friend class Link;
 
+    void replicate(const LogPosition& position)
+    {
+        if (!replicates)
+            return;
+        for (auto& [id, server] : servers_) {
+            if (!server.leads && !server.isDown && server.pausedIn == 0)
+                server.position = position;
+        }
+    }
+
     FakeTimerService& timers_;
     std::map<EndpointId, Server> servers_;
     std::vector<RunStatement> runs_;
@@ -141,6 +158,8 @@
             return;
         if (server().isDown)
             return breakOff("connection refused");
+        if (server().isElsewhere)
+            return breakOff("another server", StatementError::Misrouted);
         if (server().connections >= server().maximumConnections)
             return breakOff("too many", StatementError::TooManyConnections);
         ++server().connections;
@@ -199,11 +218,19 @@
                 server.queue.pop_front();
                 next();
             }
-            if (const auto self = weak.lock())
-                self->answer(self->execute(command), true);
+            if (const auto self = weak.lock()) {
+                if (!server.stallsWrites || !self->acknowledgesWrite(command))
+                    self->answer(self->execute(command), true);
+            }
         });
     }
 
+    bool acknowledgesWrite(const EndpointCommand& command) const
+    {
+        const bool isWrite = command.text.rfind("WRITE", 0) == 0 || command.name.rfind("w_", 0) == 0;
+        return (isWrite && state_ == TransactionState::None) || (command.text == "COMMIT" && hasWritten_);
+    }
+
     std::optional<StatementError> refusalOf(const EndpointCommand& command)
     {
         if (command.after && server().position < *command.after)
@@ -290,8 +317,10 @@
         if (isWrite)
             hasWritten_ = true;
         const bool commits = text == "COMMIT" || (isWrite && state_ == TransactionState::None);
-        if (commits && hasWritten_)
+        if (commits && hasWritten_) {
             ++server().position.index;
+            owner_.replicate(server().position);
+        }
         if (text == "COMMIT")
             state_ = TransactionState::None;
         if (commits)
--- a/tests/pooling/TestStatementDispatcher.cpp
+++ b/tests/pooling/TestStatementDispatcher.cpp
@@ -318,3 +318,135 @@
         = std::all_of(burst.begin(), burst.end(), [](const auto& caller) { return caller->replies.size() == 1; });
     cr_assert(areAllAnswered);
 }
+
+// Pattern: two of three endpoints crash, so that no other primary can be promoted until one of them returns.
+// Guards against statements that are held until their deadline although nobody can serve them.
+Test(StatementDispatcher, refusesAtOnceWhileNoPrimaryCanBePromoted)
+{
+    DispatcherFixture fixture;
+    fixture.endpoints.crash(fixture.a);
+    fixture.endpoints.crash(fixture.b);
+    fixture.advance(Milliseconds(1500));
+    FakeCaller caller(fixture, "orders");
+    caller.write("w1");
+    cr_assert(caller.hasError(StatementError::Busy));
+    cr_assert(caller.replies.back().detail.find("retry after") != std::string::npos);
+}
+
+// Pattern: a change of the primary takes far longer than usual.
+// Guards against an estimate that stays short however long callers were told to wait.
+Test(StatementDispatcher, refusesAtOnceWhenAChangeLastsFarLongerThanUsual)
+{
+    DispatcherFixture fixture;
+    fixture.endpoints.crash(fixture.a);
+    fixture.advance(Milliseconds(2500));
+    FakeCaller caller(fixture, "orders");
+    caller.write("w1");
+    cr_assert(caller.hasError(StatementError::Busy));
+    cr_assert_eq(fixture.endpoints.runsOf("w1"), 0U);
+}
+
+// Pattern: callers keep coming while a group has no primary for a usual time.
+// Guards against refusing what the next primary serves in time.
+Test(StatementDispatcher, holdsWhatTheNextPrimaryServesInTime)
+{
+    DispatcherFixture fixture;
+    fixture.endpoints.crash(fixture.a);
+    fixture.advance(Milliseconds(500));
+    FakeCaller caller(fixture, "orders");
+    caller.write("w1");
+    fixture.advance(Milliseconds(300));
+    cr_assert(caller.replies.empty());
+    fixture.endpoints.server(fixture.b).leads = true;
+    fixture.directory.noteLeading(fixture.b, 2);
+    fixture.dispatcher.onDirectoryChange(fixture.timers.now());
+    fixture.advance(Milliseconds(200));
+    cr_assert(caller.succeeded());
+}
+
+// Pattern: a primary is cut off from its replicas only; it answers begins and reads, and no write is acknowledged.
+// Guards against such a primary leading for as long as the fault lasts.
+Test(StatementDispatcher, findsAPrimaryThatAcknowledgesNoWrite)
+{
+    DispatcherFixture fixture;
+    fixture.endpoints.server(fixture.a).stallsWrites = true;
+    std::vector<std::unique_ptr<FakeCaller>> callers;
+    const auto writeFor = [&](int rounds) {
+        for (int i = 0; i < rounds; ++i) {
+            callers.push_back(std::make_unique<FakeCaller>(fixture, "orders"));
+            callers.back()->write("w" + std::to_string(callers.size()));
+            fixture.advance(Milliseconds(200));
+        }
+    };
+    writeFor(12);
+    cr_assert(!fixture.dispatcher.writesStalledSince(fixture.group, fixture.timers.now()), "may be a short fault");
+    writeFor(10);
+    cr_assert(fixture.dispatcher.writesStalledSince(fixture.group, fixture.timers.now()));
+    cr_assert(!fixture.dispatcher.primaryFailingSince(fixture.group, fixture.timers.now()));
+}
+
+// Guards against replacing a primary whose answers are lost now and then.
+Test(StatementDispatcher, anAcknowledgedWriteEndsTheSuspicionOfAStall)
+{
+    DispatcherFixture fixture;
+    std::vector<std::unique_ptr<FakeCaller>> callers;
+    for (int i = 0; i < 25; ++i) {
+        fixture.endpoints.server(fixture.a).stallsWrites = i % 4 != 0;
+        callers.push_back(std::make_unique<FakeCaller>(fixture, "orders"));
+        callers.back()->write("w" + std::to_string(i));
+        fixture.advance(Milliseconds(200));
+    }
+    cr_assert(!fixture.dispatcher.writesStalledSince(fixture.group, fixture.timers.now()));
+}
+
+// Pattern: both replicas are down, so that the primary waits for a receipt of every commit; each holds a slot.
+// Guards against writes that are sent although no replica can receive them, and that leave their callers in doubt.
+Test(StatementDispatcher, refusesWritesThatNoReplicaCanReceive)
+{
+    DispatcherFixture fixture;
+    fixture.endpoints.crash(fixture.b);
+    fixture.endpoints.crash(fixture.c);
+    fixture.endpoints.server(fixture.a).stallsWrites = true;
+    std::vector<std::unique_ptr<FakeCaller>> callers;
+    for (int i = 0; i < 4; ++i) {
+        callers.push_back(std::make_unique<FakeCaller>(fixture, "orders"));
+        callers.back()->write("w" + std::to_string(i));
+    }
+    fixture.advance(Milliseconds(1500));
+    FakeCaller late(fixture, "orders");
+    late.write("late");
+    cr_assert(late.hasError(StatementError::Busy));
+    cr_assert_eq(fixture.endpoints.runsOf("late"), 0U);
+    FakeCaller reader(fixture, "orders");
+    reader.read("r1");
+    fixture.advance(Milliseconds(200));
+    cr_assert(reader.succeeded(), "reads need no replica");
+}
+
+// Guards against a promotion that only looks at the members which are left: what a replica held counts after it left.
+Test(StatementDispatcher, remembersWhatWasAcknowledged)
+{
+    DispatcherFixture fixture;
+    FakeCaller caller(fixture, "orders");
+    caller.write("w1");
+    fixture.advance(Milliseconds(100));
+    cr_assert(caller.succeeded());
+    cr_assert(fixture.dispatcher.acknowledgedPositionOf(fixture.group) == LogPosition({ 1, 101 }));
+}
+
+// Pattern: a primary that was cut off and replaced writes its entry again; another server uses its address by now.
+// Guards against statements that wait for an endpoint which no longer exists, although the leader answers.
+Test(StatementDispatcher, endpointThatIsNotAtItsAddressDoesNotLead)
+{
+    DispatcherFixture fixture;
+    const EndpointId gone("gone");
+    fixture.endpoints.server(gone).isElsewhere = true;
+    fixture.endpoints.server(gone).leads = true;
+    fixture.directory.update(fixture.entryOf(gone), fixture.timers.now());
+    fixture.dispatcher.onDirectoryChange(fixture.timers.now());
+    FakeCaller caller(fixture, "orders");
+    caller.write("w1");
+    fixture.advance(Milliseconds(300));
+    cr_assert(caller.succeeded());
+    cr_assert(fixture.endpoints.runs().back().endpoint == fixture.a);
+}
