--- a/src/transport/HttpServer.cpp
+++ b/src/transport/HttpServer.cpp
@@ -51,8 +51,8 @@
 
         std::string query(const std::string& name) const override
         {
-            const auto parameters = restinio::try_parse_query<restinio::parse_query_traits::javascript_compatible>(
-                request_->header().query());
+            const auto parameters
+                = restinio::try_parse_query<restinio::parse_query_traits::relaxed>(request_->header().query());
             if (!parameters)
                 return {};
             const auto value = parameters->get_param(name);
--- /dev/null
+++ b/tests/soak/TestHistoryChecker.cpp
@@ -0,0 +1,227 @@
+#include "platform/soak/HistoryChecker.h"
+
+#include <criterion/criterion.h>
+
+using namespace almondlever;
+using namespace almondlever::soak;
+
+namespace {
+
+const GroupId group("ledger");
+const EndpointId a("a");
+const TimePoint start { std::chrono::hours(1) };
+
+TimePoint at(int milliseconds) { return start + Milliseconds(milliseconds); }
+
+SentStatement makeSent(const std::string& text, ReadRule rule = ReadRule::Primary, TimePoint since = start)
+{
+    SentStatement sent;
+    sent.session = "c1/1";
+    sent.group = group;
+    sent.rule = rule;
+    sent.maximumStaleness = Milliseconds(1000);
+    sent.since = since;
+    sent.text = text;
+    sent.isRead = text.rfind("READ", 0) == 0;
+    return sent;
+}
+
+RunStatement makeRun(const std::string& text, std::uint64_t transaction = 0)
+{
+    RunStatement run;
+    run.endpoint = a;
+    run.text = text;
+    run.transaction = transaction;
+    run.signature = "s";
+    run.rows = { "row" };
+    return run;
+}
+
+/** A history with one write that was acknowledged at 100 ms as the first commit of the log. */
+struct Fixture {
+    HistoryChecker checker;
+    std::vector<LogEntry> log { { { 1, 1 }, { "w1" } } };
+
+    Fixture()
+    {
+        checker.noteSent("q1", makeSent("WRITE i1 w1"));
+        checker.noteCommitAsked({ "w1" });
+        checker.noteRun("q1", makeRun("WRITE i1 w1"));
+        checker.noteCommitted(group, 1, { "w1" });
+        checker.noteSuccess("q1", "s", { "row" });
+        checker.noteAttempt("c1/1", group, { "w1" }, AttemptOutcome::Success, at(100));
+    }
+
+    bool found(const std::string& promise) const
+    {
+        return checker.violations().size() == 1 && checker.violations()[0].rfind(promise + ':', 0) == 0;
+    }
+
+    void read(ReadRule rule, TimePoint since, std::size_t visible)
+    {
+        checker.noteSent("r1", makeSent("READ i1", rule, since));
+        RunStatement run = makeRun("READ i1");
+        run.log = &log;
+        run.visible = visible;
+        checker.noteRun("r1", run);
+    }
+};
+
+} // namespace
+
+// Guards against a checker that complains about a history in order.
+Test(HistoryChecker, acceptsAHistoryInOrder)
+{
+    Fixture fixture;
+    fixture.read(ReadRule::Primary, at(200), 1);
+    fixture.checker.checkLog(group, "at the end", fixture.log);
+    cr_assert(fixture.checker.violations().empty());
+    cr_assert_eq(fixture.checker.acknowledged(), 1U);
+}
+
+// Planted: the log of the promoted endpoint lacks an acknowledged write.
+Test(HistoryChecker, findsALostWrite)
+{
+    Fixture fixture;
+    fixture.checker.checkLog(group, "promotion", {});
+    cr_assert(fixture.found("lost"));
+}
+
+// Planted: one write stands in the log twice.
+Test(HistoryChecker, findsADoubledWrite)
+{
+    Fixture fixture;
+    fixture.log.push_back({ { 1, 2 }, { "w1" } });
+    fixture.checker.checkLog(group, "at the end", fixture.log);
+    cr_assert(fixture.found("twice"));
+}
+
+// Planted: a write is kept although its caller was told that nothing is.
+Test(HistoryChecker, findsAFalseNotRun)
+{
+    Fixture fixture;
+    fixture.checker.noteCommitAsked({ "w2" });
+    fixture.checker.noteCommitted(group, 2, { "w2" });
+    fixture.checker.noteAttempt("c1/1", group, { "w2" }, AttemptOutcome::NothingKept, at(300));
+    fixture.log.push_back({ { 1, 2 }, { "w2" } });
+    fixture.checker.checkLog(group, "at the end", fixture.log);
+    cr_assert(fixture.found("refused"));
+}
+
+// Planted: a read on the primary's route misses a commit that was acknowledged before it.
+Test(HistoryChecker, findsAStaleReadOfThePrimary)
+{
+    Fixture fixture;
+    fixture.read(ReadRule::Primary, at(101), 0);
+    cr_assert(fixture.found("stale"));
+}
+
+// Planted: a read misses a commit that is older than the route allows.
+Test(HistoryChecker, findsAReadThatIsTooStale)
+{
+    Fixture fixture;
+    fixture.read(ReadRule::BoundedStaleness, at(1101), 0);
+    cr_assert(fixture.found("stale"));
+}
+
+// Planted: a session does not see its own commit.
+Test(HistoryChecker, findsAReadThatMissesItsOwnWrite)
+{
+    Fixture fixture;
+    fixture.read(ReadRule::ReadYourWrites, at(101), 0);
+    cr_assert(fixture.found("stale"));
+}
+
+// Guards against holding a bounded read, or a read of another session, to commits that it may miss.
+Test(HistoryChecker, allowsWhatTheRouteAllows)
+{
+    Fixture fixture;
+    fixture.read(ReadRule::BoundedStaleness, at(1000), 0);
+    SentStatement other = makeSent("READ i1", ReadRule::ReadYourWrites, at(500));
+    other.session = "c1/2";
+    fixture.checker.noteSent("r2", other);
+    RunStatement run = makeRun("READ i1");
+    run.log = &fixture.log;
+    fixture.checker.noteRun("r2", run);
+    cr_assert(fixture.checker.violations().empty());
+}
+
+// Planted: the answer to another statement reaches the caller.
+Test(HistoryChecker, findsACrossedAnswer)
+{
+    Fixture fixture;
+    fixture.checker.noteSent("q2", makeSent("READ i2"));
+    fixture.checker.noteRun("q2", makeRun("READ i2"));
+    fixture.checker.noteSuccess("q2", "s", { "row of another" });
+    cr_assert(fixture.found("mixed"));
+}
+
+// Planted: a success for a write that no endpoint committed.
+Test(HistoryChecker, findsAnInventedSuccess)
+{
+    Fixture fixture;
+    fixture.checker.noteAttempt("c1/1", group, { "w9" }, AttemptOutcome::Success, at(300));
+    cr_assert(fixture.found("mixed"));
+}
+
+// Planted: an endpoint runs what no caller sent, and another text than was sent.
+Test(HistoryChecker, findsStatementsThatNobodySent)
+{
+    Fixture unknown;
+    unknown.checker.noteRun("q9", makeRun("READ i1"));
+    cr_assert(unknown.found("unasked"));
+    Fixture changed;
+    changed.checker.noteSent("q9", makeSent("READ i1"));
+    changed.checker.noteRun("q9", makeRun("READ i2"));
+    cr_assert(changed.found("unasked"));
+}
+
+// Planted: a transaction is committed whose caller did not ask for it.
+Test(HistoryChecker, findsACommitThatNobodyAskedFor)
+{
+    Fixture fixture;
+    fixture.checker.noteCommitted(group, 2, { "w2" });
+    cr_assert(fixture.found("unasked"));
+}
+
+// Planted: a statement runs inside the transaction of another caller, with other values, or outside its own.
+Test(HistoryChecker, findsStatementsInTheWrongPlace)
+{
+    const auto begin = [](Fixture& fixture, const std::string& id, std::uint64_t transaction) {
+        SentStatement sent = makeSent("READ i1");
+        sent.transaction = transaction;
+        fixture.checker.noteSent(id, sent);
+    };
+    Fixture shared;
+    begin(shared, "t1", 1);
+    begin(shared, "t2", 2);
+    shared.checker.noteRun("t1", makeRun("READ i1", 50));
+    shared.checker.noteRun("t2", makeRun("READ i1", 50));
+    cr_assert(shared.found("pinned"));
+    Fixture outside;
+    begin(outside, "t1", 1);
+    outside.checker.noteRun("t1", makeRun("READ i1"));
+    cr_assert(outside.found("pinned"));
+    Fixture values;
+    begin(values, "t1", 1);
+    RunStatement run = makeRun("READ i1", 50);
+    run.values["zone"] = "other";
+    values.checker.noteRun("t1", run);
+    cr_assert(values.found("pinned"));
+}
+
+// Planted: a later statement of a transaction runs elsewhere. The first one may move while it is alone.
+Test(HistoryChecker, findsATransactionThatMoves)
+{
+    Fixture fixture;
+    for (const char* id : { "t1", "t2" }) {
+        SentStatement sent = makeSent("READ i1");
+        sent.transaction = 1;
+        fixture.checker.noteSent(id, sent);
+    }
+    fixture.checker.noteRun("t1", makeRun("READ i1", 50));
+    fixture.checker.noteRun("t1", makeRun("READ i1", 51));
+    cr_assert(fixture.checker.violations().empty());
+    fixture.checker.noteRun("t2", makeRun("READ i1", 52));
+    cr_assert(fixture.found("pinned"));
+}
