--- a/include/almondlever/store/StoreCache.h
+++ b/include/almondlever/store/StoreCache.h
@@ -19,7 +19,7 @@
 
     std::uint64_t revision() const { return revision_; }
     /** True when changesSince() of this revision would leave deletions out. */
-    bool needsSnapshot(std::uint64_t since) const { return since < completeSince_ || since > revision_; }
+    bool needsSnapshot(std::uint64_t since) const { return since < completeSince_; }
     std::vector<StoreItem> all() const;
     /** Keys changed after a revision, deletions included. */
     std::vector<StoreItem> changesSince(std::uint64_t since) const;
--- a/tests/front/TestStoreRelay.cpp
+++ b/tests/front/TestStoreRelay.cpp
@@ -26,6 +26,7 @@
             const std::string& prefix, const std::vector<StoreItem>& items, std::uint64_t revision, TimePoint) override
         {
             relay.cacheOf(prefix).takeSnapshot(items, revision);
+            ++snapshots;
             take(items);
         }
         void onStoreChanges(
@@ -72,6 +73,7 @@
         PrefixFollower follower;
         StoreRelay relay;
         std::string configuration;
+        std::size_t snapshots = 0;
         bool isCut = false;
     };
 
@@ -196,3 +198,26 @@
     for (const auto* daemon : fleet.others())
         cr_assert_eq(daemon->configuration, "2");
 }
+
+// Pattern: endpoints write to the store all the while, so that its revision moves while the configuration stays.
+// Guards against sending and reading the whole configuration again with every question.
+Test(StoreRelay, movingRevisionSendsNothingAgain)
+{
+    Fleet fleet;
+    std::size_t before = 0;
+    for (const auto* daemon : fleet.others())
+        before += daemon->snapshots;
+    for (int i = 0; i < 20; ++i) {
+        for (auto& [id, daemon] : fleet.daemons)
+            daemon->store.put("servers/x", std::to_string(i));
+        fleet.run(Milliseconds(500));
+    }
+    std::size_t after = 0;
+    for (const auto* daemon : fleet.others())
+        after += daemon->snapshots;
+    cr_assert_eq(after, before);
+    fleet.put("2");
+    fleet.run(Milliseconds(2500));
+    for (const auto* daemon : fleet.others())
+        cr_assert_eq(daemon->configuration, "2");
+}
