Explain a request from the logs of several daemons

Cause: OPERATIONS.md led from a failed request to its cause by grep, and nothing tested that the logs hold it. Tests: LogExplanation (5), CommandLine.explainTakesLogsOrADaemon; the walks fail when the promotion, endpoint or primary lines are taken out of the recorded logs.

--- a/programs/almondleverctl/CommandLine.cpp
+++ b/programs/almondleverctl/CommandLine.cpp
@@ -16,7 +16,8 @@
           "plan DIR      shows what apply would change\n"
           "apply DIR     applies the files\n"
           "status        shows the status of a daemon\n"
-          "explain       shows how a daemon would route an operation (--caller, --database, --op)\n\n"
+          "explain       shows how a daemon would route an operation (--caller, --database, --op), or what the logs of "
+          "daemons tell of one request (--log, --request)\n\n"
           "Exit codes: 0 success, 1 findings or refused, 2 wrong usage, 3 another operator's apply came first, "
           "4 service or daemon unreachable, 5 outcome of an apply unknown.";
 
@@ -46,6 +47,9 @@
         TCLAP::ValueArg<std::string> caller { "", "caller", "Caller to explain", false, "", "name", line };
         TCLAP::ValueArg<std::string> database { "", "database", "Database to explain", false, "", "name", line };
         TCLAP::ValueArg<std::string> operation { "", "op", "Operation to explain", false, "", "read|write", line };
+        TCLAP::MultiArg<std::string> logs { "", "log",
+            "Log of one or more daemons in which --request is explained; - is standard input", false, "file", line };
+        TCLAP::ValueArg<std::string> request { "", "request", "Request to explain from logs", false, "", "id", line };
         TCLAP::ValueArg<std::string> author { "", "author",
             "Name stored with an apply (environment: ALMONDLEVER_AUTHOR, then USER)", false, "", "name", line };
         TCLAP::ValueArg<std::string> timeout { "", "timeout",
@@ -81,8 +85,13 @@
 
     void readExplainArguments(const Arguments& arguments, Options& options)
     {
-        const bool isExplain = options.command == Command::Explain;
+        const bool usesLogs = options.command == Command::Explain && arguments.logs.isSet();
+        const bool isExplain = options.command == Command::Explain && !usesLogs;
         const std::string& command = arguments.words.getValue().front();
+        requireUse(arguments.logs.isSet(), usesLogs, "--log", command);
+        requireUse(arguments.request.isSet(), usesLogs, "--request", command);
+        options.logs = arguments.logs.getValue();
+        options.request = arguments.request.getValue();
         requireUse(arguments.caller.isSet(), isExplain, "--caller", command);
         requireUse(arguments.database.isSet(), isExplain, "--database", command);
         requireUse(arguments.operation.isSet(), isExplain, "--op", command);
@@ -133,7 +142,7 @@
             options.keyValueAddress
                 = requireAddress(choose(arguments.keyValueAddress, "ALMONDLEVER_KV_ADDRESS", environment), "kv-address",
                     "ALMONDLEVER_KV_ADDRESS");
-        if (usesDaemon(options.command))
+        if (usesDaemon(options.command) && options.logs.empty())
             options.daemonAddress
                 = requireAddress(choose(arguments.daemonAddress, "ALMONDLEVER_DAEMON_ADDRESS", environment),
                     "daemon-address", "ALMONDLEVER_DAEMON_ADDRESS");
--- a/programs/almondleverctl/CommandLine.h
+++ b/programs/almondleverctl/CommandLine.h
@@ -31,6 +31,10 @@
     std::string database;
     /** "read" or "write". */
     std::string operation;
+    /** Logs of daemons in which a request is explained; empty when a daemon is asked. "-" is standard input. */
+    std::vector<std::string> logs;
+    /** The caller's id of that request. */
+    std::string request;
     /** Stored with an apply. */
     std::string author;
     /** Time for each call of a service. */
--- a/programs/almondleverctl/main.cpp
+++ b/programs/almondleverctl/main.cpp
@@ -1,6 +1,7 @@
 #include "CommandLine.h"
 #include "ConfigurationCommands.h"
 #include "DaemonCommands.h"
+#include "LogExplanation.h"
 #include "almondlever/platform/HttpPlatform.h"
 
 #include <array>
@@ -45,6 +46,8 @@
     const OutputStreams streams { std::cout, std::cerr };
     if (options.command == Command::Validate)
         return runValidate(options, streams);
+    if (!options.logs.empty())
+        return runExplainLogs(options, streams);
 
     asio::io_context context;
     ExitCode exitCode = ExitCode::OutcomeUnknown;
--- /dev/null
+++ b/scripts/soak_regressions.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Runs the seeds of the soak that failed once. One line for each: the seed, its arguments, and what it had found.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+status=0
+run() { scripts/soak.sh --first "$1" -- "${@:2}" || status=1; }
+# A read missed a commit of the caller's former session: the checker took two sessions for one.
+run 2 --seconds 12
+# No endpoint of a group could be reached: restarted daemons had inherited the listening sockets of the stand-ins.
+run 113 --seconds 12
+exit "$status"
--- a/tests/almondleverctl/TestCommandLine.cpp
+++ b/tests/almondleverctl/TestCommandLine.cpp
@@ -62,3 +62,15 @@
         = parse({ "explain", "--caller", "c", "--database", "d", "--op", "write", "--daemon-address", "127.0.0.1:1" });
     cr_assert(explain.value().operation == "write" && explain.value().caller == "c");
 }
+
+// Guards against a request that is looked for at a daemon, or logs that are read without a request.
+Test(CommandLine, explainTakesLogsOrADaemon)
+{
+    const auto logs = parse({ "explain", "--log", "a.log", "--log", "-", "--request", "q1" });
+    cr_assert(logs.hasValue());
+    cr_assert_eq(logs.value().logs.size(), 2U);
+    cr_assert_eq(logs.value().request, "q1");
+    cr_assert(!parse({ "explain", "--log", "a.log" }).hasValue());
+    cr_assert(!parse({ "explain", "--request", "q1", "--daemon-address", "127.0.0.1:1" }).hasValue());
+    cr_assert(!parse({ "explain", "--log", "a.log", "--request", "q1", "--op", "read" }).hasValue());
+}
--- /dev/null
+++ b/tests/almondleverctl/TestLogExplanation.cpp
@@ -0,0 +1,97 @@
+#include "almondleverctl/LogExplanation.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <sstream>
+
+using namespace almondlever;
+
+namespace {
+
+/** The walks of docs/OPERATIONS.md, on logs of a day that was played (kpa-almond, own day srv-crash-across). */
+class Walk {
+public:
+    Walk(const std::string& log, const std::string& request)
+    {
+        Options options;
+        options.logs = { std::string(ALMONDLEVER_SOURCE_DIR "/tests/almondleverctl/logs/") + log };
+        options.request = request;
+        exitCode_ = runExplainLogs(options, { out_, error_ });
+        std::istringstream text(out_.str());
+        for (std::string line; std::getline(text, line);)
+            lines_.push_back(line);
+    }
+
+    ExitCode exitCode() const { return exitCode_; }
+    const std::vector<std::string>& lines() const { return lines_; }
+    /** Number of the first line that holds all of the words; the number of lines when there is none. */
+    std::size_t find(const std::vector<std::string>& words) const
+    {
+        const auto holds = [&](const std::string& line) {
+            return std::all_of(words.begin(), words.end(),
+                [&line](const std::string& word) { return line.find(word) != std::string::npos; });
+        };
+        return static_cast<std::size_t>(std::find_if(lines_.begin(), lines_.end(), holds) - lines_.begin());
+    }
+    bool has(const std::vector<std::string>& words) const { return find(words) < lines_.size(); }
+
+private:
+    std::ostringstream out_;
+    std::ostringstream error_;
+    ExitCode exitCode_ = ExitCode::Success;
+    std::vector<std::string> lines_;
+};
+
+} // namespace
+
+// Guards against a refusal whose cause cannot be found: no promotion while two of three endpoints are down.
+Test(LogExplanation, refusalWithoutPrimaryLeadsToThePromotionThatFailed)
+{
+    const Walk walk("refused_without_primary.log", "548a5e1d0fc98c14");
+    cr_assert(walk.exitCode() == ExitCode::Success);
+    cr_assert(walk.has({ "> ", "front-erongo-a-1 refuse", "reason=no_primary", "waited_ms=718" }));
+    const std::size_t cause = walk.find({ "promotion_ended", "outcome=failed", "too few replicas answer" });
+    cr_assert_lt(cause, walk.find({ "> " }));
+    cr_assert(walk.has({ "endpoint_connection_lost endpoint=i-61da23da36", "Connection refused" }));
+}
+
+// Guards against a write in doubt whose cause cannot be found: its endpoint ended all connections.
+Test(LogExplanation, writeInDoubtLeadsToTheLostEndpoint)
+{
+    const Walk walk("write_in_doubt.log", "0dc7c3402f45fcde");
+    cr_assert(walk.has({ "> ", "fail endpoint=i-028307d332", "outcome=unknown", "connection lost while" }));
+    cr_assert(walk.has({ "endpoint_connection_lost endpoint=i-028307d332", "closed by the peer" }));
+}
+
+// Guards against a time-out whose cause cannot be found: the primary had changed half a second before.
+Test(LogExplanation, timeOutLeadsToTheNewPrimary)
+{
+    const Walk walk("statement_timed_out.log", "bb69aaa994dacb9f");
+    cr_assert(walk.has({ "> ", "time_out endpoint=i-e26acbf7fc", "reason=no_answer", "waited_ms=1013" }));
+    cr_assert(walk.has({ "primary_believed endpoint=i-e26acbf7fc", "previous=i-61da23da36" }));
+    cr_assert(walk.has({ "endpoint_entry", "endpoint=i-e26acbf7fc", "says_primary=yes" }));
+}
+
+// Guards against an empty answer that looks like a request without trouble.
+Test(LogExplanation, unknownRequestIsRefused)
+{
+    const Walk walk("write_in_doubt.log", "ffff");
+    cr_assert(walk.exitCode() == ExitCode::Refused);
+    cr_assert(walk.lines().empty());
+}
+
+// Guards against lines of several daemons out of order, and against phrases cut at their blanks.
+Test(LogExplanation, ordersTheLinesOfSeveralDaemons)
+{
+    std::istringstream first(
+        "time=2026-12-04T06:55:02.000 level=INFO event=refuse request=q1 group=g reason=\"a b\"\n");
+    std::istringstream second("time=2026-12-04T06:55:01.000 level=INFO event=forward request=q1 group=g\nnoise\n");
+    std::vector<LogLine> lines = readLogLines(first, "one.log");
+    const std::vector<LogLine> more = readLogLines(second, "two.log");
+    lines.insert(lines.end(), more.begin(), more.end());
+    const std::vector<LogLine> path = explainRequest(lines, "q1");
+    cr_assert_eq(path.size(), 2U);
+    cr_assert_eq(path[0].event, "forward");
+    cr_assert_eq(path[0].source, "two.log");
+    cr_assert_eq(path[1].fields.at("reason"), "a b");
+}
