Make a group that nobody uses cost little

Change: the directory keeps the members of each group; groups without statements for 3 s are looked at every 250 ms and asked for their position every 2 s; endpoints at rest are skipped; owners are computed at most every 300 ms while daemons join; heartbeats of endpoints change nothing and are not passed on to peers. Tests: StatementDispatcher.idleGroupIsAskedSeldom, EndpointDirectory.endpointBelongsToOneGroup; silentPrimaryIsSuspectedSoon is unchanged, as a new group counts as used.

--- a/include/almondlever/front/FrontDaemon.h
+++ b/include/almondlever/front/FrontDaemon.h
@@ -91,6 +91,9 @@
     void onStoreReturned(const std::string& prefix, TimePoint now) override;
     void onStoreLost(const std::string& prefix, const StoreFailure&, TimePoint now) override;
 
+    /** The entry says something else than the directory knows; its heartbeats do not. */
+    bool isNews(const EndpointEntry&) const;
+    std::vector<StoreItem> newsAmong(const std::vector<StoreItem>&) const;
     void takeConfiguration(const StoreItem&, TimePoint now);
     void takeEndpoints(const std::vector<StoreItem>&, bool isSnapshot, TimePoint now);
     void takeOwnKeys(const std::vector<StoreItem>&, bool isSnapshot, TimePoint now);
@@ -126,6 +129,8 @@
     std::shared_ptr<const RoutingConfiguration> routing_;
     bool hasEndpoints_ = false;
     std::map<GroupId, std::set<std::string>> ownersTold_;
+    std::optional<TimePoint> ownersUpdatedAt_;
+    bool hasOwnersToUpdate_ = false;
     FleetMembers members_;
     NetworkFactory makeNetwork_;
     std::unique_ptr<PeerNetwork> network_;
--- a/include/almondlever/front/PromotionDriver.h
+++ b/include/almondlever/front/PromotionDriver.h
@@ -19,6 +19,8 @@
     PromotionSettings promotion;
     /** Delay between daemons of consecutive order, so that usually only the first one asks for the claim. */
     Milliseconds orderDelay { 80 };
+    /** Interval at which groups without callers are looked at. */
+    Milliseconds idleCheck { 250 };
     /** Pause after a failed attempt. */
     Milliseconds retryPause { 500 };
 };
@@ -58,6 +60,7 @@
         std::optional<TimePoint> reasonSince;
         PromotionReason reason = PromotionReason::PrimaryFailed;
         TimePoint notBefore {};
+        TimePoint checkedAt {};
     };
 
     std::optional<PromotionReason> reasonFor(const GroupId&, const Watch&, TimePoint now) const;
--- a/include/almondlever/groups/EndpointDirectory.h
+++ b/include/almondlever/groups/EndpointDirectory.h
@@ -74,7 +74,11 @@
         Term newestTerm = 0;
     };
 
+    void removeMember(const GroupId&, const EndpointId&);
+
     std::map<EndpointId, Listed> endpoints_;
+    /** Deciding about one group must not cost more with every other group. */
+    std::map<GroupId, std::set<EndpointId>> membersOf_;
     std::map<GroupId, Leadership> leadership_;
     std::map<GroupId, TimePoint> membersChangedAt_;
     /** Announcements and proofs so far; orders them as they reached this process. */
--- a/include/almondlever/pooling/StatementDispatcher.h
+++ b/include/almondlever/pooling/StatementDispatcher.h
@@ -28,6 +28,12 @@
     Milliseconds spareIdleTime { 1000 };
     /** Age at which the primary is asked for its position again; a quarter of the shortest usual staleness. */
     Milliseconds positionRefresh { 300 };
+    /** A group for which no statement came for this long is idle; longer than the pauses of its callers. */
+    Milliseconds idleAfter { 3000 };
+    /** Interval at which idle groups are looked at; their callers wait for no tick. */
+    Milliseconds idleTick { 250 };
+    /** Age at which the primary of an idle group is asked again: its silence is noticed before callers return. */
+    Milliseconds idleRefresh { 2000 };
     /** Time for the answer to an order about replication, connecting included. */
     Milliseconds orderTimeout { 900 };
     /** Interval at which the endpoints of a group without a known primary are asked who leads. */
@@ -104,6 +110,8 @@
     void onTick(TimePoint now);
     static constexpr Milliseconds tickInterval { 25 };
 
+    /** No statement for the group came lately, so that nothing about it is urgent. */
+    bool isIdle(const GroupId&, TimePoint now) const;
     /** Since when the known primary of a group gives signs of failure; nullopt while it answers. */
     std::optional<TimePoint> primaryFailingSince(const GroupId&, TimePoint now) const;
     /** Since when the known primary acknowledges no write although it answers; nullopt while it does. */
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -18,6 +18,8 @@
     constexpr Milliseconds endpointGatherTime { 250 };
     /** Daemons register one after the other when the fleet starts. */
     constexpr Milliseconds ownGatherTime { 500 };
+    /** Interval between two computations of who owns which group; far below the time in which a member lapses. */
+    constexpr Milliseconds ownersInterval { 300 };
     constexpr std::size_t clusterKeyWords = 4;
 
     std::string newClusterKey()
@@ -160,7 +162,8 @@
 void FrontDaemon::onStoreChanges(
     const std::string& prefix, const std::vector<StoreItem>& items, std::uint64_t revision, TimePoint now)
 {
-    relay_.cacheOf(prefix).takeChanges(items, revision);
+    // Peers need no heartbeats.
+    relay_.cacheOf(prefix).takeChanges(prefix == decoder_.endpointPrefix() ? newsAmong(items) : items, revision);
     if (prefix == decoder_.configurationPrefix()) {
         for (const StoreItem& item : items)
             takeConfiguration(item, now);
@@ -208,11 +211,36 @@
     finishOpening(now);
 }
 
+bool FrontDaemon::isNews(const EndpointEntry& entry) const
+{
+    const EndpointEntry* known = directory_.find(entry.id);
+    return !known || directory_.isLapsing(entry.id) || known->group != entry.group
+        || known->isLeaving != entry.isLeaving || known->saysPrimary != entry.saysPrimary
+        || known->address != entry.address || known->startedAt != entry.startedAt;
+}
+
+std::vector<StoreItem> FrontDaemon::newsAmong(const std::vector<StoreItem>& items) const
+{
+    std::vector<StoreItem> news;
+    for (const StoreItem& item : items) {
+        if (item.isDeleted) {
+            news.push_back(item);
+            continue;
+        }
+        const Result<EndpointEntry, std::string> decoded = decoder_.decodeEndpoint(item);
+        if (!decoded || isNews(decoded.value()))
+            news.push_back(item);
+    }
+    return news;
+}
+
 void FrontDaemon::takeEndpoints(const std::vector<StoreItem>& items, bool isSnapshot, TimePoint now)
 {
     std::vector<EndpointEntry> entries;
+    bool hasNews = isSnapshot;
     for (const StoreItem& item : items) {
         if (item.isDeleted) {
+            hasNews = true;
             const EndpointId id = decoder_.endpointOf(item.key);
             logInfo("endpoint_lapsed", { { "endpoint", id.text() }, { "revision", std::to_string(item.revision) } });
             directory_.lapse(id, now);
@@ -222,14 +250,13 @@
         if (!decoded) {
             logWarning("endpoint_entry_rejected",
                 { { "key", item.key }, { "revision", std::to_string(item.revision) }, { "reason", decoded.error() } });
+            hasNews = true;
             directory_.lapse(decoder_.endpointOf(item.key), now);
             continue;
         }
         const EndpointEntry& entry = decoded.value();
-        const EndpointEntry* known = directory_.find(entry.id);
-        const bool isNews = !known || known->isLeaving != entry.isLeaving || known->saysPrimary != entry.saysPrimary
-            || known->address != entry.address || known->startedAt != entry.startedAt;
-        if (isNews)
+        hasNews = hasNews || isNews(entry);
+        if (isNews(entry))
             logInfo("endpoint_entry",
                 { { "endpoint", entry.id.text() }, { "group", entry.group.text() }, { "address", entry.address },
                     { "says_primary", entry.saysPrimary ? "yes" : "no" }, { "leaving", entry.isLeaving ? "yes" : "no" },
@@ -243,7 +270,8 @@
         for (const EndpointEntry& entry : entries)
             directory_.update(entry, now);
     }
-    dispatcher_.onDirectoryChange(now);
+    if (hasNews)
+        dispatcher_.onDirectoryChange(now);
 }
 
 void FrontDaemon::takeOwnKeys(const std::vector<StoreItem>& items, bool isSnapshot, TimePoint now)
@@ -341,6 +369,11 @@
 {
     if (!routing_)
         return;
+    // Daemons join by hundreds when a fleet starts, and every group is looked at each time.
+    hasOwnersToUpdate_ = ownersUpdatedAt_ && now - *ownersUpdatedAt_ < ownersInterval;
+    if (hasOwnersToUpdate_)
+        return;
+    ownersUpdatedAt_ = now;
     const MembershipView view = members_.view();
     relay_.setMembers(view);
     std::map<GroupId, std::size_t> sharing;
@@ -422,7 +455,7 @@
         logInfo("endpoint_gone", { { "endpoint", id.text() } });
     if (!removed.empty())
         dispatcher_.onDirectoryChange(now);
-    if (members_.removeLapsed(now))
+    if (members_.removeLapsed(now) || hasOwnersToUpdate_)
         updateOwners(now);
     dispatcher_.onTick(now);
     forwarder_.onTick(now);
--- a/src/front/PromotionDriver.cpp
+++ b/src/front/PromotionDriver.cpp
@@ -134,6 +134,9 @@
             continue;
         }
         Watch& watch = watches_[group];
+        if (dispatcher_.isIdle(group, now) && !watch.reasonSince && now - watch.checkedAt < settings_.idleCheck)
+            continue;
+        watch.checkedAt = now;
         const std::optional<PromotionReason> reason = reasonFor(group, watch, now);
         if (!reason || watch.reason != *reason)
             watch.reasonSince.reset();
--- a/src/groups/EndpointDirectory.cpp
+++ b/src/groups/EndpointDirectory.cpp
@@ -19,11 +19,16 @@
 
 void EndpointDirectory::update(const EndpointEntry& entry, TimePoint now)
 {
-    if (endpoints_.count(entry.id) == 0 && !endpointsOf(entry.group).empty())
+    const auto known = endpoints_.find(entry.id);
+    if (known != endpoints_.end() && entry.revision < known->second.entry.revision)
+        return;
+    if (known != endpoints_.end() && known->second.entry.group != entry.group)
+        removeMember(known->second.entry.group, entry.id);
+    std::set<EndpointId>& members = membersOf_[entry.group];
+    if (!members.empty() && members.count(entry.id) == 0)
         membersChangedAt_[entry.group] = now;
+    members.insert(entry.id);
     Listed& listed = endpoints_[entry.id];
-    if (entry.revision < listed.entry.revision)
-        return;
     const bool isReborn = listed.entry.startedAt.count() != 0 && listed.entry.startedAt != entry.startedAt;
     if (isReborn) {
         membersChangedAt_[entry.group] = now;
@@ -72,6 +77,7 @@
         }
         removed.push_back(it->first);
         membersChangedAt_[it->second.entry.group] = now;
+        removeMember(it->second.entry.group, it->first);
         it = endpoints_.erase(it);
     }
     return removed;
@@ -91,22 +97,34 @@
 
 std::vector<const EndpointEntry*> EndpointDirectory::endpointsOf(const GroupId& group) const
 {
-    std::vector<const EndpointEntry*> members;
-    for (const auto& [id, listed] : endpoints_) {
-        if (listed.entry.group == group)
-            members.push_back(&listed.entry);
-    }
-    return members;
+    std::vector<const EndpointEntry*> entries;
+    const auto members = membersOf_.find(group);
+    if (members == membersOf_.end())
+        return entries;
+    entries.reserve(members->second.size());
+    for (const EndpointId& id : members->second)
+        entries.push_back(&endpoints_.at(id).entry);
+    return entries;
 }
 
 std::set<GroupId> EndpointDirectory::groups() const
 {
     std::set<GroupId> groups;
-    for (const auto& [id, listed] : endpoints_)
-        groups.insert(listed.entry.group);
+    for (const auto& [group, members] : membersOf_)
+        groups.insert(groups.end(), group);
     return groups;
 }
 
+void EndpointDirectory::removeMember(const GroupId& group, const EndpointId& id)
+{
+    const auto members = membersOf_.find(group);
+    if (members == membersOf_.end())
+        return;
+    members->second.erase(id);
+    if (members->second.empty())
+        membersOf_.erase(members);
+}
+
 bool EndpointDirectory::isLapsing(const EndpointId& id) const
 {
     const auto found = endpoints_.find(id);
@@ -155,9 +173,11 @@
 {
     const auto leadership = leadership_.find(group);
     const Listed* best = nullptr;
-    for (const auto& [id, listed] : endpoints_) {
-        if (listed.entry.group != group)
-            continue;
+    const auto members = membersOf_.find(group);
+    if (members == membersOf_.end())
+        return nullptr;
+    for (const EndpointId& id : members->second) {
+        const Listed& listed = endpoints_.at(id);
         const bool isRefused = listed.refusedAtRevision >= std::max<std::uint64_t>(listed.entry.revision, 1);
         if (!listed.entry.saysPrimary || isRefused)
             continue;
--- a/src/pooling/DispatcherLinks.cpp
+++ b/src/pooling/DispatcherLinks.cpp
@@ -74,14 +74,12 @@
     }
 }
 
-void DispatcherState::openWarmLinks(TimePoint now)
+void DispatcherState::openWarmLinks(const GroupId& group, TimePoint now)
 {
-    for (const GroupId& group : directory_.groups()) {
-        for (const EndpointEntry* entry : directory_.endpointsOf(group)) {
-            EndpointLinks& links = linksOf(entry->id);
-            if (keptConnections(*entry) > 0 && links.openCount() == 0 && !directory_.isLapsing(entry->id))
-                openLinks(links, 1, now);
-        }
+    for (const EndpointEntry* entry : directory_.endpointsOf(group)) {
+        EndpointLinks& links = linksOf(entry->id);
+        if (links.openCount() == 0 && keptConnections(*entry) > 0 && !directory_.isLapsing(entry->id))
+            openLinks(links, 1, now);
     }
 }
 
@@ -131,6 +129,8 @@
 {
     std::vector<std::pair<std::shared_ptr<PooledLink>, std::string>> closing;
     for (auto& [id, links] : endpoints_) {
+        if (links.isAtRest())
+            continue;
         for (const auto& link : links.links()) {
             if (link->state() == PooledLink::State::Opening && now - link->openedAt() > openTimeout)
                 closing.emplace_back(link, "connecting timed out");
@@ -280,27 +280,26 @@
     }
 }
 
-void DispatcherState::askForPositions(TimePoint now)
+void DispatcherState::askForPosition(GroupQueues& queues, const GroupId& group, TimePoint now)
 {
-    for (const GroupId& group : directory_.groups()) {
-        GroupQueues& queues = queuesOf(group);
-        if (queues.sharers == 0)
-            continue;
-        EndpointLinks* primary = usablePrimary(group, now);
-        if (!primary) {
-            askWhoLeads(queues, group, now);
-            continue;
-        }
-        const std::optional<TimePoint> newest = queues.history.newestQuestion();
-        const bool isFresh = newest && now - *newest < settings_.positionRefresh;
-        if (isFresh || queues.isProbing)
-            continue;
-        const auto link = primary->findIdle(SessionContents());
-        if (!link)
-            continue;
-        queues.isProbing = true;
-        askPosition(group, link, true, now);
-    }
+    if (queues.sharers == 0)
+        return;
+    // A group that is new is about to be used.
+    if (queues.demandedAt == TimePoint {})
+        queues.demandedAt = now;
+    EndpointLinks* primary = usablePrimary(group, now);
+    if (!primary)
+        return askWhoLeads(queues, group, now);
+    const Milliseconds refresh = isIdle(queues, now) ? settings_.idleRefresh : settings_.positionRefresh;
+    const std::optional<TimePoint> newest = queues.history.newestQuestion();
+    const bool isFresh = newest && now - *newest < refresh;
+    if (isFresh || queues.isProbing)
+        return;
+    const auto link = primary->findIdle(SessionContents());
+    if (!link)
+        return;
+    queues.isProbing = true;
+    askPosition(group, link, true, now);
 }
 
 } // namespace almondlever
--- a/src/pooling/DispatcherState.cpp
+++ b/src/pooling/DispatcherState.cpp
@@ -53,6 +53,7 @@
 Ticket DispatcherState::submit(StatementRequest request, StatementCallback callback, TimePoint now)
 {
     const Ticket ticket = ++lastTicket_;
+    queuesOf(request.group).demandedAt = now;
     request.rank = std::min(request.rank, ranks_.size() - 1);
     PendingStatement pending;
     pending.request = std::move(request);
@@ -471,9 +472,10 @@
             queues.writes.noteNewPrimary();
         }
     }
-    openWarmLinks(now);
-    for (const GroupId& group : directory_.groups())
+    for (const GroupId& group : directory_.groups()) {
+        openWarmLinks(group, now);
         dispatch(group, now);
+    }
 }
 
 void DispatcherState::onTick(TimePoint now)
@@ -503,15 +505,28 @@
         if (pending_.count(ticket) > 0)
             enqueue(ticket, now);
     }
-    openWarmLinks(now);
-    closeSpareLinks(now);
-    askForPositions(now);
+    if (!spareCheckedAt_ || now - *spareCheckedAt_ >= settings_.idleTick) {
+        spareCheckedAt_ = now;
+        closeSpareLinks(now);
+    }
     for (auto& [group, queues] : groups_) {
+        const bool hasWork = queues.primaryQueue.size() + queues.readQueue.size() > 0 || !isIdle(queues, now);
+        if (!hasWork && now - queues.tickedAt < settings_.idleTick)
+            continue;
+        queues.tickedAt = now;
+        openWarmLinks(group, now);
+        askForPosition(queues, group, now);
         refuseHopeless(queues, group, now);
         dispatch(group, now);
     }
 }
 
+bool DispatcherState::isIdle(const GroupId& group, TimePoint now) const
+{
+    const auto found = groups_.find(group);
+    return found == groups_.end() || isIdle(found->second, now);
+}
+
 std::optional<TimePoint> DispatcherState::primaryFailingSince(const GroupId& group, TimePoint now) const
 {
     const EndpointEntry* primary = directory_.primaryOf(group);
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -66,6 +66,9 @@
     std::optional<TimePoint> withoutPrimarySince;
     WriteWatch writes;
     TimePoint searchedAt {};
+    /** When the last statement for the group came. */
+    TimePoint demandedAt {};
+    TimePoint tickedAt {};
     bool isProbing = false;
 };
 
@@ -97,6 +100,7 @@
     std::optional<TimePoint> writesStalledSince(const GroupId&, TimePoint now) const;
     LogPosition acknowledgedPositionOf(const GroupId&, TimePoint now) const;
     bool isReachable(const EndpointId&) const;
+    bool isIdle(const GroupId&, TimePoint now) const;
 
     void onPooledLinkOpened(PooledLink&, const Reply&, TimePoint now) override;
     void onPooledLinkReply(PooledLink&, const Reply&, TimePoint now) override;
@@ -164,8 +168,13 @@
     void closeSpareLinks(TimePoint now);
     /** Opens connections until so many are being opened; the extra ones may exceed the daemon's share. */
     void openLinks(EndpointLinks&, std::size_t wanted, TimePoint now, std::size_t extra = 0);
-    void openWarmLinks(TimePoint now);
-    void askForPositions(TimePoint now);
+    void openWarmLinks(const GroupId&, TimePoint now);
+    void askForPosition(GroupQueues&, const GroupId&, TimePoint now);
+    /** No statement came lately. */
+    bool isIdle(const GroupQueues& queues, TimePoint now) const
+    {
+        return now - queues.demandedAt > settings_.idleAfter;
+    }
     void askWhoLeads(GroupQueues&, const GroupId&, TimePoint now);
     void askPosition(const GroupId&, const std::shared_ptr<PooledLink>&, bool isRegular, TimePoint now);
     void noteLeading(const GroupId&, const EndpointId&, const LogPosition&, TimePoint askedAt);
@@ -187,6 +196,7 @@
     std::map<std::uint64_t, PendingOrder> orders_;
     Ticket lastTicket_ = 0;
     std::optional<TimePoint> lastTick_;
+    std::optional<TimePoint> spareCheckedAt_;
 };
 
 } // namespace almondlever
--- a/src/pooling/EndpointLinks.h
+++ b/src/pooling/EndpointLinks.h
@@ -77,6 +77,8 @@
     /** Connections that are open or being opened. */
     std::size_t openCount() const;
     bool mayConnect(TimePoint now) const { return now >= connectAfter_; }
+    /** Every connection is open and idle. */
+    bool isAtRest() const { return !links_.empty() && count(PooledLink::State::Idle) == links_.size(); }
     /** A command that is answered at once has no answer, although the endpoint answered on another connection since. */
     bool hasLostAnswer(const PooledLink&, TimePoint now) const;
     /** Something waits, and nothing was answered for a while; the first sign of a failure. */
--- a/src/pooling/StatementDispatcher.cpp
+++ b/src/pooling/StatementDispatcher.cpp
@@ -66,6 +66,8 @@
     return state_->acknowledgedPositionOf(group, now);
 }
 
+bool StatementDispatcher::isIdle(const GroupId& group, TimePoint now) const { return state_->isIdle(group, now); }
+
 bool StatementDispatcher::isReachable(const EndpointId& endpoint) const { return state_->isReachable(endpoint); }
 
 } // namespace almondlever
--- a/tests/groups/TestEndpointDirectory.cpp
+++ b/tests/groups/TestEndpointDirectory.cpp
@@ -145,3 +145,20 @@
     directory.noteNotLeading(a);
     cr_assert(leads(directory, b));
 }
+
+// Guards against an endpoint that is counted in the group it served before, as addresses and ids are used again.
+Test(EndpointDirectory, endpointBelongsToOneGroup)
+{
+    EndpointDirectory directory;
+    directory.update(makeEntry(a, true, 1), start);
+    EndpointEntry moved = makeEntry(a, false, 2);
+    moved.group = GroupId("other");
+    directory.update(moved, start);
+    cr_assert(directory.endpointsOf(group).empty());
+    cr_assert(!directory.primaryOf(group));
+    cr_assert_eq(directory.endpointsOf(GroupId("other")).size(), 1U);
+    cr_assert_eq(directory.groups().size(), 1U);
+    directory.lapse(a, start);
+    directory.removeLapsed(start + Milliseconds(2000));
+    cr_assert(directory.groups().empty());
+}
--- a/tests/mocks/FakeEndpoints.h
+++ b/tests/mocks/FakeEndpoints.h
@@ -52,6 +52,8 @@
         std::size_t openedConnections = 0;
         std::size_t running = 0;
         std::deque<std::function<void()>> queue;
+        /** Commands of all connections. */
+        std::size_t commands = 0;
         /** Statements refused because the queue was full. */
         std::size_t refused = 0;
     };
@@ -119,6 +121,7 @@
 
     void send(const EndpointCommand& command) override
     {
+        ++server().commands;
         waiting_.push_back(command);
         if (waiting_.size() == 1)
             after(server().distance, [](Link& self) { self.handle(); });
--- a/tests/pooling/TestStatementDispatcher.cpp
+++ b/tests/pooling/TestStatementDispatcher.cpp
@@ -469,3 +469,19 @@
     fixture.advance(Milliseconds(16000));
     cr_assert(fixture.dispatcher.acknowledgedPositionOf(fixture.group, fixture.timers.now()) < LogPosition({ 1, 445 }));
 }
+
+// Pattern: hundreds of groups of which few get statements at a time.
+// Guards against a cost of each group that no caller uses.
+Test(StatementDispatcher, idleGroupIsAskedSeldom)
+{
+    DispatcherFixture fixture;
+    fixture.advance(Milliseconds(5000));
+    const std::size_t before = fixture.endpoints.server(fixture.a).commands;
+    fixture.advance(Milliseconds(10000));
+    // A question is a begin and its rollback.
+    cr_assert_leq(fixture.endpoints.server(fixture.a).commands - before, 12U);
+    FakeCaller caller(fixture, "jobs");
+    caller.read("r1");
+    fixture.advance(Milliseconds(300));
+    cr_assert(caller.succeeded());
+}
