Keep reads at the near endpoint while its slots allow it

Cause: a running statement counted as a whole one when a read was placed, so the near endpoint lost against one in another region as soon as one statement of this daemon ran there; endpoints have 3 to 6 slots. Ruled out: a weight for distance beside the latency (the latency contains it). Change: a running statement counts half. Test: EndpointChoice.nearEndpointWinsWhileItIsNotBusier, with a case that failed before; the case that two running statements send a read elsewhere stays.

--- a/src/pooling/EndpointChoice.cpp
+++ b/src/pooling/EndpointChoice.cpp
@@ -8,9 +8,15 @@
      */
     constexpr double primaryWeight = 1.5;
 
+    /**
+     * Share of its time that a statement waits for each one that this daemon runs beside it. An endpoint has several
+     * slots, so a statement rarely waits for the whole of another; less would pile reads up on one endpoint.
+     */
+    constexpr double waitBehindOne = 0.5;
+
     double expectedTime(const ReadCandidate& candidate)
     {
-        const double queue = static_cast<double>(candidate.running + 1);
+        const double queue = 1 + waitBehindOne * static_cast<double>(candidate.running);
         return std::chrono::duration<double>(candidate.latency).count() * queue
             * (candidate.isPrimary ? primaryWeight : 1);
     }
--- a/tests/pooling/TestEndpointChoice.cpp
+++ b/tests/pooling/TestEndpointChoice.cpp
@@ -24,6 +24,7 @@
 {
     cr_assert_eq(*chooseForRead({ makeCandidate(0, 30, 0), makeCandidate(1, 55, 0) }, {}), 0U);
     cr_assert_eq(*chooseForRead({ makeCandidate(0, 30, 2), makeCandidate(1, 55, 0) }, {}), 1U);
+    cr_assert_eq(*chooseForRead({ makeCandidate(0, 30, 1), makeCandidate(1, 55, 0) }, {}), 0U, "it has several slots");
 }
 
 // Guards against reads that take the primary's slots, which writes need, while a replica is equally near.
