Wait for the members before connections are opened

A daemon that had the configuration but not yet the members took itself for the only owner of all groups; all 72 did so, and their connections took what the endpoints had left beside those of the dead (2,323 refusals as too many in 2 s, by every daemon). The groups were also set before the owners, with the same effect for a moment. Ruled out: the time of the restart (start to configuration 50 ms); the pause after a refusal (the refused were not owners). Change: the configuration is applied, sessions are opened and the daemon is ready once the members were read; owners are set before groups. Test: FrontDaemon.opensNoConnectionBeforeItKnowsTheOwners (72 daemons start one after the other beside the entries of all); it failed before.

--- a/include/almondlever/front/FrontDaemon.h
+++ b/include/almondlever/front/FrontDaemon.h
@@ -71,7 +71,7 @@
     /** Begins a graceful stop; the callback comes when the process may exit. */
     void beginStop(std::function<void()> onStopped);
 
-    bool isReady() const { return routing_ && hasEndpoints_ && !stop_.isStopping(); }
+    bool isReady() const { return routing_ && hasEndpoints_ && hasMembers_ && !stop_.isStopping(); }
     TimePoint now() const { return timers_.now(); }
     std::shared_ptr<const RoutingConfiguration> routing() const override { return routing_; }
     Metrics& metrics() { return metrics_; }
@@ -95,6 +95,7 @@
     bool isNews(const EndpointEntry&) const;
     std::vector<StoreItem> newsAmong(const std::vector<StoreItem>&) const;
     void takeConfiguration(const StoreItem&, TimePoint now);
+    void applyConfiguration(TimePoint now);
     void takeEndpoints(const std::vector<StoreItem>&, bool isSnapshot, TimePoint now);
     void takeOwnKeys(const std::vector<StoreItem>&, bool isSnapshot, TimePoint now);
     void takeClusterKey(const std::string& key);
@@ -128,6 +129,8 @@
     StoreRelay relay_;
     std::shared_ptr<const RoutingConfiguration> routing_;
     bool hasEndpoints_ = false;
+    /** The other daemons are known, so that ownership can be told. */
+    bool hasMembers_ = false;
     std::map<GroupId, std::set<std::string>> ownersTold_;
     std::optional<TimePoint> ownersUpdatedAt_;
     bool hasOwnersToUpdate_ = false;
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -95,14 +95,14 @@
 {
     const TimePoint now = timers_.now();
     const Opening opening { database, &link, std::move(callback), now };
-    if (routing_)
+    if (routing_ && hasMembers_)
         return openNow(opening, now);
     openings_.push_back(opening);
 }
 
 void FrontDaemon::openNow(const Opening& opening, TimePoint now)
 {
-    if (!routing_)
+    if (!routing_ || !hasMembers_)
         return opening.callback(nullptr, StatementError::Busy);
     if (routing_->routes.count(opening.database) == 0) {
         if (log_.admits(1, now))
@@ -123,7 +123,7 @@
     const std::vector<Opening> openings = std::move(openings_);
     openings_.clear();
     for (const Opening& opening : openings) {
-        if (routing_ || now - opening.since > settings_.openPatience)
+        if ((routing_ && hasMembers_) || now - opening.since > settings_.openPatience)
             openNow(opening, now);
         else
             openings_.push_back(opening);
@@ -205,9 +205,18 @@
             { "revision", std::to_string(item.revision) }, { "routes", std::to_string(configuration.routes.size()) },
             { "groups", std::to_string(configuration.groups.size()) } });
     routing_ = std::make_shared<const RoutingConfiguration>(configuration);
+    applyConfiguration(now);
+}
+
+void FrontDaemon::applyConfiguration(TimePoint now)
+{
+    // A daemon that does not know the others would take itself for the owner of every group. After the loss of power of
+    // a whole fleet, the connections of all its daemons would leave none to the owners.
+    if (!routing_ || !hasMembers_)
+        return;
+    updateOwners(now);
     dispatcher_.setGroups(routing_->groups, now);
     promotions_.setGroups(routing_->groups);
-    updateOwners(now);
     finishOpening(now);
 }
 
@@ -270,7 +279,7 @@
         for (const EndpointEntry& entry : entries)
             directory_.update(entry, now);
     }
-    if (hasNews)
+    if (hasNews && hasMembers_)
         dispatcher_.onDirectoryChange(now);
 }
 
@@ -304,6 +313,10 @@
         members_.keepOnly(names, now);
     if (isSnapshot && !hasClusterKey && !network_)
         makeClusterKey();
+    if (isSnapshot && !hasMembers_) {
+        hasMembers_ = true;
+        return applyConfiguration(now);
+    }
     updateOwners(now);
 }
 
@@ -367,7 +380,7 @@
 
 void FrontDaemon::updateOwners(TimePoint now)
 {
-    if (!routing_)
+    if (!routing_ || !hasMembers_)
         return;
     // Daemons join by hundreds when a fleet starts, and every group is looked at each time.
     hasOwnersToUpdate_ = ownersUpdatedAt_ && now - *ownersUpdatedAt_ < ownersInterval;
@@ -453,7 +466,7 @@
     const std::vector<EndpointId> removed = directory_.removeLapsed(now);
     for (const EndpointId& id : removed)
         logInfo("endpoint_gone", { { "endpoint", id.text() } });
-    if (!removed.empty())
+    if (!removed.empty() && hasMembers_)
         dispatcher_.onDirectoryChange(now);
     if (members_.removeLapsed(now) || hasOwnersToUpdate_)
         updateOwners(now);
