Read the members after a promotion's claim was taken

A daemon whose store connection was cut got its claim 1.2 s late. Meanwhile another one had promoted ledger1a, which the first one's list did not hold (it had lapsed before). With two members known, one answer was enough: ledger1c was promoted at 712 while ledger1a acknowledged 713 and more with ledger1b; 4 commits lost. Ruled out: the bound on acknowledged positions (it knew 710, told by its own writes); the claim (held, fence 98). Change: after the claim the list of endpoints is read anew; without an answer the claim is given back. A deletion that is older than what the list says is ignored, as the watch tells some of it again. Tests: PromotionDriver.readsTheMembersAfterItHasTheClaim, promotesNobodyWhenTheMembersCannotBeRead, PrefixFollower.refreshReadsAllBesideTheWatch.

--- a/include/almondlever/front/PromotionDriver.h
+++ b/include/almondlever/front/PromotionDriver.h
@@ -6,6 +6,7 @@
 #include "almondlever/pooling/StatementDispatcher.h"
 #include "almondlever/store/PromotionClaim.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -39,6 +40,11 @@
     PromotionDriver(const PromotionDriver&) = delete;
     PromotionDriver& operator=(const PromotionDriver&) = delete;
 
+    /** Reads the list of endpoints anew; tells whether the store answered. */
+    using MembersRefresh = std::function<void(std::function<void(bool isFresh)>)>;
+
+    /** Called after a claim was taken and before the members of the group are relied on. */
+    void setMembersRefresh(MembersRefresh refresh) { refreshMembers_ = std::move(refresh); }
     void setGroups(const std::map<GroupId, GroupRule>& groups) { groups_ = groups; }
     /** The daemons that keep connections to each group; only they change its primary. */
     void setOwners(std::map<GroupId, std::set<std::string>> owners) { owners_ = std::move(owners); }
@@ -69,6 +75,8 @@
     bool isOwner(const GroupId&) const;
     void begin(const GroupId&, PromotionReason, TimePoint now);
     void onClaimed(const GroupId&, const StoreResult<std::uint64_t>&);
+    void giveClaimBack(const GroupId&, const std::string& outcome, const std::string& detail);
+    void startChange(const GroupId&);
     void carryOut(const GroupId&, const GroupPromotion::Orders&, TimePoint now);
     void sendOrder(const GroupId&, const GroupPromotion::Order&);
     void promote(const GroupId&, const EndpointId&, TimePoint now);
@@ -80,6 +88,7 @@
     PromotionService& service_;
     TimerService& timers_;
     PromotionDriverSettings settings_;
+    MembersRefresh refreshMembers_;
     std::map<GroupId, GroupRule> groups_;
     std::map<GroupId, std::set<std::string>> owners_;
     std::map<GroupId, Watch> watches_;
--- a/include/almondlever/store/PrefixFollower.h
+++ b/include/almondlever/store/PrefixFollower.h
@@ -53,6 +53,8 @@
     void pause() { isPaused_ = true; }
     /** Reads all again and goes on by itself. */
     void resume();
+    /** Reads all keys at once, beside the calls that wait; the observer gets them before the callback. */
+    void refresh(std::function<void(bool isFresh)> callback);
     bool isPaused() const { return isPaused_; }
     /** Takes what a peer knows: all keys, or changes since revision(). */
     void takeNews(const std::vector<StoreItem>&, std::uint64_t revision, bool isSnapshot);
@@ -66,6 +68,8 @@
 
 private:
     void readPage(const std::string& afterKey);
+    void refreshPage(std::shared_ptr<std::vector<StoreItem>> collected, std::uint64_t firstRevision,
+        std::function<void(bool isFresh)> callback);
     void onPage(StoreResult<StorePage>);
     void waitForChanges();
     void onChanges(StoreResult<StorePage>);
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -71,6 +71,8 @@
     , members_(self())
     , makeNetwork_(std::move(makeNetwork))
 {
+    promotions_.setMembersRefresh(
+        [this](const std::function<void(bool)>& callback) { endpointFollower_.refresh(callback); });
 }
 
 FrontDaemon::~FrontDaemon()
@@ -251,6 +253,10 @@
         if (item.isDeleted) {
             hasNews = true;
             const EndpointId id = decoder_.endpointOf(item.key);
+            const EndpointEntry* known = directory_.find(id);
+            // The list may have been read anew since.
+            if (known && item.revision < known->revision)
+                continue;
             logInfo("endpoint_lapsed", { { "endpoint", id.text() }, { "revision", std::to_string(item.revision) } });
             directory_.lapse(id, now);
             continue;
--- a/src/front/PromotionDriver.cpp
+++ b/src/front/PromotionDriver.cpp
@@ -189,27 +189,42 @@
 
 void PromotionDriver::onClaimed(const GroupId& group, const StoreResult<std::uint64_t>& result)
 {
-    const TimePoint now = timers_.now();
-    const auto found = changes_.find(group);
-    if (found == changes_.end())
+    if (changes_.count(group) == 0)
         return;
-    Change& change = *found->second;
-    Watch& watch = watches_[group];
-    const std::optional<PromotionReason> reason = reasonFor(group, watch, now);
-    const bool isMoot = result && !reason && change.reason != PromotionReason::Recovery;
-    if (!result || isMoot) {
-        logInfo("promotion_not_claimed",
-            { { "group", group.text() }, { "outcome", result ? "reason_gone" : toText(result.error().kind) },
-                { "detail", result ? "" : result.error().detail } });
-        watch.notBefore = now + settings_.retryPause;
-        change.claim.release(true);
-        // The claim is destroyed outside of its own callback.
-        timers_.callAfter(Duration(0), [this, group, alive = std::weak_ptr<int>(alive_)](TimePoint) {
-            if (!alive.expired())
-                changes_.erase(group);
-        });
-        return;
-    }
+    if (!result)
+        return giveClaimBack(group, toText(result.error().kind), result.error().detail);
+    if (!refreshMembers_)
+        return startChange(group);
+    // An endpoint that came back, or that another daemon promoted, may have acknowledged commits with endpoints that
+    // this daemon does not ask. What the list says after the claim was taken is new enough.
+    refreshMembers_([this, group, alive = std::weak_ptr<int>(alive_)](bool isFresh) {
+        if (alive.expired() || changes_.count(group) == 0)
+            return;
+        if (!isFresh)
+            return giveClaimBack(group, "members_unknown", "the store did not answer");
+        startChange(group);
+    });
+}
+
+void PromotionDriver::giveClaimBack(const GroupId& group, const std::string& outcome, const std::string& detail)
+{
+    logInfo("promotion_not_claimed", { { "group", group.text() }, { "outcome", outcome }, { "detail", detail } });
+    watches_[group].notBefore = timers_.now() + settings_.retryPause;
+    changes_.at(group)->claim.release(true);
+    // The claim is destroyed outside of its own callback.
+    timers_.callAfter(Duration(0), [this, group, alive = std::weak_ptr<int>(alive_)](TimePoint) {
+        if (!alive.expired())
+            changes_.erase(group);
+    });
+}
+
+void PromotionDriver::startChange(const GroupId& group)
+{
+    const TimePoint now = timers_.now();
+    Change& change = *changes_.at(group);
+    const std::optional<PromotionReason> reason = reasonFor(group, watches_[group], now);
+    if (!reason && change.reason != PromotionReason::Recovery)
+        return giveClaimBack(group, "reason_gone", "");
     std::vector<PromotionMember> members;
     const EndpointEntry* primary = directory_.primaryOf(group);
     for (const EndpointEntry* entry : directory_.endpointsOf(group))
@@ -219,8 +234,9 @@
     change.promotion = std::make_unique<GroupPromotion>(
         members, synchronous, directory_.newestTermOf(group), change.reason, settings_.promotion);
     logInfo("promotion_started",
-        { { "group", group.text() }, { "reason", toText(change.reason) }, { "fence", std::to_string(result.value()) },
-            { "members", std::to_string(members.size()) }, { "acknowledged_term", std::to_string(acknowledged.term) },
+        { { "group", group.text() }, { "reason", toText(change.reason) },
+            { "fence", std::to_string(change.claim.fence()) }, { "members", std::to_string(members.size()) },
+            { "acknowledged_term", std::to_string(acknowledged.term) },
             { "acknowledged_index", std::to_string(acknowledged.index) } });
     change.promotion->noteAcknowledged(acknowledged);
     carryOut(group, change.promotion->start(now), now);
--- a/src/store/PrefixFollower.cpp
+++ b/src/store/PrefixFollower.cpp
@@ -75,6 +75,32 @@
     });
 }
 
+void PrefixFollower::refresh(std::function<void(bool isFresh)> callback)
+{
+    refreshPage(std::make_shared<std::vector<StoreItem>>(), 0, std::move(callback));
+}
+
+void PrefixFollower::refreshPage(std::shared_ptr<std::vector<StoreItem>> collected, std::uint64_t firstRevision,
+    std::function<void(bool isFresh)> callback)
+{
+    store_.readRange(prefix_, collected->empty() ? "" : collected->back().key,
+        [this, collected, firstRevision, callback = std::move(callback), alive = std::weak_ptr<int>(alive_)](
+            StoreResult<StorePage> result) {
+            if (alive.expired())
+                return;
+            if (!result)
+                return callback(false);
+            StorePage& page = result.value();
+            const std::uint64_t revision = firstRevision == 0 ? page.asOf : firstRevision;
+            std::move(page.items.begin(), page.items.end(), std::back_inserter(*collected));
+            if (page.isTruncated && !collected->empty())
+                return refreshPage(collected, revision, callback);
+            // The watch goes on from where it was and tells some of it again.
+            observer_.onStoreSnapshot(prefix_, *collected, revision, timers_.now());
+            callback(true);
+        });
+}
+
 void PrefixFollower::onPage(StoreResult<StorePage> result)
 {
     if (!result)
--- a/tests/front/TestPromotionDriver.cpp
+++ b/tests/front/TestPromotionDriver.cpp
@@ -204,3 +204,39 @@
     cr_assert_eq(fixture.endpoints.server(fixture.b).pausedIn, pauseOfAnother);
     cr_assert(fixture.promotions.promoted.empty());
 }
+
+// Pattern: a daemon whose store was slow gets its claim after another daemon has promoted an endpoint that this one
+// does not know (soak seed 2036). Guards against a second promotion, decided on members that are out of date, that
+// loses what the first one's endpoint acknowledged.
+Test(PromotionDriver, readsTheMembersAfterItHasTheClaim)
+{
+    Fixture fixture;
+    const EndpointId back("back");
+    fixture.driver.setMembersRefresh([&](const std::function<void(bool)>& callback) {
+        auto& server = fixture.endpoints.server(back);
+        server.leads = true;
+        server.position = { 2, 120 };
+        fixture.directory.update(fixture.entryOf(back), fixture.timers.now());
+        fixture.dispatcher.onDirectoryChange(fixture.timers.now());
+        callback(true);
+    });
+    fixture.endpoints.crash(fixture.a);
+    fixture.run(Milliseconds(3000));
+    cr_assert(fixture.promotions.promoted.empty());
+    FakeCaller caller(fixture, "orders");
+    caller.write("w1");
+    fixture.run(Milliseconds(300));
+    cr_assert(caller.succeeded());
+    cr_assert(fixture.endpoints.runs().back().endpoint == back);
+}
+
+// Guards against a promotion on members that nobody could confirm.
+Test(PromotionDriver, promotesNobodyWhenTheMembersCannotBeRead)
+{
+    Fixture fixture;
+    fixture.driver.setMembersRefresh([](const std::function<void(bool)>& callback) { callback(false); });
+    fixture.endpoints.crash(fixture.a);
+    fixture.run(Milliseconds(2500));
+    cr_assert(fixture.promotions.promoted.empty());
+    cr_assert(!fixture.store.has(storeKeys::claims + "ledger"), "another daemon may have more luck");
+}
--- a/tests/store/TestPrefixFollower.cpp
+++ b/tests/store/TestPrefixFollower.cpp
@@ -146,3 +146,22 @@
     fixture.timers.advance(Milliseconds(100));
     cr_assert_eq(fixture.recorder.keys["op/config"], "3");
 }
+
+// Guards against a promotion that trusts a list from before: the list is read at once, while a watch waits.
+Test(PrefixFollower, refreshReadsAllBesideTheWatch)
+{
+    Fixture fixture;
+    fixture.store.put("op/a", "1");
+    fixture.follower.start();
+    fixture.timers.advance(Milliseconds(100));
+    const int before = fixture.recorder.snapshots;
+    bool isFresh = false;
+    fixture.follower.refresh([&](bool result) { isFresh = result; });
+    fixture.timers.advance(Milliseconds(50));
+    cr_assert(isFresh);
+    cr_assert_eq(fixture.recorder.snapshots, before + 1);
+    fixture.store.isDown = true;
+    fixture.follower.refresh([&](bool result) { isFresh = result; });
+    fixture.timers.advance(Milliseconds(50));
+    cr_assert(!isFresh);
+}
