--- a/scripts/soak_regressions.sh
+++ b/scripts/soak_regressions.sh
@@ -8,4 +8,8 @@
 run 2 --seconds 12
 # No endpoint of a group could be reached: restarted daemons had inherited the listening sockets of the stand-ins.
 run 113 --seconds 12
+# A hand-over to a replica that lacked what the primary had acknowledged with a replica which the decider did not know.
+run 135 --seconds 12
+# A promotion decided on a list of members from before the claim.
+run 2036 --seconds 12
 exit "$status"
