Keep an unfinished change open whatever else happens to the group

When the primary of a group with an unfinished change failed, the reason was primary_failed, so that a failed attempt resumed replicas and closed the record; giving a claim back closed it as well. Either opens the hole that RESUME_AFTER_FAILED_RECOVERY of model/GroupPromotion.pml describes. Change: an unfinished change is recovered first; a claim that is given back leaves the record as it was. Tests: PromotionDriver.unfinishedChangeStaysOpenWhenTheMembersAreUnknown failed before; unfinishedChangeStaysOpenWhenThePrimaryFails passed before too and guards the order of reasons.

--- a/src/front/PromotionDriver.cpp
+++ b/src/front/PromotionDriver.cpp
@@ -71,10 +71,11 @@
 
 std::optional<PromotionReason> PromotionDriver::reasonFor(const GroupId& group, const Watch& watch, TimePoint now) const
 {
-    if (dispatcher_.primaryFailingSince(group, now))
-        return PromotionReason::PrimaryFailed;
+    // Whatever else is the matter: the call of an unfinished change may still come.
     if (watch.isOpen)
         return PromotionReason::Recovery;
+    if (dispatcher_.primaryFailingSince(group, now))
+        return PromotionReason::PrimaryFailed;
     if (dispatcher_.writesStalledSince(group, now))
         return PromotionReason::PrimaryStalled;
     const EndpointEntry* primary = directory_.primaryOf(group);
@@ -210,7 +211,8 @@
 {
     logInfo("promotion_not_claimed", { { "group", group.text() }, { "outcome", outcome }, { "detail", detail } });
     watches_[group].notBefore = timers_.now() + settings_.retryPause;
-    changes_.at(group)->claim.release(true);
+    // The claim opened the record; an earlier change that is unfinished stays so.
+    changes_.at(group)->claim.release(!watches_[group].isOpen);
     // The claim is destroyed outside of its own callback.
     timers_.callAfter(Duration(0), [this, group, alive = std::weak_ptr<int>(alive_)](TimePoint) {
         if (!alive.expired())
--- a/tests/front/TestPromotionDriver.cpp
+++ b/tests/front/TestPromotionDriver.cpp
@@ -240,3 +240,29 @@
     cr_assert(fixture.promotions.promoted.empty());
     cr_assert(!fixture.store.has(storeKeys::claims + "ledger"), "another daemon may have more luck");
 }
+
+// Pattern: the primary fails while a change by a daemon that died is unfinished, and too few endpoints answer.
+// Guards against closing the record of that change: its call may still come.
+Test(PromotionDriver, unfinishedChangeStaysOpenWhenThePrimaryFails)
+{
+    Fixture fixture;
+    fixture.store.put(storeKeys::changes + "ledger", storeKeys::changeOpen);
+    fixture.driver.onChangeRecord(fixture.group, true, fixture.timers.now());
+    fixture.endpoints.crash(fixture.a);
+    fixture.endpoints.crash(fixture.b);
+    fixture.run(Milliseconds(5000));
+    cr_assert(fixture.promotions.promoted.empty());
+    cr_assert_eq(fixture.store.valueOf(storeKeys::changes + "ledger"), storeKeys::changeOpen);
+    cr_assert_neq(fixture.endpoints.server(fixture.c).pausedIn, 0U, "what it pauses stays paused");
+}
+
+// Guards against the same when the members cannot be read after the claim.
+Test(PromotionDriver, unfinishedChangeStaysOpenWhenTheMembersAreUnknown)
+{
+    Fixture fixture;
+    fixture.store.put(storeKeys::changes + "ledger", storeKeys::changeOpen);
+    fixture.driver.onChangeRecord(fixture.group, true, fixture.timers.now());
+    fixture.driver.setMembersRefresh([](const std::function<void(bool)>& callback) { callback(false); });
+    fixture.run(Milliseconds(4000));
+    cr_assert_eq(fixture.store.valueOf(storeKeys::changes + "ledger"), storeKeys::changeOpen);
+}
