--- a/include/almondlever/store/PrefixFollower.h
+++ b/include/almondlever/store/PrefixFollower.h
@@ -68,7 +68,7 @@
 
 private:
     void readPage(const std::string& afterKey);
-    void refreshPage(std::shared_ptr<std::vector<StoreItem>> collected, std::uint64_t firstRevision,
+    void refreshPage(const std::shared_ptr<std::vector<StoreItem>>& collected, std::uint64_t firstRevision,
         std::function<void(bool isFresh)> callback);
     void onPage(StoreResult<StorePage>);
     void waitForChanges();
--- a/src/failover/GroupPromotion.cpp
+++ b/src/failover/GroupPromotion.cpp
@@ -258,7 +258,7 @@
 GroupPromotion::Orders GroupPromotion::chooseTarget(TimePoint now)
 {
     // Endpoints that this daemon does not know yet may have acknowledged commits, so the primary's own position counts.
-    const Orders questions { { Order::Kind::QueryStatus, primary()->id, 0 }, { Order::Kind::QueryStatus, chosen_, 0 } };
+    Orders questions { { Order::Kind::QueryStatus, primary()->id, 0 }, { Order::Kind::QueryStatus, chosen_, 0 } };
     if (phase_ != Phase::CatchingUp) {
         enter(Phase::CatchingUp, now);
         return questions;
--- a/src/store/PrefixFollower.cpp
+++ b/src/store/PrefixFollower.cpp
@@ -80,7 +80,7 @@
     refreshPage(std::make_shared<std::vector<StoreItem>>(), 0, std::move(callback));
 }
 
-void PrefixFollower::refreshPage(std::shared_ptr<std::vector<StoreItem>> collected, std::uint64_t firstRevision,
+void PrefixFollower::refreshPage(const std::shared_ptr<std::vector<StoreItem>>& collected, std::uint64_t firstRevision,
     std::function<void(bool isFresh)> callback)
 {
     store_.readRange(prefix_, collected->empty() ? "" : collected->back().key,
