Move the soak out of the adapter's folder

Change: the soak lies in soak/ and is linted there; the adapter's codec offers takeWord, decodePosition and encodePosition; the soak's checker is PromiseChecker. No behaviour, but that the stand-in answers MALFORMED to a position it cannot read. Ruled out: sharing programs/load/HistoryChecker (it checks the HTTP interface's history from files).

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -10,7 +10,7 @@
 clang-format-14 --dry-run --Werror "${formatted[@]}"
 scripts/check_layers.sh
 
-mapfile -t sources < <(if [ $# -gt 0 ]; then printf '%s\n' "$@"; else git ls-files --cached --others --exclude-standard -- 'src/*.cpp' 'programs/*.cpp' 'platform/*.cpp'; fi)
+mapfile -t sources < <(if [ $# -gt 0 ]; then printf '%s\n' "$@"; else git ls-files --cached --others --exclude-standard -- 'src/*.cpp' 'programs/*.cpp' 'platform/*.cpp' 'soak/*.cpp'; fi)
 # Each result is kept under a hash of the source, the headers and the settings, so that only changed files are checked again.
 cache=${ALMONDLEVER_LINT_CACHE:-${HOME}/.cache/almondlever-lint}
 mkdir -p "$cache"
--- a/platform/soak/HistoryChecker.cpp
+++ b/soak/PromiseChecker.cpp
@@ -1,18 +1,18 @@
-#include "HistoryChecker.h"
+#include "PromiseChecker.h"
 
 #include <algorithm>
 #include <fmt/format.h>
 
 namespace almondlever::soak {
 
-void HistoryChecker::report(const std::string& promise, const std::string& detail)
+void PromiseChecker::report(const std::string& promise, const std::string& detail)
 {
     violations_.push_back(promise + ": " + detail);
 }
 
-void HistoryChecker::noteSent(const std::string& id, const SentStatement& statement) { sent_[id] = statement; }
+void PromiseChecker::noteSent(const std::string& id, const SentStatement& statement) { sent_[id] = statement; }
 
-void HistoryChecker::noteRun(const std::string& id, const RunStatement& run)
+void PromiseChecker::noteRun(const std::string& id, const RunStatement& run)
 {
     ++runs_;
     runsOf_[id].push_back({ run.signature, run.rows });
@@ -29,7 +29,7 @@
         checkFresh(id, sent, run);
 }
 
-void HistoryChecker::checkPinned(const std::string& id, const SentStatement& sent, const RunStatement& run)
+void PromiseChecker::checkPinned(const std::string& id, const SentStatement& sent, const RunStatement& run)
 {
     if (sent.transaction != 0 && run.transaction == 0)
         return report("pinned", "statement " + id + " ran outside of its transaction");
@@ -51,7 +51,7 @@
         report("pinned", "statement " + id + " left the connection of its transaction");
 }
 
-void HistoryChecker::checkFresh(const std::string& id, const SentStatement& sent, const RunStatement& run)
+void PromiseChecker::checkFresh(const std::string& id, const SentStatement& sent, const RunStatement& run)
 {
     const auto group = acknowledged_.find(sent.group);
     if (group == acknowledged_.end() || !run.log)
@@ -75,7 +75,7 @@
                 + std::to_string(needed->index));
 }
 
-void HistoryChecker::noteSuccess(
+void PromiseChecker::noteSuccess(
     const std::string& id, const std::string& signature, const std::vector<std::string>& rows)
 {
     const auto found = runsOf_.find(id);
@@ -84,12 +84,12 @@
         report("mixed", "the answer to " + id + " is not what an endpoint gave");
 }
 
-void HistoryChecker::noteCommitAsked(const std::vector<std::string>& tokens)
+void PromiseChecker::noteCommitAsked(const std::vector<std::string>& tokens)
 {
     asked_.insert(tokens.begin(), tokens.end());
 }
 
-void HistoryChecker::noteCommitted(const GroupId&, std::size_t index, const std::vector<std::string>& tokens)
+void PromiseChecker::noteCommitted(const GroupId&, std::size_t index, const std::vector<std::string>& tokens)
 {
     for (const std::string& token : tokens) {
         indexOf_[token] = index;
@@ -98,7 +98,7 @@
     }
 }
 
-void HistoryChecker::noteAttempt(const std::string& session, const GroupId& group,
+void PromiseChecker::noteAttempt(const std::string& session, const GroupId& group,
     const std::vector<std::string>& tokens, AttemptOutcome outcome, TimePoint now)
 {
     if (outcome == AttemptOutcome::NothingKept)
@@ -115,7 +115,7 @@
     }
 }
 
-void HistoryChecker::checkLog(const GroupId& group, const std::string& occasion, const std::vector<LogEntry>& log)
+void PromiseChecker::checkLog(const GroupId& group, const std::string& occasion, const std::vector<LogEntry>& log)
 {
     std::set<std::string> present;
     for (const LogEntry& entry : log) {
--- a/platform/soak/HistoryChecker.h
+++ b/soak/PromiseChecker.h
@@ -63,7 +63,7 @@
  * Checks the promises to callers from what callers and endpoints saw. Fed in the order of events; each broken promise
  * becomes one line. Does no input or output.
  */
-class HistoryChecker {
+class PromiseChecker {
 public:
     void noteSent(const std::string& id, const SentStatement&);
     void noteRun(const std::string& id, const RunStatement&);
--- a/platform/soak/SoakCaller.cpp
+++ b/soak/SoakCaller.cpp
@@ -1,5 +1,7 @@
 #include "SoakCaller.h"
 
+#include "platform/LineCodec.h"
+
 #include <set>
 
 namespace almondlever::soak {
@@ -25,17 +27,9 @@
         return words.count(error) > 0;
     }
 
-    std::string takeWord(std::string_view& text)
-    {
-        const std::size_t end = text.find(' ');
-        std::string word(text.substr(0, end));
-        text = end == std::string_view::npos ? std::string_view() : text.substr(end + 1);
-        return word;
-    }
-
 } // namespace
 
-SoakCaller::SoakCaller(asio::io_context& context, HistoryChecker& checker, SoakCounts& counts, std::string name,
+SoakCaller::SoakCaller(asio::io_context& context, PromiseChecker& checker, SoakCounts& counts, std::string name,
     SoakRoute route, std::uint64_t seed, DaemonChoice choose, ServedObserver onServed)
     : context_(context)
     , checker_(checker)
@@ -208,13 +202,13 @@
 
 void SoakCaller::onLine(std::string_view line)
 {
-    const std::string word = takeWord(line);
+    const std::string_view word = platform::takeWord(line);
     if (word == "DATAROW") {
         rows_.emplace_back(line);
     } else if (word == "COMPLETE") {
         signature_ = line;
     } else if (word == "ERROR") {
-        error_ = takeWord(line);
+        error_ = platform::takeWord(line);
     } else if (word == "READY") {
         if (!isOpen_) {
             isOpen_ = true;
--- a/platform/soak/SoakCaller.h
+++ b/soak/SoakCaller.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "../LineStream.h"
-#include "HistoryChecker.h"
+#include "PromiseChecker.h"
+#include "platform/LineStream.h"
 
 #include <functional>
 #include <random>
@@ -34,7 +34,7 @@
     using DaemonChoice = std::function<std::uint16_t(std::mt19937_64&)>;
     using ServedObserver = std::function<void(std::uint16_t daemon, const GroupId&)>;
 
-    SoakCaller(asio::io_context&, HistoryChecker&, SoakCounts&, std::string name, SoakRoute, std::uint64_t seed,
+    SoakCaller(asio::io_context&, PromiseChecker&, SoakCounts&, std::string name, SoakRoute, std::uint64_t seed,
         DaemonChoice, ServedObserver);
 
     void start() { connect(); }
@@ -64,7 +64,7 @@
     Step makeData(bool mayWrite);
 
     asio::io_context& context_;
-    HistoryChecker& checker_;
+    PromiseChecker& checker_;
     SoakCounts& counts_;
     std::string name_;
     SoakRoute route_;
--- a/platform/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -120,7 +120,7 @@
     asio::io_context context_ { 1 };
     asio::steady_timer timer_;
     asio::signal_set signals_;
-    HistoryChecker checker_;
+    PromiseChecker checker_;
     SoakCounts counts_;
     StandinStore store_;
     std::uint16_t storePort_ = 0;
--- a/platform/soak/StandinConnection.cpp
+++ b/soak/StandinConnection.cpp
@@ -1,5 +1,7 @@
 #include "StandinConnection.h"
 
+#include "platform/LineCodec.h"
+
 #include <charconv>
 
 namespace almondlever::soak {
@@ -10,14 +12,6 @@
     constexpr std::size_t queueLimit = 40;
     constexpr int longestWorkMs = 6;
 
-    std::string takeWord(std::string_view& text)
-    {
-        const std::size_t end = text.find(' ');
-        std::string word(text.substr(0, end));
-        text = end == std::string_view::npos ? std::string_view() : text.substr(end + 1);
-        return word;
-    }
-
     std::uint64_t toNumber(std::string_view text)
     {
         std::uint64_t value = 0;
@@ -25,17 +19,6 @@
         return value;
     }
 
-    LogPosition toPosition(const std::string& text)
-    {
-        const std::size_t dot = text.find('.');
-        return { toNumber(text.substr(0, dot)), dot == std::string::npos ? 0 : toNumber(text.substr(dot + 1)) };
-    }
-
-    std::string toText(const LogPosition& position)
-    {
-        return std::to_string(position.term) + '.' + std::to_string(position.index);
-    }
-
 } // namespace
 
 StandinConnection::StandinConnection(StandinGroup& group, StandinEndpoint& endpoint, asio::ip::tcp::socket&& socket)
@@ -102,10 +85,10 @@
     const std::string line = std::move(waiting_.front());
     waiting_.pop_front();
     std::string_view rest = line;
-    const std::string word = takeWord(rest);
+    const std::string_view word = platform::takeWord(rest);
     if (word == "STARTUP") {
-        const std::string service = takeWord(rest);
-        takeWord(rest);
+        const std::string_view service = platform::takeWord(rest);
+        platform::takeWord(rest);
         if (service != group_.id().text() || (!rest.empty() && rest != endpoint_.id().text())) {
             stream_->write("ERROR MISROUTED " + endpoint_.id().text() + "\r\n");
             return stream_->finish();
@@ -117,14 +100,14 @@
     if (word != "QUERY" || !isOpen_)
         return close();
     isBusy_ = true;
-    const std::string id = takeWord(rest);
+    const std::string id(platform::takeWord(rest));
     handle(id, rest);
 }
 
 void StandinConnection::handle(const std::string& id, std::string_view text)
 {
     std::string_view rest = text;
-    std::string verb = takeWord(rest);
+    std::string verb(platform::takeWord(rest));
     const bool hasLostLead = state_ == 'T' && !isReadOnly_ && (!leads() || group_.term() != term_);
     const bool isEmptyCommit = verb == "COMMIT" && written_.empty();
     if (hasLostLead && verb != "ROLLBACK" && !isEmptyCommit)
@@ -132,12 +115,14 @@
     if (state_ == 'E' && verb != "ROLLBACK" && verb != "COMMIT")
         return fail("MALFORMED the transaction failed");
     if (verb == "AFTER") {
-        const LogPosition needed = toPosition(takeWord(rest));
+        const auto needed = platform::decodePosition(platform::takeWord(rest));
+        if (!needed)
+            return fail("MALFORMED no position");
         const std::size_t visible = endpoint_.visible(Clock::now());
         const LogPosition held = visible == 0 ? LogPosition {} : endpoint_.log()[visible - 1].position;
-        if (held < needed)
-            return fail("LAGGING " + toText(held));
-        verb = takeWord(rest);
+        if (held < *needed)
+            return fail("LAGGING " + platform::encodePosition(held));
+        verb = platform::takeWord(rest);
     }
     if (verb == "BEGIN") {
         isReadOnly_ = rest == "READ";
@@ -158,13 +143,13 @@
     if (verb == "COMMIT")
         return work([this, id] { runCommit(id); });
     if (verb == "SET") {
-        const std::string name = takeWord(rest);
+        const std::string name(platform::takeWord(rest));
         values_[name] = rest;
         return complete("-", {}, false);
     }
     if (verb == "PREPARE") {
-        const std::string name = takeWord(rest);
-        const bool isWrite = takeWord(rest) == "WRITE";
+        const std::string name(platform::takeWord(rest));
+        const bool isWrite = platform::takeWord(rest) == "WRITE";
         prepared_[name] = { isWrite, std::string(rest) };
         return complete("-", {}, false);
     }
@@ -187,16 +172,16 @@
     }
     if (verb == "READ" || verb == "WRITE") {
         std::string_view token = rest;
-        takeWord(token);
+        platform::takeWord(token);
         return work([this, id, isWrite = verb == "WRITE", run = verb + ' ' + std::string(rest),
                         written = std::string(token)] { runStatement(id, isWrite, run, written); });
     }
     if (verb == "EXECUTE") {
-        const auto shape = prepared_.find(takeWord(rest));
+        const auto shape = prepared_.find(std::string(platform::takeWord(rest)));
         if (shape == prepared_.end())
             return fail("NOSTMT -");
         std::string_view token = rest;
-        takeWord(token);
+        platform::takeWord(token);
         return work(
             [this, id, isWrite = shape->second.isWrite, run = "EXECUTE " + shape->second.text + ' ' + std::string(rest),
                 written = std::string(token)] { runStatement(id, isWrite, run, written); });
@@ -302,7 +287,7 @@
 void StandinConnection::completeStatus()
 {
     const std::string row = std::string(leads() ? "primary" : "replica") + ' ' + std::to_string(group_.term()) + ' '
-        + toText(endpoint_.received()) + ' ' + std::to_string(endpoint_.pausedIn_) + " 5 0 1";
+        + platform::encodePosition(endpoint_.received()) + ' ' + std::to_string(endpoint_.pausedIn_) + " 5 0 1";
     complete("-", { row }, false);
 }
 
@@ -321,7 +306,7 @@
 {
     const std::size_t visible = endpoint_.visible(Clock::now());
     const LogPosition position = visible == 0 ? LogPosition {} : endpoint_.log()[visible - 1].position;
-    return std::string("READY ") + state_ + ' ' + toText(position) + "\r\n";
+    return std::string("READY ") + state_ + ' ' + platform::encodePosition(position) + "\r\n";
 }
 
 } // namespace almondlever::soak
--- a/platform/soak/StandinGroup.cpp
+++ b/soak/StandinGroup.cpp
@@ -103,7 +103,7 @@
     return applied_;
 }
 
-StandinGroup::StandinGroup(asio::io_context& context, HistoryChecker& checker, GroupId id, std::uint64_t seed)
+StandinGroup::StandinGroup(asio::io_context& context, PromiseChecker& checker, GroupId id, std::uint64_t seed)
     : context_(context)
     , checker_(checker)
     , id_(std::move(id))
--- a/platform/soak/StandinGroup.h
+++ b/soak/StandinGroup.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "../LineStream.h"
-#include "HistoryChecker.h"
+#include "PromiseChecker.h"
+#include "platform/LineStream.h"
 
 #include <asio.hpp>
 #include <deque>
@@ -78,7 +78,7 @@
 /** The servers of one group, their replication, and which of them leads. */
 class StandinGroup {
 public:
-    StandinGroup(asio::io_context&, HistoryChecker&, GroupId, std::uint64_t seed);
+    StandinGroup(asio::io_context&, PromiseChecker&, GroupId, std::uint64_t seed);
 
     const GroupId& id() const { return id_; }
     StandinEndpoint& add(const EndpointId&);
@@ -98,7 +98,7 @@
     void tick(TimePoint now);
 
     asio::io_context& context() { return context_; }
-    HistoryChecker& checker() { return checker_; }
+    PromiseChecker& checker() { return checker_; }
     std::mt19937_64& random() { return random_; }
     /** A number that no connection, transaction or run of any group has. */
     static std::uint64_t nextNumber();
@@ -111,7 +111,7 @@
     };
 
     asio::io_context& context_;
-    HistoryChecker& checker_;
+    PromiseChecker& checker_;
     GroupId id_;
     std::mt19937_64 random_;
     std::map<EndpointId, std::unique_ptr<StandinEndpoint>> endpoints_;
--- a/platform/soak/StandinStore.cpp
+++ b/soak/StandinStore.cpp
@@ -1,6 +1,6 @@
 #include "StandinStore.h"
 
-#include "../Base64.h"
+#include "platform/Base64.h"
 
 #include <nlohmann/json.hpp>
 
--- a/tests/soak/TestHistoryChecker.cpp
+++ b/tests/soak/TestPromiseChecker.cpp
@@ -1,4 +1,4 @@
-#include "platform/soak/HistoryChecker.h"
+#include "soak/PromiseChecker.h"
 
 #include <criterion/criterion.h>
 
@@ -39,7 +39,7 @@
 
 /** A history with one write that was acknowledged at 100 ms as the first commit of the log. */
 struct Fixture {
-    HistoryChecker checker;
+    PromiseChecker checker;
     std::vector<LogEntry> log { { { 1, 1 }, { "w1" } } };
 
     Fixture()
@@ -70,7 +70,7 @@
 } // namespace
 
 // Guards against a checker that complains about a history in order.
-Test(HistoryChecker, acceptsAHistoryInOrder)
+Test(PromiseChecker, acceptsAHistoryInOrder)
 {
     Fixture fixture;
     fixture.read(ReadRule::Primary, at(200), 1);
@@ -80,7 +80,7 @@
 }
 
 // Planted: the log of the promoted endpoint lacks an acknowledged write.
-Test(HistoryChecker, findsALostWrite)
+Test(PromiseChecker, findsALostWrite)
 {
     Fixture fixture;
     fixture.checker.checkLog(group, "promotion", {});
@@ -88,7 +88,7 @@
 }
 
 // Planted: one write stands in the log twice.
-Test(HistoryChecker, findsADoubledWrite)
+Test(PromiseChecker, findsADoubledWrite)
 {
     Fixture fixture;
     fixture.log.push_back({ { 1, 2 }, { "w1" } });
@@ -97,7 +97,7 @@
 }
 
 // Planted: a write is kept although its caller was told that nothing is.
-Test(HistoryChecker, findsAFalseNotRun)
+Test(PromiseChecker, findsAFalseNotRun)
 {
     Fixture fixture;
     fixture.checker.noteCommitAsked({ "w2" });
@@ -109,7 +109,7 @@
 }
 
 // Planted: a read on the primary's route misses a commit that was acknowledged before it.
-Test(HistoryChecker, findsAStaleReadOfThePrimary)
+Test(PromiseChecker, findsAStaleReadOfThePrimary)
 {
     Fixture fixture;
     fixture.read(ReadRule::Primary, at(101), 0);
@@ -117,7 +117,7 @@
 }
 
 // Planted: a read misses a commit that is older than the route allows.
-Test(HistoryChecker, findsAReadThatIsTooStale)
+Test(PromiseChecker, findsAReadThatIsTooStale)
 {
     Fixture fixture;
     fixture.read(ReadRule::BoundedStaleness, at(1101), 0);
@@ -125,7 +125,7 @@
 }
 
 // Planted: a session does not see its own commit.
-Test(HistoryChecker, findsAReadThatMissesItsOwnWrite)
+Test(PromiseChecker, findsAReadThatMissesItsOwnWrite)
 {
     Fixture fixture;
     fixture.read(ReadRule::ReadYourWrites, at(101), 0);
@@ -133,7 +133,7 @@
 }
 
 // Guards against holding a bounded read, or a read of another session, to commits that it may miss.
-Test(HistoryChecker, allowsWhatTheRouteAllows)
+Test(PromiseChecker, allowsWhatTheRouteAllows)
 {
     Fixture fixture;
     fixture.read(ReadRule::BoundedStaleness, at(1000), 0);
@@ -147,7 +147,7 @@
 }
 
 // Planted: the answer to another statement reaches the caller.
-Test(HistoryChecker, findsACrossedAnswer)
+Test(PromiseChecker, findsACrossedAnswer)
 {
     Fixture fixture;
     fixture.checker.noteSent("q2", makeSent("READ i2"));
@@ -157,7 +157,7 @@
 }
 
 // Planted: a success for a write that no endpoint committed.
-Test(HistoryChecker, findsAnInventedSuccess)
+Test(PromiseChecker, findsAnInventedSuccess)
 {
     Fixture fixture;
     fixture.checker.noteAttempt("c1/1", group, { "w9" }, AttemptOutcome::Success, at(300));
@@ -165,7 +165,7 @@
 }
 
 // Planted: an endpoint runs what no caller sent, and another text than was sent.
-Test(HistoryChecker, findsStatementsThatNobodySent)
+Test(PromiseChecker, findsStatementsThatNobodySent)
 {
     Fixture unknown;
     unknown.checker.noteRun("q9", makeRun("READ i1"));
@@ -177,7 +177,7 @@
 }
 
 // Planted: a transaction is committed whose caller did not ask for it.
-Test(HistoryChecker, findsACommitThatNobodyAskedFor)
+Test(PromiseChecker, findsACommitThatNobodyAskedFor)
 {
     Fixture fixture;
     fixture.checker.noteCommitted(group, 2, { "w2" });
@@ -185,7 +185,7 @@
 }
 
 // Planted: a statement runs inside the transaction of another caller, with other values, or outside its own.
-Test(HistoryChecker, findsStatementsInTheWrongPlace)
+Test(PromiseChecker, findsStatementsInTheWrongPlace)
 {
     const auto begin = [](Fixture& fixture, const std::string& id, std::uint64_t transaction) {
         SentStatement sent = makeSent("READ i1");
@@ -211,7 +211,7 @@
 }
 
 // Planted: a later statement of a transaction runs elsewhere. The first one may move while it is alone.
-Test(HistoryChecker, findsATransactionThatMoves)
+Test(PromiseChecker, findsATransactionThatMoves)
 {
     Fixture fixture;
     for (const char* id : { "t1", "t2" }) {
