Pause replicas anew until the promoted one leads

Cause: a paused replica that restarts receives again, and so does one that carries out an old order to resume late. Ruled out: naming the replica that went ahead in a second call, since the first one may be carried out at any time; a check right before the call alone, since the longest part of the gap is after it; STEPDOWN, since the decider cannot reach that primary. Change: GroupPromotion pauses the counted replicas again every 100 ms until the chosen one leads, and tells when one had received. Tests: replicasArePausedAnewUntilTheChosenOneLeads fails without it. repeatsACallWithoutAnswer asserted that a tick gives no orders at all while a call runs; what it guards is a second call, which it asserts now.

--- a/include/almondlever/failover/GroupPromotion.h
+++ b/include/almondlever/failover/GroupPromotion.h
@@ -59,6 +59,11 @@
     /** A replica that was not resumed by then is left to a recovery. */
     Milliseconds resumePatience { 2000 };
     Milliseconds resumeInterval { 300 };
+    /**
+     * Interval at which replicas are paused anew until the chosen one leads: a restart ends a pause, and so does an
+     * order to resume of an earlier change that is carried out late.
+     */
+    Milliseconds pauseInterval { 100 };
 };
 
 /**
@@ -105,6 +110,8 @@
     bool needsRecovery() const { return needsRecovery_; }
     const EndpointId& chosen() const { return chosen_; }
     const std::string& failure() const { return failure_; }
+    /** A replica that had been paused received while the call was under way, so that commits may be lost. */
+    bool wasPauseBroken() const { return wasPauseBroken_; }
     LogPosition chosenPosition() const;
 
 private:
@@ -128,6 +135,9 @@
     Orders fail(const std::string& reason, TimePoint now);
     Orders resumeOthers(TimePoint now);
     Orders ordersToResume() const;
+    /** Pauses the replicas again that must not receive before the chosen one leads. */
+    Orders ordersToPauseAnew(TimePoint now);
+    void notePausedAnew(const EndpointId&, const EndpointReplicationStatus&);
     Orders chooseTarget(TimePoint now);
     void enter(Phase, TimePoint now);
     const PromotionMember* primary() const;
@@ -147,6 +157,7 @@
     Phase phase_ = Phase::Asking;
     TimePoint phaseStart_;
     TimePoint lastOrder_;
+    TimePoint lastPause_;
     bool primaryAnswers_ = false;
     /** The call to the platform is under way. */
     bool isPromoting_ = false;
@@ -163,6 +174,7 @@
     EndpointId chosen_;
     std::string failure_;
     bool needsRecovery_ = false;
+    bool wasPauseBroken_ = false;
 };
 
 } // namespace almondlever
--- a/src/failover/GroupPromotion.cpp
+++ b/src/failover/GroupPromotion.cpp
@@ -87,6 +87,11 @@
         return onTick(now);
     }
     unreachable_.erase(endpoint);
+    const bool isCalled = phase_ == Phase::Promoting || phase_ == Phase::Confirming;
+    if (isCalled && kind == Order::Kind::Pause) {
+        notePausedAnew(endpoint, *status);
+        return onTick(now);
+    }
     if (phase_ == Phase::Fencing && status->term >= pauseTerm_) {
         // A pause must be in a term above the newest one; this one holds nothing back, so positions can still change.
         if (kind == Order::Kind::Pause)
@@ -144,7 +149,7 @@
         return chooseTarget(now);
     case Phase::Promoting:
         if (isPromoting_ || now - lastOrder_ < settings_.repeatInterval)
-            return {};
+            return ordersToPauseAnew(now);
         if (elapsed > settings_.leadPatience) {
             needsRecovery_ = true;
             failure_ = "the platform did not answer";
@@ -160,10 +165,14 @@
             phase_ = Phase::Finished;
             return {};
         }
-        if (now - lastOrder_ < settings_.statusInterval)
-            return {};
-        lastOrder_ = now;
-        return { { Order::Kind::QueryStatus, chosen_, 0 } };
+        {
+            Orders orders = ordersToPauseAnew(now);
+            if (now - lastOrder_ >= settings_.statusInterval) {
+                lastOrder_ = now;
+                orders.push_back({ Order::Kind::QueryStatus, chosen_, 0 });
+            }
+            return orders;
+        }
     case Phase::Resuming:
         if (resuming_.empty()) {
             phase_ = Phase::Finished;
@@ -280,9 +289,35 @@
 {
     enter(Phase::Promoting, now);
     isPromoting_ = true;
+    lastPause_ = now;
     return { { Order::Kind::Promote, chosen_, 0 } };
 }
 
+GroupPromotion::Orders GroupPromotion::ordersToPauseAnew(TimePoint now)
+{
+    if (now - lastPause_ < settings_.pauseInterval)
+        return {};
+    lastPause_ = now;
+    Orders orders;
+    for (const auto& [endpoint, position] : paused_) {
+        if (endpoint != chosen_)
+            orders.push_back({ Order::Kind::Pause, endpoint, pauseTerm_ });
+    }
+    return orders;
+}
+
+void GroupPromotion::notePausedAnew(const EndpointId& endpoint, const EndpointReplicationStatus& status)
+{
+    // The chosen one leads by then, and the replica follows it.
+    if (status.isPrimary || status.term >= pauseTerm_)
+        return;
+    LogPosition& known = paused_[endpoint];
+    if (status.received <= known)
+        return;
+    known = status.received;
+    wasPauseBroken_ = wasPauseBroken_ || chosenPosition() < known;
+}
+
 GroupPromotion::Orders GroupPromotion::onPromotionAnswer(PromotionAnswer answer, TimePoint now)
 {
     if (phase_ != Phase::Promoting)
