Ask other owners before a primary is replaced

Cause: the connections of one owner alone were enough to begin a promotion. Ruled out: a longer time-out (every true failure would pay); the primary's own answer during the fencing alone (the stalled daemon hears it late as well); a majority of all owners (20 messages, and VMs that are gone delay it). Change: SecondOpinion asks five other owners from different failure domains whether they heard the primary since the doubt began; a third of those that know is enough, so is the silence of all for 0.4 s, and a doubt of 2.5 s. A doubt takes no claim. Tests: SecondOpinion, DoubtExchange, PeersToAsk, PromotionDriver.keepsAPrimaryThatOthersHear, SessionMessages.doubtsSurviveTheWire; Messages.refusesWrongTypesAndRanges names the next free type, 15, since 13 and 14 are messages now.

--- a/include/almondlever/front/FrontDaemon.h
+++ b/include/almondlever/front/FrontDaemon.h
@@ -3,6 +3,7 @@
 #include "almondlever/common/TimerService.h"
 #include "almondlever/forwarding/ForwardedStatements.h"
 #include "almondlever/forwarding/StatementForwarder.h"
+#include "almondlever/front/DoubtExchange.h"
 #include "almondlever/front/FleetMembers.h"
 #include "almondlever/front/InventoryDecoder.h"
 #include "almondlever/front/PromotionDriver.h"
@@ -133,6 +134,7 @@
     StatementDispatcher dispatcher_;
     StatementForwarder forwarder_;
     ForwardedStatements forwarded_;
+    DoubtExchange doubts_;
     PromotionDriver promotions_;
     StopSequence stop_;
     PrefixFollower configurationFollower_;
--- a/include/almondlever/front/PromotionDriver.h
+++ b/include/almondlever/front/PromotionDriver.h
@@ -3,6 +3,7 @@
 #include "almondlever/common/TimerService.h"
 #include "almondlever/failover/GroupPromotion.h"
 #include "almondlever/failover/PromotionService.h"
+#include "almondlever/front/PrimaryDoubts.h"
 #include "almondlever/pooling/StatementDispatcher.h"
 #include "almondlever/store/PromotionClaim.h"
 
@@ -45,6 +46,8 @@
 
     /** Called after a claim was taken and before the members of the group are relied on. */
     void setMembersRefresh(MembersRefresh refresh) { refreshMembers_ = std::move(refresh); }
+    /** Without it the doubts of this daemon alone are acted on. */
+    void setDoubts(PrimaryDoubts* doubts) { doubts_ = doubts; }
     void setGroups(const std::map<GroupId, GroupRule>& groups) { groups_ = groups; }
     /** The daemons that keep connections to each group; only they change its primary. */
     void setOwners(std::map<GroupId, std::set<std::string>> owners) { owners_ = std::move(owners); }
@@ -73,6 +76,8 @@
     /** Delay by the daemon's place among the owners; differs by group so that work spreads. */
     Duration orderDelay(const GroupId&) const;
     bool isOwner(const GroupId&) const;
+    /** Other owners share the belief that the primary fails, or cannot tell. */
+    bool isConfirmed(const GroupId&, PromotionReason, TimePoint now);
     void begin(const GroupId&, PromotionReason, TimePoint now);
     void onClaimed(const GroupId&, const StoreResult<std::uint64_t>&);
     void giveClaimBack(const GroupId&, const std::string& outcome, const std::string& detail);
@@ -89,6 +94,7 @@
     TimerService& timers_;
     PromotionDriverSettings settings_;
     MembersRefresh refreshMembers_;
+    PrimaryDoubts* doubts_ = nullptr;
     std::map<GroupId, GroupRule> groups_;
     std::map<GroupId, std::set<std::string>> owners_;
     std::map<GroupId, Watch> watches_;
--- a/include/almondlever/pooling/StatementDispatcher.h
+++ b/include/almondlever/pooling/StatementDispatcher.h
@@ -2,6 +2,7 @@
 
 #include "almondlever/admission/Scheduler.h"
 #include "almondlever/consistency/PositionHistory.h"
+#include "almondlever/failover/SecondOpinion.h"
 #include "almondlever/groups/EndpointDirectory.h"
 #include "almondlever/observability/DecisionLog.h"
 #include "almondlever/observability/Metrics.h"
@@ -113,6 +114,8 @@
     bool isIdle(const GroupId&, TimePoint now) const;
     /** Since when the known primary of a group gives signs of failure; nullopt while it answers. */
     std::optional<TimePoint> primaryFailingSince(const GroupId&, TimePoint now) const;
+    /** What this daemon's connections say of an endpoint that gave another daemon no answer since a time. */
+    PrimaryOpinion opinionOf(const EndpointId&, TimePoint since, TimePoint now) const;
     /** Since when the known primary acknowledges no write although it answers; nullopt while it does. */
     std::optional<TimePoint> writesStalledSince(const GroupId&, TimePoint now) const;
     /**
--- a/include/almondlever/wire/Messages.h
+++ b/include/almondlever/wire/Messages.h
@@ -7,6 +7,7 @@
 #include "almondlever/common/Time.h"
 #include "almondlever/endpoints/EndpointMessages.h"
 #include "almondlever/failover/FailoverCoordinator.h"
+#include "almondlever/failover/SecondOpinion.h"
 #include "almondlever/sessions/Routing.h"
 #include "almondlever/sessions/SessionContents.h"
 #include "almondlever/sessions/Statement.h"
@@ -251,8 +252,25 @@
     std::vector<StoreItem> items;
 };
 
+/** Asks another owner of a group whether it has answers of the group's primary. */
+struct PrimaryDoubt {
+    /** Repeated in the answer. */
+    std::uint64_t number = 0;
+    GroupId group;
+    EndpointId primary;
+    /** The sender has had no answer for this long; a time point would need equal clocks. */
+    Milliseconds silentFor { 0 };
+};
+
+/** Answer to PrimaryDoubt. */
+struct PrimaryDoubtAnswer {
+    std::uint64_t number = 0;
+    PrimaryOpinion opinion = PrimaryOpinion::Unknown;
+};
+
 using Message = std::variant<ForwardRequest, ForwardReply, Gossip, ConfigRequest, ConfigReply, SuspicionReport,
-    PrimaryView, SessionStatement, SessionAnswer, SessionTransactionEnd, SessionAbandon, StoreNewsRequest, StoreNews>;
+    PrimaryView, SessionStatement, SessionAnswer, SessionTransactionEnd, SessionAbandon, StoreNewsRequest, StoreNews,
+    PrimaryDoubt, PrimaryDoubtAnswer>;
 
 /** CBOR of a message. */
 std::string encodeMessage(const Message&);
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -45,6 +45,7 @@
     , dispatcher_(directory_, connector, log_, metrics_, settings.dispatcher)
     , forwarder_(dispatcher_, log_, metrics_, forwarderSettings(settings))
     , forwarded_(dispatcher_, settings.randomSeed)
+    , doubts_(dispatcher_, settings.vm)
     , promotions_(directory_, dispatcher_, store, promotions, timers, settings.promotion)
     , stop_(settings.stop)
     , configurationFollower_(store, timers, decoder.configurationPrefix(), configurationGatherTime, *this)
@@ -54,6 +55,7 @@
     , members_(self())
     , makeNetwork_(std::move(makeNetwork))
 {
+    promotions_.setDoubts(&doubts_);
     promotions_.setMembersRefresh(
         [this](const std::function<void(bool)>& callback) { endpointFollower_.refresh(callback); });
 }
@@ -171,6 +173,7 @@
     forwarder_.setNetwork(network_.get());
     forwarded_.setNetwork(network_.get());
     relay_.setNetwork(network_.get());
+    doubts_.setNetwork(network_.get());
 }
 
 void FrontDaemon::onPeerMessage(const VmId& from, Message&& message)
@@ -188,6 +191,10 @@
         relay_.onRequest(from, *request, now);
     else if (const auto* news = std::get_if<StoreNews>(&message))
         relay_.onNews(from, *news, now);
+    else if (const auto* doubt = std::get_if<PrimaryDoubt>(&message))
+        doubts_.onDoubt(from, *doubt, now);
+    else if (const auto* opinion = std::get_if<PrimaryDoubtAnswer>(&message))
+        doubts_.onAnswer(from, *opinion, now);
     else
         logWarning("peer_message_ignored", { { "peer", from.text() }, { "type", std::to_string(message.index()) } });
 }
@@ -200,6 +207,7 @@
     relay_.setMembers(view);
     std::map<GroupId, std::size_t> sharing;
     std::map<GroupId, std::vector<LiveDaemon>> forwardTo;
+    std::map<GroupId, std::vector<LiveDaemon>> owned;
     std::map<GroupId, std::set<std::string>> names;
     for (const auto& [group, rule] : routing_->groups) {
         std::vector<LiveDaemon> owners = ownersOf(rule, view, settings_.sharing);
@@ -208,8 +216,7 @@
         sharing[group] = isOwner ? owners.size() : 0;
         for (const LiveDaemon& owner : owners)
             names[group].insert(owner.id.text());
-        if (!isOwner)
-            forwardTo[group] = std::move(owners);
+        (isOwner ? owned : forwardTo)[group] = std::move(owners);
     }
     if (names != ownersTold_)
         logInfo("owners_changed",
@@ -217,6 +224,7 @@
                 { "groups_not_owned", std::to_string(forwardTo.size()) } });
     ownersTold_ = names;
     promotions_.setOwners(std::move(names));
+    doubts_.setOwners(std::move(owned));
     forwarder_.setOwners(std::move(forwardTo));
     dispatcher_.setSharing(sharing, now);
 }
--- a/src/front/PromotionDriver.cpp
+++ b/src/front/PromotionDriver.cpp
@@ -139,8 +139,11 @@
             continue;
         watch.checkedAt = now;
         const std::optional<PromotionReason> reason = reasonFor(group, watch, now);
-        if (!reason || watch.reason != *reason)
+        if (!reason || watch.reason != *reason) {
             watch.reasonSince.reset();
+            if (doubts_)
+                doubts_->forget(group);
+        }
         if (!reason)
             continue;
         watch.reason = *reason;
@@ -148,11 +151,20 @@
             watch.reasonSince = now;
         const Duration settling = watch.isOpen ? Duration(settleTime) : Duration(0);
         const bool isDue = now - *watch.reasonSince >= orderDelay(group) + settling && now >= watch.notBefore;
-        if (isDue && !watch.isClaimed && !isStopping_)
+        if (isDue && !watch.isClaimed && !isStopping_ && isConfirmed(group, *reason, now))
             begin(group, *reason, now);
     }
 }
 
+bool PromotionDriver::isConfirmed(const GroupId& group, PromotionReason reason, TimePoint now)
+{
+    const EndpointEntry* primary = directory_.primaryOf(group);
+    const std::optional<TimePoint> since = dispatcher_.primaryFailingSince(group, now);
+    if (!doubts_ || reason != PromotionReason::PrimaryFailed || !primary || !since)
+        return true;
+    return doubts_->judge(group, primary->id, *since, now) == SecondOpinion::Verdict::Confirmed;
+}
+
 void PromotionDriver::begin(const GroupId& group, PromotionReason reason, TimePoint now)
 {
     auto change = std::make_unique<Change>(store_, timers_, group, settings_.holder);
@@ -341,6 +353,7 @@
     logInfo("promotion_ended",
         { { "group", group.text() }, { "outcome", promotion.hasSucceeded() ? "ok" : "failed" },
             { "detail", promotion.failure() }, { "endpoint", promotion.chosen().text() },
+            { "pause", promotion.wasPauseBroken() ? "broken" : "kept" },
             { "ms", std::to_string(std::chrono::duration_cast<Milliseconds>(now - change.startedAt).count()) } });
     if (promotion.hasSucceeded()) {
         directory_.noteLeading(promotion.chosen(), directory_.newestTermOf(group) + 1);
--- a/src/pooling/DispatcherPrimary.cpp
+++ b/src/pooling/DispatcherPrimary.cpp
@@ -119,6 +119,12 @@
     return told ? std::max(acknowledged, *told) : acknowledged;
 }
 
+PrimaryOpinion DispatcherState::opinionOf(const EndpointId& endpoint, TimePoint since, TimePoint now) const
+{
+    const EndpointLinks* links = findLinks(endpoint);
+    return links ? links->opinionSince(since, now) : PrimaryOpinion::Unknown;
+}
+
 std::optional<TimePoint> DispatcherState::primaryFailingSince(const GroupId& group, TimePoint now) const
 {
     const EndpointEntry* primary = directory_.primaryOf(group);
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -97,6 +97,7 @@
     void onDirectoryChange(TimePoint now);
     void onTick(TimePoint now);
     std::optional<TimePoint> primaryFailingSince(const GroupId&, TimePoint now) const;
+    PrimaryOpinion opinionOf(const EndpointId&, TimePoint since, TimePoint now) const;
     std::optional<TimePoint> writesStalledSince(const GroupId&, TimePoint now) const;
     LogPosition acknowledgedPositionOf(const GroupId&, TimePoint now) const;
     bool isReachable(const EndpointId&) const;
--- a/src/pooling/EndpointLinks.cpp
+++ b/src/pooling/EndpointLinks.cpp
@@ -21,12 +21,14 @@
     failingSince_.reset();
     connectPause_ = Milliseconds(0);
     lastReplyAt_ = now;
+    heardAt_ = now;
 }
 
 void EndpointLinks::noteReply(const Reply& reply, TimePoint now)
 {
     failingSince_.reset();
     lastReplyAt_ = now;
+    heardAt_ = now;
     if (reply.position)
         position_ = *reply.position;
 }
@@ -41,6 +43,7 @@
         connectAfter_ = now + connectPause_;
         // A refusal is an answer.
         lastReplyAt_ = now;
+        heardAt_ = now;
         failingSince_.reset();
         return;
     }
@@ -113,6 +116,17 @@
     return waiting && now - std::max(*waiting, lastReplyAt_) >= settings_.quickSilenceLimit;
 }
 
+PrimaryOpinion EndpointLinks::opinionSince(TimePoint since, TimePoint now) const
+{
+    if (heardAt_ > since)
+        return PrimaryOpinion::Answers;
+    const std::optional<TimePoint> quick = quickCommandSince();
+    const bool waitsForQuick = quick && now - std::max(*quick, lastReplyAt_) >= settings_.sharedDoubt;
+    const bool hasOpenLink = openCount() > count(PooledLink::State::Opening);
+    const bool cannotConnect = failingSince_ && !hasOpenLink;
+    return waitsForQuick || cannotConnect || isQuiet(now) ? PrimaryOpinion::Fails : PrimaryOpinion::Unknown;
+}
+
 bool EndpointLinks::isSuspect(TimePoint now) const { return suspectSince(now).has_value(); }
 
 std::optional<TimePoint> EndpointLinks::suspectSince(TimePoint now) const
--- a/src/pooling/EndpointLinks.h
+++ b/src/pooling/EndpointLinks.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "PooledLink.h"
+#include "almondlever/failover/SecondOpinion.h"
 #include "almondlever/pooling/SharedWindow.h"
 
 #include <vector>
@@ -13,6 +14,8 @@
     Milliseconds silenceLimit { 900 };
     /** As silenceLimit, for commands that take no slot: many round trips between regions. */
     Milliseconds quickSilenceLimit { 400 };
+    /** A command that takes no slot and has no answer for this long bears out another daemon's doubt. */
+    Milliseconds sharedDoubt { 100 };
     /** Connections fail for this long while none is open; covers a second attempt after the first pause. */
     Milliseconds failureLimit { 150 };
     /**
@@ -70,6 +73,8 @@
     bool hasRoom(bool isUrgent, TimePoint now) const { return window_.allows(running_, isUrgent, now); }
     /** Silence before this does not count, because this process did not run. */
     void forgiveSilence(TimePoint now) { lastReplyAt_ = now; }
+    /** What another daemon may rely on that doubts the endpoint and had no answer since a time. */
+    PrimaryOpinion opinionSince(TimePoint, TimePoint now) const;
 
     /** The idle connection that needs the fewest commands for the session; nullptr when none is idle. */
     std::shared_ptr<PooledLink> findIdle(const SessionContents&);
@@ -104,6 +109,8 @@
     bool wasOpen_ = false;
     LogPosition position_;
     TimePoint lastReplyAt_ {};
+    /** As lastReplyAt_, without forgiven silence. */
+    TimePoint heardAt_ {};
     std::optional<TimePoint> failingSince_;
     TimePoint connectAfter_ {};
     TimePoint laggingUntil_ {};
--- a/src/pooling/StatementDispatcher.cpp
+++ b/src/pooling/StatementDispatcher.cpp
@@ -56,6 +56,11 @@
     return state_->primaryFailingSince(group, now);
 }
 
+PrimaryOpinion StatementDispatcher::opinionOf(const EndpointId& endpoint, TimePoint since, TimePoint now) const
+{
+    return state_->opinionOf(endpoint, since, now);
+}
+
 std::optional<TimePoint> StatementDispatcher::writesStalledSince(const GroupId& group, TimePoint now) const
 {
     return state_->writesStalledSince(group, now);
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -321,6 +321,40 @@
         return report;
     }
 
+    void write(Json& map, const PrimaryDoubt& doubt)
+    {
+        MapWriter writer(map);
+        writer.number("n", doubt.number);
+        writer.text("g", doubt.group);
+        writer.text("p", doubt.primary);
+        writer.milliseconds("si", doubt.silentFor);
+    }
+
+    PrimaryDoubt readPrimaryDoubt(CborReader& reader)
+    {
+        PrimaryDoubt doubt;
+        doubt.number = reader.number("n");
+        doubt.group = reader.identifier<GroupId>("g");
+        doubt.primary = reader.identifier<EndpointId>("p");
+        doubt.silentFor = reader.milliseconds("si");
+        return doubt;
+    }
+
+    void write(Json& map, const PrimaryDoubtAnswer& answer)
+    {
+        MapWriter writer(map);
+        writer.number("n", answer.number);
+        writer.enumeration("o", answer.opinion);
+    }
+
+    PrimaryDoubtAnswer readPrimaryDoubtAnswer(CborReader& reader)
+    {
+        PrimaryDoubtAnswer answer;
+        answer.number = reader.number("n");
+        answer.opinion = reader.enumeration("o", PrimaryOpinion::Fails);
+        return answer;
+    }
+
     Message readBody(std::uint64_t type, CborReader& reader)
     {
         switch (type) {
@@ -348,8 +382,12 @@
             return readSessionAbandon(reader);
         case 11:
             return readStoreNewsRequest(reader);
-        default:
+        case 12:
             return readStoreNews(reader);
+        case 13:
+            return readPrimaryDoubt(reader);
+        default:
+            return readPrimaryDoubtAnswer(reader);
         }
     }
 
--- a/tests/front/TestPromotionDriver.cpp
+++ b/tests/front/TestPromotionDriver.cpp
@@ -39,6 +39,20 @@
     DispatcherFixture& fixture_;
 };
 
+/** Other owners, with one view for as long as a test wants. */
+class FakeDoubts final : public PrimaryDoubts {
+public:
+    SecondOpinion::Verdict judge(const GroupId&, const EndpointId&, TimePoint, TimePoint) override
+    {
+        ++judged;
+        return verdict;
+    }
+    void forget(const GroupId&) override { }
+
+    SecondOpinion::Verdict verdict = SecondOpinion::Verdict::Contradicted;
+    std::size_t judged = 0;
+};
+
 struct Fixture : DispatcherFixture {
     FakeMetadataStore store { timers };
     FakePromotions promotions { *this };
@@ -89,6 +103,22 @@
     cr_assert(caller.succeeded());
 }
 
+// Guards against replacing a primary that answers the other owners, as on the large fleet's quiet day.
+Test(PromotionDriver, keepsAPrimaryThatOthersHear)
+{
+    Fixture fixture;
+    FakeDoubts doubts;
+    fixture.driver.setDoubts(&doubts);
+    fixture.endpoints.crash(fixture.a);
+    fixture.run(Milliseconds(1500));
+    cr_assert(fixture.promotions.promoted.empty());
+    cr_assert(!fixture.store.has(storeKeys::claims + "ledger"), "a doubt takes no claim and pauses no replica");
+    cr_assert_gt(doubts.judged, 0U);
+    doubts.verdict = SecondOpinion::Verdict::Confirmed;
+    fixture.run(Milliseconds(1000));
+    cr_assert_eq(fixture.promotions.promoted.size(), 1U);
+}
+
 // Guards against a gap in writes when a primary leaves as planned.
 Test(PromotionDriver, handsALeavingPrimaryOver)
 {
--- a/tests/wire/TestSessionMessages.cpp
+++ b/tests/wire/TestSessionMessages.cpp
@@ -86,6 +86,19 @@
     cr_assert_eq(roundTrip(SessionAbandon { 9 }).correlation, 9U);
 }
 
+// Guards against a doubt whose duration or subject changes on the way, which would make another daemon vouch wrongly.
+Test(SessionMessages, doubtsSurviveTheWire)
+{
+    const PrimaryDoubt doubt = roundTrip(PrimaryDoubt { 3, GroupId("ledger"), EndpointId("a"), Milliseconds(420) });
+    cr_assert_eq(doubt.number, 3U);
+    cr_assert(doubt.group == GroupId("ledger"));
+    cr_assert(doubt.primary == EndpointId("a"));
+    cr_assert(doubt.silentFor == Milliseconds(420));
+    const PrimaryDoubtAnswer answer = roundTrip(PrimaryDoubtAnswer { 3, PrimaryOpinion::Fails });
+    cr_assert_eq(answer.number, 3U);
+    cr_assert(answer.opinion == PrimaryOpinion::Fails);
+}
+
 // Guards against news of the store that lose deletions or bytes.
 Test(SessionMessages, storeNewsSurviveTheWire)
 {
