Say that a daemon stops, and finish the work of others before it exits

A stopping daemon deleted its member key, which others count for 4 s more, since keys also lapse with outages of the store; so an owner was sent statements until 5 to 6 s after SIGTERM and exited at 3.5 s, as soon as its own sessions were closed. Their writes became UNKNOWN, their transactions were aborted. Found by reading. Ruled out: a shorter grace period of lapsed keys (an outage of the store would move all connections). Change: the member entry says "leaving"; who leaves owns nothing, also in small fleets; the process waits for forwarded statements and transactions, at most until its grace period ends. Tests: FrontDaemon.stoppingOwnerFinishesTheWorkOfOthers, FleetMembers.tellsWhoLeaves, GroupOwners.whoLeavesOwnsNothing.

--- a/include/almondlever/forwarding/ForwardedStatements.h
+++ b/include/almondlever/forwarding/ForwardedStatements.h
@@ -29,6 +29,8 @@
     void onTransactionEnd(const VmId& from, const SessionTransactionEnd&, TimePoint now);
     void onLoss(const VmId& from, TimePoint now);
     std::size_t openTransactions() const { return transactions_.size(); }
+    /** Nothing of another daemon runs, waits or is open here. */
+    bool isIdle() const { return running_.empty() && transactions_.empty(); }
 
 private:
     /** Sender and its number. */
--- a/include/almondlever/front/FrontDaemon.h
+++ b/include/almondlever/front/FrontDaemon.h
@@ -120,6 +120,8 @@
     void startFollowers(TimePoint now);
     void registerMember();
     void renewMember(std::uint64_t lease);
+    /** Tells the others that this daemon stops, so that they forward nothing more to it. */
+    void announceLeaving();
     void tick(TimePoint now);
     void runTick(TimePoint now);
     void tickStop(TimePoint now);
@@ -147,6 +149,8 @@
     bool hasMembers_ = false;
     std::map<GroupId, std::set<std::string>> ownersTold_;
     FleetMembers members_;
+    /** Lease of this daemon's entry among the members; 0 before it is registered. */
+    std::uint64_t memberLease_ = 0;
     NetworkFactory makeNetwork_;
     std::unique_ptr<PeerNetwork> network_;
     std::map<CallerLink*, std::unique_ptr<Session>> sessions_;
--- a/src/front/FleetMembers.cpp
+++ b/src/front/FleetMembers.cpp
@@ -4,6 +4,13 @@
 
 namespace almondlever {
 
+namespace {
+
+    /** Last word of the entry of a daemon that stops. */
+    const char* const leavingWord = "leaving";
+
+} // namespace
+
 FleetMembers::FleetMembers(LiveDaemon self)
     : self_(std::move(self))
 {
@@ -11,7 +18,9 @@
 
 std::string FleetMembers::encode(const LiveDaemon& daemon)
 {
-    return daemon.failureDomain.text() + ' ' + daemon.peerAddress + ' ' + std::to_string(daemon.capacity);
+    const std::string value
+        = daemon.failureDomain.text() + ' ' + daemon.peerAddress + ' ' + std::to_string(daemon.capacity);
+    return daemon.isLeaving ? value + ' ' + leavingWord : value;
 }
 
 bool FleetMembers::add(const std::string& name, const std::string& value)
@@ -23,9 +32,10 @@
         return false;
     // Daemons of an earlier version do not tell their capacity.
     std::uint32_t capacity = 0;
-    words >> capacity;
+    std::string state;
+    words >> capacity >> state;
     Member& member = members_[VmId(name)];
-    member.daemon = { VmId(name), FailureDomainId(failureDomain), address, false, capacity };
+    member.daemon = { VmId(name), FailureDomainId(failureDomain), address, state == leavingWord, capacity };
     member.lapsedAt.reset();
     ++revision_;
     return true;
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -255,6 +255,7 @@
                     return;
                 if (!written)
                     return retry(written.error());
+                memberLease_ = lease;
                 renewMember(lease);
             });
         });
@@ -329,11 +330,23 @@
     onStopped_ = std::move(onStopped);
     stop_.begin(now);
     promotions_.stop();
-    StoreTransaction leave;
-    leave.deletes.push_back(storeKeys::members + settings_.vm.text());
-    store_.transact(leave, [](const StoreResult<std::uint64_t>& result) {
+    announceLeaving();
+}
+
+void FrontDaemon::announceLeaving()
+{
+    // A key that vanishes counts for a while, since keys lapse with outages of the store; one that says so does not.
+    LiveDaemon leaving = self();
+    leaving.isLeaving = true;
+    StoreTransaction transaction;
+    transaction.puts.push_back(
+        { storeKeys::members + settings_.vm.text(), FleetMembers::encode(leaving), memberLease_ });
+    if (memberLease_ == 0)
+        return;
+    store_.transact(transaction, [](const StoreResult<std::uint64_t>& result) {
         if (!result)
-            logWarning("member_not_removed", { { "failure", toText(result.error().kind) } });
+            logWarning("leaving_not_announced",
+                { { "failure", toText(result.error().kind) }, { "detail", result.error().detail } });
     });
 }
 
@@ -354,7 +367,7 @@
         if (share > 0 && (sessions_.size() > keep || share >= 1))
             session->closeWhenAtRest();
     }
-    const bool isQuiet = share >= 1 && sessions_.empty() && promotions_.isIdle();
+    const bool isQuiet = share >= 1 && sessions_.empty() && promotions_.isIdle() && forwarded_.isIdle();
     if (!onStopped_ || (!isQuiet && !stop_.mustExit(now)))
         return;
     logInfo("stop_ends", { { "sessions", std::to_string(sessions_.size()) } });
--- a/src/placement/GroupOwners.cpp
+++ b/src/placement/GroupOwners.cpp
@@ -3,14 +3,19 @@
 #include "Rendezvous.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace almondlever {
 
 std::vector<LiveDaemon> ownersOf(const GroupRule& rule, const MembershipView& view, const GroupSharing& sharing)
 {
     const auto usable = static_cast<std::size_t>(static_cast<double>(rule.maximumConnections) * sharing.usableShare);
-    if (view.daemons.size() <= usable || rule.maximumConnections == 0)
-        return view.daemons;
+    if (view.daemons.size() <= usable || rule.maximumConnections == 0) {
+        std::vector<LiveDaemon> staying;
+        std::copy_if(view.daemons.begin(), view.daemons.end(), std::back_inserter(staying),
+            [](const LiveDaemon& daemon) { return !daemon.isLeaving; });
+        return staying.empty() ? view.daemons : staying;
+    }
     const std::size_t count = std::max<std::size_t>(usable / sharing.connectionsOfOwner, 1);
     std::vector<VmId> chosen;
     completeSpread(chosen, count, rule.id.text(), view);
--- a/tests/front/TestFleetMembers.cpp
+++ b/tests/front/TestFleetMembers.cpp
@@ -40,6 +40,19 @@
     cr_assert_eq(members.view().daemons[0].peerAddress, "10.0.0.2:1");
 }
 
+// Guards against work that goes to a daemon which stops, because others count a vanished key for a while.
+Test(FleetMembers, tellsWhoLeaves)
+{
+    FleetMembers members(self);
+    LiveDaemon leaving = makeDaemon("a");
+    leaving.isLeaving = true;
+    members.add("a", FleetMembers::encode(leaving));
+    cr_assert(members.view().daemons[0].isLeaving);
+    cr_assert_eq(members.view().daemons[0].peerAddress, "10.0.0.2:1");
+    members.add("a", FleetMembers::encode(makeDaemon("a")));
+    cr_assert(!members.view().daemons[0].isLeaving, "it has started again");
+}
+
 // Guards against moving all connections because the keys of living daemons lapsed with an outage of the store.
 Test(FleetMembers, lapsedMemberStaysForAWhile)
 {
--- a/tests/front/TestFrontDaemon.cpp
+++ b/tests/front/TestFrontDaemon.cpp
@@ -2,6 +2,7 @@
 #include "mocks/FakeEndpoints.h"
 #include "mocks/FakeMetadataStore.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 
 using namespace almondlever;
@@ -185,3 +186,36 @@
     // For each: a lease, a key, three reads and two more of the members, and the writers of the fleet's key.
     cr_assert_leq(fixture.store.calls, 40U * 7U + 3U);
 }
+
+// Pattern: rolling stop of all daemons under load. Guards against an owner that goes on to be sent the statements of
+// others, and that exits while one of them runs: accepted requests would be cut off without an answer.
+Test(FrontDaemon, stoppingOwnerFinishesTheWorkOfOthers)
+{
+    Fixture fixture;
+    fixture.store.put(storeKeys::clusterKey, "key");
+    const auto daemon = fixture.makeDaemon(1);
+    daemon->start();
+    fixture.timers.advance(Milliseconds(1500));
+    fixture.endpoints.server(EndpointId("a")).isSilent = true;
+    SessionStatement statement;
+    statement.correlation = 5;
+    statement.statement.kind = StatementKind::Write;
+    statement.statement.id = "w1";
+    statement.statement.text = "WRITE x 1";
+    statement.group = GroupId("ledger");
+    statement.isWrite = true;
+    statement.needsPrimary = true;
+    statement.timeLeft = Milliseconds(4500);
+    fixture.peers->handler({ VmId("vm-2"), FailureDomainId("zone"), "10.0.0.2:1" }, statement);
+    bool isStopped = false;
+    daemon->beginStop([&isStopped] { isStopped = true; });
+    fixture.timers.advance(Milliseconds(100));
+    cr_assert_neq(fixture.store.valueOf(storeKeys::members + "vm-1").find("leaving"), std::string::npos);
+    fixture.timers.advance(Milliseconds(4100));
+    cr_assert(!isStopped, "the write of the other daemon has no answer yet");
+    fixture.timers.advance(Milliseconds(1000));
+    const bool isAnswered = std::any_of(fixture.peers->sent.begin(), fixture.peers->sent.end(),
+        [](const Message& message) { return std::holds_alternative<SessionAnswer>(message); });
+    cr_assert(isAnswered);
+    cr_assert(isStopped);
+}
--- a/tests/placement/TestGroupOwners.cpp
+++ b/tests/placement/TestGroupOwners.cpp
@@ -61,3 +61,17 @@
     cr_assert_eq(ownersOf(makeRule(2), makeView(72), GroupSharing()).size(), 1U);
     cr_assert_eq(ownersOf(makeRule(0), makeView(3), GroupSharing()).size(), 3U);
 }
+
+// Guards against statements that are forwarded to a daemon which stops, in small fleets where all own every group.
+Test(GroupOwners, whoLeavesOwnsNothing)
+{
+    MembershipView view = makeView(9);
+    view.daemons[4].isLeaving = true;
+    const auto owners = ownersOf(makeRule(34), view, GroupSharing());
+    cr_assert_eq(owners.size(), 8U);
+    for (const LiveDaemon& owner : owners)
+        cr_assert(!owner.isLeaving);
+    for (LiveDaemon& daemon : view.daemons)
+        daemon.isLeaving = true;
+    cr_assert_eq(ownersOf(makeRule(34), view, GroupSharing()).size(), 9U, "somebody must serve until the end");
+}
