Ask other owners again when a claim took long

Ruled out: a limit on the age of a claim (a slow store makes every claim slow, and a failed primary must be replaced then). Change: after a claim that took over 0.4 s the others are asked once more, with the claim held. A doubt is acted on against others only after they contradicted it for 2.5 s, no longer by its own age, which counts the cut as well. Tests: PromotionDriver.asksAgainWhenTheClaimTookLong; SecondOpinion.lastingDoubtIsActedOn has the same bound from the new start. Conclusion: a daemon that returns from a cut hears of the new primary before it acts.

--- a/include/almondlever/failover/SecondOpinion.h
+++ b/include/almondlever/failover/SecondOpinion.h
@@ -32,7 +32,10 @@
     Milliseconds patience { 150 };
     /** As patience, while no daemon has answered at all; a VM that is itself slow hears late. */
     Milliseconds silentPatience { 400 };
-    /** A doubt that lasts this long is acted on although others have answers: this daemon's callers have none. */
+    /**
+     * A doubt that others have contradicted for this long is acted on all the same, since this daemon's callers have no
+     * primary. Longer than its connections need to come back after a cut.
+     */
     Milliseconds lonePatience { 2500 };
 };
 
@@ -47,11 +50,11 @@
 public:
     enum class Verdict { Waiting, Confirmed, Contradicted };
 
-    /** The doubt began at `doubtedSince`; the daemons were asked at `askedAt`. */
+    /** Others have contradicted the doubt since `contradictedSince`; `askedAt` when none has. */
     SecondOpinion(
-        std::set<VmId> asked, TimePoint doubtedSince, TimePoint askedAt, const SecondOpinionSettings& settings)
+        std::set<VmId> asked, TimePoint contradictedSince, TimePoint askedAt, const SecondOpinionSettings& settings)
         : asked_(std::move(asked))
-        , doubtedSince_(doubtedSince)
+        , contradictedSince_(contradictedSince)
         , askedAt_(askedAt)
         , settings_(settings)
     {
@@ -66,7 +69,7 @@
 
 private:
     std::set<VmId> asked_;
-    TimePoint doubtedSince_;
+    TimePoint contradictedSince_;
     TimePoint askedAt_;
     SecondOpinionSettings settings_;
     std::map<VmId, PrimaryOpinion> opinions_;
--- a/include/almondlever/front/DoubtExchange.h
+++ b/include/almondlever/front/DoubtExchange.h
@@ -37,6 +37,7 @@
         std::optional<SecondOpinion> question;
         std::size_t attempts = 0;
         TimePoint notBefore {};
+        std::optional<TimePoint> contradictedSince;
         /** What others heard after this contradicts the doubt. */
         TimePoint heardSince {};
     };
--- a/include/almondlever/front/PromotionDriver.h
+++ b/include/almondlever/front/PromotionDriver.h
@@ -23,6 +23,8 @@
     Milliseconds orderDelay { 80 };
     /** Interval at which groups without callers are looked at. */
     Milliseconds idleCheck { 250 };
+    /** A claim that took longer came on an opinion of others that is outdated: a cut may have ended in between. */
+    Milliseconds longestClaim { 400 };
     /** Pause after a failed attempt. */
     Milliseconds retryPause { 500 };
 };
@@ -81,6 +83,8 @@
     void begin(const GroupId&, PromotionReason, TimePoint now);
     void onClaimed(const GroupId&, const StoreResult<std::uint64_t>&);
     void giveClaimBack(const GroupId&, const std::string& outcome, const std::string& detail);
+    /** Asks the others once more when the claim took long; starts the change or gives the claim back. */
+    void judgeAgain(const GroupId&, TimePoint now);
     void startChange(const GroupId&);
     void carryOut(const GroupId&, const GroupPromotion::Orders&, TimePoint now);
     void sendOrder(const GroupId&, const GroupPromotion::Order&);
--- a/src/failover/SecondOpinion.cpp
+++ b/src/failover/SecondOpinion.cpp
@@ -36,7 +36,7 @@
     // What the missing answers say cannot change it.
     if (fails > 0 && fails * settings_.sharersOf >= asked_.size())
         return Verdict::Confirmed;
-    if (now - doubtedSince_ >= settings_.lonePatience)
+    if (now - contradictedSince_ >= settings_.lonePatience)
         return Verdict::Confirmed;
     const Milliseconds patience = opinions_.empty() ? settings_.silentPatience : settings_.patience;
     if (opinions_.size() < asked_.size() && now - askedAt_ < patience)
--- a/src/front/DoubtExchange.cpp
+++ b/src/front/DoubtExchange.cpp
@@ -37,6 +37,8 @@
     if (verdict == SecondOpinion::Verdict::Waiting)
         return verdict;
     logVerdict(group, doubt, verdict, now);
+    if (verdict == SecondOpinion::Verdict::Contradicted && !doubt.contradictedSince)
+        doubt.contradictedSince = now;
     doubt.notBefore = now + repeatPause;
     doubt.heardSince = doubt.question->askedAt();
     doubt.question.reset();
@@ -56,7 +58,7 @@
         if (network_ && network_->send(peer.id, peer.peerAddress, message))
             asked.insert(peer.id);
     }
-    doubt.question.emplace(std::move(asked), doubtedSince, now, settings_);
+    doubt.question.emplace(std::move(asked), doubt.contradictedSince.value_or(now), now, settings_);
 }
 
 void DoubtExchange::logVerdict(const GroupId& group, const Doubt& doubt, SecondOpinion::Verdict verdict, TimePoint now)
--- a/src/front/PromotionDriver.cpp
+++ b/src/front/PromotionDriver.cpp
@@ -44,6 +44,8 @@
     PromotionReason reason = PromotionReason::PrimaryFailed;
     std::unique_ptr<GroupPromotion> promotion;
     TimePoint startedAt;
+    /** The claim is held, and the opinion of other owners is awaited once more. */
+    bool isJudged = false;
 };
 
 PromotionDriver::PromotionDriver(EndpointDirectory& directory, StatementDispatcher& dispatcher, MetadataStore& store,
@@ -117,8 +119,11 @@
         const auto running = changes_.find(group);
         if (running != changes_.end()) {
             Change& change = *running->second;
-            if (!change.promotion)
+            if (!change.promotion) {
+                if (change.isJudged)
+                    judgeAgain(group, now);
                 continue;
+            }
             if (change.claim.isHeld(now)) {
                 change.promotion->noteAcknowledged(dispatcher_.acknowledgedPositionOf(group, now));
                 carryOut(group, change.promotion->onTick(now), now);
@@ -207,7 +212,7 @@
     if (!result)
         return giveClaimBack(group, toText(result.error().kind), result.error().detail);
     if (!refreshMembers_)
-        return startChange(group);
+        return judgeAgain(group, timers_.now());
     // An endpoint that came back, or that another daemon promoted, may have acknowledged commits with endpoints that
     // this daemon does not ask. What the list says after the claim was taken is new enough.
     refreshMembers_([this, group, alive = std::weak_ptr<int>(alive_)](bool isFresh) {
@@ -215,10 +220,32 @@
             return;
         if (!isFresh)
             return giveClaimBack(group, "members_unknown", "the store did not answer");
-        startChange(group);
+        judgeAgain(group, timers_.now());
     });
 }
 
+void PromotionDriver::judgeAgain(const GroupId& group, TimePoint now)
+{
+    Change& change = *changes_.at(group);
+    if (!change.isJudged && now - change.startedAt < settings_.longestClaim)
+        return startChange(group);
+    change.isJudged = false;
+    const EndpointEntry* primary = directory_.primaryOf(group);
+    const std::optional<TimePoint> since = dispatcher_.primaryFailingSince(group, now);
+    if (!doubts_ || change.reason != PromotionReason::PrimaryFailed || !primary || !since)
+        return startChange(group);
+    switch (doubts_->judge(group, primary->id, *since, now)) {
+    case SecondOpinion::Verdict::Waiting:
+        change.isJudged = true;
+        return;
+    case SecondOpinion::Verdict::Confirmed:
+        return startChange(group);
+    case SecondOpinion::Verdict::Contradicted:
+        break;
+    }
+    giveClaimBack(group, "others_hear_the_primary", "");
+}
+
 void PromotionDriver::giveClaimBack(const GroupId& group, const std::string& outcome, const std::string& detail)
 {
     logInfo("promotion_not_claimed", { { "group", group.text() }, { "outcome", outcome }, { "detail", detail } });
--- a/tests/failover/TestSecondOpinion.cpp
+++ b/tests/failover/TestSecondOpinion.cpp
@@ -16,9 +16,9 @@
 
 TimePoint at(int milliseconds) { return start + Milliseconds(milliseconds); }
 
-SecondOpinion makeQuestion(TimePoint doubtedSince = start)
+SecondOpinion makeQuestion(TimePoint contradictedSince = at(400))
 {
-    return SecondOpinion({ p, q, r, s, t }, doubtedSince, at(400), SecondOpinionSettings());
+    return SecondOpinion({ p, q, r, s, t }, contradictedSince, at(400), SecondOpinionSettings());
 }
 
 } // namespace
--- a/tests/front/TestPromotionDriver.cpp
+++ b/tests/front/TestPromotionDriver.cpp
@@ -119,6 +119,30 @@
     cr_assert_eq(fixture.promotions.promoted.size(), 1U);
 }
 
+// Pattern: a daemon is cut off from the store, the primary and the others; the others promote, and the cut ends while
+// its own claim is on the way. Guards against replacing the primary that the others have just promoted.
+Test(PromotionDriver, asksAgainWhenTheClaimTookLong)
+{
+    Fixture fixture;
+    FakeDoubts doubts;
+    doubts.verdict = SecondOpinion::Verdict::Confirmed;
+    fixture.driver.setDoubts(&doubts);
+    fixture.endpoints.crash(fixture.a);
+    fixture.store.delay = Milliseconds(200);
+    fixture.run(Milliseconds(500));
+    cr_assert_gt(doubts.judged, 0U);
+    doubts.verdict = SecondOpinion::Verdict::Waiting;
+    fixture.run(Milliseconds(1000));
+    cr_assert(fixture.promotions.promoted.empty());
+    doubts.verdict = SecondOpinion::Verdict::Contradicted;
+    fixture.run(Milliseconds(1000));
+    cr_assert(fixture.promotions.promoted.empty());
+    cr_assert(!fixture.store.has(storeKeys::claims + "ledger"));
+    doubts.verdict = SecondOpinion::Verdict::Confirmed;
+    fixture.run(Milliseconds(3000));
+    cr_assert_eq(fixture.promotions.promoted.size(), 1U, "a slow store does not prevent a needed change");
+}
+
 // Guards against a gap in writes when a primary leaves as planned.
 Test(PromotionDriver, handsALeavingPrimaryOver)
 {
