Keep the news of watchers fresh from the start, and probe an absent store once

Ruled out: overloaded watchers (no process_stalled in that time). Change: the members are read first; watchers then watch at once, the others wait for them; configuration and endpoints are not tried while the members' prefix has no answer.

--- a/include/almondlever/front/FrontDaemon.h
+++ b/include/almondlever/front/FrontDaemon.h
@@ -117,7 +117,12 @@
     LiveDaemon self() const;
     void finishOpening(TimePoint now);
     void openNow(const Opening&, TimePoint now);
+    /** Begins to follow the configuration and the endpoints, when the members are known. */
     void startFollowers(TimePoint now);
+    Milliseconds patienceForPeers() const
+    {
+        return settings_.isFirstStart ? settings_.firstPatienceForPeers : settings_.patienceForPeers;
+    }
     void registerMember();
     void renewMember(std::uint64_t lease);
     /** Tells the others that this daemon stops, so that they forward nothing more to it. */
--- a/include/almondlever/store/PrefixFollower.h
+++ b/include/almondlever/store/PrefixFollower.h
@@ -68,6 +68,13 @@
     /** Waits of this daemon's calls; shorter on daemons that others rely on. */
     void setWait(Milliseconds wait) { wait_ = wait; }
     void setPauses(const Pauses& pauses) { pauses_ = pauses; }
+    /**
+     * While the store answers neither this follower nor the other one, only the other one tries; this one reads as soon
+     * as that one was answered. The other one must outlive this one.
+     */
+    void setProbe(const PrefixFollower& other) { probe_ = &other; }
+    /** The last call had no answer. */
+    bool isLost() const { return isLost_; }
     /** Every change up to this revision of the store is known; 0 before the first answer. */
     std::uint64_t revision() const { return revision_; }
     const std::string& prefix() const { return prefix_; }
@@ -83,6 +90,7 @@
     void onChanges(StoreResult<StorePage>);
     void noteSuccess();
     void retryAfter(const StoreFailure&);
+    void scheduleRetry();
     void readAll();
 
     MetadataStore& store_;
@@ -102,7 +110,9 @@
     /** Short at first, since this daemon may turn out to be one that others rely on. */
     Milliseconds wait_ { 1500 };
     std::optional<TimePoint> confirmedAt_;
+    /** Short at first, since this daemon has nobody else to ask yet. */
     Pauses pauses_;
+    const PrefixFollower* probe_ = nullptr;
     Milliseconds pause_ { 0 };
     Milliseconds rereadInterval_ { 0 };
     TimePoint untilPeersTell_ {};
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -55,6 +55,8 @@
     , members_(self())
     , makeNetwork_(std::move(makeNetwork))
 {
+    configurationFollower_.setProbe(ownFollower_);
+    endpointFollower_.setProbe(ownFollower_);
     promotions_.setDoubts(&doubts_);
     promotions_.setMembersRefresh(
         [this](const std::function<void(bool)>& callback) { endpointFollower_.refresh(callback); });
@@ -75,12 +77,15 @@
 {
     logInfo("start", { { "vm", settings_.vm.text() }, { "failure_domain", settings_.failureDomain.text() } });
     registerMember();
+    // The members and the key of the fleet are what the peers are found by.
+    const auto startOwn
+        = [this](TimePoint now) { ownFollower_.start(settings_.patienceForPeers, now + patienceForPeers()); };
     if (!settings_.isFirstStart) {
-        startFollowers(timers_.now());
+        startOwn(timers_.now());
     } else {
-        timers_.callAfter(settings_.firstReadDelay, [this, alive = std::weak_ptr<int>(alive_)](TimePoint now) {
+        timers_.callAfter(settings_.firstReadDelay, [startOwn, alive = std::weak_ptr<int>(alive_)](TimePoint now) {
             if (!alive.expired())
-                startFollowers(now);
+                startOwn(now);
         });
     }
     tick(timers_.now());
@@ -88,11 +93,13 @@
 
 void FrontDaemon::startFollowers(TimePoint now)
 {
-    const Milliseconds patience = settings_.isFirstStart ? settings_.firstPatienceForPeers : settings_.patienceForPeers;
-    configurationFollower_.start(patience, now + patience);
-    endpointFollower_.start(patience, now + patience);
-    // The members and the key of the fleet are what the peers are found by.
-    ownFollower_.start(settings_.patienceForPeers, now + patience);
+    for (PrefixFollower* follower : { &configurationFollower_, &endpointFollower_ }) {
+        // Others rely on how fresh the news of a watcher are.
+        if (relay_.isWatcher())
+            follower->start();
+        else
+            follower->start(patienceForPeers(), now + patienceForPeers());
+    }
 }
 
 void FrontDaemon::open(const DatabaseId& database, CallerLink& link, OpenCallback callback)
--- a/src/front/FrontDaemonStore.cpp
+++ b/src/front/FrontDaemonStore.cpp
@@ -178,12 +178,13 @@
     }
     if (isSnapshot)
         members_.keepOnly(names, now);
-    const bool isMaker = placeInNewsTree(members_.view(), settings_.vm, NewsTreeSettings()).isWatcher;
-    if (isSnapshot && !hasClusterKey && !network_ && (isMaker || hasMembers_))
+    if (isSnapshot && !hasMembers_)
+        relay_.setMembers(members_.view());
+    if (isSnapshot && !hasClusterKey && !network_ && (relay_.isWatcher() || hasMembers_))
         makeClusterKey();
     if (isSnapshot && !hasMembers_) {
         hasMembers_ = true;
-        return applyConfiguration(now);
+        return startFollowers(now);
     }
     updateOwners(now);
 }
--- a/src/store/PrefixFollower.cpp
+++ b/src/store/PrefixFollower.cpp
@@ -182,9 +182,19 @@
         observer_.onStoreLost(prefix_, failure, timers_.now());
     }
     pause_ = std::clamp(pause_ * 2, pauses_.first, pauses_.longest);
+    scheduleRetry();
+}
+
+void PrefixFollower::scheduleRetry()
+{
     timers_.callAfter(pause_, [this, alive = std::weak_ptr<int>(alive_)](TimePoint) {
-        if (!alive.expired())
-            readAll();
+        if (alive.expired())
+            return;
+        const bool isProbed = probe_ && probe_->isLost() && !probe_->isPaused() && !isPaused_;
+        if (!isProbed)
+            return readAll();
+        pause_ = pauses_.first;
+        scheduleRetry();
     });
 }
 
--- a/tests/store/TestPrefixFollower.cpp
+++ b/tests/store/TestPrefixFollower.cpp
@@ -87,6 +87,36 @@
     cr_assert_eq(fixture.recorder.keys["op/0"], "b", "without peers it watches by itself");
 }
 
+// Pattern: the store is away, and each follower of each daemon tries it. Guards against calls that tell nothing new,
+// and against a follower that stays behind after the outage.
+Test(PrefixFollower, onlyTheProbeTriesDuringAnOutage)
+{
+    Fixture fixture;
+    FakeMetadataStore other(fixture.timers);
+    Recorder otherRecorder;
+    PrefixFollower probed(other, fixture.timers, "op/", Milliseconds(100), otherRecorder);
+    probed.setProbe(fixture.follower);
+    fixture.follower.start();
+    probed.start();
+    fixture.timers.advance(Milliseconds(200));
+    for (FakeMetadataStore* store : { &fixture.store, &other }) {
+        store->isDown = true;
+        store->cutWatches();
+    }
+    fixture.timers.advance(Milliseconds(500));
+    const std::size_t before = other.calls;
+    const std::size_t probes = fixture.store.calls;
+    fixture.timers.advance(Milliseconds(5000));
+    cr_assert_eq(other.calls, before);
+    cr_assert_geq(fixture.store.calls, probes + 10);
+    for (FakeMetadataStore* store : { &fixture.store, &other }) {
+        store->isDown = false;
+        store->put("op/0", "b");
+    }
+    fixture.timers.advance(Milliseconds(1000));
+    cr_assert_eq(otherRecorder.keys["op/0"], "b");
+}
+
 // Guards against calls after a peer took over.
 Test(PrefixFollower, makesNoCallOnceAPeerTells)
 {
