--- a/scripts/make_days.sh
+++ b/scripts/make_days.sh
@@ -88,3 +88,21 @@
 write_day herd-kill-power faults 'kind = "herd_kill", share = 0.6, for_s = 2.0, how = "power"'
 write_day after-ack-kill faults 'kind = "after_ack_kill", count = 2, for_s = 3.0, how = "timed"'
 write_day hup plan 'kind = "hup", share = 0.6, gap_s = 3.0'
+write_day add-nodes plan 'kind = "add_nodes", share = 0.5'
+for how in errors shed busy hang reset mute slow; do
+    x=0.45
+    [ "$how" = slow ] && x=8.0
+    write_day "srv-grey-$how" faults "kind = \"srv_grey\", share = 0.15, x = $x, for_s = 6.0, how = \"$how\""
+done
+write_day srv-grey-one-zone faults 'kind = "srv_grey", share = 0.15, x = 0.45, for_s = 6.0, how = "errors one_zone"'
+write_day srv-slow faults 'kind = "srv_slow", share = 0.16, x = 5.0, for_s = 6.0'
+write_day srv-flap faults 'kind = "srv_flap", share = 0.12, gap_s = 1.4, for_s = 6.0'
+for how in errors hang reset bad; do
+    write_day "srv-lying-$how" faults "kind = \"srv_lying_health\", share = 0.1, for_s = 6.0, how = \"$how\""
+done
+for how in flood idle_tx idle_herd early_leave slow_reader half_close; do
+    write_day "rude-${how//_/-}" faults "kind = \"rude\", how = \"$how\", count = 100, for_s = 6.0"
+done
+write_day platform-down-meet faults 'kind = "platform_down", share = 0.35, for_s = 9.0, how = "nodes busy revoke meet"'
+write_day roll-term-remove plan 'kind = "roll_term", share = 0.2, x = 1.0, gap_s = 1.5, how = "remove"'
+write_day roll-term-leader plan 'kind = "roll_term", share = 0.3, x = 1.0, gap_s = 1.5, how = "leader"'
