End a change of a primary once

Its log has promotion_ended twice for one change. PromotionDriver told the dispatcher of the new primary before it took the change out; that sent waiting orders, found a second order to resume that had ended too, and its callback ended and freed the same change within the first end. Change: the change is taken out of the list before anything else happens.

--- a/scripts/soak_regressions.sh
+++ b/scripts/soak_regressions.sh
@@ -12,4 +12,6 @@
 run 135 --seconds 12
 # A promotion decided on a list of members from before the claim.
 run 2036 --seconds 12
+# A change of a primary was ended twice when two orders to resume ended in the same moment; the process died.
+run 5005 --seconds 12
 exit "$status"
--- a/src/front/PromotionDriver.cpp
+++ b/src/front/PromotionDriver.cpp
@@ -375,26 +375,26 @@
     const auto found = changes_.find(group);
     if (found == changes_.end() || !found->second->promotion || !found->second->promotion->isFinished())
         return;
-    Change& change = *found->second;
-    const GroupPromotion& promotion = *change.promotion;
+    // Taken out first: what follows may end other orders of this change, whose answers come back here.
+    const std::shared_ptr<Change> ended = std::move(found->second);
+    changes_.erase(found);
+    const GroupPromotion& promotion = *ended->promotion;
     logInfo("promotion_ended",
         { { "group", group.text() }, { "outcome", promotion.hasSucceeded() ? "ok" : "failed" },
             { "detail", promotion.failure() }, { "endpoint", promotion.chosen().text() },
             { "pause", promotion.wasPauseBroken() ? "broken" : "kept" },
-            { "ms", std::to_string(std::chrono::duration_cast<Milliseconds>(now - change.startedAt).count()) } });
-    if (promotion.hasSucceeded()) {
-        directory_.noteLeading(promotion.chosen(), directory_.newestTermOf(group) + 1);
-        dispatcher_.onDirectoryChange(now);
-    }
-    change.claim.release(!promotion.needsRecovery());
+            { "ms", std::to_string(std::chrono::duration_cast<Milliseconds>(now - ended->startedAt).count()) } });
+    ended->claim.release(!promotion.needsRecovery());
     Watch& watch = watches_[group];
     watch.isOpen = promotion.needsRecovery();
     watch.reasonSince.reset();
     watch.notBefore = now + (promotion.hasSucceeded() ? settings_.retryPause * 2 : settings_.retryPause);
     // The change is destroyed outside of the callbacks of its own parts.
-    std::shared_ptr<Change> ended = std::move(found->second);
-    changes_.erase(found);
     timers_.callAfter(Duration(0), [ended](TimePoint) {});
+    if (!promotion.hasSucceeded())
+        return;
+    directory_.noteLeading(promotion.chosen(), directory_.newestTermOf(group) + 1);
+    dispatcher_.onDirectoryChange(now);
 }
 
 } // namespace almondlever
--- a/tests/front/TestPromotionDriver.cpp
+++ b/tests/front/TestPromotionDriver.cpp
@@ -143,6 +143,35 @@
     cr_assert_eq(fixture.promotions.promoted.size(), 1U, "a slow store does not prevent a needed change");
 }
 
+// Pattern: soak seed 5005. Two replicas that were paused are gone when they are to be resumed, the process is suspended
+// for 250 ms, and then both orders have ended. Guards against a change that is ended twice, the second time from within
+// the first, which ended the process.
+Test(PromotionDriver, endsAChangeOnceWhenTwoOrdersEndTogether)
+{
+    for (Milliseconds until { 1500 }; until < Milliseconds(3000); until += Milliseconds(50)) {
+        Fixture fixture;
+        const EndpointId d("d");
+        fixture.directory.update(fixture.entryOf(d), fixture.timers.now());
+        fixture.dispatcher.onDirectoryChange(fixture.timers.now());
+        fixture.run(Milliseconds(200));
+        fixture.endpoints.server(fixture.b).position = { 1, 104 };
+        fixture.endpoints.server(fixture.c).position = { 1, 106 };
+        fixture.endpoints.server(d).position = { 1, 100 };
+        fixture.endpoints.crash(fixture.a);
+        for (int i = 0; i < 100 && fixture.promotions.promoted.empty(); ++i)
+            fixture.run(Milliseconds(25));
+        cr_assert_eq(fixture.promotions.promoted.size(), 1U);
+        cr_assert(fixture.promotions.promoted[0] == fixture.c);
+        fixture.endpoints.crash(fixture.b);
+        fixture.endpoints.crash(d);
+        fixture.run(until);
+        fixture.timers.advance(Milliseconds(250));
+        fixture.dispatcher.onTick(fixture.timers.now());
+        fixture.run(Milliseconds(100));
+        cr_assert(!fixture.store.has(storeKeys::claims + "ledger") || until < Milliseconds(2500));
+    }
+}
+
 // Guards against a gap in writes when a primary leaves as planned.
 Test(PromotionDriver, handsALeavingPrimaryOver)
 {
