--- a/tests/front/TestStoreRelay.cpp
+++ b/tests/front/TestStoreRelay.cpp
@@ -288,8 +288,8 @@
     cr_assert_eq(after, before);
 }
 
-// Pattern: the store is away for 5.5 s, and each of 295 daemons tried three prefixes every 400 ms: 12,000 of the 26,000
-// calls of a day. Guards against calls that grow with the fleet during an outage, and against news that are late after
+// Pattern: the store is away for 5.5 s, and each of 295 daemons tries three prefixes every 400 ms.
+// Guards against calls that grow with the fleet during an outage, and against news that are late after
 // it.
 Test(StoreRelay, outageCostsFewCalls)
 {
