Leave owners that answer no question within 250 ms

Cause: a daemon forwards statements to owners of a group. An owner that froze, lost power or was removed kept getting them until the channel was found dead (1.8 s), and again every 0.8 s while its entry lived (up to 13 s), each time for the whole time-out of a statement. Ruled out: judging by the age of unanswered statements alone, since one may rightly take its time-out; shorter pings of all channels, which would cost a large fleet hundreds of messages a second for each daemon. Change: OwnerHealth asks an owner that holds statements and was quiet for 100 ms; one without an answer for 250 ms gets nothing until it is heard of, and what leaves no effect runs elsewhere. Writes, commits and open transactions stay. Owners with an open channel go first. Messages.refusesWrongTypesAndRanges named 15 as the first unknown message type; it now takes the number from the list of messages, since 15 has become one.

--- a/include/almondlever/forwarding/ForwardedStatements.h
+++ b/include/almondlever/forwarding/ForwardedStatements.h
@@ -27,6 +27,8 @@
     void onStatement(const VmId& from, SessionStatement&&, TimePoint now);
     void onAbandon(const VmId& from, const SessionAbandon&, TimePoint now);
     void onTransactionEnd(const VmId& from, const SessionTransactionEnd&, TimePoint now);
+    /** Tells the asking daemon that this one is alive. */
+    void onQuestion(const VmId& from);
     void onLoss(const VmId& from, TimePoint now);
     std::size_t openTransactions() const { return transactions_.size(); }
     /** Nothing of another daemon runs, waits or is open here. */
--- a/include/almondlever/forwarding/StatementForwarder.h
+++ b/include/almondlever/forwarding/StatementForwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "almondlever/forwarding/OwnerHealth.h"
 #include "almondlever/membership/MembershipView.h"
 #include "almondlever/observability/DecisionLog.h"
 #include "almondlever/observability/Metrics.h"
@@ -19,8 +20,9 @@
     FailureDomainId failureDomain;
     /** A random number, so that the numbers of a former life of this process are never taken for present ones. */
     std::uint64_t firstNumber = 0;
-    /** An owner whose channel failed gets nothing for this long. */
-    Milliseconds avoidTime { 800 };
+    OwnerHealthSettings health;
+    /** A gap between two ticks that shows that this process did not run. */
+    Milliseconds stallLimit { 150 };
     /** The owner answers by the deadline; its answer has this much longer to arrive. */
     Milliseconds answerSlack { 150 };
     /** Owners that one statement is offered to before this daemon runs it itself. */
@@ -29,8 +31,8 @@
 
 /**
  * Runs statements on the owners of their group: on this daemon when it is one, else on the least busy owner, near ones
- * first. Repeats elsewhere what certainly did not run, and runs it on a connection of its own when no owner can be
- * reached.
+ * first. Owners that are silent get nothing. Repeats elsewhere what certainly left no effect, and runs it on a
+ * connection of its own when no owner can be reached.
  *
  * @see ownersOf, ForwardedStatements
  */
@@ -47,13 +49,15 @@
     /** nullptr while there is none; statements then run here. */
     void setNetwork(PeerNetwork* network) { network_ = network; }
     /** The owners of each group that this daemon does not own. */
-    void setOwners(std::map<GroupId, std::vector<LiveDaemon>> owners) { owners_ = std::move(owners); }
+    void setOwners(std::map<GroupId, std::vector<LiveDaemon>>);
     void onAnswer(const VmId& owner, SessionAnswer&&, TimePoint now);
+    /** The owner answered the question whether it is alive. */
+    void onAlive(const VmId& owner, TimePoint now);
     /** The channel to an owner is lost; what it runs for this daemon may have run. */
     void onLoss(const VmId& owner, TimePoint now);
     /** The statement was dropped before it was sent. */
     void onUnsent(std::uint64_t correlation, TimePoint now);
-    /** Ends statements whose answer is overdue. */
+    /** Ends statements whose answer is overdue, and finds silent owners. */
     void onTick(TimePoint now);
 
 private:
@@ -65,13 +69,17 @@
         std::shared_ptr<RemoteTransaction> transaction;
         std::set<VmId> tried;
     };
-    /** What is known of an owner. */
-    struct Owner {
-        std::size_t running = 0;
-        TimePoint avoidUntil {};
-    };
 
+    OwnerHealth& healthOf(const VmId&);
     const LiveDaemon* chooseOwner(const GroupId&, const std::set<VmId>& tried, TimePoint now);
+    /** True when the left owner is to be preferred. */
+    bool isBetter(const LiveDaemon& left, const LiveDaemon& right);
+    void askOwner(const VmId&, const std::string& address, TimePoint now);
+    void findSilentOwners(TimePoint now);
+    /** Repeats elsewhere what the owner holds and what leaves no effect. */
+    void leaveOwner(const VmId&, TimePoint now);
+    /** A commit or a single write, which must not be repeated once it was sent. */
+    static bool mayHaveEffect(const Forwarded&);
     /** Forwards to the next owner, or runs the statement here. */
     void place(Ticket, Forwarded, TimePoint now);
     bool send(Ticket, const Forwarded&, TimePoint now);
@@ -87,11 +95,14 @@
     ForwarderSettings settings_;
     PeerNetwork* network_ = nullptr;
     std::map<GroupId, std::vector<LiveDaemon>> owners_;
-    std::map<VmId, Owner> known_;
+    std::map<VmId, OwnerHealth> health_;
+    /** Addresses of all owners that statements may be forwarded to. */
+    std::map<VmId, std::string> addresses_;
     std::unordered_map<Ticket, Forwarded> forwarded_;
     /** Tickets of the local runner for statements that came back to this daemon. */
     std::unordered_map<Ticket, Ticket> here_;
     Ticket lastTicket_;
+    std::optional<TimePoint> lastTick_;
 };
 
 } // namespace almondlever
--- a/include/almondlever/wire/Messages.h
+++ b/include/almondlever/wire/Messages.h
@@ -268,9 +268,15 @@
     PrimaryOpinion opinion = PrimaryOpinion::Unknown;
 };
 
+/** Asks a daemon that holds forwarded statements whether it is alive. */
+struct OwnerQuestion { };
+
+/** Answer to OwnerQuestion, sent at once. */
+struct OwnerAlive { };
+
 using Message = std::variant<ForwardRequest, ForwardReply, Gossip, ConfigRequest, ConfigReply, SuspicionReport,
     PrimaryView, SessionStatement, SessionAnswer, SessionTransactionEnd, SessionAbandon, StoreNewsRequest, StoreNews,
-    PrimaryDoubt, PrimaryDoubtAnswer>;
+    PrimaryDoubt, PrimaryDoubtAnswer, OwnerQuestion, OwnerAlive>;
 
 /** CBOR of a message. */
 std::string encodeMessage(const Message&);
--- a/include/almondlever/wire/PeerNetwork.h
+++ b/include/almondlever/wire/PeerNetwork.h
@@ -66,6 +66,8 @@
     /** Sends to a daemon at an address; false when it was dropped unsent because the channel is down or its buffer
      * full. */
     virtual bool send(const VmId&, const std::string& address, const Message&) = 0;
+    /** A channel to the daemon is open, so that a message does not wait for one. */
+    virtual bool isConnected(const VmId&) const = 0;
     /** Handler of received messages; called only after both sides proved the cluster key. */
     virtual void onMessage(MessageHandler) = 0;
     /** Called when the channel to a peer is lost; requests sent to it may or may not have arrived. */
--- a/src/forwarding/ForwardedStatements.cpp
+++ b/src/forwarding/ForwardedStatements.cpp
@@ -89,6 +89,12 @@
     local_.endTransaction(link, now);
 }
 
+void ForwardedStatements::onQuestion(const VmId& from)
+{
+    if (network_)
+        network_->send(from, "", OwnerAlive {});
+}
+
 void ForwardedStatements::onLoss(const VmId& from, TimePoint now)
 {
     std::vector<std::uint64_t> statements;
--- a/src/forwarding/StatementForwarder.cpp
+++ b/src/forwarding/StatementForwarder.cpp
@@ -70,22 +70,52 @@
     return ticket;
 }
 
+void StatementForwarder::setOwners(std::map<GroupId, std::vector<LiveDaemon>> owners)
+{
+    owners_ = std::move(owners);
+    addresses_.clear();
+    for (const auto& [group, daemons] : owners_) {
+        for (const LiveDaemon& daemon : daemons)
+            addresses_[daemon.id] = daemon.peerAddress;
+    }
+    for (auto it = health_.begin(); it != health_.end();) {
+        const bool isNeeded = addresses_.count(it->first) > 0 || it->second.running() > 0;
+        it = isNeeded ? std::next(it) : health_.erase(it);
+    }
+}
+
+OwnerHealth& StatementForwarder::healthOf(const VmId& owner)
+{
+    return health_.try_emplace(owner, settings_.health).first->second;
+}
+
+bool StatementForwarder::isBetter(const LiveDaemon& left, const LiveDaemon& right)
+{
+    // A message to a daemon without a channel waits until one is open, which may take as long as a dial.
+    const bool isLeftConnected = network_->isConnected(left.id);
+    const bool isRightConnected = network_->isConnected(right.id);
+    if (isLeftConnected != isRightConnected)
+        return isLeftConnected;
+    const bool isLeftNear = left.failureDomain == settings_.failureDomain;
+    const bool isRightNear = right.failureDomain == settings_.failureDomain;
+    if (isLeftNear != isRightNear)
+        return isLeftNear;
+    return healthOf(left.id).running() < healthOf(right.id).running();
+}
+
 const LiveDaemon* StatementForwarder::chooseOwner(const GroupId& group, const std::set<VmId>& tried, TimePoint now)
 {
     const auto found = owners_.find(group);
     if (found == owners_.end() || tried.size() >= settings_.maximumOwners)
         return nullptr;
     const LiveDaemon* best = nullptr;
-    const auto isBetter = [this](const LiveDaemon& left, const LiveDaemon& right) {
-        const bool isLeftNear = left.failureDomain == settings_.failureDomain;
-        const bool isRightNear = right.failureDomain == settings_.failureDomain;
-        if (isLeftNear != isRightNear)
-            return isLeftNear;
-        return known_[left.id].running < known_[right.id].running;
-    };
     for (const LiveDaemon& owner : found->second) {
-        if (tried.count(owner.id) > 0 || now < known_[owner.id].avoidUntil)
+        if (tried.count(owner.id) > 0 || !healthOf(owner.id).isUsable())
             continue;
+        // Later statements find the channel open.
+        const bool isNear = owner.failureDomain == settings_.failureDomain;
+        if (isNear && !network_->isConnected(owner.id))
+            askOwner(owner.id, owner.peerAddress, now);
         if (!best || isBetter(owner, *best))
             best = &owner;
     }
@@ -98,7 +128,7 @@
         forwarded.owner = *owner;
         forwarded.tried.insert(owner->id);
         if (!send(ticket, forwarded, now)) {
-            known_[owner->id].avoidUntil = now + settings_.avoidTime;
+            healthOf(forwarded.owner.id).noteLost(now);
             continue;
         }
         log(forwarded, "forward", "not_owner", now);
@@ -131,7 +161,7 @@
     message.transaction = forwarded.transaction ? forwarded.transaction->number() : 0;
     if (!network_ || !network_->send(forwarded.owner.id, forwarded.owner.peerAddress, message))
         return false;
-    ++known_[forwarded.owner.id].running;
+    healthOf(forwarded.owner.id).noteSent(now);
     return true;
 }
 
@@ -157,14 +187,13 @@
     const auto found = forwarded_.find(ticket);
     Forwarded forwarded = std::move(found->second);
     forwarded_.erase(found);
-    Owner& owner = known_[forwarded.owner.id];
-    if (owner.running > 0)
-        --owner.running;
+    healthOf(forwarded.owner.id).noteEnded();
     return forwarded;
 }
 
 void StatementForwarder::onAnswer(const VmId& owner, SessionAnswer&& answer, TimePoint now)
 {
+    healthOf(owner).noteHeard(now);
     const auto found = forwarded_.find(answer.correlation);
     const bool isAwaited = found != forwarded_.end() && found->second.owner.id == owner;
     if (!isAwaited) {
@@ -189,7 +218,7 @@
     if (forwarded_.count(correlation) == 0)
         return;
     Forwarded forwarded = take(correlation);
-    known_[forwarded.owner.id].avoidUntil = now + settings_.avoidTime;
+    healthOf(forwarded.owner.id).noteLost(now);
     if (!forwarded.transaction)
         return place(correlation, std::move(forwarded), now);
     StatementResult result;
@@ -201,7 +230,7 @@
 
 void StatementForwarder::onLoss(const VmId& owner, TimePoint now)
 {
-    known_[owner].avoidUntil = now + settings_.avoidTime;
+    healthOf(owner).noteLost(now);
     std::vector<Ticket> lost;
     for (const auto& [ticket, forwarded] : forwarded_) {
         if (forwarded.owner.id == owner)
@@ -213,30 +242,86 @@
     }
 }
 
-void StatementForwarder::fail(Ticket ticket, const std::string& reason, TimePoint now)
+bool StatementForwarder::mayHaveEffect(const Forwarded& forwarded)
 {
-    Forwarded forwarded = take(ticket);
+    // An owner rolls transactions back when it loses the channel; only commits and single writes leave an effect.
     const StatementRequest& request = forwarded.request;
     const bool isTransaction = forwarded.transaction || request.opensTransaction;
-    const bool isCommit = request.statement.kind == StatementKind::Commit;
-    // The owner rolls transactions back when it loses the channel; only commits and single writes leave an effect.
-    const bool mayHaveEffect = request.isWrite && (isCommit || !isTransaction);
+    return request.isWrite && (request.statement.kind == StatementKind::Commit || !isTransaction);
+}
+
+void StatementForwarder::fail(Ticket ticket, const std::string& reason, TimePoint now)
+{
+    Forwarded forwarded = take(ticket);
+    const bool hasEffect = mayHaveEffect(forwarded);
     metrics_.count("almondlever_forwarded_total", "result=\"lost\"");
-    log(forwarded, mayHaveEffect || forwarded.transaction ? "fail" : "retry", reason, now);
-    if (!mayHaveEffect && !forwarded.transaction && now < request.deadline)
+    log(forwarded, hasEffect || forwarded.transaction ? "fail" : "retry", reason, now);
+    if (!hasEffect && !forwarded.transaction && now < forwarded.request.deadline)
         return place(ticket, std::move(forwarded), now);
     if (forwarded.transaction)
         endTransaction(forwarded.transaction, now);
     StatementResult result;
-    result.reply.error = mayHaveEffect ? StatementError::Unknown
-        : forwarded.transaction        ? StatementError::Aborted
-                                       : StatementError::Busy;
+    result.reply.error = hasEffect ? StatementError::Unknown
+        : forwarded.transaction    ? StatementError::Aborted
+                                   : StatementError::Busy;
     result.reply.detail = reason;
     forwarded.callback(std::move(result), now);
 }
 
+void StatementForwarder::onAlive(const VmId& owner, TimePoint now) { healthOf(owner).noteHeard(now); }
+
+void StatementForwarder::askOwner(const VmId& owner, const std::string& address, TimePoint now)
+{
+    OwnerHealth& health = healthOf(owner);
+    if (health.isAsked())
+        return;
+    health.noteAsked(now);
+    if (!network_->send(owner, address, OwnerQuestion {}))
+        health.noteLost(now);
+}
+
+void StatementForwarder::findSilentOwners(TimePoint now)
+{
+    if (!network_)
+        return;
+    std::vector<VmId> silent;
+    for (auto& [owner, health] : health_) {
+        const auto address = addresses_.find(owner);
+        if (health.becomesSilent(now))
+            silent.push_back(owner);
+        else if (address != addresses_.end() && health.isQuestionDue(now))
+            askOwner(owner, address->second, now);
+    }
+    for (const VmId& owner : silent)
+        leaveOwner(owner, now);
+}
+
+void StatementForwarder::leaveOwner(const VmId& owner, TimePoint now)
+{
+    std::vector<Ticket> repeatable;
+    for (const auto& [ticket, forwarded] : forwarded_) {
+        if (forwarded.owner.id == owner && !forwarded.transaction && !mayHaveEffect(forwarded))
+            repeatable.push_back(ticket);
+    }
+    logInfo("owner_silent", { { "owner", owner.text() }, { "moved", std::to_string(repeatable.size()) } });
+    metrics_.count("almondlever_silent_owners_total", "");
+    for (const Ticket ticket : repeatable) {
+        const auto found = forwarded_.find(ticket);
+        if (found == forwarded_.end())
+            continue;
+        network_->send(owner, found->second.owner.peerAddress, SessionAbandon { ticket });
+        fail(ticket, "the owner is silent", now);
+    }
+}
+
 void StatementForwarder::onTick(TimePoint now)
 {
+    if (lastTick_ && now - *lastTick_ > settings_.stallLimit) {
+        for (auto& [owner, health] : health_)
+            health.forgiveSilence(now);
+    }
+    lastTick_ = now;
+    findSilentOwners(now);
     std::vector<Ticket> overdue;
     for (const auto& [ticket, forwarded] : forwarded_) {
         if (now >= forwarded.request.deadline + settings_.answerSlack)
@@ -247,7 +332,7 @@
         if (found == forwarded_.end())
             continue;
         // An owner that lives would have answered.
-        known_[found->second.owner.id].avoidUntil = now + settings_.avoidTime;
+        healthOf(found->second.owner.id).noteLost(now);
         if (network_)
             network_->send(found->second.owner.id, found->second.owner.peerAddress, SessionAbandon { ticket });
         fail(ticket, "no answer from the owner within the time-out", now);
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -194,6 +194,10 @@
         forwarded_.onTransactionEnd(from, *end, now);
     else if (const auto* abandon = std::get_if<SessionAbandon>(&message))
         forwarded_.onAbandon(from, *abandon, now);
+    else if (std::holds_alternative<OwnerQuestion>(message))
+        forwarded_.onQuestion(from);
+    else if (std::holds_alternative<OwnerAlive>(message))
+        forwarder_.onAlive(from, now);
     else if (const auto* request = std::get_if<StoreNewsRequest>(&message))
         relay_.onRequest(from, *request, now);
     else if (const auto* news = std::get_if<StoreNews>(&message))
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -355,6 +355,10 @@
         return answer;
     }
 
+    void write(Json&, const OwnerQuestion&) { }
+
+    void write(Json&, const OwnerAlive&) { }
+
     Message readBody(std::uint64_t type, CborReader& reader)
     {
         switch (type) {
@@ -386,8 +390,12 @@
             return readStoreNews(reader);
         case 13:
             return readPrimaryDoubt(reader);
-        default:
+        case 14:
             return readPrimaryDoubtAnswer(reader);
+        case 15:
+            return OwnerQuestion {};
+        default:
+            return OwnerAlive {};
         }
     }
 
--- a/src/wire/WebSocketPeerNetwork.cpp
+++ b/src/wire/WebSocketPeerNetwork.cpp
@@ -126,6 +126,12 @@
     return true;
 }
 
+bool WebSocketPeerCore::isConnected(const VmId& id) const
+{
+    const auto found = peers_.find(id);
+    return found != peers_.end() && !found->second.channels.empty();
+}
+
 bool WebSocketPeerCore::dial(const VmId& id, const std::string& address, Peer& peer)
 {
     const TimePoint now = Clock::now();
@@ -541,6 +547,7 @@
         {
             return core_->send(id, address, message);
         }
+        bool isConnected(const VmId& id) const override { return core_->isConnected(id); }
         void onMessage(MessageHandler handler) override { core_->setMessageHandler(std::move(handler)); }
         void onLoss(LossHandler handler) override { core_->setLossHandler(std::move(handler)); }
         void onUnsent(UnsentHandler handler) override { core_->setUnsentHandler(std::move(handler)); }
--- a/src/wire/WebSocketPeerNetwork.h
+++ b/src/wire/WebSocketPeerNetwork.h
@@ -26,6 +26,7 @@
     void start();
     Result<Done, std::string> listen();
     bool send(const VmId&, const std::string& address, const Message&);
+    bool isConnected(const VmId&) const;
     void setMessageHandler(PeerNetwork::MessageHandler handler) { messageHandler_ = std::move(handler); }
     void setLossHandler(PeerNetwork::LossHandler handler) { lossHandler_ = std::move(handler); }
     void setUnsentHandler(PeerNetwork::UnsentHandler handler) { unsentHandler_ = std::move(handler); }
--- a/tests/forwarding/TestForwarding.cpp
+++ b/tests/forwarding/TestForwarding.cpp
@@ -33,6 +33,7 @@
         });
         return true;
     }
+    bool isConnected(const VmId&) const override { return !isCut; }
     void onMessage(MessageHandler handler) override { handler_ = std::move(handler); }
     void onLoss(LossHandler) override { }
     void onUnsent(UnsentHandler) override { }
@@ -59,7 +60,7 @@
     FakeNetwork ownerNetwork { timers, { ownerVm, FailureDomainId("d"), "2" } };
     EndpointDirectory entryDirectory;
     StatementDispatcher entryDispatcher { entryDirectory, endpoints, log, metrics, {} };
-    StatementForwarder forwarder { entryDispatcher, log, metrics, { FailureDomainId("d") } };
+    StatementForwarder forwarder { entryDispatcher, log, metrics, settings() };
     ForwardedStatements owner { dispatcher, 77 };
 
     Fixture()
@@ -80,13 +81,24 @@
                 owner.onTransactionEnd(from.id, *end, timers.now());
             else if (const auto* abandon = std::get_if<SessionAbandon>(&message))
                 owner.onAbandon(from.id, *abandon, timers.now());
+            else if (std::holds_alternative<OwnerQuestion>(message))
+                owner.onQuestion(from.id);
         });
         entryNetwork.onMessage([this](const PeerIdentity& from, Message message) {
             if (auto* answer = std::get_if<SessionAnswer>(&message))
                 forwarder.onAnswer(from.id, std::move(*answer), timers.now());
+            else if (std::holds_alternative<OwnerAlive>(message))
+                forwarder.onAlive(from.id, timers.now());
         });
     }
 
+    static ForwarderSettings settings()
+    {
+        ForwarderSettings settings;
+        settings.failureDomain = FailureDomainId("d");
+        return settings;
+    }
+
     void run(Duration by)
     {
         const TimePoint end = timers.now() + by;
@@ -219,3 +231,56 @@
     fixture.run(Milliseconds(200));
     cr_assert_eq(fixture.owner.openTransactions(), 0U);
 }
+
+// Pattern: the owner of a group freezes while its failure domain sends it reads. Guards against holding them until
+// their time-out, and against sending it the next ones.
+Test(Forwarding, readsLeaveAnOwnerThatFreezes)
+{
+    Fixture fixture;
+    RemoteCaller caller(fixture, "proofs");
+    fixture.entryNetwork.isSilent = true;
+    caller.say(StatementKind::Read, "r1", "READ x");
+    fixture.run(Milliseconds(700));
+    cr_assert_eq(caller.replies.size(), 1U);
+    cr_assert(!caller.replies[0].error);
+    const std::size_t sentBefore = fixture.entryNetwork.sent;
+    caller.say(StatementKind::Read, "r2", "READ x");
+    fixture.run(Milliseconds(200));
+    cr_assert_eq(caller.replies.size(), 2U);
+    cr_assert(!caller.replies[1].error);
+    cr_assert_leq(fixture.entryNetwork.sent, sentBefore + 1, "only the question whether it is alive is sent");
+}
+
+// Guards against repeating a write, and a statement of an open transaction, that a frozen owner may run when it wakes.
+Test(Forwarding, writesStayWithAnOwnerThatFreezes)
+{
+    Fixture fixture;
+    RemoteCaller writer(fixture, "orders");
+    RemoteCaller inTransaction(fixture, "orders");
+    inTransaction.say(StatementKind::Begin, "b", "BEGIN");
+    inTransaction.say(StatementKind::Write, "w2", "WRITE x 2");
+    fixture.run(Milliseconds(100));
+    const std::size_t repliesBefore = inTransaction.replies.size();
+    fixture.entryNetwork.isSilent = true;
+    writer.say(StatementKind::Write, "w1", "WRITE x 1");
+    inTransaction.say(StatementKind::Commit, "c1", "COMMIT");
+    fixture.run(Milliseconds(700));
+    cr_assert_eq(writer.replies.size(), 0U);
+    cr_assert_eq(inTransaction.replies.size(), repliesBefore);
+    cr_assert_eq(fixture.endpoints.runsOf("w1"), 0U);
+    cr_assert_eq(fixture.endpoints.runsOf("c1"), 0U);
+}
+
+// Guards against giving up an owner that answers questions while a statement takes long.
+Test(Forwarding, slowStatementStaysWithItsOwner)
+{
+    Fixture fixture;
+    RemoteCaller caller(fixture, "proofs");
+    for (const EndpointId& id : { fixture.a, fixture.b, fixture.c })
+        fixture.endpoints.server(id).work = Milliseconds(700);
+    caller.say(StatementKind::Read, "r1", "READ x");
+    fixture.run(Milliseconds(900));
+    cr_assert_eq(caller.replies.size(), 1U);
+    cr_assert(!caller.replies[0].error);
+    cr_assert_eq(fixture.endpoints.runsOf("r1"), 1U);
+}
--- a/tests/front/TestDoubtExchange.cpp
+++ b/tests/front/TestDoubtExchange.cpp
@@ -17,6 +17,7 @@
         sent.emplace_back(to, message);
         return true;
     }
+    bool isConnected(const VmId&) const override { return true; }
     void onMessage(MessageHandler) override { }
     void onLoss(LossHandler) override { }
     void onUnsent(UnsentHandler) override { }
--- a/tests/front/TestFrontDaemon.cpp
+++ b/tests/front/TestFrontDaemon.cpp
@@ -65,6 +65,7 @@
         record_->sent.push_back(message);
         return true;
     }
+    bool isConnected(const VmId&) const override { return true; }
     void onMessage(MessageHandler handler) override { record_->handler = std::move(handler); }
     void onLoss(LossHandler) override { }
     void onUnsent(UnsentHandler) override { }
--- a/tests/front/TestStoreRelay.cpp
+++ b/tests/front/TestStoreRelay.cpp
@@ -60,6 +60,7 @@
                 });
             return true;
         }
+        bool isConnected(const VmId&) const override { return true; }
         void onMessage(MessageHandler) override { }
         void onLoss(LossHandler) override { }
         void onUnsent(UnsentHandler) override { }
--- a/tests/wire/TestMessages.cpp
+++ b/tests/wire/TestMessages.cpp
@@ -163,7 +163,7 @@
         return isRefused(cbor(message));
     };
     cr_assert(isRefusedWith(request, { { "v", 2 } }));
-    cr_assert(isRefusedWith(request, { { "t", 15 } }));
+    cr_assert(isRefusedWith(request, { { "t", std::variant_size_v<Message> } }));
     cr_assert(isRefusedWith(request, { { "t", "0" } }));
     cr_assert(isRefusedWith(request, { { "k", 4 } }));
     cr_assert(isRefusedWith(request, { { "o", 2 } }));
--- a/tests/wire/TestPeerNetwork.cpp
+++ b/tests/wire/TestPeerNetwork.cpp
@@ -137,7 +137,9 @@
     constexpr std::uint64_t count = 100;
     for (std::uint64_t number = 0; number < count; ++number)
         cr_assert(left.sendTo(right, number) && right.sendTo(left, number));
+    cr_assert_not(left.network->isConnected(right.identity.id));
     cr_assert(runUntil(context, [&] { return left.received.size() == count && right.received.size() == count; }));
+    cr_assert(left.network->isConnected(right.identity.id));
     for (std::uint64_t number = 0; number < count; ++number)
         cr_assert(left.number(number) == number && right.number(number) == number);
     cr_assert(right.senders.front().id == left.identity.id);
--- a/tests/wire/TestSessionMessages.cpp
+++ b/tests/wire/TestSessionMessages.cpp
@@ -99,6 +99,13 @@
     cr_assert(answer.opinion == PrimaryOpinion::Fails);
 }
 
+// Guards against a question whether an owner is alive that is taken for another message.
+Test(SessionMessages, questionsToOwnersSurviveTheWire)
+{
+    roundTrip(OwnerQuestion {});
+    roundTrip(OwnerAlive {});
+}
+
 // Guards against news of the store that lose deletions or bytes.
 Test(SessionMessages, storeNewsSurviveTheWire)
 {
