--- a/include/almondlever/pooling/StatementDispatcher.h
+++ b/include/almondlever/pooling/StatementDispatcher.h
@@ -18,15 +18,15 @@
 
 /** Bounds of the dispatcher. */
 struct DispatcherSettings {
-    /** Share of an endpoint's connections that the daemons open together under load. */
-    double loadShare = 0.7;
+    /** Share of an endpoint's connections that the owners open together under load, transactions included. */
+    double loadShare = 0.8;
     /**
-     * Share of an endpoint's connections that the daemons keep open together. The rest is opened under load only: an
-     * endpoint keeps the connections of VMs that lost power for seconds, and the restarted daemons must find room.
+     * Share of an endpoint's connections that the owners keep open together; as GroupSharing::keptShare. The rest is
+     * opened under load only.
      */
-    double keptShare = 0.5;
+    double keptShare = 0.45;
     /** A connection beyond the kept share is closed after it was idle for this long. */
-    Milliseconds spareIdleTime { 1000 };
+    Milliseconds spareIdleTime { 250 };
     /** Age at which the primary is asked for its position again; a quarter of the shortest usual staleness. */
     Milliseconds positionRefresh { 300 };
     /** A group for which no statement came for this long is idle; longer than the pauses of its callers. */
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -18,6 +18,13 @@
     /** Daemons register one after the other when the fleet starts, and each time every group is looked at. */
     constexpr Milliseconds ownGatherTime { 500 };
 
+    DispatcherSettings dispatcherSettings(const FrontSettings& settings)
+    {
+        DispatcherSettings dispatcher = settings.dispatcher;
+        dispatcher.keptShare = settings.sharing.keptShare;
+        return dispatcher;
+    }
+
     ForwarderSettings forwarderSettings(const FrontSettings& settings)
     {
         ForwarderSettings forwarder;
@@ -42,7 +49,7 @@
     , decoder_(decoder)
     , timers_(timers)
     , log_(settings.decisionLinesPerSecond)
-    , dispatcher_(directory_, connector, log_, metrics_, settings.dispatcher)
+    , dispatcher_(directory_, connector, log_, metrics_, dispatcherSettings(settings))
     , forwarder_(dispatcher_, log_, metrics_, forwarderSettings(settings))
     , forwarded_(dispatcher_, settings.randomSeed)
     , doubts_(dispatcher_, settings.vm)
--- a/src/pooling/DispatcherLinks.cpp
+++ b/src/pooling/DispatcherLinks.cpp
@@ -62,11 +62,9 @@
     if (!entry || !links.mayConnect(now))
         return;
     const std::size_t share = connectionShare(*entry);
-    // A transaction between two statements keeps its connection from others for as long as its caller likes.
-    const std::size_t resting = std::min(links.count(PooledLink::State::InTransaction), keptConnections(*entry));
     const std::size_t opening = links.count(PooledLink::State::Opening);
     const std::size_t limit = std::min(wanted, openingsAtOnce);
-    for (std::size_t number = opening; number < limit && links.openCount() < share + resting + extra; ++number) {
+    for (std::size_t number = opening; number < limit && links.openCount() < share + extra; ++number) {
         const auto link = std::make_shared<PooledLink>(*this, links.id(), now);
         links.links().push_back(link);
         metrics_.count("almondlever_endpoint_connections_total", "");
--- a/tests/pooling/TestStatementDispatcher.cpp
+++ b/tests/pooling/TestStatementDispatcher.cpp
@@ -288,6 +288,34 @@
     cr_assert_eq(fixture.endpoints.server(fixture.a).connections, 1U);
 }
 
+// Pattern: a whole fleet loses power and is back within a second, while the endpoints still count the connections of
+// its former life. Guards against connections held without need, which leave no room for the restarted owners.
+Test(StatementDispatcher, restartedOwnersFindRoomBesideTheirFormerLife)
+{
+    for (const std::size_t maximum : { 21U, 34U, 53U, 125U }) {
+        DispatcherFixture fixture;
+        const std::size_t owners = 3;
+        fixture.configuration->groups[fixture.group].maximumConnections = maximum;
+        fixture.dispatcher.setGroups(fixture.configuration->groups, fixture.timers.now());
+        fixture.dispatcher.setSharing({ { fixture.group, owners } }, fixture.timers.now());
+        std::vector<std::unique_ptr<FakeCaller>> callers;
+        for (int i = 0; i < 60; ++i) {
+            callers.push_back(std::make_unique<FakeCaller>(fixture, "orders"));
+            callers.back()->begin();
+            callers.back()->write("w" + std::to_string(i));
+        }
+        fixture.advance(Milliseconds(400));
+        const std::size_t underLoad = fixture.endpoints.server(fixture.a).connections;
+        cr_assert_lt(underLoad * owners, maximum, "resting transactions count as well");
+        for (const auto& caller : callers)
+            caller->session.onCallerClosed(fixture.timers.now());
+        fixture.advance(Milliseconds(6000));
+        const std::size_t calm = fixture.endpoints.server(fixture.a).connections;
+        cr_assert_geq(calm, 1U);
+        cr_assert_leq(2 * calm * owners, maximum, "%zu connections of %zu", calm, maximum);
+    }
+}
+
 // Pattern: the lowest rank bursts while both replicas are too old for it, so that all work meets at the primary.
 // Guards against urgent statements that wait behind the burst.
 Test(StatementDispatcher, urgentWorkIsServedThroughABurstOnThePrimary)
