Order what the store gives out by era, and recover when it comes back from a copy

Cause: the store may be restored from a copy that is seconds old. Revisions and leases are given out again, what the system wrote since is gone. By reading, before the change: news under numbers already seen were left out by relays; the fence of a promotion could be lower than one the platform has seen (409 until the counter caught up) or the same for two holders; a lease of another daemon could be renewed under an old number; a claim was held in belief after it was gone; entries of the copy displaced newer ones and brought departed endpoints back. Ruled out: a pair of era and number in every signature, which changes each comparison for the same order; one 64-bit number with the era above the revision has that order (storeEra). Change: the adapter puts Store-Era above revisions and leases and refuses what an earlier era gave out; followers do not mix pages of two eras; claims end with their era and no change begins for 1.5 s; entries of one life are ordered by their sequence across a restore, and departed endpoints are remembered for a minute; daemons register again within a second, and watchers write the fleet's key again; relays pass on the configuration in force in place of an older one. Also mended, found by reading: a SIGTERM while the registration was under way announced nothing. Not built: the restore in the soak's store and in model/GroupPromotion.pml.

--- a/include/almondlever/front/FrontDaemon.h
+++ b/include/almondlever/front/FrontDaemon.h
@@ -44,6 +44,8 @@
     /** Lifetime of this daemon's entry among the members; others share endpoint connections by their number. */
     Milliseconds memberLease { 10000 };
     Milliseconds memberRenewal { 3000 };
+    /** After a restore of the store the daemons register again within this time, spread evenly. */
+    Milliseconds reregistrationSpread { 1000 };
     /** All daemons of the fleet start now for the first time, and callers come seconds later. */
     bool isFirstStart = false;
     /** At the first start the store is read after this, when all daemons have registered themselves. */
@@ -102,6 +104,10 @@
     void onStoreReturned(const std::string& prefix, TimePoint now) override;
     void onStoreLost(const std::string& prefix, const StoreFailure&, TimePoint now) override;
 
+    /** Follows the era in a revision; what an earlier era gave out is gone. */
+    void takeStoreEra(std::uint64_t revision, TimePoint now);
+    /** Items of the configuration's prefix, with the configuration in force in place of an older one from a copy. */
+    std::vector<StoreItem> withConfigurationInForce(const std::vector<StoreItem>&) const;
     /** The entry says something else than the directory knows; its heartbeats do not. */
     bool isNews(const EndpointEntry&) const;
     void takeConfiguration(const StoreItem&, TimePoint now);
@@ -110,7 +116,8 @@
     std::vector<StoreItem> takeEndpoints(const std::vector<StoreItem>&, bool isSnapshot, TimePoint now);
     void takeOwnKeys(const std::vector<StoreItem>&, bool isSnapshot, TimePoint now);
     void takeClusterKey(const std::string& key);
-    void makeClusterKey();
+    /** Writes the key unless the store has one. */
+    void writeClusterKey(const std::string& key);
     void onPeerMessage(const VmId& from, Message&&);
     /** Follows changes of the members or of the groups: who keeps connections to which group. */
     void updateOwners(TimePoint now);
@@ -124,7 +131,7 @@
         return settings_.isFirstStart ? settings_.firstPatienceForPeers : settings_.patienceForPeers;
     }
     void registerMember();
-    void renewMember(std::uint64_t lease);
+    void renewMember(std::uint64_t lease, std::uint64_t registration);
     /** Tells the others that this daemon stops, so that they forward nothing more to it. */
     void announceLeaving();
     void tick(TimePoint now);
@@ -149,6 +156,12 @@
     PrefixFollower ownFollower_;
     StoreRelay relay_;
     std::shared_ptr<const RoutingConfiguration> routing_;
+    /** The item that routing_ was read from. */
+    StoreItem configurationItem_;
+    /** Era of the store; nullopt before its first answer. */
+    std::optional<std::uint64_t> storeEra_;
+    /** The key that proves this daemon to its peers; empty before it is known. */
+    std::string clusterKey_;
     bool hasEndpoints_ = false;
     /** The other daemons are known, so that ownership can be told. */
     bool hasMembers_ = false;
@@ -156,6 +169,8 @@
     FleetMembers members_;
     /** Lease of this daemon's entry among the members; 0 before it is registered. */
     std::uint64_t memberLease_ = 0;
+    /** Number of the present registration; callbacks of former ones do nothing. */
+    std::uint64_t registration_ = 0;
     NetworkFactory makeNetwork_;
     std::unique_ptr<PeerNetwork> network_;
     std::map<CallerLink*, std::unique_ptr<Session>> sessions_;
--- a/include/almondlever/front/PromotionDriver.h
+++ b/include/almondlever/front/PromotionDriver.h
@@ -55,6 +55,11 @@
     void setOwners(std::map<GroupId, std::set<std::string>> owners) { owners_ = std::move(owners); }
     /** What the store says of claims and of unfinished changes. */
     void onClaim(const GroupId&, bool isHeld, TimePoint now);
+    /**
+     * The store was restored from an older copy. Claims and records of unfinished changes may be gone, so that calls of
+     * other daemons may still take effect: what this daemon changes is given up, and nothing begins for a while.
+     */
+    void onStoreEra(std::uint64_t era, TimePoint now);
     void onChangeRecord(const GroupId&, bool isOpen, TimePoint now);
     void onTick(TimePoint now);
     /** Starts no further change; running ones go on. */
--- a/include/almondlever/groups/EndpointDirectory.h
+++ b/include/almondlever/groups/EndpointDirectory.h
@@ -21,6 +21,8 @@
     /** An entry that is still missing after this is gone; the platform promises the return of lapsed entries within it.
      */
     static constexpr Milliseconds lapseGrace { 2000 };
+    /** An endpoint that left is remembered for this long; a store is restored from copies that are seconds old. */
+    static constexpr Milliseconds departedMemory { 60000 };
 
     /** Replaces the whole list; entries that are missing from it start to lapse. */
     void replaceAll(const std::vector<EndpointEntry>&, TimePoint now);
@@ -74,6 +76,17 @@
         Term newestTerm = 0;
     };
 
+    /** What an endpoint had written when it was dropped. */
+    struct Departed {
+        EndpointEntry entry;
+        TimePoint since;
+    };
+
+    /**
+     * True when a restored store shows the entry as it was before the known one. Its revision is greater all the same,
+     * since the restore began a new era.
+     */
+    static bool isFromCopy(const EndpointEntry&, const EndpointEntry& known);
     void removeMember(const GroupId&, const EndpointId&);
 
     std::map<EndpointId, Listed> endpoints_;
@@ -81,6 +94,8 @@
     std::map<GroupId, std::set<EndpointId>> membersOf_;
     std::map<GroupId, Leadership> leadership_;
     std::map<GroupId, TimePoint> membersChangedAt_;
+    /** Endpoints that left lately; a restored store may list them again. */
+    std::map<EndpointId, Departed> departed_;
     /** Announcements and proofs so far; orders them as they reached this process. */
     std::uint64_t evidence_ = 0;
 };
--- a/include/almondlever/groups/EndpointEntry.h
+++ b/include/almondlever/groups/EndpointEntry.h
@@ -26,6 +26,8 @@
     bool saysPrimary = false;
     /** Unix time of its start; another value under the same id means that it lost what it held. */
     Milliseconds startedAt { 0 };
+    /** Counts what the endpoint wrote since its start; orders two entries of one life. */
+    std::uint64_t sequence = 0;
     /** Revision of the store at which the entry was written. */
     std::uint64_t revision = 0;
 };
--- a/include/almondlever/store/MetadataStore.h
+++ b/include/almondlever/store/MetadataStore.h
@@ -14,7 +14,7 @@
 struct StoreItem {
     std::string key;
     std::string value;
-    /** Store-wide number of the last change of the key. */
+    /** Store-wide number of the last change of the key, with the era of the store above it (storeEra). */
     std::uint64_t revision = 0;
     /** The lease with which the key ends; 0 when it stays. */
     std::uint64_t lease = 0;
@@ -72,13 +72,18 @@
     std::vector<std::string> deletes;
 };
 
-/** A right to keep keys in the store; ends unless it is renewed. */
+/** A right to keep keys in the store; ends unless it is renewed, and with the era of the store. */
 struct StoreLease {
     std::uint64_t id = 0;
     Milliseconds duration { 0 };
 };
 
-/** The platform's store. Callbacks come exactly once, on the same thread, never from inside the call. */
+/**
+ * The platform's store. Callbacks come exactly once, on the same thread, never from inside the call.
+ *
+ * Revisions and leases contain the era of the store (storeEra). After a restore of the store, what an earlier era gave
+ * out is refused: a watch with HistoryGone, an expected revision with Conflict, a lease with LeaseGone.
+ */
 class MetadataStore {
 public:
     virtual ~MetadataStore() = default;
--- a/include/almondlever/store/PromotionClaim.h
+++ b/include/almondlever/store/PromotionClaim.h
@@ -29,7 +29,8 @@
  * The exclusive right of one daemon to change the primary of a group for a while.
  *
  * The claim is a key with a lease that is created only while it does not exist, so two daemons never hold it together
- * while the lease lives. The revision of its creation is the fencing token: it rises with every claim.
+ * while the lease lives. The revision of its creation is the fencing token: it rises with every claim, over restores of
+ * the store as well. A restore ends the claim, since the store may give it to another daemon at once.
  */
 class PromotionClaim {
 public:
@@ -53,6 +54,8 @@
     /** False once the claim may have ended. */
     bool isHeld(TimePoint now) const;
     std::uint64_t fence() const { return fence_; }
+    /** The store answers from this era on; a claim of an earlier one is not held any more. */
+    void noteEra(std::uint64_t era);
 
 private:
     void onLease(const StoreResult<StoreLease>&);
@@ -75,6 +78,8 @@
     TimePoint renewedAt_;
     TimePoint askedAt_;
     bool isReleased_ = false;
+    /** The claim was made in an earlier era of the store. */
+    bool isOutdated_ = false;
 };
 
 } // namespace almondlever
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -167,6 +167,7 @@
 {
     if (network_ || !makeNetwork_)
         return;
+    clusterKey_ = key;
     network_ = makeNetwork_(key);
     network_->onMessage(
         [this](const PeerIdentity& from, Message message) { onPeerMessage(from.id, std::move(message)); });
@@ -251,16 +252,20 @@
 {
     if (stop_.isStopping())
         return;
-    const auto retry = [this, alive = std::weak_ptr<int>(alive_)](const StoreFailure& failure) {
+    const std::uint64_t registration = ++registration_;
+    const auto isOutdated = [this, registration, alive = std::weak_ptr<int>(alive_)] {
+        return alive.expired() || registration != registration_;
+    };
+    const auto retry = [this, isOutdated](const StoreFailure& failure) {
         logWarning("member_not_registered", { { "failure", toText(failure.kind) }, { "detail", failure.detail } });
-        timers_.callAfter(registrationRetry, [this, alive](TimePoint) {
-            if (!alive.expired())
+        timers_.callAfter(registrationRetry, [this, isOutdated](TimePoint) {
+            if (!isOutdated())
                 registerMember();
         });
     };
-    store_.grantLease(settings_.memberLease,
-        [this, retry, alive = std::weak_ptr<int>(alive_)](const StoreResult<StoreLease>& granted) {
-            if (alive.expired())
+    store_.grantLease(
+        settings_.memberLease, [this, retry, isOutdated, registration](const StoreResult<StoreLease>& granted) {
+            if (isOutdated())
                 return;
             if (!granted)
                 return retry(granted.error());
@@ -268,31 +273,38 @@
             StoreTransaction transaction;
             transaction.puts.push_back(
                 { storeKeys::members + settings_.vm.text(), FleetMembers::encode(self()), lease });
-            store_.transact(transaction, [this, retry, lease, alive](const StoreResult<std::uint64_t>& written) {
-                if (alive.expired())
-                    return;
-                if (!written)
-                    return retry(written.error());
-                memberLease_ = lease;
-                renewMember(lease);
-            });
+            store_.transact(
+                transaction, [this, retry, isOutdated, lease, registration](const StoreResult<std::uint64_t>& written) {
+                    if (isOutdated())
+                        return;
+                    if (!written)
+                        return retry(written.error());
+                    memberLease_ = lease;
+                    // The stop began while the entry was being written, which shows this daemon as staying.
+                    if (stop_.isStopping())
+                        return announceLeaving();
+                    renewMember(lease, registration);
+                });
         });
 }
 
-void FrontDaemon::renewMember(std::uint64_t lease)
+void FrontDaemon::renewMember(std::uint64_t lease, std::uint64_t registration)
 {
-    timers_.callAfter(settings_.memberRenewal, [this, lease, alive = std::weak_ptr<int>(alive_)](TimePoint) {
-        if (alive.expired() || stop_.isStopping())
+    const auto isOutdated = [this, registration, alive = std::weak_ptr<int>(alive_)] {
+        return alive.expired() || registration != registration_ || stop_.isStopping();
+    };
+    timers_.callAfter(settings_.memberRenewal, [this, lease, registration, isOutdated](TimePoint) {
+        if (isOutdated())
             return;
-        store_.renewLease(lease, [this, lease, alive](const StoreResult<Done>& renewed) {
-            if (alive.expired())
+        store_.renewLease(lease, [this, lease, registration, isOutdated](const StoreResult<Done>& renewed) {
+            if (isOutdated())
                 return;
             if (!renewed && renewed.error().kind == StoreFailure::Kind::LeaseGone)
                 return registerMember();
             if (!renewed)
                 logWarning("member_not_renewed",
                     { { "failure", toText(renewed.error().kind) }, { "detail", renewed.error().detail } });
-            renewMember(lease);
+            renewMember(lease, registration);
         });
     });
 }
--- a/src/front/FrontDaemonStore.cpp
+++ b/src/front/FrontDaemonStore.cpp
@@ -1,3 +1,4 @@
+#include "almondlever/common/StoreEra.h"
 #include "almondlever/front/FrontDaemon.h"
 
 #include <random>
@@ -7,6 +8,8 @@
 namespace {
 
     constexpr std::size_t clusterKeyWords = 4;
+    /** Moments over which the daemons spread their registration after a restore of the store. */
+    constexpr std::uint64_t spreadSteps = 100;
 
     std::string newClusterKey()
     {
@@ -26,8 +29,10 @@
 void FrontDaemon::onStoreSnapshot(
     const std::string& prefix, const std::vector<StoreItem>& items, std::uint64_t revision, TimePoint now)
 {
-    relay_.cacheOf(prefix).takeSnapshot(items, revision);
-    if (prefix == decoder_.configurationPrefix()) {
+    takeStoreEra(revision, now);
+    const bool isConfiguration = prefix == decoder_.configurationPrefix();
+    relay_.cacheOf(prefix).takeSnapshot(isConfiguration ? withConfigurationInForce(items) : items, revision);
+    if (isConfiguration) {
         for (const StoreItem& item : items)
             takeConfiguration(item, now);
     } else if (prefix == decoder_.endpointPrefix()) {
@@ -40,6 +45,7 @@
 void FrontDaemon::onStoreChanges(
     const std::string& prefix, const std::vector<StoreItem>& items, std::uint64_t revision, TimePoint now)
 {
+    takeStoreEra(revision, now);
     if (prefix == decoder_.endpointPrefix()) {
         // Peers need no heartbeats.
         relay_.cacheOf(prefix).takeChanges(takeEndpoints(items, false, now), revision);
@@ -54,6 +60,46 @@
     }
 }
 
+void FrontDaemon::takeStoreEra(std::uint64_t revision, TimePoint now)
+{
+    const std::uint64_t era = storeEra::eraOf(revision);
+    if (storeEra_ && era <= *storeEra_)
+        return;
+    const std::optional<std::uint64_t> former = storeEra_;
+    storeEra_ = era;
+    if (!former)
+        return;
+    logWarning("store_restored",
+        { { "era", std::to_string(era) }, { "former", std::to_string(*former) },
+            { "revision", std::to_string(storeEra::numberOf(revision)) } });
+    metrics_.count("almondlever_store_restores_total", "");
+    promotions_.onStoreEra(era, now);
+    // The entry of this daemon may be gone, and its lease is.
+    const Duration delay = settings_.reregistrationSpread * static_cast<int>(settings_.randomSeed % spreadSteps)
+        / static_cast<int>(spreadSteps);
+    timers_.callAfter(delay, [this, alive = std::weak_ptr<int>(alive_)](TimePoint) {
+        if (!alive.expired())
+            registerMember();
+    });
+}
+
+std::vector<StoreItem> FrontDaemon::withConfigurationInForce(const std::vector<StoreItem>& items) const
+{
+    const auto isOlder = [this](const StoreItem& item) {
+        const bool isSame = routing_ && item.key == configurationItem_.key;
+        if (!isSame || storeEra::eraOf(item.revision) == storeEra::eraOf(configurationItem_.revision))
+            return false;
+        const Result<RoutingConfiguration, std::string> decoded = decoder_.decodeConfiguration(item);
+        return !decoded || decoded.value().version < routing_->version;
+    };
+    std::vector<StoreItem> passed = items;
+    for (StoreItem& item : passed) {
+        if (isOlder(item))
+            item.value = configurationItem_.value;
+    }
+    return passed;
+}
+
 void FrontDaemon::onStoreReturned(const std::string& prefix, TimePoint now)
 {
     logInfo("store_returned", { { "prefix", prefix } });
@@ -85,6 +131,7 @@
             { "revision", std::to_string(item.revision) }, { "routes", std::to_string(configuration.routes.size()) },
             { "groups", std::to_string(configuration.groups.size()) } });
     routing_ = std::make_shared<const RoutingConfiguration>(configuration);
+    configurationItem_ = item;
     applyConfiguration(now);
 }
 
@@ -181,7 +228,10 @@
     if (isSnapshot && !hasMembers_)
         relay_.setMembers(members_.view());
     if (isSnapshot && !hasClusterKey && !network_ && (relay_.isWatcher() || hasMembers_))
-        makeClusterKey();
+        writeClusterKey(newClusterKey());
+    // A restored store may lack the key, and daemons that start would make another one.
+    if (isSnapshot && !hasClusterKey && network_ && relay_.isWatcher())
+        writeClusterKey(clusterKey_);
     if (isSnapshot && !hasMembers_) {
         hasMembers_ = true;
         return startFollowers(now);
@@ -189,11 +239,11 @@
     updateOwners(now);
 }
 
-void FrontDaemon::makeClusterKey()
+void FrontDaemon::writeClusterKey(const std::string& key)
 {
     StoreTransaction transaction;
     transaction.expected.push_back({ storeKeys::clusterKey, 0 });
-    transaction.puts.push_back({ storeKeys::clusterKey, newClusterKey(), 0 });
+    transaction.puts.push_back({ storeKeys::clusterKey, key, 0 });
     store_.transact(transaction, [](const StoreResult<std::uint64_t>& result) {
         // The key that is in the store arrives through the watch, whoever wrote it.
         if (!result && result.error().kind != StoreFailure::Kind::Conflict)
--- a/src/front/PromotionDriver.cpp
+++ b/src/front/PromotionDriver.cpp
@@ -71,6 +71,20 @@
 
 void PromotionDriver::onChangeRecord(const GroupId& group, bool isOpen, TimePoint) { watches_[group].isOpen = isOpen; }
 
+void PromotionDriver::onStoreEra(std::uint64_t era, TimePoint now)
+{
+    for (auto& [group, watch] : watches_) {
+        watch.isClaimed = false;
+        watch.notBefore = std::max(watch.notBefore, now + settleTime);
+    }
+    // Groups without news of a claim so far are not known yet.
+    for (const auto& [group, rule] : groups_)
+        watches_[group].notBefore = std::max(watches_[group].notBefore, now + settleTime);
+    // onTick() gives up the changes whose claims have ended.
+    for (auto& [group, change] : changes_)
+        change->claim.noteEra(era);
+}
+
 std::optional<PromotionReason> PromotionDriver::reasonFor(const GroupId& group, const Watch& watch, TimePoint now) const
 {
     // An unfinished change comes first: its call may still be carried out.
--- a/src/groups/EndpointDirectory.cpp
+++ b/src/groups/EndpointDirectory.cpp
@@ -1,5 +1,7 @@
 #include "almondlever/groups/EndpointDirectory.h"
 
+#include "almondlever/common/StoreEra.h"
+
 #include <algorithm>
 
 namespace almondlever {
@@ -17,11 +19,31 @@
     }
 }
 
+bool EndpointDirectory::isFromCopy(const EndpointEntry& entry, const EndpointEntry& known)
+{
+    if (storeEra::eraOf(entry.revision) <= storeEra::eraOf(known.revision))
+        return false;
+    if (entry.startedAt != known.startedAt)
+        return entry.startedAt < known.startedAt;
+    return entry.sequence < known.sequence;
+}
+
 void EndpointDirectory::update(const EndpointEntry& entry, TimePoint now)
 {
     const auto known = endpoints_.find(entry.id);
     if (known != endpoints_.end() && entry.revision < known->second.entry.revision)
         return;
+    // What the endpoint has written since the copy comes within seconds.
+    if (known != endpoints_.end() && isFromCopy(entry, known->second.entry))
+        return;
+    const auto departed = departed_.find(entry.id);
+    const bool hasNotReturned = departed != departed_.end()
+        && storeEra::eraOf(entry.revision) > storeEra::eraOf(departed->second.entry.revision)
+        && entry.startedAt <= departed->second.entry.startedAt && entry.sequence <= departed->second.entry.sequence;
+    if (hasNotReturned)
+        return;
+    if (departed != departed_.end())
+        departed_.erase(departed);
     if (known != endpoints_.end() && known->second.entry.group != entry.group)
         removeMember(known->second.entry.group, entry.id);
     std::set<EndpointId>& members = membersOf_[entry.group];
@@ -71,12 +93,15 @@
 std::vector<EndpointId> EndpointDirectory::removeLapsed(TimePoint now)
 {
     std::vector<EndpointId> removed;
+    for (auto it = departed_.begin(); it != departed_.end();)
+        it = now - it->second.since >= departedMemory ? departed_.erase(it) : std::next(it);
     for (auto it = endpoints_.begin(); it != endpoints_.end();) {
         if (!it->second.lapsedAt || now - *it->second.lapsedAt < lapseGrace) {
             ++it;
             continue;
         }
         removed.push_back(it->first);
+        departed_[it->first] = { it->second.entry, now };
         membersChangedAt_[it->second.entry.group] = now;
         removeMember(it->second.entry.group, it->first);
         it = endpoints_.erase(it);
--- a/src/store/PrefixFollower.cpp
+++ b/src/store/PrefixFollower.cpp
@@ -1,5 +1,7 @@
 #include "almondlever/store/PrefixFollower.h"
 
+#include "almondlever/common/StoreEra.h"
+
 #include <algorithm>
 
 namespace almondlever {
@@ -97,6 +99,8 @@
                 return callback(false);
             StorePage& page = result.value();
             const std::uint64_t revision = firstRevision == 0 ? page.asOf : firstRevision;
+            if (storeEra::eraOf(revision) != storeEra::eraOf(page.asOf))
+                return callback(false);
             std::move(page.items.begin(), page.items.end(), std::back_inserter(*collected));
             if (page.isTruncated && !collected->empty())
                 return refreshPage(collected, revision, callback);
@@ -115,6 +119,9 @@
     // Pages are not one snapshot; changes after the first page are heard from the watch.
     if (!firstPageRevision_)
         firstPageRevision_ = page.asOf;
+    // Keys of the pages before a restore may be gone.
+    if (storeEra::eraOf(*firstPageRevision_) != storeEra::eraOf(page.asOf))
+        return readAll();
     std::move(page.items.begin(), page.items.end(), std::back_inserter(collected_));
     if (page.isTruncated && !collected_.empty())
         return readPage(collected_.back().key);
--- a/src/store/PromotionClaim.cpp
+++ b/src/store/PromotionClaim.cpp
@@ -1,5 +1,6 @@
 #include "almondlever/store/PromotionClaim.h"
 
+#include "almondlever/common/StoreEra.h"
 #include "almondlever/observability/DecisionLog.h"
 
 namespace almondlever {
@@ -14,7 +15,17 @@
 
 PromotionClaim::~PromotionClaim() = default;
 
-bool PromotionClaim::isHeld(TimePoint now) const { return fence_ != 0 && !isReleased_ && now - renewedAt_ < safeUse; }
+bool PromotionClaim::isHeld(TimePoint now) const
+{
+    return fence_ != 0 && !isReleased_ && !isOutdated_ && now - renewedAt_ < safeUse;
+}
+
+void PromotionClaim::noteEra(std::uint64_t era)
+{
+    // The lease is older than the fence; one of an earlier era may have ended while the claim was being made.
+    if (lease_ != 0 && storeEra::eraOf(lease_) < era)
+        isOutdated_ = true;
+}
 
 void PromotionClaim::acquire(std::uint64_t attempt, ClaimCallback callback)
 {
@@ -63,7 +74,8 @@
         if (!result)
             return finish(result.error());
         for (const StoreItem& item : result.value().items) {
-            if (item.key != claimKey() || item.value != value_)
+            const bool isOfLease = storeEra::eraOf(item.revision) == storeEra::eraOf(lease_);
+            if (item.key != claimKey() || item.value != value_ || !isOfLease)
                 continue;
             scheduleRenewal();
             return finish(item.revision);
@@ -92,7 +104,9 @@
                 return;
             if (result)
                 renewedAt_ = sentAt;
-            else
+            else if (result.error().kind == StoreFailure::Kind::LeaseGone)
+                isOutdated_ = true;
+            if (!result)
                 logWarning("promotion_claim_not_renewed",
                     { { "group", group_.text() }, { "fence", std::to_string(fence_) },
                         { "failure", toText(result.error().kind) }, { "detail", result.error().detail } });
--- a/tests/front/TestFrontDaemon.cpp
+++ b/tests/front/TestFrontDaemon.cpp
@@ -220,3 +220,68 @@
     cr_assert(isAnswered);
     cr_assert(isStopped);
 }
+
+// Pattern: a fleet's store is restored from a copy that lacks its members and its key. Guards against daemons that look
+// as if they had left, against a second key of the fleet, and against a configuration that goes back.
+Test(FrontDaemon, writesAgainWhatARestoredStoreLacks)
+{
+    Fixture fixture;
+    fixture.store.takeCopy();
+    fixture.store.put(storeKeys::clusterKey, "key");
+    const auto daemon = fixture.makeDaemon(1);
+    daemon->start();
+    fixture.timers.advance(Milliseconds(1500));
+    cr_assert(fixture.store.has(storeKeys::members + "vm-1"));
+    const auto configuration = daemon->routing();
+    fixture.store.restoreCopy();
+    cr_assert_not(fixture.store.has(storeKeys::members + "vm-1"));
+    fixture.timers.advance(Milliseconds(2500));
+    cr_assert(fixture.store.has(storeKeys::members + "vm-1"));
+    cr_assert_eq(fixture.store.valueOf(storeKeys::clusterKey), "key");
+    cr_assert(daemon->isReady());
+    cr_assert_eq(daemon->routing()->version, configuration->version);
+    // A second restore during the registration that follows the first one.
+    fixture.store.restoreCopy();
+    fixture.timers.advance(Milliseconds(100));
+    fixture.store.restoreCopy();
+    fixture.timers.advance(Milliseconds(2500));
+    cr_assert(fixture.store.has(storeKeys::members + "vm-1"));
+    fixture.timers.advance(Milliseconds(30000));
+    cr_assert(fixture.store.has(storeKeys::members + "vm-1"), "the new lease is renewed");
+}
+
+// Pattern: a store of a fleet of 40 daemons is restored. Guards against a storm of calls at its return.
+Test(FrontDaemon, restoreCostsFewCalls)
+{
+    Fixture fixture;
+    std::vector<std::unique_ptr<FrontDaemon>> daemons;
+    for (int number = 1; number <= 40; ++number)
+        daemons.push_back(fixture.makeDaemon(number));
+    fixture.store.takeCopy();
+    fixture.store.put(storeKeys::clusterKey, "key");
+    for (const auto& daemon : daemons)
+        daemon->start();
+    fixture.timers.advance(Milliseconds(3000));
+    fixture.store.restoreCopy();
+    const std::size_t before = fixture.store.calls;
+    fixture.timers.advance(Milliseconds(2000));
+    for (int number = 1; number <= 40; ++number)
+        cr_assert(fixture.store.has(storeKeys::members + "vm-" + std::to_string(number)));
+    // For each: a lease and a key, three prefixes read, and calls that wait for the changes.
+    cr_assert_leq(fixture.store.calls - before, 40U * 14U);
+}
+
+// Guards against a daemon that gets the order to stop while its entry is being written: the entry would show it as
+// staying.
+Test(FrontDaemon, stopDuringTheRegistrationIsAnnounced)
+{
+    Fixture fixture;
+    const auto daemon = fixture.makeDaemon(1);
+    daemon->start();
+    fixture.timers.advance(Milliseconds(6));
+    cr_assert_not(fixture.store.has(storeKeys::members + "vm-1"));
+    daemon->beginStop([] {});
+    fixture.timers.advance(Milliseconds(100));
+    const std::string entry = fixture.store.valueOf(storeKeys::members + "vm-1");
+    cr_assert(entry.empty() || entry.find("leaving") != std::string::npos, "%s", entry.c_str());
+}
--- a/tests/front/TestPromotionDriver.cpp
+++ b/tests/front/TestPromotionDriver.cpp
@@ -1,3 +1,4 @@
+#include "almondlever/common/StoreEra.h"
 #include "almondlever/front/PromotionDriver.h"
 #include "mocks/DispatcherFixture.h"
 #include "mocks/FakeMetadataStore.h"
@@ -392,3 +393,32 @@
     cr_assert(fixture.promotions.promoted.empty());
     cr_assert_eq(fixture.endpoints.server(fixture.b).pausedIn * fixture.endpoints.server(fixture.c).pausedIn, 0U);
 }
+
+// Pattern: the store is restored while a primary is being replaced. Guards against two holders of one claim, against a
+// fencing token that was used before, and against a change that begins before calls of the former era have taken
+// effect.
+Test(PromotionDriver, restoreOfTheStoreEndsTheClaim)
+{
+    Fixture fixture;
+    fixture.store.takeCopy();
+    fixture.endpoints.server(fixture.b).position = { 1, 104 };
+    fixture.endpoints.server(fixture.c).position = { 1, 106 };
+    fixture.endpoints.server(fixture.c).isSilent = true;
+    fixture.endpoints.crash(fixture.a);
+    while (!fixture.store.has(storeKeys::claims + "ledger"))
+        fixture.run(Milliseconds(25));
+    fixture.run(Milliseconds(50));
+    cr_assert(fixture.promotions.promoted.empty(), "it waits for the log of the silent replica");
+    fixture.store.restoreCopy();
+    cr_assert(!fixture.store.has(storeKeys::claims + "ledger"));
+    const TimePoint restoredAt = fixture.timers.now();
+    fixture.driver.onStoreEra(1, restoredAt);
+    fixture.endpoints.server(fixture.c).isSilent = false;
+    fixture.run(Milliseconds(1400));
+    cr_assert(fixture.promotions.promoted.empty(), "calls of another daemon may still take effect");
+    fixture.run(Milliseconds(6000));
+    cr_assert_geq(fixture.promotions.promoted.size(), 1U);
+    cr_assert(fixture.promotions.promoted.back() == fixture.c);
+    for (const std::uint64_t fence : fixture.promotions.fences)
+        cr_assert_eq(storeEra::eraOf(fence), 1U);
+}
--- a/tests/front/TestStoreRelay.cpp
+++ b/tests/front/TestStoreRelay.cpp
@@ -314,3 +314,31 @@
     for (const auto* daemon : fleet.others())
         cr_assert_eq(daemon->configuration, "2");
 }
+
+// Pattern: the store of a fleet is restored from a copy, and its watchers learn it first. Guards against daemons that
+// hold what is gone because its revision is greater than the numbers of the new era, and against each of them calling
+// the store.
+Test(StoreRelay, restoreReachesAllThroughTheWatchers)
+{
+    Fleet fleet;
+    for (auto& [id, daemon] : fleet.daemons)
+        daemon->store.takeCopy();
+    fleet.put("lost");
+    fleet.run(Milliseconds(1500));
+    for (auto& [id, daemon] : fleet.daemons)
+        cr_assert_eq(daemon->configuration, "lost");
+    std::map<VmId, std::size_t> callsBefore;
+    for (Fleet::Daemon* daemon : fleet.others())
+        callsBefore[daemon->id] = daemon->store.calls;
+    for (auto& [id, daemon] : fleet.daemons)
+        daemon->store.restoreCopy();
+    fleet.run(Milliseconds(1500));
+    for (auto& [id, daemon] : fleet.daemons)
+        cr_assert_eq(daemon->configuration, "1", "%s", id.text().c_str());
+    for (Fleet::Daemon* daemon : fleet.others())
+        cr_assert_eq(daemon->store.calls, callsBefore[daemon->id]);
+    fleet.put("2");
+    fleet.run(Milliseconds(1500));
+    for (auto& [id, daemon] : fleet.daemons)
+        cr_assert_eq(daemon->configuration, "2");
+}
--- a/tests/groups/TestEndpointDirectory.cpp
+++ b/tests/groups/TestEndpointDirectory.cpp
@@ -1,3 +1,4 @@
+#include "almondlever/common/StoreEra.h"
 #include "almondlever/groups/EndpointDirectory.h"
 
 #include <criterion/criterion.h>
@@ -174,3 +175,51 @@
     directory.lapse(a, 10, start);
     cr_assert(directory.isLapsing(a));
 }
+
+// Pattern: the store is restored from a copy that is seconds old, and lists an endpoint as it was before a change of
+// the primary. Guards against work for the former primary, and against an endpoint that stops and gets work again.
+Test(EndpointDirectory, entryOfACopyIsNoNews)
+{
+    EndpointDirectory directory;
+    EndpointEntry former = makeEntry(a, true, storeEra::combine(1, 10));
+    former.sequence = 5;
+    EndpointEntry next = makeEntry(b, false, storeEra::combine(1, 11));
+    next.sequence = 5;
+    directory.replaceAll({ former, next }, start);
+    EndpointEntry superseded = makeEntry(a, false, storeEra::combine(1, 20));
+    superseded.sequence = 7;
+    superseded.isLeaving = true;
+    directory.update(superseded, start);
+    EndpointEntry promoted = makeEntry(b, true, storeEra::combine(1, 21));
+    promoted.sequence = 7;
+    directory.update(promoted, start);
+    cr_assert(leads(directory, b));
+    former.revision = storeEra::combine(2, 10);
+    next.revision = storeEra::combine(2, 11);
+    directory.replaceAll({ former, next }, start);
+    cr_assert(leads(directory, b));
+    cr_assert(directory.leavingSince(a));
+    cr_assert(!directory.isLapsing(a) && !directory.isLapsing(b));
+    EndpointEntry anew = makeEntry(b, false, storeEra::combine(2, 12));
+    anew.sequence = 8;
+    directory.update(anew, start);
+    cr_assert(!leads(directory, b), "what the endpoint writes after the restore counts");
+}
+
+// Guards against an endpoint that left and that a restored store lists again, and against forgetting it for ever.
+Test(EndpointDirectory, departedEndpointDoesNotReturnFromACopy)
+{
+    EndpointDirectory directory;
+    EndpointEntry entry = makeEntry(a, true, storeEra::combine(1, 10));
+    entry.sequence = 5;
+    directory.update(entry, start);
+    directory.lapse(a, storeEra::combine(1, 11), start);
+    cr_assert_eq(directory.removeLapsed(start + Milliseconds(2000)).size(), 1U);
+    entry.revision = storeEra::combine(2, 10);
+    directory.replaceAll({ entry }, start + Milliseconds(2100));
+    cr_assert(!directory.find(a));
+    entry.revision = storeEra::combine(2, 12);
+    entry.sequence = 6;
+    directory.update(entry, start + Milliseconds(2200));
+    cr_assert(directory.find(a), "it lives, since it has written again");
+}
--- a/tests/mocks/FakeMetadataStore.h
+++ b/tests/mocks/FakeMetadataStore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "FakeTimerService.h"
+#include "almondlever/common/StoreEra.h"
 #include "almondlever/store/MetadataStore.h"
 
 #include <map>
@@ -70,6 +71,25 @@
             watch.callback(StoreFailure { StoreFailure::Kind::NoAnswer, "connection lost" });
     }
 
+    /** Remembers what the store holds now, for restoreCopy(). */
+    void takeCopy() { copy_ = { items_, revision_, lastLease_ }; }
+    /** Comes back from the copy in a new era: later writes and all leases are gone, numbers are given out again. */
+    void restoreCopy()
+    {
+        items_.clear();
+        for (const auto& [key, item] : copy_.items) {
+            if (item.lease == 0)
+                items_[key] = item;
+        }
+        leases_.clear();
+        revision_ = copy_.revision;
+        lastLease_ = copy_.lastLease;
+        ++era_;
+        dropHistory();
+        cutWatches();
+    }
+    std::uint64_t era() const { return era_; }
+
     void readRange(const std::string& prefix, const std::string& afterKey,
         std::function<void(StoreResult<StorePage>)> callback) override
     {
@@ -79,7 +99,7 @@
                 if (isDown)
                     return callback(unavailable());
                 StorePage page;
-                page.asOf = revision_;
+                page.asOf = storeEra::combine(era_, revision_);
                 for (const auto& [key, item] : items_) {
                     if (key.rfind(prefix, 0) != 0 || key <= afterKey)
                         continue;
@@ -87,7 +107,7 @@
                         page.isTruncated = true;
                         break;
                     }
-                    page.items.push_back(item);
+                    page.items.push_back(stamped(item));
                 }
                 callback(page);
             },
@@ -100,10 +120,11 @@
         later([this, prefix, afterRevision, wait, callback] {
             if (isDown)
                 return callback(unavailable());
-            if (afterRevision < oldest_)
+            const bool isOfEra = storeEra::eraOf(afterRevision) == era_;
+            if (!isOfEra || storeEra::numberOf(afterRevision) < oldest_)
                 return callback(StoreFailure { StoreFailure::Kind::HistoryGone, "status 410" });
             const std::size_t number = ++lastWatch_;
-            watches_[number] = { prefix, afterRevision, callback };
+            watches_[number] = { prefix, storeEra::numberOf(afterRevision), callback };
             timers_.callAfter(wait, [this, number](TimePoint) {
                 const auto found = watches_.find(number);
                 if (found == watches_.end())
@@ -111,7 +132,7 @@
                 const auto expired = std::move(found->second.callback);
                 watches_.erase(found);
                 StorePage page;
-                page.asOf = revision_;
+                page.asOf = storeEra::combine(era_, revision_);
                 expired(page);
             });
             answerWatches();
@@ -126,24 +147,25 @@
                 return callback(unavailable());
             for (const auto& expected : transaction.expected) {
                 const auto found = items_.find(expected.key);
-                const std::uint64_t current = found == items_.end() ? 0 : found->second.revision;
+                const std::uint64_t current
+                    = found == items_.end() ? 0 : storeEra::combine(era_, found->second.revision);
                 if (current != expected.revision)
                     return callback(StoreFailure { StoreFailure::Kind::Conflict, "status 412" });
             }
             for (const auto& put : transaction.puts) {
-                if (put.lease != 0 && leases_.count(put.lease) == 0)
+                if (put.lease != 0 && !hasLease(put.lease))
                     return callback(StoreFailure { StoreFailure::Kind::LeaseGone, "status 404" });
             }
             const std::uint64_t revision = revision_ + 1;
             for (const auto& change : transaction.puts) {
                 revision_ = revision - 1;
-                put(change.key, change.value, change.lease);
+                put(change.key, change.value, storeEra::numberOf(change.lease));
             }
             for (const auto& key : transaction.deletes)
                 erase(key);
             if (losesAnswers)
                 return callback(StoreFailure { StoreFailure::Kind::NoAnswer, "timed out" });
-            callback(revision);
+            callback(storeEra::combine(era_, revision));
         });
     }
 
@@ -155,7 +177,7 @@
             const std::uint64_t lease = ++lastLease_;
             leases_[lease] = { duration, timers_.now() + duration };
             expireLater(lease);
-            callback(StoreLease { lease, duration });
+            callback(StoreLease { storeEra::combine(era_, lease), duration });
         });
     }
 
@@ -164,11 +186,11 @@
         later([this, lease, callback] {
             if (isDown)
                 return callback(unavailable());
-            const auto found = leases_.find(lease);
-            if (found == leases_.end())
+            if (!hasLease(lease))
                 return callback(StoreFailure { StoreFailure::Kind::LeaseGone, "status 404" });
-            found->second.endsAt = timers_.now() + found->second.duration;
-            expireLater(lease);
+            const std::uint64_t number = storeEra::numberOf(lease);
+            leases_[number].endsAt = timers_.now() + leases_[number].duration;
+            expireLater(number);
             callback(Done {});
         });
     }
@@ -184,6 +206,22 @@
         TimePoint endsAt;
     };
 
+    struct Copy {
+        std::map<std::string, StoreItem> items;
+        std::uint64_t revision = 0;
+        std::uint64_t lastLease = 0;
+    };
+
+    StoreItem stamped(StoreItem item) const
+    {
+        item.revision = storeEra::combine(era_, item.revision);
+        return item;
+    }
+    bool hasLease(std::uint64_t lease) const
+    {
+        return storeEra::eraOf(lease) == era_ && leases_.count(storeEra::numberOf(lease)) > 0;
+    }
+
     static StoreFailure unavailable() { return { StoreFailure::Kind::Unavailable, "status 503" }; }
 
     template <typename Step> void later(Step step, Milliseconds extra = Milliseconds(0))
@@ -214,10 +252,10 @@
         const auto watches = watches_;
         for (const auto& [number, watch] : watches) {
             StorePage page;
-            page.asOf = revision_;
+            page.asOf = storeEra::combine(era_, revision_);
             for (const StoreItem& item : history_) {
                 if (item.revision > watch.after && item.key.rfind(watch.prefix, 0) == 0)
-                    page.items.push_back(item);
+                    page.items.push_back(stamped(item));
             }
             if (page.items.empty())
                 continue;
@@ -235,6 +273,8 @@
     std::uint64_t oldest_ = 0;
     std::uint64_t lastLease_ = 0;
     std::size_t lastWatch_ = 0;
+    std::uint64_t era_ = 0;
+    Copy copy_;
 };
 
 } // namespace almondlever
--- a/tests/store/TestPrefixFollower.cpp
+++ b/tests/store/TestPrefixFollower.cpp
@@ -230,3 +230,46 @@
     fixture.timers.advance(Milliseconds(50));
     cr_assert(!isFresh);
 }
+
+// Guards against old keys after the store came back from a copy whose numbers are given out again: a change under a
+// number that was seen before the restore would be missed.
+Test(PrefixFollower, readsAllAfterARestore)
+{
+    Fixture fixture;
+    fixture.store.put("op/0", "a");
+    fixture.follower.start();
+    fixture.timers.advance(Milliseconds(200));
+    fixture.store.takeCopy();
+    fixture.store.put("op/0", "b");
+    fixture.store.put("op/1", "lost");
+    fixture.timers.advance(Milliseconds(300));
+    cr_assert_eq(fixture.recorder.keys.size(), 2U);
+    const std::uint64_t before = fixture.follower.revision();
+    fixture.store.restoreCopy();
+    fixture.store.put("op/2", "written under a number that was used before");
+    fixture.timers.advance(Milliseconds(600));
+    cr_assert_eq(fixture.recorder.keys.count("op/1"), 0U);
+    cr_assert_eq(fixture.recorder.keys.count("op/2"), 1U);
+    cr_assert_eq(fixture.recorder.keys["op/0"], "a");
+    cr_assert_gt(fixture.follower.revision(), before);
+    fixture.store.put("op/0", "c");
+    fixture.timers.advance(Milliseconds(300));
+    cr_assert_eq(fixture.recorder.keys["op/0"], "c");
+}
+
+// Guards against a list that is put together from pages of before and after a restore.
+Test(PrefixFollower, pagesOfTwoErasAreNotMixed)
+{
+    Fixture fixture;
+    fixture.store.pageSize = 2;
+    for (int i = 0; i < 3; ++i)
+        fixture.store.put("op/" + std::to_string(i), "a");
+    fixture.store.takeCopy();
+    fixture.store.put("op/00", "lost");
+    fixture.follower.start();
+    fixture.timers.advance(Milliseconds(5));
+    fixture.store.restoreCopy();
+    fixture.timers.advance(Milliseconds(500));
+    cr_assert_eq(fixture.recorder.keys.size(), 3U);
+    cr_assert_eq(fixture.recorder.keys.count("op/00"), 0U);
+}
