Name leases by number and era, since any number may name one

The platform's leases are large numbers, so that every registration was refused with 404 and each daemon took itself for the only member. No test showed it: the stand-in's leases were small.

--- a/include/almondlever/common/StoreEra.h
+++ b/include/almondlever/common/StoreEra.h
@@ -5,11 +5,11 @@
 namespace almondlever {
 
 /**
- * Numbers of the platform's store that stay ordered when the store comes back from an older copy.
+ * Revisions of the platform's store that stay ordered when the store comes back from an older copy.
  *
- * A store that was restored gives revisions and leases out again, and counts its restores as eras. The adapter puts the
- * era above each number, so that whatever compares revisions, watches after one, or uses one as a fencing token goes on
- * as before: every number of a later era is greater. Numbers have 40 bits, and 13 bits of eras keep a fencing token
+ * A store that was restored gives revisions out again, and counts its restores as eras. The adapter puts the era above
+ * each revision, so that whatever compares revisions, watches after one, or uses one as a fencing token goes on as
+ * before: every revision of a later era is greater. Revisions have 40 bits, and 13 bits of eras keep a fencing token
  * exact in JSON.
  */
 namespace storeEra {
--- a/include/almondlever/front/FrontDaemon.h
+++ b/include/almondlever/front/FrontDaemon.h
@@ -131,7 +131,7 @@
         return settings_.isFirstStart ? settings_.firstPatienceForPeers : settings_.patienceForPeers;
     }
     void registerMember();
-    void renewMember(std::uint64_t lease, std::uint64_t registration);
+    void renewMember(const LeaseId& lease, std::uint64_t registration);
     /** Tells the others that this daemon stops, so that they forward nothing more to it. */
     void announceLeaving();
     void tick(TimePoint now);
@@ -167,8 +167,8 @@
     bool hasMembers_ = false;
     std::map<GroupId, std::set<std::string>> ownersTold_;
     FleetMembers members_;
-    /** Lease of this daemon's entry among the members; 0 before it is registered. */
-    std::uint64_t memberLease_ = 0;
+    /** Lease of this daemon's entry among the members; none before it is registered. */
+    LeaseId memberLease_;
     /** Number of the present registration; callbacks of former ones do nothing. */
     std::uint64_t registration_ = 0;
     NetworkFactory makeNetwork_;
--- a/include/almondlever/store/MetadataStore.h
+++ b/include/almondlever/store/MetadataStore.h
@@ -16,7 +16,7 @@
     std::string value;
     /** Store-wide number of the last change of the key, with the era of the store above it (storeEra). */
     std::uint64_t revision = 0;
-    /** The lease with which the key ends; 0 when it stays. */
+    /** Number of the lease with which the key ends; 0 when it stays. */
     std::uint64_t lease = 0;
     bool isDeleted = false;
 };
@@ -54,6 +54,15 @@
 
 template <typename Value> using StoreResult = Result<Value, StoreFailure>;
 
+/** Names a lease. A restored store gives the numbers of an earlier era out again, to others. */
+struct LeaseId {
+    /** Any number; 0 for no lease. */
+    std::uint64_t number = 0;
+    std::uint64_t era = 0;
+
+    bool isNone() const { return number == 0; }
+};
+
 /** Changes that are made together, or not at all. */
 struct StoreTransaction {
     struct Expectation {
@@ -64,8 +73,8 @@
     struct Put {
         std::string key;
         std::string value;
-        /** 0: the key stays until it is deleted. */
-        std::uint64_t lease = 0;
+        /** None: the key stays until it is deleted. */
+        LeaseId lease {};
     };
     std::vector<Expectation> expected;
     std::vector<Put> puts;
@@ -74,15 +83,15 @@
 
 /** A right to keep keys in the store; ends unless it is renewed, and with the era of the store. */
 struct StoreLease {
-    std::uint64_t id = 0;
+    LeaseId id;
     Milliseconds duration { 0 };
 };
 
 /**
  * The platform's store. Callbacks come exactly once, on the same thread, never from inside the call.
  *
- * Revisions and leases contain the era of the store (storeEra). After a restore of the store, what an earlier era gave
- * out is refused: a watch with HistoryGone, an expected revision with Conflict, a lease with LeaseGone.
+ * Revisions contain the era of the store (storeEra), leases name it. After a restore of the store, what an earlier era
+ * gave out is refused: a watch with HistoryGone, an expected revision with Conflict, a lease with LeaseGone.
  */
 class MetadataStore {
 public:
@@ -99,7 +108,7 @@
     /** Makes the changes when all expectations hold; gives their revision. */
     virtual void transact(const StoreTransaction&, std::function<void(StoreResult<std::uint64_t>)>) = 0;
     virtual void grantLease(Milliseconds duration, std::function<void(StoreResult<StoreLease>)>) = 0;
-    virtual void renewLease(std::uint64_t lease, std::function<void(StoreResult<Done>)>) = 0;
+    virtual void renewLease(const LeaseId&, std::function<void(StoreResult<Done>)>) = 0;
 };
 
 } // namespace almondlever
--- a/include/almondlever/store/PromotionClaim.h
+++ b/include/almondlever/store/PromotionClaim.h
@@ -72,7 +72,7 @@
     std::string value_;
     ClaimCallback callback_;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
-    std::uint64_t lease_ = 0;
+    LeaseId lease_;
     std::uint64_t fence_ = 0;
     /** When the newest successful renewal was sent. */
     TimePoint renewedAt_;
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -269,7 +269,7 @@
                 return;
             if (!granted)
                 return retry(granted.error());
-            const std::uint64_t lease = granted.value().id;
+            const LeaseId lease = granted.value().id;
             StoreTransaction transaction;
             transaction.puts.push_back(
                 { storeKeys::members + settings_.vm.text(), FleetMembers::encode(self()), lease });
@@ -288,7 +288,7 @@
         });
 }
 
-void FrontDaemon::renewMember(std::uint64_t lease, std::uint64_t registration)
+void FrontDaemon::renewMember(const LeaseId& lease, std::uint64_t registration)
 {
     const auto isOutdated = [this, registration, alive = std::weak_ptr<int>(alive_)] {
         return alive.expired() || registration != registration_ || stop_.isStopping();
@@ -371,7 +371,7 @@
     StoreTransaction transaction;
     transaction.puts.push_back(
         { storeKeys::members + settings_.vm.text(), FleetMembers::encode(leaving), memberLease_ });
-    if (memberLease_ == 0)
+    if (memberLease_.isNone())
         return;
     store_.transact(transaction, [](const StoreResult<std::uint64_t>& result) {
         if (!result)
--- a/src/front/FrontDaemonStore.cpp
+++ b/src/front/FrontDaemonStore.cpp
@@ -243,7 +243,7 @@
 {
     StoreTransaction transaction;
     transaction.expected.push_back({ storeKeys::clusterKey, 0 });
-    transaction.puts.push_back({ storeKeys::clusterKey, key, 0 });
+    transaction.puts.push_back({ storeKeys::clusterKey, key, {} });
     store_.transact(transaction, [](const StoreResult<std::uint64_t>& result) {
         // The key that is in the store arrives through the watch, whoever wrote it.
         if (!result && result.error().kind != StoreFailure::Kind::Conflict)
--- a/src/store/PromotionClaim.cpp
+++ b/src/store/PromotionClaim.cpp
@@ -23,7 +23,7 @@
 void PromotionClaim::noteEra(std::uint64_t era)
 {
     // The lease is older than the fence; one of an earlier era may have ended while the claim was being made.
-    if (lease_ != 0 && storeEra::eraOf(lease_) < era)
+    if (!lease_.isNone() && lease_.era < era)
         isOutdated_ = true;
 }
 
@@ -47,7 +47,7 @@
     StoreTransaction transaction;
     transaction.expected.push_back({ claimKey(), 0 });
     transaction.puts.push_back({ claimKey(), value_, lease_ });
-    transaction.puts.push_back({ storeKeys::changes + group_.text(), storeKeys::changeOpen, 0 });
+    transaction.puts.push_back({ storeKeys::changes + group_.text(), storeKeys::changeOpen, {} });
     store_.transact(transaction, [this, alive = std::weak_ptr<int>(alive_)](const StoreResult<std::uint64_t>& claimed) {
         if (!alive.expired())
             onClaimed(claimed);
@@ -74,7 +74,7 @@
         if (!result)
             return finish(result.error());
         for (const StoreItem& item : result.value().items) {
-            const bool isOfLease = storeEra::eraOf(item.revision) == storeEra::eraOf(lease_);
+            const bool isOfLease = storeEra::eraOf(item.revision) == lease_.era;
             if (item.key != claimKey() || item.value != value_ || !isOfLease)
                 continue;
             scheduleRenewal();
@@ -126,7 +126,7 @@
     transaction.expected.push_back({ claimKey(), fence_ });
     transaction.deletes.push_back(claimKey());
     if (isDone)
-        transaction.puts.push_back({ storeKeys::changes + group_.text(), storeKeys::changeDone, 0 });
+        transaction.puts.push_back({ storeKeys::changes + group_.text(), storeKeys::changeDone, {} });
     store_.transact(transaction, [group = group_](const StoreResult<std::uint64_t>& result) {
         // The lease ends the claim; the change stays open and is recovered by the next holder.
         if (!result)
