Let a rank claim its floor once a statement has waited for half of its time

Cause: each rank but the most urgent keeps a tenth of the slot time. A rank that trickles, as the writes of the lowest rank at a primary, is below its floor nearly always, so that its statements went before urgent ones, also in the seconds after a loss of power. Change: RankScheduler takes a floor patience; the dispatcher gives 0.5. The HTTP interface has none, as before. Test of the load: RankScheduler.trickleWaitsForItsFloorBehindUrgentWork, patienceKeepsTheFloorThroughAnUrgentFlood.

--- a/include/almondlever/admission/RankScheduler.h
+++ b/include/almondlever/admission/RankScheduler.h
@@ -11,8 +11,10 @@
 
 /**
  * Gives slots by rank with floors. A free slot goes to the backlogged rank that is furthest below its floor, else to
- * the most urgent backlogged rank. Inside a rank the caller that has had the least slot time comes first, and inside a
- * caller the request that arrived first.
+ * the most urgent backlogged rank. With a floor patience, a rank claims its floor only once a request of it has waited
+ * for that share of its time: a rank that trickles is always below its floor, and would go before the urgent work.
+ * Inside a rank the caller that has had the least slot time comes first, and inside a caller the request that arrived
+ * first.
  *
  * A request that cannot finish inside its deadline is refused on arrival, or set aside by take() once waiting has made
  * it too old. When a rank's queue is full, a request of a caller with fewer queued requests displaces the newest
@@ -25,8 +27,13 @@
  */
 class RankScheduler final : public Scheduler {
 public:
-    /** The ranks in order of urgency and the slots of the endpoint. At least one rank; floors sum to at most 1. */
-    RankScheduler(const std::vector<RankRule>& ranks, std::size_t slots);
+    /**
+     * The ranks in order of urgency and the slots of the endpoint. At least one rank; floors sum to at most 1.
+     *
+     * @param floorPatience share of the time from arrival to deadline that a request waits before its rank claims its
+     *        floor, from 0 to 1
+     */
+    RankScheduler(const std::vector<RankRule>& ranks, std::size_t slots, double floorPatience = 0);
     ~RankScheduler() override;
     RankScheduler(const RankScheduler&) = delete;
     RankScheduler& operator=(const RankScheduler&) = delete;
@@ -58,7 +65,9 @@
 
     void endRunning(const QueuedRequest&, Duration slotTime, TimePoint now, bool isStatement);
     void advance(TimePoint now);
-    std::optional<std::size_t> chooseRank() const;
+    std::optional<std::size_t> chooseRank(TimePoint now) const;
+    /** The rank is below its floor, and its patience is over. */
+    bool claimsFloor(const RankState&, TimePoint now) const;
     void setAsideExpired(RankState&, TimePoint now);
     bool makeRoom(RankState&, const QueuedRequest&);
     Duration waitBehind(std::size_t rank, std::size_t requestsAhead, TimePoint now) const;
@@ -68,6 +77,7 @@
 
     std::vector<RankState> ranks_;
     std::size_t slots_;
+    double floorPatience_;
     TimePoint advancedTo_;
     std::unordered_map<Ticket, Running> running_;
     /** Requests that leave without a slot, until removeExpired() returns them. */
--- a/include/almondlever/pooling/StatementDispatcher.h
+++ b/include/almondlever/pooling/StatementDispatcher.h
@@ -64,6 +64,8 @@
     std::size_t ranks = 4;
     /** Share of slot time that each rank but the most urgent keeps under any flood. */
     double floor = 0.1;
+    /** Share of its time that a statement waits before its rank claims that floor. */
+    double floorPatience = 0.5;
     /** A gap between two ticks that shows that this process did not run. */
     Milliseconds stallLimit { 300 };
 };
--- a/src/admission/RankQueue.cpp
+++ b/src/admission/RankQueue.cpp
@@ -69,6 +69,11 @@
     return remove(byDeadline_.begin()->second);
 }
 
+const QueuedRequest* RankQueue::nextDue() const
+{
+    return byDeadline_.empty() ? nullptr : &*locations_.at(byDeadline_.begin()->second).request;
+}
+
 const QueuedRequest* RankQueue::newestOfLongest() const
 {
     return byLength_.empty() ? nullptr : &byLength_.rbegin()->caller->second.waiting.back();
--- a/src/admission/RankQueue.h
+++ b/src/admission/RankQueue.h
@@ -24,6 +24,8 @@
     std::optional<QueuedRequest> remove(Ticket);
     /** Removes the request with the earliest deadline if that lies before the bound. */
     std::optional<QueuedRequest> removeDueBefore(TimePoint bound);
+    /** The request with the earliest deadline; null when empty. */
+    const QueuedRequest* nextDue() const;
     /** Newest request of the caller with the most queued requests; null when empty. */
     const QueuedRequest* newestOfLongest() const;
 
--- a/src/admission/RankScheduler.cpp
+++ b/src/admission/RankScheduler.cpp
@@ -51,8 +51,9 @@
     RankQueue queue;
 };
 
-RankScheduler::RankScheduler(const std::vector<RankRule>& ranks, std::size_t slots)
+RankScheduler::RankScheduler(const std::vector<RankRule>& ranks, std::size_t slots, double floorPatience)
     : slots_(slots)
+    , floorPatience_(floorPatience)
 {
     assert(!ranks.empty());
     ranks_.reserve(ranks.size());
@@ -85,7 +86,7 @@
     advance(now);
     for (RankState& rank : ranks_)
         setAsideExpired(rank, now);
-    const std::optional<std::size_t> chosen = chooseRank();
+    const std::optional<std::size_t> chosen = chooseRank(now);
     if (!chosen)
         return std::nullopt;
     RankState& rank = ranks_[*chosen];
@@ -171,7 +172,15 @@
         rank.account.advance(elapsed, slots_, rank.queue.size() > 0, rank.service.mean());
 }
 
-std::optional<std::size_t> RankScheduler::chooseRank() const
+bool RankScheduler::claimsFloor(const RankState& rank, TimePoint now) const
+{
+    if (!rank.account.isBelowFloor(slots_))
+        return false;
+    const QueuedRequest* due = rank.queue.nextDue();
+    return due && toSeconds(now - due->arrival) >= floorPatience_ * toSeconds(due->deadline - due->arrival);
+}
+
+std::optional<std::size_t> RankScheduler::chooseRank(TimePoint now) const
 {
     std::optional<std::size_t> mostUrgent;
     std::optional<std::size_t> furthestBelow;
@@ -181,7 +190,7 @@
             continue;
         if (!mostUrgent)
             mostUrgent = index;
-        if (!rank.account.isBelowFloor(slots_))
+        if (!claimsFloor(rank, now))
             continue;
         if (!furthestBelow || rank.account.shortfall() > ranks_[*furthestBelow].account.shortfall())
             furthestBelow = index;
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -45,9 +45,9 @@
 
 /** Queues and knowledge of one group. */
 struct GroupQueues {
-    explicit GroupQueues(const std::vector<RankRule>& ranks)
-        : primaryQueue(ranks, 1)
-        , readQueue(ranks, 1)
+    GroupQueues(const std::vector<RankRule>& ranks, double floorPatience)
+        : primaryQueue(ranks, 1, floorPatience)
+        , readQueue(ranks, 1, floorPatience)
     {
     }
 
--- a/tests/admission/TestRankScheduler.cpp
+++ b/tests/admission/TestRankScheduler.cpp
@@ -207,3 +207,50 @@
     const Duration wait = scheduler.expectedWait(0, now);
     cr_assert(wait >= 240ms && wait <= 260ms);
 }
+
+// Pattern: a lower rank trickles beside urgent work, so that it is below its floor all the time. Guards against urgent
+// requests that wait behind each of its requests, and against a floor that is never claimed.
+Test(RankScheduler, trickleWaitsForItsFloorBehindUrgentWork)
+{
+    RankScheduler scheduler({ makeRank("urgent", 0, 1s), makeRank("lowest", 0.2, 1s) }, 1, 0.5);
+    TimePoint now = teachSlotTime(scheduler, 1, 20ms, testStart);
+    now += 10s;
+    scheduler.offer(makeRequest(1, 1, "a", now, 1s), now);
+    scheduler.offer(makeRequest(2, 0, "b", now, 1s), now);
+    scheduler.offer(makeRequest(3, 0, "b", now, 1s), now);
+    auto request = scheduler.take(now);
+    cr_assert(request->ticket == 2);
+    now += 499ms;
+    scheduler.finish(*request, 20ms, now);
+    request = scheduler.take(now);
+    cr_assert(request->ticket == 3);
+    scheduler.finish(*request, 20ms, now);
+    scheduler.offer(makeRequest(4, 0, "b", now, 1s), now);
+    now += 1ms;
+    cr_assert(scheduler.take(now)->ticket == 1, "half of its time is over");
+}
+
+// Pattern: urgent work floods for seconds, well beyond what the slots bear. Guards against a lower rank that loses its
+// floor with the patience: it waits longer, but gets the same share.
+Test(RankScheduler, patienceKeepsTheFloorThroughAnUrgentFlood)
+{
+    RankScheduler scheduler({ makeRank("urgent", 0, 1s), makeRank("lowest", 0.2, 1s) }, 1, 0.5);
+    TimePoint now = teachSlotTime(scheduler, 1, 10ms, testStart);
+    now += 10s;
+    Ticket ticket = 0;
+    std::size_t lowest = 0;
+    constexpr int rounds = 1000;
+    for (int round = 0; round < rounds; ++round) {
+        for (int urgent = 0; urgent < 2; ++urgent)
+            scheduler.offer(makeRequest(++ticket, 0, "a", now, 1s), now);
+        scheduler.offer(makeRequest(++ticket, 1, "b", now, 1s), now);
+        const auto request = scheduler.take(now);
+        scheduler.removeExpired(now);
+        cr_assert(request);
+        lowest += request->rank;
+        now += 10ms;
+        scheduler.finish(*request, 10ms, now);
+    }
+    // A fifth of the slots, less the half second in which the first requests wait.
+    cr_assert_geq(lowest, rounds / 5 - 50 / 5 - 5, "lowest rank got %zu of %d slots", lowest, rounds);
+}
