Count a daemon's own statements at an endpoint by its slots

Cause: a read was sent to another region when one statement of this daemon ran at the near endpoint and a second one was about to, since each counted as half a statement of waiting whatever the endpoint's slots. Change: each counts 1 / slots, which the endpoint's entry tells. EndpointChoice.nearEndpointWinsWhileItIsNotBusier took two running statements for a full endpoint; with the usual three slots it takes three.

--- a/src/pooling/DispatcherState.cpp
+++ b/src/pooling/DispatcherState.cpp
@@ -182,6 +182,7 @@
             = !entry->isLeaving && !directory_.isLapsing(entry->id) && !links.isSuspect(now) && !links.isBusy(now);
         candidate.hasFreeLink = isUsable && idle > kept && links.hasRoom(false, now);
         candidate.running = links.running();
+        candidate.slots = entry->slots;
         candidate.latency = links.latency();
         candidate.position = links.position();
         candidate.wasLaggingLately = links.wasLaggingLately(now);
--- a/src/pooling/EndpointChoice.cpp
+++ b/src/pooling/EndpointChoice.cpp
@@ -8,15 +8,13 @@
      */
     constexpr double primaryWeight = 1.5;
 
-    /**
-     * Share of its own time that a statement is expected to wait for each one that this daemon already runs there. An
-     * endpoint has 3 to 6 slots for all daemons, so it rarely waits for the whole of another.
-     */
-    constexpr double waitBehindOne = 0.5;
+    /** Slots of an endpoint that does not say how many it has: the fewest that are in use. */
+    constexpr std::size_t usualSlots = 3;
 
     double expectedTime(const ReadCandidate& candidate)
     {
-        const double queue = 1 + waitBehindOne * static_cast<double>(candidate.running);
+        const std::size_t slots = candidate.slots > 0 ? candidate.slots : usualSlots;
+        const double queue = 1 + static_cast<double>(candidate.running) / static_cast<double>(slots);
         return std::chrono::duration<double>(candidate.latency).count() * queue
             * (candidate.isPrimary ? primaryWeight : 1);
     }
