--- a/soak/SoakFaults.cpp
+++ b/soak/SoakFaults.cpp
@@ -1,5 +1,6 @@
 #include "SoakRun.h"
 
+#include <algorithm>
 #include <csignal>
 
 namespace almondlever::soak {
@@ -165,6 +166,40 @@
     }
 }
 
+void SoakRun::drawRestores()
+{
+    restoreRandom_.seed(settings_.seed);
+    std::uniform_int_distribution<int> moment(0, static_cast<int>(settings_.faultTime.count()));
+    for (std::size_t number = 0; number < settings_.storeRestores; ++number)
+        restoresAt_.push_back(faultsUntil_ - Milliseconds(moment(restoreRandom_)));
+    std::sort(restoresAt_.begin(), restoresAt_.end());
+}
+
+void SoakRun::restoreStore(TimePoint now)
+{
+    const Milliseconds age(std::uniform_int_distribution<int>(200, 5000)(restoreRandom_));
+    const Milliseconds gap(std::uniform_int_distribution<int>(100, 1500)(restoreRandom_));
+    log("store comes back from a copy " + std::to_string(age.count()) + " ms old");
+    store_.restore(age, now);
+    for (Endpoint& endpoint : endpoints_) {
+        const StandinEndpoint* server = endpoint.group->find(endpoint.id);
+        if (server && server->isUp())
+            continue;
+        // The copy may list it; it is removed again after its silence.
+        endpoint.isListed = true;
+        endpoint.silentSince = now;
+    }
+    repairLater(now + gap, [this] { store_.put("op/config", configuration_); });
+    repairLater(now + entryLife, [this] {
+        for (const std::string& key : store_.keysOf("servers/")) {
+            const bool isPresent = std::any_of(endpoints_.begin(), endpoints_.end(),
+                [&key](const Endpoint& endpoint) { return key == "servers/" + endpoint.id.text(); });
+            if (!isPresent)
+                store_.remove(key);
+        }
+    });
+}
+
 void SoakRun::replacePrimary(TimePoint now)
 {
     for (Endpoint& endpoint : endpoints_) {
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -16,8 +16,6 @@
 
     constexpr Milliseconds tickInterval { 4 };
     constexpr Milliseconds heartbeat { 600 };
-    /** An entry without news for three heartbeats is removed. */
-    constexpr Milliseconds entryLife { 1800 };
     constexpr Milliseconds startTime { 2500 };
     constexpr Milliseconds settleTime { 300 };
     /** The grace of the settings file and a second for the exit. */
@@ -163,7 +161,8 @@
         services.push_back({ { "name", group->id().text() }, { "max-conns", 60 }, { "sync-replicas", 1 } });
     const Json configuration = { { "version", version_ += 1 + drawIndex(3) }, { "routes", routes },
         { "services", services }, { "limits", { { "tx-idle-ms", 2000 }, { "max-body-bytes", 65536 } } } };
-    store_.put("op/config", configuration.dump());
+    configuration_ = configuration.dump();
+    store_.put("op/config", configuration_);
 }
 
 void SoakRun::writeEntry(Endpoint& endpoint)
@@ -291,6 +290,7 @@
     tickEndpoints(startedAt_);
     startDaemons();
     faultsUntil_ = startedAt_ + startTime + settings_.faultTime;
+    drawRestores();
     nextFault_ = startedAt_ + startTime;
     const TimePoint callersFrom = startedAt_ + startTime / 2;
     std::function<void()> loop = [this, &loop, callersFrom] {
@@ -357,6 +357,10 @@
         repair.mend();
     if (now >= faultsUntil_ && !isHealed_)
         healAll();
+    if (!restoresAt_.empty() && now >= restoresAt_.front()) {
+        restoresAt_.pop_front();
+        restoreStore(now);
+    }
     if (now >= nextFault_ && now < faultsUntil_) {
         injectFault(now);
         nextFault_ = now + drawTime(1, static_cast<int>(2 * settings_.faultInterval.count()));
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -6,6 +6,7 @@
 #include "StandinGroup.h"
 #include "StandinStore.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -23,6 +24,8 @@
     std::size_t callers = 24;
     /** Time in which faults are injected. */
     Milliseconds faultTime { 15000 };
+    /** Times that the store comes back from a copy, spread over the faults. */
+    std::size_t storeRestores = 0;
     /** Mean time between two faults; they last longer and overlap. */
     Milliseconds faultInterval { 500 };
     /** Time after the last fault in which every daemon must serve every group again. */
@@ -56,6 +59,8 @@
     SoakResult run();
 
 private:
+    /** An entry without news for three heartbeats is removed. */
+    static constexpr Milliseconds entryLife { 1800 };
     struct Daemon {
         std::string name;
         std::unique_ptr<DaemonProcess> process;
@@ -105,6 +110,9 @@
     void injectFault(TimePoint now);
     void harmDaemon(TimePoint now);
     void harmEndpoint(TimePoint now);
+    /** The store comes back from a copy; operator and endpoints write again what it lacks. */
+    void restoreStore(TimePoint now);
+    void drawRestores();
     void harmPlatform(TimePoint now);
     void replacePrimary(TimePoint now);
     void repairLater(TimePoint at, std::function<void()>);
@@ -137,6 +145,12 @@
     std::vector<SoakRoute> routes_;
     std::vector<Repair> repairs_;
     std::uint64_t version_ = 0;
+    /** The newest configuration as the operator wrote it. */
+    std::string configuration_;
+    /** When the store comes back from a copy, the next one first. */
+    std::deque<TimePoint> restoresAt_;
+    /** Draws restores only, so that a seed keeps its other faults. */
+    std::mt19937_64 restoreRandom_;
     std::size_t extraRoutes_ = 0;
     std::size_t replaced_ = 0;
     TimePoint startedAt_;
--- a/soak/StandinStore.cpp
+++ b/soak/StandinStore.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/Base64.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace almondlever::soak {
@@ -16,14 +17,9 @@
     constexpr unsigned statusConflict = 412;
     constexpr unsigned statusBusy = 503;
 
-    void answer(HttpExchange& exchange, unsigned status, const Json& body)
-    {
-        HttpResponse response;
-        response.status = status;
-        response.headers.emplace_back("Content-Type", "application/json");
-        response.body = body.dump();
-        exchange.respond(response);
-    }
+    /** Copies are taken this often and kept this long. */
+    constexpr Milliseconds copyInterval { 250 };
+    constexpr Milliseconds copyLife { 8000 };
 
     bool hasPrefix(const std::string& key, const std::string& prefix) { return key.rfind(prefix, 0) == 0; }
 
@@ -71,8 +67,59 @@
     watches_.clear();
 }
 
+void StandinStore::answer(HttpExchange& exchange, unsigned status, const Json& body) const
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers.emplace_back("Content-Type", "application/json");
+    response.headers.emplace_back("Store-Era", std::to_string(era_));
+    response.body = body.dump();
+    exchange.respond(response);
+}
+
+void StandinStore::takeCopy(TimePoint now)
+{
+    if (!copies_.empty() && now - copies_.back().takenAt < copyInterval)
+        return;
+    copies_.push_back({ now, items_, revision_, lastLease_ });
+    while (now - copies_.front().takenAt > copyLife)
+        copies_.pop_front();
+}
+
+void StandinStore::restore(Duration age, TimePoint now)
+{
+    if (copies_.empty())
+        return;
+    auto copy = std::find_if(
+        copies_.rbegin(), copies_.rend(), [&](const Copy& candidate) { return now - candidate.takenAt >= age; });
+    if (copy == copies_.rend())
+        --copy;
+    items_.clear();
+    for (const auto& [key, item] : copy->items) {
+        if (item.lease == 0)
+            items_[key] = item;
+    }
+    revision_ = copy->revision;
+    lastLease_ = copy->lastLease;
+    leases_.clear();
+    copies_.clear();
+    ++era_;
+    dropHistory();
+}
+
+std::vector<std::string> StandinStore::keysOf(const std::string& prefix) const
+{
+    std::vector<std::string> keys;
+    for (const auto& [key, item] : items_) {
+        if (hasPrefix(key, prefix))
+            keys.push_back(key);
+    }
+    return keys;
+}
+
 void StandinStore::tick(TimePoint now)
 {
+    takeCopy(now);
     const Duration passed = ticked_ == TimePoint {} ? Duration(0) : now - ticked_;
     ticked_ = now;
     std::set<std::string> ended;
--- a/soak/StandinStore.h
+++ b/soak/StandinStore.h
@@ -6,8 +6,11 @@
 #include <asio.hpp>
 #include <deque>
 #include <map>
+#include <nlohmann/json_fwd.hpp>
 #include <random>
 #include <set>
+#include <string>
+#include <vector>
 
 namespace almondlever::soak {
 
@@ -34,6 +37,13 @@
     void remove(const std::string& key);
     /** Forgets what watches could resume from, and cuts them. */
     void dropHistory();
+    /**
+     * Comes back from a copy of this age, or the oldest one: what was written since is gone, and so are all leases;
+     * revisions and leases are given out again in a new era.
+     */
+    void restore(Duration age, TimePoint now);
+    /** Keys with a prefix. */
+    std::vector<std::string> keysOf(const std::string& prefix) const;
     /** Ends leases and watches that are due. */
     void tick(TimePoint now);
     std::size_t calls() const { return calls_; }
@@ -62,6 +72,16 @@
         TimePoint until;
     };
 
+    /** What the store held at a time. */
+    struct Copy {
+        TimePoint takenAt;
+        std::map<std::string, Item> items;
+        std::uint64_t revision = 0;
+        std::uint64_t lastLease = 0;
+    };
+
+    void takeCopy(TimePoint now);
+    void answer(HttpExchange&, unsigned status, const nlohmann::json& body) const;
     void handle(const std::shared_ptr<HttpExchange>&);
     void readRange(HttpExchange&);
     void watch(const std::shared_ptr<HttpExchange>&);
@@ -86,6 +106,9 @@
     std::deque<Watch> watches_;
     TimePoint ticked_ {};
     std::size_t calls_ = 0;
+    std::uint64_t era_ = 1;
+    /** The oldest one first. */
+    std::deque<Copy> copies_;
 };
 
 } // namespace almondlever::soak
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -40,8 +40,10 @@
     TCLAP::ValueArg<std::size_t> groups("", "groups", "number of groups of three", false, defaults.groups, "N");
     TCLAP::ValueArg<std::size_t> callers("", "callers", "number of callers", false, defaults.callers, "N");
     TCLAP::ValueArg<int> seconds("", "seconds", "time in which faults are injected", false, 15, "S");
-    for (TCLAP::Arg* argument :
-        std::initializer_list<TCLAP::Arg*> { &program, &folder, &seed, &seeds, &daemons, &groups, &callers, &seconds })
+    TCLAP::ValueArg<std::size_t> restores(
+        "", "store-restores", "times that the store comes back from a copy", false, defaults.storeRestores, "N");
+    for (TCLAP::Arg* argument : std::initializer_list<TCLAP::Arg*> {
+             &program, &folder, &seed, &seeds, &daemons, &groups, &callers, &seconds, &restores })
         commandLine.add(argument);
     commandLine.parse(argc, argv);
     try {
@@ -55,6 +57,7 @@
             settings.groups = groups.getValue();
             settings.callers = callers.getValue();
             settings.faultTime = std::chrono::seconds(seconds.getValue());
+            settings.storeRestores = restores.getValue();
             isClean = runSeed(settings) && isClean;
         }
         return isClean ? 0 : 1;
