--- a/src/placement/GroupOwners.cpp
+++ b/src/placement/GroupOwners.cpp
@@ -38,7 +38,7 @@
 
 std::vector<LiveDaemon> ownersOf(const GroupRule& rule, const MembershipView& view, const GroupSharing& sharing)
 {
-    const std::vector<LiveDaemon> staying = withoutLeaving(view.daemons);
+    std::vector<LiveDaemon> staying = withoutLeaving(view.daemons);
     // Somebody must serve until the end of a fleet that stops.
     if (staying.empty())
         return view.daemons;
