--- a/include/almondlever/common/Identifier.h
+++ b/include/almondlever/common/Identifier.h
@@ -38,6 +38,8 @@
 using DatabaseId = Identifier<struct DatabaseIdTag>;
 /** One customer application that sends statements. */
 using CallerId = Identifier<struct CallerIdTag>;
+/** An organisation whose callers share API keys and a rate limit. */
+using CustomerId = Identifier<struct CustomerIdTag>;
 /** A zone whose VMs can fail together. */
 using FailureDomainId = Identifier<struct FailureDomainIdTag>;
 /** A region; contains one or more failure domains. */
--- /dev/null
+++ b/include/almondlever/customers/CustomerGate.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "almondlever/customers/CustomerAccess.h"
+#include "almondlever/customers/QuotaClient.h"
+
+#include <memory>
+#include <optional>
+
+namespace almondlever {
+
+/**
+ * Decides which statements of which customers this daemon runs: whether the key is in force, and whether the customer's
+ * limit admits the operation.
+ *
+ * A withdrawn key must not be accepted later than withdrawalLimit after its withdrawal, also by a daemon that is cut
+ * off from the store. A statement is sent before it arrives, so it suffices that at its arrival the store provably held
+ * the configuration in force at most withdrawalLimit ago. The check needs no repetition when the statement is forwarded
+ * or sent.
+ */
+class CustomerGate final : public CustomerAccess {
+public:
+    /** @param withdrawalLimit 0 if keys are accepted however old the configuration is */
+    CustomerGate(Milliseconds withdrawalLimit, QuotaClient&, Metrics&);
+
+    /** Sets the customers of the configuration in force; nullptr if callers need no key. */
+    void setCustomers(std::shared_ptr<const CustomerRegistry>);
+    /** The store provably held no newer configuration at this time. */
+    void confirm(TimePoint provenAt);
+    /** True if keys of the configuration in force may be accepted. */
+    bool isConfirmed(TimePoint now) const;
+
+    KeyDecision checkKey(const KeyDigest&, TimePoint now) const override;
+    QuotaTicket requestOperation(const CustomerId&, std::size_t rank, QuotaCallback, TimePoint now) override;
+    void cancelRequest(QuotaTicket ticket) override { quota_.cancel(ticket); }
+
+private:
+    Milliseconds withdrawalLimit_;
+    QuotaClient& quota_;
+    Metrics& metrics_;
+    std::shared_ptr<const CustomerRegistry> customers_;
+    std::optional<TimePoint> provenAt_;
+};
+
+} // namespace almondlever
--- /dev/null
+++ b/include/almondlever/customers/QuotaBucket.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "almondlever/common/Time.h"
+#include "almondlever/customers/CustomerRegistry.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace almondlever {
+
+/** How the limits of customers are judged and divided. */
+struct QuotaSettings {
+    /** Length of the sliding windows over which a limit is judged. */
+    Milliseconds window { 5000 };
+    /** Share by which a customer may exceed rate x window + burst in a window. */
+    double overage = 0.1;
+    /** Operations by which a customer may exceed that in addition. */
+    double slack = 20;
+    /** Part of overage and slack that is used; the rest covers changes of the coordinators. */
+    double usedTolerance = 0.5;
+    /** Part of a bucket that only operations of the most urgent rank may use. */
+    double urgentReserve = 0.25;
+    /** Coordinators of one customer; each grants an equal share of its limit. */
+    std::size_t coordinators = 3;
+    /** Daemons for each coordinator of the fleet. */
+    std::size_t daemonsPerCoordinator = 24;
+    /** Time for which a granted operation may be used; counts from the request. */
+    Milliseconds grantLifetime { 250 };
+    /** A daemon that becomes a coordinator waits this long, in which daemons with an older view still ask another. */
+    Milliseconds takeOverDelay { 3000 };
+    /** A coordinator that has not answered for this long is not asked for silenceTime. */
+    Milliseconds answerTimeout { 200 };
+    Milliseconds silenceTime { 1000 };
+    /** For this long after all coordinators refused an operation, further ones of the customer are refused unasked. */
+    Milliseconds refusalTime { 50 };
+    /** Longest time that a refused caller is told to wait. */
+    Milliseconds maximumRetryAfter { 5000 };
+};
+
+/**
+ * One coordinator's share of a customer's limit, as a token bucket.
+ *
+ * With n coordinators each bucket fills at rate / n and holds at most
+ * (burst + usedTolerance x (overage x (rate x window + burst) + slack) - rate x grantLifetime) / n operations. An
+ * operation is used at most grantLifetime after it was granted, so that in any window at most
+ * rate x (window + grantLifetime) + n x capacity <= (rate x window + burst) x (1 + overage) + slack are used, whichever
+ * daemons are cut off, suspended or restarted meanwhile.
+ */
+class QuotaBucket {
+public:
+    QuotaBucket(const RateLimit&, std::size_t coordinators, const QuotaSettings&, TimePoint now);
+
+    /** Number of coordinators among which the limit is divided: fewer for a limit so small that a share is no
+     * operation.
+     */
+    static std::size_t coordinatorsFor(const RateLimit&, const QuotaSettings&);
+
+    /** Applies a new limit or number of coordinators; keeps at most the new capacity. */
+    void setLimit(const RateLimit&, std::size_t coordinators, TimePoint now);
+    /** Fills the bucket; only when no earlier coordinator can have granted anything. */
+    void fill() { level_ = capacity_; }
+    /**
+     * Grants at most this many operations; the callers of the others are expected to return. Operations that are not
+     * urgent leave the reserve.
+     */
+    std::uint64_t take(std::uint64_t operations, bool areUrgent, TimePoint now);
+    /** Takes back operations that were granted and not used. */
+    void giveBack(std::uint64_t operations, TimePoint now);
+    /** Time until an operation refused now could be granted, behind those that were refused before. */
+    Milliseconds retryAfter() const;
+
+private:
+    void advance(TimePoint now);
+
+    QuotaSettings settings_;
+    double coordinators_ = 1;
+    double ratePerSecond_ = 0;
+    double capacity_ = 0;
+    double level_ = 0;
+    /** Refused operations whose callers probably return; decreases at the rate of the bucket. */
+    double refused_ = 0;
+    TimePoint advancedTo_;
+};
+
+} // namespace almondlever
--- a/include/almondlever/front/FrontDaemon.h
+++ b/include/almondlever/front/FrontDaemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "almondlever/common/TimerService.h"
+#include "almondlever/customers/CustomerGate.h"
 #include "almondlever/forwarding/ForwardedStatements.h"
 #include "almondlever/forwarding/StatementForwarder.h"
 #include "almondlever/front/FleetMembers.h"
@@ -37,6 +38,9 @@
     DispatcherSettings dispatcher;
     PromotionDriverSettings promotion;
     StopSettings stop;
+    /** Time after which a withdrawn API key must not be accepted any more; 0 if there is no limit. */
+    Milliseconds keyWithdrawalLimit { 0 };
+    QuotaSettings quota;
     /** Limit of decision log lines per second; lines of the most urgent rank are not counted. */
     double decisionLinesPerSecond = 20;
     /** Longest time a connecting caller waits for the first configuration; the caller itself times out after 2 s. */
@@ -81,14 +85,18 @@
     FrontDaemon& operator=(const FrontDaemon&) = delete;
 
     void start();
-    /** Opens a session; the callback is deferred until the first configuration and the members are known. */
-    void open(const DatabaseId&, CallerLink&, OpenCallback);
+    /** Opens a session; the callback is deferred until the first configuration and the members are known. The key may
+     * be the empty digest where callers need none. */
+    void open(const DatabaseId&, const KeyDigest&, CallerLink&, OpenCallback);
     /** To be called when the caller's connection is closed, also while its session is still being opened. */
     void close(CallerLink&);
     /** Begins a graceful shutdown; the callback is invoked when the process may exit. */
     void beginStop(std::function<void()> onStopped);
 
-    bool isReady() const { return routing_ && hasEndpoints_ && hasMembers_ && !stop_.isStopping(); }
+    bool isReady() const
+    {
+        return routing_ && hasEndpoints_ && hasMembers_ && !stop_.isStopping() && gate_.isConfirmed(now());
+    }
     TimePoint now() const { return timers_.now(); }
     std::shared_ptr<const RoutingConfiguration> routing() const override { return routing_; }
     Metrics& metrics() { return metrics_; }
@@ -96,6 +104,7 @@
 private:
     struct PendingOpen {
         DatabaseId database;
+        KeyDigest key;
         CallerLink* link = nullptr;
         OpenCallback callback;
         TimePoint since;
@@ -117,6 +126,10 @@
     bool isChanged(const EndpointEntry&) const;
     void handleConfiguration(const StoreItem&, TimePoint now);
     void applyConfiguration(TimePoint now);
+    /** Applies the customers of a new configuration and ends sessions whose keys it does not contain. */
+    void applyCustomers(TimePoint now);
+    /** Passes the newest proof of the configuration in force on to the gate. */
+    void confirmConfiguration();
     /** Returns the items that are more than heartbeats. */
     std::vector<StoreItem> handleEndpoints(const std::vector<StoreItem>&, bool isSnapshot, TimePoint now);
     void handleOwnKeys(const std::vector<StoreItem>&, bool isSnapshot, TimePoint now);
@@ -172,6 +185,11 @@
     bool hasMembers_ = false;
     std::map<GroupId, std::set<std::string>> lastLoggedOwners_;
     FleetMembers members_;
+    QuotaCoordinator quotaCoordinator_;
+    QuotaClient quotaClient_;
+    CustomerGate gate_;
+    /** The store holds a configuration that could not be decoded, so that the one in force is not proven. */
+    bool isConfigurationRejected_ = false;
     /** Lease of this daemon's member entry; none before it is registered. */
     LeaseId memberLease_;
     /** Number of the current registration; callbacks of earlier ones do nothing. */
--- a/include/almondlever/front/StoreRelay.h
+++ b/include/almondlever/front/StoreRelay.h
@@ -34,6 +34,10 @@
     Milliseconds sourceTimeout { 700 };
     /** After this long without updates the daemon watches the store itself. */
     Milliseconds directWatchTimeout { 1200 };
+    /** Interval at which a watcher proves that it misses no change of the verified prefix. */
+    Milliseconds watcherVerifyInterval { 1000 };
+    /** As watcherVerifyInterval, for other daemons that watch the store themselves. */
+    Milliseconds verifyInterval { 2000 };
 };
 
 /**
@@ -41,6 +45,9 @@
  * to another source when it does not answer, and watch the store themselves only when no source provides updates. The
  * state of a daemon never goes back: updates of an earlier revision are ignored. Each update carries its age, which
  * adds up from hop to hop.
+ *
+ * The proof that no change is missing is stricter than that age, which leaves out the time that an answer is under way:
+ * it starts from the time at which the store was asked, and at each hop from the time at which the peer was asked.
  */
 class StoreRelay {
 public:
@@ -51,6 +58,11 @@
     }
 
     void setNetwork(PeerNetwork* network) { network_ = network; }
+    /** Keeps the proof for this prefix recent; empty for none. */
+    void setVerifiedPrefix(std::string prefix) { verifiedPrefix_ = std::move(prefix); }
+    /** A time at which the store provably held no change of the prefix that is unknown here; nullopt if none is known.
+     */
+    std::optional<TimePoint> provenAt(const std::string& prefix) const;
     void setMembers(const MembershipView&);
     void onTick(TimePoint now);
     void onRequest(const VmId& from, const StoreUpdateRequest&, TimePoint now);
@@ -65,6 +77,8 @@
 
 private:
     void sendQuery(TimePoint now);
+    void verifyIfDue(TimePoint now);
+    PrefixFollower* followerOf(const std::string& prefix) const;
     void watchDirectly(const std::string& reason);
     const LiveDaemon* nextSource();
     /** Time at which the store last confirmed this daemon's state of a prefix; nullopt if unknown. */
@@ -86,6 +100,13 @@
     TimePoint lastUpdateAt_ {};
     /** By prefix, when the store last confirmed the state received from source_. */
     std::map<std::string, TimePoint> updatesConfirmedAt_;
+    /** By prefix, the newest proof that was received from a peer. */
+    std::map<std::string, TimePoint> updatesProvenAt_;
+    std::string verifiedPrefix_;
+    TimePoint verifiedAt_ {};
+    /** Send times of the latest queries, by number. */
+    std::map<std::uint64_t, TimePoint> queries_;
+    std::uint64_t lastQuery_ = 0;
 };
 
 } // namespace almondlever
--- a/include/almondlever/pooling/EndpointLink.h
+++ b/include/almondlever/pooling/EndpointLink.h
@@ -74,8 +74,13 @@
 public:
     virtual ~EndpointConnector() = default;
 
-    /** Starts connecting. The observer is never called from inside this function. */
-    virtual std::shared_ptr<EndpointLink> connect(const EndpointEntry&, std::weak_ptr<EndpointLinkObserver>) = 0;
+    /**
+     * Starts connecting on behalf of a customer, which the endpoint is told; with the empty id, on behalf of the proxy.
+     * The observer is never called from inside this function.
+     */
+    virtual std::shared_ptr<EndpointLink> connect(
+        const EndpointEntry&, const CustomerId&, std::weak_ptr<EndpointLinkObserver>)
+        = 0;
 };
 
 } // namespace almondlever
--- a/include/almondlever/pooling/EndpointSelection.h
+++ b/include/almondlever/pooling/EndpointSelection.h
@@ -22,6 +22,8 @@
     std::size_t slots = 0;
     /** Smoothed time from sending a statement to its answer. */
     Duration latency { 0 };
+    /** Time until a connection is open, if one must be opened for the statement. */
+    Duration openingTime { 0 };
     /** Latest log position that the endpoint reported. */
     LogPosition position;
     /** The endpoint recently refused a read as lagging, so it is probably still behind. */
@@ -31,7 +33,7 @@
 /**
  * Selects the endpoint with the lowest expected response time among those that may serve a read. The estimate is the
  * smoothed latency, which includes the network round trip, multiplied by a queue factor: the number of statements of
- * this daemon that run there, divided by the endpoint's slots, plus one.
+ * this daemon that run there, divided by the endpoint's slots, plus one. The time to open a connection is added.
  *
  * @param minimum the log position that the read must see
  * @return the index of the selected candidate; nullopt when none with a free connection may serve the read
--- a/include/almondlever/pooling/StatementDispatcher.h
+++ b/include/almondlever/pooling/StatementDispatcher.h
@@ -102,6 +102,8 @@
 
     /** Applies a new configuration. */
     void setGroups(const std::map<GroupId, GroupRule>&, TimePoint now);
+    /** Sets whether endpoints are told the customer of a connection, which then runs statements of no other. */
+    void setConnectionsByCustomer(bool);
     /**
      * Sets for each group the number of daemons that share the connections to its endpoints, including this one; 0 if
      * this daemon is not one of them. Such a daemon opens connections only for statements that it receives.
--- a/include/almondlever/pooling/StatementRequest.h
+++ b/include/almondlever/pooling/StatementRequest.h
@@ -22,6 +22,8 @@
 struct StatementRequest {
     Statement statement;
     GroupId group;
+    /** The customer that the endpoint is told; empty where callers need no key. */
+    CustomerId customer;
     std::size_t rank = 0;
     TimePoint arrival;
     /** When this time passes without a result, the caller gets an error. */
--- a/include/almondlever/sessions/Routing.h
+++ b/include/almondlever/sessions/Routing.h
@@ -2,10 +2,12 @@
 
 #include "almondlever/common/Identifier.h"
 #include "almondlever/common/Time.h"
+#include "almondlever/customers/CustomerRegistry.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <unordered_map>
 
 namespace almondlever {
@@ -36,6 +38,8 @@
     Milliseconds maximumStaleness { 0 };
     /** Priority; 0 is the most urgent. */
     std::size_t rank = 0;
+    /** Callers need no API key. */
+    bool isPublic = false;
 };
 
 /** Connection limit and replication settings of one group. */
@@ -52,6 +56,8 @@
     std::uint64_t version = 0;
     std::unordered_map<DatabaseId, Route> routes;
     std::map<GroupId, GroupRule> groups;
+    /** The customers whose API keys are accepted; nullptr if callers need no key. */
+    std::shared_ptr<const CustomerRegistry> customers;
     /** A transaction whose caller sends nothing for longer is rolled back. */
     Milliseconds transactionIdleLimit { 0 };
     /** Maximum size of a statement; 0 means no limit. */
--- a/include/almondlever/sessions/Session.h
+++ b/include/almondlever/sessions/Session.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "almondlever/customers/CustomerAccess.h"
 #include "almondlever/observability/Metrics.h"
 #include "almondlever/pooling/StatementRunner.h"
 #include "almondlever/sessions/Routing.h"
@@ -37,13 +38,20 @@
  * Statements that set a value, prepare a statement or begin a transaction are answered at once. Their effect reaches an
  * endpoint only with the first statement that needs it. The route is fixed from the start of a statement or transaction
  * to its end. Statements are answered in the order in which they arrive.
+ *
+ * Every statement that an endpoint runs needs a key in force when it arrives, and every operation (a statement outside
+ * of transactions, or a transaction) counts against its customer's limit.
+ *
+ * @see CustomerAccess
  */
 class Session {
 public:
     /** Maximum number of statements that wait behind the running one. If a caller sends more, the session is closed. */
     static constexpr std::size_t maximumPipelined = 64;
 
-    Session(DatabaseId database, CallerLink&, const RoutingSource&, StatementRunner&, Metrics&);
+    /** The key may be the empty digest where callers need none. */
+    Session(DatabaseId database, const KeyDigest& key, CallerLink&, const RoutingSource&, CustomerAccess&,
+        StatementRunner&, Metrics&);
     ~Session();
     Session(const Session&) = delete;
     Session& operator=(const Session&) = delete;
@@ -67,17 +75,32 @@
     /** True if no transaction is open and no statement is running or waiting. */
     bool isQuiescent() const { return state_ == TransactionState::None && !isRunning_ && pendingStatements_.empty(); }
     bool isRunning() const { return isRunning_; }
+    /** Ends an open transaction and closes the session if its key is not in force any more. */
+    void endIfKeyWithdrawn(TimePoint now);
     /** Closes the session as soon as no transaction is open and no statement is running or waiting. */
     void closeWhenQuiescent();
 
 private:
     void startNext(TimePoint now);
     void run(const Statement&, TimePoint now);
-    void runBegin(const Statement&);
+    void runBegin(const Statement&, TimePoint now);
     void runRollback(TimePoint now);
     void runCommit(const Statement&, TimePoint now);
     void runOnEndpoint(const Statement&, TimePoint now);
     void runLocal(const Statement&);
+    /** Checks that the key is in force; if not, answers the statement and returns false. */
+    bool checkKey(const Statement&, TimePoint now);
+    /** Ends the transaction and the session, whose key is not in force. */
+    void refuseUnknownKey(TimePoint now);
+    /** Ends the transaction and answers its running statement with Aborted. */
+    void refuseInTransaction(const Statement&, const std::string& reason, TimePoint now);
+    /** Requests an operation of the customer's limit, and then starts it with this statement. */
+    void requestOperation(const Statement&, TimePoint now);
+    void onQuotaDecision(const Statement&, const std::optional<QuotaRefusal>&, TimePoint now);
+    void startOperation(const Statement&, TimePoint now);
+    void submitStatement(const Statement&, TimePoint now);
+    /** Stops waiting for the result of the running statement. */
+    void abandonRunning(TimePoint now);
     void submit(StatementRequest, TimePoint now);
     void onResult(StatementResult&&, TimePoint now);
     void answerWithError(StatementError, const std::string& detail);
@@ -87,8 +110,10 @@
     SessionContents& writableContents();
 
     DatabaseId database_;
+    KeyDigest key_;
     CallerLink& link_;
     const RoutingSource& routing_;
+    CustomerAccess& access_;
     StatementRunner& runner_;
     Metrics& metrics_;
 
@@ -98,6 +123,8 @@
     TransactionState state_ = TransactionState::None;
     /** Route of the running statement or transaction. */
     Route route_;
+    /** Customer of the running statement or transaction; empty where callers need no key. */
+    CustomerId customer_;
     bool isReadOnlyTransaction_ = false;
     bool hasWritten_ = false;
     TransactionHandle transaction_;
@@ -112,6 +139,8 @@
     bool isClosing_ = false;
     bool isClosed_ = false;
     Ticket ticket_ = 0;
+    /** Set while the running statement waits for the decision about the customer's limit. */
+    QuotaTicket quotaTicket_ = 0;
     TimePoint startedAt_;
     TimePoint lastActivity_;
 };
--- a/include/almondlever/store/PrefixFollower.h
+++ b/include/almondlever/store/PrefixFollower.h
@@ -62,6 +62,13 @@
     void resume();
     /** Reads all keys now, in parallel with a pending watch; the observer receives them before the callback. */
     void refresh(std::function<void(bool isFresh)> callback);
+    /**
+     * Reads all keys once, in parallel with a pending watch, and passes them on if they differ from the known ones. A
+     * watch without changes proves nothing, since the store may delay its answer or miss changes.
+     *
+     * @see provenAt
+     */
+    void verify();
     bool isPaused() const { return isPaused_; }
     /** Applies an update from a peer: all keys, or the changes since revision(). */
     void applyUpdate(const std::vector<StoreItem>&, std::uint64_t revision, bool isSnapshot);
@@ -80,9 +87,15 @@
     const std::string& prefix() const { return prefix_; }
     /** Time of the last successful call; nullopt if there was none or a call has failed since. */
     std::optional<TimePoint> confirmedAt() const { return isLost_ ? std::nullopt : confirmedAt_; }
+    /**
+     * A time at which the store held no key that is unknown here: when the newest successful read was sent. Later than
+     * this nothing is proven, also if the answer was delayed or this process was suspended. nullopt before any read.
+     */
+    std::optional<TimePoint> provenAt() const { return provenAt_; }
 
 private:
     void readPage(const std::string& afterKey);
+    void onVerification(const StoreResult<StorePage>&, TimePoint sentAt);
     void refreshPage(const std::shared_ptr<std::vector<StoreItem>>& collected, std::uint64_t firstRevision,
         std::function<void(bool isFresh)> callback);
     void onPage(StoreResult<StorePage>);
@@ -110,6 +123,10 @@
     /** Short at first, since other daemons may turn out to depend on this one. */
     Milliseconds pollTimeout_ { 1500 };
     std::optional<TimePoint> confirmedAt_;
+    std::optional<TimePoint> provenAt_;
+    /** Time at which the first page of the current read was requested. */
+    TimePoint readStartedAt_ {};
+    bool isVerifying_ = false;
     /** Short at first, since this daemon has no peer to query yet. */
     RetryDelays retryDelays_;
     const PrefixFollower* probe_ = nullptr;
--- a/include/almondlever/wire/Messages.h
+++ b/include/almondlever/wire/Messages.h
@@ -194,6 +194,8 @@
     std::uint64_t correlation = 0;
     Statement statement;
     GroupId group;
+    /** Empty where callers need no key. */
+    CustomerId customer;
     std::size_t rank = 0;
     /** Time left until the deadline when the message was sent. */
     Milliseconds timeLeft { 0 };
@@ -240,6 +242,8 @@
         std::uint64_t revision = 0;
     };
     std::vector<Known> known;
+    /** Repeated in the updates. */
+    std::uint64_t number = 0;
 };
 
 /** Keys with one prefix that changed after the revision in the request, or all of them. */
@@ -251,9 +255,35 @@
     bool isSnapshot = false;
     /** Time since the store last confirmed this state. */
     Milliseconds age { 0 };
+    /** Number of the request that is answered. */
+    std::uint64_t number = 0;
+    /** Time since the store provably held no other state, when the update was sent; nullopt if it is not known. */
+    std::optional<Milliseconds> proofAge;
     std::vector<StoreItem> items;
 };
 
+/** Asks a coordinator for operations of a customer's limit. */
+struct QuotaRequest {
+    /** Repeated in the answer. */
+    std::uint64_t number = 0;
+    CustomerId customer;
+    std::uint64_t operations = 0;
+    /** How many of them are of the most urgent rank. */
+    std::uint64_t urgent = 0;
+    /** Operations that this coordinator granted earlier and that the sender has not used. */
+    std::uint64_t unused = 0;
+};
+
+/** Answer to QuotaRequest. */
+struct QuotaAnswer {
+    std::uint64_t number = 0;
+    std::uint64_t granted = 0;
+    /** How many of the granted operations are for the most urgent rank. */
+    std::uint64_t grantedUrgent = 0;
+    /** With fewer operations than requested: time after which more are expected. */
+    Milliseconds retryAfter { 0 };
+};
+
 /** Asks another owner of a group whether it still receives answers from the group's primary. */
 struct PrimarySuspicion {
     /** Repeated in the answer. */
@@ -279,7 +309,7 @@
 
 using Message = std::variant<ForwardRequest, ForwardReply, Gossip, ConfigRequest, ConfigReply, SuspicionReport,
     PrimaryView, SessionStatement, SessionAnswer, SessionTransactionEnd, SessionAbandon, StoreUpdateRequest,
-    StoreUpdate, PrimarySuspicion, PrimarySuspicionAnswer, OwnerProbe, OwnerProbeAnswer>;
+    StoreUpdate, PrimarySuspicion, PrimarySuspicionAnswer, OwnerProbe, OwnerProbeAnswer, QuotaRequest, QuotaAnswer>;
 
 /** Encodes a message as CBOR. */
 std::string encodeMessage(const Message&);
--- a/scripts/check_layers.sh
+++ b/scripts/check_layers.sh
@@ -8,14 +8,15 @@
   [config]='common/'
   [consistency]='common/|config/'
   [failover]='common/|config/|endpoints/EndpointMessages|groups/EndpointEntry|sessions/Routing'
+  [customers]='common/|wire/|membership/MembershipView|placement/QuotaCoordinators|observability/'
   [placement]='common/|config/|membership/MembershipView|sessions/Routing'
   [admission]='common/|config/'
   [membership]='common/|wire/Messages'
-  [sessions]='common/|pooling/StatementRunner|observability/Metrics'
+  [sessions]='common/|customers/|pooling/StatementRunner|observability/Metrics'
   [groups]='common/|sessions/'
   [pooling]='common/|failover/FailureConfirmation|sessions/|groups/|consistency/|admission/|config/|observability/'
   [store]='common/|sessions/Routing|observability/'
-  [forwarding]='common/|pooling/StatementRunner|wire/|membership/MembershipView|observability/'
+  [forwarding]='common/|pooling/StatementRunner|wire/|membership/MembershipView|placement/GroupOwners|observability/'
 )
 networking='<(asio|restinio|websocketpp|boost/(asio|beast)|sys/(socket|select|epoll|un)|netinet/|arpa/|netdb|poll|unistd|fcntl|http_parser|fstream)'
 status=0
--- /dev/null
+++ b/src/customers/CustomerGate.cpp
@@ -0,0 +1,64 @@
+#include "almondlever/customers/CustomerGate.h"
+
+#include <algorithm>
+
+namespace almondlever {
+
+namespace {
+
+    /** Time that a caller is told to wait while the configuration cannot be confirmed; other daemons may serve it. */
+    constexpr Milliseconds unconfirmedRetryAfter { 500 };
+
+} // namespace
+
+CustomerGate::CustomerGate(Milliseconds withdrawalLimit, QuotaClient& quota, Metrics& metrics)
+    : withdrawalLimit_(withdrawalLimit)
+    , quota_(quota)
+    , metrics_(metrics)
+{
+}
+
+void CustomerGate::setCustomers(std::shared_ptr<const CustomerRegistry> customers)
+{
+    customers_ = std::move(customers);
+    quota_.setCustomers(customers_);
+}
+
+void CustomerGate::confirm(TimePoint provenAt) { provenAt_ = std::max(provenAt_.value_or(provenAt), provenAt); }
+
+bool CustomerGate::isConfirmed(TimePoint now) const
+{
+    if (!customers_ || withdrawalLimit_ == Milliseconds(0))
+        return true;
+    return provenAt_ && now - *provenAt_ <= withdrawalLimit_;
+}
+
+KeyDecision CustomerGate::checkKey(const KeyDigest& key, TimePoint now) const
+{
+    KeyDecision decision;
+    if (!customers_)
+        return decision;
+    const Customer* customer = customers_->findByKey(key);
+    if (!customer) {
+        metrics_.count("almondlever_key_refusals_total", "reason=\"unknown_key\"");
+        decision.outcome = KeyDecision::Outcome::UnknownKey;
+    } else if (!isConfirmed(now)) {
+        metrics_.count("almondlever_key_refusals_total", "reason=\"unconfirmed\"");
+        decision.outcome = KeyDecision::Outcome::Unconfirmed;
+        decision.retryAfter = unconfirmedRetryAfter;
+    } else {
+        decision.customer = customer->id;
+    }
+    return decision;
+}
+
+QuotaTicket CustomerGate::requestOperation(
+    const CustomerId& customer, std::size_t rank, QuotaCallback callback, TimePoint now)
+{
+    if (!customer.isEmpty())
+        return quota_.request(customer, rank, std::move(callback), now);
+    callback(std::nullopt, now);
+    return 0;
+}
+
+} // namespace almondlever
--- /dev/null
+++ b/src/customers/QuotaBucket.cpp
@@ -0,0 +1,82 @@
+#include "almondlever/customers/QuotaBucket.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace almondlever {
+
+namespace {
+
+    double toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+    /** Capacity of the buckets of all coordinators together. */
+    double totalCapacity(const RateLimit& limit, const QuotaSettings& settings)
+    {
+        const double rate = limit.operationsPerSecond;
+        const double allowance = rate * toSeconds(settings.window) + limit.burst;
+        const double tolerance = settings.usedTolerance * (settings.overage * allowance + settings.slack);
+        return std::max(limit.burst + tolerance - rate * toSeconds(settings.grantLifetime), 1.0);
+    }
+
+} // namespace
+
+QuotaBucket::QuotaBucket(const RateLimit& limit, std::size_t coordinators, const QuotaSettings& settings, TimePoint now)
+    : settings_(settings)
+    , advancedTo_(now)
+{
+    setLimit(limit, coordinators, now);
+}
+
+std::size_t QuotaBucket::coordinatorsFor(const RateLimit& limit, const QuotaSettings& settings)
+{
+    const auto whole = static_cast<std::size_t>(totalCapacity(limit, settings));
+    return std::clamp<std::size_t>(whole, 1, std::max<std::size_t>(settings.coordinators, 1));
+}
+
+void QuotaBucket::setLimit(const RateLimit& limit, std::size_t coordinators, TimePoint now)
+{
+    advance(now);
+    coordinators_ = static_cast<double>(std::max<std::size_t>(coordinators, 1));
+    ratePerSecond_ = limit.operationsPerSecond / coordinators_;
+    capacity_ = totalCapacity(limit, settings_) / coordinators_;
+    level_ = std::min(level_, capacity_);
+}
+
+void QuotaBucket::advance(TimePoint now)
+{
+    if (now <= advancedTo_)
+        return;
+    const double earned = ratePerSecond_ * toSeconds(now - advancedTo_);
+    level_ = std::min(level_ + earned, capacity_);
+    refused_ = std::max(refused_ - earned, 0.0);
+    advancedTo_ = now;
+}
+
+std::uint64_t QuotaBucket::take(std::uint64_t operations, bool areUrgent, TimePoint now)
+{
+    advance(now);
+    // A small bucket has no reserve, so that every rank gets the last operation.
+    const double reserve = areUrgent ? 0 : std::floor(capacity_ * settings_.urgentReserve);
+    const std::uint64_t granted = std::min(operations, static_cast<std::uint64_t>(std::max(level_ - reserve, 0.0)));
+    level_ -= static_cast<double>(granted);
+    // Each coordinator of the customer is asked for what the others did not grant.
+    refused_ += static_cast<double>(operations - granted) / coordinators_;
+    return granted;
+}
+
+void QuotaBucket::giveBack(std::uint64_t operations, TimePoint now)
+{
+    advance(now);
+    level_ = std::min(level_ + static_cast<double>(operations), capacity_);
+}
+
+Milliseconds QuotaBucket::retryAfter() const
+{
+    if (ratePerSecond_ <= 0)
+        return settings_.maximumRetryAfter;
+    constexpr double millisecondsInSecond = 1000;
+    const double wait = std::max(1 - level_ + refused_, 0.0) / ratePerSecond_ * millisecondsInSecond;
+    return std::min(Milliseconds(static_cast<Milliseconds::rep>(std::min(wait, 1e6)) + 1), settings_.maximumRetryAfter);
+}
+
+} // namespace almondlever
--- /dev/null
+++ b/src/customers/QuotaClient.cpp
@@ -0,0 +1,242 @@
+#include "almondlever/customers/QuotaClient.h"
+
+#include "almondlever/placement/QuotaCoordinators.h"
+
+#include <algorithm>
+
+namespace almondlever {
+
+namespace {
+
+    /** Time over which the rate of a customer's operations is smoothed, in seconds. */
+    constexpr double rateSmoothingSeconds = 1;
+    constexpr std::size_t mostUrgentRank = 0;
+
+    double toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+} // namespace
+
+QuotaClient::QuotaClient(VmId self, FailureDomainId failureDomain, QuotaCoordinator& local, DecisionLog& log,
+    Metrics& metrics, const QuotaSettings& settings)
+    : self_(std::move(self))
+    , failureDomain_(std::move(failureDomain))
+    , local_(local)
+    , log_(log)
+    , metrics_(metrics)
+    , settings_(settings)
+{
+}
+
+void QuotaClient::setCustomers(std::shared_ptr<const CustomerRegistry> customers) { customers_ = std::move(customers); }
+
+void QuotaClient::setCoordinators(std::vector<LiveDaemon> coordinators) { coordinators_ = std::move(coordinators); }
+
+QuotaTicket QuotaClient::request(const CustomerId& id, std::size_t rank, QuotaCallback callback, TimePoint now)
+{
+    const Customer* customer = customers_ ? customers_->find(id) : nullptr;
+    if (!customer || customer->limit.isUnlimited()) {
+        callback(std::nullopt, now);
+        return 0;
+    }
+    Account& account = accounts_[id];
+    noteArrival(account, now);
+    if (account.spare > 0 && now < account.spareUntil) {
+        --account.spare;
+        callback(std::nullopt, now);
+        return 0;
+    }
+    const bool isUrgent = rank == mostUrgentRank;
+    if (!isUrgent && account.refusedUntil && now < *account.refusedUntil) {
+        metrics_.count("almondlever_quota_refusals_total", "reason=\"quota_exceeded\"");
+        callback(QuotaRefusal { "quota_exceeded", std::chrono::ceil<Milliseconds>(account.returnAt - now) }, now);
+        return 0;
+    }
+    const QuotaTicket ticket = ++lastTicket_;
+    account.waiting.push_back({ ticket, std::move(callback), isUrgent });
+    if (!account.open)
+        ask(id, account, now);
+    const bool isWaiting = std::any_of(account.waiting.begin(), account.waiting.end(),
+        [ticket](const Waiting& waiting) { return waiting.ticket == ticket; });
+    return isWaiting ? ticket : 0;
+}
+
+void QuotaClient::cancel(QuotaTicket ticket)
+{
+    for (auto& [id, account] : accounts_) {
+        const auto found = std::find_if(account.waiting.begin(), account.waiting.end(),
+            [ticket](const Waiting& waiting) { return waiting.ticket == ticket; });
+        if (found == account.waiting.end())
+            continue;
+        account.waiting.erase(found);
+        return;
+    }
+}
+
+void QuotaClient::noteArrival(Account& account, TimePoint now)
+{
+    const double elapsed = toSeconds(now - account.lastRequestAt);
+    const double kept = std::max(1 - elapsed / rateSmoothingSeconds, 0.0);
+    account.ratePerSecond = account.ratePerSecond * kept + 1 / rateSmoothingSeconds;
+    account.lastRequestAt = now;
+}
+
+std::vector<LiveDaemon> QuotaClient::candidatesFor(const CustomerId& id, const Account& account, TimePoint now) const
+{
+    const Customer* customer = customers_ ? customers_->find(id) : nullptr;
+    if (!customer)
+        return {};
+    std::vector<LiveDaemon> candidates
+        = coordinatorsOf(id, QuotaBucket::coordinatorsFor(customer->limit, settings_), coordinators_);
+    candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
+                         [&](const LiveDaemon& daemon) {
+                             const auto silent = silentUntil_.find(daemon.id);
+                             const bool isSilent = silent != silentUntil_.end() && now < silent->second;
+                             return isSilent || account.asked.count(daemon.id) > 0;
+                         }),
+        candidates.end());
+    // Spreads the daemons of the other failure domains over the coordinators.
+    if (!candidates.empty()) {
+        const std::size_t first = std::hash<VmId> {}(self_) % candidates.size();
+        std::rotate(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(first), candidates.end());
+    }
+    std::stable_partition(candidates.begin(), candidates.end(),
+        [this](const LiveDaemon& daemon) { return daemon.failureDomain == failureDomain_; });
+    return candidates;
+}
+
+void QuotaClient::ask(const CustomerId& id, Account& account, TimePoint now)
+{
+    for (const LiveDaemon& coordinator : candidatesFor(id, account, now)) {
+        account.asked.insert(coordinator.id);
+        QuotaRequest request;
+        request.number = ++lastNumber_;
+        request.customer = id;
+        const auto expected = static_cast<std::uint64_t>(account.ratePerSecond * toSeconds(settings_.grantLifetime));
+        request.operations = account.waiting.size() + expected;
+        request.urgent = static_cast<std::uint64_t>(std::count_if(
+            account.waiting.begin(), account.waiting.end(), [](const Waiting& waiting) { return waiting.isUrgent; }));
+        if (account.spareFrom == coordinator.id)
+            request.unused = account.spare;
+        account.spare = 0;
+        account.open = OpenRequest { request.number, coordinator.id, now, request.operations };
+        if (coordinator.id == self_)
+            return onGrant(id, account, local_.onRequest(request, now), now);
+        if (network_ && network_->send(coordinator.id, coordinator.peerAddress, request))
+            return;
+        account.open.reset();
+        setSilent(coordinator.id, now);
+    }
+    refuseWaiting(id, account, now);
+}
+
+void QuotaClient::onAnswer(const VmId& from, const QuotaAnswer& answer, TimePoint now)
+{
+    for (auto& [id, account] : accounts_) {
+        const bool isAwaited
+            = account.open && account.open->number == answer.number && account.open->coordinator == from;
+        if (isAwaited)
+            return onGrant(id, account, answer, now);
+    }
+}
+
+void QuotaClient::onGrant(const CustomerId& id, Account& account, const QuotaAnswer& answer, TimePoint now)
+{
+    const OpenRequest open = *account.open;
+    account.open.reset();
+    const std::uint64_t granted = std::min(answer.granted, open.operations);
+    if (granted < open.operations)
+        account.retryAfter = std::min(account.retryAfter.value_or(answer.retryAfter), answer.retryAfter);
+    // An answer that was under way for long must not be used: the coordinator counts on the lifetime of its grants.
+    const bool isLate = now - open.sentAt >= settings_.grantLifetime;
+    const auto urgentWaiting = static_cast<std::uint64_t>(std::count_if(
+        account.waiting.begin(), account.waiting.end(), [](const Waiting& waiting) { return waiting.isUrgent; }));
+    const std::uint64_t usedUrgent = std::min(urgentWaiting, std::min(answer.grantedUrgent, granted));
+    const std::uint64_t used = std::min<std::uint64_t>(granted - usedUrgent, account.waiting.size() - urgentWaiting);
+    account.spare = isLate ? 0 : granted - usedUrgent - used;
+    account.spareFrom = open.coordinator;
+    account.spareUntil = open.sentAt + settings_.grantLifetime;
+    grantWaiting(account, usedUrgent, true, now);
+    grantWaiting(account, used, false, now);
+    if (account.waiting.empty()) {
+        account.asked.clear();
+        account.retryAfter.reset();
+        return;
+    }
+    if (!account.open)
+        ask(id, account, now);
+}
+
+void QuotaClient::grantWaiting(Account& account, std::uint64_t granted, bool areUrgent, TimePoint now)
+{
+    std::vector<QuotaCallback> callbacks;
+    for (auto it = account.waiting.begin(); it != account.waiting.end() && callbacks.size() < granted;) {
+        if (it->isUrgent != areUrgent) {
+            ++it;
+            continue;
+        }
+        callbacks.push_back(std::move(it->callback));
+        it = account.waiting.erase(it);
+    }
+    for (const QuotaCallback& callback : callbacks)
+        callback(std::nullopt, now);
+}
+
+void QuotaClient::refuseWaiting(const CustomerId& id, Account& account, TimePoint now)
+{
+    QuotaRefusal refusal;
+    refusal.reason = account.retryAfter ? "quota_exceeded" : "quota_unavailable";
+    refusal.retryAfter = account.retryAfter.value_or(settings_.silenceTime);
+    if (account.retryAfter) {
+        account.refusedUntil = now + std::min(settings_.refusalTime, refusal.retryAfter);
+        account.returnAt = now + refusal.retryAfter;
+    }
+    account.asked.clear();
+    account.retryAfter.reset();
+    std::deque<Waiting> refused;
+    refused.swap(account.waiting);
+    metrics_.count("almondlever_quota_refusals_total", "reason=\"" + refusal.reason + '"', refused.size());
+    if (log_.admits(mostUrgentRank, now))
+        log_.write("refuse_operations",
+            { { "customer", id.text() }, { "reason", refusal.reason }, { "operations", std::to_string(refused.size()) },
+                { "rate_per_s", std::to_string(account.ratePerSecond) },
+                { "retry_after_ms", std::to_string(refusal.retryAfter.count()) } });
+    for (const Waiting& waiting : refused)
+        waiting.callback(refusal, now);
+}
+
+void QuotaClient::setSilent(const VmId& coordinator, TimePoint now)
+{
+    silentUntil_[coordinator] = now + settings_.silenceTime;
+}
+
+void QuotaClient::onLoss(const VmId& peer, TimePoint now)
+{
+    std::vector<CustomerId> affected;
+    for (auto& [id, account] : accounts_) {
+        if (account.open && account.open->coordinator == peer)
+            affected.push_back(id);
+    }
+    if (!affected.empty())
+        setSilent(peer, now);
+    for (const CustomerId& id : affected) {
+        Account& account = accounts_[id];
+        account.open.reset();
+        if (!account.waiting.empty())
+            ask(id, account, now);
+    }
+}
+
+void QuotaClient::onTick(TimePoint now)
+{
+    std::set<VmId> silent;
+    for (const auto& [id, account] : accounts_) {
+        if (account.open && now - account.open->sentAt >= settings_.answerTimeout)
+            silent.insert(account.open->coordinator);
+    }
+    for (const VmId& coordinator : silent) {
+        logInfo("quota_coordinator_silent", { { "coordinator", coordinator.text() } });
+        onLoss(coordinator, now);
+    }
+}
+
+} // namespace almondlever
--- a/src/forwarding/ForwardedStatements.cpp
+++ b/src/forwarding/ForwardedStatements.cpp
@@ -10,6 +10,7 @@
     StatementRequest request;
     request.statement = std::move(message.statement);
     request.group = message.group;
+    request.customer = message.customer;
     request.rank = message.rank;
     request.arrival = now;
     request.deadline = now + message.timeLeft;
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -1,5 +1,7 @@
 #include "almondlever/front/FrontDaemon.h"
 
+#include "almondlever/placement/QuotaCoordinators.h"
+
 #include <algorithm>
 
 namespace almondlever {
@@ -28,6 +30,7 @@
     ForwarderSettings forwarderSettings(const FrontSettings& settings)
     {
         ForwarderSettings forwarder;
+        forwarder.self = settings.vm;
         forwarder.failureDomain = settings.failureDomain;
         forwarder.firstNumber = settings.randomSeed;
         return forwarder;
@@ -60,6 +63,9 @@
     , ownFollower_(store, timers, storeKeys::root, ownBatchDelay, *this)
     , relay_(relaySettings(settings), { &configurationFollower_, &endpointFollower_, &ownFollower_ })
     , members_(self())
+    , quotaCoordinator_(settings.vm, settings.quota)
+    , quotaClient_(settings.vm, settings.failureDomain, quotaCoordinator_, log_, metrics_, settings.quota)
+    , gate_(settings.keyWithdrawalLimit, quotaClient_, metrics_)
     , makeNetwork_(std::move(makeNetwork))
 {
     configurationFollower_.setProbe(ownFollower_);
@@ -67,6 +73,8 @@
     promotions_.setSuspicionConfirmer(&suspicionConfirmer_);
     promotions_.setMembersRefresh(
         [this](const std::function<void(bool)>& callback) { endpointFollower_.refresh(callback); });
+    if (settings.isFirstStart)
+        quotaCoordinator_.setFirstStart();
 }
 
 FrontDaemon::~FrontDaemon()
@@ -109,10 +117,10 @@
     }
 }
 
-void FrontDaemon::open(const DatabaseId& database, CallerLink& link, OpenCallback callback)
+void FrontDaemon::open(const DatabaseId& database, const KeyDigest& key, CallerLink& link, OpenCallback callback)
 {
     const TimePoint now = timers_.now();
-    const PendingOpen opening { database, &link, std::move(callback), now };
+    const PendingOpen opening { database, key, &link, std::move(callback), now };
     if (routing_ && hasMembers_)
         return openNow(opening, now);
     pendingOpens_.push_back(opening);
@@ -129,7 +137,16 @@
                     { "configuration", std::to_string(routing_->version) } });
         return opening.callback(nullptr, StatementError::UnknownDatabase);
     }
-    auto session = std::make_unique<Session>(opening.database, *opening.link, *this, forwarder_, metrics_);
+    const bool isPublic = routing_->routes.at(opening.database).isPublic;
+    if (!isPublic && gate_.checkKey(opening.key, now).outcome == KeyDecision::Outcome::UnknownKey) {
+        if (log_.admits(1, now))
+            log_.write("refuse_session",
+                { { "database", opening.database.text() }, { "reason", "unknown_key" },
+                    { "configuration", std::to_string(routing_->version) } });
+        return opening.callback(nullptr, StatementError::NotAuthorized);
+    }
+    auto session
+        = std::make_unique<Session>(opening.database, opening.key, *opening.link, *this, gate_, forwarder_, metrics_);
     Session* opened = session.get();
     sessions_[opening.link] = std::move(session);
     metrics_.count("almondlever_sessions_total", "");
@@ -177,6 +194,7 @@
         forwarder_.onLoss(peer, now);
         forwarded_.onLoss(peer, now);
         relay_.onLoss(peer);
+        quotaClient_.onLoss(peer, now);
     });
     network_->onUnsent([this](std::uint64_t correlation) { forwarder_.onUnsent(correlation, timers_.now()); });
     const auto listening = network_->listen();
@@ -188,6 +206,7 @@
     forwarder_.setNetwork(network_.get());
     forwarded_.setNetwork(network_.get());
     relay_.setNetwork(network_.get());
+    quotaClient_.setNetwork(network_.get());
     suspicionConfirmer_.setNetwork(network_.get());
 }
 
@@ -214,6 +233,10 @@
         suspicionConfirmer_.onQuery(from, *query, now);
     else if (const auto* reply = std::get_if<PrimarySuspicionAnswer>(&message))
         suspicionConfirmer_.onAnswer(from, *reply, now);
+    else if (const auto* quotaRequest = std::get_if<QuotaRequest>(&message))
+        network_->send(from, "", quotaCoordinator_.onRequest(*quotaRequest, now));
+    else if (const auto* quotaAnswer = std::get_if<QuotaAnswer>(&message))
+        quotaClient_.onAnswer(from, *quotaAnswer, now);
     else
         logWarning("peer_message_ignored", { { "peer", from.text() }, { "type", std::to_string(message.index()) } });
 }
@@ -224,10 +247,15 @@
         return;
     const MembershipView view = members_.view();
     relay_.setMembers(view);
+    std::vector<LiveDaemon> coordinators
+        = quotaCoordinators(view, settings_.quota.daemonsPerCoordinator, settings_.quota.coordinators);
+    quotaCoordinator_.setCoordinators(coordinators, now);
+    quotaClient_.setCoordinators(std::move(coordinators));
     std::map<GroupId, std::size_t> sharing;
     std::map<GroupId, std::vector<LiveDaemon>> forwardTo;
     std::map<GroupId, std::vector<LiveDaemon>> owned;
     std::map<GroupId, std::set<std::string>> names;
+    std::size_t groupsNotOwned = 0;
     for (const auto& [group, rule] : routing_->groups) {
         std::vector<LiveDaemon> owners = ownersOf(rule, view, settings_.sharing);
         const bool isOwner = std::any_of(
@@ -235,12 +263,16 @@
         sharing[group] = isOwner ? owners.size() : 0;
         for (const LiveDaemon& owner : owners)
             names[group].insert(owner.id.text());
-        (isOwner ? owned : forwardTo)[group] = std::move(owners);
+        if (isOwner)
+            owned[group] = owners;
+        else
+            ++groupsNotOwned;
+        forwardTo[group] = std::move(owners);
     }
     if (names != lastLoggedOwners_)
         logInfo("owners_changed",
             { { "members", std::to_string(view.daemons.size()) }, { "groups", std::to_string(names.size()) },
-                { "groups_not_owned", std::to_string(forwardTo.size()) } });
+                { "groups_not_owned", std::to_string(groupsNotOwned) } });
     lastLoggedOwners_ = names;
     promotions_.setOwners(std::move(names));
     suspicionConfirmer_.setOwners(std::move(owned));
@@ -337,6 +369,8 @@
     dispatcher_.onTick(now);
     forwarder_.onTick(now);
     relay_.onTick(now);
+    quotaClient_.onTick(now);
+    confirmConfiguration();
     promotions_.onTick(now);
     if (now - lastSlowTickAt_ >= sessionCheckInterval) {
         lastSlowTickAt_ = now;
--- a/src/front/FrontDaemonStore.cpp
+++ b/src/front/FrontDaemonStore.cpp
@@ -119,6 +119,7 @@
     if (item.isDeleted)
         return;
     const Result<RoutingConfiguration, std::string> decoded = decoder_.decodeConfiguration(item);
+    isConfigurationRejected_ = !decoded;
     if (!decoded)
         return logWarning("configuration_rejected",
             { { "key", item.key }, { "revision", std::to_string(item.revision) }, { "reason", decoded.error() } });
@@ -129,12 +130,37 @@
         { { "version", std::to_string(configuration.version) },
             { "previous", routing_ ? std::to_string(routing_->version) : "none" },
             { "revision", std::to_string(item.revision) }, { "routes", std::to_string(configuration.routes.size()) },
-            { "groups", std::to_string(configuration.groups.size()) } });
+            { "groups", std::to_string(configuration.groups.size()) },
+            { "customers",
+                configuration.customers ? std::to_string(configuration.customers->customers().size()) : "none" } });
     routing_ = std::make_shared<const RoutingConfiguration>(configuration);
     configurationItem_ = item;
+    applyCustomers(now);
     applyConfiguration(now);
 }
 
+void FrontDaemon::applyCustomers(TimePoint now)
+{
+    quotaCoordinator_.setCustomers(routing_->customers, now);
+    gate_.setCustomers(routing_->customers);
+    dispatcher_.setConnectionsByCustomer(routing_->customers != nullptr);
+    const bool mustProve = routing_->customers && settings_.keyWithdrawalLimit > Milliseconds(0);
+    relay_.setVerifiedPrefix(mustProve ? decoder_.configurationPrefix() : "");
+    // Closing a session removes it from the map.
+    std::vector<Session*> sessions;
+    for (const auto& [link, session] : sessions_)
+        sessions.push_back(session.get());
+    for (Session* session : sessions)
+        session->endIfKeyWithdrawn(now);
+}
+
+void FrontDaemon::confirmConfiguration()
+{
+    const std::optional<TimePoint> proven = relay_.provenAt(decoder_.configurationPrefix());
+    if (proven && !isConfigurationRejected_)
+        gate_.confirm(*proven);
+}
+
 void FrontDaemon::applyConfiguration(TimePoint now)
 {
     // A daemon that does not know the others would consider itself the owner of every group. After a power loss of the
--- a/src/front/StoreRelay.cpp
+++ b/src/front/StoreRelay.cpp
@@ -6,6 +6,13 @@
 
 namespace almondlever {
 
+namespace {
+
+    /** Queries whose answers may still be used; older ones would be answered after the source counts as silent. */
+    constexpr std::size_t maximumOpenQueries = 8;
+
+} // namespace
+
 void StoreRelay::setMembers(const MembershipView& view)
 {
     const bool wasRelay = treePosition_.isRelay;
@@ -36,8 +43,40 @@
     return &source;
 }
 
+PrefixFollower* StoreRelay::followerOf(const std::string& prefix) const
+{
+    const auto found = std::find_if(followers_.begin(), followers_.end(),
+        [&prefix](const PrefixFollower* candidate) { return candidate->prefix() == prefix; });
+    return found == followers_.end() ? nullptr : *found;
+}
+
+std::optional<TimePoint> StoreRelay::provenAt(const std::string& prefix) const
+{
+    const PrefixFollower* follower = followerOf(prefix);
+    const std::optional<TimePoint> own = follower ? follower->provenAt() : std::nullopt;
+    const auto received = updatesProvenAt_.find(prefix);
+    if (received == updatesProvenAt_.end())
+        return own;
+    return std::max(own.value_or(received->second), received->second);
+}
+
+void StoreRelay::verifyIfDue(TimePoint now)
+{
+    PrefixFollower* follower = followerOf(verifiedPrefix_);
+    if (!follower || follower->isPaused())
+        return;
+    const Milliseconds interval = treePosition_.isWatcher ? settings_.watcherVerifyInterval : settings_.verifyInterval;
+    const std::optional<TimePoint> proven = provenAt(verifiedPrefix_);
+    const bool isDue = !proven || now - *proven >= interval;
+    if (!isDue || now - verifiedAt_ < interval)
+        return;
+    verifiedAt_ = now;
+    follower->verify();
+}
+
 void StoreRelay::onTick(TimePoint now)
 {
+    verifyIfDue(now);
     if (treePosition_.isWatcher || !network_)
         return;
     if (!source_.isEmpty() && now - lastUpdateAt_ > settings_.directWatchTimeout)
@@ -58,6 +97,10 @@
     StoreUpdateRequest request;
     for (const PrefixFollower* follower : followers_)
         request.known.push_back({ follower->prefix(), follower->revision() });
+    request.number = ++lastQuery_;
+    queries_[request.number] = now;
+    if (queries_.size() > maximumOpenQueries)
+        queries_.erase(queries_.begin());
     if (!network_->send(source->id, source->peerAddress, request))
         onLoss(source->id);
 }
@@ -75,18 +118,20 @@
     if (!treePosition_.isWatcher && !treePosition_.isRelay)
         return;
     for (const StoreUpdateRequest::Known& known : request.known) {
-        const auto follower = std::find_if(followers_.begin(), followers_.end(),
-            [&known](const PrefixFollower* candidate) { return candidate->prefix() == known.prefix; });
-        if (follower == followers_.end())
+        const PrefixFollower* follower = followerOf(known.prefix);
+        if (!follower)
             continue;
-        const std::optional<TimePoint> confirmed = confirmedAt(**follower);
+        const std::optional<TimePoint> confirmed = confirmedAt(*follower);
         if (!confirmed)
             continue;
         const StoreCache& cache = caches_[known.prefix];
         StoreUpdate update;
         update.prefix = known.prefix;
-        update.revision = (*follower)->revision();
+        update.revision = follower->revision();
+        update.number = request.number;
         update.age = std::chrono::duration_cast<Milliseconds>(now - *confirmed);
+        if (const std::optional<TimePoint> proven = provenAt(known.prefix))
+            update.proofAge = std::chrono::ceil<Milliseconds>(now - *proven);
         update.isSnapshot = cache.needsSnapshot(known.revision);
         update.items = update.isSnapshot ? cache.all() : cache.changesSince(known.revision);
         if (network_)
@@ -99,12 +144,9 @@
     const Milliseconds maxAge = treePosition_.asksRelays ? settings_.maxRelayedUpdateAge : settings_.maxUpdateAge;
     if (treePosition_.isWatcher || from != queriedSource_ || update.age > maxAge)
         return;
-    const auto follower = std::find_if(followers_.begin(), followers_.end(),
-        [&update](const PrefixFollower* candidate) { return candidate->prefix() == update.prefix; });
-    if (follower == followers_.end())
-        return;
+    PrefixFollower* follower = followerOf(update.prefix);
     // Updates from a source that is behind this daemon are ignored; the source catches up with its next call.
-    if (update.revision < (*follower)->revision())
+    if (!follower || update.revision < follower->revision())
         return;
     answeredPrefixes_.insert(update.prefix);
     const bool hasAll = answeredPrefixes_.size() == followers_.size();
@@ -116,10 +158,16 @@
     }
     // Followers are paused already if this daemon switches from another source; updates are then applied at once, even
     // before the new source has answered for all prefixes.
-    if (!(*follower)->isPaused())
+    if (!follower->isPaused())
         return;
-    (*follower)->applyUpdate(update.items, update.revision, update.isSnapshot);
+    follower->applyUpdate(update.items, update.revision, update.isSnapshot);
     updatesConfirmedAt_[update.prefix] = now - update.age;
+    const auto query = queries_.find(update.number);
+    if (update.proofAge && query != queries_.end()) {
+        const TimePoint proven = query->second - *update.proofAge;
+        TimePoint& newest = updatesProvenAt_.try_emplace(update.prefix, proven).first->second;
+        newest = std::max(newest, proven);
+    }
     // The source counts as answering only when it has answered for all prefixes.
     if (hasAll) {
         lastUpdateAt_ = now;
--- a/src/placement/Rendezvous.cpp
+++ b/src/placement/Rendezvous.cpp
@@ -75,4 +75,24 @@
     }
 }
 
+std::vector<VmId> chooseStrong(const std::vector<LiveDaemon>& candidates, std::size_t count, const std::string& key)
+{
+    std::uint32_t largestCapacity = 0;
+    for (const LiveDaemon& daemon : candidates)
+        largestCapacity = std::max(largestCapacity, daemon.isLeaving ? 0 : daemon.capacity);
+    MembershipView preferred;
+    for (const LiveDaemon& daemon : candidates) {
+        if (!daemon.isLeaving && 2 * daemon.capacity >= largestCapacity)
+            preferred.daemons.push_back(daemon);
+    }
+    std::vector<VmId> chosen;
+    fillAcrossFailureDomains(chosen, count, key, preferred);
+    if (chosen.size() < count) {
+        MembershipView all;
+        all.daemons = candidates;
+        fillAcrossFailureDomains(chosen, count, key, all);
+    }
+    return chosen;
+}
+
 } // namespace almondlever
--- a/src/placement/Rendezvous.h
+++ b/src/placement/Rendezvous.h
@@ -38,4 +38,10 @@
 void fillAcrossFailureDomains(
     std::vector<VmId>& chosen, std::size_t count, const std::string& key, const MembershipView&);
 
+/**
+ * Returns `count` daemons, or all that are not leaving, chosen like fillAcrossFailureDomains(). VMs with at least half
+ * of the largest capacity come first.
+ */
+std::vector<VmId> chooseStrong(const std::vector<LiveDaemon>& candidates, std::size_t count, const std::string& key);
+
 } // namespace almondlever
--- a/src/placement/UpdateTree.cpp
+++ b/src/placement/UpdateTree.cpp
@@ -11,28 +11,6 @@
     const char* const watchersKey = "store watchers";
     const char* const relaysKey = "store relays of ";
 
-    std::vector<VmId> chooseDaemons(
-        const std::vector<LiveDaemon>& candidates, std::size_t count, const std::string& key)
-    {
-        std::uint32_t largestCapacity = 0;
-        for (const LiveDaemon& daemon : candidates)
-            largestCapacity = std::max(largestCapacity, daemon.isLeaving ? 0 : daemon.capacity);
-        MembershipView preferred;
-        for (const LiveDaemon& daemon : candidates) {
-            // VMs with at least half of the largest capacity are considered equal.
-            if (!daemon.isLeaving && 2 * daemon.capacity >= largestCapacity)
-                preferred.daemons.push_back(daemon);
-        }
-        std::vector<VmId> chosen;
-        fillAcrossFailureDomains(chosen, count, key, preferred);
-        if (chosen.size() < count) {
-            MembershipView all;
-            all.daemons = candidates;
-            fillAcrossFailureDomains(chosen, count, key, all);
-        }
-        return chosen;
-    }
-
     bool contains(const std::vector<VmId>& ids, const VmId& id)
     {
         return std::find(ids.begin(), ids.end(), id) != ids.end();
@@ -55,7 +33,7 @@
     const MembershipView& view, const VmId& self, const UpdateTreeSettings& settings)
 {
     UpdateTreePosition position;
-    const std::vector<VmId> watchers = chooseDaemons(view.daemons, settings.watchers, watchersKey);
+    const std::vector<VmId> watchers = chooseStrong(view.daemons, settings.watchers, watchersKey);
     position.isWatcher = contains(watchers, self);
     if (position.isWatcher)
         return position;
@@ -72,7 +50,7 @@
     }
     const std::size_t needed = (domainDaemons.size() + settings.childrenPerRelay - 1) / settings.childrenPerRelay;
     const std::vector<VmId> relays
-        = chooseDaemons(domainDaemons, needed + settings.spareRelays, relaysKey + own->failureDomain.text());
+        = chooseStrong(domainDaemons, needed + settings.spareRelays, relaysKey + own->failureDomain.text());
     position.isRelay = contains(relays, self);
     position.asksRelays = !position.isRelay;
     position.sources = rotateForRequester(self, position.isRelay ? watchers : relays, view);
--- a/src/pooling/DispatcherLinks.cpp
+++ b/src/pooling/DispatcherLinks.cpp
@@ -64,12 +64,39 @@
     const std::size_t share = connectionShare(*entry);
     const std::size_t opening = links.count(PooledLink::State::Opening);
     const std::size_t limit = std::min(wanted, openingsAtOnce);
-    for (std::size_t number = opening; number < limit && links.openCount() < share + extra; ++number) {
-        const auto link = std::make_shared<PooledLink>(*this, links.id(), now);
-        links.links().push_back(link);
-        metrics_.count("almondlever_endpoint_connections_total", "");
-        link->attach(connector_.connect(*entry, link));
+    for (std::size_t number = opening; number < limit && links.openCount() < share + extra; ++number)
+        openLink(links, *entry, CustomerId(), now);
+}
+
+std::shared_ptr<PooledLink> DispatcherState::openLink(
+    EndpointLinks& links, const EndpointEntry& entry, const CustomerId& customer, TimePoint now)
+{
+    auto link = std::make_shared<PooledLink>(*this, links.id(), customer, now);
+    links.links().push_back(link);
+    metrics_.count("almondlever_endpoint_connections_total", "");
+    link->attach(connector_.connect(entry, customer, link));
+    return link;
+}
+
+bool DispatcherState::mayOpenLink(EndpointLinks& links, TimePoint now)
+{
+    const EndpointEntry* entry = directory_.find(links.id());
+    const bool hasRoom
+        = entry && (links.openCount() < connectionShare(*entry) || links.count(PooledLink::State::Idle) > 0);
+    return hasRoom && links.mayConnect(now);
+}
+
+std::shared_ptr<PooledLink> DispatcherState::openLinkFor(
+    EndpointLinks& links, const CustomerId& customer, TimePoint now)
+{
+    if (!mayOpenLink(links, now))
+        return nullptr;
+    const EndpointEntry& entry = *directory_.find(links.id());
+    if (links.openCount() >= connectionShare(entry)) {
+        links.takeLongestIdle()->abandon();
+        metrics_.count("almondlever_endpoint_connections_replaced_total", "");
     }
+    return openLink(links, entry, customer, now);
 }
 
 void DispatcherState::ensureOpenLink(const GroupId& group, TimePoint now)
@@ -84,8 +111,9 @@
 void DispatcherState::onPooledLinkOpened(PooledLink& link, const Reply& reply, TimePoint now)
 {
     EndpointLinks& links = linksOf(link.endpoint());
-    links.noteOpened(now);
+    links.noteOpened(link, now);
     onPooledLinkReply(link, reply, now);
+    onRunLinkOpened(link, now);
     if (const EndpointEntry* entry = directory_.find(link.endpoint()))
         dispatch(entry->group, now);
 }
@@ -110,6 +138,7 @@
     const std::size_t before = links.links().size();
     const bool wasOpening = !link.wasOpened();
     links.noteClosed(refusal, wasOpening, now);
+    onRunLinkFailed(link, now);
     // Another server now uses the address, so the directory entry is outdated.
     if (refusal == StatementError::Misrouted)
         directory_.noteNotLeading(link.endpoint());
@@ -146,7 +175,8 @@
         // Reads are retried elsewhere at once; writes wait until their deadline, because they may have run.
         for (const auto& [ticket, run] : runs_) {
             const StatementRequest& request = pending_.at(ticket).request;
-            const bool isRepeatable = !run.isInTransaction && (!request.isWrite || request.opensTransaction);
+            const bool isRepeatable
+                = run.isOpening || (!run.isInTransaction && (!request.isWrite || request.opensTransaction));
             if (run.link->endpoint() == id && isRepeatable)
                 closing.emplace_back(run.link, "endpoint is silent");
         }
@@ -182,7 +212,7 @@
         if (pending.isSent)
             continue;
         EndpointLinks& links = linksOf(pending.endpoint);
-        std::shared_ptr<PooledLink> link = links.findIdle(SessionContents());
+        std::shared_ptr<PooledLink> link = links.findIdle();
         if (!link) {
             openLinks(links, 1, now);
             continue;
@@ -273,7 +303,7 @@
         EndpointLinks& links = linksOf(entry->id);
         if (links.isSuspect(now))
             continue;
-        if (const auto link = links.findIdle(SessionContents()))
+        if (const auto link = links.findIdle())
             queryPosition(group, link, false, now);
     }
 }
@@ -294,7 +324,7 @@
     const bool isFresh = newest && now - *newest < refresh;
     if (isFresh || queues.isQueryingPosition)
         return;
-    const auto link = primary->findIdle(SessionContents());
+    const auto link = primary->findIdle();
     if (!link)
         return;
     queues.isQueryingPosition = true;
--- a/src/pooling/DispatcherRuns.cpp
+++ b/src/pooling/DispatcherRuns.cpp
@@ -1,5 +1,6 @@
 #include "DispatcherState.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace almondlever {
@@ -69,12 +70,59 @@
     return ticket;
 }
 
+bool DispatcherState::runAt(EndpointLinks& links, Ticket ticket, StatementRun run, TimePoint now)
+{
+    const StatementRequest& request = pending_.at(ticket).request;
+    run.link = links.findIdle(*request.contents, request.customer);
+    if (!run.link) {
+        run.link = openLinkFor(links, request.customer, now);
+        run.isOpening = true;
+    }
+    if (!run.link)
+        return false;
+    startRun(ticket, std::move(run), now);
+    return true;
+}
+
 void DispatcherState::startRun(Ticket ticket, StatementRun run, TimePoint now)
 {
-    PendingStatement& pending = pending_.at(ticket);
-    const StatementRequest& request = pending.request;
+    ++pending_.at(ticket).attempts;
+    run.startedAt = now;
+    linksOf(run.link->endpoint()).noteStarted();
+    const bool isOpening = run.isOpening;
+    runs_.emplace(ticket, std::move(run));
+    if (!isOpening)
+        setUp(ticket, now);
+}
+
+void DispatcherState::onRunLinkOpened(const PooledLink& link, TimePoint now)
+{
+    const auto found = std::find_if(runs_.begin(), runs_.end(),
+        [&link](const auto& entry) { return entry.second.isOpening && entry.second.link.get() == &link; });
+    if (found == runs_.end())
+        return;
+    const Ticket ticket = found->first;
+    found->second.isOpening = false;
+    if (pending_.at(ticket).callback)
+        return setUp(ticket, now);
+    // The caller disconnected in the meantime; the connection stays for others.
+    removeRun(ticket, now, false);
+    pending_.erase(ticket);
+}
+
+void DispatcherState::onRunLinkFailed(const PooledLink& link, TimePoint now)
+{
+    const auto found = std::find_if(runs_.begin(), runs_.end(),
+        [&link](const auto& entry) { return entry.second.isOpening && entry.second.link.get() == &link; });
+    if (found != runs_.end())
+        onConnectionLost(found->first, "the connection could not be opened", now);
+}
+
+void DispatcherState::setUp(Ticket ticket, TimePoint now)
+{
+    StatementRun& run = runs_.at(ticket);
+    const StatementRequest& request = pending_.at(ticket).request;
     const std::shared_ptr<PooledLink> link = run.link;
-    ++pending.attempts;
     link->setState(PooledLink::State::Busy, now);
     std::vector<EndpointCommand> commands = link->contents().prepareFor(*request.contents, request.statement);
     run.changesContentsInTransaction = run.isInTransaction && !commands.empty();
@@ -89,9 +137,6 @@
         run.after.reset();
     }
     run.setupLeft = commands.size();
-    run.startedAt = now;
-    linksOf(link->endpoint()).noteStarted();
-    runs_.emplace(ticket, std::move(run));
     if (commands.empty())
         return forward(ticket, now);
     for (const EndpointCommand& command : commands) {
@@ -371,7 +416,9 @@
         isForwarded ? "no_answer" : "connection_not_prepared", now);
     metrics_.count("almondlever_timeouts_total", isForwarded ? "phase=\"statement\"" : "phase=\"setup\"");
     finish(ticket, std::move(result), now);
-    run.link->close("statement timed out", now);
+    // A connection that is still being opened serves later statements.
+    if (!run.isOpening)
+        run.link->close("statement timed out", now);
 }
 
 void DispatcherState::logOutcome(const StatementRequest& request, std::string_view decision, const EndpointId& endpoint,
--- a/src/pooling/DispatcherState.cpp
+++ b/src/pooling/DispatcherState.cpp
@@ -98,6 +98,7 @@
         return refuse(ticket, queues.expectedFailover, "no_replica", now);
     QueuedRequest queued;
     queued.ticket = ticket;
+    queued.caller = CallerId(request.customer.text());
     queued.rank = request.rank;
     queued.bytes = request.statement.text.size();
     queued.arrival = request.arrival;
@@ -144,7 +145,10 @@
         EndpointLinks* primary = usablePrimary(group, now);
         if (!primary || primary->isBusy(now) || !primary->hasRoom(queues.urgentQueued > 0, now))
             return;
-        if (primary->count(PooledLink::State::Idle) == 0)
+        const bool hasIdle = primary->count(PooledLink::State::Idle) > 0;
+        if (!hasIdle && areConnectionsByCustomer_ && !mayOpenLink(*primary, now))
+            return;
+        if (!hasIdle && !areConnectionsByCustomer_)
             return openLinks(*primary, queues.primaryQueue.size(), now);
         const std::optional<QueuedRequest> queued = queues.primaryQueue.take(now);
         if (!queued)
@@ -156,15 +160,18 @@
             continue;
         }
         StatementRun run;
-        run.link = primary->findIdle(*pending->second.request.contents);
         run.queued = queued;
         run.fromPrimaryQueue = true;
         run.usesGuardTransaction = !pending->second.request.isWrite && !pending->second.request.opensTransaction;
-        startRun(queued->ticket, std::move(run), now);
+        if (runAt(*primary, queued->ticket, std::move(run), now))
+            continue;
+        queues.primaryQueue.release(*queued, Duration(0), now);
+        pending->second.retryAt = now + settings_.retryPause;
     }
 }
 
-std::vector<ReadCandidate> DispatcherState::readCandidates(GroupQueues& queues, const GroupId& group, TimePoint now)
+std::vector<ReadCandidate> DispatcherState::readCandidates(
+    GroupQueues& queues, const GroupId& group, const std::optional<CustomerId>& customer, TimePoint now)
 {
     std::vector<ReadCandidate> candidates;
     const EndpointEntry* primary = directory_.primaryOf(group);
@@ -180,13 +187,17 @@
             = candidate.isPrimary && connectionShare(*entry) > 1 ? queues.primaryQueue.size() + 1 : 0;
         const bool isUsable
             = !entry->isLeaving && !directory_.isLapsing(entry->id) && !links.isSuspect(now) && !links.isBusy(now);
-        candidate.hasFreeConnection = isUsable && idle > kept && links.hasRoom(false, now);
+        const bool hasOwnIdle = customer ? links.hasIdle(*customer) : idle > 0;
+        const bool hasConnection = areConnectionsByCustomer_ ? hasOwnIdle || mayOpenLink(links, now) : idle > kept;
+        candidate.hasFreeConnection = isUsable && hasConnection && links.hasRoom(false, now);
+        if (areConnectionsByCustomer_ && !hasOwnIdle)
+            candidate.openingTime = links.openingTime();
         candidate.running = links.running();
         candidate.slots = entry->slots;
         candidate.latency = links.latency();
         candidate.position = links.position();
         candidate.wasLaggingLately = links.wasLaggingLately(now);
-        const bool mayOpen = isUsable && idle == 0 && queues.readQueue.size() > 0;
+        const bool mayOpen = !areConnectionsByCustomer_ && isUsable && idle == 0 && queues.readQueue.size() > 0;
         if (mayOpen && (links.openCount() > 0 || queues.sharingDaemons == 0))
             openLinks(links, 1, now);
         candidates.push_back(candidate);
@@ -197,7 +208,7 @@
 void DispatcherState::dispatchReads(GroupQueues& queues, const GroupId& group, TimePoint now)
 {
     while (queues.readQueue.size() > 0) {
-        const std::vector<ReadCandidate> candidates = readCandidates(queues, group, now);
+        const std::vector<ReadCandidate> candidates = readCandidates(queues, group, std::nullopt, now);
         const bool hasFree = std::any_of(candidates.begin(), candidates.end(),
             [](const ReadCandidate& candidate) { return candidate.hasFreeConnection; });
         if (!hasFree)
@@ -221,7 +232,7 @@
         return false;
     PendingStatement& pending = found->second;
     const std::vector<const EndpointEntry*> entries = directory_.endpointsOf(group);
-    std::vector<ReadCandidate> candidates = readCandidates(queues, group, now);
+    std::vector<ReadCandidate> candidates = readCandidates(queues, group, pending.request.customer, now);
     for (ReadCandidate& candidate : candidates) {
         if (pending.refusedBy.count(entries[candidate.index]->id) > 0)
             candidate.hasFreeConnection = false;
@@ -230,11 +241,10 @@
     const std::optional<std::size_t> chosen = minimum ? selectReadEndpoint(candidates, *minimum) : std::nullopt;
     if (chosen) {
         StatementRun run;
-        run.link = linksOf(entries[*chosen]->id).findIdle(*pending.request.contents);
         run.queued = queued;
         run.after = minimum;
-        startRun(queued.ticket, std::move(run), now);
-        return true;
+        if (runAt(linksOf(entries[*chosen]->id), queued.ticket, std::move(run), now))
+            return true;
     }
     // Without a usable primary, the replicas are tried again later, since they may catch up.
     pending.waitsForPrimary = usablePrimary(group, now) != nullptr || !minimum;
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -30,6 +30,8 @@
     /** Set when the statement was taken from a queue, which must be notified of the end of the run. */
     std::optional<QueuedRequest> queued;
     bool fromPrimaryQueue = false;
+    /** The connection is being opened for the statement. */
+    bool isOpening = false;
     /** The statement continues an open transaction. */
     bool isInTransaction = false;
     /** The proxy begins a read-write transaction for the read; an endpoint that is not the primary refuses it. */
@@ -97,6 +99,7 @@
     void sendReplicationCommand(
         const EndpointId&, const EndpointCommand&, StatementDispatcher::ReplicationCommandCallback, TimePoint now);
     void setGroups(const std::map<GroupId, GroupRule>&, TimePoint now);
+    void setConnectionsByCustomer(bool areByCustomer) { areConnectionsByCustomer_ = areByCustomer; }
     void setSharing(const std::map<GroupId, std::size_t>&, TimePoint now);
     void onDirectoryChange(TimePoint now);
     void onTick(TimePoint now);
@@ -122,7 +125,9 @@
     void dispatchPrimary(GroupQueues&, const GroupId&, TimePoint now);
     void dispatchReads(GroupQueues&, const GroupId&, TimePoint now);
     bool placeRead(GroupQueues&, const GroupId&, const QueuedRequest&, TimePoint now);
-    std::vector<ReadCandidate> readCandidates(GroupQueues&, const GroupId&, TimePoint now);
+    /** The endpoints for a read; only those that can run it for the customer if there is one. */
+    std::vector<ReadCandidate> readCandidates(
+        GroupQueues&, const GroupId&, const std::optional<CustomerId>&, TimePoint now);
     void updateSlots(GroupQueues&, const GroupId&, TimePoint now);
     void answerExpired(GroupQueues&, TimePoint now);
     /** Updates urgentQueued after a statement left the queue for the primary. */
@@ -148,7 +153,17 @@
     std::size_t countAnswering(const GroupId&, bool withPrimary, TimePoint now) const;
 
     // Runs (DispatcherRuns.cpp).
+    /**
+     * Starts the statement on an idle connection of its customer, or opens one for it. Returns false if there is
+     * neither a connection nor room for one.
+     */
+    bool runAt(EndpointLinks&, Ticket, StatementRun, TimePoint now);
     void startRun(Ticket, StatementRun, TimePoint now);
+    /** Sends the commands that the statement needs before it. */
+    void setUp(Ticket, TimePoint now);
+    /** Continues the statements for which a connection was opened. */
+    void onRunLinkOpened(const PooledLink&, TimePoint now);
+    void onRunLinkFailed(const PooledLink&, TimePoint now);
     void forward(Ticket, TimePoint now);
     void onSetupReply(Ticket, const EndpointCommand::Kind&, TimePoint sentAt, const Reply*, TimePoint now);
     void onForwardReply(Ticket, const Reply*, TimePoint now);
@@ -182,6 +197,14 @@
      * daemon's share by extra.
      */
     void openLinks(EndpointLinks&, std::size_t wanted, TimePoint now, std::size_t extra = 0);
+    /**
+     * Opens a connection for a statement of a customer. At the daemon's share, it takes the place of the connection
+     * that has been idle for the longest time. Returns nullptr if there is no room.
+     */
+    std::shared_ptr<PooledLink> openLinkFor(EndpointLinks&, const CustomerId&, TimePoint now);
+    /** True if openLinkFor() would open a connection. */
+    bool mayOpenLink(EndpointLinks&, TimePoint now);
+    std::shared_ptr<PooledLink> openLink(EndpointLinks&, const EndpointEntry&, const CustomerId&, TimePoint now);
     void ensureOpenLink(const GroupId&, TimePoint now);
     void refreshPrimaryPosition(GroupQueues&, const GroupId&, TimePoint now);
     /** True if no statement was submitted recently. */
@@ -208,6 +231,8 @@
     DispatcherSettings settings_;
     EndpointHealthSettings health_;
     std::vector<RankRule> ranks_;
+    /** A connection serves one customer for as long as it is open. */
+    bool areConnectionsByCustomer_ = false;
     std::map<GroupId, GroupQueues> groups_;
     std::map<EndpointId, EndpointLinks> endpoints_;
     std::unordered_map<Ticket, PendingStatement> pending_;
--- a/src/pooling/EndpointLinks.cpp
+++ b/src/pooling/EndpointLinks.cpp
@@ -4,6 +4,13 @@
 
 namespace almondlever {
 
+namespace {
+
+    /** Number of openings over which their time is smoothed. */
+    constexpr int openingTimeSmoothing = 8;
+
+} // namespace
+
 std::shared_ptr<PooledLink> EndpointLinks::takeIdleSince(TimePoint time)
 {
     const auto found = std::find_if(links_.begin(), links_.end(),
@@ -15,8 +22,25 @@
     return link;
 }
 
-void EndpointLinks::noteOpened(TimePoint now)
+std::shared_ptr<PooledLink> EndpointLinks::takeLongestIdle()
 {
+    auto longest = links_.end();
+    for (auto it = links_.begin(); it != links_.end(); ++it) {
+        const bool isIdle = (*it)->state() == PooledLink::State::Idle;
+        if (isIdle && (longest == links_.end() || (*it)->stateSince() < (*longest)->stateSince()))
+            longest = it;
+    }
+    if (longest == links_.end())
+        return nullptr;
+    std::shared_ptr<PooledLink> link = std::move(*longest);
+    links_.erase(longest);
+    return link;
+}
+
+void EndpointLinks::noteOpened(const PooledLink& link, TimePoint now)
+{
+    const Duration taken = now - link.openedAt();
+    openingTime_ = openingTime_ == Duration(0) ? taken : openingTime_ + (taken - openingTime_) / openingTimeSmoothing;
     wasOpen_ = true;
     failingSince_.reset();
     connectBackoff_ = Milliseconds(0);
@@ -56,12 +80,26 @@
     connectAfter_ = now + connectBackoff_;
 }
 
-std::shared_ptr<PooledLink> EndpointLinks::findIdle(const SessionContents& contents)
+bool EndpointLinks::hasIdle(const CustomerId& customer) const
+{
+    return std::any_of(links_.begin(), links_.end(), [&customer](const auto& link) {
+        return link->state() == PooledLink::State::Idle && link->customer() == customer;
+    });
+}
+
+std::shared_ptr<PooledLink> EndpointLinks::findIdle() const
+{
+    const auto found = std::find_if(
+        links_.begin(), links_.end(), [](const auto& link) { return link->state() == PooledLink::State::Idle; });
+    return found == links_.end() ? nullptr : *found;
+}
+
+std::shared_ptr<PooledLink> EndpointLinks::findIdle(const SessionContents& contents, const CustomerId& customer) const
 {
     std::shared_ptr<PooledLink> best;
     std::size_t fewest = 0;
     for (const auto& link : links_) {
-        if (link->state() != PooledLink::State::Idle)
+        if (link->state() != PooledLink::State::Idle || link->customer() != customer)
             continue;
         const std::size_t differences = link->contents().countDifferences(contents);
         if (best && differences >= fewest)
--- a/src/pooling/EndpointLinks.h
+++ b/src/pooling/EndpointLinks.h
@@ -54,7 +54,7 @@
 
     /** Removes and returns a connection that has been idle since the given time or longer; nullptr if none has. */
     std::shared_ptr<PooledLink> takeIdleSince(TimePoint);
-    void noteOpened(TimePoint now);
+    void noteOpened(const PooledLink&, TimePoint now);
     void noteReply(const Reply&, TimePoint now);
     void noteClosed(std::optional<StatementError> refusal, bool wasOpening, TimePoint now);
     void noteLagging(TimePoint now) { laggingUntil_ = now + settings_.laggingPause; }
@@ -82,8 +82,15 @@
     /** Whether the endpoint answers this daemon; asked by another daemon, which got no answer since the given time. */
     PrimaryOpinion opinionSince(TimePoint, TimePoint now) const;
 
-    /** The idle connection that needs the fewest commands for the session; nullptr when none is idle. */
-    std::shared_ptr<PooledLink> findIdle(const SessionContents&);
+    /** The customer's idle connection that needs the fewest commands for the session; nullptr when none is idle. */
+    std::shared_ptr<PooledLink> findIdle(const SessionContents&, const CustomerId&) const;
+    /** An idle connection for a command of the proxy, whichever customer it belongs to; nullptr when none is idle. */
+    std::shared_ptr<PooledLink> findIdle() const;
+    bool hasIdle(const CustomerId&) const;
+    /** Removes and returns the connection that has been idle for the longest time; nullptr if none is. */
+    std::shared_ptr<PooledLink> takeLongestIdle();
+    /** Smoothed time that opening a connection takes. */
+    Duration openingTime() const { return openingTime_; }
     std::size_t count(PooledLink::State) const;
     /** Connections that are open or being opened. */
     std::size_t openCount() const;
@@ -125,6 +132,7 @@
     TimePoint laggingUntil_ {};
     TimePoint busyUntil_ {};
     Milliseconds connectBackoff_ { 0 };
+    Duration openingTime_ { 0 };
 };
 
 } // namespace almondlever
--- a/src/pooling/EndpointSelection.cpp
+++ b/src/pooling/EndpointSelection.cpp
@@ -14,8 +14,9 @@
     {
         const std::size_t slots = candidate.slots > 0 ? candidate.slots : defaultSlots;
         const double queue = 1 + static_cast<double>(candidate.running) / static_cast<double>(slots);
-        return std::chrono::duration<double>(candidate.latency).count() * queue
-            * (candidate.isPrimary ? primaryPenalty : 1);
+        const double statement = std::chrono::duration<double>(candidate.latency).count() * queue;
+        const double opening = std::chrono::duration<double>(candidate.openingTime).count();
+        return statement * (candidate.isPrimary ? primaryPenalty : 1) + opening;
     }
 
 } // namespace
--- a/src/pooling/PooledLink.h
+++ b/src/pooling/PooledLink.h
@@ -47,9 +47,10 @@
         Closed,
     };
 
-    PooledLink(PooledLinkOwner& owner, EndpointId endpoint, TimePoint now)
+    PooledLink(PooledLinkOwner& owner, EndpointId endpoint, CustomerId customer, TimePoint now)
         : owner_(&owner)
         , endpoint_(std::move(endpoint))
+        , customer_(std::move(customer))
         , openedAt_(now)
         , stateSince_(now)
     {
@@ -72,6 +73,8 @@
     void onLinkClosed(const std::string& reason, std::optional<StatementError>, TimePoint now) override;
 
     const EndpointId& endpoint() const { return endpoint_; }
+    /** The customer whose statements may run on it; empty for the proxy's own, or where callers need no key. */
+    const CustomerId& customer() const { return customer_; }
     State state() const { return state_; }
     void setState(State state, TimePoint now)
     {
@@ -100,6 +103,7 @@
 
     PooledLinkOwner* owner_;
     EndpointId endpoint_;
+    CustomerId customer_;
     std::shared_ptr<EndpointLink> link_;
     LinkContents contents_;
     State state_ = State::Opening;
--- a/src/pooling/StatementDispatcher.cpp
+++ b/src/pooling/StatementDispatcher.cpp
@@ -42,6 +42,11 @@
     state_->setGroups(groups, now);
 }
 
+void StatementDispatcher::setConnectionsByCustomer(bool areByCustomer)
+{
+    state_->setConnectionsByCustomer(areByCustomer);
+}
+
 void StatementDispatcher::setSharing(const std::map<GroupId, std::size_t>& daemons, TimePoint now)
 {
     state_->setSharing(daemons, now);
--- a/src/sessions/Session.cpp
+++ b/src/sessions/Session.cpp
@@ -14,6 +14,8 @@
         return reply;
     }
 
+    std::string retryAfterText(Milliseconds wait) { return ", retry after " + std::to_string(wait.count()) + " ms"; }
+
     Reply makeLocalSuccess()
     {
         Reply reply;
@@ -23,11 +25,13 @@
 
 } // namespace
 
-Session::Session(
-    DatabaseId database, CallerLink& link, const RoutingSource& routing, StatementRunner& runner, Metrics& metrics)
+Session::Session(DatabaseId database, const KeyDigest& key, CallerLink& link, const RoutingSource& routing,
+    CustomerAccess& access, StatementRunner& runner, Metrics& metrics)
     : database_(std::move(database))
+    , key_(key)
     , link_(link)
     , routing_(routing)
+    , access_(access)
     , runner_(runner)
     , metrics_(metrics)
 {
@@ -53,12 +57,21 @@
 {
     isClosed_ = true;
     pendingStatements_.clear();
-    if (isRunning_)
-        runner_.abandon(ticket_, now);
+    abandonRunning(now);
     if (transaction_)
         runner_.endTransaction(transaction_, now);
     transaction_ = nullptr;
+}
+
+void Session::abandonRunning(TimePoint now)
+{
+    if (!isRunning_)
+        return;
     isRunning_ = false;
+    if (quotaTicket_ == 0)
+        return runner_.abandon(ticket_, now);
+    access_.cancelRequest(quotaTicket_);
+    quotaTicket_ = 0;
 }
 
 void Session::onTick(TimePoint now)
@@ -87,9 +100,9 @@
         return;
     if (isRunning_) {
         // Only a commit or a write outside a transaction can have an effect, and it may be running now.
-        const bool mayHaveEffect = isWriting_ && (isCommitting_ || state_ == TransactionState::None);
-        runner_.abandon(ticket_, now);
-        isRunning_ = false;
+        const bool mayHaveEffect
+            = quotaTicket_ == 0 && isWriting_ && (isCommitting_ || state_ == TransactionState::None);
+        abandonRunning(now);
         if (transaction_)
             runner_.endTransaction(transaction_, now);
         transaction_ = nullptr;
@@ -103,6 +116,19 @@
     link_.close();
 }
 
+void Session::endIfKeyWithdrawn(TimePoint now)
+{
+    const auto configuration = routing_.routing();
+    if (!configuration)
+        return;
+    const auto route = configuration->routes.find(database_);
+    const bool isPublic = route != configuration->routes.end() && route->second.isPublic;
+    if (isPublic || access_.checkKey(key_, now).outcome != KeyDecision::Outcome::UnknownKey)
+        return;
+    abortTransaction("the key is not in force any more", now);
+    closeWhenQuiescent();
+}
+
 void Session::closeWhenQuiescent()
 {
     isClosing_ = true;
@@ -138,7 +164,7 @@
         return runLocal(statement);
     case StatementKind::Begin:
     case StatementKind::BeginReadOnly:
-        return runBegin(statement);
+        return runBegin(statement, now);
     case StatementKind::Rollback:
         return runRollback(now);
     case StatementKind::Commit:
@@ -167,12 +193,87 @@
     answer(makeLocalSuccess(), state_);
 }
 
-void Session::runBegin(const Statement& statement)
+void Session::runBegin(const Statement& statement, TimePoint now)
 {
     if (state_ != TransactionState::None)
         return answerWithError(StatementError::Malformed, "a transaction is open already");
-    if (!resolveRoute())
+    if (!resolveRoute() || !checkKey(statement, now))
         return;
+    requestOperation(statement, now);
+}
+
+bool Session::checkKey(const Statement& statement, TimePoint now)
+{
+    if (route_.isPublic) {
+        customer_ = CustomerId();
+        return true;
+    }
+    const KeyDecision decision = access_.checkKey(key_, now);
+    if (decision.outcome == KeyDecision::Outcome::UnknownKey) {
+        refuseUnknownKey(now);
+        return false;
+    }
+    const bool isInTransaction = state_ == TransactionState::Open;
+    if (decision.outcome == KeyDecision::Outcome::Unconfirmed) {
+        const std::string reason = "the key cannot be confirmed" + retryAfterText(decision.retryAfter);
+        if (isInTransaction)
+            refuseInTransaction(statement, reason, now);
+        else
+            answerWithError(StatementError::Busy, reason);
+        return false;
+    }
+    if (isInTransaction && decision.customer != customer_) {
+        refuseInTransaction(statement, "the key has moved to another customer", now);
+        return false;
+    }
+    customer_ = decision.customer;
+    return true;
+}
+
+void Session::refuseUnknownKey(TimePoint now)
+{
+    if (transaction_)
+        runner_.endTransaction(transaction_, now);
+    transaction_ = nullptr;
+    isClosing_ = true;
+    answer(makeError(StatementError::NotAuthorized, "no customer holds the key"), TransactionState::None);
+}
+
+void Session::refuseInTransaction(const Statement& statement, const std::string& reason, TimePoint now)
+{
+    abortTransaction(reason, now);
+    if (statement.kind == StatementKind::Commit)
+        return runCommit(statement, now);
+    answerWithError(StatementError::Aborted, reason);
+}
+
+void Session::requestOperation(const Statement& statement, TimePoint now)
+{
+    isRunning_ = true;
+    isWriting_ = false;
+    quotaTicket_ = access_.requestOperation(
+        customer_, route_.rank,
+        [this, statement](
+            const std::optional<QuotaRefusal>& refusal, TimePoint at) { onQuotaDecision(statement, refusal, at); },
+        now);
+}
+
+void Session::onQuotaDecision(const Statement& statement, const std::optional<QuotaRefusal>& refusal, TimePoint now)
+{
+    isRunning_ = false;
+    quotaTicket_ = 0;
+    if (refusal)
+        answerWithError(StatementError::Busy, refusal->reason + retryAfterText(refusal->retryAfter));
+    else
+        startOperation(statement, now);
+    startNext(now);
+}
+
+void Session::startOperation(const Statement& statement, TimePoint now)
+{
+    const bool isBegin = statement.kind == StatementKind::Begin || statement.kind == StatementKind::BeginReadOnly;
+    if (!isBegin)
+        return submitStatement(statement, now);
     isReadOnlyTransaction_ = statement.kind == StatementKind::BeginReadOnly;
     hasWritten_ = false;
     abortReason_.clear();
@@ -197,6 +298,8 @@
         abortReason_.clear();
         return answer(makeError(StatementError::Aborted, reason), TransactionState::None);
     }
+    if (!checkKey(statement, now))
+        return;
     StatementRequest request = makeRequest(statement, now);
     request.isWrite = hasWritten_;
     isCommitting_ = true;
@@ -216,13 +319,20 @@
     const std::size_t limit = configuration ? configuration->maximumStatementBytes : 0;
     if (limit > 0 && statement.text.size() > limit)
         return answerWithError(StatementError::TooBig, "a statement may have " + std::to_string(limit) + " bytes");
-    bool isWrite = statement.kind == StatementKind::Write;
-    if (statement.kind == StatementKind::Execute) {
-        const auto prepared = contents_->prepared.find(statement.name);
-        if (prepared == contents_->prepared.end())
-            return answerWithError(StatementError::UnknownStatement, "no prepared statement has this name");
-        isWrite = prepared->second.isWrite;
-    }
+    const bool isPrepared = contents_->prepared.count(statement.name) > 0;
+    if (statement.kind == StatementKind::Execute && !isPrepared)
+        return answerWithError(StatementError::UnknownStatement, "no prepared statement has this name");
+    if (!checkKey(statement, now))
+        return;
+    if (state_ == TransactionState::None)
+        return requestOperation(statement, now);
+    submitStatement(statement, now);
+}
+
+void Session::submitStatement(const Statement& statement, TimePoint now)
+{
+    const bool isWrite = statement.kind == StatementKind::Execute ? contents_->prepared.at(statement.name).isWrite
+                                                                  : statement.kind == StatementKind::Write;
     StatementRequest request = makeRequest(statement, now);
     request.isWrite = isWrite;
     request.needsPrimary = request.needsPrimary || (isWrite && state_ == TransactionState::None);
@@ -236,9 +346,10 @@
     StatementRequest request;
     request.statement = statement;
     request.group = route_.group;
+    request.customer = customer_;
     request.rank = route_.rank;
-    request.arrival = now;
-    request.deadline = now + route_.statementTimeout;
+    request.arrival = startedAt_;
+    request.deadline = startedAt_ + route_.statementTimeout;
     request.visibleBefore = now - route_.maximumStaleness;
     request.maximumStaleness = route_.maximumStaleness;
     if (route_.readRule == ReadRule::ReadYourWrites)
--- a/src/store/PrefixFollower.cpp
+++ b/src/store/PrefixFollower.cpp
@@ -71,9 +71,38 @@
         return;
     collected_.clear();
     firstPageRevision_.reset();
+    readStartedAt_ = timers_.now();
     readPage("");
 }
 
+void PrefixFollower::verify()
+{
+    if (isVerifying_)
+        return;
+    isVerifying_ = true;
+    store_.readRange(prefix_, "",
+        [this, sentAt = timers_.now(), alive = std::weak_ptr<int>(alive_)](const StoreResult<StorePage>& result) {
+            if (!alive.expired())
+                onVerification(result, sentAt);
+        });
+}
+
+void PrefixFollower::onVerification(const StoreResult<StorePage>& result, TimePoint sentAt)
+{
+    isVerifying_ = false;
+    // A restore of the store and keys on further pages are left to readAll().
+    if (!result || result.value().isTruncated || storeEra::eraOf(result.value().asOf) != storeEra::eraOf(revision_))
+        return;
+    const StorePage& page = result.value();
+    const bool isChanged = std::any_of(
+        page.items.begin(), page.items.end(), [this](const StoreItem& item) { return item.revision > revision_; });
+    if (isChanged) {
+        revision_ = std::max(revision_, page.asOf);
+        observer_.onStoreSnapshot(prefix_, page.items, revision_, timers_.now());
+    }
+    provenAt_ = std::max(provenAt_.value_or(sentAt), sentAt);
+}
+
 void PrefixFollower::readPage(const std::string& afterKey)
 {
     store_.readRange(prefix_, afterKey, [this, alive = std::weak_ptr<int>(alive_)](StoreResult<StorePage> result) {
@@ -129,6 +158,7 @@
     const std::vector<StoreItem> items = std::move(collected_);
     collected_.clear();
     observer_.onStoreSnapshot(prefix_, items, revision_, timers_.now());
+    provenAt_ = std::max(provenAt_.value_or(readStartedAt_), readStartedAt_);
     const TimePoint now = timers_.now();
     if (now >= pollUntil_)
         return waitForChanges();
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -359,6 +359,46 @@
 
     void write(Json&, const OwnerProbeAnswer&) { }
 
+    void write(Json& map, const QuotaRequest& request)
+    {
+        CborWriter writer(map);
+        writer.number("n", request.number);
+        writer.text("cu", request.customer);
+        writer.number("o", request.operations);
+        writer.number("ur", request.urgent);
+        writer.number("u", request.unused);
+    }
+
+    QuotaRequest readQuotaRequest(CborReader& reader)
+    {
+        QuotaRequest request;
+        request.number = reader.number("n");
+        request.customer = reader.identifier<CustomerId>("cu");
+        request.operations = reader.number("o");
+        request.urgent = reader.number("ur");
+        request.unused = reader.number("u");
+        return request;
+    }
+
+    void write(Json& map, const QuotaAnswer& answer)
+    {
+        CborWriter writer(map);
+        writer.number("n", answer.number);
+        writer.number("g", answer.granted);
+        writer.number("gu", answer.grantedUrgent);
+        writer.milliseconds("ra", answer.retryAfter);
+    }
+
+    QuotaAnswer readQuotaAnswer(CborReader& reader)
+    {
+        QuotaAnswer answer;
+        answer.number = reader.number("n");
+        answer.granted = reader.number("g");
+        answer.grantedUrgent = reader.number("gu");
+        answer.retryAfter = reader.milliseconds("ra");
+        return answer;
+    }
+
     Message readBody(std::uint64_t type, CborReader& reader)
     {
         switch (type) {
@@ -394,8 +434,12 @@
             return readPrimarySuspicionAnswer(reader);
         case 15:
             return OwnerProbe {};
-        default:
+        case 16:
             return OwnerProbeAnswer {};
+        case 17:
+            return readQuotaRequest(reader);
+        default:
+            return readQuotaAnswer(reader);
         }
     }
 
--- a/src/wire/SessionMessages.cpp
+++ b/src/wire/SessionMessages.cpp
@@ -45,6 +45,7 @@
     writer.text("n", message.statement.name);
     writer.text("a", message.statement.argument);
     writer.text("g", message.group);
+    writer.text("cu", message.customer);
     writer.number("r", message.rank);
     writer.milliseconds("d", message.timeLeft);
     writer.flag("w", message.isWrite);
@@ -72,6 +73,7 @@
     message.statement.name = reader.text("n");
     message.statement.argument = reader.text("a");
     message.group = reader.identifier<GroupId>("g");
+    message.customer = reader.identifier<CustomerId>("cu");
     message.rank = reader.number("r", maximumRank);
     message.timeLeft = reader.milliseconds("d");
     message.isWrite = reader.flag("w");
--- a/src/wire/StoreMessages.cpp
+++ b/src/wire/StoreMessages.cpp
@@ -20,6 +20,7 @@
     Json& known = map["kn"] = Json::array();
     for (const StoreUpdateRequest::Known& entry : message.known)
         known.push_back(Json::array({ entry.prefix, entry.revision }));
+    CborWriter(map).number("nr", message.number);
 }
 
 StoreUpdateRequest readStoreUpdateRequest(CborReader& reader)
@@ -32,6 +33,7 @@
         }
         message.known.push_back({ entry[0].get<std::string>(), entry[1].get<std::uint64_t>() });
     }
+    message.number = reader.number("nr");
     return message;
 }
 
@@ -42,6 +44,10 @@
     writer.number("rv", message.revision);
     writer.flag("sn", message.isSnapshot);
     writer.milliseconds("ag", message.age);
+    writer.number("nr", message.number);
+    // One is added, since zero is not written.
+    if (message.proofAge)
+        writer.milliseconds("pa", *message.proofAge + Milliseconds(1));
     if (message.items.empty())
         return;
     Json& items = map["it"] = Json::array();
@@ -56,6 +62,9 @@
     message.revision = reader.number("rv");
     message.isSnapshot = reader.flag("sn");
     message.age = reader.milliseconds("ag");
+    message.number = reader.number("nr");
+    if (reader.has("pa"))
+        message.proofAge = reader.milliseconds("pa") - Milliseconds(1);
     for (const Json& entry : reader.array("it", maximumItems)) {
         const bool isValid = entry.is_array() && entry.size() == itemFields && entry[0].is_string()
             && entry[1].is_binary() && entry[2].is_number_unsigned() && entry[3].is_boolean();
--- a/tests/forwarding/TestForwarding.cpp
+++ b/tests/forwarding/TestForwarding.cpp
@@ -114,7 +114,7 @@
 struct RemoteCaller final : CallerLink {
     RemoteCaller(Fixture& fixture, const std::string& database)
         : fixture_(fixture)
-        , session(DatabaseId(database), *this, fixture, fixture.forwarder, fixture.metrics)
+        , session(DatabaseId(database), KeyDigest(), *this, fixture, access, fixture.forwarder, fixture.metrics)
     {
     }
     void send(const Reply& reply) override { replies.push_back(reply); }
@@ -126,6 +126,7 @@
 
     Fixture& fixture_;
     std::vector<Reply> replies;
+    FakeCustomerAccess access;
     Session session;
 };
 
--- a/tests/front/TestStoreRelay.cpp
+++ b/tests/front/TestStoreRelay.cpp
@@ -340,3 +340,26 @@
     for (auto& [id, daemon] : fleet.daemons)
         cr_assert_eq(daemon->configuration, "2");
 }
+
+// The store turns all daemons away but the watchers, and keys may be withdrawn at once. Guards against a proof that is
+// newer than the store's last answer, and against one that ages although the watchers still reach the store.
+Test(StoreRelay, proofAgesFromTheWatchersQuestion)
+{
+    Fleet fleet;
+    for (auto& [id, daemon] : fleet.daemons)
+        daemon->relay.setVerifiedPrefix("op/");
+    fleet.run(Milliseconds(4000));
+    const TimePoint now = fleet.timers.now();
+    for (auto& [id, daemon] : fleet.daemons) {
+        const auto proven = daemon->relay.provenAt("op/");
+        cr_assert(proven.has_value());
+        cr_assert_leq((now - *proven) / Milliseconds(1), 2000, "%s", id.text().c_str());
+    }
+    for (auto& [id, daemon] : fleet.daemons) {
+        daemon->store.isDown = true;
+        daemon->store.cutWatches();
+    }
+    fleet.run(Milliseconds(3000));
+    for (auto& [id, daemon] : fleet.daemons)
+        cr_assert_leq(*daemon->relay.provenAt("op/"), now + Milliseconds(4), "%s", id.text().c_str());
+}
--- a/tests/mocks/DispatcherFixture.h
+++ b/tests/mocks/DispatcherFixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "FakeCustomerAccess.h"
 #include "FakeEndpoints.h"
 #include "almondlever/pooling/StatementDispatcher.h"
 #include "almondlever/sessions/Session.h"
@@ -78,6 +79,7 @@
     DecisionLog log;
     Metrics metrics;
     StatementDispatcher dispatcher;
+    FakeCustomerAccess access;
     std::shared_ptr<RoutingConfiguration> configuration = std::make_shared<RoutingConfiguration>();
 
 private:
@@ -87,9 +89,10 @@
 /** A caller with a session, which keeps the replies. */
 class FakeCaller final : public CallerLink {
 public:
-    FakeCaller(DispatcherFixture& fixture, const std::string& database)
+    FakeCaller(DispatcherFixture& fixture, const std::string& database, const std::string& key = "")
         : fixture_(fixture)
-        , session(DatabaseId(database), *this, fixture, fixture.dispatcher, fixture.metrics)
+        , session(DatabaseId(database), KeyDigest::of(key), *this, fixture, fixture.access, fixture.dispatcher,
+              fixture.metrics)
     {
     }
 
--- a/tests/mocks/FakeEndpoints.h
+++ b/tests/mocks/FakeEndpoints.h
@@ -19,6 +19,8 @@
     std::string text;
     bool wasInTransaction = false;
     std::map<std::string, std::string> values;
+    /** The customer that the endpoint was told when the connection was opened. */
+    CustomerId customer;
 };
 
 /**
@@ -74,7 +76,8 @@
     /** Replicas that are neither down nor paused receive each commit with its acknowledgement. */
     bool replicates = false;
 
-    std::shared_ptr<EndpointLink> connect(const EndpointEntry&, std::weak_ptr<EndpointLinkObserver>) override;
+    std::shared_ptr<EndpointLink> connect(
+        const EndpointEntry&, const CustomerId&, std::weak_ptr<EndpointLinkObserver>) override;
 
 private:
     class Link;
@@ -100,9 +103,11 @@
 /** One connection of FakeEndpoints. */
 class FakeEndpoints::Link final : public EndpointLink, public std::enable_shared_from_this<Link> {
 public:
-    Link(FakeEndpoints& owner, EndpointId endpoint, std::weak_ptr<EndpointLinkObserver> observer, std::size_t number)
+    Link(FakeEndpoints& owner, EndpointId endpoint, CustomerId customer, std::weak_ptr<EndpointLinkObserver> observer,
+        std::size_t number)
         : owner_(owner)
         , endpoint_(std::move(endpoint))
+        , customer_(std::move(customer))
         , observer_(std::move(observer))
         , number_(number)
     {
@@ -314,7 +319,8 @@
     {
         const std::string text
             = command.kind == EndpointCommand::Kind::Forward ? command.text : command.name + ' ' + command.argument;
-        owner_.runs_.push_back({ endpoint_, number_, command.id, text, state_ != TransactionState::None, values_ });
+        owner_.runs_.push_back(
+            { endpoint_, number_, command.id, text, state_ != TransactionState::None, values_, customer_ });
         reply.detail = "signed-by-" + endpoint_.text();
         const bool isWrite = text.rfind("WRITE", 0) == 0 || text.rfind("w_", 0) == 0;
         if (isWrite)
@@ -349,6 +355,7 @@
 
     FakeEndpoints& owner_;
     EndpointId endpoint_;
+    CustomerId customer_;
     std::weak_ptr<EndpointLinkObserver> observer_;
     std::size_t number_;
     std::deque<EndpointCommand> waiting_;
@@ -361,9 +368,9 @@
 };
 
 inline std::shared_ptr<EndpointLink> FakeEndpoints::connect(
-    const EndpointEntry& entry, std::weak_ptr<EndpointLinkObserver> observer)
+    const EndpointEntry& entry, const CustomerId& customer, std::weak_ptr<EndpointLinkObserver> observer)
 {
-    const auto link = std::make_shared<Link>(*this, entry.id, std::move(observer), ++lastConnection_);
+    const auto link = std::make_shared<Link>(*this, entry.id, customer, std::move(observer), ++lastConnection_);
     links_.push_back(link);
     link->open();
     return link;
--- a/tests/sessions/TestSession.cpp
+++ b/tests/sessions/TestSession.cpp
@@ -245,3 +245,124 @@
     fixture.advance(Milliseconds(100));
     cr_assert(caller.succeeded());
 }
+
+// Guards against running a statement for a caller whose key no customer holds, and against telling the endpoint a
+// customer other than the one that holds the key.
+Test(Session, runsStatementsForTheCustomerOfItsKey)
+{
+    DispatcherFixture fixture;
+    fixture.dispatcher.setConnectionsByCustomer(true);
+    fixture.access.addKey("k1", "curing");
+    fixture.access.addKey("k2", "buyers");
+    FakeCaller first(fixture, "orders", "k1");
+    FakeCaller second(fixture, "orders", "k2");
+    FakeCaller stranger(fixture, "orders", "k3");
+    for (const char* id : { "1", "2", "3" }) {
+        first.write(std::string("f") + id);
+        second.write(std::string("s") + id);
+        stranger.write(std::string("x") + id);
+        fixture.advance(Milliseconds(100));
+    }
+    cr_assert(first.succeeded());
+    cr_assert(second.succeeded());
+    cr_assert(stranger.hasError(StatementError::NotAuthorized));
+    cr_assert(stranger.isClosed);
+    cr_assert_eq(fixture.endpoints.runs().size(), 6U);
+    for (const RunStatement& run : fixture.endpoints.runs())
+        cr_assert_eq(run.customer.text(), run.id[0] == 'f' ? "curing" : "buyers");
+}
+
+// A key is withdrawn inside a transaction. Guards against committing it, and against a session that stays open.
+Test(Session, withdrawnKeyEndsItsTransaction)
+{
+    DispatcherFixture fixture;
+    fixture.access.addKey("k1", "curing");
+    FakeCaller caller(fixture, "orders", "k1");
+    caller.begin();
+    caller.write("w1");
+    fixture.advance(Milliseconds(100));
+    cr_assert(caller.succeeded());
+    fixture.access.removeKey("k1");
+    caller.commit("c1");
+    fixture.advance(Milliseconds(100));
+    cr_assert(caller.hasError(StatementError::NotAuthorized));
+    cr_assert(caller.replies.back().state == TransactionState::None);
+    cr_assert_eq(fixture.endpoints.runsOf("c1"), 0U);
+    cr_assert(caller.isClosed);
+}
+
+// Guards against idle sessions of a withdrawn key that keep a caller from connecting with its new one.
+Test(Session, withdrawnKeyClosesIdleSession)
+{
+    DispatcherFixture fixture;
+    fixture.access.addKey("k1", "curing");
+    FakeCaller caller(fixture, "orders", "k1");
+    caller.session.endIfKeyWithdrawn(fixture.timers.now());
+    cr_assert(!caller.isClosed);
+    fixture.access.removeKey("k1");
+    caller.session.endIfKeyWithdrawn(fixture.timers.now());
+    cr_assert(caller.isClosed);
+}
+
+// The store turns this daemon away. Guards against a refusal that does not say when to return, and against one that
+// leaves a transaction open.
+Test(Session, unconfirmedKeyIsRefusedAtOnce)
+{
+    DispatcherFixture fixture;
+    fixture.access.addKey("k1", "curing");
+    FakeCaller outside(fixture, "orders", "k1");
+    FakeCaller inside(fixture, "orders", "k1");
+    inside.begin();
+    inside.write("w1");
+    fixture.advance(Milliseconds(100));
+    fixture.access.isConfirmed = false;
+    outside.write("w2");
+    cr_assert(outside.hasError(StatementError::Busy));
+    cr_assert_neq(outside.replies.back().detail.find("retry after"), std::string::npos);
+    inside.write("w3");
+    cr_assert(inside.hasError(StatementError::Aborted));
+    inside.commit("c1");
+    cr_assert(inside.hasError(StatementError::Aborted));
+    cr_assert(inside.replies.back().state == TransactionState::None);
+    cr_assert_eq(fixture.endpoints.runsOf("w2") + fixture.endpoints.runsOf("w3") + fixture.endpoints.runsOf("c1"), 0U);
+}
+
+// Guards against keys demanded on a public route.
+Test(Session, publicRouteNeedsNoKey)
+{
+    DispatcherFixture fixture;
+    fixture.access.addKey("k1", "curing");
+    fixture.configuration->routes[DatabaseId("orders")].isPublic = true;
+    FakeCaller caller(fixture, "orders", "k9");
+    caller.write("w1");
+    fixture.advance(Milliseconds(100));
+    cr_assert(caller.succeeded());
+}
+
+// Guards against an operation beyond the limit that takes a connection, a queue place or a slot, against a limit that
+// counts statements instead of operations, and against a decision that arrives after the caller has left.
+Test(Session, operationWaitsForItsCustomersLimit)
+{
+    DispatcherFixture fixture;
+    fixture.access.addKey("k1", "curing");
+    FakeCaller caller(fixture, "orders", "k1");
+    fixture.access.refusal = QuotaRefusal { "quota_exceeded", Milliseconds(70) };
+    caller.write("w1");
+    cr_assert(caller.hasError(StatementError::Busy));
+    cr_assert_eq(caller.replies.back().detail, "quota_exceeded, retry after 70 ms");
+    cr_assert_eq(fixture.endpoints.runsOf("w1"), 0U);
+    fixture.access.refusal.reset();
+    const std::size_t before = fixture.access.requests;
+    caller.begin();
+    caller.write("w2");
+    fixture.advance(Milliseconds(100));
+    caller.commit("c2");
+    fixture.advance(Milliseconds(100));
+    cr_assert(caller.succeeded());
+    cr_assert_eq(fixture.access.requests - before, 1U);
+    fixture.access.isDeferring = true;
+    caller.write("w3");
+    cr_assert(caller.session.isRunning());
+    caller.session.onCallerClosed(fixture.timers.now());
+    cr_assert_eq(fixture.access.cancelled.size(), 1U);
+}
--- a/tests/store/TestPrefixFollower.cpp
+++ b/tests/store/TestPrefixFollower.cpp
@@ -278,3 +278,27 @@
     cr_assert_eq(fixture.recorder.keys.size(), 3U);
     cr_assert_eq(fixture.recorder.seen.count("op/00"), 0U, "the first page was read before the restore");
 }
+
+// The store's answer is under way for long, and a watch reports no change. Guards against taking either for a proof
+// that nothing changed meanwhile, and against a change that only the verification sees.
+Test(PrefixFollower, provesItsStateFromTheTimeOfTheQuestion)
+{
+    Fixture fixture;
+    fixture.store.put("op/config", "1");
+    fixture.follower.start();
+    fixture.timers.advance(Milliseconds(100));
+    const TimePoint asked = fixture.timers.now();
+    cr_assert_leq(*fixture.follower.provenAt(), asked - Milliseconds(100));
+    fixture.timers.advance(Milliseconds(5000));
+    cr_assert_leq(*fixture.follower.provenAt(), asked, "watches prove nothing");
+    fixture.store.slowPrefix = "op/";
+    fixture.store.slowDelay = Milliseconds(900);
+    const TimePoint verified = fixture.timers.now();
+    fixture.follower.verify();
+    fixture.timers.advance(Milliseconds(1000));
+    cr_assert(*fixture.follower.provenAt() == verified);
+    fixture.store.isDown = true;
+    fixture.follower.verify();
+    fixture.timers.advance(Milliseconds(1000));
+    cr_assert(*fixture.follower.provenAt() == verified);
+}
--- a/tests/users_platform/TestLineCodec.cpp
+++ b/tests/users_platform/TestLineCodec.cpp
@@ -83,7 +83,8 @@
     execute.name = "w_q";
     execute.argument = "x y";
     cr_assert_eq(encodeCommand(execute), "QUERY 9 EXECUTE w_q x y\r\n");
-    cr_assert_eq(encodeEndpointStartup(GroupId("g"), EndpointId("i-1")), std::string("STARTUP g almondlever i-1\r\n"));
+    cr_assert_eq(encodeEndpointStartup(GroupId("g"), CustomerId(), EndpointId("i-1")),
+        std::string("STARTUP g almondlever i-1\r\n"));
 }
 
 // Guards against assembling a reply wrongly from its messages.
--- a/tests/users_platform/TestStoreInventory.cpp
+++ b/tests/users_platform/TestStoreInventory.cpp
@@ -116,3 +116,26 @@
     const auto odd = decodeStorePage(R"({"items":[{"key":"a","value":"?","revision":1}],"as-of":1})", false);
     cr_assert(!odd.hasValue());
 }
+
+// Guards against keys that are not accepted, against limits that are not applied, and against an error message that
+// quotes a key.
+Test(StoreInventory, decodesCustomersWithoutTheirKeys)
+{
+    const StoreInventory inventory;
+    cr_assert(!inventory.decodeConfiguration(makeItem("op/config", configurationText)).value().customers,
+        "callers need no key without customers");
+    const std::string text = replaced(configurationText, "\"limits\"",
+        R"("tenants":[{"name":"miny","api-keys":["secret-1","secret-2"],"priority":1,"rate-per-s":353,"burst":40}],"limits")");
+    const auto result = inventory.decodeConfiguration(makeItem("op/config", text));
+    cr_assert(result.hasValue());
+    const CustomerRegistry& customers = *result.value().customers;
+    cr_assert_eq(customers.findByKey(KeyDigest::of("secret-2"))->id.text(), "miny");
+    cr_assert_eq(customers.find(CustomerId("miny"))->limit.operationsPerSecond, 353);
+    cr_assert_eq(customers.find(CustomerId("miny"))->limit.burst, 40);
+    for (const std::string& broken : { text + "x", text.substr(0, text.find("secret-2") + 4),
+             replaced(text, "\"secret-2\"", "5"), replaced(text, "353", "\"secret-3\"") }) {
+        const auto rejected = inventory.decodeConfiguration(makeItem("op/config", broken));
+        cr_assert(!rejected.hasValue());
+        cr_assert_eq(rejected.error().find("secret"), std::string::npos, "%s", rejected.error().c_str());
+    }
+}
