Grant customers what they are entitled to in each window, urgent work first

Change: buckets fill at rate + burst / window and hold what overage and slack leave, with the inequality in QuotaBucket.h; a quarter of each bucket is for the most urgent rank. Refusals are logged with request id, customer, limit and rate.

--- a/include/almondlever/customers/CustomerAccess.h
+++ b/include/almondlever/customers/CustomerAccess.h
@@ -29,6 +29,15 @@
     Milliseconds retryAfter { 0 };
 };
 
+/** An operation of a session: a statement outside of transactions, or a transaction. */
+struct OperationRequest {
+    /** The caller's id of the statement that starts it, for logs. */
+    std::string statementId;
+    CustomerId customer;
+    /** Priority; 0 is the most urgent. */
+    std::size_t rank = 0;
+};
+
 /** Refusal of an operation beyond the customer's limit; it has not run. */
 struct QuotaRefusal {
     /** "quota_exceeded" or "quota_unavailable". */
@@ -48,11 +57,13 @@
     virtual ~CustomerAccess() = default;
 
     virtual KeyDecision checkKey(const KeyDigest&, TimePoint now) const = 0;
+    /** Logs that a statement was refused because of its key. */
+    virtual void logKeyRefusal(const std::string& statementId, const KeyDecision&, std::size_t rank, TimePoint now) = 0;
     /**
-     * Requests one operation of the customer's limit, which goes first to the most urgent rank (0). Returns 0 if the
+     * Requests one operation of the customer's limit, which goes first to the most urgent rank. Returns 0 if the
      * callback was called from inside, otherwise the number with which the request can be cancelled.
      */
-    virtual QuotaTicket requestOperation(const CustomerId&, std::size_t rank, QuotaCallback, TimePoint now) = 0;
+    virtual QuotaTicket requestOperation(const OperationRequest&, QuotaCallback, TimePoint now) = 0;
     /** The callback of a cancelled request is not called. */
     virtual void cancelRequest(QuotaTicket) = 0;
 };
--- a/include/almondlever/customers/CustomerGate.h
+++ b/include/almondlever/customers/CustomerGate.h
@@ -20,7 +20,7 @@
 class CustomerGate final : public CustomerAccess {
 public:
     /** @param withdrawalLimit 0 if keys are accepted however old the configuration is */
-    CustomerGate(Milliseconds withdrawalLimit, QuotaClient&, Metrics&);
+    CustomerGate(Milliseconds withdrawalLimit, QuotaClient&, DecisionLog&, Metrics&);
 
     /** Sets the customers of the configuration in force; nullptr if callers need no key. */
     void setCustomers(std::shared_ptr<const CustomerRegistry>);
@@ -30,12 +30,14 @@
     bool isConfirmed(TimePoint now) const;
 
     KeyDecision checkKey(const KeyDigest&, TimePoint now) const override;
-    QuotaTicket requestOperation(const CustomerId&, std::size_t rank, QuotaCallback, TimePoint now) override;
+    void logKeyRefusal(const std::string& statementId, const KeyDecision&, std::size_t rank, TimePoint now) override;
+    QuotaTicket requestOperation(const OperationRequest&, QuotaCallback, TimePoint now) override;
     void cancelRequest(QuotaTicket ticket) override { quota_.cancel(ticket); }
 
 private:
     Milliseconds withdrawalLimit_;
     QuotaClient& quota_;
+    DecisionLog& log_;
     Metrics& metrics_;
     std::shared_ptr<const CustomerRegistry> customers_;
     std::optional<TimePoint> provenAt_;
--- a/include/almondlever/customers/QuotaBucket.h
+++ b/include/almondlever/customers/QuotaBucket.h
@@ -16,8 +16,10 @@
     double overage = 0.1;
     /** Operations by which a customer may exceed that in addition. */
     double slack = 20;
-    /** Part of overage and slack that is used; the rest covers changes of the coordinators. */
-    double usedTolerance = 0.5;
+    /** Part of what a window may contain that is granted; the rest covers changes of the coordinators. */
+    double usedShare = 0.98;
+    /** Part of a customer's burst that it may use at once, in addition to what arrives meanwhile. */
+    double minimumCapacityShare = 0.25;
     /** Part of a bucket that only operations of the most urgent rank may use. */
     double urgentReserve = 0.25;
     /** Coordinators of one customer; each grants an equal share of its limit. */
@@ -25,7 +27,7 @@
     /** Daemons for each coordinator of the fleet. */
     std::size_t daemonsPerCoordinator = 24;
     /** Time for which a granted operation may be used; counts from the request. */
-    Milliseconds grantLifetime { 250 };
+    Milliseconds grantLifetime { 100 };
     /** A daemon that becomes a coordinator waits this long, in which daemons with an older view still ask another. */
     Milliseconds takeOverDelay { 3000 };
     /** A coordinator that has not answered for this long is not asked for silenceTime. */
@@ -40,11 +42,13 @@
 /**
  * One coordinator's share of a customer's limit, as a token bucket.
  *
- * With n coordinators each bucket fills at rate / n and holds at most
- * (burst + usedTolerance x (overage x (rate x window + burst) + slack) - rate x grantLifetime) / n operations. An
- * operation is used at most grantLifetime after it was granted, so that in any window at most
- * rate x (window + grantLifetime) + n x capacity <= (rate x window + burst) x (1 + overage) + slack are used, whichever
- * daemons are cut off, suspended or restarted meanwhile.
+ * In every window a customer is entitled to rate x window + burst operations, and may use at most
+ * allowance = (rate x window + burst) x (1 + overage) + slack. With n coordinators each bucket fills at
+ * fill = (rate + burst / window) / n and holds at most capacity = usedShare x allowance / n - fill x (window +
+ * grantLifetime). An operation is used at most grantLifetime after it was granted, so that a window contains at most
+ * n x (fill x (window + grantLifetime) + capacity) = usedShare x allowance of them, whichever daemons are cut off,
+ * suspended or restarted meanwhile. Where overage and slack leave less than minimumCapacityShare of the burst as the
+ * capacity, the buckets fill more slowly.
  */
 class QuotaBucket {
 public:
--- a/include/almondlever/customers/QuotaClient.h
+++ b/include/almondlever/customers/QuotaClient.h
@@ -31,7 +31,7 @@
     void setCoordinators(std::vector<LiveDaemon>);
 
     /** As CustomerAccess::requestOperation(). */
-    QuotaTicket request(const CustomerId&, std::size_t rank, QuotaCallback, TimePoint now);
+    QuotaTicket request(const OperationRequest&, QuotaCallback, TimePoint now);
     void cancel(QuotaTicket);
     void onAnswer(const VmId& from, const QuotaAnswer&, TimePoint now);
     /** The channel to a daemon is lost. */
@@ -42,8 +42,9 @@
 private:
     struct Waiting {
         QuotaTicket ticket = 0;
+        OperationRequest request;
         QuotaCallback callback;
-        bool isUrgent = false;
+        bool isUrgent() const { return request.rank == 0; }
     };
     /** A request that has not been answered. */
     struct OpenRequest {
@@ -79,7 +80,8 @@
     void onGrant(const CustomerId&, Account&, const QuotaAnswer&, TimePoint now);
     /** Calls back the first waiting operations of the most urgent rank, or of the others. */
     static void grantWaiting(Account&, std::uint64_t granted, bool areUrgent, TimePoint now);
-    void refuseWaiting(const CustomerId&, Account&, TimePoint now);
+    void refuseWaiting(Account&, TimePoint now);
+    void logRefusal(const OperationRequest&, const QuotaRefusal&, const Account&, TimePoint now);
     void setSilent(const VmId&, TimePoint now);
 
     VmId self_;
--- a/include/almondlever/forwarding/StatementForwarder.h
+++ b/include/almondlever/forwarding/StatementForwarder.h
@@ -30,7 +30,7 @@
     /** Number of owners that a statement is sent to before this daemon runs it itself. */
     std::size_t maximumOwners = 2;
     /** Statements of one customer prefer the same owner of a group, so that they share its connections. */
-    bool prefersOwnerByCustomer = true;
+    bool prefersOwnerByCustomer = false;
 };
 
 /**
--- a/src/customers/CustomerGate.cpp
+++ b/src/customers/CustomerGate.cpp
@@ -11,9 +11,10 @@
 
 } // namespace
 
-CustomerGate::CustomerGate(Milliseconds withdrawalLimit, QuotaClient& quota, Metrics& metrics)
+CustomerGate::CustomerGate(Milliseconds withdrawalLimit, QuotaClient& quota, DecisionLog& log, Metrics& metrics)
     : withdrawalLimit_(withdrawalLimit)
     , quota_(quota)
+    , log_(log)
     , metrics_(metrics)
 {
 }
@@ -52,11 +53,24 @@
     return decision;
 }
 
-QuotaTicket CustomerGate::requestOperation(
-    const CustomerId& customer, std::size_t rank, QuotaCallback callback, TimePoint now)
+void CustomerGate::logKeyRefusal(
+    const std::string& statementId, const KeyDecision& decision, std::size_t rank, TimePoint now)
 {
-    if (!customer.isEmpty())
-        return quota_.request(customer, rank, std::move(callback), now);
+    if (!log_.admits(rank, now))
+        return;
+    const bool isUnknown = decision.outcome == KeyDecision::Outcome::UnknownKey;
+    const std::string age
+        = provenAt_ ? std::to_string(std::chrono::duration_cast<Milliseconds>(now - *provenAt_).count()) : "none";
+    log_.write("refuse",
+        { { "request", statementId }, { "outcome", "not_run" }, { "reason", isUnknown ? "unknown_key" : "unconfirmed" },
+            { "customer", decision.customer.text() }, { "proof_age_ms", age },
+            { "limit_ms", std::to_string(withdrawalLimit_.count()) }, { "rank", std::to_string(rank) } });
+}
+
+QuotaTicket CustomerGate::requestOperation(const OperationRequest& request, QuotaCallback callback, TimePoint now)
+{
+    if (!request.customer.isEmpty())
+        return quota_.request(request, std::move(callback), now);
     callback(std::nullopt, now);
     return 0;
 }
--- a/src/customers/QuotaBucket.cpp
+++ b/src/customers/QuotaBucket.cpp
@@ -9,13 +9,23 @@
 
     double toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
-    /** Capacity of the buckets of all coordinators together. */
-    double totalCapacity(const RateLimit& limit, const QuotaSettings& settings)
+    /** The buckets of all coordinators of a customer together. */
+    struct Total {
+        double capacity = 0;
+        double ratePerSecond = 0;
+    };
+
+    Total totalOf(const RateLimit& limit, const QuotaSettings& settings)
     {
-        const double rate = limit.operationsPerSecond;
-        const double allowance = rate * toSeconds(settings.window) + limit.burst;
-        const double tolerance = settings.usedTolerance * (settings.overage * allowance + settings.slack);
-        return std::max(limit.burst + tolerance - rate * toSeconds(settings.grantLifetime), 1.0);
+        const double window = toSeconds(settings.window);
+        const double usedWithin = window + toSeconds(settings.grantLifetime);
+        const double entitled = limit.operationsPerSecond * window + limit.burst;
+        const double allowance = settings.usedShare * (entitled * (1 + settings.overage) + settings.slack);
+        const double minimumCapacity = std::max(settings.minimumCapacityShare * limit.burst, 1.0);
+        Total total;
+        total.capacity = std::max(allowance - entitled / window * usedWithin, minimumCapacity);
+        total.ratePerSecond = std::max(allowance - total.capacity, 0.0) / usedWithin;
+        return total;
     }
 
 } // namespace
@@ -29,7 +39,7 @@
 
 std::size_t QuotaBucket::coordinatorsFor(const RateLimit& limit, const QuotaSettings& settings)
 {
-    const auto whole = static_cast<std::size_t>(totalCapacity(limit, settings));
+    const auto whole = static_cast<std::size_t>(totalOf(limit, settings).capacity);
     return std::clamp<std::size_t>(whole, 1, std::max<std::size_t>(settings.coordinators, 1));
 }
 
@@ -37,8 +47,9 @@
 {
     advance(now);
     coordinators_ = static_cast<double>(std::max<std::size_t>(coordinators, 1));
-    ratePerSecond_ = limit.operationsPerSecond / coordinators_;
-    capacity_ = totalCapacity(limit, settings_) / coordinators_;
+    const Total total = totalOf(limit, settings_);
+    ratePerSecond_ = total.ratePerSecond / coordinators_;
+    capacity_ = total.capacity / coordinators_;
     level_ = std::min(level_, capacity_);
 }
 
--- a/src/customers/QuotaClient.cpp
+++ b/src/customers/QuotaClient.cpp
@@ -31,8 +31,9 @@
 
 void QuotaClient::setCoordinators(std::vector<LiveDaemon> coordinators) { coordinators_ = std::move(coordinators); }
 
-QuotaTicket QuotaClient::request(const CustomerId& id, std::size_t rank, QuotaCallback callback, TimePoint now)
+QuotaTicket QuotaClient::request(const OperationRequest& operation, QuotaCallback callback, TimePoint now)
 {
+    const CustomerId& id = operation.customer;
     const Customer* customer = customers_ ? customers_->find(id) : nullptr;
     if (!customer || customer->limit.isUnlimited()) {
         callback(std::nullopt, now);
@@ -45,14 +46,16 @@
         callback(std::nullopt, now);
         return 0;
     }
-    const bool isUrgent = rank == mostUrgentRank;
+    const bool isUrgent = operation.rank == mostUrgentRank;
     if (!isUrgent && account.refusedUntil && now < *account.refusedUntil) {
         metrics_.count("almondlever_quota_refusals_total", "reason=\"quota_exceeded\"");
-        callback(QuotaRefusal { "quota_exceeded", std::chrono::ceil<Milliseconds>(account.returnAt - now) }, now);
+        const QuotaRefusal refusal { "quota_exceeded", std::chrono::ceil<Milliseconds>(account.returnAt - now) };
+        logRefusal(operation, refusal, account, now);
+        callback(refusal, now);
         return 0;
     }
     const QuotaTicket ticket = ++lastTicket_;
-    account.waiting.push_back({ ticket, std::move(callback), isUrgent });
+    account.waiting.push_back({ ticket, operation, std::move(callback) });
     if (!account.open)
         ask(id, account, now);
     const bool isWaiting = std::any_of(account.waiting.begin(), account.waiting.end(),
@@ -114,7 +117,7 @@
         const auto expected = static_cast<std::uint64_t>(account.ratePerSecond * toSeconds(settings_.grantLifetime));
         request.operations = account.waiting.size() + expected;
         request.urgent = static_cast<std::uint64_t>(std::count_if(
-            account.waiting.begin(), account.waiting.end(), [](const Waiting& waiting) { return waiting.isUrgent; }));
+            account.waiting.begin(), account.waiting.end(), [](const Waiting& waiting) { return waiting.isUrgent(); }));
         if (account.spareFrom == coordinator.id)
             request.unused = account.spare;
         account.spare = 0;
@@ -126,7 +129,7 @@
         account.open.reset();
         setSilent(coordinator.id, now);
     }
-    refuseWaiting(id, account, now);
+    refuseWaiting(account, now);
 }
 
 void QuotaClient::onAnswer(const VmId& from, const QuotaAnswer& answer, TimePoint now)
@@ -149,7 +152,7 @@
     // An answer that was under way for long must not be used: the coordinator counts on the lifetime of its grants.
     const bool isLate = now - open.sentAt >= settings_.grantLifetime;
     const auto urgentWaiting = static_cast<std::uint64_t>(std::count_if(
-        account.waiting.begin(), account.waiting.end(), [](const Waiting& waiting) { return waiting.isUrgent; }));
+        account.waiting.begin(), account.waiting.end(), [](const Waiting& waiting) { return waiting.isUrgent(); }));
     const std::uint64_t usedUrgent = std::min(urgentWaiting, std::min(answer.grantedUrgent, granted));
     const std::uint64_t used = std::min<std::uint64_t>(granted - usedUrgent, account.waiting.size() - urgentWaiting);
     account.spare = isLate ? 0 : granted - usedUrgent - used;
@@ -170,7 +173,7 @@
 {
     std::vector<QuotaCallback> callbacks;
     for (auto it = account.waiting.begin(); it != account.waiting.end() && callbacks.size() < granted;) {
-        if (it->isUrgent != areUrgent) {
+        if (it->isUrgent() != areUrgent) {
             ++it;
             continue;
         }
@@ -181,7 +184,7 @@
         callback(std::nullopt, now);
 }
 
-void QuotaClient::refuseWaiting(const CustomerId& id, Account& account, TimePoint now)
+void QuotaClient::refuseWaiting(Account& account, TimePoint now)
 {
     QuotaRefusal refusal;
     refusal.reason = account.retryAfter ? "quota_exceeded" : "quota_unavailable";
@@ -195,13 +198,25 @@
     std::deque<Waiting> refused;
     refused.swap(account.waiting);
     metrics_.count("almondlever_quota_refusals_total", "reason=\"" + refusal.reason + '"', refused.size());
-    if (log_.admits(mostUrgentRank, now))
-        log_.write("refuse_operations",
-            { { "customer", id.text() }, { "reason", refusal.reason }, { "operations", std::to_string(refused.size()) },
-                { "rate_per_s", std::to_string(account.ratePerSecond) },
-                { "retry_after_ms", std::to_string(refusal.retryAfter.count()) } });
-    for (const Waiting& waiting : refused)
+    for (const Waiting& waiting : refused) {
+        logRefusal(waiting.request, refusal, account, now);
         waiting.callback(refusal, now);
+    }
+}
+
+void QuotaClient::logRefusal(
+    const OperationRequest& request, const QuotaRefusal& refusal, const Account& account, TimePoint now)
+{
+    if (!log_.admits(request.rank, now))
+        return;
+    const Customer* customer = customers_ ? customers_->find(request.customer) : nullptr;
+    log_.write("refuse",
+        { { "request", request.statementId }, { "outcome", "not_run" }, { "reason", refusal.reason },
+            { "customer", request.customer.text() }, { "rank", std::to_string(request.rank) },
+            { "rate_here_per_s", std::to_string(account.ratePerSecond) },
+            { "limit_per_s", std::to_string(customer ? customer->limit.operationsPerSecond : 0) },
+            { "burst", std::to_string(customer ? customer->limit.burst : 0) },
+            { "retry_after_ms", std::to_string(refusal.retryAfter.count()) } });
 }
 
 void QuotaClient::setSilent(const VmId& coordinator, TimePoint now)
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -65,7 +65,7 @@
     , members_(self())
     , quotaCoordinator_(settings.vm, settings.quota)
     , quotaClient_(settings.vm, settings.failureDomain, quotaCoordinator_, log_, metrics_, settings.quota)
-    , gate_(settings.keyWithdrawalLimit, quotaClient_, metrics_)
+    , gate_(settings.keyWithdrawalLimit, quotaClient_, log_, metrics_)
     , makeNetwork_(std::move(makeNetwork))
 {
     configurationFollower_.setProbe(ownFollower_);
--- a/src/sessions/Session.cpp
+++ b/src/sessions/Session.cpp
@@ -209,6 +209,8 @@
         return true;
     }
     const KeyDecision decision = access_.checkKey(key_, now);
+    if (decision.outcome != KeyDecision::Outcome::Accepted)
+        access_.logKeyRefusal(statement.id, decision, route_.rank, now);
     if (decision.outcome == KeyDecision::Outcome::UnknownKey) {
         refuseUnknownKey(now);
         return false;
@@ -252,7 +254,7 @@
     isRunning_ = true;
     isWriting_ = false;
     quotaTicket_ = access_.requestOperation(
-        customer_, route_.rank,
+        { statement.id, customer_, route_.rank },
         [this, statement](
             const std::optional<QuotaRefusal>& refusal, TimePoint at) { onQuotaDecision(statement, refusal, at); },
         now);
