Open no connection to a group before its rule is known

Cause: the entries of endpoints may reach a daemon before the configuration. A group without a rule counted as owned alone, so each daemon opened a connection to every endpoint until the configuration arrived: with 300 daemons and 460 groups 414,000 connections, nearly all refused as too many and tried again. Ruled out: channels between daemons and owners of too many groups (300 daemons and 100 groups start well; owners_changed says 446 of 460 groups not owned), and a kill of all processes at 100 groups.

Change: keptConnections() is 0 for a group without a rule. The test failed before (1 connection opened).

--- a/src/pooling/DispatcherLinks.cpp
+++ b/src/pooling/DispatcherLinks.cpp
@@ -38,9 +38,10 @@
 
 std::size_t DispatcherState::keptConnections(const EndpointEntry& entry) const
 {
+    // Who owns a group is known only with its rule, which may arrive later than the entries of its endpoints.
     const auto found = groups_.find(entry.group);
-    const bool isSharingDaemon = found == groups_.end() || found->second.sharingDaemons > 0;
-    return isSharingDaemon ? shareOf(entry, settings_.keptShare) : 0;
+    const bool isOwner = found != groups_.end() && !found->second.rule.id.isEmpty() && found->second.sharingDaemons > 0;
+    return isOwner ? shareOf(entry, settings_.keptShare) : 0;
 }
 
 void DispatcherState::closeSurplusLinks(TimePoint now)
--- a/tests/front/TestFrontDaemon.cpp
+++ b/tests/front/TestFrontDaemon.cpp
@@ -285,3 +285,20 @@
     const std::string entry = fixture.store.valueOf(storeKeys::members + "vm-1");
     cr_assert(entry.empty() || entry.find("leaving") != std::string::npos, "%s", entry.c_str());
 }
+
+// 300 daemons and 460 groups: the endpoints' entries reach a daemon before the configuration does. Guards against each
+// daemon opening a connection to every endpoint meanwhile: 414,000 connections, most of them refused and tried again.
+Test(FrontDaemon, opensNoConnectionBeforeItKnowsTheConfiguration)
+{
+    Fixture fixture;
+    fixture.store.slowPrefix = "config/";
+    fixture.store.slowDelay = Milliseconds(1200);
+    const auto daemon = fixture.makeDaemon(1);
+    daemon->start();
+    fixture.timers.advance(Milliseconds(1200));
+    cr_assert(!daemon->isReady());
+    cr_assert_eq(fixture.endpoints.server(EndpointId("a")).openedConnections, 0U);
+    fixture.timers.advance(Milliseconds(1500));
+    cr_assert(daemon->isReady());
+    cr_assert_geq(fixture.endpoints.server(EndpointId("a")).openedConnections, 1U);
+}
