Copy the shares of a limit instead of moving them

Cause: lint (performance-move-const-arg): a share is trivially copyable, so that std::move has no effect. No behaviour changes, nothing was measured.

--- a/src/customers/QuotaCoordinator.cpp
+++ b/src/customers/QuotaCoordinator.cpp
@@ -47,7 +47,7 @@
         const auto known = former.find(id);
         if (known != former.end()) {
             known->second.bucket.setLimit(customer.limit, count, now);
-            shares_.emplace(id, std::move(known->second));
+            shares_.emplace(id, known->second);
             continue;
         }
         Share share { QuotaBucket(customer.limit, count, settings_, now), now };
@@ -55,7 +55,7 @@
             share.startsAt = now + settings_.takeOverDelay;
         else if (isFirstStart_)
             share.bucket.fill();
-        shares_.emplace(id, std::move(share));
+        shares_.emplace(id, share);
     }
 }
 
