--- a/include/almondlever/forwarding/StatementForwarder.h
+++ b/include/almondlever/forwarding/StatementForwarder.h
@@ -17,7 +17,6 @@
 
 /** Settings of StatementForwarder. */
 struct ForwarderSettings {
-    VmId self;
     FailureDomainId failureDomain;
     /** Start of the statement numbers. Random, so that an answer to an earlier run of this process does not match a
      * statement of this run. */
@@ -29,8 +28,6 @@
     Milliseconds answerGracePeriod { 150 };
     /** Number of owners that a statement is sent to before this daemon runs it itself. */
     std::size_t maximumOwners = 2;
-    /** Statements of one customer prefer the same owner of a group, so that they share its connections. */
-    bool prefersOwnerByCustomer = false;
 };
 
 /**
@@ -53,7 +50,7 @@
 
     /** With nullptr, statements run on this daemon. */
     void setNetwork(PeerNetwork* network) { network_ = network; }
-    /** Sets the owners of groups. Statements of a group without owners run on this daemon. */
+    /** Sets the owners of each group that this daemon does not own. */
     void setOwners(std::map<GroupId, std::vector<LiveDaemon>>);
     void onAnswer(const VmId& owner, SessionAnswer&&, TimePoint now);
     /** The owner answered a probe. */
@@ -76,11 +73,7 @@
     };
 
     OwnerHealth& healthOf(const VmId&);
-    /** Returns nullptr if no owner is left, and this daemon if it is the preferred one. */
-    const LiveDaemon* chooseOwner(const StatementRequest&, const std::set<VmId>& tried, TimePoint now);
-    const LiveDaemon* chooseOwnerForCustomer(
-        const std::vector<LiveDaemon>& owners, const StatementRequest&, const std::set<VmId>& tried);
-    bool isSelf(const LiveDaemon& daemon) const { return daemon.id == settings_.self; }
+    const LiveDaemon* chooseOwner(const GroupId&, const std::set<VmId>& tried, TimePoint now);
     /** True when the left owner is preferred. */
     bool isPreferred(const LiveDaemon& left, const LiveDaemon& right);
     void probeOwner(const VmId&, const std::string& address, TimePoint now);
--- a/include/almondlever/front/StoreRelay.h
+++ b/include/almondlever/front/StoreRelay.h
@@ -105,7 +105,7 @@
     std::string verifiedPrefix_;
     TimePoint verifiedAt_ {};
     /** Send times of the latest queries, by number. */
-    std::map<std::uint64_t, TimePoint> queries_;
+    std::map<std::uint64_t, TimePoint> querySentAt_;
     std::uint64_t lastQuery_ = 0;
 };
 
--- a/include/almondlever/placement/GroupOwners.h
+++ b/include/almondlever/placement/GroupOwners.h
@@ -30,8 +30,4 @@
  */
 std::vector<LiveDaemon> ownersOf(const GroupRule&, const MembershipView&, const GroupOwnerSettings&);
 
-/** Returns the owners of a group in the order in which a customer's statements prefer them, by rendezvous hashing. */
-std::vector<const LiveDaemon*> orderForCustomer(
-    const std::vector<LiveDaemon>& owners, const GroupId&, const CustomerId&);
-
 } // namespace almondlever
--- a/src/forwarding/StatementForwarder.cpp
+++ b/src/forwarding/StatementForwarder.cpp
@@ -1,7 +1,5 @@
 #include "almondlever/forwarding/StatementForwarder.h"
 
-#include "almondlever/placement/GroupOwners.h"
-
 #include <algorithm>
 
 namespace almondlever {
@@ -44,9 +42,8 @@
 
 Ticket StatementForwarder::submit(StatementRequest request, StatementCallback callback, TimePoint now)
 {
-    const LiveDaemon* owner = network_ ? chooseOwner(request, {}, now) : nullptr;
-    const bool hasOwners = owners_.count(request.group) > 0;
-    if (!network_ || !hasOwners || (owner && isSelf(*owner)))
+    const bool isOwner = owners_.count(request.group) == 0;
+    if (isOwner || !network_)
         return local_.submit(std::move(request), std::move(callback), now);
     const Ticket ticket = ++lastTicket_;
     place(ticket, { std::move(request), std::move(callback), {}, nullptr, {} }, now);
@@ -78,10 +75,8 @@
     owners_ = std::move(owners);
     addresses_.clear();
     for (const auto& [group, daemons] : owners_) {
-        for (const LiveDaemon& daemon : daemons) {
-            if (!isSelf(daemon))
-                addresses_[daemon.id] = daemon.peerAddress;
-        }
+        for (const LiveDaemon& daemon : daemons)
+            addresses_[daemon.id] = daemon.peerAddress;
     }
     for (auto it = health_.begin(); it != health_.end();) {
         const bool isNeeded = addresses_.count(it->first) > 0 || it->second.running() > 0;
@@ -108,28 +103,13 @@
     return healthOf(left.id).running() < healthOf(right.id).running();
 }
 
-const LiveDaemon* StatementForwarder::chooseOwnerForCustomer(
-    const std::vector<LiveDaemon>& owners, const StatementRequest& request, const std::set<VmId>& tried)
-{
-    for (const LiveDaemon* owner : orderForCustomer(owners, request.group, request.customer)) {
-        if (tried.count(owner->id) == 0 && (isSelf(*owner) || healthOf(owner->id).isUsable()))
-            return owner;
-    }
-    return nullptr;
-}
-
-const LiveDaemon* StatementForwarder::chooseOwner(
-    const StatementRequest& request, const std::set<VmId>& tried, TimePoint now)
+const LiveDaemon* StatementForwarder::chooseOwner(const GroupId& group, const std::set<VmId>& tried, TimePoint now)
 {
-    const auto found = owners_.find(request.group);
+    const auto found = owners_.find(group);
     if (found == owners_.end() || tried.size() >= settings_.maximumOwners)
         return nullptr;
-    if (settings_.prefersOwnerByCustomer && !request.customer.isEmpty())
-        return chooseOwnerForCustomer(found->second, request, tried);
     const LiveDaemon* best = nullptr;
     for (const LiveDaemon& owner : found->second) {
-        if (isSelf(owner))
-            return &owner;
         if (tried.count(owner.id) > 0 || !healthOf(owner.id).isUsable())
             continue;
         // The probe opens the channel for later statements.
@@ -144,9 +124,7 @@
 
 void StatementForwarder::place(Ticket ticket, Forwarded forwarded, TimePoint now)
 {
-    while (const LiveDaemon* owner = chooseOwner(forwarded.request, forwarded.tried, now)) {
-        if (isSelf(*owner))
-            break;
+    while (const LiveDaemon* owner = chooseOwner(forwarded.request.group, forwarded.tried, now)) {
         forwarded.owner = *owner;
         forwarded.tried.insert(owner->id);
         if (!send(ticket, forwarded, now)) {
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -30,7 +30,6 @@
     ForwarderSettings forwarderSettings(const FrontSettings& settings)
     {
         ForwarderSettings forwarder;
-        forwarder.self = settings.vm;
         forwarder.failureDomain = settings.failureDomain;
         forwarder.firstNumber = settings.randomSeed;
         return forwarder;
@@ -255,7 +254,6 @@
     std::map<GroupId, std::vector<LiveDaemon>> forwardTo;
     std::map<GroupId, std::vector<LiveDaemon>> owned;
     std::map<GroupId, std::set<std::string>> names;
-    std::size_t groupsNotOwned = 0;
     for (const auto& [group, rule] : routing_->groups) {
         std::vector<LiveDaemon> owners = ownersOf(rule, view, settings_.sharing);
         const bool isOwner = std::any_of(
@@ -263,16 +261,12 @@
         sharing[group] = isOwner ? owners.size() : 0;
         for (const LiveDaemon& owner : owners)
             names[group].insert(owner.id.text());
-        if (isOwner)
-            owned[group] = owners;
-        else
-            ++groupsNotOwned;
-        forwardTo[group] = std::move(owners);
+        (isOwner ? owned : forwardTo)[group] = std::move(owners);
     }
     if (names != lastLoggedOwners_)
         logInfo("owners_changed",
             { { "members", std::to_string(view.daemons.size()) }, { "groups", std::to_string(names.size()) },
-                { "groups_not_owned", std::to_string(groupsNotOwned) } });
+                { "groups_not_owned", std::to_string(forwardTo.size()) } });
     lastLoggedOwners_ = names;
     promotions_.setOwners(std::move(names));
     suspicionConfirmer_.setOwners(std::move(owned));
--- a/src/front/StoreRelay.cpp
+++ b/src/front/StoreRelay.cpp
@@ -98,9 +98,9 @@
     for (const PrefixFollower* follower : followers_)
         request.known.push_back({ follower->prefix(), follower->revision() });
     request.number = ++lastQuery_;
-    queries_[request.number] = now;
-    if (queries_.size() > maximumOpenQueries)
-        queries_.erase(queries_.begin());
+    querySentAt_[request.number] = now;
+    if (querySentAt_.size() > maximumOpenQueries)
+        querySentAt_.erase(querySentAt_.begin());
     if (!network_->send(source->id, source->peerAddress, request))
         onLoss(source->id);
 }
@@ -162,8 +162,8 @@
         return;
     follower->applyUpdate(update.items, update.revision, update.isSnapshot);
     updatesConfirmedAt_[update.prefix] = now - update.age;
-    const auto query = queries_.find(update.number);
-    if (update.proofAge && query != queries_.end()) {
+    const auto query = querySentAt_.find(update.number);
+    if (update.proofAge && query != querySentAt_.end()) {
         const TimePoint proven = query->second - *update.proofAge;
         TimePoint& newest = updatesProvenAt_.try_emplace(update.prefix, proven).first->second;
         newest = std::max(newest, proven);
--- a/src/placement/GroupOwners.cpp
+++ b/src/placement/GroupOwners.cpp
@@ -55,22 +55,4 @@
     return owners;
 }
 
-std::vector<const LiveDaemon*> orderForCustomer(
-    const std::vector<LiveDaemon>& owners, const GroupId& group, const CustomerId& customer)
-{
-    const std::uint64_t key = hashName(group.text() + ' ' + customer.text());
-    std::vector<std::pair<std::uint64_t, const LiveDaemon*>> scored;
-    scored.reserve(owners.size());
-    for (const LiveDaemon& owner : owners)
-        scored.emplace_back(rendezvousScore(key, hashName(owner.id.text())), &owner);
-    std::sort(scored.begin(), scored.end(), [](const auto& left, const auto& right) {
-        return wins(left.first, left.second->id, right.first, right.second->id);
-    });
-    std::vector<const LiveDaemon*> ordered;
-    ordered.reserve(scored.size());
-    for (const auto& [score, owner] : scored)
-        ordered.push_back(owner);
-    return ordered;
-}
-
 } // namespace almondlever
--- a/tests/users_platform/TestBootSettings.cpp
+++ b/tests/users_platform/TestBootSettings.cpp
@@ -26,6 +26,23 @@
 
 } // namespace
 
+// Guards against keys that are accepted for too long after their withdrawal, and against limits that are judged by
+// other windows than the platform's.
+Test(BootSettings, decodesBoundsOfCustomers)
+{
+    const auto without = decodeBootSettings(sampleSettings(), "boot.json");
+    cr_assert(without.value().keyWithdrawalLimit == Milliseconds(0));
+    cr_assert(without.value().quotaWindow == Milliseconds(0));
+    const std::string text = replaced(sampleSettings(), "\"bounds\": {",
+        R"("bounds": {"revoke-partitioned": true, "revoke-ms": 5000, "quota-window-s": 5, "quota-overage": 0.1, "quota-slack": 20, )");
+    const auto with = decodeBootSettings(text, "boot.json");
+    cr_assert(with.hasValue());
+    cr_assert(with.value().keyWithdrawalLimit == Milliseconds(5000));
+    cr_assert(with.value().quotaWindow == Milliseconds(5000));
+    cr_assert_float_eq(with.value().quotaOverage, 0.1, 1e-9);
+    cr_assert_float_eq(with.value().quotaSlack, 20, 1e-9);
+}
+
 // Guards against a setting being read from the wrong member of the file.
 Test(BootSettings, decodesAllSettings)
 {
