--- a/tests/customers/TestQuota.cpp
+++ b/tests/customers/TestQuota.cpp
@@ -83,6 +83,13 @@
         }();
     }
 
+    /** The customer's coordinators. */
+    std::vector<LiveDaemon> coordinators() const
+    {
+        const auto fleetCoordinators = quotaCoordinators(view, settings.daemonsPerCoordinator, settings.coordinators);
+        return coordinatorsOf(customer, settings.coordinators, fleetCoordinators);
+    }
+
     void setView(Daemon& daemon, const MembershipView& members)
     {
         const auto coordinators = quotaCoordinators(members, settings.daemonsPerCoordinator, settings.coordinators);
@@ -206,10 +213,8 @@
 Test(Quota, survivesTheLossOfACoordinator)
 {
     QuotaFleet fleet(73, { 40, 40 });
-    const auto coordinators
-        = quotaCoordinators(fleet.view, fleet.settings.daemonsPerCoordinator, fleet.settings.coordinators);
     fleet.run(std::chrono::seconds(1), 20);
-    fleet.daemons.at(coordinators.front().id)->isCut = true;
+    fleet.daemons.at(fleet.coordinators().front().id)->isCut = true;
     fleet.run(std::chrono::seconds(5), 20);
     // The callers of the daemon that is cut off are refused: it reaches no coordinator but itself.
     cr_assert_leq(fleet.refusedOf[1], 3U);
@@ -217,23 +222,31 @@
     cr_assert_leq(static_cast<double>(fleet.most()), fleet.bound());
 }
 
-// Daemons learn of a new coordinator at different times. Guards against the former and the new one granting the same
-// share at once.
+// A customer rests and then floods. Guards against a bucket that saves up more than a window may contain.
+Test(Quota, restingCustomerSavesNoMoreThanItsBound)
+{
+    QuotaFleet fleet(73, { 40, 40 });
+    fleet.timers.advance(std::chrono::seconds(30));
+    fleet.run(std::chrono::seconds(6), 400);
+    cr_assert_leq(static_cast<double>(fleet.most()), fleet.bound());
+}
+
+// Daemons learn of new coordinators at different times. Guards against the former and the new ones granting the same
+// shares at once.
 Test(Quota, changeOfCoordinatorsGrantsNothingTwice)
 {
     QuotaFleet fleet(73, { 40, 40 });
     fleet.run(std::chrono::seconds(3), 200);
-    const auto coordinators
-        = quotaCoordinators(fleet.view, fleet.settings.daemonsPerCoordinator, fleet.settings.coordinators);
     MembershipView smaller = fleet.view;
-    smaller.daemons.erase(std::find_if(smaller.daemons.begin(), smaller.daemons.end(),
-        [&](const LiveDaemon& daemon) { return daemon.id == coordinators.front().id; }));
+    for (const LiveDaemon& former : fleet.coordinators())
+        smaller.daemons.erase(std::find_if(smaller.daemons.begin(), smaller.daemons.end(),
+            [&former](const LiveDaemon& daemon) { return daemon.id == former.id; }));
     std::size_t number = 0;
     for (auto& [id, daemon] : fleet.daemons) {
         if (++number % 2 == 0)
             fleet.setView(*daemon, smaller);
     }
-    fleet.run(std::chrono::seconds(2), 200);
+    fleet.run(Milliseconds(2500), 400);
     for (auto& [id, daemon] : fleet.daemons)
         fleet.setView(*daemon, smaller);
     fleet.run(std::chrono::seconds(5), 200);
