Log large updates of the store between daemons

Sender and receiver log each update of 16 kB or more, with the revision that the receiver stated. No decision is changed.

--- a/src/front/StoreRelay.cpp
+++ b/src/front/StoreRelay.cpp
@@ -11,6 +11,17 @@
     /** Queries whose answers may still be used; older ones would be answered after the source counts as silent. */
     constexpr std::size_t maximumOpenQueries = 8;
 
+    /** Updates with at least this many bytes of values are logged by sender and receiver. */
+    constexpr std::size_t loggedUpdateBytes = 16 * 1024;
+
+    std::size_t countValueBytes(const std::vector<StoreItem>& items)
+    {
+        std::size_t bytes = 0;
+        for (const StoreItem& item : items)
+            bytes += item.value.size();
+        return bytes;
+    }
+
 } // namespace
 
 void StoreRelay::setMembers(const MembershipView& view)
@@ -134,13 +145,30 @@
             update.proofAge = std::chrono::ceil<Milliseconds>(now - *proven);
         update.isSnapshot = cache.needsSnapshot(known.revision);
         update.items = update.isSnapshot ? cache.all() : cache.changesSince(known.revision);
-        if (network_)
-            network_->send(from, "", update);
+        const bool isSent = network_ && network_->send(from, "", update);
+        const std::size_t bytes = countValueBytes(update.items);
+        if (bytes >= loggedUpdateBytes)
+            logInfo("store_update_sent",
+                { { "peer", from.text() }, { "prefix", update.prefix }, { "known", std::to_string(known.revision) },
+                    { "revision", std::to_string(update.revision) }, { "number", std::to_string(update.number) },
+                    { "bytes", std::to_string(bytes) }, { "sent", isSent ? "yes" : "no" } });
     }
 }
 
 void StoreRelay::onUpdate(const VmId& from, const StoreUpdate& update, TimePoint now)
 {
+    const std::size_t bytes = countValueBytes(update.items);
+    if (bytes >= loggedUpdateBytes) {
+        const auto sent = querySentAt_.find(update.number);
+        const std::string answerTime = sent == querySentAt_.end()
+            ? "unknown"
+            : std::to_string(std::chrono::duration_cast<Milliseconds>(now - sent->second).count());
+        logInfo("store_update_received",
+            { { "source", from.text() }, { "queried", queriedSource_.text() }, { "prefix", update.prefix },
+                { "revision", std::to_string(update.revision) }, { "number", std::to_string(update.number) },
+                { "bytes", std::to_string(bytes) }, { "age_ms", std::to_string(update.age.count()) },
+                { "answer_ms", answerTime } });
+    }
     const Milliseconds maxAge = treePosition_.asksRelays ? settings_.maxRelayedUpdateAge : settings_.maxUpdateAge;
     if (treePosition_.isWatcher || from != queriedSource_ || update.age > maxAge)
         return;
