--- a/tests/front/TestStoreRelay.cpp
+++ b/tests/front/TestStoreRelay.cpp
@@ -1,155 +1,13 @@
-#include "almondlever/front/StoreRelay.h"
-#include "mocks/FakeMetadataStore.h"
+#include "mocks/FakeFleet.h"
 
 #include <criterion/criterion.h>
-#include <memory>
 
 using namespace almondlever;
 
-namespace {
-
-/** Several daemons that follow one store, and a network that can be partitioned. */
-class Fleet {
-public:
-    struct Daemon final : PrefixObserver, PeerNetwork {
-        Daemon(Fleet& owner, const VmId& vm, StoreRelaySettings settings)
-            : fleet(owner)
-            , id(vm)
-            , store(owner.timers)
-            , follower(store, owner.timers, "op/", Milliseconds(50), *this)
-            , relay(settings, { &follower })
-        {
-            relay.setNetwork(this);
-        }
-
-        void onStoreSnapshot(
-            const std::string& prefix, const std::vector<StoreItem>& items, std::uint64_t revision, TimePoint) override
-        {
-            relay.cacheOf(prefix).applySnapshot(items, revision);
-            ++snapshots;
-            take(items);
-        }
-        void onStoreChanges(
-            const std::string& prefix, const std::vector<StoreItem>& items, std::uint64_t revision, TimePoint) override
-        {
-            relay.cacheOf(prefix).applyChanges(items, revision);
-            take(items);
-        }
-        void onStoreReturned(const std::string&, TimePoint) override { }
-        void onStoreLost(const std::string&, const StoreFailure&, TimePoint) override { }
-        void take(const std::vector<StoreItem>& items)
-        {
-            for (const StoreItem& item : items)
-                configuration = item.value;
-        }
-
-        Result<Done, std::string> listen() override { return Done {}; }
-        bool send(const VmId& to, const std::string&, const Message& message) override
-        {
-            const auto target = fleet.daemons.find(to);
-            if (target == fleet.daemons.end() || isCut || target->second->isCut)
-                return false;
-            const auto decoded = decodeMessage(encodeMessage(message));
-            cr_assert(decoded.hasValue());
-            fleet.timers.callAfter(
-                Milliseconds(1), [from = id, daemon = target->second.get(), message = decoded.value()](TimePoint now) {
-                    if (const auto* request = std::get_if<StoreUpdateRequest>(&message))
-                        daemon->relay.onRequest(from, *request, now);
-                    if (const auto* news = std::get_if<StoreUpdate>(&message))
-                        daemon->relay.onUpdate(from, *news, now);
-                });
-            return true;
-        }
-        bool isConnected(const VmId&) const override { return true; }
-        void onMessage(MessageHandler) override { }
-        void onLoss(LossHandler) override { }
-        void onUnsent(UnsentHandler) override { }
-        std::uint64_t bytesTransferred() const override { return 0; }
-        PeerTraffic traffic() const override { return {}; }
-        void stop() override { }
-
-        Fleet& fleet;
-        VmId id;
-        FakeMetadataStore store;
-        PrefixFollower follower;
-        StoreRelay relay;
-        std::string configuration;
-        std::size_t snapshots = 0;
-        bool isCut = false;
-    };
-
-    /** Five daemons in as many failure domains. */
-    Fleet()
-        : Fleet({ "a", "b", "c", "d", "e" }, 5, UpdateTreeSettings().childrenPerRelay)
-    {
-    }
-
-    Fleet(const std::vector<std::string>& names, std::size_t domains, std::size_t children)
-    {
-        std::size_t number = 0;
-        for (const std::string& name : names) {
-            StoreRelaySettings settings;
-            settings.self = VmId(name);
-            settings.tree.watchers = 2;
-            settings.tree.childrenPerRelay = children;
-            daemons[VmId(name)] = std::make_unique<Daemon>(*this, VmId(name), settings);
-            view.daemons.push_back({ VmId(name), FailureDomainId(std::to_string(number++ % domains)), "x", false, 0 });
-        }
-        put("1");
-        for (auto& [id, daemon] : daemons) {
-            daemon->follower.start();
-            daemon->relay.setMembers(view);
-        }
-        run(Milliseconds(3000));
-    }
-
-    /** Writes to the fake stores of all daemons, which represent one store. */
-    void put(const std::string& value)
-    {
-        for (auto& [id, daemon] : daemons)
-            daemon->store.put("op/config", value);
-    }
-
-    void run(Duration by)
-    {
-        const TimePoint end = timers.now() + by;
-        while (timers.now() < end) {
-            timers.advance(Milliseconds(25));
-            for (auto& [id, daemon] : daemons)
-                daemon->relay.onTick(timers.now());
-        }
-    }
-
-    std::vector<Daemon*> others()
-    {
-        std::vector<Daemon*> found;
-        for (auto& [id, daemon] : daemons) {
-            if (!daemon->relay.isWatcher())
-                found.push_back(daemon.get());
-        }
-        return found;
-    }
-    std::vector<Daemon*> watchers()
-    {
-        std::vector<Daemon*> found;
-        for (auto& [id, daemon] : daemons) {
-            if (daemon->relay.isWatcher())
-                found.push_back(daemon.get());
-        }
-        return found;
-    }
-
-    FakeTimerService timers;
-    std::map<VmId, std::unique_ptr<Daemon>> daemons;
-    MembershipView view;
-};
-
-} // namespace
-
 // Guards against a number of store calls that grows with the fleet.
 Test(StoreRelay, nonWatchersMakeNoStoreCalls)
 {
-    Fleet fleet;
+    FakeFleet fleet;
     cr_assert_eq(fleet.watchers().size(), 2U);
     fleet.run(Milliseconds(5000));
     std::size_t before = 0;
@@ -169,7 +27,7 @@
 // Guards against a delayed configuration because a watcher is cut off from the store without noticing.
 Test(StoreRelay, watcherCutOffFromTheStoreIsNotUsed)
 {
-    Fleet fleet;
+    FakeFleet fleet;
     for (auto* watcher : fleet.watchers()) {
         // The store never answers the watcher.
         watcher->store.delay = Milliseconds(3600000);
@@ -185,7 +43,7 @@
 // Guards against daemons that receive no more updates when their watcher dies.
 Test(StoreRelay, lostWatcherIsReplaced)
 {
-    Fleet fleet;
+    FakeFleet fleet;
     fleet.watchers()[0]->isCut = true;
     fleet.run(Milliseconds(2000));
     fleet.put("2");
@@ -199,7 +57,7 @@
 // Guards against a daemon that the store rejects and that gets no updates although its peers have them.
 Test(StoreRelay, daemonRejectedByTheStoreGetsUpdatesFromPeers)
 {
-    Fleet fleet;
+    FakeFleet fleet;
     for (auto* daemon : fleet.others())
         daemon->store.isDown = true;
     fleet.put("2");
@@ -212,7 +70,7 @@
 // Guards against sending and decoding the whole configuration again with every query.
 Test(StoreRelay, advancingRevisionCausesNoSnapshot)
 {
-    Fleet fleet;
+    FakeFleet fleet;
     std::size_t before = 0;
     for (const auto* daemon : fleet.others())
         before += daemon->snapshots;
@@ -238,7 +96,7 @@
     std::vector<std::string> names;
     for (char name = 'a'; name <= 'z'; ++name)
         names.emplace_back(1, name);
-    Fleet fleet(names, 2, 4);
+    FakeFleet fleet(names, 2, 4);
     fleet.run(Milliseconds(5000));
     std::size_t before = 0;
     std::size_t behindRelays = 0;
@@ -264,7 +122,7 @@
     std::vector<std::string> names;
     for (char name = 'a'; name <= 'z'; ++name)
         names.emplace_back(1, name);
-    Fleet fleet(names, 2, 4);
+    FakeFleet fleet(names, 2, 4);
     fleet.run(Milliseconds(5000));
     VmId relay;
     for (const auto* daemon : fleet.others()) {
@@ -293,7 +151,7 @@
 // daemons tried three prefixes every 400 ms), and against late updates after it.
 Test(StoreRelay, outageCausesFewCalls)
 {
-    Fleet fleet;
+    FakeFleet fleet;
     std::size_t before = 0;
     for (const auto* daemon : fleet.others())
         before += daemon->store.calls;
@@ -318,7 +176,7 @@
 // because their revision is greater than those of the new era, and against each daemon calling the store.
 Test(StoreRelay, restoreReachesAllThroughTheWatchers)
 {
-    Fleet fleet;
+    FakeFleet fleet;
     for (auto& [id, daemon] : fleet.daemons)
         daemon->store.takeCopy();
     fleet.put("lost");
@@ -326,14 +184,14 @@
     for (auto& [id, daemon] : fleet.daemons)
         cr_assert_eq(daemon->configuration, "lost");
     std::map<VmId, std::size_t> callsBefore;
-    for (Fleet::Daemon* daemon : fleet.others())
+    for (FakeFleet::Daemon* daemon : fleet.others())
         callsBefore[daemon->id] = daemon->store.calls;
     for (auto& [id, daemon] : fleet.daemons)
         daemon->store.restoreCopy();
     fleet.run(Milliseconds(1500));
     for (auto& [id, daemon] : fleet.daemons)
         cr_assert_eq(daemon->configuration, "1", "%s", id.text().c_str());
-    for (Fleet::Daemon* daemon : fleet.others())
+    for (FakeFleet::Daemon* daemon : fleet.others())
         cr_assert_eq(daemon->store.calls, callsBefore[daemon->id]);
     fleet.put("2");
     fleet.run(Milliseconds(1500));
@@ -345,7 +203,7 @@
 // newer than the store's last answer, and against one that ages although the watchers still reach the store.
 Test(StoreRelay, proofAgesFromTheWatchersQuestion)
 {
-    Fleet fleet;
+    FakeFleet fleet;
     for (auto& [id, daemon] : fleet.daemons)
         daemon->relay.setVerifiedPrefix("op/");
     fleet.run(Milliseconds(4000));
