Give a large answer of the store up only when it stalls

Cause: a call to the store was given up 1.5 s after it was sent, however much of the answer had arrived. An answer with 9,000 routes has about 2 MB in base64 and takes 1.7 s on a link of 10 Mbit/s, so that each call failed and was repeated from the start (worked out from the size of version 10 in the log and the link).

Change: HttpClient can extend the limit of a request while its response arrives. Other clients are unchanged.

--- a/include/almondlever/transport/HttpClient.h
+++ b/include/almondlever/transport/HttpClient.h
@@ -18,12 +18,13 @@
  */
 class HttpClient {
 public:
-    explicit HttpClient(asio::io_context&);
+    explicit HttpClient(asio::io_context&, const HttpTransferLimits& = {});
     ~HttpClient();
     HttpClient(const HttpClient&) = delete;
     HttpClient& operator=(const HttpClient&) = delete;
 
-    /** Sends a request; the time-out includes connecting. The callback is called exactly once. */
+    /** Sends a request; the time-out includes connecting and, without transfer limits, the whole response. The callback
+     * is called exactly once. */
     void request(const HttpAddress&, const HttpRequest&, Duration timeout, HttpConnection::ResponseCallback);
 
     /** Closes all connections; requests in flight fail. */
--- a/include/almondlever/transport/HttpConnection.h
+++ b/include/almondlever/transport/HttpConnection.h
@@ -12,6 +12,14 @@
 
 namespace almondlever {
 
+/** Extends the time limit of a request while its response is being received. */
+struct HttpTransferLimits {
+    /** Once the response has begun, the request fails when no byte arrives for this long; 0 for no extension. */
+    Duration stall { 0 };
+    /** Limit of the whole request. */
+    Duration total { 0 };
+};
+
 /**
  * One HTTP/1.1 keep-alive connection that carries one request at a time.
  *
@@ -32,6 +40,8 @@
     virtual void connect(const HttpAddress&, Duration timeout, ConnectCallback) = 0;
     /** Sends a request; the callback is called exactly once. The connection must be open and idle. */
     virtual void send(const HttpRequest&, Duration timeout, ResponseCallback) = 0;
+    /** By default the time-out of a request includes its whole response. Call before send(). */
+    virtual void setTransferLimits(const HttpTransferLimits&) = 0;
     /** True while connected and usable for another request. */
     virtual bool isOpen() const = 0;
     /** True between send and its callback. */
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -6,8 +6,9 @@
 namespace almondlever {
 
 struct HttpClient::State : std::enable_shared_from_this<HttpClient::State> {
-    explicit State(asio::io_context& ioContext)
+    State(asio::io_context& ioContext, const HttpTransferLimits& limits)
         : context(ioContext)
+        , transferLimits(limits)
     {
     }
 
@@ -44,13 +45,14 @@
     }
 
     asio::io_context& context;
+    HttpTransferLimits transferLimits;
     std::map<HttpAddress, std::vector<Connection>> idle;
     std::set<Connection> active;
     bool isClosed = false;
 };
 
-HttpClient::HttpClient(asio::io_context& context)
-    : state_(std::make_shared<State>(context))
+HttpClient::HttpClient(asio::io_context& context, const HttpTransferLimits& transferLimits)
+    : state_(std::make_shared<State>(context, transferLimits))
 {
 }
 
@@ -67,6 +69,7 @@
     if (const auto connection = state_->takeIdle(address))
         return state_->send(address, connection, request, deadline, std::move(callback));
     const auto connection = HttpConnection::create(state_->context);
+    connection->setTransferLimits(state_->transferLimits);
     state_->active.insert(connection);
     connection->connect(address, timeout,
         [state = state_, address, connection, request, deadline, callback = std::move(callback)](
--- a/src/transport/HttpConnection.cpp
+++ b/src/transport/HttpConnection.cpp
@@ -3,6 +3,7 @@
 #include "HttpResponseParser.h"
 #include "almondlever/transport/DeadPeerDetection.h"
 
+#include <algorithm>
 #include <array>
 #include <asio.hpp>
 #include <cassert>
@@ -55,6 +56,7 @@
             callback_ = std::move(callback);
             output_ = serialize(request, host_);
             parser_.reset();
+            sentAt_ = Clock::now();
             startTimer(timeout);
             asio::async_write(
                 socket_, asio::buffer(output_), [self = shared_from_this()](std::error_code error, std::size_t) {
@@ -63,6 +65,8 @@
                 });
         }
 
+        void setTransferLimits(const HttpTransferLimits& limits) override { transferLimits_ = limits; }
+
         bool isOpen() const override { return open_; }
         bool isBusy() const override { return static_cast<bool>(callback_); }
 
@@ -107,9 +111,11 @@
             const std::string reason = parser_.feed(input_.data(), size);
             if (!reason.empty())
                 return fail(reason);
-            if (!parser_.isDone())
-                return read();
-            finishResponse();
+            if (parser_.isDone())
+                return finishResponse();
+            if (transferLimits_.stall > Duration(0))
+                startTimer(std::min(transferLimits_.stall, sentAt_ + transferLimits_.total - Clock::now()));
+            read();
         }
 
         void finishResponse()
@@ -165,6 +171,8 @@
 
         asio::ip::tcp::socket socket_;
         asio::steady_timer timer_;
+        HttpTransferLimits transferLimits_;
+        TimePoint sentAt_ {};
         std::string host_;
         std::string output_;
         std::array<char, readBufferBytes> input_ {};
