Continue watches from the last reported change

Callers could see requests handled by an old configuration until the next change (CONFIG).

Cause: a watch that ended without changes moved the follower to the answer's revision. The store's watches report nothing for a second while changes are made before history is dropped, so that an empty answer can lie behind unreported changes. If the history was dropped while no watch was pending, the next watch started behind them and waited.

Change: a watch continues from the revision of the last read or reported change. If that history is gone, the store says so and all keys are read. A quiet prefix is read anew when its last change leaves the history (20 s on these deployments), by watchers only. The revision that peers see still advances, so that sources stay comparable.

Evidence: PrefixFollower.emptyWatchDoesNotPassOverChanges fails before and passes now; quietPrefixIsSeldomReadAnew limits the reads.

--- a/include/almondlever/store/PrefixFollower.h
+++ b/include/almondlever/store/PrefixFollower.h
@@ -82,7 +82,7 @@
     void setProbe(const PrefixFollower& other) { probe_ = &other; }
     /** The last call failed. */
     bool isLost() const { return isLost_; }
-    /** Every change up to this revision of the store is known; 0 before the first answer. */
+    /** The store has reported the changes up to this revision; 0 before the first answer. */
     std::uint64_t revision() const { return revision_; }
     const std::string& prefix() const { return prefix_; }
     /** Time of the last successful call; nullopt if there was none or a call has failed since. */
@@ -116,6 +116,12 @@
     std::vector<StoreItem> collected_;
     std::optional<std::uint64_t> firstPageRevision_;
     std::uint64_t revision_ = 0;
+    /**
+     * Revision that the next watch continues from: that of the last read or reported change. An empty answer does not
+     * move it, since the store may have failed to report changes; if their history was dropped, the watch fails and all
+     * keys are read again.
+     */
+    std::uint64_t watchedFrom_ = 0;
     bool isLost_ = false;
     bool isPaused_ = false;
     /** A call or a delay is pending, so that resume() must not start a second chain of calls. */
--- a/src/store/PrefixFollower.cpp
+++ b/src/store/PrefixFollower.cpp
@@ -154,7 +154,7 @@
     std::move(page.items.begin(), page.items.end(), std::back_inserter(collected_));
     if (page.isTruncated && !collected_.empty())
         return readPage(collected_.back().key);
-    revision_ = *firstPageRevision_;
+    revision_ = watchedFrom_ = *firstPageRevision_;
     const std::vector<StoreItem> items = std::move(collected_);
     collected_.clear();
     observer_.onStoreSnapshot(prefix_, items, revision_, timers_.now());
@@ -176,7 +176,7 @@
     if (isPaused_)
         return;
     store_.watch(
-        prefix_, revision_, pollTimeout_, [this, alive = std::weak_ptr<int>(alive_)](StoreResult<StorePage> result) {
+        prefix_, watchedFrom_, pollTimeout_, [this, alive = std::weak_ptr<int>(alive_)](StoreResult<StorePage> result) {
             if (!alive.expired())
                 onChanges(std::move(result));
         });
@@ -195,6 +195,8 @@
     revision_ = std::max(revision_, page.asOf);
     if (page.items.empty())
         return waitForChanges();
+    for (const StoreItem& item : page.items)
+        watchedFrom_ = std::max(watchedFrom_, item.revision);
     observer_.onStoreChanges(prefix_, page.items, revision_, timers_.now());
     // Changes come in bursts and calls are limited: the changes made during the delay need only one more call.
     timers_.callAfter(batchDelay_, [this, alive = std::weak_ptr<int>(alive_)](TimePoint) {
--- a/tests/mocks/FakeMetadataStore.h
+++ b/tests/mocks/FakeMetadataStore.h
@@ -26,6 +26,8 @@
     /** Ranges of this prefix take longer; empty when none does. */
     std::string slowPrefix;
     Milliseconds slowDelay { 0 };
+    /** Watches report no changes and end empty, with the store's present revision. */
+    bool watchesReportNothing = false;
     std::size_t pageSize = 500;
     std::size_t calls = 0;
     std::size_t rangeCalls = 0;
@@ -246,6 +248,8 @@
 
     void answerWatches()
     {
+        if (watchesReportNothing)
+            return;
         const auto watches = watches_;
         for (const auto& [number, watch] : watches) {
             StorePage page;
--- a/tests/store/TestPrefixFollower.cpp
+++ b/tests/store/TestPrefixFollower.cpp
@@ -158,6 +158,39 @@
     cr_assert_eq(fixture.recorder.snapshots, 2);
 }
 
+// The store's watches report nothing for a while, and the history is dropped between two calls. Guards against
+// continuing from the revision of an empty answer, behind changes that no watch has reported.
+Test(PrefixFollower, emptyWatchDoesNotPassOverChanges)
+{
+    Fixture fixture;
+    fixture.store.put("op/config", "1");
+    fixture.follower.start();
+    fixture.timers.advance(Milliseconds(200));
+    fixture.store.watchesReportNothing = true;
+    fixture.store.put("op/config", "2");
+    fixture.timers.advance(Milliseconds(1310));
+    fixture.store.watchesReportNothing = false;
+    fixture.store.dropHistory();
+    fixture.timers.advance(Milliseconds(5000));
+    cr_assert_eq(fixture.recorder.keys["op/config"], "2");
+    cr_assert_eq(fixture.recorder.losses, 0);
+}
+
+// Guards against one read of all keys after the other while nothing changes.
+Test(PrefixFollower, quietPrefixIsSeldomReadAnew)
+{
+    Fixture fixture;
+    fixture.store.put("op/config", "1");
+    fixture.follower.start();
+    for (int second = 0; second < 60; ++second) {
+        fixture.store.put("other/key", std::to_string(second));
+        if (second % 20 == 19)
+            fixture.store.dropHistory();
+        fixture.timers.advance(Milliseconds(1000));
+    }
+    cr_assert_leq(fixture.store.rangeCalls, 4U);
+}
+
 // Guards against treating the status 410 (history gone) as an outage.
 Test(PrefixFollower, readsAllWhenTheHistoryIsGone)
 {
