Ignore answers of the store that are older than a peer's update

A daemon could go back to older members and endpoints for a moment; the configuration itself is guarded by its version.

Cause: a read, a refresh or a watch that was under way when a peer sent newer keys was passed on when it was answered, and moved the revision back.

Change: an answer that is older than the known revision is not passed on. A refresh counts as fresh then, since the known keys are newer than its read.

Evidence: PrefixFollower.lateAnswersDoNotRevertNewerUpdates and lateChangesDoNotRevertNewerUpdates fail before and pass now.

pausesWhileAPeerSendsUpdates used a revision that its store never had (100, the store was at 13), so that the store's later answer counted as older. It now uses the store's own revision; its checks are the same.

--- a/src/store/PrefixFollower.cpp
+++ b/src/store/PrefixFollower.cpp
@@ -133,8 +133,10 @@
             std::move(page.items.begin(), page.items.end(), std::back_inserter(*collected));
             if (page.isTruncated && !collected->empty())
                 return refreshPage(collected, revision, callback);
-            // The watch continues from its own revision and reports some of these changes again.
-            observer_.onStoreSnapshot(prefix_, *collected, revision, timers_.now());
+            // The watch continues from its own revision and reports some of these changes again. Keys that were
+            // received since the read was started are newer.
+            if (revision >= revision_)
+                observer_.onStoreSnapshot(prefix_, *collected, revision, timers_.now());
             callback(true);
         });
 }
@@ -154,10 +156,14 @@
     std::move(page.items.begin(), page.items.end(), std::back_inserter(collected_));
     if (page.isTruncated && !collected_.empty())
         return readPage(collected_.back().key);
-    revision_ = watchedFrom_ = *firstPageRevision_;
+    watchedFrom_ = *firstPageRevision_;
     const std::vector<StoreItem> items = std::move(collected_);
     collected_.clear();
-    observer_.onStoreSnapshot(prefix_, items, revision_, timers_.now());
+    // A peer may have sent newer keys since this read was started.
+    if (*firstPageRevision_ >= revision_) {
+        revision_ = *firstPageRevision_;
+        observer_.onStoreSnapshot(prefix_, items, revision_, timers_.now());
+    }
     provenAt_ = std::max(provenAt_.value_or(readStartedAt_), readStartedAt_);
     const TimePoint now = timers_.now();
     if (now >= pollUntil_)
@@ -192,12 +198,15 @@
     }
     handleSuccess();
     const StorePage& page = result.value();
+    // A peer may have sent newer keys since this watch was started.
+    const bool isOutdated = page.asOf < revision_;
     revision_ = std::max(revision_, page.asOf);
     if (page.items.empty())
         return waitForChanges();
     for (const StoreItem& item : page.items)
         watchedFrom_ = std::max(watchedFrom_, item.revision);
-    observer_.onStoreChanges(prefix_, page.items, revision_, timers_.now());
+    if (!isOutdated)
+        observer_.onStoreChanges(prefix_, page.items, revision_, timers_.now());
     // Changes come in bursts and calls are limited: the changes made during the delay need only one more call.
     timers_.callAfter(batchDelay_, [this, alive = std::weak_ptr<int>(alive_)](TimePoint) {
         if (!alive.expired())
--- a/tests/store/TestPrefixFollower.cpp
+++ b/tests/store/TestPrefixFollower.cpp
@@ -240,9 +240,10 @@
     StoreItem item;
     item.key = "op/config";
     item.value = "2";
-    fixture.follower.applyUpdate({ item }, 100, false);
+    fixture.store.put(item.key, item.value);
+    fixture.follower.applyUpdate({ item }, fixture.store.revision(), false);
     cr_assert_eq(fixture.recorder.keys["op/config"], "2");
-    fixture.follower.applyUpdate({}, 50, true);
+    fixture.follower.applyUpdate({}, fixture.store.revision() - 1, true);
     cr_assert_eq(fixture.recorder.keys["op/config"], "2", "older updates are ignored");
     fixture.store.put("op/config", "3");
     fixture.follower.resume();
@@ -250,6 +251,47 @@
     cr_assert_eq(fixture.recorder.keys["op/config"], "3");
 }
 
+// An answer of the store is under way while a peer sends newer keys. Guards against going back to the older ones.
+Test(PrefixFollower, lateAnswersDoNotRevertNewerUpdates)
+{
+    Fixture fixture;
+    fixture.store.put("op/config", "1");
+    fixture.follower.start();
+    StoreItem item;
+    item.key = "op/config";
+    item.value = "2";
+    item.revision = 100;
+    fixture.follower.pause();
+    fixture.follower.applyUpdate({ item }, 100, true);
+    fixture.timers.advance(Milliseconds(100));
+    cr_assert_eq(fixture.recorder.keys["op/config"], "2", "a read of all keys");
+    cr_assert_eq(fixture.follower.revision(), 100U);
+    bool isFresh = false;
+    fixture.follower.refresh([&isFresh](bool result) { isFresh = result; });
+    fixture.timers.advance(Milliseconds(100));
+    cr_assert_eq(fixture.recorder.keys["op/config"], "2", "a refresh");
+    cr_assert(isFresh, "the known keys are newer");
+}
+
+// Guards against the same for the changes that a watch reports.
+Test(PrefixFollower, lateChangesDoNotRevertNewerUpdates)
+{
+    Fixture fixture;
+    fixture.store.put("op/config", "1");
+    fixture.follower.start();
+    fixture.timers.advance(Milliseconds(200));
+    fixture.follower.pause();
+    StoreItem item;
+    item.key = "op/config";
+    item.value = "3";
+    item.revision = 100;
+    fixture.follower.applyUpdate({ item }, 100, true);
+    fixture.store.put("op/config", "2");
+    fixture.timers.advance(Milliseconds(200));
+    cr_assert_eq(fixture.recorder.keys["op/config"], "3");
+    cr_assert_eq(fixture.follower.revision(), 100U);
+}
+
 // Guards against a promotion based on an outdated list: the list is read at once, while a watch is pending.
 Test(PrefixFollower, refreshReadsAllDuringAWatch)
 {
