Let daemons that the store turns away follow any daemon it answers

Callers of one VM saw an old configuration for 18.3 s: the store refused 70 % of the VMs for 20 s, among them a watcher, while all others had the new version within 0.5 s.

Cause: a watcher asked no peer, whatever the store answered it. Others asked only the watchers or relays, so that they had no updates either when the store refused all of those.

Change: a watcher that the store has not answered for 2.2 s, the age at which its own updates are refused, queries the other watchers. Who has neither the store nor a source also queries 16 other daemons in turn, goes on calling the store, and returns to its sources when they are up to date. Each daemon answers queries while its state is recent. Ages add up from hop to hop, so that daemons without the store do not take each other's state for a recent one.

Evidence: StoreRelay.watcherRejectedByTheStoreGetsUpdatesFromPeers and updatesPassAroundRejectedWatchers failed before and pass now; startingDaemonsQueryTheirSourcesOnly fails if alternatives are queried without a failed call.

--- a/include/almondlever/front/StoreRelay.h
+++ b/include/almondlever/front/StoreRelay.h
@@ -49,8 +49,9 @@
 /**
  * Lets a few daemons watch the store on behalf of all. The others query their source in the tree of UpdateTree, switch
  * to another source when it does not answer, and watch the store themselves only when no source provides updates. The
- * state of a daemon never goes back: updates of an earlier revision are ignored. Each update carries its age, which
- * adds up from hop to hop.
+ * store may turn some daemons away: these, also watchers, keep calling it, and query the watchers and some other
+ * daemons until one has recent updates. The state of a daemon never goes back: updates of an earlier revision are
+ * ignored. Each update carries its age, which adds up from hop to hop.
  *
  * Large updates are downloaded in parts, see UpdateDownload. A source is not queried again before it has answered or
  * counts as silent, and an answer is used also if another source has been queried since: on a slow link, repeated
@@ -84,7 +85,7 @@
     /** Cache of a prefix; must receive everything that the prefix's follower reports, to be passed on to peers. */
     StoreCache& cacheOf(const std::string& prefix) { return caches_[prefix]; }
     bool isWatcher() const { return treePosition_.isWatcher; }
-    /** The daemon that this one receives updates from; empty when it watches the store itself. */
+    /** The daemon that this one receives updates from; empty while only the store provides them. */
     const VmId& source() const { return source_; }
 
 private:
@@ -99,7 +100,14 @@
     void download(
         const VmId& from, const StoreUpdate&, TimePoint confirmedAt, std::optional<TimePoint> provenAt, TimePoint now);
     void requestPart(const UpdateDownload&);
-    const LiveDaemon* nextSource();
+    /** Returns true if the store has answered this daemon for all prefixes so recently that peers may rely on it. */
+    bool isAnsweredByStore(TimePoint now) const;
+    /** Returns true if the daemon that is followed is not one of the sources in the tree. */
+    bool followsAlternative() const;
+    /** Returns the daemon to query next; nullptr if none is known. */
+    const LiveDaemon* chooseSource(TimePoint now);
+    /** Returns false if the request was dropped unsent. */
+    bool sendRequest(const LiveDaemon& to, TimePoint now);
     /** Time at which the store last confirmed this daemon's state of a prefix; nullopt if unknown. */
     std::optional<TimePoint> confirmedAt(const PrefixFollower&) const;
 
@@ -107,7 +115,7 @@
     std::vector<PrefixFollower*> followers_;
     PeerNetwork* network_ = nullptr;
     /** A daemon that knows no others is a watcher. */
-    UpdateTreePosition treePosition_ { true, false, false, {} };
+    UpdateTreePosition treePosition_ { true, false, false, {}, {} };
     std::map<std::string, StoreCache> caches_;
     UpdatePackages packages_;
     /** By prefix. */
--- a/include/almondlever/placement/UpdateTree.h
+++ b/include/almondlever/placement/UpdateTree.h
@@ -15,6 +15,8 @@
     std::size_t childrenPerRelay = 16;
     /** Additional relays in each failure domain, so that the loss of one does not overload the others. */
     std::size_t spareRelays = 1;
+    /** Number of alternatives of each daemon; enough that some reach a store that turns most daemons away. */
+    std::size_t alternatives = 16;
 };
 
 /** The position of one daemon in the tree. */
@@ -24,8 +26,11 @@
     bool isRelay = false;
     /** True if the sources are relays, false if they are watchers. */
     bool asksRelays = false;
-    /** Daemons to query, in order of preference; empty for a watcher. */
+    /** Daemons to query, in order of preference; for a watcher, which queries while the store does not answer it, the
+     * other watchers. */
     std::vector<LiveDaemon> sources;
+    /** Further daemons to query while neither the store nor a source provides updates. */
+    std::vector<LiveDaemon> alternatives;
 };
 
 /**
--- a/include/almondlever/store/PrefixFollower.h
+++ b/include/almondlever/store/PrefixFollower.h
@@ -70,7 +70,8 @@
      */
     void verify();
     bool isPaused() const { return isPaused_; }
-    /** Applies an update from a peer: all keys, or the changes since revision(). */
+    /** Applies an update from a peer, all keys or the changes since a revision that was known, unless it is older than
+     * what is known. */
     void applyUpdate(const std::vector<StoreItem>&, std::uint64_t revision, bool isSnapshot);
     /** Sets the long-poll timeout; shorter on daemons that others depend on. */
     void setPollTimeout(Milliseconds timeout) { pollTimeout_ = timeout; }
--- a/src/front/StoreRelay.cpp
+++ b/src/front/StoreRelay.cpp
@@ -11,6 +11,15 @@
     /** Queries whose answers may still be used; older ones would be answered after the source counts as silent. */
     constexpr std::size_t maximumOpenQueries = 8;
 
+    /** While a daemon follows one that is not among its sources, one query in this many also goes to a
+     * source. */
+    constexpr std::uint64_t queriesPerSourceCheck = 4;
+
+    bool contains(const std::vector<LiveDaemon>& daemons, const VmId& id)
+    {
+        return std::any_of(daemons.begin(), daemons.end(), [&id](const LiveDaemon& daemon) { return daemon.id == id; });
+    }
+
     std::size_t countValueBytes(const std::vector<StoreItem>& items)
     {
         std::size_t bytes = 0;
@@ -23,6 +32,7 @@
 
 void StoreRelay::setMembers(const MembershipView& view)
 {
+    const bool wasWatcher = treePosition_.isWatcher;
     const bool wasRelay = treePosition_.isRelay;
     treePosition_ = positionInUpdateTree(view, settings_.self, settings_.tree);
     if (treePosition_.isRelay != wasRelay)
@@ -33,21 +43,38 @@
         follower->setRetryDelays(
             treePosition_.isWatcher ? PrefixFollower::RetryDelays() : settings_.nonWatcherRetryDelays);
     }
-    if (treePosition_.isWatcher)
+    if (treePosition_.isWatcher && !wasWatcher)
         watchDirectly("this daemon is a watcher");
 }
 
-const LiveDaemon* StoreRelay::nextSource()
+bool StoreRelay::isAnsweredByStore(TimePoint now) const
 {
-    for (const LiveDaemon& source : treePosition_.sources) {
-        if (source.id == queriedSource_)
-            return &source;
+    return std::all_of(followers_.begin(), followers_.end(), [this, now](const PrefixFollower* follower) {
+        const std::optional<TimePoint> confirmed = follower->confirmedAt();
+        return confirmed && now - *confirmed <= settings_.maxUpdateAge;
+    });
+}
+
+bool StoreRelay::followsAlternative() const { return !source_.isEmpty() && !contains(treePosition_.sources, source_); }
+
+const LiveDaemon* StoreRelay::chooseSource(TimePoint now)
+{
+    std::vector<const LiveDaemon*> candidates;
+    for (const LiveDaemon& source : treePosition_.sources)
+        candidates.push_back(&source);
+    const bool isStoreLost = std::any_of(
+        followers_.begin(), followers_.end(), [](const PrefixFollower* follower) { return follower->isLost(); });
+    if (followsAlternative() || (source_.isEmpty() && isStoreLost)) {
+        for (const LiveDaemon& alternative : treePosition_.alternatives)
+            candidates.push_back(&alternative);
     }
-    if (treePosition_.sources.empty())
+    if (candidates.empty())
         return nullptr;
-    const LiveDaemon& source = treePosition_.sources[nextSource_++ % treePosition_.sources.size()];
-    queriedSource_ = source.id;
-    return &source;
+    const auto followed = std::find_if(
+        candidates.begin(), candidates.end(), [this](const LiveDaemon* candidate) { return candidate->id == source_; });
+    if (followed != candidates.end() && now - lastUpdateAt_ <= settings_.sourceTimeout)
+        return *followed;
+    return candidates[nextSource_++ % candidates.size()];
 }
 
 PrefixFollower* StoreRelay::followerOf(const std::string& prefix) const
@@ -84,8 +111,13 @@
 void StoreRelay::onTick(TimePoint now)
 {
     verifyIfDue(now);
-    if (treePosition_.isWatcher || !network_)
+    if (!network_)
         return;
+    if (treePosition_.isWatcher && isAnsweredByStore(now)) {
+        if (!source_.isEmpty())
+            watchDirectly("the store answers this watcher again");
+        return;
+    }
     if (!source_.isEmpty() && now - lastUpdateAt_ > settings_.directWatchTimeout)
         watchDirectly("no updates from any source");
     if (now - queriedAt_ >= (isQueryAnswered_ ? settings_.queryInterval : settings_.sourceTimeout))
@@ -96,12 +128,19 @@
 {
     queriedAt_ = now;
     isQueryAnswered_ = false;
-    const bool isSilent = queriedSource_ == source_ && now - lastUpdateAt_ > settings_.sourceTimeout;
-    if (source_.isEmpty() || isSilent)
-        queriedSource_ = VmId();
-    const LiveDaemon* source = nextSource();
+    const LiveDaemon* source = chooseSource(now);
     if (!source)
         return;
+    queriedSource_ = source->id;
+    if (!sendRequest(*source, now))
+        onLoss(source->id);
+    const std::vector<LiveDaemon>& sources = treePosition_.sources;
+    if (followsAlternative() && lastQuery_ % queriesPerSourceCheck == 0 && !sources.empty())
+        sendRequest(sources[nextSource_++ % sources.size()], now);
+}
+
+bool StoreRelay::sendRequest(const LiveDaemon& to, TimePoint now)
+{
     StoreUpdateRequest request;
     for (const PrefixFollower* follower : followers_)
         request.known.push_back({ follower->prefix(), follower->revision() });
@@ -110,22 +149,20 @@
     querySentAt_[request.number] = now;
     if (querySentAt_.size() > maximumOpenQueries)
         querySentAt_.erase(querySentAt_.begin());
-    if (!network_->send(source->id, source->peerAddress, request))
-        onLoss(source->id);
+    return network_->send(to.id, to.peerAddress, request);
 }
 
 std::optional<TimePoint> StoreRelay::confirmedAt(const PrefixFollower& follower) const
 {
-    if (source_.isEmpty())
-        return follower.confirmedAt();
-    const auto found = updatesConfirmedAt_.find(follower.prefix());
-    return found == updatesConfirmedAt_.end() ? std::nullopt : std::optional<TimePoint>(found->second);
+    const std::optional<TimePoint> own = follower.confirmedAt();
+    const auto received = updatesConfirmedAt_.find(follower.prefix());
+    if (received == updatesConfirmedAt_.end())
+        return own;
+    return std::max(own.value_or(received->second), received->second);
 }
 
 void StoreRelay::onRequest(const VmId& from, const StoreUpdateRequest& request, TimePoint now)
 {
-    if (!treePosition_.isWatcher && !treePosition_.isRelay)
-        return;
     for (const StoreUpdateRequest::Known& known : request.known) {
         const PrefixFollower* follower = followerOf(known.prefix);
         if (!follower)
@@ -163,7 +200,7 @@
     if (from == queriedSource_)
         isQueryAnswered_ = true;
     const Milliseconds maxAge = treePosition_.asksRelays ? settings_.maxRelayedUpdateAge : settings_.maxUpdateAge;
-    if (treePosition_.isWatcher || update.age > maxAge)
+    if (update.age > maxAge)
         return;
     const PrefixFollower* follower = followerOf(update.prefix);
     // Updates from a source that is behind this daemon are ignored; the source catches up with its next call.
@@ -188,24 +225,23 @@
         return;
     answeredPrefixes_.erase(from);
     lastUpdateAt_ = now;
-    // A late answer shows that its sender is alive, but the daemon that was queried after it may be followed by now.
-    if (source_ == from || (!source_.isEmpty() && from != queriedSource_))
+    // After a late answer, its sender is not followed in place of a daemon that was queried later.
+    const bool returnsToSource = followsAlternative() && contains(treePosition_.sources, from);
+    if (source_ == from || (!source_.isEmpty() && from != queriedSource_ && !returnsToSource))
         return;
     logInfo("store_followed_through_peer", { { "source", from.text() }, { "former", source_.text() } });
     source_ = from;
     queriedSource_ = from;
+    // A watcher keeps calling the store, for the sake of the daemons that query it.
+    if (treePosition_.isWatcher)
+        return;
     for (PrefixFollower* follower : followers_)
         follower->pause();
 }
 
 void StoreRelay::applyUpdate(const StoreUpdate& update, TimePoint confirmedAt, std::optional<TimePoint> provenAt)
 {
-    PrefixFollower* follower = followerOf(update.prefix);
-    // Followers are paused already if this daemon switches from another source; updates are then applied at once, even
-    // before the new source has answered for all prefixes.
-    if (!follower->isPaused())
-        return;
-    follower->applyUpdate(update.items, update.revision, update.isSnapshot);
+    followerOf(update.prefix)->applyUpdate(update.items, update.revision, update.isSnapshot);
     TimePoint& confirmed = updatesConfirmedAt_.try_emplace(update.prefix, confirmedAt).first->second;
     confirmed = std::max(confirmed, confirmedAt);
     if (!provenAt)
@@ -304,7 +340,6 @@
     source_ = VmId();
     queriedSource_ = VmId();
     answeredPrefixes_.clear();
-    updatesConfirmedAt_.clear();
     for (PrefixFollower* follower : followers_)
         follower->resume();
 }
--- a/src/placement/UpdateTree.cpp
+++ b/src/placement/UpdateTree.cpp
@@ -10,6 +10,7 @@
 
     const char* const watchersKey = "store watchers";
     const char* const relaysKey = "store relays of ";
+    const char* const alternativesKey = "store alternatives of ";
 
     bool contains(const std::vector<VmId>& ids, const VmId& id)
     {
@@ -34,9 +35,20 @@
 {
     UpdateTreePosition position;
     const std::vector<VmId> watchers = chooseStrong(view.daemons, settings.watchers, watchersKey);
+    std::vector<LiveDaemon> others = view.daemons;
+    others.erase(std::remove_if(others.begin(), others.end(),
+                     [&](const LiveDaemon& daemon) { return daemon.id == self || contains(watchers, daemon.id); }),
+        others.end());
+    for (const VmId& id : chooseStrong(others, settings.alternatives, alternativesKey + self.text()))
+        position.alternatives.push_back(*view.find(id));
     position.isWatcher = contains(watchers, self);
-    if (position.isWatcher)
+    if (position.isWatcher) {
+        position.sources = rotateForRequester(self, watchers, view);
+        position.sources.erase(std::remove_if(position.sources.begin(), position.sources.end(),
+                                   [&self](const LiveDaemon& daemon) { return daemon.id == self; }),
+            position.sources.end());
         return position;
+    }
     const bool hasTwoLayers = view.daemons.size() <= settings.watchers * settings.childrenPerRelay;
     const LiveDaemon* own = view.find(self);
     if (hasTwoLayers || !own) {
--- a/src/store/PrefixFollower.cpp
+++ b/src/store/PrefixFollower.cpp
@@ -55,7 +55,7 @@
 
 void PrefixFollower::applyUpdate(const std::vector<StoreItem>& items, std::uint64_t revision, bool isSnapshot)
 {
-    if (!isPaused_ || revision < revision_)
+    if (revision < revision_)
         return;
     revision_ = revision;
     if (isSnapshot)
--- a/tests/front/TestStoreRelay.cpp
+++ b/tests/front/TestStoreRelay.cpp
@@ -54,6 +54,98 @@
     }
 }
 
+// The store turns one watcher away and serves all others. Guards against a watcher that keeps an old configuration for
+// as long as that lasts, although its peers have the new one, and that does not watch the store again afterwards.
+Test(StoreRelay, watcherRejectedByTheStoreGetsUpdatesFromPeers)
+{
+    FakeFleet fleet;
+    auto& rejected = *fleet.watchers()[0];
+    auto& other = *fleet.watchers()[1];
+    rejected.store.isDown = true;
+    rejected.store.cutWatches();
+    fleet.run(Milliseconds(1000));
+    fleet.put("2");
+    fleet.run(Milliseconds(1500));
+    cr_assert_eq(rejected.configuration, "2");
+    fleet.put("3");
+    fleet.run(Milliseconds(1500));
+    for (const auto& [id, daemon] : fleet.daemons)
+        cr_assert_eq(daemon->configuration, "3", "%s", id.text().c_str());
+    rejected.store.isDown = false;
+    fleet.run(Milliseconds(2000));
+    other.isCut = true;
+    fleet.put("4");
+    fleet.run(Milliseconds(3000));
+    for (const auto& [id, daemon] : fleet.daemons)
+        cr_assert_eq(daemon->configuration, "4", "%s", id.text().c_str());
+}
+
+// The store turns away most daemons, among them all watchers. Guards against daemons that get no updates because nobody
+// whom they query has them.
+Test(StoreRelay, updatesPassAroundRejectedWatchers)
+{
+    std::vector<std::string> names;
+    for (char name = 'a'; name <= 'z'; ++name)
+        names.emplace_back(1, name);
+    FakeFleet fleet(names, 2, 4);
+    std::size_t number = 0;
+    for (auto& [id, daemon] : fleet.daemons) {
+        if (!daemon->relay.isWatcher() && number++ % 10 < 3)
+            continue;
+        daemon->store.isDown = true;
+        daemon->store.cutWatches();
+    }
+    for (int version = 2; version < 8; ++version) {
+        fleet.run(Milliseconds(1700));
+        fleet.put(std::to_string(version));
+        fleet.run(Milliseconds(5000));
+        for (const auto& [daemonId, daemon] : fleet.daemons)
+            cr_assert_eq(
+                daemon->configuration, std::to_string(version), "%s, version %d", daemonId.text().c_str(), version);
+    }
+    for (auto& [id, daemon] : fleet.daemons)
+        daemon->store.isDown = false;
+    fleet.run(Milliseconds(8000));
+    for (const auto* daemon : fleet.others()) {
+        const auto sources = positionInUpdateTree(fleet.view, daemon->id, fleet.tree).sources;
+        cr_assert(std::any_of(sources.begin(), sources.end(),
+                      [daemon](const LiveDaemon& source) { return source.id == daemon->relay.source(); }),
+            "%s does not return to its sources", daemon->id.text().c_str());
+    }
+}
+
+// Guards against daemons that query others than their sources while the store has not yet answered after their start.
+Test(StoreRelay, startingDaemonsQueryTheirSourcesOnly)
+{
+    FakeFleet fleet({ "a", "b", "c", "d", "e" }, 5, UpdateTreeSettings().childrenPerRelay, Milliseconds(400));
+    for (const auto* daemon : fleet.others()) {
+        const auto sources = positionInUpdateTree(fleet.view, daemon->id, fleet.tree).sources;
+        for (const auto& [otherId, other] : fleet.daemons) {
+            const bool isSource = std::any_of(
+                sources.begin(), sources.end(), [&id = otherId](const LiveDaemon& source) { return source.id == id; });
+            cr_assert(isSource || other->requesters.count(daemon->id) == 0, "%s queried %s", daemon->id.text().c_str(),
+                otherId.text().c_str());
+        }
+    }
+}
+
+// The store turns all daemons away. Guards against daemons that take each other's old state for a recent one.
+Test(StoreRelay, daemonsWithoutTheStoreDoNotConfirmEachOther)
+{
+    FakeFleet fleet;
+    for (auto& [id, daemon] : fleet.daemons) {
+        daemon->store.isDown = true;
+        daemon->store.cutWatches();
+    }
+    fleet.run(Milliseconds(6000));
+    std::vector<Milliseconds> ages;
+    for (auto& [id, daemon] : fleet.daemons)
+        daemon->onStoreUpdate = [&ages](const StoreUpdate& update) { ages.push_back(update.age); };
+    fleet.run(Milliseconds(3000));
+    for (const Milliseconds age : ages)
+        cr_assert_geq(age.count(), 5000);
+}
+
 // Guards against a daemon that the store rejects and that gets no updates although its peers have them.
 Test(StoreRelay, daemonRejectedByTheStoreGetsUpdatesFromPeers)
 {
--- a/tests/mocks/FakeFleet.h
+++ b/tests/mocks/FakeFleet.h
@@ -7,6 +7,7 @@
 #include <criterion/criterion.h>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,7 +59,10 @@
             cr_assert(decoded.hasValue());
             fleet.timers.callAfter(fleet.transmit(*this, *target->second, encoded.size()) + Milliseconds(1),
                 [from = id, daemon = target->second.get(), message = decoded.value()](TimePoint now) {
-                    if (const auto* request = std::get_if<StoreUpdateRequest>(&message))
+                    const auto* request = std::get_if<StoreUpdateRequest>(&message);
+                    if (request)
+                        daemon->requesters.insert(from);
+                    if (request)
                         daemon->relay.onRequest(from, *request, now);
                     if (const auto* update = std::get_if<StoreUpdate>(&message)) {
                         if (daemon->onStoreUpdate)
@@ -92,6 +96,7 @@
         std::size_t snapshots = 0;
         std::size_t bytesReceived = 0;
         std::size_t partsReceived = 0;
+        std::set<VmId> requesters;
         std::function<void(const StoreUpdate&)> onStoreUpdate;
         TimePoint uplinkFreeAt {};
         TimePoint downlinkFreeAt {};
@@ -104,15 +109,18 @@
     {
     }
 
-    FakeFleet(const std::vector<std::string>& names, std::size_t domains, std::size_t children)
+    FakeFleet(const std::vector<std::string>& names, std::size_t domains, std::size_t children,
+        Milliseconds storeDelay = Milliseconds(4))
     {
+        tree.watchers = 2;
+        tree.childrenPerRelay = children;
         std::size_t number = 0;
         for (const std::string& name : names) {
             StoreRelaySettings settings;
             settings.self = VmId(name);
-            settings.tree.watchers = 2;
-            settings.tree.childrenPerRelay = children;
+            settings.tree = tree;
             daemons[VmId(name)] = std::make_unique<Daemon>(*this, VmId(name), settings);
+            daemons[VmId(name)]->store.delay = storeDelay;
             view.daemons.push_back({ VmId(name), FailureDomainId(std::to_string(number++ % domains)), "x", false, 0 });
         }
         put("1");
@@ -178,6 +186,7 @@
     FakeTimerService timers;
     std::map<VmId, std::unique_ptr<Daemon>> daemons;
     MembershipView view;
+    UpdateTreeSettings tree;
 };
 
 } // namespace almondlever
