--- a/tests/front/TestStoreRelay.cpp
+++ b/tests/front/TestStoreRelay.cpp
@@ -117,7 +117,7 @@
 // Guards against daemons that query others than their sources while the store has not yet answered after their start.
 Test(StoreRelay, startingDaemonsQueryTheirSourcesOnly)
 {
-    FakeFleet fleet({ "a", "b", "c", "d", "e" }, 5, UpdateTreeSettings().childrenPerRelay, Milliseconds(400));
+    FakeFleet fleet({ "a", "b", "c", "d", "e" }, 5, UpdateTreeSettings().childrenPerRelay, Milliseconds(2200));
     for (const auto* daemon : fleet.others()) {
         const auto sources = positionInUpdateTree(fleet.view, daemon->id, fleet.tree).sources;
         for (const auto& [otherId, other] : fleet.daemons) {
