Keep values out of the CBOR of packed updates

Part of the time that a large configuration takes on a slow VM: unpacking 9,000 routes took 14.8 ms of a whole core, 10.9 of them in the decoder of CBOR, which reads byte strings a byte at a time.

Change: the package has a CBOR header and the values behind it; it is compressed at level 3 (6.4 ms and 117,842 bytes against 15.7 ms and 112,737).

Measured on the same data: unpack 14.8 ms -> 4.0 ms. Packing took 20.2 ms and takes 19.6 ms.

--- a/include/almondlever/wire/StoreItemPacking.h
+++ b/include/almondlever/wire/StoreItemPacking.h
@@ -8,7 +8,11 @@
 
 namespace almondlever {
 
-/** Encodes items as CBOR and compresses them (zlib format, RFC 1950). Leases are left out. */
+/**
+ * Encodes items and compresses them (zlib format, RFC 1950): the length of the header (4 bytes, most significant
+ * first), the header (CBOR: key, length of the value, revision, deletion for each item), and the values one after the
+ * other. Leases are left out.
+ */
 std::string packStoreItems(const std::vector<StoreItem>&);
 
 /** Reverts packStoreItems(); the error says what is malformed. Refuses more than 32 MiB of unpacked bytes. */
--- a/src/wire/StoreMessages.cpp
+++ b/src/wire/StoreMessages.cpp
@@ -20,6 +20,9 @@
     /** Limit of the memory that a package of a peer takes. */
     constexpr std::size_t maximumUnpackedBytes = std::size_t { 32 } * 1024 * 1024;
     constexpr std::size_t unpackBufferBytes = std::size_t { 64 } * 1024;
+    constexpr std::size_t headerLengthBytes = 4;
+    /** For the routes of a configuration, the default level takes twice the time and saves a twentieth. */
+    constexpr int compressionLevel = 3;
 
     Json encodeBytes(const std::string& bytes) { return Json::binary({ bytes.begin(), bytes.end() }); }
 
@@ -91,21 +94,51 @@
 
 std::string packStoreItems(const std::vector<StoreItem>& items)
 {
+    Json encoded = Json::array();
+    std::string values;
+    for (const StoreItem& item : items) {
+        encoded.push_back(Json::array({ item.key, item.value.size(), item.revision, item.isDeleted }));
+        values += item.value;
+    }
+    std::string header;
+    Json::to_cbor(Json { { "it", std::move(encoded) } }, header);
     std::string bytes;
-    Json::to_cbor(Json { { "it", encodeItems(items) } }, bytes);
-    return compress(bytes);
+    for (std::size_t shift = headerLengthBytes * 8; shift > 0; shift -= 8)
+        bytes += static_cast<char>(header.size() >> (shift - 8) & 0xffU);
+    return compress(bytes + header + values);
 }
 
 Result<std::vector<StoreItem>, std::string> unpackStoreItems(const std::string& packed)
 {
     const std::optional<std::string> bytes = decompress(packed);
-    if (!bytes)
+    if (!bytes || bytes->size() < headerLengthBytes)
         return std::string("the package cannot be decompressed");
-    const Json map = parseCbor(*bytes);
+    std::size_t headerLength = 0;
+    for (std::size_t position = 0; position < headerLengthBytes; ++position)
+        headerLength = headerLength << 8U | static_cast<unsigned char>((*bytes)[position]);
+    if (headerLength > bytes->size() - headerLengthBytes)
+        return std::string("the header of the package is malformed");
+    const Json map = parseCbor(bytes->substr(headerLengthBytes, headerLength));
     if (!map.is_object())
-        return std::string("the package is no CBOR map");
+        return std::string("the header of the package is no CBOR map");
     CborReader reader(map);
-    std::vector<StoreItem> items = decodeItems(reader);
+    std::vector<StoreItem> items;
+    std::size_t position = headerLengthBytes + headerLength;
+    for (const Json& entry : reader.array("it", maximumItems)) {
+        const bool isValid = entry.is_array() && entry.size() == itemFields && entry[0].is_string()
+            && entry[1].is_number_unsigned() && entry[2].is_number_unsigned() && entry[3].is_boolean();
+        if (!isValid || entry[1].get<std::uint64_t>() > bytes->size() - position) {
+            reader.fail("it", "contains a malformed item");
+            break;
+        }
+        StoreItem item;
+        item.key = entry[0].get<std::string>();
+        item.value = bytes->substr(position, entry[1].get<std::uint64_t>());
+        item.revision = entry[2].get<std::uint64_t>();
+        item.isDeleted = entry[3].get<bool>();
+        position += item.value.size();
+        items.push_back(std::move(item));
+    }
     if (!reader.firstError().empty())
         return reader.firstError();
     return items;
