Let the soak run a former build beside this one

Upgrades run old and new builds side by side, and the soak's configuration was too small to be sent in parts.

The fuzzer of messages also unpacks its input. The alternatives of a daemon are chosen without another copy of the members. Not run yet with a former build.

--- a/fuzz/FuzzMessages.cpp
+++ b/fuzz/FuzzMessages.cpp
@@ -1,4 +1,5 @@
 #include "almondlever/wire/Messages.h"
+#include "almondlever/wire/StoreItemPacking.h"
 #include "wire/Handshake.h"
 
 #include <cstdint>
@@ -13,6 +14,7 @@
     const std::string bytes(reinterpret_cast<const char*>(data), size);
     (void)almondlever::decodeHello(bytes);
     (void)almondlever::decodeHelloProof(bytes);
+    (void)almondlever::unpackStoreItems(bytes);
     const auto message = almondlever::decodeMessage(bytes);
     if (!message)
         return 0;
--- a/soak/DaemonProcess.cpp
+++ b/soak/DaemonProcess.cpp
@@ -35,8 +35,10 @@
     posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     std::string variable = "ALMONDLEVER_BOOT=" + bootFile_;
     std::array<char*, 2> environment { variable.data(), nullptr };
-    std::array<char*, 2> arguments { program_.data(), nullptr };
-    const int error = posix_spawn(&process_, program_.c_str(), &actions, nullptr, arguments.data(), environment.data());
+    std::string program = nextProgram_.empty() ? program_ : nextProgram_;
+    nextProgram_.clear();
+    std::array<char*, 2> arguments { program.data(), nullptr };
+    const int error = posix_spawn(&process_, program.c_str(), &actions, nullptr, arguments.data(), environment.data());
     posix_spawn_file_actions_destroy(&actions);
     if (error == 0)
         return {};
--- a/soak/DaemonProcess.h
+++ b/soak/DaemonProcess.h
@@ -22,6 +22,8 @@
     DaemonProcess(const DaemonProcess&) = delete;
     DaemonProcess& operator=(const DaemonProcess&) = delete;
 
+    /** Sets another program for the next start only. */
+    void setNextProgram(std::string program) { nextProgram_ = std::move(program); }
     /** "" or what went wrong. The output is appended to the log file. */
     std::string start();
     void signal(int number);
@@ -32,6 +34,7 @@
 
 private:
     std::string program_;
+    std::string nextProgram_;
     std::string bootFile_;
     std::string logFile_;
     pid_t process_ = -1;
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -154,7 +154,7 @@
     };
     for (std::size_t number = 0; number < routes_.size(); ++number)
         add(routes_[number], number % 3);
-    for (std::size_t number = 0; number < extraRoutes_; ++number)
+    for (std::size_t number = 0; number < settings_.unusedRoutes + extraRoutes_; ++number)
         add({ "extra" + std::to_string(number), groups_[0]->id(), ReadRule::Primary, Milliseconds(0) }, 0);
     Json services = Json::array();
     for (const auto& group : groups_)
@@ -254,6 +254,8 @@
         std::ofstream(path) << boot.dump(2);
         daemon->process
             = std::make_unique<DaemonProcess>(settings_.program, path, settings_.folder + '/' + daemon->name + ".log");
+        if (number % 2 == 1)
+            daemon->process->setNextProgram(settings_.formerProgram);
         require(daemon->process->start(), settings_.program);
         daemons_.push_back(std::move(daemon));
     }
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -17,6 +17,8 @@
 struct SoakSettings {
     std::string program;
     /** Folder for settings files and logs of the daemons; must exist. */
+    /** An older build of the daemon, which every second daemon runs until it is restarted; empty for none. */
+    std::string formerProgram;
     std::string folder;
     std::uint64_t seed = 1;
     std::size_t daemons = 3;
@@ -24,6 +26,8 @@
     std::size_t callers = 24;
     /** Time in which faults are injected. */
     Milliseconds faultTime { 15000 };
+    /** Routes that no caller uses, to make the configuration large. */
+    std::size_t unusedRoutes = 0;
     /** Times that the store comes back from a copy, spread over the faults. */
     std::size_t storeRestores = 0;
     /** Mean time between two faults; they last longer and overlap. */
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -33,6 +33,8 @@
     TCLAP::CmdLine commandLine("Runs real daemons under random faults and checks what callers and endpoints saw", ' ');
     SoakSettings defaults;
     TCLAP::ValueArg<std::string> program("", "daemon", "program of the daemon", true, "", "PATH");
+    TCLAP::ValueArg<std::string> former(
+        "", "former", "older build that every second daemon runs until it is restarted", false, "", "PATH");
     TCLAP::ValueArg<std::string> folder("", "folder", "existing folder for settings and logs", true, "", "PATH");
     TCLAP::ValueArg<std::uint64_t> seed("", "seed", "first seed", false, 1, "N");
     TCLAP::ValueArg<std::uint64_t> seeds("", "seeds", "number of seeds, one after the other", false, 1, "N");
@@ -42,8 +44,10 @@
     TCLAP::ValueArg<int> seconds("", "seconds", "time in which faults are injected", false, 15, "S");
     TCLAP::ValueArg<std::size_t> restores(
         "", "store-restores", "times that the store comes back from a copy", false, defaults.storeRestores, "N");
+    TCLAP::ValueArg<std::size_t> routes(
+        "", "unused-routes", "routes that no caller uses", false, defaults.unusedRoutes, "N");
     for (TCLAP::Arg* argument : std::initializer_list<TCLAP::Arg*> {
-             &program, &folder, &seed, &seeds, &daemons, &groups, &callers, &seconds, &restores })
+             &program, &former, &folder, &seed, &seeds, &daemons, &groups, &callers, &seconds, &restores, &routes })
         commandLine.add(argument);
     commandLine.parse(argc, argv);
     try {
@@ -51,6 +55,7 @@
         for (std::uint64_t number = 0; number < seeds.getValue(); ++number) {
             SoakSettings settings;
             settings.program = program.getValue();
+            settings.formerProgram = former.getValue();
             settings.folder = folder.getValue();
             settings.seed = seed.getValue() + number;
             settings.daemons = daemons.getValue();
@@ -58,6 +63,7 @@
             settings.callers = callers.getValue();
             settings.faultTime = std::chrono::seconds(seconds.getValue());
             settings.storeRestores = restores.getValue();
+            settings.unusedRoutes = routes.getValue();
             isClean = runSeed(settings) && isClean;
         }
         return isClean ? 0 : 1;
--- a/src/placement/UpdateTree.cpp
+++ b/src/placement/UpdateTree.cpp
@@ -35,12 +35,11 @@
 {
     UpdateTreePosition position;
     const std::vector<VmId> watchers = chooseStrong(view.daemons, settings.watchers, watchersKey);
-    std::vector<LiveDaemon> others = view.daemons;
-    others.erase(std::remove_if(others.begin(), others.end(),
-                     [&](const LiveDaemon& daemon) { return daemon.id == self || contains(watchers, daemon.id); }),
-        others.end());
-    for (const VmId& id : chooseStrong(others, settings.alternatives, alternativesKey + self.text()))
-        position.alternatives.push_back(*view.find(id));
+    const std::size_t candidates = settings.alternatives + watchers.size() + 1;
+    for (const VmId& id : chooseStrong(view.daemons, candidates, alternativesKey + self.text())) {
+        if (id != self && !contains(watchers, id) && position.alternatives.size() < settings.alternatives)
+            position.alternatives.push_back(*view.find(id));
+    }
     position.isWatcher = contains(watchers, self);
     if (position.isWatcher) {
         position.sources = rotateForRequester(self, watchers, view);
