Compare a verification with what was reported

Cause: the verification took a key for known when its revision was not above that of the follower, which the answer of an empty watch moves. A change that no watch had reported was then missing, and counted as proven known.

Change: it compares with the revision of the last read or reported change, and passes on nothing older than a peer's update. The end of a download becomes a function of its own; nothing else changes there.

Evidence: PrefixFollower.verificationSeesChangesBehindAnEmptyWatch failed before (24 of 25 tests of test_store pass) and passes now.

--- a/include/almondlever/front/StoreRelay.h
+++ b/include/almondlever/front/StoreRelay.h
@@ -100,6 +100,8 @@
     void download(
         const VmId& from, const StoreUpdate&, TimePoint confirmedAt, std::optional<TimePoint> provenAt, TimePoint now);
     void requestPart(const UpdateDownload&);
+    /** Unpacks and applies a complete download. */
+    void applyDownload(const UpdateDownload&, TimePoint now);
     /** Returns true if the store has answered this daemon for all prefixes so recently that peers may rely on it. */
     bool isAnsweredByStore(TimePoint now) const;
     /** Returns true if the daemon that is followed is not one of the sources in the tree. */
--- a/src/front/StoreRelay.cpp
+++ b/src/front/StoreRelay.cpp
@@ -308,19 +308,24 @@
     lastUpdateAt_ = now;
     if (!download.isComplete())
         return requestPart(download);
+    const UpdateDownload complete = std::move(download);
+    downloads_.erase(found);
+    applyDownload(complete, now);
+}
+
+void StoreRelay::applyDownload(const UpdateDownload& download, TimePoint now)
+{
     StoreUpdate update = download.update();
     Result<std::vector<StoreItem>, std::string> items = download.unpack();
     logInfo("store_download_ended",
-        { { "source", from.text() }, { "prefix", update.prefix }, { "outcome", items ? "ok" : items.error() },
-            { "revision", std::to_string(update.revision) }, { "bytes", std::to_string(update.packed->bytes) },
+        { { "source", download.source().text() }, { "prefix", update.prefix },
+            { "outcome", items ? "ok" : items.error() }, { "revision", std::to_string(update.revision) },
+            { "bytes", std::to_string(update.packed->bytes) },
             { "ms", std::to_string(std::chrono::duration_cast<Milliseconds>(now - download.startedAt()).count()) } });
-    const TimePoint confirmedAt = download.confirmedAt();
-    const std::optional<TimePoint> provenAt = download.provenAt();
-    downloads_.erase(found);
     if (!items)
         return;
     update.items = std::move(items.value());
-    applyUpdate(update, confirmedAt, provenAt);
+    applyUpdate(update, download.confirmedAt(), download.provenAt());
 }
 
 void StoreRelay::onLoss(const VmId& peer)
--- a/src/store/PrefixFollower.cpp
+++ b/src/store/PrefixFollower.cpp
@@ -95,9 +95,10 @@
         return;
     const StorePage& page = result.value();
     const bool isChanged = std::any_of(
-        page.items.begin(), page.items.end(), [this](const StoreItem& item) { return item.revision > revision_; });
-    if (isChanged) {
-        revision_ = std::max(revision_, page.asOf);
+        page.items.begin(), page.items.end(), [this](const StoreItem& item) { return item.revision > watchedFrom_; });
+    // A peer may have sent newer keys since this read was started.
+    if (isChanged && page.asOf >= revision_) {
+        revision_ = watchedFrom_ = page.asOf;
         observer_.onStoreSnapshot(prefix_, page.items, revision_, timers_.now());
     }
     provenAt_ = std::max(provenAt_.value_or(sentAt), sentAt);
--- a/tests/store/TestPrefixFollower.cpp
+++ b/tests/store/TestPrefixFollower.cpp
@@ -176,6 +176,24 @@
     cr_assert_eq(fixture.recorder.losses, 0);
 }
 
+// A key is withdrawn while the store's watches report nothing, and an empty watch ends. Guards against a proof that the
+// known keys are the present ones although the read has shown another one.
+Test(PrefixFollower, verificationSeesChangesBehindAnEmptyWatch)
+{
+    Fixture fixture;
+    fixture.store.put("op/config", "1");
+    fixture.follower.start();
+    fixture.timers.advance(Milliseconds(200));
+    fixture.store.watchesReportNothing = true;
+    fixture.store.put("op/config", "2");
+    fixture.timers.advance(Milliseconds(1600));
+    const TimePoint verified = fixture.timers.now();
+    fixture.follower.verify();
+    fixture.timers.advance(Milliseconds(100));
+    cr_assert(*fixture.follower.provenAt() == verified);
+    cr_assert_eq(fixture.recorder.keys["op/config"], "2");
+}
+
 // Guards against one read of all keys after the other while nothing changes.
 Test(PrefixFollower, quietPrefixIsSeldomReadAnew)
 {
