--- a/src/wire/StoreMessages.cpp
+++ b/src/wire/StoreMessages.cpp
@@ -59,8 +59,8 @@
     {
         uLongf size = compressBound(bytes.size());
         std::string packed(size, '\0');
-        const int status = ::compress(
-            reinterpret_cast<Bytef*>(packed.data()), &size, reinterpret_cast<const Bytef*>(bytes.data()), bytes.size());
+        const int status = ::compress2(reinterpret_cast<Bytef*>(packed.data()), &size,
+            reinterpret_cast<const Bytef*>(bytes.data()), bytes.size(), compressionLevel);
         assert(status == Z_OK);
         (void)status;
         packed.resize(size);
