--- a/tests/store_updates/TestLargeUpdates.cpp
+++ b/tests/store_updates/TestLargeUpdates.cpp
@@ -84,7 +84,7 @@
 }
 
 // Daemons of the former version neither request packages nor offer them. Guards against such a daemon that gets a large
-// update in a form that it cannot read, and against copies that are sent to it again and again.
+// update in a form that it cannot read.
 Test(StoreUpdates, formerVersionGetsPlainUpdates)
 {
     FakeFleet fleet;
