Let changes of the storm test come faster than a download

downloadsEndInAStormOfChanges claimed that a download takes longer than the gap between changes, and it did not: with 3,000 routes a mutant that restarts a running download for each newer offer passed. With 9,000 routes it fails on that mutant and passes on the code.

--- a/tests/store_updates/TestLargeUpdates.cpp
+++ b/tests/store_updates/TestLargeUpdates.cpp
@@ -134,7 +134,7 @@
     fleet.run(Milliseconds(2000));
     std::map<VmId, std::set<std::string>> seen;
     for (unsigned version = 2; version < 22; ++version) {
-        fleet.put(makeConfiguration(3000, version));
+        fleet.put(makeConfiguration(9000, version));
         fleet.run(Milliseconds(300));
         for (const auto* daemon : fleet.others())
             seen[daemon->id].insert(daemon->configuration);
