Tell peers how far the changes of the store are known

Callers could see requests handled by an old configuration until the next change, by way of daemons that do not watch the store themselves, although their watcher had the new one.

Cause: an answer without changes moves the revision that daemons tell their peers, although changes before it may not have been reported. The peers stated this revision in their next query. When the watcher learned of such a change later, from a late report or by reading all keys, it was not newer than what the peers stated, so that it was not sent.

Change: updates also tell the revision up to which all changes are known, from hop to hop, and queries state that one. The former revision still tells which of two daemons is behind. Caches of keys from a peer start at the revision of the keys, so that relays do not send them again.

Evidence: StoreRelay.changesBehindAnEmptyWatchReachThePeers failed before ('a, reported late') and passes now. keysReadBeforeAnEmptyWatchAreSentOnce fails when caches start at the other revision.

Builds side by side: the former version states one revision, which is read as both. Former watchers and relays keep the fault until they are replaced.

--- a/include/almondlever/store/PrefixFollower.h
+++ b/include/almondlever/store/PrefixFollower.h
@@ -70,9 +70,10 @@
      */
     void verify();
     bool isPaused() const { return isPaused_; }
-    /** Applies an update from a peer, all keys or the changes since a revision that was known, unless it is older than
-     * what is known. */
-    void applyUpdate(const std::vector<StoreItem>&, std::uint64_t revision, bool isSnapshot);
+    /** Applies an update from a peer, all keys or the changes since reportedRevision(), unless it is older than what is
+     * known. The revisions are those of the peer. */
+    void applyUpdate(
+        const std::vector<StoreItem>&, std::uint64_t revision, std::uint64_t reportedRevision, bool isSnapshot);
     /** Sets the long-poll timeout; shorter on daemons that others depend on. */
     void setPollTimeout(Milliseconds timeout) { pollTimeout_ = timeout; }
     void setRetryDelays(const RetryDelays& delays) { retryDelays_ = delays; }
@@ -83,8 +84,11 @@
     void setProbe(const PrefixFollower& other) { probe_ = &other; }
     /** The last call failed. */
     bool isLost() const { return isLost_; }
-    /** The store has reported the changes up to this revision; 0 before the first answer. */
+    /** Revision of the store's newest answer, with or without changes; 0 before the first one. Tells which of two
+     * daemons is behind. */
     std::uint64_t revision() const { return revision_; }
+    /** All changes up to this revision are known; 0 before the first read. */
+    std::uint64_t reportedRevision() const { return reportedRevision_; }
     const std::string& prefix() const { return prefix_; }
     /** Time of the last successful call; nullopt if there was none or a call has failed since. */
     std::optional<TimePoint> confirmedAt() const { return isLost_ ? std::nullopt : confirmedAt_; }
@@ -122,7 +126,7 @@
      * move it, since the store may have failed to report changes; if their history was dropped, the watch fails and all
      * keys are read again.
      */
-    std::uint64_t watchedFrom_ = 0;
+    std::uint64_t reportedRevision_ = 0;
     bool isLost_ = false;
     bool isPaused_ = false;
     /** A call or a delay is pending, so that resume() must not start a second chain of calls. */
--- a/include/almondlever/wire/Messages.h
+++ b/include/almondlever/wire/Messages.h
@@ -258,8 +258,10 @@
 /** Keys with one prefix that changed after the revision in the request, or all of them. */
 struct StoreUpdate {
     std::string prefix;
-    /** Store revision up to which the watcher knows all changes. */
+    /** Revision of the store's newest answer to the watcher. */
     std::uint64_t revision = 0;
+    /** Revision up to which the watcher knows all changes; former versions state the one above only. */
+    std::uint64_t reportedRevision = 0;
     /** True when items lists every existing key with the prefix; false when it lists only changes. */
     bool isSnapshot = false;
     /** Time since the store last confirmed this state. */
--- a/src/front/StoreRelay.cpp
+++ b/src/front/StoreRelay.cpp
@@ -143,7 +143,7 @@
 {
     StoreUpdateRequest request;
     for (const PrefixFollower* follower : followers_)
-        request.known.push_back({ follower->prefix(), follower->revision() });
+        request.known.push_back({ follower->prefix(), follower->reportedRevision() });
     request.number = ++lastQuery_;
     request.acceptsPacked = true;
     querySentAt_[request.number] = now;
@@ -174,6 +174,7 @@
         StoreUpdate update;
         update.prefix = known.prefix;
         update.revision = follower->revision();
+        update.reportedRevision = follower->reportedRevision();
         update.number = request.number;
         update.age = std::chrono::duration_cast<Milliseconds>(now - *confirmed);
         if (const std::optional<TimePoint> proven = provenAt(known.prefix))
@@ -241,7 +242,7 @@
 
 void StoreRelay::applyUpdate(const StoreUpdate& update, TimePoint confirmedAt, std::optional<TimePoint> provenAt)
 {
-    followerOf(update.prefix)->applyUpdate(update.items, update.revision, update.isSnapshot);
+    followerOf(update.prefix)->applyUpdate(update.items, update.revision, update.reportedRevision, update.isSnapshot);
     TimePoint& confirmed = updatesConfirmedAt_.try_emplace(update.prefix, confirmedAt).first->second;
     confirmed = std::max(confirmed, confirmedAt);
     if (!provenAt)
--- a/src/store/PrefixFollower.cpp
+++ b/src/store/PrefixFollower.cpp
@@ -53,13 +53,15 @@
         readAll();
 }
 
-void PrefixFollower::applyUpdate(const std::vector<StoreItem>& items, std::uint64_t revision, bool isSnapshot)
+void PrefixFollower::applyUpdate(
+    const std::vector<StoreItem>& items, std::uint64_t revision, std::uint64_t reportedRevision, bool isSnapshot)
 {
     if (revision < revision_)
         return;
     revision_ = revision;
+    reportedRevision_ = std::max(reportedRevision_, reportedRevision);
     if (isSnapshot)
-        observer_.onStoreSnapshot(prefix_, items, revision_, timers_.now());
+        observer_.onStoreSnapshot(prefix_, items, reportedRevision, timers_.now());
     else if (!items.empty())
         observer_.onStoreChanges(prefix_, items, revision_, timers_.now());
 }
@@ -94,11 +96,11 @@
     if (!result || result.value().isTruncated || storeEra::eraOf(result.value().asOf) != storeEra::eraOf(revision_))
         return;
     const StorePage& page = result.value();
-    const bool isChanged = std::any_of(
-        page.items.begin(), page.items.end(), [this](const StoreItem& item) { return item.revision > watchedFrom_; });
+    const bool isChanged = std::any_of(page.items.begin(), page.items.end(),
+        [this](const StoreItem& item) { return item.revision > reportedRevision_; });
     // A peer may have sent newer keys since this read was started.
     if (isChanged && page.asOf >= revision_) {
-        revision_ = watchedFrom_ = page.asOf;
+        revision_ = reportedRevision_ = page.asOf;
         observer_.onStoreSnapshot(prefix_, page.items, revision_, timers_.now());
     }
     provenAt_ = std::max(provenAt_.value_or(sentAt), sentAt);
@@ -157,7 +159,7 @@
     std::move(page.items.begin(), page.items.end(), std::back_inserter(collected_));
     if (page.isTruncated && !collected_.empty())
         return readPage(collected_.back().key);
-    watchedFrom_ = *firstPageRevision_;
+    reportedRevision_ = std::max(reportedRevision_, *firstPageRevision_);
     const std::vector<StoreItem> items = std::move(collected_);
     collected_.clear();
     // A peer may have sent newer keys since this read was started.
@@ -182,8 +184,8 @@
     isActive_ = !isPaused_;
     if (isPaused_)
         return;
-    store_.watch(
-        prefix_, watchedFrom_, pollTimeout_, [this, alive = std::weak_ptr<int>(alive_)](StoreResult<StorePage> result) {
+    store_.watch(prefix_, reportedRevision_, pollTimeout_,
+        [this, alive = std::weak_ptr<int>(alive_)](StoreResult<StorePage> result) {
             if (!alive.expired())
                 onChanges(std::move(result));
         });
@@ -205,7 +207,7 @@
     if (page.items.empty())
         return waitForChanges();
     for (const StoreItem& item : page.items)
-        watchedFrom_ = std::max(watchedFrom_, item.revision);
+        reportedRevision_ = std::max(reportedRevision_, item.revision);
     if (!isOutdated)
         observer_.onStoreChanges(prefix_, page.items, revision_, timers_.now());
     // Changes come in bursts and calls are limited: the changes made during the delay need only one more call.
--- a/src/wire/StoreMessages.cpp
+++ b/src/wire/StoreMessages.cpp
@@ -174,6 +174,8 @@
     CborWriter writer(map);
     writer.text("px", message.prefix);
     writer.number("rv", message.revision);
+    if (message.reportedRevision != message.revision)
+        writer.number("rr", message.reportedRevision);
     writer.flag("sn", message.isSnapshot);
     writer.milliseconds("ag", message.age);
     writer.number("nr", message.number);
@@ -193,6 +195,7 @@
     StoreUpdate message;
     message.prefix = reader.text("px", maximumNameBytes);
     message.revision = reader.number("rv");
+    message.reportedRevision = reader.has("rr") ? reader.number("rr", message.revision) : message.revision;
     message.isSnapshot = reader.flag("sn");
     message.age = reader.milliseconds("ag");
     message.number = reader.number("nr");
--- a/tests/front/TestStoreRelay.cpp
+++ b/tests/front/TestStoreRelay.cpp
@@ -162,23 +162,30 @@
 // Guards against sending and decoding the whole configuration again with every query.
 Test(StoreRelay, advancingRevisionCausesNoSnapshot)
 {
-    FakeFleet fleet;
-    std::size_t before = 0;
-    for (const auto* daemon : fleet.others())
-        before += daemon->snapshots;
-    for (int i = 0; i < 20; ++i) {
-        for (auto& [id, daemon] : fleet.daemons)
-            daemon->store.put("servers/x", std::to_string(i));
-        fleet.run(Milliseconds(500));
+    for (const std::size_t daemons : { 5U, 26U }) {
+        std::vector<std::string> names;
+        for (std::size_t number = 0; number < daemons; ++number)
+            names.emplace_back(1, static_cast<char>('a' + number));
+        // The larger fleet has relays.
+        FakeFleet fleet(names, 2, 4);
+        fleet.run(Milliseconds(2000));
+        std::size_t before = 0;
+        for (const auto* daemon : fleet.others())
+            before += daemon->snapshots;
+        for (int i = 0; i < 20; ++i) {
+            for (auto& [id, daemon] : fleet.daemons)
+                daemon->store.put("servers/x", std::to_string(i));
+            fleet.run(Milliseconds(500));
+        }
+        std::size_t after = 0;
+        for (const auto* daemon : fleet.others())
+            after += daemon->snapshots;
+        cr_assert_eq(after, before);
+        fleet.put("2");
+        fleet.run(Milliseconds(2500));
+        for (const auto* daemon : fleet.others())
+            cr_assert_eq(daemon->configuration, "2");
     }
-    std::size_t after = 0;
-    for (const auto* daemon : fleet.others())
-        after += daemon->snapshots;
-    cr_assert_eq(after, before);
-    fleet.put("2");
-    fleet.run(Milliseconds(2500));
-    for (const auto* daemon : fleet.others())
-        cr_assert_eq(daemon->configuration, "2");
 }
 
 // The fleet is too large for its watchers, and relays pass their updates on, with the age. Guards against daemons
@@ -313,3 +320,63 @@
     for (auto& [id, daemon] : fleet.daemons)
         cr_assert_leq(*daemon->relay.provenAt("op/"), now + Milliseconds(4), "%s", id.text().c_str());
 }
+
+// Watches of the store report nothing for a while, and one of them ends meanwhile; the change is reported late, or its
+// history has been dropped. Guards against peers that never receive the change because they have been told the revision
+// of the empty answer.
+Test(StoreRelay, changesBehindAnEmptyWatchReachThePeers)
+{
+    for (const bool isHistoryDropped : { false, true }) {
+        FakeFleet fleet;
+        for (auto& [id, daemon] : fleet.daemons)
+            daemon->store.watchesReportNothing = true;
+        fleet.put("2");
+        fleet.run(Milliseconds(2500));
+        for (auto& [id, daemon] : fleet.daemons) {
+            daemon->store.watchesReportNothing = false;
+            if (isHistoryDropped)
+                daemon->store.dropHistory();
+        }
+        fleet.run(Milliseconds(5000));
+        for (auto& [id, daemon] : fleet.daemons)
+            cr_assert_eq(daemon->configuration, "2", "%s, %s", id.text().c_str(),
+                isHistoryDropped ? "history dropped" : "reported late");
+    }
+}
+
+// Daemons get all keys from a watcher that has read them again and since then has had answers without changes. Guards
+// against relays that take the revision of such an answer for that of the keys, and send all keys with each update.
+Test(StoreRelay, keysReadBeforeAnEmptyWatchAreSentOnce)
+{
+    std::vector<std::string> names;
+    for (char name = 'a'; name <= 'z'; ++name)
+        names.emplace_back(1, name);
+    FakeFleet fleet(names, 2, 4);
+    const auto runWithHeartbeats = [&fleet](int times) {
+        for (int i = 0; i < times; ++i) {
+            for (auto& [id, daemon] : fleet.daemons)
+                daemon->store.put("servers/x", std::to_string(i));
+            fleet.run(Milliseconds(500));
+        }
+    };
+    const auto countSnapshots = [&fleet] {
+        std::size_t snapshots = 0;
+        for (const auto* daemon : fleet.others())
+            snapshots += daemon->snapshots;
+        return snapshots;
+    };
+    for (auto* daemon : fleet.others()) {
+        daemon->isCut = true;
+        daemon->store.isDown = true;
+        daemon->store.cutWatches();
+    }
+    runWithHeartbeats(2);
+    for (auto* daemon : fleet.watchers())
+        daemon->store.dropHistory();
+    runWithHeartbeats(8);
+    const std::size_t before = countSnapshots();
+    for (auto* daemon : fleet.others())
+        daemon->isCut = false;
+    runWithHeartbeats(20);
+    cr_assert_eq(countSnapshots() - before, fleet.others().size());
+}
--- a/tests/store/TestPrefixFollower.cpp
+++ b/tests/store/TestPrefixFollower.cpp
@@ -259,9 +259,9 @@
     item.key = "op/config";
     item.value = "2";
     fixture.store.put(item.key, item.value);
-    fixture.follower.applyUpdate({ item }, fixture.store.revision(), false);
+    fixture.follower.applyUpdate({ item }, fixture.store.revision(), fixture.store.revision(), false);
     cr_assert_eq(fixture.recorder.keys["op/config"], "2");
-    fixture.follower.applyUpdate({}, fixture.store.revision() - 1, true);
+    fixture.follower.applyUpdate({}, fixture.store.revision() - 1, fixture.store.revision() - 1, true);
     cr_assert_eq(fixture.recorder.keys["op/config"], "2", "older updates are ignored");
     fixture.store.put("op/config", "3");
     fixture.follower.resume();
@@ -280,7 +280,7 @@
     item.value = "2";
     item.revision = 100;
     fixture.follower.pause();
-    fixture.follower.applyUpdate({ item }, 100, true);
+    fixture.follower.applyUpdate({ item }, 100, 100, true);
     fixture.timers.advance(Milliseconds(100));
     cr_assert_eq(fixture.recorder.keys["op/config"], "2", "a read of all keys");
     cr_assert_eq(fixture.follower.revision(), 100U);
@@ -303,7 +303,7 @@
     item.key = "op/config";
     item.value = "3";
     item.revision = 100;
-    fixture.follower.applyUpdate({ item }, 100, true);
+    fixture.follower.applyUpdate({ item }, 100, 100, true);
     fixture.store.put("op/config", "2");
     fixture.timers.advance(Milliseconds(200));
     cr_assert_eq(fixture.recorder.keys["op/config"], "3");
--- a/tests/store_updates/TestFormerSources.cpp
+++ b/tests/store_updates/TestFormerSources.cpp
@@ -42,7 +42,7 @@
             return false;
         StoreUpdate update;
         update.prefix = "op/";
-        update.revision = item.revision;
+        update.revision = update.reportedRevision = item.revision;
         update.number = request->number;
         linkFreeAt = std::max(linkFreeAt, timers.now());
         if (request->known[0].revision < item.revision) {
--- a/tests/wire/TestStoreMessages.cpp
+++ b/tests/wire/TestStoreMessages.cpp
@@ -16,6 +16,11 @@
 const char* const requestWithPacking
     = "a5626170f5626b6e8282636f702f19019c8268736572766572732f19019d626e720761740b617601";
 
+/** An update of this version, which the decoder of b89d56b reads like formerUpdate. */
+const char* const updateAfterAnEmptyAnswer
+    = "aa62616718fa6269748284696f702f636f6e6669674d7b2276657273696f6e223a377d19019bf484666f702f6f"
+      "6c644019019cf5626e720762706119012d627078636f702f62727219019962727619019c62736ef561740c617601";
+
 std::string toHex(const std::string& bytes)
 {
     constexpr char digits[] = "0123456789abcdef";
@@ -55,7 +60,7 @@
 {
     StoreUpdate update;
     update.prefix = "op/";
-    update.revision = 412;
+    update.revision = update.reportedRevision = 412;
     update.isSnapshot = true;
     update.age = Milliseconds(250);
     update.number = 7;
@@ -108,6 +113,21 @@
     cr_assert(decode<StoreUpdateRequest>(fromHex(requestWithPacking)).acceptsPacked);
 }
 
+// An answer without changes moves the revision beyond the last reported change. Guards against an update whose receiver
+// takes changes in between for known, and against one that a daemon of the former version refuses.
+Test(StoreMessages, reportedRevisionIsReadAsWritten)
+{
+    StoreUpdate update = makeUpdate();
+    update.reportedRevision = 409;
+    cr_assert_eq(toHex(encodeMessage(update)), updateAfterAnEmptyAnswer);
+    const auto read = decode<StoreUpdate>(fromHex(updateAfterAnEmptyAnswer));
+    cr_assert_eq(read.revision, 412U);
+    cr_assert_eq(read.reportedRevision, 409U);
+    cr_assert_eq(decode<StoreUpdate>(fromHex(formerUpdate)).reportedRevision, 412U);
+    update.reportedRevision = 413;
+    cr_assert(!decodeMessage(encodeMessage(update)), "more changes than the store has made");
+}
+
 // Guards against an offer or a part that loses a field on its way.
 Test(StoreMessages, offersAndPartsAreReadAsWritten)
 {
