Limit the packages of updates by their bytes

Change: the packages that were used last are kept up to 8 MiB together, of the 160 MB of the smallest VMs, and the newest one in any case.

Evidence: UpdatePackages.concurrentDownloadsEnd failed before (the first part of the first package was gone) and passes now; memoryIsLimited guards the new bound.

--- a/include/almondlever/front/UpdatePackages.h
+++ b/include/almondlever/front/UpdatePackages.h
@@ -13,8 +13,9 @@
 public:
     /** Largest part: small enough that statements and probes on the same channel wait for milliseconds only. */
     static constexpr std::size_t partBytes = 32 * 1024;
-    /** More than one, so that daemons complete a download while newer updates are packed. */
-    static constexpr std::size_t maximumPackages = 8;
+    /** Limit of the kept packages, which daemons still download while newer updates are packed; the newest one is kept
+     * whatever its size. */
+    static constexpr std::size_t maximumBytes = std::size_t { 8 } * 1024 * 1024;
 
     /** Packs items; those that were packed before are not packed again while their package is kept. */
     PackedItems pack(const std::vector<StoreItem>&);
@@ -31,6 +32,7 @@
 
     /** The one used last comes first. */
     std::list<Package> packages_;
+    std::size_t keptBytes_ = 0;
 };
 
 } // namespace almondlever
--- a/src/front/UpdatePackages.cpp
+++ b/src/front/UpdatePackages.cpp
@@ -35,9 +35,12 @@
     } else {
         std::string bytes = packStoreItems(items);
         const std::uint64_t id = hashBytes(bytes);
+        keptBytes_ += bytes.size();
         packages_.push_front({ itemsHash, id, std::move(bytes) });
-        if (packages_.size() > maximumPackages)
+        while (keptBytes_ > maximumBytes && packages_.size() > 1) {
+            keptBytes_ -= packages_.back().bytes.size();
             packages_.pop_back();
+        }
         logInfo("store_update_packed",
             { { "package", std::to_string(id) }, { "items", std::to_string(items.size()) },
                 { "bytes", std::to_string(packages_.front().bytes.size()) } });
