Do not take a source that is behind this daemon for a silent one

Cause: after a restart, daemons have a watch of their own under way when they begin to follow a peer. Its answer brings them ahead of the peer, whose updates were then ignored altogether. After 1.2 s without an update the daemon read the store.

The test StoreRelay.sourceThatIsBehindIsNotSilent failed before and passes now.

Change: an update of the followed source that is behind this daemon counts as an answer; its items are still ignored. A source whose own state is too old still counts as silent, so that the limits are as before. Other daemons that are behind are still not followed.

--- a/src/front/StoreRelay.cpp
+++ b/src/front/StoreRelay.cpp
@@ -204,10 +204,15 @@
     if (update.age > maxAge)
         return;
     const PrefixFollower* follower = followerOf(update.prefix);
-    // Updates from a source that is behind this daemon are ignored; the source catches up with its next call.
-    if (!follower || update.revision < follower->revision())
+    if (!follower)
+        return;
+    // A daemon that is behind this one catches up with its next call. It is no reason to follow it, nor to leave it.
+    const bool isBehind = update.revision < follower->revision();
+    if (isBehind && from != source_)
         return;
     noteAnswer(from, update.prefix, now);
+    if (isBehind)
+        return;
     std::optional<TimePoint> proven;
     const auto query = querySentAt_.find(update.number);
     if (update.proofAge && query != querySentAt_.end())
--- a/tests/front/TestStoreRelay.cpp
+++ b/tests/front/TestStoreRelay.cpp
@@ -380,3 +380,28 @@
     runWithHeartbeats(20);
     cr_assert_eq(countSnapshots() - before, fleet.others().size());
 }
+
+// The watches that daemons have begun before they followed a peer report a change, which the peer receives a moment
+// later. Guards against daemons that take a peer behind them for a silent one, and all read the store.
+Test(StoreRelay, sourceThatIsBehindIsNotSilent)
+{
+    FakeFleet fleet;
+    std::size_t before = 0;
+    for (auto* daemon : fleet.others()) {
+        before += daemon->store.calls;
+        daemon->store.put("op/config", "2");
+    }
+    fleet.run(Milliseconds(2000));
+    std::size_t after = 0;
+    for (auto* daemon : fleet.others()) {
+        after += daemon->store.calls;
+        cr_assert_eq(daemon->configuration, "2");
+    }
+    cr_assert_eq(after, before);
+    for (auto* daemon : fleet.watchers())
+        daemon->store.put("op/config", "2");
+    fleet.put("3");
+    fleet.run(Milliseconds(1500));
+    for (const auto& [id, daemon] : fleet.daemons)
+        cr_assert_eq(daemon->configuration, "3");
+}
