Leave watchers that the store does not answer sooner

Callers could see requests handled by an old configuration beyond the 3 s of the small deployments, on VMs that the store answers, while it does not answer the watchers.

Cause: time limits in a row. A watcher waits 1.5 s for changes; its peers rely on it until the store's last answer is 2.2 s old (3 s behind relays) and read the store themselves after 1.2 s without an update: 3.4 s, and 4.2 s behind relays, before the read and the delay of the VM.

Ruled out: VMs that the store refuses at once (503, 429, reset), which are left at the next query.

StoreRelay.changeIsInForceInTimeWithoutTheWatchers failed before (watchers silent 1.1 s after the last answer) and passes now.

Change: a watcher waits 0.7 s, and its peers rely on it until the last answer is 1.4 s old, 2.2 s behind relays. The margin for slow answers, 0.7 s, is as before.

--- a/include/almondlever/front/StoreRelay.h
+++ b/include/almondlever/front/StoreRelay.h
@@ -20,7 +20,7 @@
     VmId self;
     UpdateTreeSettings tree;
     /** Long-poll timeout of a watcher; short, so that it soon notices when the store does not answer. */
-    Milliseconds watcherPollTimeout { 1500 };
+    Milliseconds watcherPollTimeout { 700 };
     /**
      * Retry delays of daemons that are not watchers. They are longer, since these daemons learn from the watchers when
      * the store is available again after an outage; they call it only in case it rejects just the watchers.
@@ -33,9 +33,9 @@
     /** A download without a part for this long is continued from another daemon that offers the same package. */
     Milliseconds partTimeout { 500 };
     /** An update from a watcher is ignored if the store last confirmed its state longer ago than this. */
-    Milliseconds maxUpdateAge { 2200 };
+    Milliseconds maxUpdateAge { 1400 };
     /** Like maxUpdateAge, for relays: adds the relay's own query interval, a round trip and the delay of a slow VM. */
-    Milliseconds maxRelayedUpdateAge { 3000 };
+    Milliseconds maxRelayedUpdateAge { 2200 };
     /** A source that has not answered for this long is replaced by the next one, without calls to the store. */
     Milliseconds sourceTimeout { 700 };
     /** After this long without updates the daemon watches the store itself. */
--- a/tests/front/TestStoreRelay.cpp
+++ b/tests/front/TestStoreRelay.cpp
@@ -405,3 +405,26 @@
     for (const auto& [id, daemon] : fleet.daemons)
         cr_assert_eq(daemon->configuration, "3");
 }
+
+// The store stops to answer the watchers a moment before a change; calls of theirs only end by time-out. Guards against
+// daemons that the store answers and that rely on the watchers until the change is due (3 s, or 5 s behind relays).
+Test(StoreRelay, changeIsInForceInTimeWithoutTheWatchers)
+{
+    for (const std::size_t daemons : { 5U, 26U }) {
+        const Milliseconds limit(daemons == 5U ? 3000 : 5000);
+        std::vector<std::string> names;
+        for (std::size_t number = 0; number < daemons; ++number)
+            names.emplace_back(1, static_cast<char>('a' + number));
+        for (Milliseconds onset(0); onset < Milliseconds(1600); onset += Milliseconds(100)) {
+            FakeFleet fleet(names, 2, 4);
+            fleet.run(Milliseconds(2000) + onset);
+            for (auto* daemon : fleet.watchers())
+                daemon->store.isSilent = true;
+            fleet.put("2");
+            fleet.run(limit);
+            for (const auto* daemon : fleet.others())
+                cr_assert_eq(daemon->configuration, "2", "%s of %zu daemons, watchers silent after %d ms",
+                    daemon->id.text().c_str(), daemons, static_cast<int>(onset.count()));
+        }
+    }
+}
--- a/tests/mocks/FakeMetadataStore.h
+++ b/tests/mocks/FakeMetadataStore.h
@@ -20,6 +20,8 @@
 
     /** Every call fails as if it was refused. */
     bool isDown = false;
+    /** Reads and watches get no answer and time out, as on a VM that the store does not answer. */
+    bool isSilent = false;
     /** Calls that change something are carried out, but their answers are lost. */
     bool losesAnswers = false;
     Milliseconds delay { 4 };
@@ -100,6 +102,8 @@
             [this, prefix, afterKey, callback] {
                 if (isDown)
                     return callback(unavailable());
+                if (isSilent)
+                    return timeOut(callback, callTimeout);
                 StorePage page;
                 page.asOf = storeEra::combine(era_, revision_);
                 for (const auto& [key, item] : items_) {
@@ -122,6 +126,8 @@
         later([this, prefix, afterRevision, wait, callback] {
             if (isDown)
                 return callback(unavailable());
+            if (isSilent)
+                return timeOut(callback, wait + watchTimeoutMargin);
             const bool isOfEra = storeEra::eraOf(afterRevision) == era_;
             if (!isOfEra || storeEra::numberOf(afterRevision) < oldest_)
                 return callback(StoreFailure { StoreFailure::Kind::HistoryGone, "status 410" });
@@ -133,6 +139,8 @@
                     return;
                 const auto expired = std::move(found->second.callback);
                 watches_.erase(found);
+                if (isSilent)
+                    return timeOut(expired, watchTimeoutMargin);
                 StorePage page;
                 page.asOf = storeEra::combine(era_, revision_);
                 expired(page);
@@ -221,6 +229,17 @@
     }
     bool hasLease(const LeaseId& lease) const { return lease.era == era_ && leases_.count(lease.number) > 0; }
 
+    /** Time limits of HttpMetadataStore. */
+    static constexpr Milliseconds callTimeout { 1500 };
+    static constexpr Milliseconds watchTimeoutMargin { 800 };
+
+    void timeOut(const std::function<void(StoreResult<StorePage>)>& callback, Milliseconds delay)
+    {
+        timers_.callAfter(delay, [callback](TimePoint) {
+            callback(StoreFailure { StoreFailure::Kind::NoAnswer, "timed out" });
+        });
+    }
+
     static StoreFailure unavailable() { return { StoreFailure::Kind::Unavailable, "status 503" }; }
 
     template <typename Step> void later(Step step, Milliseconds extra = Milliseconds(0))
@@ -248,7 +267,7 @@
 
     void answerWatches()
     {
-        if (watchesReportNothing)
+        if (watchesReportNothing || isSilent)
             return;
         const auto watches = watches_;
         for (const auto& [number, watch] : watches) {
