Tell daemons that hang from those the kernel has not released

Change: at the limit, a daemon that the kernel marks as exiting (PF_EXITING) has left its program in time. It is still waited for, its status is still checked, and one that never ends is still reported.

--- a/soak/DaemonProcess.cpp
+++ b/soak/DaemonProcess.cpp
@@ -4,7 +4,10 @@
 #include <csignal>
 #include <cstring>
 #include <fcntl.h>
+#include <fstream>
+#include <iterator>
 #include <spawn.h>
+#include <sstream>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -14,6 +17,10 @@
 
     constexpr int signalBase = 128;
     constexpr mode_t logMode = 0644;
+    /** PF_EXITING of the field "flags" in /proc/PID/stat, see proc(5). */
+    constexpr unsigned long exitingFlag = 0x4;
+    /** Fields between the name in parentheses and "flags". */
+    constexpr int fieldsBeforeFlags = 6;
 
 } // namespace
 
@@ -61,4 +68,20 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : signalBase + WTERMSIG(status);
 }
 
+bool DaemonProcess::hasLeftProgram() const
+{
+    std::ifstream file("/proc/" + std::to_string(process_) + "/stat");
+    const std::string text { std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>() };
+    const std::size_t name = text.rfind(')');
+    if (name == std::string::npos)
+        return false;
+    std::istringstream fields(text.substr(name + 1));
+    std::string ignored;
+    for (int field = 0; field < fieldsBeforeFlags; ++field)
+        fields >> ignored;
+    unsigned long flags = 0;
+    fields >> flags;
+    return (flags & exitingFlag) != 0;
+}
+
 } // namespace almondlever::soak
--- a/soak/DaemonProcess.h
+++ b/soak/DaemonProcess.h
@@ -30,6 +30,8 @@
     bool isRunning() const { return process_ > 0; }
     /** The status with which it ended, once: an exit code, or 128 and the number of the signal. */
     std::optional<int> takeEnd();
+    /** True once it has left its program; the kernel may still be releasing its memory, before takeEnd() reports it. */
+    bool hasLeftProgram() const;
     pid_t id() const { return process_; }
 
 private:
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -20,6 +20,8 @@
     constexpr Milliseconds settleTime { 300 };
     /** The grace of the settings file and a second for the exit. */
     constexpr Milliseconds stopLimit { 5000 };
+    /** Time for the kernel to release a process that has left its program, beside hundreds of others. */
+    constexpr Milliseconds releaseLimit { 20000 };
     constexpr int graceSeconds = 4;
     constexpr const char* stoppedBySignal = "stopped: the run was stopped by a signal";
     constexpr unsigned statusOk = 200;
@@ -415,12 +417,31 @@
 
 void SoakRun::stopDaemons()
 {
-    const TimePoint until = Clock::now() + stopLimit;
     for (const auto& daemon : daemons_) {
         daemon->process->signal(SIGTERM);
         daemon->isStopping = true;
     }
     context_.restart();
+    if (waitForEnds(stopLimit))
+        return;
+    for (const auto& daemon : daemons_) {
+        if (!daemon->process->isRunning())
+            continue;
+        if (daemon->process->hasLeftProgram())
+            log(daemon->name + " has left its program and is not released yet");
+        else
+            result_.violations.push_back("exit: " + daemon->name + " still runs after its grace");
+    }
+    waitForEnds(releaseLimit);
+    for (const auto& daemon : daemons_) {
+        if (daemon->process->isRunning())
+            result_.violations.push_back("exit: " + daemon->name + " has not ended");
+    }
+}
+
+bool SoakRun::waitForEnds(Milliseconds limit)
+{
+    const TimePoint until = Clock::now() + limit;
     while (Clock::now() < until) {
         context_.run_for(settleTime / 10);
         bool isAnyRunning = false;
@@ -431,12 +452,9 @@
             isAnyRunning = isAnyRunning || daemon->process->isRunning();
         }
         if (!isAnyRunning)
-            return;
-    }
-    for (const auto& daemon : daemons_) {
-        if (daemon->process->isRunning())
-            result_.violations.push_back("exit: " + daemon->name + " still runs after its grace");
+            return true;
     }
+    return false;
 }
 
 } // namespace almondlever::soak
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -123,6 +123,8 @@
     void healAll();
     bool hasRecovered() const;
     void stopDaemons();
+    /** Reports bad exit statuses; returns false if daemons still run at the limit. */
+    bool waitForEnds(Milliseconds limit);
     void log(const std::string& line);
     Milliseconds drawTime(int least, int most);
     std::size_t drawIndex(std::size_t size);
