Use answers of the store that know more than a peer

Daemons could keep an old configuration, or a list of endpoints from before a promotion, and count it as proven, until the next change.

A read, a refresh, a verification or a watch was dropped as outdated when a peer had told a newer revision, although the peer may know fewer changes; the dropped changes then counted as known. Also, of two updates of the same revision the one with fewer changes could arrive last and win.

Change: answers of the store and updates of peers are compared by the revision up to which all changes are known.

Evidence: PrefixFollower.answersWithChangesThatThePeerLacksAreUsed failed before for the read, the watch, the refresh and the verification; lateUpdatesDoNotRevertNewerOnes guards the order of updates. The tests of late answers pass as they were. pausesWhileAPeerSendsUpdates gave its update no revision; it has that of the store now, its checks are the same.

--- a/include/almondlever/store/PrefixFollower.h
+++ b/include/almondlever/store/PrefixFollower.h
@@ -99,6 +99,11 @@
     std::optional<TimePoint> provenAt() const { return provenAt_; }
 
 private:
+    /** Passes on all keys as they were at a revision, unless later changes are known: the store and a peer may have
+     * answered in either order. */
+    void applySnapshot(const std::vector<StoreItem>&, std::uint64_t revision);
+    /** Passes on the changes that are not known yet. */
+    void applyChanges(const std::vector<StoreItem>&);
     void readPage(const std::string& afterKey);
     void onVerification(const StoreResult<StorePage>&, TimePoint sentAt);
     void refreshPage(const std::shared_ptr<std::vector<StoreItem>>& collected, std::uint64_t firstRevision,
--- a/src/store/PrefixFollower.cpp
+++ b/src/store/PrefixFollower.cpp
@@ -3,6 +3,7 @@
 #include "almondlever/common/StoreEra.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace almondlever {
 
@@ -59,11 +60,10 @@
     if (revision < revision_)
         return;
     revision_ = revision;
-    reportedRevision_ = std::max(reportedRevision_, reportedRevision);
     if (isSnapshot)
-        observer_.onStoreSnapshot(prefix_, items, reportedRevision, timers_.now());
-    else if (!items.empty())
-        observer_.onStoreChanges(prefix_, items, revision_, timers_.now());
+        return applySnapshot(items, reportedRevision);
+    applyChanges(items);
+    reportedRevision_ = std::max(reportedRevision_, reportedRevision);
 }
 
 void PrefixFollower::readAll()
@@ -98,14 +98,32 @@
     const StorePage& page = result.value();
     const bool isChanged = std::any_of(page.items.begin(), page.items.end(),
         [this](const StoreItem& item) { return item.revision > reportedRevision_; });
-    // A peer may have sent newer keys since this read was started.
-    if (isChanged && page.asOf >= revision_) {
-        revision_ = reportedRevision_ = page.asOf;
-        observer_.onStoreSnapshot(prefix_, page.items, revision_, timers_.now());
-    }
+    if (isChanged)
+        applySnapshot(page.items, page.asOf);
     provenAt_ = std::max(provenAt_.value_or(sentAt), sentAt);
 }
 
+void PrefixFollower::applySnapshot(const std::vector<StoreItem>& items, std::uint64_t revision)
+{
+    if (revision < reportedRevision_)
+        return;
+    reportedRevision_ = revision;
+    revision_ = std::max(revision_, revision);
+    observer_.onStoreSnapshot(prefix_, items, revision, timers_.now());
+}
+
+void PrefixFollower::applyChanges(const std::vector<StoreItem>& items)
+{
+    std::vector<StoreItem> changes;
+    std::copy_if(items.begin(), items.end(), std::back_inserter(changes),
+        [this](const StoreItem& item) { return item.revision > reportedRevision_; });
+    if (changes.empty())
+        return;
+    for (const StoreItem& item : changes)
+        reportedRevision_ = std::max(reportedRevision_, item.revision);
+    observer_.onStoreChanges(prefix_, changes, revision_, timers_.now());
+}
+
 void PrefixFollower::readPage(const std::string& afterKey)
 {
     store_.readRange(prefix_, afterKey, [this, alive = std::weak_ptr<int>(alive_)](StoreResult<StorePage> result) {
@@ -136,10 +154,7 @@
             std::move(page.items.begin(), page.items.end(), std::back_inserter(*collected));
             if (page.isTruncated && !collected->empty())
                 return refreshPage(collected, revision, callback);
-            // The watch continues from its own revision and reports some of these changes again. Keys that were
-            // received since the read was started are newer.
-            if (revision >= revision_)
-                observer_.onStoreSnapshot(prefix_, *collected, revision, timers_.now());
+            applySnapshot(*collected, revision);
             callback(true);
         });
 }
@@ -159,14 +174,9 @@
     std::move(page.items.begin(), page.items.end(), std::back_inserter(collected_));
     if (page.isTruncated && !collected_.empty())
         return readPage(collected_.back().key);
-    reportedRevision_ = std::max(reportedRevision_, *firstPageRevision_);
     const std::vector<StoreItem> items = std::move(collected_);
     collected_.clear();
-    // A peer may have sent newer keys since this read was started.
-    if (*firstPageRevision_ >= revision_) {
-        revision_ = *firstPageRevision_;
-        observer_.onStoreSnapshot(prefix_, items, revision_, timers_.now());
-    }
+    applySnapshot(items, *firstPageRevision_);
     provenAt_ = std::max(provenAt_.value_or(readStartedAt_), readStartedAt_);
     const TimePoint now = timers_.now();
     if (now >= pollUntil_)
@@ -201,15 +211,10 @@
     }
     handleSuccess();
     const StorePage& page = result.value();
-    // A peer may have sent newer keys since this watch was started.
-    const bool isOutdated = page.asOf < revision_;
     revision_ = std::max(revision_, page.asOf);
     if (page.items.empty())
         return waitForChanges();
-    for (const StoreItem& item : page.items)
-        reportedRevision_ = std::max(reportedRevision_, item.revision);
-    if (!isOutdated)
-        observer_.onStoreChanges(prefix_, page.items, revision_, timers_.now());
+    applyChanges(page.items);
     // Changes come in bursts and calls are limited: the changes made during the delay need only one more call.
     timers_.callAfter(batchDelay_, [this, alive = std::weak_ptr<int>(alive_)](TimePoint) {
         if (!alive.expired())
--- a/tests/store/TestPrefixFollower.cpp
+++ b/tests/store/TestPrefixFollower.cpp
@@ -259,6 +259,7 @@
     item.key = "op/config";
     item.value = "2";
     fixture.store.put(item.key, item.value);
+    item.revision = fixture.store.revision();
     fixture.follower.applyUpdate({ item }, fixture.store.revision(), fixture.store.revision(), false);
     cr_assert_eq(fixture.recorder.keys["op/config"], "2");
     fixture.follower.applyUpdate({}, fixture.store.revision() - 1, fixture.store.revision() - 1, true);
@@ -310,6 +311,63 @@
     cr_assert_eq(fixture.follower.revision(), 100U);
 }
 
+// A peer has told the revision of an answer without changes, and knows fewer changes than an answer of the store that
+// is under way. Guards against dropping that answer, and taking its changes for known.
+Test(PrefixFollower, answersWithChangesThatThePeerLacksAreUsed)
+{
+    const auto tellPeersRevision
+        = [](Fixture& fixture) { fixture.follower.applyUpdate({}, 100, fixture.follower.reportedRevision(), false); };
+    {
+        Fixture fixture;
+        fixture.store.put("op/config", "1");
+        fixture.follower.start();
+        tellPeersRevision(fixture);
+        fixture.timers.advance(Milliseconds(100));
+        cr_expect_eq(fixture.recorder.keys["op/config"], "1", "a read of all keys");
+        tellPeersRevision(fixture);
+        fixture.store.put("op/config", "2");
+        fixture.timers.advance(Milliseconds(100));
+        cr_expect_eq(fixture.recorder.keys["op/config"], "2", "a watch");
+        cr_expect_eq(fixture.follower.reportedRevision(), fixture.store.revision());
+    }
+    for (const bool isVerification : { false, true }) {
+        Fixture fixture;
+        fixture.store.put("op/config", "1");
+        fixture.follower.start();
+        fixture.timers.advance(Milliseconds(200));
+        fixture.store.watchesReportNothing = true;
+        fixture.store.put("op/config", "2");
+        tellPeersRevision(fixture);
+        if (isVerification)
+            fixture.follower.verify();
+        else
+            fixture.follower.refresh([](bool) {});
+        fixture.timers.advance(Milliseconds(100));
+        cr_expect_eq(fixture.recorder.keys["op/config"], "2", "%s", isVerification ? "a verification" : "a refresh");
+    }
+}
+
+// Two peers have had the same answer of the store, but one of them lacks a change, and its update arrives last. Guards
+// against going back to what the change has replaced.
+Test(PrefixFollower, lateUpdatesDoNotRevertNewerOnes)
+{
+    for (const bool isSnapshot : { false, true }) {
+        Fixture fixture;
+        fixture.follower.pause();
+        StoreItem older;
+        older.key = "op/config";
+        older.value = "1";
+        older.revision = 90;
+        StoreItem newer = older;
+        newer.value = "2";
+        newer.revision = 99;
+        fixture.follower.applyUpdate({ newer }, 100, 99, isSnapshot);
+        fixture.follower.applyUpdate({ older }, 100, 90, isSnapshot);
+        cr_assert_eq(fixture.recorder.keys["op/config"], "2");
+        cr_assert_eq(fixture.follower.reportedRevision(), 99U);
+    }
+}
+
 // Guards against a promotion based on an outdated list: the list is read at once, while a watch is pending.
 Test(PrefixFollower, refreshReadsAllDuringAWatch)
 {
