Test that a daemon that is behind is not followed anew

Found by breaking the code on purpose: with the condition on the followed source taken out of StoreRelay::onUpdate, all 18 tests of StoreRelay passed, though promises that other daemons that are behind are still not followed. No code of the daemon changes.

Evidence: StoreRelay.daemonThatIsBehindIsNotFollowedAnew fails with the condition taken out (a scratch copy) and passes with it.

--- a/tests/front/TestStoreRelay.cpp
+++ b/tests/front/TestStoreRelay.cpp
@@ -428,3 +428,28 @@
         }
     }
 }
+
+// Daemons that read the store themselves query the watchers, which are behind them. Guards against following a daemon
+// that is behind, in place of a store that answers.
+Test(StoreRelay, daemonThatIsBehindIsNotFollowedAnew)
+{
+    FakeFleet fleet;
+    for (auto* daemon : fleet.watchers())
+        daemon->isCut = true;
+    fleet.run(Milliseconds(3000));
+    for (auto* daemon : fleet.others()) {
+        cr_assert(daemon->relay.source().isEmpty());
+        daemon->store.put("op/config", "2");
+    }
+    fleet.run(Milliseconds(1000));
+    for (auto* daemon : fleet.watchers())
+        daemon->isCut = false;
+    fleet.run(Milliseconds(2000));
+    for (const auto* daemon : fleet.others())
+        cr_assert(daemon->relay.source().isEmpty(), "%s", daemon->id.text().c_str());
+    for (auto* daemon : fleet.watchers())
+        daemon->store.put("op/config", "2");
+    fleet.run(Milliseconds(2000));
+    for (const auto* daemon : fleet.others())
+        cr_assert(!daemon->relay.source().isEmpty(), "%s", daemon->id.text().c_str());
+}
