--- /dev/null
+++ b/review/standin/main.cpp
@@ -0,0 +1,374 @@
+// Runs one case: review-case NAME PROGRAM RECORD. Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+#include "Deployment.h"
+
+#include <iostream>
+
+namespace review {
+
+bool isTroubled()
+{
+    const char* trouble = std::getenv("TROUBLE");
+    return !trouble || std::string(trouble) != "0";
+}
+
+std::string newId()
+{
+    static std::atomic<unsigned> number { 0 };
+    char text[32];
+    std::snprintf(text, sizeof text, "%08x%08x", static_cast<unsigned>(getpid()) * 2654435761U, ++number);
+    return text;
+}
+
+int conclude(bool isBroken, const std::string& what)
+{
+    record().line("%s: %s", isBroken ? "BROKEN" : "held", what.c_str());
+    std::cout << (isBroken ? "broken: " : "held: ") << what << '\n';
+    return isBroken ? 1 : 0;
+}
+
+int valuesCase(Deployment& deployment)
+{
+    deployment.addGroup("pod-ledger");
+    deployment.addRoute({ "lepu270", "pod-ledger" });
+    deployment.addDaemons(3);
+    deployment.start();
+    const std::size_t bytes = isTroubled() ? 900000 : 900;
+    int ends = 0;
+    for (std::size_t daemon = 0; daemon < 2; ++daemon) {
+        for (int round = 0; round < 3; ++round) {
+            Caller caller;
+            if (!caller.open(deployment.daemons()[daemon].ip, Deployment::frontPort, "lepu270"))
+                throw CannotRun("no session");
+            for (int value = 0; value < 5; ++value) {
+                const auto answer = caller.query(
+                    newId(), "SET v" + std::to_string(value) + ' ' + std::string(bytes, static_cast<char>('a' + round)));
+                record().line("%s: SET of %zu bytes: %s", deployment.daemons()[daemon].name.c_str(), bytes,
+                    answer.isComplete ? ("COMPLETE " + answer.signature).c_str() : "no answer");
+            }
+            const std::string id = newId();
+            const auto answer = caller.query(id, "READ 1a4");
+            record().line("READ %s: %s", id.c_str(),
+                !answer.isComplete ? "connection ended without an answer"
+                    : answer.error.empty() ? ("COMPLETE " + answer.signature).c_str()
+                                           : ("ERROR " + answer.error).c_str());
+            const auto end = deployment.takeEnd(daemon, answer.isComplete ? 0 : 2000);
+            if (!end)
+                continue;
+            ++ends;
+            record().line("%s ended by itself with status %d", deployment.daemons()[daemon].name.c_str(), *end);
+            pause(1000);
+            deployment.startDaemon(daemon);
+            deployment.waitUntilReady(daemon, 15000);
+        }
+    }
+    return conclude(ends > 0, std::to_string(ends) + " times a daemon ended by itself");
+}
+
+int smuggleCase(Deployment& deployment)
+{
+    Group& group = deployment.addGroup("pod-ledger");
+    deployment.addRoute({ "lepu270", "pod-ledger" });
+    deployment.addDaemons(3);
+    deployment.start();
+    std::map<std::string, std::string> sent;
+    for (Daemon& daemon : deployment.daemons()) {
+        Caller caller;
+        if (!caller.open(daemon.ip, Deployment::frontPort, "lepu270"))
+            throw CannotRun("no session");
+        const std::string id = newId();
+        const std::string note = "WRITE 1a4 first line" + std::string(isTroubled() ? "\n" : " ") + "QUERY " + newId()
+            + " WRITE 1a4 second line";
+        sent[id] = note;
+        const auto answer = caller.query(id, note);
+        record().line("%s was sent to %s with %zu bytes: %s %s", id.c_str(), daemon.name.c_str(), note.size(),
+            answer.isComplete ? "answered" : "no answer", (answer.signature + answer.error).c_str());
+    }
+    pause(300);
+    int broken = 0;
+    deployment.call([&] {
+        for (const Run& run : group.runs()) {
+            const auto found = sent.find(run.id);
+            const bool isAsSent = found != sent.end() && found->second == run.text;
+            record().line("%s ran %s '%s': %s", run.server.c_str(), run.id.c_str(), run.text.c_str(),
+                found == sent.end() ? "no client sent this id" : isAsSent ? "as sent" : "text was changed");
+            broken += isAsSent ? 0 : 1;
+        }
+    });
+    return conclude(broken > 0, std::to_string(broken) + " statements ran that no client sent in this form");
+}
+
+int truncatedCase(Deployment& deployment)
+{
+    Group& group = deployment.addGroup("pod-ledger");
+    deployment.addRoute({ "lepu270", "pod-ledger", "bounded_staleness", 3000, 2500, 1500, 2 });
+    deployment.addDaemons(3);
+    const std::vector<std::string> rows(10, std::string(90000, 'r'));
+    for (const auto& server : group.servers())
+        server->rowsOf["1a4"] = rows;
+    deployment.start();
+    const Daemon& daemon = deployment.daemons()[0];
+    constexpr int sessions = 20;
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (int i = 0; i < sessions; ++i) {
+        callers.push_back(std::make_unique<Caller>());
+        if (!callers.back()->open(daemon.ip, Deployment::frontPort, "lepu270", 65536, 1448))
+            throw CannotRun("no session");
+        if (!callers.back()->query(newId(), "READ 2b7").isComplete)
+            throw CannotRun("no answer before the stop");
+    }
+    const std::int64_t stopAt = record().now();
+    if (isTroubled())
+        deployment.signal(0, SIGTERM);
+    pause(3300 - (record().now() - stopAt));
+    std::vector<std::thread> threads;
+    std::atomic<int> broken { 0 };
+    std::atomic<int> complete { 0 };
+    for (int i = 0; i < sessions; ++i) {
+        threads.emplace_back([&, i] {
+            Caller& caller = *callers[static_cast<std::size_t>(i)];
+            const std::string id = newId();
+            const std::int64_t sentAt = record().now();
+            if (!caller.send("QUERY " + id + " READ 1a4\r\n"))
+                return;
+            const auto answer = caller.readAnswer(3000, 1250000);
+            const std::int64_t taken = record().now() - sentAt;
+            if (!answer.isComplete && caller.received() == 0)
+                return;
+            record().line("READ %s sent %lld ms after the signal: %s after %lld ms and %lld bytes", id.c_str(),
+                static_cast<long long>(sentAt - stopAt),
+                answer.isComplete ? "complete answer" : "the connection ended without a complete answer",
+                static_cast<long long>(taken), static_cast<long long>(caller.received()));
+            if (answer.isComplete)
+                ++complete;
+            else if (answer.isClosed && taken > 200 && taken < 3000)
+                ++broken;
+        });
+    }
+    for (std::thread& thread : threads)
+        thread.join();
+    return conclude(broken > 0,
+        std::to_string(broken) + " answers were cut off, " + std::to_string(complete) + " were complete");
+}
+
+int promiseCase(Deployment& deployment)
+{
+    Group& group = deployment.addGroup("pod-ledger");
+    group.hidesPositionInTransaction = true;
+    deployment.addRoute({ "lepu270", "pod-ledger" });
+    deployment.addDaemons(3);
+    deployment.start();
+    int broken = 0;
+    for (int round = 0; round < 6; ++round) {
+        const Daemon& daemon = deployment.daemons()[static_cast<std::size_t>(round % 3)];
+        Caller caller;
+        if (!caller.open(daemon.ip, Deployment::frontPort, "lepu270"))
+            throw CannotRun("no session");
+        const std::string write = newId();
+        caller.query(newId(), "BEGIN");
+        const auto written = caller.query(write, "WRITE 1a4 booked" + std::to_string(round));
+        record().line("WRITE %s in a transaction: %s%s", write.c_str(), written.signature.c_str(), written.error.c_str());
+        if (isTroubled())
+            deployment.call([&] { group.leader().answersToLose = 1; });
+        const auto answer = caller.query(newId(), "COMMIT");
+        pause(200);
+        bool isKept = false;
+        deployment.call([&] {
+            for (const LogEntry& entry : group.leader().log())
+                isKept = isKept || std::count(entry.writes.begin(), entry.writes.end(), write) > 0;
+        });
+        const std::string error = answer.error.substr(0, answer.error.find(' '));
+        static const std::set<std::string> promises { "BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY" };
+        const bool isPromise = promises.count(error) > 0;
+        record().line("COMMIT: %s; the write is %s", answer.isComplete ? (answer.signature + answer.error).c_str() : "no answer",
+            isKept ? "kept" : "not kept");
+        broken += isPromise && isKept ? 1 : 0;
+    }
+    return conclude(broken > 0, std::to_string(broken) + " commits were kept though their clients were promised that nothing is");
+}
+
+// A primary is released while another server of its service is replaced too, and the replica that takes over receives
+// nothing for a while.
+int handOverCase(Deployment& deployment)
+{
+    Group& group = deployment.addGroup("verkbok");
+    group.promoteTime = Milliseconds(1000);
+    deployment.addRoute({ "lepu270", "verkbok" });
+    deployment.addDaemons(3);
+    deployment.start();
+    std::mutex mutex;
+    std::map<std::string, std::int64_t> acknowledged;
+    std::atomic<bool> isOver { false };
+    std::vector<std::thread> writers;
+    for (std::size_t i = 0; i < 6; ++i) {
+        writers.emplace_back([&, i] {
+            Caller caller;
+            while (!isOver) {
+                if (!caller.isConnected()
+                    && !caller.open(deployment.daemons()[i % 3].ip, Deployment::frontPort, "lepu270")) {
+                    caller.close();
+                    pause(100);
+                    continue;
+                }
+                const std::string id = newId();
+                const auto answer = caller.query(id, "WRITE 1a4 " + id, 2000);
+                if (!answer.isComplete) {
+                    caller.close();
+                    continue;
+                }
+                if (answer.error.empty()) {
+                    const std::lock_guard<std::mutex> lock(mutex);
+                    acknowledged[id] = record().now();
+                }
+                pause(answer.error.empty() ? 20 : 100);
+            }
+        });
+    }
+    int lost = 0;
+    bool hasLed = false;
+    const std::string address = deployment.reserveIp();
+    deployment.promotions().onCall = [&](const Promotions::Call& call, const std::shared_ptr<Exchange>& exchange) {
+        const int status = deployment.promotions().execute(call);
+        exchange->respond(status, Json::object());
+        if (hasLed || status != 200)
+            return true;
+        hasLed = true;
+        Server& chosen = *group.find(call.id);
+        deployment.after(50, [&chosen] {
+            chosen.isDeaf = isTroubled();
+            record().line("%s %s", chosen.id().c_str(), isTroubled() ? "receives nothing" : "receives all");
+        });
+        deployment.after(100, [&] {
+            Server& added = group.add("i-verkbok9", "khomas-a", address, Deployment::serverPort);
+            group.announce(added);
+            record().line("%s starts and registers", added.id().c_str());
+        });
+        deployment.after(4000, [&chosen] { chosen.isDeaf = false; });
+        return true;
+    };
+    group.onLead = [&](Server& server) {
+        std::set<std::string> held;
+        for (const LogEntry& entry : server.log())
+            held.insert(entry.writes.begin(), entry.writes.end());
+        const std::lock_guard<std::mutex> lock(mutex);
+        for (const auto& [id, at] : acknowledged) {
+            if (held.count(id) > 0)
+                continue;
+            ++lost;
+            record().line("LOST: write %s was acknowledged at %lld ms and is not in the log of %s", id.c_str(),
+                static_cast<long long>(at), server.id().c_str());
+        }
+        record().line("%s was promoted; %zu writes were acknowledged before", server.id().c_str(), acknowledged.size());
+    };
+    pause(2000);
+    deployment.call([&] {
+        group.leader().isLeaving = true;
+        group.announce(group.leader());
+        record().line("%s is draining", group.leader().id().c_str());
+    });
+    pause(7000);
+    isOver = true;
+    for (std::thread& writer : writers)
+        writer.join();
+    if (!hasLed)
+        throw CannotRun("no promotion was ordered");
+    return conclude(lost > 0, std::to_string(lost) + " acknowledged writes are not in the log of the promoted server");
+}
+
+// The machine whose daemon has just claimed the change of a released primary is removed for good; another comes.
+int turnsCase(Deployment& deployment)
+{
+    constexpr std::int64_t leaseMs = 3000;
+    Group& group = deployment.addGroup("lonja-core");
+    group.maximumConnections = 21;
+    deployment.addRoute({ "lepu270", "lonja-core" });
+    deployment.addDaemons(8);
+    deployment.start(1);
+    struct Act {
+        std::string holder;
+        std::int64_t atMs;
+    };
+    std::vector<Act> acts;
+    bool wasKilled = false;
+    deployment.promotions().onCall = [&](const Promotions::Call& call, const std::shared_ptr<Exchange>& exchange) {
+        const int status = deployment.promotions().execute(call);
+        if (status == 200)
+            acts.push_back({ call.holder, record().now() });
+        exchange->respond(status, Json::object());
+        return true;
+    };
+    deployment.store().onTransaction = [&](const Json& body) {
+        for (const Json& put : body.value("puts", Json::array())) {
+            const std::string key = put.at("key");
+            if (key != "almondlever/claims/lonja-core")
+                continue;
+            const std::string holder = decodeBase64(put.at("value"));
+            record().line("claimed by %s", holder.c_str());
+            for (std::size_t i = 0; i + 1 < deployment.daemons().size() && !wasKilled && isTroubled(); ++i) {
+                if (holder.rfind(deployment.daemons()[i].name + ' ', 0) != 0)
+                    continue;
+                wasKilled = true;
+                deployment.signal(i, SIGKILL);
+            }
+        }
+    };
+    Caller caller;
+    if (!caller.open(deployment.daemons()[0].ip, Deployment::frontPort, "lepu270"))
+        throw CannotRun("no session");
+    caller.query(newId(), "WRITE 1a4 first");
+    pause(6000);
+    deployment.call([&] {
+        group.leader().isLeaving = true;
+        group.announce(group.leader());
+        record().line("%s is draining", group.leader().id().c_str());
+    });
+    // The new machine comes 4 s after the removal.
+    pause(4200);
+    if (isTroubled())
+        deployment.startDaemon(7);
+    pause(4000);
+    bool isBroken = false;
+    deployment.call([&] {
+        for (std::size_t i = 2; i < acts.size(); ++i) {
+            const bool isTurn = acts[i].holder == acts[i - 2].holder && acts[i].holder != acts[i - 1].holder;
+            if (!isTurn || acts[i].atMs - acts[i - 2].atMs >= leaseMs)
+                continue;
+            isBroken = true;
+            record().line("%s, %s and %s promoted in turn within %lld ms", acts[i - 2].holder.c_str(),
+                acts[i - 1].holder.c_str(), acts[i].holder.c_str(),
+                static_cast<long long>(acts[i].atMs - acts[i - 2].atMs));
+        }
+    });
+    if (acts.empty())
+        throw CannotRun("no promotion was ordered");
+    return conclude(isBroken, "two holders in turn within " + std::to_string(leaseMs) + " ms: "
+            + (isBroken ? "yes" : "no") + ", promotions ordered: " + std::to_string(acts.size()));
+}
+
+int run(const std::string& name, const std::string& program, const std::string& file)
+{
+    record().open(file);
+    const std::map<std::string, int (*)(Deployment&)> cases { { "values", valuesCase }, { "smuggle", smuggleCase },
+        { "truncated", truncatedCase },
+        { "handover", handOverCase }, { "turns", turnsCase }, { "promise", promiseCase } };
+    const auto found = cases.find(name);
+    if (found == cases.end())
+        return 2;
+    try {
+        record().line("case %s, %s", name.c_str(), isTroubled() ? "with the disruption" : "without the disruption");
+        Deployment deployment(program);
+        return found->second(deployment);
+    } catch (const std::exception& problem) {
+        record().line("could not run: %s", problem.what());
+        std::cout << "could not run: " << problem.what() << '\n';
+        return 2;
+    }
+}
+
+} // namespace review
+
+int main(int argc, char** argv)
+{
+    if (argc != 4)
+        return 2;
+    return review::run(argv[1], argv[2], argv[3]);
+}
