Review case 2: ABORTED for a commit that was kept

On a database whose log is empty, the lost answer to a transaction's commit is reported as ABORTED, a promise that nothing is kept.

--- a/review/standin/Servers.h
+++ b/review/standin/Servers.h
@@ -170,8 +170,6 @@
     std::size_t maximumConnections = 34;
     std::size_t synchronousReplicas = 1;
     Milliseconds heartbeatInterval { 1200 };
-    // A statement inside a transaction is answered with the position "-" in its READY.
-    bool hidesPositionInTransaction = false;
 
     std::string nextSignature() { return "sig." + name_ + '.' + std::to_string(++signatures_); }
 
@@ -549,8 +547,8 @@
 
 inline void ServerConnection::ready()
 {
-    const bool isHidden = server_->group.hidesPositionInTransaction && state_ == 'T';
-    send(std::string("READY ") + state_ + ' ' + (isHidden ? "-" : server_->received().text()) + "\r\n");
+    // A log without an entry has no position.
+    send(std::string("READY ") + state_ + ' ' + (server_->log_.empty() ? "-" : server_->received().text()) + "\r\n");
     isBusy_ = false;
     next();
 }
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -26,25 +26,29 @@
     return isBroken ? 1 : 0;
 }
 
+// A session sets values of 250,000 bytes, 17 of them, and reads.
 int valuesCase(Deployment& deployment)
 {
     deployment.addGroup("pod-ledger");
     deployment.addRoute({ "lepu270", "pod-ledger" });
     deployment.addDaemons(3);
     deployment.start();
-    const std::size_t bytes = isTroubled() ? 900000 : 900;
+    constexpr int values = 17;
+    const std::size_t bytes = isTroubled() ? 250000 : 250;
     int ends = 0;
     for (std::size_t daemon = 0; daemon < 2; ++daemon) {
         for (int round = 0; round < 3; ++round) {
             Caller caller;
             if (!caller.open(deployment.daemons()[daemon].ip, Deployment::frontPort, "lepu270"))
                 throw CannotRun("no session");
-            for (int value = 0; value < 5; ++value) {
+            int acknowledged = 0;
+            for (int value = 0; value < values; ++value) {
                 const auto answer = caller.query(
                     newId(), "SET v" + std::to_string(value) + ' ' + std::string(bytes, static_cast<char>('a' + round)));
-                record().line("%s: SET of %zu bytes: %s", deployment.daemons()[daemon].name.c_str(), bytes,
-                    answer.isComplete ? ("COMPLETE " + answer.signature).c_str() : "no answer");
+                acknowledged += answer.isComplete && answer.error.empty() ? 1 : 0;
             }
+            record().line("%s: %d of %d SETs of %zu bytes were acknowledged", deployment.daemons()[daemon].name.c_str(),
+                acknowledged, values, bytes);
             const std::string id = newId();
             const auto answer = caller.query(id, "READ 1a4");
             record().line("READ %s: %s", id.c_str(),
@@ -102,7 +106,8 @@
     Group& group = deployment.addGroup("pod-ledger");
     deployment.addRoute({ "lepu270", "pod-ledger", "bounded_staleness", 3000, 2500, 1500, 2 });
     deployment.addDaemons(3);
-    const std::vector<std::string> rows(10, std::string(90000, 'r'));
+    // 1.8 MB.
+    const std::vector<std::string> rows(20, std::string(90000, 'r'));
     for (const auto& server : group.servers())
         server->rowsOf["1a4"] = rows;
     deployment.start();
@@ -150,40 +155,55 @@
         std::to_string(broken) + " answers were cut off, " + std::to_string(complete) + " were complete");
 }
 
+// New databases: the answer to the first commit of each is lost.
 int promiseCase(Deployment& deployment)
 {
-    Group& group = deployment.addGroup("pod-ledger");
-    group.hidesPositionInTransaction = true;
-    deployment.addRoute({ "lepu270", "pod-ledger" });
+    const std::vector<std::string> services { "pod-ledger", "pod-ledger-b", "pod-ledger-c" };
+    for (const std::string& service : services) {
+        deployment.addGroup(service);
+        deployment.addRoute({ "db-of-" + service, service });
+    }
     deployment.addDaemons(3);
     deployment.start();
+    static const std::set<std::string> promises { "BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY" };
     int broken = 0;
-    for (int round = 0; round < 6; ++round) {
-        const Daemon& daemon = deployment.daemons()[static_cast<std::size_t>(round % 3)];
+    for (std::size_t i = 0; i < services.size(); ++i) {
+        Group& group = *deployment.groups()[i];
         Caller caller;
-        if (!caller.open(daemon.ip, Deployment::frontPort, "lepu270"))
+        if (!caller.open(deployment.daemons()[i].ip, Deployment::frontPort, "db-of-" + services[i]))
             throw CannotRun("no session");
+        for (int read = 0; read < 8; ++read) {
+            const std::string id = newId();
+            const auto answer = caller.query(id, "READ 1a4");
+            record().line("%s: READ %s: %s", services[i].c_str(), id.c_str(), (answer.signature + answer.error).c_str());
+        }
+        const std::string begin = newId();
         const std::string write = newId();
-        caller.query(newId(), "BEGIN");
-        const auto written = caller.query(write, "WRITE 1a4 booked" + std::to_string(round));
-        record().line("WRITE %s in a transaction: %s%s", write.c_str(), written.signature.c_str(), written.error.c_str());
+        const std::string commit = newId();
+        caller.query(begin, "BEGIN");
+        const auto written = caller.query(write, "WRITE 1a4 booking");
+        record().line("%s: WRITE %s in a transaction: %s", services[i].c_str(), write.c_str(),
+            (written.signature + written.error).c_str());
         if (isTroubled())
             deployment.call([&] { group.leader().answersToLose = 1; });
-        const auto answer = caller.query(newId(), "COMMIT");
-        pause(200);
+        const auto answer = caller.query(commit, "COMMIT");
+        pause(300);
         bool isKept = false;
         deployment.call([&] {
-            for (const LogEntry& entry : group.leader().log())
-                isKept = isKept || std::count(entry.writes.begin(), entry.writes.end(), write) > 0;
+            for (const auto& server : group.servers()) {
+                for (const LogEntry& entry : server->log())
+                    isKept = isKept || std::count(entry.writes.begin(), entry.writes.end(), write) > 0;
+            }
         });
         const std::string error = answer.error.substr(0, answer.error.find(' '));
-        static const std::set<std::string> promises { "BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY" };
-        const bool isPromise = promises.count(error) > 0;
-        record().line("COMMIT: %s; the write is %s", answer.isComplete ? (answer.signature + answer.error).c_str() : "no answer",
+        record().line("%s: COMMIT %s: %s; the write is %s", services[i].c_str(), commit.c_str(),
+            answer.isComplete ? (answer.error.empty() ? "COMPLETE " + answer.signature : "ERROR " + answer.error).c_str()
+                              : "no answer",
             isKept ? "kept" : "not kept");
-        broken += isPromise && isKept ? 1 : 0;
+        broken += promises.count(error) > 0 && isKept ? 1 : 0;
     }
-    return conclude(broken > 0, std::to_string(broken) + " commits were kept though their clients were promised that nothing is");
+    return conclude(
+        broken > 0, std::to_string(broken) + " writes were committed though their clients were promised that nothing is kept");
 }
 
 // A primary is released while another server of its service is replaced too, and the replica that takes over receives
