--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x review/build/review-case ] || { echo "run review/build.sh first"; exit 2; }
-TROUBLE="${TROUBLE:-1}" exec timeout 115 review/build/review-case promise target/almondlever-front "$folder/record.txt"
+TROUBLE="${TROUBLE:-1}" exec timeout 115 review/build/review-case restart target/almondlever-front "$folder/record.txt"
--- a/review/standin/Deployment.h
+++ b/review/standin/Deployment.h
@@ -211,6 +211,9 @@
         }
     }
 
+    // Set before start(): each daemon reaches each server by an address of its own, which can be cut (Server::cutPaths).
+    bool hasSeparatePaths = false;
+
     Group& addGroup(const std::string& name)
     {
         groups_.push_back(std::make_unique<Group>(context_, store_, name));
@@ -235,29 +238,40 @@
     void start(std::size_t spares = 0)
     {
         const std::size_t started = daemons_.size() - spares;
-        const std::string platform = nextIp();
         std::map<std::string, Group*> byName;
         for (const auto& group : groups_)
             byName[group->name()] = group.get();
         promotions_ = std::make_unique<Promotions>(byName);
-        storeServer_ = std::make_unique<HttpServer>(
-            context_, platform, platformPort, [this](const auto& exchange) { store_.handle(exchange); });
-        promotionServer_ = std::make_unique<HttpServer>(
-            context_, platform, platformPort + 1, [this](const auto& exchange) { promotions_->handle(exchange); });
+        std::vector<std::string> platforms;
+        for (std::size_t i = 0; i < daemons_.size(); ++i) {
+            // Without paths of their own, all daemons call the platform at one address.
+            if (i == 0 || hasSeparatePaths) {
+                platforms.push_back(nextIp());
+                const int reader = hasSeparatePaths ? static_cast<int>(i) + 1 : 0;
+                httpServers_.push_back(std::make_unique<HttpServer>(context_, platforms.back(), platformPort,
+                    [this, reader](const auto& exchange) { store_.handle(exchange, reader); }));
+                httpServers_.push_back(std::make_unique<HttpServer>(context_, platforms.back(), platformPort + 1,
+                    [this](const auto& exchange) { promotions_->handle(exchange); }));
+            } else {
+                platforms.push_back(platforms.front());
+            }
+        }
+        if (hasSeparatePaths)
+            separatePaths();
         writeConfiguration(1);
         for (const auto& group : groups_)
             group->start();
         thread_ = std::thread([this] { context_.run(); });
         for (std::size_t i = 0; i < started; ++i) {
-            writeBoot(daemons_[i], platform, true);
+            writeBoot(daemons_[i], platforms[i], true);
             startDaemon(i);
         }
         for (std::size_t i = 0; i < started; ++i)
             waitUntilReady(i, 15000);
         // The daemons find each other and open their connections to the servers.
         pause(3000);
-        for (Daemon& daemon : daemons_)
-            writeBoot(daemon, platform, false);
+        for (std::size_t i = 0; i < daemons_.size(); ++i)
+            writeBoot(daemons_[i], platforms[i], false);
         record().line("%zu daemons are ready", started);
     }
     void startDaemon(std::size_t index)
@@ -360,6 +374,27 @@
     const std::string& folder() const { return folder_; }
 
 private:
+    void separatePaths()
+    {
+        for (const auto& group : groups_) {
+            for (const auto& server : group->servers()) {
+                for (int reader = 1; reader <= static_cast<int>(daemons_.size()); ++reader) {
+                    const std::string ip = nextIp();
+                    server->addPath(ip, reader);
+                    addressesByPath_[{ "servers/" + server->id(), reader }] = ip + ':' + std::to_string(serverPort);
+                }
+            }
+        }
+        store_.rewrite = [this](const std::string& key, const std::string& base64, int reader) {
+            const auto found = addressesByPath_.find({ key, reader });
+            if (found == addressesByPath_.end())
+                return base64;
+            Json entry = Json::parse(decodeBase64(base64));
+            entry["address"] = found->second;
+            return encodeBase64(entry.dump());
+        };
+    }
+
     std::string nextIp() { return prefix_ + std::to_string(++lastIp_); }
 
     void writeConfiguration(int version)
@@ -425,8 +460,8 @@
     std::vector<RouteSettings> routes_;
     std::vector<Daemon> daemons_;
     std::unique_ptr<Promotions> promotions_;
-    std::unique_ptr<HttpServer> storeServer_;
-    std::unique_ptr<HttpServer> promotionServer_;
+    std::vector<std::unique_ptr<HttpServer>> httpServers_;
+    std::map<std::pair<std::string, int>, std::string> addressesByPath_;
     std::thread thread_;
 };
 
--- a/review/standin/Platform.h
+++ b/review/standin/Platform.h
@@ -102,6 +102,8 @@
     std::map<std::string, std::string> query;
     std::map<std::string, std::string> headers;
     std::string body;
+    // Number of the daemon whose platform address was called.
+    int reader = 0;
     std::function<void(int status, const Json&)> respond;
     std::function<void()> drop;
 };
@@ -263,11 +265,15 @@
     }
     bool has(const std::string& key) const { return items_.count(key) > 0; }
 
+    // Rewrites a value for the daemon that asks, so that each daemon can have a network path of its own to a server.
+    std::function<std::string(const std::string& key, const std::string& base64, int reader)> rewrite;
+
     // Called after each transaction that was done; for scenarios that act on a claim.
     std::function<void(const Json& body)> onTransaction;
 
-    void handle(const std::shared_ptr<Exchange>& exchange)
+    void handle(const std::shared_ptr<Exchange>& exchange, int reader = 0)
     {
+        exchange->reader = reader;
         const std::string& path = exchange->path;
         if (path == "/-/kv-range")
             return range(*exchange);
@@ -310,6 +316,13 @@
         std::set<std::string> keys;
     };
 
+    Json view(Json item, const Exchange& exchange) const
+    {
+        if (rewrite && item.contains("value"))
+            item["value"] = rewrite(item["key"], item["value"], exchange.reader);
+        return item;
+    }
+
     static Json describe(const std::string& key, const Item& item)
     {
         return { { "key", key }, { "value", item.value }, { "revision", item.revision }, { "created", item.created },
@@ -351,7 +364,7 @@
                 isTruncated = true;
                 break;
             }
-            items.push_back(describe(it->first, it->second));
+            items.push_back(view(describe(it->first, it->second), exchange));
         }
         exchange.respond(200, { { "items", items }, { "truncated", isTruncated }, { "as-of", revision_ } });
     }
@@ -361,7 +374,7 @@
         const auto found = items_.find(exchange.query["key"]);
         if (found == items_.end())
             return exchange.respond(404, Json::object());
-        Json body = describe(found->first, found->second);
+        Json body = view(describe(found->first, found->second), exchange);
         body["as-of"] = revision_;
         exchange.respond(200, body);
     }
@@ -379,7 +392,7 @@
         Json events = Json::array();
         for (const Event& event : history_) {
             if (event.revision > watch.after && event.key.rfind(watch.prefix, 0) == 0)
-                events.push_back(event.json);
+                events.push_back(view(event.json, *watch.exchange));
         }
         if (events.empty() && !isDue)
             return false;
--- a/review/standin/Servers.h
+++ b/review/standin/Servers.h
@@ -32,6 +32,11 @@
     std::int64_t atMs = 0;
 };
 
+inline std::int64_t unixMilliseconds()
+{
+    return std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
 inline std::string takeWord(std::string& text)
 {
     const std::size_t end = text.find(' ');
@@ -45,8 +50,9 @@
 
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
 public:
-    ServerConnection(Server& server, tcp::socket socket)
-        : server_(&server)
+    ServerConnection(Server& server, tcp::socket socket, int path)
+        : path(path)
+        , server_(&server)
         , socket_(std::move(socket))
         , timer_(socket_.get_executor())
     {
@@ -54,7 +60,11 @@
     void start() { read(); }
     void close();
 
+    // Number of the daemon whose path it came by.
+    const int path;
+
 private:
+    friend class Group;
     friend class Server;
     void read();
     void next();
@@ -104,19 +114,29 @@
     bool isDeaf = false;
     // Answers of commits and of single writes to lose: they run, and the connection ends without the answer.
     int answersToLose = 0;
+    // Paths that are cut: nothing that comes by them arrives, and nothing is answered.
+    std::set<int> cutPaths;
+    void addPath(const std::string& ip, int path);
+    // All connections end, and the server refuses new ones until restart().
+    void crash();
+    void restart();
+    bool isUp = true;
     // Rows of the answer to a read of this item.
     std::map<std::string, std::vector<std::string>> rowsOf;
 
 private:
     friend class Group;
     friend class ServerConnection;
-    void accept();
+    void accept(tcp::acceptor&, int path);
 
     std::string id_;
-    tcp::acceptor acceptor_;
+    std::uint16_t port_;
+    std::deque<tcp::acceptor> acceptors_;
     std::set<std::shared_ptr<ServerConnection>> connections_;
     std::vector<LogEntry> log_;
     std::uint64_t heldTerm_ = 0;
+    std::int64_t born_ = unixMilliseconds();
+    std::uint64_t sequence_ = 0;
 };
 
 // The servers of one service, their replication, and its primary.
@@ -127,7 +147,6 @@
         , context_(context)
         , store_(store)
         , timer_(context)
-        , bornBase_(std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count())
     {
     }
 
@@ -151,6 +170,17 @@
         }
         return nullptr;
     }
+    // Lets go what was held back on paths that are cut no more.
+    void resumePaths()
+    {
+        for (const auto& server : servers_) {
+            const auto connections = server->connections_;
+            for (const auto& connection : connections) {
+                connection->send("");
+                connection->next();
+            }
+        }
+    }
     Server& leader() { return *find(leader_); }
     const std::string& name() const { return name_; }
     std::uint64_t term() const { return term_; }
@@ -184,8 +214,10 @@
 
     void heartbeat()
     {
-        for (const auto& server : servers_)
-            announce(*server);
+        for (const auto& server : servers_) {
+            if (server->isUp)
+                announce(*server);
+        }
         auto timer = std::make_shared<asio::steady_timer>(context_, heartbeatInterval);
         timer->async_wait([this, timer](std::error_code) { heartbeat(); });
     }
@@ -195,7 +227,7 @@
     {
         const Json entry = { { "service", name_ }, { "address", server.address }, { "zone", server.zone },
             { "version", "1" }, { "slots", 5 }, { "phase", server.isLeaving ? "draining" : "ready" },
-            { "cold-remaining-ms", 0 }, { "sequence", ++sequence_ }, { "born", bornBase_ },
+            { "cold-remaining-ms", 0 }, { "sequence", ++server.sequence_ }, { "born", server.born_ },
             { "db-role", server.leads() ? "primary" : "replica" } };
         store_.put("servers/" + server.id(), entry.dump());
     }
@@ -247,7 +279,7 @@
         for (const auto& other : servers_) {
             if (other.get() == &server)
                 continue;
-            while (other->heldTerm_ == 0 && !other->isDeaf && other->log_.size() < server.log_.size()
+            while (other->isUp && other->heldTerm_ == 0 && !other->isDeaf && other->log_.size() < server.log_.size()
                 && server.log_[other->log_.size()].at + oneWay <= now)
                 other->log_.push_back(server.log_[other->log_.size()]);
             received.push_back(other->log_.size());
@@ -272,11 +304,9 @@
     asio::io_context& context_;
     Store& store_;
     asio::steady_timer timer_;
-    std::int64_t bornBase_;
     std::vector<std::unique_ptr<Server>> servers_;
     std::string leader_;
     std::uint64_t term_ = 1;
-    std::uint64_t sequence_ = 0;
     std::uint64_t signatures_ = 0;
     std::deque<Waiting> waiting_;
     std::vector<Run> runs_;
@@ -288,24 +318,53 @@
     , zone(std::move(zoneName))
     , address(ip + ':' + std::to_string(port))
     , id_(std::move(id))
-    , acceptor_(owner.context_, tcp::endpoint(asio::ip::make_address(ip), port))
+    , port_(port)
+{
+    addPath(ip, 0);
+}
+
+inline void Server::addPath(const std::string& ip, int path)
+{
+    acceptors_.emplace_back(group.context_, tcp::endpoint(asio::ip::make_address(ip), port_));
+    accept(acceptors_.back(), path);
+}
+
+inline void Server::crash()
+{
+    isUp = false;
+    const auto connections = connections_;
+    for (const auto& connection : connections)
+        connection->close();
+    heldTerm_ = 0;
+    record().line("%s crashes", id_.c_str());
+}
+
+// A server that starts again under its id knows nothing of before; a replica gets the log of the primary again.
+inline void Server::restart()
 {
-    accept();
+    isUp = true;
+    log_.clear();
+    born_ = unixMilliseconds();
+    sequence_ = 0;
+    group.announce(*this);
+    record().line("%s is back", id_.c_str());
 }
 
 inline bool Server::leads() const { return group.leader_ == id_; }
 
-inline void Server::accept()
+inline void Server::accept(tcp::acceptor& acceptor, int path)
 {
-    acceptor_.async_accept([this](std::error_code error, tcp::socket socket) {
+    acceptor.async_accept([this, &acceptor, path](std::error_code error, tcp::socket socket) {
         if (error)
             return;
         std::error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
-        const auto connection = std::make_shared<ServerConnection>(*this, std::move(socket));
-        connections_.insert(connection);
-        connection->start();
-        accept();
+        const auto connection = std::make_shared<ServerConnection>(*this, std::move(socket), path);
+        if (isUp) {
+            connections_.insert(connection);
+            connection->start();
+        }
+        accept(acceptor, path);
     });
 }
 
@@ -342,7 +401,8 @@
 
 inline void ServerConnection::next()
 {
-    while (!isBusy_ && !isClosed_ && !lines_.empty()) {
+    // What arrives over a cut path is held back, as by a network that drops it.
+    while (!isBusy_ && !isClosed_ && !lines_.empty() && server_->cutPaths.count(path) == 0) {
         const std::string line = std::move(lines_.front());
         lines_.pop_front();
         handle(line);
@@ -558,7 +618,7 @@
     if (isClosed_)
         return;
     output_ += text;
-    if (!sending_.empty())
+    if (!sending_.empty() || output_.empty() || server_->cutPaths.count(path) > 0)
         return;
     sending_.swap(output_);
     asio::async_write(socket_, asio::buffer(sending_), [self = shared_from_this()](std::error_code error, std::size_t) {
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -206,6 +206,73 @@
         broken > 0, std::to_string(broken) + " writes were committed though their clients were promised that nothing is kept");
 }
 
+// Callers that write through all daemons, one write after the other, and remember which succeeded.
+class Writers {
+public:
+    Writers(Deployment& deployment, const std::string& database, std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i)
+            threads_.emplace_back([this, &deployment, database, i] {
+                write(deployment.daemons()[i % deployment.daemons().size()].ip, database);
+            });
+    }
+    ~Writers() { stop(); }
+    void stop()
+    {
+        isOver_ = true;
+        for (std::thread& thread : threads_)
+            thread.join();
+        threads_.clear();
+    }
+    // The writes that have succeeded and are missing in the log of a server that was just promoted.
+    int countMissing(const Server& server)
+    {
+        std::set<std::string> held;
+        for (const LogEntry& entry : server.log())
+            held.insert(entry.writes.begin(), entry.writes.end());
+        const std::lock_guard<std::mutex> lock(mutex_);
+        int missing = 0;
+        for (const auto& [id, at] : acknowledged_) {
+            if (held.count(id) > 0)
+                continue;
+            ++missing;
+            record().line("LOST: write %s was acknowledged at %lld ms and is not in the log of %s", id.c_str(),
+                static_cast<long long>(at), server.id().c_str());
+        }
+        record().line("%s was promoted; %zu writes were acknowledged before", server.id().c_str(), acknowledged_.size());
+        return missing;
+    }
+
+private:
+    void write(const std::string& ip, const std::string& database)
+    {
+        Caller caller;
+        while (!isOver_) {
+            if (!caller.isConnected() && !caller.open(ip, Deployment::frontPort, database)) {
+                caller.close();
+                pause(100);
+                continue;
+            }
+            const std::string id = newId();
+            const auto answer = caller.query(id, "WRITE 1a4 " + id, 2000);
+            if (!answer.isComplete) {
+                caller.close();
+                continue;
+            }
+            if (answer.error.empty()) {
+                const std::lock_guard<std::mutex> lock(mutex_);
+                acknowledged_[id] = record().now();
+            }
+            pause(answer.error.empty() ? 20 : 100);
+        }
+    }
+
+    std::mutex mutex_;
+    std::map<std::string, std::int64_t> acknowledged_;
+    std::atomic<bool> isOver_ { false };
+    std::vector<std::thread> threads_;
+};
+
 // A primary is released while another server of its service is replaced too, and the replica that takes over receives
 // nothing for a while.
 int handOverCase(Deployment& deployment)
@@ -215,34 +282,7 @@
     deployment.addRoute({ "lepu270", "verkbok" });
     deployment.addDaemons(3);
     deployment.start();
-    std::mutex mutex;
-    std::map<std::string, std::int64_t> acknowledged;
-    std::atomic<bool> isOver { false };
-    std::vector<std::thread> writers;
-    for (std::size_t i = 0; i < 6; ++i) {
-        writers.emplace_back([&, i] {
-            Caller caller;
-            while (!isOver) {
-                if (!caller.isConnected()
-                    && !caller.open(deployment.daemons()[i % 3].ip, Deployment::frontPort, "lepu270")) {
-                    caller.close();
-                    pause(100);
-                    continue;
-                }
-                const std::string id = newId();
-                const auto answer = caller.query(id, "WRITE 1a4 " + id, 2000);
-                if (!answer.isComplete) {
-                    caller.close();
-                    continue;
-                }
-                if (answer.error.empty()) {
-                    const std::lock_guard<std::mutex> lock(mutex);
-                    acknowledged[id] = record().now();
-                }
-                pause(answer.error.empty() ? 20 : 100);
-            }
-        });
-    }
+    Writers writers(deployment, "lepu270", 6);
     int lost = 0;
     bool hasLed = false;
     const std::string address = deployment.reserveIp();
@@ -265,20 +305,7 @@
         deployment.after(4000, [&chosen] { chosen.isDeaf = false; });
         return true;
     };
-    group.onLead = [&](Server& server) {
-        std::set<std::string> held;
-        for (const LogEntry& entry : server.log())
-            held.insert(entry.writes.begin(), entry.writes.end());
-        const std::lock_guard<std::mutex> lock(mutex);
-        for (const auto& [id, at] : acknowledged) {
-            if (held.count(id) > 0)
-                continue;
-            ++lost;
-            record().line("LOST: write %s was acknowledged at %lld ms and is not in the log of %s", id.c_str(),
-                static_cast<long long>(at), server.id().c_str());
-        }
-        record().line("%s was promoted; %zu writes were acknowledged before", server.id().c_str(), acknowledged.size());
-    };
+    group.onLead = [&](Server& server) { lost += writers.countMissing(server); };
     pause(2000);
     deployment.call([&] {
         group.leader().isLeaving = true;
@@ -286,14 +313,59 @@
         record().line("%s is draining", group.leader().id().c_str());
     });
     pause(7000);
-    isOver = true;
-    for (std::thread& writer : writers)
-        writer.join();
+    writers.stop();
     if (!hasLed)
         throw CannotRun("no promotion was ordered");
     return conclude(lost > 0, std::to_string(lost) + " acknowledged writes are not in the log of the promoted server");
 }
 
+// A primary is partitioned from one of three daemons; while that one replaces it, a paused replica restarts.
+int restartCase(Deployment& deployment)
+{
+    Group& group = deployment.addGroup("verkbok");
+    group.promoteTime = Milliseconds(1000);
+    deployment.addRoute({ "lepu270", "verkbok" });
+    deployment.addDaemons(3);
+    deployment.hasSeparatePaths = true;
+    deployment.start();
+    Writers writers(deployment, "lepu270", 6);
+    int lost = 0;
+    bool hasLed = false;
+    deployment.promotions().onCall = [&](const Promotions::Call& call, const std::shared_ptr<Exchange>& exchange) {
+        const int status = deployment.promotions().execute(call);
+        exchange->respond(status, Json::object());
+        if (hasLed || status != 200)
+            return true;
+        hasLed = true;
+        for (const auto& server : group.servers()) {
+            if (server->leads() || server->id() == call.id)
+                continue;
+            deployment.after(100, [&server] { server->crash(); });
+            deployment.after(600, [&server] { server->restart(); });
+        }
+        return true;
+    };
+    group.onLead = [&](Server& server) { lost += writers.countMissing(server); };
+    pause(2000);
+    Server& primary = group.leader();
+    if (isTroubled()) {
+        deployment.call([&] {
+            primary.cutPaths.insert(1);
+            record().line("%s is partitioned from %s", primary.id().c_str(), deployment.daemons()[0].name.c_str());
+        });
+    }
+    pause(5000);
+    deployment.call([&] {
+        primary.cutPaths.clear();
+        group.resumePaths();
+    });
+    pause(3000);
+    writers.stop();
+    if (isTroubled() && !hasLed)
+        throw CannotRun("no promotion was ordered");
+    return conclude(lost > 0, std::to_string(lost) + " acknowledged writes are not in the log of the promoted server");
+}
+
 // The machine whose daemon has just claimed the change of a released primary is removed for good; another comes.
 int turnsCase(Deployment& deployment)
 {
@@ -369,7 +441,7 @@
     record().open(file);
     const std::map<std::string, int (*)(Deployment&)> cases { { "values", valuesCase }, { "smuggle", smuggleCase },
         { "truncated", truncatedCase },
-        { "handover", handOverCase }, { "turns", turnsCase }, { "promise", promiseCase } };
+        { "handover", handOverCase }, { "turns", turnsCase }, { "restart", restartCase }, { "promise", promiseCase } };
     const auto found = cases.find(name);
     if (found == cases.end())
         return 2;
