--- a/review/standin/Deployment.h
+++ b/review/standin/Deployment.h
@@ -211,7 +211,8 @@
         }
     }
 
-    // Set before start(): each daemon reaches each server by an address of its own, which can be cut (Server::cutPaths).
+    // Set before start(): each daemon reaches each server by an address of its own, which can be cut
+    // (Server::cutPaths).
     bool hasSeparatePaths = false;
 
     Group& addGroup(const std::string& name)
--- a/review/standin/Platform.h
+++ b/review/standin/Platform.h
@@ -31,10 +31,7 @@
         file_ = std::fopen(path.c_str(), "w");
         start_ = SteadyClock::now();
     }
-    std::int64_t now() const
-    {
-        return std::chrono::duration_cast<Milliseconds>(SteadyClock::now() - start_).count();
-    }
+    std::int64_t now() const { return std::chrono::duration_cast<Milliseconds>(SteadyClock::now() - start_).count(); }
     void line(const char* format, ...) __attribute__((format(printf, 2, 3)))
     {
         char text[700];
@@ -122,12 +119,13 @@
 private:
     void read()
     {
-        socket_.async_read_some(asio::buffer(chunk_), [self = shared_from_this()](std::error_code error, std::size_t n) {
-            if (error)
-                return;
-            self->input_.append(self->chunk_.data(), n);
-            self->parse();
-        });
+        socket_.async_read_some(
+            asio::buffer(chunk_), [self = shared_from_this()](std::error_code error, std::size_t n) {
+                if (error)
+                    return;
+                self->input_.append(self->chunk_.data(), n);
+                self->parse();
+            });
     }
 
     void parse()
@@ -255,7 +253,10 @@
         tick();
     }
 
-    void put(const std::string& key, const std::string& value) { write(key, encodeBase64(value), 0, ++revision_), wake(); }
+    void put(const std::string& key, const std::string& value)
+    {
+        write(key, encodeBase64(value), 0, ++revision_), wake();
+    }
     void remove(const std::string& key)
     {
         if (items_.count(key) == 0)
--- a/review/standin/Servers.h
+++ b/review/standin/Servers.h
@@ -286,7 +286,7 @@
         }
         std::sort(received.rbegin(), received.rend());
         const std::size_t safe = synchronousReplicas == 0 ? server.log_.size()
-            : received.size() >= synchronousReplicas     ? received[synchronousReplicas - 1]
+            : received.size() >= synchronousReplicas      ? received[synchronousReplicas - 1]
                                                           : 0;
         while (!waiting_.empty() && waiting_.front().position.number <= safe) {
             const auto done = std::move(waiting_.front().done);
@@ -551,10 +551,9 @@
         owner.runs_.push_back({ id, ran, server_->id(), record().now() });
         const std::string signature = owner.nextSignature();
         const auto rows = server_->rowsOf.find(item);
-        const std::vector<std::string> answer
-            = isWrite ? std::vector<std::string> {} : rows == server_->rowsOf.end()
-            ? std::vector<std::string> { "row-of-" + id }
-            : rows->second;
+        const std::vector<std::string> answer = isWrite ? std::vector<std::string> {}
+            : rows == server_->rowsOf.end()             ? std::vector<std::string> { "row-of-" + id }
+                                                        : rows->second;
         if (!isWrite)
             return reply(answer, signature);
         if (state_ == 'T') {
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -1,4 +1,5 @@
-// Runs one case: review-case NAME PROGRAM RECORD. Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+// Runs one case: review-case NAME PROGRAM RECORD. Exits with 1 if the rule was broken, 0 if it held, 2 if it could not
+// run.
 #include "Deployment.h"
 
 #include <iostream>
@@ -43,8 +44,8 @@
                 throw CannotRun("no session");
             int acknowledged = 0;
             for (int value = 0; value < values; ++value) {
-                const auto answer = caller.query(
-                    newId(), "SET v" + std::to_string(value) + ' ' + std::string(bytes, static_cast<char>('a' + round)));
+                const auto answer = caller.query(newId(),
+                    "SET v" + std::to_string(value) + ' ' + std::string(bytes, static_cast<char>('a' + round)));
                 acknowledged += answer.isComplete && answer.error.empty() ? 1 : 0;
             }
             record().line("%s: %d of %d SETs of %zu bytes were acknowledged", deployment.daemons()[daemon].name.c_str(),
@@ -52,7 +53,7 @@
             const std::string id = newId();
             const auto answer = caller.query(id, "READ 1a4");
             record().line("READ %s: %s", id.c_str(),
-                !answer.isComplete ? "connection ended without an answer"
+                !answer.isComplete         ? "connection ended without an answer"
                     : answer.error.empty() ? ("COMPLETE " + answer.signature).c_str()
                                            : ("ERROR " + answer.error).c_str());
             const auto end = deployment.takeEnd(daemon, answer.isComplete ? 0 : 2000);
@@ -94,7 +95,9 @@
             const auto found = sent.find(run.id);
             const bool isAsSent = found != sent.end() && found->second == run.text;
             record().line("%s ran %s '%s': %s", run.server.c_str(), run.id.c_str(), run.text.c_str(),
-                found == sent.end() ? "no client sent this id" : isAsSent ? "as sent" : "text was changed");
+                found == sent.end() ? "no client sent this id"
+                    : isAsSent      ? "as sent"
+                                    : "text was changed");
             broken += isAsSent ? 0 : 1;
         }
     });
@@ -151,8 +154,8 @@
     }
     for (std::thread& thread : threads)
         thread.join();
-    return conclude(broken > 0,
-        std::to_string(broken) + " answers were cut off, " + std::to_string(complete) + " were complete");
+    return conclude(
+        broken > 0, std::to_string(broken) + " answers were cut off, " + std::to_string(complete) + " were complete");
 }
 
 // New databases: the answer to the first commit of each is lost.
@@ -175,7 +178,8 @@
         for (int read = 0; read < 8; ++read) {
             const std::string id = newId();
             const auto answer = caller.query(id, "READ 1a4");
-            record().line("%s: READ %s: %s", services[i].c_str(), id.c_str(), (answer.signature + answer.error).c_str());
+            record().line(
+                "%s: READ %s: %s", services[i].c_str(), id.c_str(), (answer.signature + answer.error).c_str());
         }
         const std::string begin = newId();
         const std::string write = newId();
@@ -197,13 +201,14 @@
         });
         const std::string error = answer.error.substr(0, answer.error.find(' '));
         record().line("%s: COMMIT %s: %s; the write is %s", services[i].c_str(), commit.c_str(),
-            answer.isComplete ? (answer.error.empty() ? "COMPLETE " + answer.signature : "ERROR " + answer.error).c_str()
-                              : "no answer",
+            answer.isComplete
+                ? (answer.error.empty() ? "COMPLETE " + answer.signature : "ERROR " + answer.error).c_str()
+                : "no answer",
             isKept ? "kept" : "not kept");
         broken += promises.count(error) > 0 && isKept ? 1 : 0;
     }
-    return conclude(
-        broken > 0, std::to_string(broken) + " writes were committed though their clients were promised that nothing is kept");
+    return conclude(broken > 0,
+        std::to_string(broken) + " writes were committed though their clients were promised that nothing is kept");
 }
 
 // Callers that write through all daemons, one write after the other, and remember which succeeded.
@@ -239,7 +244,8 @@
             record().line("LOST: write %s was acknowledged at %lld ms and is not in the log of %s", id.c_str(),
                 static_cast<long long>(at), server.id().c_str());
         }
-        record().line("%s was promoted; %zu writes were acknowledged before", server.id().c_str(), acknowledged_.size());
+        record().line(
+            "%s was promoted; %zu writes were acknowledged before", server.id().c_str(), acknowledged_.size());
         return missing;
     }
 
@@ -432,16 +438,17 @@
     });
     if (acts.empty())
         throw CannotRun("no promotion was ordered");
-    return conclude(isBroken, "two holders in turn within " + std::to_string(leaseMs) + " ms: "
-            + (isBroken ? "yes" : "no") + ", promotions ordered: " + std::to_string(acts.size()));
+    return conclude(isBroken,
+        "two holders in turn within " + std::to_string(leaseMs) + " ms: " + (isBroken ? "yes" : "no")
+            + ", promotions ordered: " + std::to_string(acts.size()));
 }
 
 int run(const std::string& name, const std::string& program, const std::string& file)
 {
     record().open(file);
     const std::map<std::string, int (*)(Deployment&)> cases { { "values", valuesCase }, { "smuggle", smuggleCase },
-        { "truncated", truncatedCase },
-        { "handover", handOverCase }, { "turns", turnsCase }, { "restart", restartCase }, { "promise", promiseCase } };
+        { "truncated", truncatedCase }, { "handover", handOverCase }, { "turns", turnsCase },
+        { "restart", restartCase }, { "promise", promiseCase } };
     const auto found = cases.find(name);
     if (found == cases.end())
         return 2;
