Log rejected callers and each lost endpoint connection

What could not be told apart: a connection to an endpoint that is closed because of a reply that nobody asked for was logged only if it was the last one; a caller's message that is not understood was neither logged nor counted, and neither were statements that the session refuses itself.

Change: endpoint_connection_lost for every connection that was open, with its reason (bounded by the decision log); caller_rejected with the size of the message, and almondlever_callers_rejected_total; almondlever_statements_refused_total{error}. Tests of sessions, front and pooling pass. No decision depends on it.

--- a/include/almondlever/front/FrontDaemon.h
+++ b/include/almondlever/front/FrontDaemon.h
@@ -91,6 +91,8 @@
     void open(const DatabaseId&, const KeyDigest&, CallerLink&, OpenCallback);
     /** To be called when the caller's connection is closed, also while its session is still being opened. */
     void close(CallerLink&);
+    /** Records that a caller's connection is closed because of a message that cannot be handled. */
+    void noteRejectedCaller(StatementError, std::string_view reason, std::size_t messageBytes);
     /** Begins a graceful shutdown; the callback is invoked when the process may exit. */
     void beginStop(std::function<void()> onStopped);
 
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -400,6 +400,15 @@
         tickStop(now);
 }
 
+void FrontDaemon::noteRejectedCaller(StatementError error, std::string_view reason, std::size_t messageBytes)
+{
+    metrics_.count("almondlever_callers_rejected_total", std::string("error=\"") + toText(error) + '"');
+    if (!log_.admits(0, now()))
+        return;
+    log_.write("caller_rejected",
+        { { "error", toText(error) }, { "reason", reason }, { "message_bytes", std::to_string(messageBytes) } });
+}
+
 void FrontDaemon::beginStop(std::function<void()> onStopped)
 {
     if (stop_.isStopping())
--- a/src/pooling/DispatcherLinks.cpp
+++ b/src/pooling/DispatcherLinks.cpp
@@ -145,7 +145,8 @@
         directory_.noteNotLeading(link.endpoint());
     metrics_.count(
         "almondlever_endpoint_connections_closed_total", wasOpening ? "state=\"opening\"" : "state=\"open\"");
-    const bool isChange = before == 1 || refusal;
+    // Openings fail again and again while an endpoint is down; the loss of an open connection is always of interest.
+    const bool isChange = before == 1 || refusal || !wasOpening;
     if (isChange && log_.admits(0, now)) {
         log_.write("endpoint_connection_lost",
             { { "endpoint", link.endpoint().text() }, { "reason", reason },
--- a/src/sessions/Session.cpp
+++ b/src/sessions/Session.cpp
@@ -401,6 +401,7 @@
 
 void Session::answerWithError(StatementError error, const std::string& detail)
 {
+    metrics_.count("almondlever_statements_refused_total", std::string("error=\"") + toText(error) + '"');
     const TransactionState next = state_ == TransactionState::None ? TransactionState::None : TransactionState::Failed;
     answer(makeError(error, detail), next);
 }
