Match replies of endpoints to commands by what tells them apart

Cause: replies of endpoints carry no id, and the connection gave each complete reply to the oldest command. An endpoint that answers twice, the second time late, moves every later answer by one. Among them are the answers to BEGIN and ROLLBACK, so that the proxy and the endpoint differ about the open transaction; a transaction whose statement was answered in state I went on, with a new BEGIN on another connection. A success without a signature, and READY alone, passed as answers.

Ruled out: closing a connection with each reply that nobody asked for. That was so before: it costs a connection for each repetition, and does not see a repetition that arrives while the next command waits. Sending no second command until repetitions are excluded: nobody bounds how late they are.

Change: ReplyMatcher judges each reply by what an endpoint cannot repeat unnoticed: it signs each run of a statement once, signs no answer to the proxy's own commands, and reports the state of the transaction, which follows from the commands. Repetitions are ignored and the connection is kept; a reply that belongs to no command closes it. A refusal that equals an earlier one on the connection is held until the answers to a BEGIN READ and a ROLLBACK behind it show whether it was one, since it says that a write has not run; so is a status row. The log position in the answer to BEGIN counts only once a later answer proves it. The connection decodes status rows without knowing the command, which it matched by order as well.

The mock signs each run differently from now on, as endpoints do; TestForwarding compares with such a signature.

Residual: a BEGIN that is refused in the same moment in which an earlier BEGIN's answer comes again is believed; its statement then runs outside of a transaction, and its result is not passed on.

--- a/include/almondlever/pooling/EndpointLink.h
+++ b/include/almondlever/pooling/EndpointLink.h
@@ -42,12 +42,17 @@
     /** SetValue: the value. Prepare: the shape. ForwardPrepared: item and data. */
     std::string argument;
     bool isWriteShape = false;
+    /** Forward: commits the open transaction. */
+    bool endsTransaction = false;
     /** The endpoint refuses with Lagging unless its log contains this position. Reads and BeginReadOnly only. */
     std::optional<LogPosition> after;
     /** PauseReplication: the term in which replication is paused. StepDown: the term that ends those before it. */
     Term term = 0;
 };
 
+/** Returns "forward", "begin" and so on, for logs. */
+const char* toText(EndpointCommand::Kind);
+
 /** Receives the events of a connection to an endpoint. */
 class EndpointLinkObserver {
 public:
@@ -55,7 +60,10 @@
 
     /** The endpoint accepted the connection and has the expected identity. */
     virtual void onLinkOpened(const Reply&, TimePoint now) = 0;
-    /** Replies arrive in the order in which the commands were sent. */
+    /**
+     * Replies arrive in the order in which the commands were sent. An endpoint may also send one again, or the reply
+     * that opened the connection; that one has neither an error nor a detail.
+     */
     virtual void onLinkReply(Reply&&, TimePoint now) = 0;
     /** The last call. The refusal is set when the endpoint rejected the connection with an error. */
     virtual void onLinkClosed(const std::string& reason, std::optional<StatementError> refusal, TimePoint now) = 0;
--- a/include/almondlever/sessions/Statement.h
+++ b/include/almondlever/sessions/Statement.h
@@ -86,6 +86,9 @@
     Failed,
 };
 
+/** "none", "open" or "failed". */
+const char* toText(TransactionState);
+
 /** An endpoint's answer to a status query or a replication command. */
 struct EndpointReplicationStatus {
     bool isPrimary = false;
--- a/src/pooling/DispatcherLinks.cpp
+++ b/src/pooling/DispatcherLinks.cpp
@@ -132,6 +132,20 @@
         queuesOf(entry->group).writes.noteReplicaPosition(*reply.position);
 }
 
+void DispatcherState::onUnmatchedReply(PooledLink& link, ReplyMatch match, const Reply& reply, TimePoint now)
+{
+    metrics_.count("almondlever_endpoint_unmatched_replies_total", std::string("result=\"") + toText(match) + '"');
+    if (!log_.admits(0, now))
+        return;
+    const UnansweredCommand* oldest = link.oldestCommand();
+    log_.write("endpoint_reply_unmatched",
+        { { "endpoint", link.endpoint().text() }, { "result", toText(match) },
+            { "command", oldest ? toText(oldest->kind) : "none" },
+            { "reply", reply.error ? toText(*reply.error) : "success" }, { "state", toText(reply.state) },
+            { "detail", reply.detail }, { "rows", std::to_string(reply.rows.size()) },
+            { "displacements", std::to_string(link.displacements()) } });
+}
+
 void DispatcherState::onPooledLinkClosed(
     PooledLink& link, const std::string& reason, std::optional<StatementError> refusal, TimePoint now)
 {
@@ -324,22 +338,27 @@
     link->setState(PooledLink::State::Busy, now);
     EndpointCommand begin;
     begin.kind = EndpointCommand::Kind::Begin;
+    const auto finish = [this, group, isRegular] {
+        if (isRegular)
+            queuesOf(group).isQueryingPosition = false;
+    };
     link->send(
         begin,
-        [this, group, link, isRegular, sentAt = now](const Reply* reply, TimePoint at) {
-            if (isRegular)
-                queuesOf(group).isQueryingPosition = false;
+        [this, group, link, finish, before = link->displacements(), sentAt = now](const Reply* reply, TimePoint at) {
             if (!reply)
-                return;
+                return finish();
             if (reply->error) {
+                finish();
                 noteRefusal(link->endpoint(), *reply->error, at);
                 returnToPool(link, reply->state, at);
                 return onDirectoryChange(at);
             }
-            if (reply->position)
-                noteLeading(group, link->endpoint(), *reply->position, sentAt);
-            rollBack(link, at);
-            dispatch(group, at);
+            // Only the answer to the rollback shows that the one to the beginning was no repetition.
+            rollBack(link, at, [this, group, link, finish, before, sentAt, position = reply->position](TimePoint) {
+                finish();
+                if (position && link->displacements() == before && link->state() != PooledLink::State::Closed)
+                    noteLeading(group, link->endpoint(), *position, sentAt);
+            });
         },
         now);
 }
--- a/src/pooling/DispatcherRuns.cpp
+++ b/src/pooling/DispatcherRuns.cpp
@@ -21,6 +21,7 @@
         EndpointCommand command;
         command.id = request.statement.id;
         command.text = request.statement.text;
+        command.endsTransaction = isCommit(request);
         if (request.statement.kind != StatementKind::Execute)
             return command;
         const auto prepared = request.contents->prepared.find(request.statement.name);
@@ -124,6 +125,7 @@
     const StatementRequest& request = pending_.at(ticket).request;
     const std::shared_ptr<PooledLink> link = run.link;
     link->setState(PooledLink::State::Busy, now);
+    run.displacementsBefore = link->displacements();
     std::vector<EndpointCommand> commands = link->contents().prepareFor(*request.contents, request.statement);
     run.changesContentsInTransaction = run.isInTransaction && !commands.empty();
     if (request.opensTransaction || run.usesGuardTransaction) {
@@ -164,8 +166,10 @@
         onConnectionLost(ticket, "the endpoint refused a session value or prepared statement", now);
         return link->close("session state refused", now);
     }
-    if (kind == EndpointCommand::Kind::Begin && reply->position)
-        noteLeading(pending_.at(ticket).request.group, run.link->endpoint(), *reply->position, sentAt);
+    if (kind == EndpointCommand::Kind::Begin) {
+        run.beginPosition = reply->position;
+        run.beginSentAt = sentAt;
+    }
     assert(run.setupLeft > 0);
     if (--run.setupLeft == 0)
         forward(ticket, now);
@@ -234,6 +238,9 @@
     const StatementRequest request = pending_.at(ticket).request;
     // Only a primary acknowledges a write or runs a read-write transaction.
     const bool provesPrimary = request.isWrite || run.usesGuardTransaction;
+    // The statement's signature proves that its transaction was begun.
+    if (run.beginPosition && run.link->displacements() == run.displacementsBefore)
+        noteLeading(request.group, run.link->endpoint(), *run.beginPosition, run.beginSentAt);
     if (provesPrimary && reply.position)
         noteLeading(request.group, run.link->endpoint(), *reply.position, run.forwardedAt);
     if (acknowledgesWrite(request, run.isInTransaction) && reply.position)
@@ -286,21 +293,28 @@
     link->setState(PooledLink::State::Idle, now);
 }
 
-void DispatcherState::rollBack(const std::shared_ptr<PooledLink>& link, TimePoint now)
+void DispatcherState::rollBack(const std::shared_ptr<PooledLink>& link, TimePoint now, RollbackCallback onRolledBack)
 {
+    const auto finish = [onRolledBack = std::move(onRolledBack)](TimePoint at) {
+        if (onRolledBack)
+            onRolledBack(at);
+    };
     if (link->state() == PooledLink::State::Closed)
-        return;
+        return finish(now);
     link->setState(PooledLink::State::Busy, now);
     EndpointCommand rollback;
     rollback.kind = EndpointCommand::Kind::Rollback;
     link->send(
         rollback,
-        [this, link](const Reply* reply, TimePoint at) {
+        [this, link, finish](const Reply* reply, TimePoint at) {
             if (!reply)
-                return;
-            if (reply->error || reply->state != TransactionState::None)
-                return link->close("rollback refused", at);
+                return finish(at);
+            if (reply->error || reply->state != TransactionState::None) {
+                link->close("rollback refused", at);
+                return finish(at);
+            }
             link->setState(PooledLink::State::Idle, at);
+            finish(at);
             if (const EndpointEntry* entry = directory_.find(link->endpoint()))
                 dispatch(entry->group, at);
         },
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -42,6 +42,11 @@
     std::optional<LogPosition> after;
     /** Unanswered commands that set up the session state or begin the transaction. */
     std::size_t setupLeft = 0;
+    /** Position in the answer to the transaction's beginning, and when that was sent; only from a primary. */
+    std::optional<LogPosition> beginPosition;
+    TimePoint beginSentAt;
+    /** The link's displacements() when the run started. */
+    std::size_t displacementsBefore = 0;
     /** The statement itself was sent; all setup commands were answered. */
     bool isForwarded = false;
     TimePoint startedAt;
@@ -119,6 +124,7 @@
 
     void onPooledLinkOpened(PooledLink&, const Reply&, TimePoint now) override;
     void onPooledLinkReply(PooledLink&, const Reply&, TimePoint now) override;
+    void onUnmatchedReply(PooledLink&, ReplyMatch, const Reply&, TimePoint now) override;
     void onPooledLinkClosed(
         PooledLink&, const std::string& reason, std::optional<StatementError>, TimePoint now) override;
 
@@ -184,7 +190,9 @@
     void timeOut(Ticket, TimePoint now);
     void noteRefusal(const EndpointId&, StatementError, TimePoint now);
     void returnToPool(const std::shared_ptr<PooledLink>&, TransactionState, TimePoint now);
-    void rollBack(const std::shared_ptr<PooledLink>&, TimePoint now);
+    using RollbackCallback = std::function<void(TimePoint now)>;
+    /** The callback is called once the endpoint has rolled back, or after the connection was closed instead. */
+    void rollBack(const std::shared_ptr<PooledLink>&, TimePoint now, RollbackCallback = nullptr);
     Reply makeLostReply(const StatementRequest&, bool isInTransaction, const std::string& reason) const;
     void logOutcome(const StatementRequest&, std::string_view decision, const EndpointId&, std::string_view outcome,
         std::string_view reason, TimePoint now);
--- a/src/pooling/PooledLink.cpp
+++ b/src/pooling/PooledLink.cpp
@@ -19,7 +19,7 @@
 std::optional<TimePoint> PooledLink::slotFreeCommandSince() const
 {
     // A command behind a statement waits for that statement.
-    if (pendingReplies_.empty() || !pendingReplies_.front().needsNoSlot)
+    if (pendingReplies_.empty() || !needsNoSlot(pendingReplies_.front().command.kind))
         return std::nullopt;
     return pendingReplies_.front().sentAt;
 }
@@ -27,7 +27,7 @@
 void PooledLink::send(const EndpointCommand& command, ReplyHandler handler, TimePoint now)
 {
     assert(state_ != State::Opening && state_ != State::Closed);
-    pendingReplies_.push_back({ std::move(handler), now, needsNoSlot(command.kind) });
+    pendingReplies_.push_back({ std::move(handler), now, { command.kind, command.endsTransaction } });
     link_->send(command);
 }
 
@@ -56,6 +56,7 @@
         return;
     setState(State::Idle, now);
     wasOpened_ = true;
+    matcher_.noteOpened(reply, now);
     owner_->onPooledLinkOpened(*this, reply, now);
 }
 
@@ -63,15 +64,48 @@
 {
     if (state_ == State::Closed)
         return;
-    if (pendingReplies_.empty())
-        return close("reply without a command", now);
     const auto self = shared_from_this();
+    if (heldReply_ && ReplyMatcher::answersBegin(reply)) {
+        const Reply held = std::move(*heldReply_);
+        heldReply_.reset();
+        matcher_.accept(held, now);
+        deliver(held, now);
+        if (state_ == State::Closed)
+            return;
+    }
+    const ReplyMatch match = matcher_.match(oldestCommand(), reply, now);
+    if (match == ReplyMatch::Answer) {
+        heldReply_.reset();
+        return deliver(reply, now);
+    }
+    owner_->onUnmatchedReply(*this, match, reply, now);
+    if (match == ReplyMatch::Mismatch)
+        return close("the reply answers no command", now);
+    if (match == ReplyMatch::Uncertain && !heldReply_)
+        return hold(std::move(reply), now);
+    if (match == ReplyMatch::Repetition && !ReplyMatcher::isSigned(reply))
+        ++displacements_;
+}
+
+void PooledLink::deliver(const Reply& reply, TimePoint now)
+{
     const PendingReply pending = std::move(pendingReplies_.front());
     pendingReplies_.pop_front();
     owner_->onPooledLinkReply(*this, reply, now);
     pending.handler(&reply, now);
 }
 
+void PooledLink::hold(Reply&& reply, TimePoint now)
+{
+    heldReply_ = std::move(reply);
+    const auto ignoreReply = [](const Reply*, TimePoint) {};
+    EndpointCommand command;
+    command.kind = EndpointCommand::Kind::BeginReadOnly;
+    send(command, ignoreReply, now);
+    command.kind = EndpointCommand::Kind::Rollback;
+    send(command, ignoreReply, now);
+}
+
 void PooledLink::onLinkClosed(const std::string& reason, std::optional<StatementError> refusal, TimePoint now)
 {
     if (state_ != State::Closed)
--- a/src/pooling/PooledLink.h
+++ b/src/pooling/PooledLink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ReplyMatcher.h"
 #include "almondlever/pooling/EndpointLink.h"
 #include "almondlever/pooling/LinkContents.h"
 #include "almondlever/pooling/StatementRequest.h"
@@ -19,6 +20,8 @@
     virtual void onPooledLinkOpened(PooledLink&, const Reply&, TimePoint now) = 0;
     /** Called before the handler of the command. */
     virtual void onPooledLinkReply(PooledLink&, const Reply&, TimePoint now) = 0;
+    /** Called for a reply that is not taken for the answer to the oldest command, or not at once. */
+    virtual void onUnmatchedReply(PooledLink&, ReplyMatch, const Reply&, TimePoint now) = 0;
     /** Called after the handlers of unanswered commands have been called. */
     virtual void onPooledLinkClosed(
         PooledLink&, const std::string& reason, std::optional<StatementError> refusal, TimePoint now)
@@ -84,6 +87,16 @@
     /** Time at which the state was entered. */
     TimePoint stateSince() const { return stateSince_; }
     LinkContents& contents() { return contents_; }
+    /**
+     * Number of repeated replies that may have been taken for the answer to a command of the proxy. Unless it stays the
+     * same, the position in such an answer may be older than the command.
+     */
+    std::size_t displacements() const { return displacements_; }
+    /** The oldest command without an answer; nullptr if there is none. */
+    const UnansweredCommand* oldestCommand() const
+    {
+        return pendingReplies_.empty() ? nullptr : &pendingReplies_.front().command;
+    }
     bool isWaiting() const { return !pendingReplies_.empty(); }
     /** Time at which the oldest unanswered command was sent. Call only while waiting. */
     TimePoint waitingSince() const { return pendingReplies_.front().sentAt; }
@@ -96,9 +109,16 @@
     struct PendingReply {
         ReplyHandler handler;
         TimePoint sentAt;
-        bool needsNoSlot = false;
+        UnansweredCommand command;
     };
 
+    /** Passes the reply to the handler of the oldest command. */
+    void deliver(const Reply&, TimePoint now);
+    /**
+     * Keeps a reply that may be a repetition, and sends commands whose answers differ from it: if one of them is
+     * answered next, the reply was no repetition.
+     */
+    void hold(Reply&&, TimePoint now);
     void finishClosed(const std::string& reason, std::optional<StatementError>, TimePoint now);
 
     PooledLinkOwner* owner_;
@@ -108,6 +128,10 @@
     LinkContents contents_;
     State state_ = State::Opening;
     std::deque<PendingReply> pendingReplies_;
+    ReplyMatcher matcher_;
+    /** An uncertain reply to the oldest command. */
+    std::optional<Reply> heldReply_;
+    std::size_t displacements_ = 0;
     TimePoint openedAt_;
     TimePoint stateSince_;
     bool wasOpened_ = false;
--- /dev/null
+++ b/src/pooling/ReplyMatcher.cpp
@@ -0,0 +1,158 @@
+#include "ReplyMatcher.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace almondlever {
+
+namespace {
+
+    /** The detail of a successful reply to a command of the proxy. */
+    constexpr std::string_view noSignature = "-";
+    /** Bounds the memory of a connection, whatever its endpoint sends. */
+    constexpr std::size_t maximumSeen = 4096;
+
+    /** True for a success that neither a statement nor a replication command can have. */
+    bool isPlainAcknowledgement(const Reply& reply)
+    {
+        return !reply.error && reply.detail == noSignature && reply.rows.empty() && !reply.replication;
+    }
+
+    std::size_t combine(std::size_t hash, std::size_t value)
+    {
+        return hash ^ (value + 0x9e3779b97f4a7c15ULL + (hash << 6U) + (hash >> 2U));
+    }
+
+    std::size_t hashOf(const std::string& text) { return std::hash<std::string>()(text); }
+
+    std::size_t contentHashOf(const Reply& reply)
+    {
+        std::size_t hash = hashOf(reply.detail);
+        for (const std::string& row : reply.rows)
+            hash = combine(hash, hashOf(row));
+        hash = combine(hash, reply.rows.size());
+        hash = combine(hash, reply.error ? static_cast<std::size_t>(*reply.error) + 1 : 0);
+        hash = combine(hash, static_cast<std::size_t>(reply.state));
+        const LogPosition position = reply.position.value_or(LogPosition());
+        hash = combine(hash, position.term);
+        return combine(hash, position.index);
+    }
+
+    bool isStatement(const UnansweredCommand& command)
+    {
+        return command.kind == EndpointCommand::Kind::Forward || command.kind == EndpointCommand::Kind::ForwardPrepared;
+    }
+
+} // namespace
+
+const char* toText(ReplyMatch match)
+{
+    switch (match) {
+    case ReplyMatch::Answer:
+        return "answer";
+    case ReplyMatch::Repetition:
+        return "repetition";
+    case ReplyMatch::Uncertain:
+        return "uncertain";
+    case ReplyMatch::Mismatch:
+        break;
+    }
+    return "mismatch";
+}
+
+void ReplyMatcher::noteOpened(const Reply& reply, TimePoint now) { accept(reply, now); }
+
+ReplyMatch ReplyMatcher::match(const UnansweredCommand* oldest, const Reply& reply, TimePoint now)
+{
+    while (!seen_.empty() && now - seen_.front().at > memoryTime)
+        seen_.pop_front();
+    const bool isRepeated = hasSeen(reply);
+    if (hasSeenSignatureOf(reply))
+        return isRepeated ? ReplyMatch::Repetition : ReplyMatch::Mismatch;
+    if (!oldest || !fits(*oldest, reply)) {
+        // An acknowledgement that comes one reply too late was displaced by a repetition of an earlier one.
+        const bool isDisplaced = isPlainAcknowledgement(reply) && reply.state == state_;
+        return isRepeated || isDisplaced ? ReplyMatch::Repetition : ReplyMatch::Mismatch;
+    }
+    if (isRepeated && isStatement(*oldest) && reply.error)
+        return judgeRepeatedRefusal(*oldest, reply, now);
+    if (isRepeated && reply.replication)
+        return ReplyMatch::Uncertain;
+    // Other answers that are alike do no harm when they change places: the next reply that cannot be mistaken shows it
+    // before the result of a statement is passed on.
+    accept(reply, now);
+    return ReplyMatch::Answer;
+}
+
+ReplyMatch ReplyMatcher::judgeRepeatedRefusal(const UnansweredCommand& command, const Reply& reply, TimePoint now)
+{
+    const bool endsOutside = state_ == TransactionState::None || command.endsTransaction;
+    if (endsOutside)
+        return reply.state == TransactionState::None ? ReplyMatch::Uncertain : ReplyMatch::Mismatch;
+    if (reply.state == TransactionState::None)
+        return ReplyMatch::Repetition;
+    // The transaction is rolled back in either case, and the promise that nothing of it is kept is true.
+    accept(reply, now);
+    return ReplyMatch::Answer;
+}
+
+void ReplyMatcher::accept(const Reply& reply, TimePoint now)
+{
+    if (seen_.size() == maximumSeen)
+        seen_.pop_front();
+    seen_.push_back({ now, contentHashOf(reply), isSigned(reply) ? hashOf(reply.detail) : 0 });
+    state_ = reply.state;
+}
+
+bool ReplyMatcher::answersBegin(const Reply& reply)
+{
+    return isPlainAcknowledgement(reply) && reply.state == TransactionState::Open;
+}
+
+bool ReplyMatcher::isSigned(const Reply& reply)
+{
+    return !reply.error && !reply.detail.empty() && reply.detail != noSignature;
+}
+
+bool ReplyMatcher::hasSeen(const Reply& reply) const
+{
+    const std::size_t content = contentHashOf(reply);
+    return std::any_of(seen_.begin(), seen_.end(), [content](const Seen& seen) { return seen.content == content; });
+}
+
+bool ReplyMatcher::hasSeenSignatureOf(const Reply& reply) const
+{
+    if (!isSigned(reply))
+        return false;
+    const std::size_t signature = hashOf(reply.detail);
+    return std::any_of(
+        seen_.begin(), seen_.end(), [signature](const Seen& seen) { return seen.signature == signature; });
+}
+
+bool ReplyMatcher::fits(const UnansweredCommand& command, const Reply& reply) const
+{
+    if (reply.error)
+        return true;
+    switch (command.kind) {
+    case EndpointCommand::Kind::Forward:
+    case EndpointCommand::Kind::ForwardPrepared:
+        return isSigned(reply) && reply.state == (command.endsTransaction ? TransactionState::None : state_);
+    case EndpointCommand::Kind::Begin:
+    case EndpointCommand::Kind::BeginReadOnly:
+        return answersBegin(reply);
+    case EndpointCommand::Kind::Rollback:
+        return isPlainAcknowledgement(reply) && reply.state == TransactionState::None;
+    case EndpointCommand::Kind::SetValue:
+    case EndpointCommand::Kind::Prepare:
+    case EndpointCommand::Kind::Reset:
+        return isPlainAcknowledgement(reply) && reply.state == state_;
+    case EndpointCommand::Kind::QueryStatus:
+    case EndpointCommand::Kind::PauseReplication:
+    case EndpointCommand::Kind::ResumeReplication:
+    case EndpointCommand::Kind::StepDown:
+        break;
+    }
+    return reply.replication.has_value();
+}
+
+} // namespace almondlever
--- a/src/sessions/Statement.cpp
+++ b/src/sessions/Statement.cpp
@@ -79,6 +79,19 @@
     return "unknown";
 }
 
+const char* toText(TransactionState state)
+{
+    switch (state) {
+    case TransactionState::None:
+        return "none";
+    case TransactionState::Open:
+        return "open";
+    case TransactionState::Failed:
+        break;
+    }
+    return "failed";
+}
+
 bool guaranteesNoEffect(StatementError error)
 {
     switch (error) {
--- a/tests/forwarding/TestForwarding.cpp
+++ b/tests/forwarding/TestForwarding.cpp
@@ -144,7 +144,7 @@
     cr_assert_eq(caller.replies.size(), 2U);
     cr_assert(!caller.replies[0].error);
     cr_assert(!caller.replies[1].error);
-    cr_assert_eq(caller.replies[0].detail, "signed-by-a");
+    cr_assert_eq(caller.replies[0].detail, "signed-by-a-1");
     cr_assert(fixture.endpoints.runs().back().endpoint == fixture.a,
         "the replicas have not received the session's own write");
 }
--- a/tests/mocks/FakeEndpoints.h
+++ b/tests/mocks/FakeEndpoints.h
@@ -21,6 +21,8 @@
     std::map<std::string, std::string> values;
     /** The customer that the endpoint was told when the connection was opened. */
     CustomerId customer;
+    /** Unlike that of any other run. */
+    std::string signature;
 };
 
 /**
@@ -45,6 +47,9 @@
         std::size_t maximumConnections = 1000;
         /** Answers that are lost: the connection closes after the run. */
         std::size_t lostAnswers = 0;
+        /** Selects answers that come a second time, repeatDelay after the first. */
+        std::function<bool(const Reply&)> repeats;
+        Milliseconds repeatDelay { 5 };
         /** Connections opened before this number return nothing further. */
         std::size_t deafBefore = 0;
         /** Never acknowledges a write, as a primary that no replica hears; all else is answered. */
@@ -73,6 +78,8 @@
     const std::vector<RunStatement>& runs() const { return runs_; }
     /** Number of the connection that was ordered last. */
     std::size_t lastConnection() const { return lastConnection_; }
+    /** Signature of the last run of a caller's statement; empty if it did not run. */
+    std::string signatureOf(const std::string& id) const;
     /** Number of runs of a caller's statement. */
     std::size_t runsOf(const std::string& id) const;
     void crash(const EndpointId&);
@@ -330,9 +337,9 @@
     {
         const std::string text
             = command.kind == EndpointCommand::Kind::Forward ? command.text : command.name + ' ' + command.argument;
-        owner_.runs_.push_back(
-            { endpoint_, number_, command.id, text, state_ != TransactionState::None, values_, customer_ });
-        reply.detail = "signed-by-" + endpoint_.text();
+        reply.detail = "signed-by-" + endpoint_.text() + '-' + std::to_string(owner_.runs_.size() + 1);
+        owner_.runs_.push_back({ endpoint_, number_, command.id, text, state_ != TransactionState::None, values_,
+            customer_, reply.detail });
         const bool isWrite = text.rfind("WRITE", 0) == 0 || text.rfind("w_", 0) == 0;
         if (isWrite)
             hasWritten_ = true;
@@ -359,11 +366,18 @@
             self.waiting_.pop_front();
             if (!self.waiting_.empty())
                 self.after(Duration(0), [](Link& next) { next.handle(); });
-            if (const auto observer = self.observer_.lock())
-                observer->onLinkReply(Reply(reply), self.owner_.timers_.now());
+            if (self.server().repeats && self.server().repeats(reply))
+                self.after(self.server().repeatDelay, [reply](Link& later) { later.deliver(reply); });
+            self.deliver(reply);
         });
     }
 
+    void deliver(const Reply& reply)
+    {
+        if (const auto observer = observer_.lock())
+            observer->onLinkReply(Reply(reply), owner_.timers_.now());
+    }
+
     FakeEndpoints& owner_;
     EndpointId endpoint_;
     CustomerId customer_;
@@ -395,6 +409,14 @@
     return count;
 }
 
+inline std::string FakeEndpoints::signatureOf(const std::string& id) const
+{
+    std::string signature;
+    for (const RunStatement& run : runs_)
+        signature = run.id == id ? run.signature : signature;
+    return signature;
+}
+
 inline void FakeEndpoints::crash(const EndpointId& id)
 {
     servers_[id].isDown = true;
