Find repeated replies without searching all that were seen

ReplyMatcher searched up to 4,096 remembered replies for each reply, on the path of every statement. It now keeps counts by hash; expiry goes through the same queue as before. The cost of the search was not measured.

--- a/src/pooling/ReplyMatcher.cpp
+++ b/src/pooling/ReplyMatcher.cpp
@@ -1,6 +1,5 @@
 #include "ReplyMatcher.h"
 
-#include <algorithm>
 #include <functional>
 
 namespace almondlever {
@@ -60,14 +59,22 @@
     return "mismatch";
 }
 
+ReplyMatcher::Fingerprint::Fingerprint(const Reply& reply)
+    : content(contentHashOf(reply))
+{
+    if (isSigned(reply))
+        signature = hashOf(reply.detail);
+}
+
 void ReplyMatcher::noteOpened(const Reply& reply, TimePoint now) { accept(reply, now); }
 
 ReplyMatch ReplyMatcher::match(const UnansweredCommand* oldest, const Reply& reply, TimePoint now)
 {
     while (!seen_.empty() && now - seen_.front().at > memoryTime)
-        seen_.pop_front();
-    const bool isRepeated = hasSeen(reply);
-    if (hasSeenSignatureOf(reply))
+        forgetOldest();
+    const Fingerprint fingerprint(reply);
+    const bool isRepeated = contents_.count(fingerprint.content) > 0;
+    if (fingerprint.signature && signatures_.count(*fingerprint.signature) > 0)
         return isRepeated ? ReplyMatch::Repetition : ReplyMatch::Mismatch;
     if (!oldest || !fits(*oldest, reply)) {
         // An acknowledgement that comes one reply too late was displaced by a repetition of an earlier one.
@@ -80,7 +87,8 @@
         return ReplyMatch::Uncertain;
     // Other answers that are alike do no harm when they change places: the next reply that cannot be mistaken shows it
     // before the result of a statement is passed on.
-    accept(reply, now);
+    remember(fingerprint, now);
+    state_ = reply.state;
     return ReplyMatch::Answer;
 }
 
@@ -98,35 +106,39 @@
 
 void ReplyMatcher::accept(const Reply& reply, TimePoint now)
 {
-    if (seen_.size() == maximumSeen)
-        seen_.pop_front();
-    seen_.push_back({ now, contentHashOf(reply), isSigned(reply) ? hashOf(reply.detail) : 0 });
+    remember(Fingerprint(reply), now);
     state_ = reply.state;
 }
 
-bool ReplyMatcher::answersBegin(const Reply& reply)
+void ReplyMatcher::remember(const Fingerprint& fingerprint, TimePoint now)
 {
-    return isPlainAcknowledgement(reply) && reply.state == TransactionState::Open;
+    if (seen_.size() == maximumSeen)
+        forgetOldest();
+    seen_.push_back({ now, fingerprint });
+    ++contents_[fingerprint.content];
+    if (fingerprint.signature)
+        signatures_.insert(*fingerprint.signature);
 }
 
-bool ReplyMatcher::isSigned(const Reply& reply)
+void ReplyMatcher::forgetOldest()
 {
-    return !reply.error && !reply.detail.empty() && reply.detail != noSignature;
+    const Fingerprint oldest = seen_.front().reply;
+    seen_.pop_front();
+    const auto content = contents_.find(oldest.content);
+    if (--content->second == 0)
+        contents_.erase(content);
+    if (oldest.signature)
+        signatures_.erase(*oldest.signature);
 }
 
-bool ReplyMatcher::hasSeen(const Reply& reply) const
+bool ReplyMatcher::answersBegin(const Reply& reply)
 {
-    const std::size_t content = contentHashOf(reply);
-    return std::any_of(seen_.begin(), seen_.end(), [content](const Seen& seen) { return seen.content == content; });
+    return isPlainAcknowledgement(reply) && reply.state == TransactionState::Open;
 }
 
-bool ReplyMatcher::hasSeenSignatureOf(const Reply& reply) const
+bool ReplyMatcher::isSigned(const Reply& reply)
 {
-    if (!isSigned(reply))
-        return false;
-    const std::size_t signature = hashOf(reply.detail);
-    return std::any_of(
-        seen_.begin(), seen_.end(), [signature](const Seen& seen) { return seen.signature == signature; });
+    return !reply.error && !reply.detail.empty() && reply.detail != noSignature;
 }
 
 bool ReplyMatcher::fits(const UnansweredCommand& command, const Reply& reply) const
--- a/src/pooling/ReplyMatcher.h
+++ b/src/pooling/ReplyMatcher.h
@@ -5,6 +5,9 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
+#include <unordered_map>
+#include <unordered_set>
 
 namespace almondlever {
 
@@ -54,22 +57,31 @@
     static bool isSigned(const Reply&);
 
 private:
+    /** Hashes that identify a reply. */
+    struct Fingerprint {
+        explicit Fingerprint(const Reply&);
+
+        std::size_t content = 0;
+        /** nullopt for replies without a signature. */
+        std::optional<std::size_t> signature;
+    };
+
     struct Seen {
         TimePoint at;
-        /** Hash of the whole reply. */
-        std::size_t content = 0;
-        /** Hash of the signature; 0 for replies without one. */
-        std::size_t signature = 0;
+        Fingerprint reply;
     };
 
     /** Judges an error in reply to a statement that equals an earlier reply. */
     ReplyMatch judgeRepeatedRefusal(const UnansweredCommand&, const Reply&, TimePoint now);
-    bool hasSeen(const Reply&) const;
-    bool hasSeenSignatureOf(const Reply&) const;
+    void remember(const Fingerprint&, TimePoint now);
+    void forgetOldest();
     bool fits(const UnansweredCommand&, const Reply&) const;
 
     /** Replies that were taken, oldest first. */
     std::deque<Seen> seen_;
+    /** How often each content occurs in seen_. */
+    std::unordered_map<std::size_t, std::size_t> contents_;
+    std::unordered_set<std::size_t> signatures_;
     /** State of the connection's transaction after the last answer. */
     TransactionState state_ = TransactionState::None;
 };
