Do not take the refusal of a BEGIN for that of its statement

What could happen (by reading): the answer to an earlier BEGIN comes again and is believed, the new BEGIN is refused, and its refusal becomes the answer to the statement behind it. The connection went on in use although nobody knew its state, while the statement ran outside of a transaction.

Change: inside a transaction a refusal leaves the transaction failed. One that reports no transaction fits no statement of it but COMMIT: a repetition is ignored, any other closes the connection.

Evidence: ReplyMatcher.repeatedRefusalsInsideATransaction fails before.

--- a/src/pooling/ReplyMatcher.cpp
+++ b/src/pooling/ReplyMatcher.cpp
@@ -97,8 +97,6 @@
     const bool endsOutside = state_ == TransactionState::None || command.endsTransaction;
     if (endsOutside)
         return reply.state == TransactionState::None ? ReplyMatch::Uncertain : ReplyMatch::Mismatch;
-    if (reply.state == TransactionState::None)
-        return ReplyMatch::Repetition;
     // The transaction is rolled back in either case, and the promise that nothing of it is kept is true.
     accept(reply, now);
     return ReplyMatch::Answer;
@@ -143,8 +141,11 @@
 
 bool ReplyMatcher::fits(const UnansweredCommand& command, const Reply& reply) const
 {
-    if (reply.error)
-        return true;
+    if (reply.error) {
+        // A refusal leaves a transaction failed; with none open, it answers the BEGIN before the statement.
+        const bool continuesTransaction = isStatement(command) && !command.endsTransaction;
+        return !continuesTransaction || state_ != TransactionState::Open || reply.state != TransactionState::None;
+    }
     switch (command.kind) {
     case EndpointCommand::Kind::Forward:
     case EndpointCommand::Kind::ForwardPrepared:
--- a/tests/pooling/TestReplyMatcher.cpp
+++ b/tests/pooling/TestReplyMatcher.cpp
@@ -143,6 +143,7 @@
     cr_assert(matcher.take(statement, busy) == ReplyMatch::Answer);
     cr_assert(matcher.take(begin, ackOpen) == ReplyMatch::Answer);
     cr_assert(matcher.take(statement, busy) == ReplyMatch::Repetition);
+    cr_assert(matcher.take(statement, makeRefusal(StatementError::Lagging)) == ReplyMatch::Mismatch);
     cr_assert(matcher.take(statement, failed) == ReplyMatch::Answer);
     cr_assert(matcher.take(rollback, ack) == ReplyMatch::Answer);
     cr_assert(matcher.take(statement, failed) == ReplyMatch::Mismatch);
