Count writes whose answers hold no log position

Cause: Session noted that a transaction had written only if the answer to the write held a position; an endpoint reports "-" while its log is empty. The lost commit then counted as one without effect.

Change: every acknowledged write counts. The position is used only where there is one.

Evidence: Session.lostAnswerOfTheFirstCommitIsUnknown fails before (the commit ran once, the caller was told that nothing is kept).

--- a/src/sessions/Session.cpp
+++ b/src/sessions/Session.cpp
@@ -379,9 +379,9 @@
     isRunning_ = false;
     lastActivity_ = now;
     const bool isSuccess = !result.reply.error;
-    if (isSuccess && isWriting_ && result.reply.position) {
+    if (isSuccess && isWriting_) {
         const bool isVisible = isCommitting_ || state_ == TransactionState::None;
-        if (isVisible)
+        if (isVisible && result.reply.position)
             position_ = std::max(position_.value_or(LogPosition()), *result.reply.position);
         hasWritten_ = true;
     }
--- a/tests/mocks/FakeEndpoints.h
+++ b/tests/mocks/FakeEndpoints.h
@@ -45,6 +45,8 @@
         /** Another server uses its address. */
         bool isElsewhere = false;
         std::size_t maximumConnections = 1000;
+        /** False while its log is empty. */
+        bool reportsPosition = true;
         /** Answers that are lost: the connection closes after the run. */
         std::size_t lostAnswers = 0;
         /** Selects answers that come a second time, repeatDelay after the first. */
@@ -329,7 +331,8 @@
             break;
         }
         reply.state = state_;
-        reply.position = server().position;
+        if (server().reportsPosition)
+            reply.position = server().position;
         return reply;
     }
 
--- a/tests/sessions/TestSession.cpp
+++ b/tests/sessions/TestSession.cpp
@@ -366,3 +366,22 @@
     caller.session.onCallerClosed(fixture.timers.now());
     cr_assert_eq(fixture.access.cancelled.size(), 1U);
 }
+
+// Guards against telling a caller that nothing of its transaction is kept, when the answer to the commit is lost on a
+// database whose log was empty: the answers to its writes then hold no position.
+Test(Session, lostAnswerOfTheFirstCommitIsUnknown)
+{
+    DispatcherFixture fixture;
+    auto& primary = fixture.endpoints.server(fixture.a);
+    FakeCaller caller(fixture, "orders");
+    caller.begin();
+    primary.reportsPosition = false;
+    caller.write("w1");
+    fixture.advance(Milliseconds(100));
+    cr_assert(caller.succeeded());
+    primary.lostAnswers = 1;
+    caller.commit("c1");
+    fixture.advance(Milliseconds(300));
+    cr_assert_eq(fixture.endpoints.runsOf("c1"), 1U);
+    cr_assert(caller.hasError(StatementError::Unknown));
+}
