End a message at CR LF only, and limit complete messages as well

Cause: LineBuffer ended a message at each LF and took a CR before it away. The protocol ends a message at CR LF and nowhere else. A message that was too long was noticed only while its end was missing, and each piece of a message was searched from the start of the message again.

Change: a message ends at CR LF; every other byte belongs to it. The search resumes where the last one ended. next() reports a message of more than 1 MiB whether its end has arrived or not, and returns nothing after it.

Changed test: splitsLines expected that "TERMINATE<LF>" is a message, which the protocol says it is not. It now expects that the CR alone ends nothing and that CR LF, split between two pieces, does; that a LF alone ends nothing is in endsMessagesAtCarriageReturnAndLineFeedOnly. Its limit of an unfinished message moved, unchanged, to limitsUnfinishedMessages.

--- a/tests/users_platform/TestLineCodec.cpp
+++ b/tests/users_platform/TestLineCodec.cpp
@@ -1,6 +1,9 @@
 #include "platform/LineCodec.h"
 
 #include <criterion/criterion.h>
+#include <ctime>
+#include <string>
+#include <vector>
 
 using namespace almondlever;
 using namespace almondlever::platform;
@@ -121,7 +124,7 @@
     cr_assert(!guaranteesNoEffect(*assembler.take().error));
 }
 
-// Guards against losing lines that arrive in several pieces, and against buffering a line of unlimited length.
+// Guards against losing messages that arrive in several pieces, with the end of one split between CR and LF.
 Test(LineCodec, splitsLines)
 {
     LineBuffer lines;
@@ -130,13 +133,81 @@
     lines.append("AD x\r\nTERM");
     cr_assert_eq(std::string(*lines.next()), "QUERY 1 READ x");
     cr_assert(!lines.next());
-    lines.append("INATE\n");
+    lines.append("INATE\r");
+    cr_assert(!lines.next());
+    lines.append("\n");
     cr_assert_eq(std::string(*lines.next()), "TERMINATE");
+    cr_assert(lines.isEmpty());
+}
+
+// Guards against ending a message inside its data: what follows would run as a statement or count as an answer.
+Test(LineCodec, endsMessagesAtCarriageReturnAndLineFeedOnly)
+{
+    const std::vector<std::string> messages { "QUERY 1 WRITE 1a4 phwcufhf\ngrly", "DATAROW a\nCOMPLETE 7.1\nREADY I -",
+        "TERMINATE\n", "\rx\ry\r", "\n\r", "", std::string("a\0b", 3), "\n" };
+    std::string bytes;
+    for (const std::string& message : messages)
+        bytes += message + "\r\n";
+    for (const std::size_t pieceSize : { std::size_t { 1 }, std::size_t { 3 }, bytes.size() }) {
+        LineBuffer lines;
+        std::vector<std::string> received;
+        for (std::size_t at = 0; at < bytes.size(); at += pieceSize) {
+            lines.append(std::string_view(bytes).substr(at, pieceSize));
+            while (const auto line = lines.next())
+                received.emplace_back(*line);
+        }
+        cr_assert(received == messages, "pieces of %zu bytes", pieceSize);
+        cr_assert(lines.isEmpty());
+    }
+}
+
+// Guards against buffering a message of unlimited length.
+Test(LineCodec, limitsUnfinishedMessages)
+{
+    LineBuffer lines;
+    lines.append(std::string(maximumMessageBytes, 'x'));
+    cr_assert(!lines.next());
+    cr_assert(!lines.isTooLong());
+    lines.append("\r");
+    cr_assert(!lines.next());
+    cr_assert(!lines.isTooLong(), "the message may end here");
+    lines.append("\n");
+    cr_assert_eq(lines.next()->size(), maximumMessageBytes);
     lines.append(std::string(maximumMessageBytes + 1, 'x'));
     cr_assert(!lines.next());
     cr_assert(lines.isTooLong());
 }
 
+// Guards against passing on a message that is too long because its end has already arrived.
+Test(LineCodec, limitsCompleteMessages)
+{
+    LineBuffer lines;
+    lines.append("READY I -\r\n" + std::string(maximumMessageBytes + 1, 'x') + "\r\nREADY I -\r\n");
+    cr_assert_eq(std::string(*lines.next()), "READY I -");
+    cr_assert(!lines.next());
+    cr_assert(lines.isTooLong());
+    cr_assert(!lines.next(), "what follows a message that is too long is not read");
+    cr_assert(lines.isTooLong());
+}
+
+// Guards against searching a long message from its start with each piece that arrives: that takes many seconds of
+// processor time, one pass over the bytes takes some ten milliseconds.
+Test(LineCodec, readsLongMessagesInSmallPiecesInLinearTime)
+{
+    constexpr std::size_t pieceSize = 2;
+    constexpr std::clock_t maximumProcessorTime = CLOCKS_PER_SEC;
+    const std::string piece(pieceSize, 'x');
+    const std::clock_t start = std::clock();
+    LineBuffer lines;
+    for (std::size_t size = 0; size < maximumMessageBytes; size += pieceSize) {
+        lines.append(piece);
+        cr_assert(!lines.next());
+    }
+    lines.append("\r\n");
+    cr_assert_eq(lines.next()->size(), maximumMessageBytes);
+    cr_assert_lt(std::clock() - start, maximumProcessorTime);
+}
+
 // Guards against accepting a malformed status row.
 Test(LineCodec, decodesStatusRows)
 {
