--- a/tests/users_platform/TestLineCodec.cpp
+++ b/tests/users_platform/TestLineCodec.cpp
@@ -58,6 +58,67 @@
     cr_assert(std::holds_alternative<CallerTermination>(decodeCallerLine("TERMINATE")));
 }
 
+// Guards against forwarding a text that is not a statement of the protocol.
+Test(LineCodec, rejectsWhatIsNotAStatement)
+{
+    for (const char* text : { "", " ", " READ x", "read x", "READ", "READ ", "READ  x", "READ x ", "READ x y", "WRITE",
+             "WRITE ", "WRITE x", "WRITE  x", "BEGIN ", "BEGIN READ ", "BEGIN WRITE", "BEGIN  READ", "COMMIT ",
+             "COMMIT x", "ROLLBACK ", "ROLLBACK x", "SET", "SET ", "SET x", "SET  x", "PREPARE s", "PREPARE s READ",
+             "PREPARE s READ ", "PREPARE  READ q", "PREPARE s  READ q", "PREPARE s read q", "EXECUTE", "EXECUTE ",
+             "EXECUTE s", "EXECUTE s ", "EXECUTE  x", "EXECUTE s  x", "DEALLOC", "DEALLOC ", "DEALLOC  s", "DEALLOC s ",
+             "DEALLOC s t", "RESET", "RESUME", "PAUSE 4", "STEPDOWN 4", "STATUS", "AFTER 3.1 READ x", "BEGIN\n",
+             "COMMIT\r" }) {
+        cr_assert(decode(std::string("QUERY 1 ") + text).kind == StatementKind::Malformed, "'%s'", text);
+    }
+    for (const char* line : { "QUERY - READ x", "QUERY  READ x", "QUERY", "QUERY ", "QUERY 1" })
+        cr_assert(decode(line).kind == StatementKind::Malformed, "'%s'", line);
+    for (const char* line :
+        { "TERMINATE ", "TERMINATE now", " TERMINATE", "STARTUP ", "STARTUP  who", "QUERY\t1 READ x" })
+        cr_assert(std::holds_alternative<InvalidCallerMessage>(decodeCallerLine(line)), "'%s'", line);
+}
+
+// Guards against refusing or changing data, values and shapes, which may hold any bytes but CR LF.
+Test(LineCodec, acceptsAnyBytesInData)
+{
+    using namespace std::string_literals;
+    for (const std::string& data :
+        { ""s, " "s, "  a  b  "s, "a\nQUERY 2 WRITE 1a4 b"s, "\r"s, "\n\r"s, "a\0b"s, "\xff\xfe"s }) {
+        const Statement write = decode("QUERY 1 WRITE 1a4 " + data);
+        cr_assert(write.kind == StatementKind::Write);
+        cr_assert(write.text == "WRITE 1a4 " + data);
+        const Statement set = decode("QUERY 1 SET zone " + data);
+        cr_assert(set.kind == StatementKind::SetValue && set.name == "zone" && set.argument == data);
+        const Statement execute = decode("QUERY 1 EXECUTE s1 1a4 " + data);
+        cr_assert(execute.kind == StatementKind::Execute && execute.name == "s1" && execute.argument == "1a4 " + data);
+        if (data.empty())
+            continue;
+        const Statement prepare = decode("QUERY 1 PREPARE s1 READ " + data);
+        cr_assert(prepare.kind == StatementKind::Prepare && prepare.name == "s1" && prepare.argument == data);
+    }
+    cr_assert(decode("QUERY 1 EXECUTE s1 1a4").argument == "1a4");
+    cr_assert(decode("QUERY 1 READ a\nb").text == "READ a\nb");
+}
+
+// Guards against a renamed execution that differs from the caller's statement in more than the name.
+Test(LineCodec, renamesExecutionsWithoutOtherChanges)
+{
+    for (const std::string name : { "s", "s1", "EXECUTE", "a\nb" }) {
+        for (const std::string argument : { "x", "x ", "x  ", "x y", "x  y ", "x \ny", "x s1", "\r" }) {
+            const std::string text = "EXECUTE " + name + ' ' + argument;
+            const Statement statement = decode("QUERY 9 " + text);
+            cr_assert(statement.kind == StatementKind::Execute, "'%s'", text.c_str());
+            EndpointCommand command;
+            command.kind = EndpointCommand::Kind::ForwardPrepared;
+            command.id = statement.id;
+            command.name = statement.name;
+            command.argument = statement.argument;
+            cr_assert_eq(encodeCommand(command), "QUERY 9 " + text + "\r\n");
+            command.name = "w_1";
+            cr_assert_eq(encodeCommand(command), "QUERY 9 EXECUTE w_1 " + argument + "\r\n");
+        }
+    }
+}
+
 // Guards against replies and commands that callers or endpoints cannot decode.
 Test(LineCodec, encodesRepliesAndCommands)
 {
