--- a/tests/users_platform/TestLineCodec.cpp
+++ b/tests/users_platform/TestLineCodec.cpp
@@ -155,6 +155,103 @@
         std::string("STARTUP g almondlever i-1\r\n"));
 }
 
+// Guards against a text of another daemon, an endpoint or the configuration that ends a message to a caller early, so
+// that the rest of the text counts as a message.
+Test(LineCodec, repliesHoldNoLineEndInsideAMessage)
+{
+    Reply error;
+    error.error = StatementError::Failed;
+    error.detail = "a\r\nREADY I -\r\n\nb\r";
+    cr_assert_eq(encodeReply(error), "ERROR FAILED a READY I - \nb\r\r\nREADY I -\r\n");
+    cr_assert_eq(encodeStartupRefusal(StatementError::UnknownDatabase, "a\r\nREADY I -"), "ERROR NODB a READY I -\r\n");
+    Reply success;
+    success.detail = "7.1\nf3";
+    success.rows = { "a\nCOMPLETE 7.1", "\r" };
+    cr_assert_eq(encodeReply(success), "DATAROW a\nCOMPLETE 7.1\r\nDATAROW \r\r\nCOMPLETE 7.1\nf3\r\nREADY I -\r\n");
+}
+
+// Guards against changing a row or a signature to make it fit, and against a promise for a statement that has run.
+Test(LineCodec, answerThatIsNoMessageIsUnknown)
+{
+    Reply row;
+    row.rows = { "a", "b\r\nCOMPLETE 7.1" };
+    row.detail = "7.1f3";
+    row.state = TransactionState::Open;
+    Reply signature;
+    signature.rows = { "a" };
+    signature.detail = "7.1\r\nREADY I -";
+    signature.state = TransactionState::Open;
+    Reply longRow;
+    longRow.rows = { std::string(maximumMessageBytes, 'x') };
+    longRow.detail = "7.1f3";
+    longRow.state = TransactionState::Open;
+    for (const Reply& reply : { row, signature, longRow }) {
+        const std::string text = encodeReply(reply);
+        cr_assert_eq(text.rfind("ERROR UNKNOWN ", 0), 0U);
+        cr_assert_eq(text.find("\r\n") + 2, text.rfind("READY T -\r\n"));
+    }
+}
+
+// Guards against an explanation that makes a message too long.
+Test(LineCodec, shortensLongExplanations)
+{
+    Reply error;
+    error.error = StatementError::ReadOnly;
+    error.detail = std::string(maximumMessageBytes, 'x');
+    LineBuffer lines;
+    lines.append(encodeReply(error));
+    cr_assert_eq(lines.next()->size(), maximumMessageBytes);
+    cr_assert_eq(std::string(*lines.next()), "READY I -");
+    lines.append(encodeStartupRefusal(StatementError::ReadOnly, error.detail));
+    cr_assert_eq(lines.next()->size(), maximumMessageBytes);
+}
+
+// Guards against a command whose text runs as two commands, or whose words shift the fields behind them.
+Test(LineCodec, refusesCommandsThatAreNotOneMessage)
+{
+    using Kind = EndpointCommand::Kind;
+    EndpointCommand valid;
+    valid.id = "9";
+    valid.text = "WRITE x \r \n";
+    valid.name = "w_1";
+    valid.argument = "x \n\r y";
+    for (const Kind kind : { Kind::Forward, Kind::ForwardPrepared, Kind::SetValue, Kind::Prepare }) {
+        valid.kind = kind;
+        cr_assert(!encodeCommand(valid).empty());
+        for (const char* id : { "9 9", "9\r\n" }) {
+            EndpointCommand command = valid;
+            command.id = id;
+            cr_assert(encodeCommand(command).empty(), "'%s'", id);
+        }
+        EndpointCommand command = valid;
+        (kind == Kind::Forward ? command.text : command.argument) += "\r\nQUERY 1 WRITE x y";
+        cr_assert(encodeCommand(command).empty());
+        (kind == Kind::Forward ? command.text : command.argument) = std::string(maximumMessageBytes, 'x');
+        cr_assert(encodeCommand(command).empty());
+    }
+    for (const Kind kind : { Kind::ForwardPrepared, Kind::SetValue, Kind::Prepare }) {
+        for (const char* name : { "", "w 1", "w\r\n" }) {
+            EndpointCommand command = valid;
+            command.kind = kind;
+            command.name = name;
+            cr_assert(encodeCommand(command).empty(), "'%s'", name);
+        }
+    }
+}
+
+// Guards against a startup message whose fields are shifted, so that the endpoint reads another customer or id.
+Test(LineCodec, refusesStartupsWithFieldsThatAreNotWords)
+{
+    cr_assert_eq(encodeEndpointStartup(GroupId("g"), CustomerId("c"), EndpointId("i-1")), "STARTUP g c i-1\r\n");
+    for (const char* name : { "a b", " ", "a\r\nQUERY 1 WRITE x y" }) {
+        cr_assert(encodeEndpointStartup(GroupId(name), CustomerId("c"), EndpointId("i-1")).empty(), "'%s'", name);
+        cr_assert(encodeEndpointStartup(GroupId("g"), CustomerId(name), EndpointId("i-1")).empty(), "'%s'", name);
+        cr_assert(encodeEndpointStartup(GroupId("g"), CustomerId("c"), EndpointId(name)).empty(), "'%s'", name);
+    }
+    cr_assert(encodeEndpointStartup(GroupId(), CustomerId("c"), EndpointId("i-1")).empty());
+    cr_assert(encodeEndpointStartup(GroupId("g"), CustomerId("c"), EndpointId()).empty());
+}
+
 // Guards against assembling a reply wrongly from its messages.
 Test(LineCodec, assemblesReplies)
 {
