--- a/tests/users_platform/TestStoreInventory.cpp
+++ b/tests/users_platform/TestStoreInventory.cpp
@@ -196,3 +196,16 @@
         cr_assert_eq(rejected.error().find("secret"), std::string::npos, "%s", rejected.error().c_str());
     }
 }
+
+// Guards against a customer's name that shifts the fields of the first message to an endpoint.
+Test(StoreInventory, rejectsCustomerNamesThatAreNotWords)
+{
+    const auto isValid = [](const std::string& name) {
+        const std::string text = replaced(configurationText, "\"limits\"",
+            R"("tenants":[{"name":")" + name + R"(","api-keys":["secret-1"]}],"limits")");
+        return StoreInventory().decodeConfiguration(makeItem("op/config", text)).hasValue();
+    };
+    cr_assert(isValid("miny"));
+    for (const char* name : { "", "mi ny", "miny\\r\\nQUERY 1 WRITE a b", "miny\\u0000" })
+        cr_assert(!isValid(name), "%s", name);
+}
