--- a/tests/users_platform/TestLineCodec.cpp
+++ b/tests/users_platform/TestLineCodec.cpp
@@ -273,6 +273,75 @@
     cr_assert(assembler.feed("READY X -") == ReplyAssembler::Step::Invalid);
 }
 
+// Guards against taking an error without a code for BUSY, which guarantees that the statement had no effect.
+Test(LineCodec, errorWithoutCodeGuaranteesNothing)
+{
+    for (const char* line : { "ERROR", "ERROR ", "ERROR  BUSY -" }) {
+        ReplyAssembler assembler;
+        const ReplyAssembler::Step step = assembler.feed(line);
+        cr_assert(!assembler.error() || !guaranteesNoEffect(*assembler.error()), "'%s' guarantees no effect", line);
+        cr_assert(step == ReplyAssembler::Step::Invalid, "'%s'", line);
+    }
+}
+
+// Guards against counting a line that is not a message of the protocol as part of an answer.
+Test(LineCodec, rejectsInvalidEndpointMessages)
+{
+    for (const char* line : { "", " ", "DATAROW", "datarow a", " DATAROW a", "COMPLETE", "READY", "READY ", "READY I",
+             "READY I ", "READY I  -", "READY  I -", "READY X -", "READY I - ", "READY I x", "READY I 3", "READY I 3.",
+             "READY I .3", "READY I 3.1.2", "READY I 3.-1", "READY I 3.1 ", "READY I 03.1", "READY I 3.1\n",
+             "READY I - 1", "READY I 3.99999999999999999999", "READY\tI -", "TERMINATE", "STARTUP a b" }) {
+        ReplyAssembler assembler;
+        cr_assert(assembler.feed(line) == ReplyAssembler::Step::Invalid, "'%s'", line);
+    }
+    for (const char* line : { "DATAROW b", "COMPLETE sig", "ERROR BUSY -" }) {
+        ReplyAssembler assembler;
+        assembler.feed("COMPLETE sig");
+        cr_assert(assembler.feed(line) == ReplyAssembler::Step::Invalid, "'%s' after the outcome", line);
+    }
+}
+
+// Guards against changing an answer's bytes on their way to the caller.
+Test(LineCodec, passesAnswersOnUnchanged)
+{
+    using namespace std::string_literals;
+    for (const std::string& answer : { "DATAROW \r\nCOMPLETE 7.1f3.c\r\nREADY I 3.1209\r\n"s,
+             "DATAROW   a  b \r\nDATAROW a\nCOMPLETE 7.1\nREADY I -\r\nCOMPLETE 7.1\r\nREADY T -\r\n"s,
+             "DATAROW \r\r\nDATAROW a\0b\r\nCOMPLETE -\r\nREADY I 0.0\r\n"s,
+             "DATAROW a\r\nERROR FAILED  a  \r\nREADY E 3.1209\r\n"s, "ERROR READONLY i-7\r\nREADY E -\r\n"s }) {
+        LineBuffer lines;
+        lines.append(answer);
+        ReplyAssembler assembler;
+        ReplyAssembler::Step step = ReplyAssembler::Step::Pending;
+        while (const auto line = lines.next())
+            step = assembler.feed(*line);
+        cr_assert(step == ReplyAssembler::Step::Complete, "%s", answer.c_str());
+        cr_assert(encodeReply(assembler.take()) == answer, "%s", answer.c_str());
+    }
+}
+
+// Guards against taking READY alone, which answers a startup, for the success of a statement.
+Test(LineCodec, tellsReadyAloneFromAnAnswer)
+{
+    ReplyAssembler assembler;
+    cr_assert(assembler.feed("READY I 3.12") == ReplyAssembler::Step::Complete);
+    cr_assert(!assembler.hasOutcome());
+    const Reply reply = assembler.take();
+    cr_assert(!reply.error);
+    cr_assert(reply.detail.empty());
+    cr_assert(*reply.position == LogPosition({ 3, 12 }));
+    for (const char* line : { "COMPLETE sig", "ERROR BUSY -" }) {
+        assembler.feed(line);
+        cr_assert(assembler.feed("READY I -") == ReplyAssembler::Step::Complete);
+        cr_assert(assembler.hasOutcome(), "'%s'", line);
+        assembler.take();
+        cr_assert(!assembler.hasOutcome());
+    }
+    assembler.feed("DATAROW a");
+    cr_assert(assembler.feed("READY I -") == ReplyAssembler::Step::Complete);
+    cr_assert(!assembler.hasOutcome(), "rows alone are not an answer");
+}
+
 // Guards against treating an unknown error as a guarantee that the statement had no effect.
 Test(LineCodec, unknownErrorDoesNotGuaranteeNoEffect)
 {
