--- /dev/null
+++ b/tests/users_platform/TestCallerListener.cpp
@@ -0,0 +1,267 @@
+#include "mocks/FakeEndpoints.h"
+#include "mocks/FakeMetadataStore.h"
+#include "platform/CallerListener.h"
+#include "platform/LineCodec.h"
+#include "platform/StoreInventory.h"
+
+#include <criterion/criterion.h>
+#include <string>
+#include <vector>
+
+using namespace almondlever;
+using namespace almondlever::platform;
+
+namespace {
+
+class FailingPromotions final : public PromotionService {
+public:
+    void promote(const GroupId&, const EndpointId&, const std::string&, std::uint64_t,
+        std::function<void(PromotionResult, const std::string&)>) override
+    {
+        cr_assert_fail("nothing is to be promoted");
+    }
+};
+
+/** A daemon with a primary and a replica in virtual time, and callers on real connections. */
+struct Fixture {
+    asio::io_context context;
+    FakeTimerService timers;
+    FakeMetadataStore store { timers };
+    FakeEndpoints endpoints { timers };
+    StoreInventory inventory;
+    FailingPromotions promotions;
+    std::unique_ptr<FrontDaemon> daemon;
+    std::unique_ptr<CallerListener> listener;
+    asio::ip::tcp::endpoint address;
+
+    Fixture()
+    {
+        endpoints.server(EndpointId("i-1")).leads = true;
+        endpoints.server(EndpointId("i-2"));
+        store.put("op/config",
+            R"({"version":7,"routes":[{"database":"fiti","type":"primary","timeout-ms":1000,"target-latency-ms":900,)"
+            R"("priority":0,"service":"huvo"}],"services":[{"name":"huvo","max-conns":34,"sync-replicas":1}],)"
+            R"("limits":{"max-body-bytes":2000000,"tx-idle-ms":3000}})");
+        putEntry("i-1", "primary");
+        putEntry("i-2", "replica");
+        FrontSettings settings;
+        settings.vm = VmId("vm-1");
+        settings.failureDomain = FailureDomainId("khomas-a");
+        settings.peerAddress = "10.1.0.1:1";
+        daemon = std::make_unique<FrontDaemon>(settings, store, endpoints, promotions, inventory, timers, nullptr);
+        listener = std::make_unique<CallerListener>(context, *daemon, 10);
+        address = { asio::ip::make_address("127.0.0.1"), findFreePort() };
+        cr_assert_eq(listener->start({ "127.0.0.1", address.port() }), "");
+    }
+
+    ~Fixture()
+    {
+        listener->stop();
+        daemon.reset();
+    }
+
+    void startDaemon()
+    {
+        daemon->start();
+        timers.advance(Milliseconds(3000));
+        cr_assert(daemon->isReady());
+    }
+
+    /** Lets events of the network and of the timers happen for this long in virtual time. */
+    void run(Milliseconds duration)
+    {
+        for (Milliseconds passed { 0 }; passed < duration; passed += Milliseconds(1)) {
+            context.run_one_for(Milliseconds(1));
+            context.poll();
+            timers.advance(Milliseconds(1));
+        }
+    }
+
+private:
+    void putEntry(const std::string& id, const std::string& role)
+    {
+        store.put("servers/" + id,
+            R"({"service":"huvo","address":"10.1.0.9:80","zone":"khomas-a","slots":5,"phase":"ready","db-role":")"
+                + role + "\"}");
+    }
+
+    std::uint16_t findFreePort()
+    {
+        const asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+        return acceptor.local_endpoint().port();
+    }
+};
+
+/** A caller's connection; collects what it receives. */
+class Caller {
+public:
+    explicit Caller(Fixture& fixture)
+        : fixture_(fixture)
+        , socket_(fixture.context)
+    {
+        socket_.connect(fixture.address);
+        socket_.non_blocking(true);
+    }
+
+    void send(std::string_view text)
+    {
+        while (!text.empty()) {
+            std::error_code error;
+            text.remove_prefix(socket_.write_some(asio::buffer(text), error));
+            cr_assert(!error || error == asio::error::would_block, "%s", error.message().c_str());
+            fixture_.run(Milliseconds(1));
+        }
+    }
+
+    /** Sends the text and returns what is received within a time that suffices for every answer. */
+    std::string exchange(std::string_view text)
+    {
+        constexpr Milliseconds patience { 100 };
+        send(text);
+        fixture_.run(patience);
+        std::string received;
+        std::array<char, 4096> buffer {};
+        std::error_code error;
+        while (!error)
+            received.append(buffer.data(), socket_.read_some(asio::buffer(buffer), error));
+        isClosed_ = error != asio::error::would_block;
+        return received;
+    }
+
+    bool isClosed() const { return isClosed_; }
+
+private:
+    Fixture& fixture_;
+    asio::ip::tcp::socket socket_;
+    bool isClosed_ = false;
+};
+
+std::vector<std::string> textsOf(const FakeEndpoints& endpoints)
+{
+    std::vector<std::string> texts;
+    for (const RunStatement& statement : endpoints.runs())
+        texts.push_back(statement.id + ' ' + statement.text);
+    return texts;
+}
+
+bool startsWith(const std::string& text, const std::string& prefix) { return text.rfind(prefix, 0) == 0; }
+
+} // namespace
+
+// Guards against data that reaches an endpoint changed, or of which a part runs as a statement.
+Test(CallerListener, passesDataOnUnchanged)
+{
+    Fixture fixture;
+    fixture.startDaemon();
+    Caller caller(fixture);
+    cr_assert_eq(caller.exchange("STARTUP fiti who\r\n"), "READY I -\r\n");
+    caller.exchange("QUERY 1 WRITE 1a4 phwcufhf\ngrly\nQUERY 2 WRITE 1a4 x\r\n");
+    const std::vector<std::string> statements { "1 WRITE 1a4 phwcufhf\ngrly\nQUERY 2 WRITE 1a4 x" };
+    cr_assert(textsOf(fixture.endpoints) == statements);
+}
+
+// Guards against losing a statement that is sent behind STARTUP while the daemon does not know its configuration yet.
+Test(CallerListener, answersStatementsSentBeforeTheSessionIsOpen)
+{
+    Fixture fixture;
+    Caller caller(fixture);
+    cr_assert_eq(caller.exchange("STARTUP fiti who\r\nQUERY 1 SET zone x\r\nQUERY 2 BEGIN\r\n"), "");
+    cr_assert(!caller.isClosed());
+    fixture.startDaemon();
+    cr_assert_eq(caller.exchange(""), "READY I -\r\nCOMPLETE -\r\nREADY I -\r\nCOMPLETE -\r\nREADY T -\r\n");
+    cr_assert(!caller.isClosed());
+}
+
+// Guards against running statements of a caller whose session is refused, and against keeping any number of them.
+Test(CallerListener, refusesStatementsOfASessionThatIsNotOpened)
+{
+    Fixture fixture;
+    Caller unknown(fixture);
+    cr_assert_eq(unknown.exchange("STARTUP nowhere who\r\nQUERY 1 WRITE 1a4 x\r\n"), "");
+    Caller eager(fixture);
+    std::string statements;
+    for (std::size_t i = 0; i <= Session::maximumPipelined; ++i)
+        statements += "QUERY " + std::to_string(i) + " WRITE 1a4 x\r\n";
+    eager.exchange("STARTUP fiti who\r\n" + statements);
+    cr_assert(eager.isClosed());
+    fixture.startDaemon();
+    cr_assert_eq(unknown.exchange(""), "ERROR NODB -\r\n");
+    cr_assert(unknown.isClosed());
+    cr_assert(fixture.endpoints.runs().empty());
+}
+
+// Guards against handling what follows a message that is refused: it may be the rest of data.
+Test(CallerListener, handlesNothingAfterARefusedMessage)
+{
+    const std::string statement = "\r\nQUERY 2 WRITE 1a4 x\r\n";
+    for (const std::string& refused :
+        { std::string("STARTUP fiti who"), std::string("HELLO"), std::string("READY I -"), std::string() }) {
+        Fixture fixture;
+        fixture.startDaemon();
+        Caller caller(fixture);
+        cr_assert_eq(caller.exchange("STARTUP fiti who\r\n"), "READY I -\r\n");
+        cr_assert(startsWith(caller.exchange(refused + statement), "ERROR MALFORMED "), "'%s'", refused.c_str());
+        cr_assert(caller.isClosed(), "'%s'", refused.c_str());
+        cr_assert(fixture.endpoints.runs().empty(), "'%s'", refused.c_str());
+    }
+    Fixture fixture;
+    fixture.startDaemon();
+    Caller caller(fixture);
+    cr_assert(startsWith(caller.exchange("QUERY 1 WRITE 1a4 x\r\nSTARTUP fiti who" + statement), "ERROR MALFORMED "));
+    cr_assert(caller.isClosed(), "a statement before STARTUP");
+    cr_assert(fixture.endpoints.runs().empty());
+}
+
+// Guards against closing without the protocol's error when a message is too long, and against running what follows it.
+Test(CallerListener, refusesAMessageThatIsTooLong)
+{
+    const std::string tooLong(platform::maximumMessageBytes + 1, 'x');
+    for (const std::string& message : { tooLong, "QUERY 1 WRITE 1a4 " + tooLong + "\r\nQUERY 2 WRITE 1a4 x\r\n" }) {
+        Fixture fixture;
+        fixture.startDaemon();
+        Caller caller(fixture);
+        cr_assert_eq(caller.exchange("STARTUP fiti who\r\n"), "READY I -\r\n");
+        const std::string answer = caller.exchange(message);
+        cr_assert(startsWith(answer, "ERROR TOOBIG "), "'%s'", answer.c_str());
+        cr_assert(caller.isClosed());
+        cr_assert(fixture.endpoints.runs().empty());
+    }
+}
+
+// Guards against a refusal that the caller takes for the answer to the statement before it, which may have run.
+Test(CallerListener, answersEarlierStatementsBeforeItRefuses)
+{
+    Fixture fixture;
+    fixture.startDaemon();
+    Caller caller(fixture);
+    cr_assert_eq(caller.exchange("STARTUP fiti who\r\n"), "READY I -\r\n");
+    const std::string answer
+        = caller.exchange("QUERY 1 WRITE 1a4 x\r\nQUERY 2 WRITE 1a4 y\r\nHELLO\r\nQUERY 3 WRITE 1a4 z\r\n");
+    const std::vector<std::string> statements { "1 WRITE 1a4 x", "2 WRITE 1a4 y" };
+    cr_assert(textsOf(fixture.endpoints) == statements);
+    LineBuffer lines;
+    lines.append(answer);
+    for (int i = 0; i < 2; ++i) {
+        cr_assert(startsWith(std::string(lines.next().value_or("")), "COMPLETE "), "%s", answer.c_str());
+        cr_assert(startsWith(std::string(lines.next().value_or("")), "READY I "), "%s", answer.c_str());
+    }
+    cr_assert(startsWith(std::string(lines.next().value_or("")), "ERROR MALFORMED "), "%s", answer.c_str());
+    cr_assert(!lines.next());
+    cr_assert(caller.isClosed());
+}
+
+// Guards against ending a session, and with it a transaction, because of one text that is not a statement.
+Test(CallerListener, answersATextThatIsNotAStatement)
+{
+    Fixture fixture;
+    fixture.startDaemon();
+    Caller caller(fixture);
+    cr_assert_eq(caller.exchange("STARTUP fiti who\r\n"), "READY I -\r\n");
+    for (const char* text : { "READ", "READ  x", "AFTER 3.1 READ x", "RESET" }) {
+        const std::string answer = caller.exchange("QUERY 1 " + std::string(text) + "\r\n");
+        cr_assert(startsWith(answer, "ERROR MALFORMED "), "'%s'", text);
+        cr_assert_neq(answer.find("\r\nREADY I -\r\n"), std::string::npos, "'%s'", text);
+        cr_assert(!caller.isClosed());
+    }
+    cr_assert(fixture.endpoints.runs().empty());
+}
