Give prepared statements names of the proxy's own on endpoints

Cause: the name on the endpoint was r_ or w_ and the caller's shape. A shape with a blank made a name of two words, so that the endpoint took other words for mode, shape and item. LinkContents now names each shape "p" and a number that counts up for as long as the connection is open, also over RESET, and statements use the name that their connection assigned. No text of a caller becomes part of a name. FakeEndpoints kept the kind of a prepared statement in its name; it now keeps what was prepared.

--- a/include/almondlever/sessions/SessionContents.h
+++ b/include/almondlever/sessions/SessionContents.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <string>
+#include <tuple>
 
 namespace almondlever {
 
@@ -14,6 +15,10 @@
     {
         return a.isWrite == b.isWrite && a.shape == b.shape;
     }
+    friend bool operator<(const PreparedStatement& a, const PreparedStatement& b)
+    {
+        return std::tie(a.isWrite, a.shape) < std::tie(b.isWrite, b.shape);
+    }
 };
 
 /** The session values and prepared statements that were acknowledged to the caller. */
--- a/src/pooling/DispatcherRuns.cpp
+++ b/src/pooling/DispatcherRuns.cpp
@@ -16,7 +16,7 @@
         return request.isWrite && (isCommit(request) || (!isInTransaction && !request.opensTransaction));
     }
 
-    EndpointCommand makeForward(const StatementRequest& request)
+    EndpointCommand makeForward(const StatementRequest& request, const LinkContents& contents)
     {
         EndpointCommand command;
         command.id = request.statement.id;
@@ -26,7 +26,9 @@
         const auto prepared = request.contents->prepared.find(request.statement.name);
         assert(prepared != request.contents->prepared.end());
         command.kind = EndpointCommand::Kind::ForwardPrepared;
-        command.name = LinkContents::nameOnEndpoint(prepared->second);
+        const std::string* name = contents.nameOf(prepared->second);
+        assert(name);
+        command.name = *name;
         command.argument = request.statement.argument;
         return command;
     }
@@ -174,7 +176,7 @@
 void DispatcherState::forward(Ticket ticket, TimePoint now)
 {
     StatementRun& run = runs_.at(ticket);
-    EndpointCommand command = makeForward(pending_.at(ticket).request);
+    EndpointCommand command = makeForward(pending_.at(ticket).request, run.link->contents());
     command.after = run.after;
     run.isForwarded = true;
     run.forwardedAt = now;
--- a/src/pooling/LinkContents.cpp
+++ b/src/pooling/LinkContents.cpp
@@ -4,9 +4,10 @@
 
 namespace almondlever {
 
-std::string LinkContents::nameOnEndpoint(const PreparedStatement& shape)
+const std::string* LinkContents::nameOf(const PreparedStatement& prepared) const
 {
-    return (shape.isWrite ? "w_" : "r_") + shape.shape;
+    const auto found = names_.find(prepared);
+    return found == names_.end() ? nullptr : &found->second;
 }
 
 std::vector<EndpointCommand> LinkContents::prepareFor(const SessionContents& session, const Statement& statement)
@@ -17,7 +18,7 @@
         reset.kind = EndpointCommand::Kind::Reset;
         commands.push_back(reset);
         values_.clear();
-        preparedNames_.clear();
+        names_.clear();
         isKnown_ = true;
     }
     for (const auto& [name, value] : session.values) {
@@ -36,12 +37,12 @@
     const auto prepared = session.prepared.find(statement.name);
     if (prepared == session.prepared.end())
         return commands;
-    const std::string name = nameOnEndpoint(prepared->second);
-    if (!preparedNames_.insert(name).second)
+    if (nameOf(prepared->second))
         return commands;
     EndpointCommand prepare;
     prepare.kind = EndpointCommand::Kind::Prepare;
-    prepare.name = name;
+    prepare.name = 'p' + std::to_string(++lastName_);
+    names_[prepared->second] = prepare.name;
     prepare.argument = prepared->second.shape;
     prepare.isWriteShape = prepared->second.isWrite;
     commands.push_back(prepare);
--- a/tests/mocks/FakeEndpoints.h
+++ b/tests/mocks/FakeEndpoints.h
@@ -21,6 +21,8 @@
     std::map<std::string, std::string> values;
     /** The customer that the endpoint was told when the connection was opened. */
     CustomerId customer;
+    /** Executions only: what the endpoint has under the name. */
+    PreparedStatement prepared;
 };
 
 /**
@@ -237,18 +239,24 @@
         });
     }
 
+    bool isWrite(const EndpointCommand& command) const
+    {
+        const auto prepared = prepared_.find(command.name);
+        return command.kind == EndpointCommand::Kind::ForwardPrepared
+            ? prepared != prepared_.end() && prepared->second.isWrite
+            : command.text.rfind("WRITE", 0) == 0;
+    }
+
     bool acknowledgesWrite(const EndpointCommand& command) const
     {
-        const bool isWrite = command.text.rfind("WRITE", 0) == 0 || command.name.rfind("w_", 0) == 0;
-        return (isWrite && state_ == TransactionState::None) || (command.text == "COMMIT" && hasWritten_);
+        return (isWrite(command) && state_ == TransactionState::None) || (command.text == "COMMIT" && hasWritten_);
     }
 
     std::optional<StatementError> refusalOf(const EndpointCommand& command)
     {
         if (command.after && server().position < *command.after)
             return StatementError::Lagging;
-        const bool isWrite = command.text.rfind("WRITE", 0) == 0 || command.name.rfind("w_", 0) == 0;
-        if (isWrite && !server().leads)
+        if (isWrite(command) && !server().leads)
             return StatementError::ReadOnly;
         if (state_ == TransactionState::Open && !isReadOnly_ && !server().leads && command.text != "COMMIT")
             return StatementError::ReadOnly;
@@ -292,7 +300,7 @@
             values_[command.name] = command.argument;
             break;
         case EndpointCommand::Kind::Prepare:
-            prepared_[command.name] = command.argument;
+            prepared_[command.name] = { command.isWriteShape, command.argument };
             break;
         case EndpointCommand::Kind::Reset:
             values_.clear();
@@ -331,12 +339,14 @@
         const std::string text
             = command.kind == EndpointCommand::Kind::Forward ? command.text : command.name + ' ' + command.argument;
         owner_.runs_.push_back(
-            { endpoint_, number_, command.id, text, state_ != TransactionState::None, values_, customer_ });
+            { endpoint_, number_, command.id, text, state_ != TransactionState::None, values_, customer_,
+                command.kind == EndpointCommand::Kind::ForwardPrepared ? prepared_.at(command.name)
+                                                                       : PreparedStatement() });
         reply.detail = "signed-by-" + endpoint_.text();
-        const bool isWrite = text.rfind("WRITE", 0) == 0 || text.rfind("w_", 0) == 0;
-        if (isWrite)
+        const bool isWriteStatement = isWrite(command);
+        if (isWriteStatement)
             hasWritten_ = true;
-        const bool commits = text == "COMMIT" || (isWrite && state_ == TransactionState::None);
+        const bool commits = text == "COMMIT" || (isWriteStatement && state_ == TransactionState::None);
         if (commits && hasWritten_) {
             ++server().position.index;
             owner_.replicate(server().position);
@@ -371,7 +381,7 @@
     std::size_t number_;
     std::deque<EndpointCommand> waiting_;
     std::map<std::string, std::string> values_;
-    std::map<std::string, std::string> prepared_;
+    std::map<std::string, PreparedStatement> prepared_;
     TransactionState state_ = TransactionState::None;
     bool isReadOnly_ = false;
     bool hasWritten_ = false;
--- a/tests/pooling/TestLinkContents.cpp
+++ b/tests/pooling/TestLinkContents.cpp
@@ -1,6 +1,7 @@
 #include "almondlever/pooling/LinkContents.h"
 
 #include <criterion/criterion.h>
+#include <set>
 
 using namespace almondlever;
 using Kind = EndpointCommand::Kind;
@@ -75,3 +76,27 @@
     cr_assert(link.countDifferences(session) > 0);
     cr_assert(kindsOf(link.prepareFor(session, makeRead())) == std::vector<Kind>({ Kind::Reset, Kind::SetValue }));
 }
+
+// Guards against names that an endpoint splits into several words, so that it prepares and runs another shape.
+Test(LinkContents, namesAreOneWordOfLettersAndDigits)
+{
+    LinkContents link;
+    SessionContents session;
+    std::set<std::string> names;
+    const std::vector<std::string> shapes { "q2c", "q7 READ arpe", " ", "q\nx", "q\r\nQUERY 1 READ x", "\xff\x00", "#",
+        "p1", std::string(5000, 'q') };
+    for (const bool isWrite : { false, true }) {
+        for (const std::string& shape : shapes) {
+            session.prepared["s1"] = { isWrite, shape };
+            const std::vector<EndpointCommand> commands = link.prepareFor(session, makeExecute("s1"));
+            cr_assert(kindsOf(commands) == std::vector<Kind>({ Kind::Prepare }));
+            cr_assert_eq(commands[0].argument, shape);
+            cr_assert_eq(commands[0].isWriteShape, isWrite);
+            const std::string& name = commands[0].name;
+            const bool isWord = !name.empty() && name.size() <= 24
+                && name.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789") == std::string::npos;
+            cr_assert(isWord, "name %s", name.c_str());
+            cr_assert(names.insert(name).second, "name %s is used twice", name.c_str());
+        }
+    }
+}
