End a transaction whose statement the proxy refuses itself

What callers saw: after a statement in a transaction that the proxy refused itself (EXECUTE of an unknown name, a second BEGIN, text that is not understood, a statement that is too big), COMMIT was refused with ABORTED as it should be, but the next statement outside a transaction ran in the old one (PINNED). A write there was acknowledged and not committed. Cause: the session went to the failed state and kept the connection of its transaction, which COMMIT in the failed state did not end either. The session now rolls the transaction back with the refusal, so that it holds a connection only while its transaction is open.

--- a/include/almondlever/sessions/Session.h
+++ b/include/almondlever/sessions/Session.h
@@ -87,7 +87,7 @@
     void runRollback(TimePoint now);
     void runCommit(const Statement&, TimePoint now);
     void runOnEndpoint(const Statement&, TimePoint now);
-    void runLocal(const Statement&);
+    void runLocal(const Statement&, TimePoint now);
     /** Checks that the key is in force; if not, answers the statement and returns false. */
     bool checkKey(const Statement&, TimePoint now);
     /** Ends the transaction and the session, whose key is not in force. */
@@ -103,9 +103,10 @@
     void abandonRunning(TimePoint now);
     void submit(StatementRequest, TimePoint now);
     void onResult(StatementResult&&, TimePoint now);
-    void answerWithError(StatementError, const std::string& detail);
+    /** Answers with an error, which ends an open transaction. */
+    void answerWithError(StatementError, const std::string& detail, TimePoint now);
     void answer(Reply, TransactionState);
-    bool resolveRoute();
+    bool resolveRoute(TimePoint now);
     StatementRequest makeRequest(const Statement&, TimePoint now) const;
     SessionContents& writableContents();
 
--- a/src/sessions/Session.cpp
+++ b/src/sessions/Session.cpp
@@ -161,7 +161,7 @@
     case StatementKind::SetValue:
     case StatementKind::Prepare:
     case StatementKind::Deallocate:
-        return runLocal(statement);
+        return runLocal(statement, now);
     case StatementKind::Begin:
     case StatementKind::BeginReadOnly:
         return runBegin(statement, now);
@@ -176,13 +176,13 @@
     case StatementKind::Malformed:
         break;
     }
-    answerWithError(StatementError::Malformed, "the statement could not be understood");
+    answerWithError(StatementError::Malformed, "the statement could not be understood", now);
 }
 
-void Session::runLocal(const Statement& statement)
+void Session::runLocal(const Statement& statement, TimePoint now)
 {
     if (state_ == TransactionState::Failed)
-        return answerWithError(StatementError::Malformed, "the transaction has failed and must be ended first");
+        return answerWithError(StatementError::Malformed, "the transaction has failed and must be ended first", now);
     SessionContents& contents = writableContents();
     if (statement.kind == StatementKind::SetValue)
         contents.values[statement.name] = statement.argument;
@@ -196,8 +196,8 @@
 void Session::runBegin(const Statement& statement, TimePoint now)
 {
     if (state_ != TransactionState::None)
-        return answerWithError(StatementError::Malformed, "a transaction is open already");
-    if (!resolveRoute() || !checkKey(statement, now))
+        return answerWithError(StatementError::Malformed, "a transaction is open already", now);
+    if (!resolveRoute(now) || !checkKey(statement, now))
         return;
     requestOperation(statement, now);
 }
@@ -221,7 +221,7 @@
         if (isInTransaction)
             refuseInTransaction(statement, reason, now);
         else
-            answerWithError(StatementError::Busy, reason);
+            answerWithError(StatementError::Busy, reason, now);
         return false;
     }
     if (isInTransaction && decision.customer != customer_) {
@@ -246,7 +246,7 @@
     abortTransaction(reason, now);
     if (statement.kind == StatementKind::Commit)
         return runCommit(statement, now);
-    answerWithError(StatementError::Aborted, reason);
+    answerWithError(StatementError::Aborted, reason, now);
 }
 
 void Session::requestOperation(const Statement& statement, TimePoint now)
@@ -265,7 +265,7 @@
     isRunning_ = false;
     quotaTicket_ = 0;
     if (refusal)
-        answerWithError(StatementError::Busy, refusal->reason + retryAfterText(refusal->retryAfter));
+        answerWithError(StatementError::Busy, refusal->reason + retryAfterText(refusal->retryAfter), now);
     else
         startOperation(statement, now);
     startNext(now);
@@ -294,7 +294,7 @@
 void Session::runCommit(const Statement& statement, TimePoint now)
 {
     if (state_ == TransactionState::None)
-        return answerWithError(StatementError::Malformed, "no transaction is open");
+        return answerWithError(StatementError::Malformed, "no transaction is open", now);
     if (state_ == TransactionState::Failed) {
         const std::string reason = abortReason_.empty() ? "a statement of the transaction failed" : abortReason_;
         abortReason_.clear();
@@ -312,18 +312,18 @@
 void Session::runOnEndpoint(const Statement& statement, TimePoint now)
 {
     if (!abortReason_.empty() && state_ == TransactionState::Failed)
-        return answerWithError(StatementError::Aborted, abortReason_);
+        return answerWithError(StatementError::Aborted, abortReason_, now);
     if (state_ == TransactionState::Failed)
-        return answerWithError(StatementError::Malformed, "the transaction has failed and must be ended first");
-    if (state_ == TransactionState::None && !resolveRoute())
+        return answerWithError(StatementError::Malformed, "the transaction has failed and must be ended first", now);
+    if (state_ == TransactionState::None && !resolveRoute(now))
         return;
     const auto configuration = routing_.routing();
     const std::size_t limit = configuration ? configuration->maximumStatementBytes : 0;
     if (limit > 0 && statement.text.size() > limit)
-        return answerWithError(StatementError::TooBig, "a statement may have " + std::to_string(limit) + " bytes");
+        return answerWithError(StatementError::TooBig, "a statement may have " + std::to_string(limit) + " bytes", now);
     const bool isPrepared = contents_->prepared.count(statement.name) > 0;
     if (statement.kind == StatementKind::Execute && !isPrepared)
-        return answerWithError(StatementError::UnknownStatement, "no prepared statement has this name");
+        return answerWithError(StatementError::UnknownStatement, "no prepared statement has this name", now);
     if (!checkKey(statement, now))
         return;
     if (state_ == TransactionState::None)
@@ -399,8 +399,12 @@
     startNext(now);
 }
 
-void Session::answerWithError(StatementError error, const std::string& detail)
+void Session::answerWithError(StatementError error, const std::string& detail, TimePoint now)
 {
+    // The caller can only end a failed transaction, and its next statement must not run in it.
+    if (transaction_)
+        runner_.endTransaction(transaction_, now);
+    transaction_ = nullptr;
     const TransactionState next = state_ == TransactionState::None ? TransactionState::None : TransactionState::Failed;
     answer(makeError(error, detail), next);
 }
@@ -413,7 +417,7 @@
         link_.send(reply);
 }
 
-bool Session::resolveRoute()
+bool Session::resolveRoute(TimePoint now)
 {
     const auto configuration = routing_.routing();
     if (configuration) {
@@ -423,7 +427,7 @@
             return true;
         }
     }
-    answerWithError(StatementError::UnknownDatabase, database_.text());
+    answerWithError(StatementError::UnknownDatabase, database_.text(), now);
     isClosing_ = true;
     return false;
 }
--- a/tests/sessions/TestSession.cpp
+++ b/tests/sessions/TestSession.cpp
@@ -1,6 +1,7 @@
 #include "mocks/DispatcherFixture.h"
 
 #include <criterion/criterion.h>
+#include <functional>
 
 using namespace almondlever;
 
@@ -366,3 +367,31 @@
     caller.session.onCallerClosed(fixture.timers.now());
     cr_assert_eq(fixture.access.cancelled.size(), 1U);
 }
+
+// Guards against a statement that runs inside the former transaction, whose commit was refused after a statement that
+// no endpoint ran, and against writes that are acknowledged in it and never committed.
+Test(Session, transactionEndsWithAStatementThatTheProxyRefused)
+{
+    using Say = std::function<void(FakeCaller&)>;
+    const std::vector<Say> refused {
+        [](FakeCaller& caller) { caller.say(StatementKind::Execute, "e", "EXECUTE none x", "none", "x"); },
+        [](FakeCaller& caller) { caller.begin(); },
+        [](FakeCaller& caller) { caller.say(StatementKind::Malformed, "m", "?"); },
+    };
+    for (const Say& say : refused) {
+        DispatcherFixture fixture;
+        FakeCaller caller(fixture, "orders");
+        caller.begin();
+        caller.write("w1");
+        fixture.advance(Milliseconds(50));
+        say(caller);
+        cr_assert(caller.replies.back().error.has_value());
+        caller.commit("c1");
+        cr_assert(caller.hasError(StatementError::Aborted));
+        caller.write("w2");
+        fixture.advance(Milliseconds(50));
+        cr_assert(caller.succeeded());
+        cr_assert_eq(fixture.endpoints.runs().back().id, "w2");
+        cr_assert(!fixture.endpoints.runs().back().wasInTransaction);
+    }
+}
