--- a/tests/pooling/TestLinkContents.cpp
+++ b/tests/pooling/TestLinkContents.cpp
@@ -1,6 +1,7 @@
 #include "almondlever/pooling/LinkContents.h"
 
 #include <criterion/criterion.h>
+#include <map>
 #include <set>
 
 using namespace almondlever;
@@ -20,6 +21,19 @@
     return kinds;
 }
 
+/** The prepared statements that an endpoint holds after the commands, by name. */
+using HeldShapes = std::map<std::string, std::string>;
+
+void runCommands(HeldShapes& held, const std::vector<EndpointCommand>& commands)
+{
+    for (const EndpointCommand& command : commands) {
+        if (command.kind == Kind::Reset)
+            held.clear();
+        if (command.kind == Kind::Prepare)
+            held[command.name] = command.argument;
+    }
+}
+
 } // namespace
 
 // Guards against running a statement with a value set by another session.
@@ -100,3 +114,62 @@
         }
     }
 }
+
+// Guards against connections and maps that grow without limit while a caller prepares ever new shapes, and against a
+// name that is given to a second shape after the connection was cleared.
+Test(LinkContents, holdsALimitedNumberOfShapes)
+{
+    LinkContents link;
+    SessionContents session;
+    HeldShapes held;
+    std::set<std::string> names;
+    for (int number = 0; number < 2000; ++number) {
+        const std::string shape = "q" + std::to_string(number);
+        session.prepared["s1"] = { number % 2 == 0, shape };
+        const std::vector<EndpointCommand> commands = link.prepareFor(session, makeExecute("s1"));
+        runCommands(held, commands);
+        cr_assert_eq(held.at(commands.back().name), shape);
+        cr_assert_leq(held.size(), 128U);
+        cr_assert(names.insert(commands.back().name).second);
+    }
+}
+
+// Guards against connections that hold megabytes for one caller with few but large shapes.
+Test(LinkContents, holdsALimitedSizeOfShapes)
+{
+    LinkContents link;
+    SessionContents session;
+    HeldShapes held;
+    const std::vector<std::size_t> sizes { 1000, 100 * 1024, 200 * 1024, 300 * 1024, 1 };
+    for (int number = 0; number < 50; ++number) {
+        const std::string shape = std::to_string(number) + std::string(sizes[number % sizes.size()], 'q');
+        session.prepared["s1"] = { false, shape };
+        runCommands(held, link.prepareFor(session, makeExecute("s1")));
+        std::size_t bytes = 0;
+        for (const auto& [name, text] : held)
+            bytes += text.size();
+        cr_assert(bytes <= 256 * 1024 || held.size() == 1, "%zu bytes in %zu shapes", bytes, held.size());
+    }
+}
+
+// Guards against clearing a connection inside a transaction although it holds only a transaction's usual number of
+// shapes, and against a transaction that makes it hold ever more.
+Test(LinkContents, clearsInsideATransactionOnlyBeyondAMultipleOfTheLimit)
+{
+    LinkContents link;
+    SessionContents session;
+    session.values["zone"] = "1";
+    HeldShapes held;
+    for (int number = 0; number < 2000; ++number) {
+        session.prepared["s1"] = { false, "q" + std::to_string(number) };
+        const std::vector<EndpointCommand> commands = link.prepareFor(session, makeExecute("s1"), true);
+        const bool isCleared = commands.front().kind == Kind::Reset;
+        cr_assert(!isCleared || held.size() == 512);
+        const std::vector<Kind> whenCleared { Kind::Reset, Kind::SetValue, Kind::Prepare };
+        cr_assert(!isCleared || kindsOf(commands) == whenCleared);
+        runCommands(held, commands);
+        cr_assert_leq(held.size(), 512U);
+    }
+    const std::vector<Kind> afterwards = kindsOf(link.prepareFor(session, makeRead()));
+    cr_assert(afterwards == std::vector<Kind>({ Kind::Reset, Kind::SetValue }));
+}
