Keep a connection's prepared statements during a transaction

What was seen: after a statement of a transaction that prepared a shape or set a value, the next one cleared the connection with RESET inside the open transaction and set it up again. Cause: the contents were marked unknown with the statement, not with the end of the transaction, whose rollback may undo them. LinkContents now notes that it was changed inside a transaction and counts as unknown from the transaction's end on. Evidence: Session::transactionKeepsItsPreparedStatements failed before (more commands than statements and setup) and passes.

--- a/src/pooling/DispatcherRuns.cpp
+++ b/src/pooling/DispatcherRuns.cpp
@@ -126,8 +126,8 @@
     const StatementRequest& request = pending_.at(ticket).request;
     const std::shared_ptr<PooledLink> link = run.link;
     link->setState(PooledLink::State::Busy, now);
-    std::vector<EndpointCommand> commands = link->contents().prepareFor(*request.contents, request.statement);
-    run.changesContentsInTransaction = run.isInTransaction && !commands.empty();
+    std::vector<EndpointCommand> commands
+        = link->contents().prepareFor(*request.contents, request.statement, run.isInTransaction);
     if (request.opensTransaction || run.usesGuardTransaction) {
         EndpointCommand begin;
         // An endpoint that is no longer the primary refuses to begin a transaction unless it is read-only.
@@ -244,8 +244,6 @@
     result.reply = reply;
     result.endpoint = run.link->endpoint();
     result.attempts = pending_.at(ticket).attempts;
-    if (run.changesContentsInTransaction)
-        run.link->contents().invalidate();
     const bool keepsTransaction = (request.opensTransaction || run.isInTransaction)
         && reply.state == TransactionState::Open && !isCommit(request);
     if (keepsTransaction) {
@@ -272,8 +270,6 @@
     const StatementError error = *result.reply.error;
     logOutcome(request, "fail", result.endpoint, guaranteesNoEffect(error) ? "not_run" : "run", toText(error), now);
     metrics_.count("almondlever_endpoint_errors_total", std::string("error=\"") + toText(error) + '"');
-    if (run.changesContentsInTransaction)
-        run.link->contents().invalidate();
     finish(ticket, std::move(result), now);
     returnToPool(run.link, state, now);
     dispatch(request.group, now);
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -36,8 +36,6 @@
     bool isInTransaction = false;
     /** The proxy begins a read-write transaction for the read; an endpoint that is not the primary refuses it. */
     bool usesGuardTransaction = false;
-    /** Session values or prepared statements were set up inside the transaction; a rollback undoes them. */
-    bool changesContentsInTransaction = false;
     /** Position that the endpoint's log must have reached before it runs the statement. */
     std::optional<LogPosition> after;
     /** Unanswered commands that set up the session state or begin the transaction. */
--- a/tests/sessions/TestSession.cpp
+++ b/tests/sessions/TestSession.cpp
@@ -395,3 +395,48 @@
         cr_assert(!fixture.endpoints.runs().back().wasInTransaction);
     }
 }
+
+// Guards against clearing and setting up a connection anew for each statement of a transaction that prepared one.
+Test(Session, transactionKeepsItsPreparedStatements)
+{
+    DispatcherFixture fixture;
+    FakeCaller caller(fixture, "orders");
+    caller.say(StatementKind::Prepare, "p", "PREPARE s1 READ q1", "s1", "q1", false);
+    caller.say(StatementKind::Prepare, "p", "PREPARE s2 READ q2", "s2", "q2", false);
+    caller.begin();
+    const std::size_t before = fixture.endpoints.server(fixture.a).commands;
+    for (const std::string name : { "s1", "s2", "s1", "s2" }) {
+        caller.say(StatementKind::Execute, "e", "EXECUTE " + name + " x", name, "x");
+        fixture.advance(Milliseconds(30));
+        cr_assert(caller.succeeded());
+        cr_assert_eq(fixture.endpoints.runs().back().prepared.shape, "q" + name.substr(1));
+    }
+    constexpr std::size_t statements = 4;
+    constexpr std::size_t setupCommands = 3; // PREPARE, BEGIN, PREPARE
+    cr_assert_eq(fixture.endpoints.server(fixture.a).commands - before, statements + setupCommands);
+}
+
+// Guards against a statement that runs with what a rollback of another session's transaction undid.
+Test(Session, connectionIsClearedAfterATransactionThatChangedIt)
+{
+    DispatcherFixture fixture;
+    FakeCaller first(fixture, "orders");
+    FakeCaller second(fixture, "orders");
+    first.begin();
+    first.write("w1");
+    fixture.advance(Milliseconds(30));
+    first.say(StatementKind::SetValue, "s", "SET zone 1", "zone", "1");
+    first.write("w2");
+    fixture.advance(Milliseconds(30));
+    cr_assert_eq(fixture.endpoints.runs().back().values.at("zone"), "1");
+    first.say(StatementKind::Rollback, "r", "ROLLBACK");
+    fixture.advance(Milliseconds(30));
+    const std::size_t before = fixture.endpoints.server(fixture.a).commands;
+    second.say(StatementKind::SetValue, "s", "SET zone 1", "zone", "1");
+    second.write("w3");
+    fixture.advance(Milliseconds(30));
+    cr_assert_eq(fixture.endpoints.runs().back().values.at("zone"), "1");
+    const bool isSameConnection
+        = fixture.endpoints.runs().back().connection == fixture.endpoints.runs().front().connection;
+    cr_assert(!isSameConnection || fixture.endpoints.server(fixture.a).commands - before >= 3, "RESET, SET, WRITE");
+}
