Abort a transaction that the endpoint has ended

What callers saw: a statement in a transaction was answered with success though the endpoint reported no open transaction with it. The session believed the transaction open and the next statement began another one, perhaps on another connection, so that COMMIT kept only a part (PINNED). A read that needs the primary was passed on though it had run outside the transaction that keeps a former primary from answering it. Cause: the dispatcher looked at the state only to choose between the pool and the session, and the session took success without a connection as an open transaction. The dispatcher now closes the connection, which rolls back, and answers ABORTED; the read is repeated. The session does the same when its runner reports success without a transaction.

--- a/src/pooling/DispatcherRuns.cpp
+++ b/src/pooling/DispatcherRuns.cpp
@@ -190,9 +190,14 @@
         return;
     if (!reply)
         return onConnectionLost(ticket, "connection lost while the statement ran", now);
+    const StatementRun& run = runs_.at(ticket);
+    const StatementRequest& request = pending_.at(ticket).request;
+    const bool needsTransaction
+        = (run.isInTransaction || request.opensTransaction || run.usesGuardTransaction) && !isCommit(request);
+    if (!reply->error && needsTransaction && reply->state != TransactionState::Open)
+        return loseTransaction(ticket, now);
     if (!reply->error)
         return succeed(ticket, *reply, now);
-    const StatementRun& run = runs_.at(ticket);
     const StatementError error = *reply->error;
     noteRefusal(run.link->endpoint(), error, now);
     if (guaranteesNoEffect(error) && !run.isInTransaction)
@@ -200,6 +205,24 @@
     completeWithError(ticket, *reply, now);
 }
 
+void DispatcherState::loseTransaction(Ticket ticket, TimePoint now)
+{
+    const std::string reason = "the endpoint ended the transaction";
+    const StatementRun& run = runs_.at(ticket);
+    const std::shared_ptr<PooledLink> link = run.link;
+    if (run.usesGuardTransaction) {
+        // The read may have missed a commit.
+        onConnectionLost(ticket, reason, now);
+        return link->close(reason, now);
+    }
+    link->close(reason, now);
+    Reply reply;
+    reply.error = StatementError::Aborted;
+    reply.detail = reason;
+    reply.state = TransactionState::Failed;
+    completeWithError(ticket, std::move(reply), now);
+}
+
 void DispatcherState::noteRefusal(const EndpointId& endpoint, StatementError error, TimePoint now)
 {
     if (error == StatementError::ReadOnly)
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -173,6 +173,8 @@
     void onSetupReply(Ticket, const EndpointCommand::Kind&, TimePoint sentAt, const Reply*, TimePoint now);
     void onForwardReply(Ticket, const Reply*, TimePoint now);
     void succeed(Ticket, const Reply&, TimePoint now);
+    /** Ends a run that the endpoint reports as a success outside of the transaction in which it had to run. */
+    void loseTransaction(Ticket, TimePoint now);
     void completeWithError(Ticket, Reply, TimePoint now);
     /** Retries a statement that certainly did not run on this endpoint. */
     void retryElsewhere(Ticket, const Reply&, TimePoint now);
--- a/src/sessions/Session.cpp
+++ b/src/sessions/Session.cpp
@@ -378,6 +378,9 @@
 {
     isRunning_ = false;
     lastActivity_ = now;
+    const bool isInTransaction = state_ == TransactionState::Open;
+    if (!result.reply.error && isInTransaction && !isCommitting_ && !result.transaction)
+        result.reply = makeError(StatementError::Aborted, "the transaction is not open any more");
     const bool isSuccess = !result.reply.error;
     if (isSuccess && isWriting_ && result.reply.position) {
         const bool isVisible = isCommitting_ || state_ == TransactionState::None;
@@ -385,7 +388,6 @@
             position_ = std::max(position_.value_or(LogPosition()), *result.reply.position);
         hasWritten_ = true;
     }
-    const bool isInTransaction = state_ == TransactionState::Open;
     transaction_ = result.transaction;
     TransactionState next = TransactionState::None;
     if (isInTransaction && !isCommitting_)
--- a/tests/mocks/FakeEndpoints.h
+++ b/tests/mocks/FakeEndpoints.h
@@ -47,6 +47,8 @@
         std::size_t maximumConnections = 1000;
         /** Answers that are lost: the connection closes after the run. */
         std::size_t lostAnswers = 0;
+        /** Statements in a transaction that are answered with success after the endpoint has ended the transaction. */
+        std::size_t droppedTransactions = 0;
         /** Connections opened before this number return nothing further. */
         std::size_t deafBefore = 0;
         /** Never acknowledges a write, as a primary that no replica hears; all else is answered. */
@@ -327,6 +329,10 @@
         case EndpointCommand::Kind::Forward:
         case EndpointCommand::Kind::ForwardPrepared:
             run(command, reply);
+            if (server().droppedTransactions > 0 && state_ == TransactionState::Open) {
+                --server().droppedTransactions;
+                state_ = TransactionState::None;
+            }
             break;
         }
         reply.state = state_;
--- a/tests/pooling/TestStatementDispatcher.cpp
+++ b/tests/pooling/TestStatementDispatcher.cpp
@@ -745,3 +745,15 @@
     cr_assert(
         fixture.dispatcher.acknowledgedPositionOf(fixture.group, fixture.timers.now()) >= LogPosition({ 1, 101 }));
 }
+
+// Guards against a stale read on the primary whose transaction, which a former primary would have refused, was gone.
+Test(StatementDispatcher, primaryReadOutsideItsTransactionIsRepeated)
+{
+    DispatcherFixture fixture;
+    fixture.endpoints.server(fixture.a).droppedTransactions = 1;
+    FakeCaller caller(fixture, "orders");
+    caller.read("r1");
+    fixture.advance(Milliseconds(200));
+    cr_assert(caller.succeeded());
+    cr_assert_eq(fixture.endpoints.runsOf("r1"), 2U);
+}
--- a/tests/sessions/TestSession.cpp
+++ b/tests/sessions/TestSession.cpp
@@ -440,3 +440,77 @@
         = fixture.endpoints.runs().back().connection == fixture.endpoints.runs().front().connection;
     cr_assert(!isSameConnection || fixture.endpoints.server(fixture.a).commands - before >= 3, "RESET, SET, WRITE");
 }
+
+// Guards against a transaction of which the endpoint lost the first statements: the session believes it open, and the
+// next statement begins another one.
+Test(Session, transactionThatTheEndpointEndedIsAborted)
+{
+    for (const bool isFirst : { true, false }) {
+        DispatcherFixture fixture;
+        FakeCaller caller(fixture, "orders");
+        caller.begin();
+        if (!isFirst) {
+            caller.write("w1");
+            fixture.advance(Milliseconds(50));
+            cr_assert(caller.succeeded());
+        }
+        fixture.endpoints.server(fixture.a).droppedTransactions = 1;
+        caller.write("w2");
+        fixture.advance(Milliseconds(50));
+        cr_assert(caller.hasError(StatementError::Aborted));
+        cr_assert(caller.replies.back().state == TransactionState::Failed);
+        const std::size_t runs = fixture.endpoints.runs().size();
+        caller.write("w3");
+        fixture.advance(Milliseconds(50));
+        cr_assert(!caller.succeeded());
+        caller.commit("c1");
+        cr_assert(caller.hasError(StatementError::Aborted));
+        cr_assert_eq(fixture.endpoints.runs().size(), runs);
+        caller.write("w4");
+        fixture.advance(Milliseconds(50));
+        cr_assert(caller.succeeded());
+        cr_assert(!fixture.endpoints.runs().back().wasInTransaction);
+    }
+}
+
+// Guards against a session that goes on in a transaction of which its runner reports success without a connection, as a
+// daemon does that answers for another one.
+Test(Session, transactionWithoutAConnectionIsAborted)
+{
+    class Runner final : public StatementRunner {
+    public:
+        Ticket submit(StatementRequest, StatementCallback callback, TimePoint now) override
+        {
+            ++submitted;
+            StatementResult result;
+            result.reply.detail = "signature";
+            result.reply.state = TransactionState::Open;
+            callback(std::move(result), now);
+            return submitted;
+        }
+        Ticket submit(const TransactionHandle&, StatementRequest, StatementCallback, TimePoint) override { return 0; }
+        void abandon(Ticket, TimePoint) override { }
+        void endTransaction(const TransactionHandle&, TimePoint) override { }
+
+        Ticket submitted = 0;
+    };
+    class Link final : public CallerLink {
+    public:
+        void send(const Reply& reply) override { replies.push_back(reply); }
+        void close() override { }
+
+        std::vector<Reply> replies;
+    };
+    DispatcherFixture fixture;
+    Runner runner;
+    Link link;
+    Session session(DatabaseId("orders"), KeyDigest(), link, fixture, fixture.access, runner, fixture.metrics);
+    session.onStatement({ "b", StatementKind::Begin, "BEGIN", "", "", false }, fixture.timers.now());
+    session.onStatement({ "w", StatementKind::Write, "WRITE x 1", "", "", false }, fixture.timers.now());
+    cr_assert(link.replies.back().error == StatementError::Aborted);
+    session.onStatement({ "v", StatementKind::Write, "WRITE x 2", "", "", false }, fixture.timers.now());
+    cr_assert_eq(runner.submitted, 1U);
+    session.onStatement({ "c", StatementKind::Commit, "COMMIT", "", "", false }, fixture.timers.now());
+    cr_assert(link.replies.back().error == StatementError::Aborted);
+    cr_assert_eq(runner.submitted, 1U);
+}
