Bind a transaction's handle to its one transaction

What could be seen: a statement ran inside another caller's transaction, or another caller's transaction was rolled back (PINNED). An owner's abandoned run can return its connection to the pool before the order to end its transaction arrives from the other daemon. Cause: the handle of a transaction was the pooled connection itself, which says nothing of the transaction for which it was given out. The handle now names the period between two idle ones of the connection. One that has ended reaches no other: a statement gets ABORTED, an end does nothing.

--- a/src/pooling/DispatcherRuns.cpp
+++ b/src/pooling/DispatcherRuns.cpp
@@ -35,20 +35,21 @@
 
 } // namespace
 
-Ticket DispatcherState::submitInTransaction(
-    const std::shared_ptr<PooledLink>& link, StatementRequest request, StatementCallback callback, TimePoint now)
+Ticket DispatcherState::submitInTransaction(const std::shared_ptr<LinkTransaction>& transaction,
+    StatementRequest request, StatementCallback callback, TimePoint now)
 {
+    const std::shared_ptr<PooledLink>& link = transaction->link();
     const Ticket ticket = ++lastTicket_;
     request.rank = std::min(request.rank, ranks_.size() - 1);
     PendingStatement pending;
     pending.request = std::move(request);
     pending.callback = std::move(callback);
     pending_.emplace(ticket, std::move(pending));
-    if (link->state() != PooledLink::State::InTransaction) {
+    if (transaction->hasEnded() || link->state() != PooledLink::State::InTransaction) {
         StatementResult result;
         result.endpoint = link->endpoint();
         result.reply.error = StatementError::Aborted;
-        result.reply.detail = "the connection to the endpoint was lost";
+        result.reply.detail = "the transaction is not open any more";
         finish(ticket, std::move(result), now);
         return ticket;
     }
@@ -271,7 +272,7 @@
         && reply.state == TransactionState::Open && !isCommit(request);
     if (keepsTransaction) {
         run.link->setState(PooledLink::State::InTransaction, now);
-        result.transaction = run.link;
+        result.transaction = std::make_shared<LinkTransaction>(run.link);
     }
     logOutcome(request, "serve", result.endpoint, "ok",
         run.usesGuardTransaction ? "primary_read" : toText(request.statement.kind), now);
@@ -328,8 +329,11 @@
         now);
 }
 
-void DispatcherState::endTransaction(const std::shared_ptr<PooledLink>& link, TimePoint now)
+void DispatcherState::endTransaction(const std::shared_ptr<LinkTransaction>& transaction, TimePoint now)
 {
+    if (transaction->hasEnded())
+        return;
+    const std::shared_ptr<PooledLink>& link = transaction->link();
     if (link->state() == PooledLink::State::InTransaction)
         return rollBack(link, now);
     link->close("transaction ended while a statement ran", now);
--- a/src/pooling/DispatcherState.cpp
+++ b/src/pooling/DispatcherState.cpp
@@ -300,7 +300,7 @@
     const auto found = pending_.find(ticket);
     if (found == pending_.end()) {
         if (result.transaction)
-            rollBack(std::static_pointer_cast<PooledLink>(result.transaction), now);
+            rollBack(std::static_pointer_cast<LinkTransaction>(result.transaction)->link(), now);
         return;
     }
     const StatementCallback callback = std::move(found->second.callback);
@@ -309,7 +309,7 @@
         return callback(std::move(result), now);
     // The caller disconnected while the first statement of its transaction ran.
     if (result.transaction)
-        rollBack(std::static_pointer_cast<PooledLink>(result.transaction), now);
+        rollBack(std::static_pointer_cast<LinkTransaction>(result.transaction)->link(), now);
 }
 
 void DispatcherState::abandon(Ticket ticket, TimePoint now)
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "EndpointLinks.h"
+#include "LinkTransaction.h"
 #include "almondlever/admission/RankScheduler.h"
 #include "almondlever/pooling/EndpointSelection.h"
 #include "almondlever/pooling/StatementDispatcher.h"
@@ -96,9 +97,10 @@
     ~DispatcherState() override;
 
     Ticket submit(StatementRequest, StatementCallback, TimePoint now);
-    Ticket submitInTransaction(const std::shared_ptr<PooledLink>&, StatementRequest, StatementCallback, TimePoint now);
+    Ticket submitInTransaction(
+        const std::shared_ptr<LinkTransaction>&, StatementRequest, StatementCallback, TimePoint now);
     void abandon(Ticket, TimePoint now);
-    void endTransaction(const std::shared_ptr<PooledLink>&, TimePoint now);
+    void endTransaction(const std::shared_ptr<LinkTransaction>&, TimePoint now);
     void sendReplicationCommand(
         const EndpointId&, const EndpointCommand&, StatementDispatcher::ReplicationCommandCallback, TimePoint now);
     void stepDown(const GroupId&, const EndpointId&, Term, StatementDispatcher::StepDownCallback, TimePoint now);
--- a/src/pooling/PooledLink.h
+++ b/src/pooling/PooledLink.h
@@ -4,6 +4,7 @@
 #include "almondlever/pooling/LinkContents.h"
 #include "almondlever/pooling/StatementRequest.h"
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 
@@ -30,9 +31,7 @@
  *
  * @see LinkContents
  */
-class PooledLink final : public EndpointLinkObserver,
-                         public OpenTransaction,
-                         public std::enable_shared_from_this<PooledLink> {
+class PooledLink final : public EndpointLinkObserver, public std::enable_shared_from_this<PooledLink> {
 public:
     /** Receives the reply, or nullptr if the connection was closed first. */
     using ReplyHandler = std::function<void(const Reply*, TimePoint now)>;
@@ -80,7 +79,11 @@
     {
         state_ = state;
         stateSince_ = now;
+        if (state == State::Idle)
+            ++idlePeriods_;
     }
+    /** Number of times that the connection was returned to the pool; it is idle between two transactions. */
+    std::uint64_t idlePeriods() const { return idlePeriods_; }
     /** Time at which the state was entered. */
     TimePoint stateSince() const { return stateSince_; }
     LinkContents& contents() { return contents_; }
@@ -110,6 +113,7 @@
     std::deque<PendingReply> pendingReplies_;
     TimePoint openedAt_;
     TimePoint stateSince_;
+    std::uint64_t idlePeriods_ = 0;
     bool wasOpened_ = false;
 };
 
--- a/src/pooling/StatementDispatcher.cpp
+++ b/src/pooling/StatementDispatcher.cpp
@@ -18,17 +18,17 @@
 }
 
 Ticket StatementDispatcher::submit(
-    const TransactionHandle& link, StatementRequest request, StatementCallback callback, TimePoint now)
+    const TransactionHandle& transaction, StatementRequest request, StatementCallback callback, TimePoint now)
 {
     return state_->submitInTransaction(
-        std::static_pointer_cast<PooledLink>(link), std::move(request), std::move(callback), now);
+        std::static_pointer_cast<LinkTransaction>(transaction), std::move(request), std::move(callback), now);
 }
 
 void StatementDispatcher::abandon(Ticket ticket, TimePoint now) { state_->abandon(ticket, now); }
 
-void StatementDispatcher::endTransaction(const TransactionHandle& link, TimePoint now)
+void StatementDispatcher::endTransaction(const TransactionHandle& transaction, TimePoint now)
 {
-    state_->endTransaction(std::static_pointer_cast<PooledLink>(link), now);
+    state_->endTransaction(std::static_pointer_cast<LinkTransaction>(transaction), now);
 }
 
 void StatementDispatcher::stepDown(
--- a/tests/pooling/TestStatementDispatcher.cpp
+++ b/tests/pooling/TestStatementDispatcher.cpp
@@ -757,3 +757,55 @@
     cr_assert(caller.succeeded());
     cr_assert_eq(fixture.endpoints.runsOf("r1"), 2U);
 }
+
+// Guards against ending or continuing another session's transaction with the handle of one that has ended. Another
+// daemon's order to end a transaction can arrive after its connection has been given to the next one.
+Test(StatementDispatcher, handleOfAnEndedTransactionReachesNoOther)
+{
+    DispatcherFixture fixture;
+    StatementRequest request;
+    request.statement = { "w1", StatementKind::Write, "WRITE x 1", "", "", false };
+    request.group = fixture.group;
+    request.isWrite = true;
+    request.needsPrimary = true;
+    request.opensTransaction = true;
+    request.arrival = fixture.timers.now();
+    request.deadline = fixture.timers.now() + Milliseconds(1000);
+    request.contents = std::make_shared<const SessionContents>();
+    TransactionHandle ended;
+    fixture.dispatcher.submit(
+        request, [&ended](StatementResult&& result, TimePoint) { ended = result.transaction; }, fixture.timers.now());
+    fixture.advance(Milliseconds(50));
+    cr_assert(ended != nullptr);
+    fixture.dispatcher.endTransaction(ended, fixture.timers.now());
+    fixture.advance(Milliseconds(50));
+
+    std::vector<std::unique_ptr<FakeCaller>> callers;
+    for (int i = 0; i < 4; ++i) {
+        callers.push_back(std::make_unique<FakeCaller>(fixture, "orders"));
+        callers.back()->begin();
+        callers.back()->write("c" + std::to_string(i));
+    }
+    fixture.advance(Milliseconds(150));
+    const auto isOfEnded
+        = [&fixture](const RunStatement& run) { return run.connection == fixture.endpoints.runs().front().connection; };
+    const auto& runs = fixture.endpoints.runs();
+    cr_assert_geq(std::count_if(runs.begin(), runs.end(), isOfEnded), 2, "a caller's transaction uses the connection");
+
+    request.statement.id = "w2";
+    request.opensTransaction = false;
+    std::optional<StatementError> error;
+    fixture.dispatcher.submit(
+        ended, request, [&error](StatementResult&& result, TimePoint) { error = result.reply.error; },
+        fixture.timers.now());
+    fixture.advance(Milliseconds(50));
+    cr_assert(error == StatementError::Aborted);
+    cr_assert_eq(fixture.endpoints.runsOf("w2"), 0U);
+    fixture.dispatcher.endTransaction(ended, fixture.timers.now());
+    fixture.advance(Milliseconds(50));
+    for (const auto& caller : callers) {
+        caller->commit("commit");
+        fixture.advance(Milliseconds(50));
+        cr_assert(caller->succeeded());
+    }
+}
