--- a/src/pooling/DispatcherRuns.cpp
+++ b/src/pooling/DispatcherRuns.cpp
@@ -16,7 +16,7 @@
         return request.isWrite && (isCommit(request) || (!isInTransaction && !request.opensTransaction));
     }
 
-    EndpointCommand makeForward(const StatementRequest& request)
+    EndpointCommand makeForward(const StatementRequest& request, const LinkContents& contents)
     {
         EndpointCommand command;
         command.id = request.statement.id;
@@ -27,27 +27,30 @@
         const auto prepared = request.contents->prepared.find(request.statement.name);
         assert(prepared != request.contents->prepared.end());
         command.kind = EndpointCommand::Kind::ForwardPrepared;
-        command.name = LinkContents::nameOnEndpoint(prepared->second);
+        const std::string* name = contents.nameOf(prepared->second);
+        assert(name);
+        command.name = *name;
         command.argument = request.statement.argument;
         return command;
     }
 
 } // namespace
 
-Ticket DispatcherState::submitInTransaction(
-    const std::shared_ptr<PooledLink>& link, StatementRequest request, StatementCallback callback, TimePoint now)
+Ticket DispatcherState::submitInTransaction(const std::shared_ptr<LinkTransaction>& transaction,
+    StatementRequest request, StatementCallback callback, TimePoint now)
 {
+    const std::shared_ptr<PooledLink>& link = transaction->link();
     const Ticket ticket = ++lastTicket_;
     request.rank = std::min(request.rank, ranks_.size() - 1);
     PendingStatement pending;
     pending.request = std::move(request);
     pending.callback = std::move(callback);
     pending_.emplace(ticket, std::move(pending));
-    if (link->state() != PooledLink::State::InTransaction) {
+    if (transaction->hasEnded() || link->state() != PooledLink::State::InTransaction) {
         StatementResult result;
         result.endpoint = link->endpoint();
         result.reply.error = StatementError::Aborted;
-        result.reply.detail = "the connection to the endpoint was lost";
+        result.reply.detail = "the transaction is not open any more";
         finish(ticket, std::move(result), now);
         return ticket;
     }
@@ -126,8 +129,8 @@
     const std::shared_ptr<PooledLink> link = run.link;
     link->setState(PooledLink::State::Busy, now);
     run.displacementsBefore = link->displacements();
-    std::vector<EndpointCommand> commands = link->contents().prepareFor(*request.contents, request.statement);
-    run.changesContentsInTransaction = run.isInTransaction && !commands.empty();
+    std::vector<EndpointCommand> commands
+        = link->contents().prepareFor(*request.contents, request.statement, run.isInTransaction);
     if (request.opensTransaction || run.usesGuardTransaction) {
         EndpointCommand begin;
         // An endpoint that is no longer the primary refuses to begin a transaction unless it is read-only.
@@ -178,7 +181,7 @@
 void DispatcherState::forward(Ticket ticket, TimePoint now)
 {
     StatementRun& run = runs_.at(ticket);
-    EndpointCommand command = makeForward(pending_.at(ticket).request);
+    EndpointCommand command = makeForward(pending_.at(ticket).request, run.link->contents());
     command.after = run.after;
     run.isForwarded = true;
     run.forwardedAt = now;
@@ -192,9 +195,14 @@
         return;
     if (!reply)
         return onConnectionLost(ticket, "connection lost while the statement ran", now);
+    const StatementRun& run = runs_.at(ticket);
+    const StatementRequest& request = pending_.at(ticket).request;
+    const bool needsTransaction
+        = (run.isInTransaction || request.opensTransaction || run.usesGuardTransaction) && !isCommit(request);
+    if (!reply->error && needsTransaction && reply->state != TransactionState::Open)
+        return loseTransaction(ticket, now);
     if (!reply->error)
         return succeed(ticket, *reply, now);
-    const StatementRun& run = runs_.at(ticket);
     const StatementError error = *reply->error;
     noteRefusal(run.link->endpoint(), error, now);
     if (guaranteesNoEffect(error) && !run.isInTransaction)
@@ -202,6 +210,24 @@
     completeWithError(ticket, *reply, now);
 }
 
+void DispatcherState::loseTransaction(Ticket ticket, TimePoint now)
+{
+    const std::string reason = "the endpoint ended the transaction";
+    const StatementRun& run = runs_.at(ticket);
+    const std::shared_ptr<PooledLink> link = run.link;
+    if (run.usesGuardTransaction) {
+        // The read may have missed a commit.
+        onConnectionLost(ticket, reason, now);
+        return link->close(reason, now);
+    }
+    link->close(reason, now);
+    Reply reply;
+    reply.error = StatementError::Aborted;
+    reply.detail = reason;
+    reply.state = TransactionState::Failed;
+    completeWithError(ticket, std::move(reply), now);
+}
+
 void DispatcherState::noteRefusal(const EndpointId& endpoint, StatementError error, TimePoint now)
 {
     if (error == StatementError::ReadOnly)
@@ -249,13 +275,11 @@
     result.reply = reply;
     result.endpoint = run.link->endpoint();
     result.attempts = pending_.at(ticket).attempts;
-    if (run.changesContentsInTransaction)
-        run.link->contents().invalidate();
     const bool keepsTransaction = (request.opensTransaction || run.isInTransaction)
         && reply.state == TransactionState::Open && !isCommit(request);
     if (keepsTransaction) {
         run.link->setState(PooledLink::State::InTransaction, now);
-        result.transaction = run.link;
+        result.transaction = std::make_shared<LinkTransaction>(run.link);
     }
     logOutcome(request, "serve", result.endpoint, "ok",
         run.usesGuardTransaction ? "primary_read" : toText(request.statement.kind), now);
@@ -277,8 +301,6 @@
     const StatementError error = *result.reply.error;
     logOutcome(request, "fail", result.endpoint, guaranteesNoEffect(error) ? "not_run" : "run", toText(error), now);
     metrics_.count("almondlever_endpoint_errors_total", std::string("error=\"") + toText(error) + '"');
-    if (run.changesContentsInTransaction)
-        run.link->contents().invalidate();
     finish(ticket, std::move(result), now);
     returnToPool(run.link, state, now);
     dispatch(request.group, now);
@@ -321,8 +343,11 @@
         now);
 }
 
-void DispatcherState::endTransaction(const std::shared_ptr<PooledLink>& link, TimePoint now)
+void DispatcherState::endTransaction(const std::shared_ptr<LinkTransaction>& transaction, TimePoint now)
 {
+    if (transaction->hasEnded())
+        return;
+    const std::shared_ptr<PooledLink>& link = transaction->link();
     if (link->state() == PooledLink::State::InTransaction)
         return rollBack(link, now);
     link->close("transaction ended while a statement ran", now);
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "EndpointLinks.h"
+#include "LinkTransaction.h"
 #include "almondlever/admission/RankScheduler.h"
 #include "almondlever/pooling/EndpointSelection.h"
 #include "almondlever/pooling/StatementDispatcher.h"
@@ -36,8 +37,6 @@
     bool isInTransaction = false;
     /** The proxy begins a read-write transaction for the read; an endpoint that is not the primary refuses it. */
     bool usesGuardTransaction = false;
-    /** Session values or prepared statements were set up inside the transaction; a rollback undoes them. */
-    bool changesContentsInTransaction = false;
     /** Position that the endpoint's log must have reached before it runs the statement. */
     std::optional<LogPosition> after;
     /** Unanswered commands that set up the session state or begin the transaction. */
@@ -103,9 +102,10 @@
     ~DispatcherState() override;
 
     Ticket submit(StatementRequest, StatementCallback, TimePoint now);
-    Ticket submitInTransaction(const std::shared_ptr<PooledLink>&, StatementRequest, StatementCallback, TimePoint now);
+    Ticket submitInTransaction(
+        const std::shared_ptr<LinkTransaction>&, StatementRequest, StatementCallback, TimePoint now);
     void abandon(Ticket, TimePoint now);
-    void endTransaction(const std::shared_ptr<PooledLink>&, TimePoint now);
+    void endTransaction(const std::shared_ptr<LinkTransaction>&, TimePoint now);
     void sendReplicationCommand(
         const EndpointId&, const EndpointCommand&, StatementDispatcher::ReplicationCommandCallback, TimePoint now);
     void stepDown(const GroupId&, const EndpointId&, Term, StatementDispatcher::StepDownCallback, TimePoint now);
@@ -181,6 +181,8 @@
     void onSetupReply(Ticket, const EndpointCommand::Kind&, TimePoint sentAt, const Reply*, TimePoint now);
     void onForwardReply(Ticket, const Reply*, TimePoint now);
     void succeed(Ticket, const Reply&, TimePoint now);
+    /** Ends a run that the endpoint reports as a success outside of the transaction in which it had to run. */
+    void loseTransaction(Ticket, TimePoint now);
     void completeWithError(Ticket, Reply, TimePoint now);
     /** Retries a statement that certainly did not run on this endpoint. */
     void retryElsewhere(Ticket, const Reply&, TimePoint now);
--- a/src/pooling/ReplyMatcher.cpp
+++ b/src/pooling/ReplyMatcher.cpp
@@ -139,6 +139,14 @@
     return !reply.error && !reply.detail.empty() && reply.detail != noSignature;
 }
 
+bool ReplyMatcher::isStateAfterStatement(const UnansweredCommand& command, TransactionState state) const
+{
+    if (command.endsTransaction)
+        return state == TransactionState::None;
+    // The endpoint may have ended the transaction; its user is told.
+    return state == state_ || (state_ == TransactionState::Open && state == TransactionState::None);
+}
+
 bool ReplyMatcher::fits(const UnansweredCommand& command, const Reply& reply) const
 {
     if (reply.error) {
@@ -149,7 +157,7 @@
     switch (command.kind) {
     case EndpointCommand::Kind::Forward:
     case EndpointCommand::Kind::ForwardPrepared:
-        return isSigned(reply) && reply.state == (command.endsTransaction ? TransactionState::None : state_);
+        return isSigned(reply) && isStateAfterStatement(command, reply.state);
     case EndpointCommand::Kind::Begin:
     case EndpointCommand::Kind::BeginReadOnly:
         return answersBegin(reply);
--- a/src/pooling/ReplyMatcher.h
+++ b/src/pooling/ReplyMatcher.h
@@ -75,6 +75,7 @@
     ReplyMatch judgeRepeatedRefusal(const UnansweredCommand&, const Reply&, TimePoint now);
     void remember(const Fingerprint&, TimePoint now);
     void forgetOldest();
+    bool isStateAfterStatement(const UnansweredCommand&, TransactionState) const;
     bool fits(const UnansweredCommand&, const Reply&) const;
 
     /** Replies that were taken, oldest first. */
--- a/tests/sessions/TestSession.cpp
+++ b/tests/sessions/TestSession.cpp
@@ -1,6 +1,7 @@
 #include "mocks/DispatcherFixture.h"
 
 #include <criterion/criterion.h>
+#include <functional>
 
 using namespace almondlever;
 
@@ -385,3 +386,150 @@
     cr_assert_eq(fixture.endpoints.runsOf("c1"), 1U);
     cr_assert(caller.hasError(StatementError::Unknown));
 }
+
+// Guards against a statement that runs inside the former transaction, whose commit was refused after a statement that
+// no endpoint ran, and against writes that are acknowledged in it and never committed.
+Test(Session, transactionEndsWithAStatementThatTheProxyRefused)
+{
+    using Say = std::function<void(FakeCaller&)>;
+    const std::vector<Say> refused {
+        [](FakeCaller& caller) { caller.say(StatementKind::Execute, "e", "EXECUTE none x", "none", "x"); },
+        [](FakeCaller& caller) { caller.begin(); },
+        [](FakeCaller& caller) { caller.say(StatementKind::Malformed, "m", "?"); },
+    };
+    for (const Say& say : refused) {
+        DispatcherFixture fixture;
+        FakeCaller caller(fixture, "orders");
+        caller.begin();
+        caller.write("w1");
+        fixture.advance(Milliseconds(50));
+        say(caller);
+        cr_assert(caller.replies.back().error.has_value());
+        caller.commit("c1");
+        cr_assert(caller.hasError(StatementError::Aborted));
+        caller.write("w2");
+        fixture.advance(Milliseconds(50));
+        cr_assert(caller.succeeded());
+        cr_assert_eq(fixture.endpoints.runs().back().id, "w2");
+        cr_assert(!fixture.endpoints.runs().back().wasInTransaction);
+    }
+}
+
+// Guards against clearing and setting up a connection anew for each statement of a transaction that prepared one.
+Test(Session, transactionKeepsItsPreparedStatements)
+{
+    DispatcherFixture fixture;
+    FakeCaller caller(fixture, "orders");
+    caller.say(StatementKind::Prepare, "p", "PREPARE s1 READ q1", "s1", "q1", false);
+    caller.say(StatementKind::Prepare, "p", "PREPARE s2 READ q2", "s2", "q2", false);
+    caller.begin();
+    const std::size_t before = fixture.endpoints.server(fixture.a).commands;
+    for (const std::string name : { "s1", "s2", "s1", "s2" }) {
+        caller.say(StatementKind::Execute, "e", "EXECUTE " + name + " x", name, "x");
+        fixture.advance(Milliseconds(30));
+        cr_assert(caller.succeeded());
+        cr_assert_eq(fixture.endpoints.runs().back().prepared.shape, "q" + name.substr(1));
+    }
+    constexpr std::size_t statements = 4;
+    constexpr std::size_t setupCommands = 3; // PREPARE, BEGIN, PREPARE
+    cr_assert_eq(fixture.endpoints.server(fixture.a).commands - before, statements + setupCommands);
+}
+
+// Guards against a statement that runs with what a rollback of another session's transaction undid.
+Test(Session, connectionIsClearedAfterATransactionThatChangedIt)
+{
+    DispatcherFixture fixture;
+    FakeCaller first(fixture, "orders");
+    FakeCaller second(fixture, "orders");
+    first.begin();
+    first.write("w1");
+    fixture.advance(Milliseconds(30));
+    first.say(StatementKind::SetValue, "s", "SET zone 1", "zone", "1");
+    first.write("w2");
+    fixture.advance(Milliseconds(30));
+    cr_assert_eq(fixture.endpoints.runs().back().values.at("zone"), "1");
+    first.say(StatementKind::Rollback, "r", "ROLLBACK");
+    fixture.advance(Milliseconds(30));
+    const std::size_t before = fixture.endpoints.server(fixture.a).commands;
+    second.say(StatementKind::SetValue, "s", "SET zone 1", "zone", "1");
+    second.write("w3");
+    fixture.advance(Milliseconds(30));
+    cr_assert_eq(fixture.endpoints.runs().back().values.at("zone"), "1");
+    const bool isSameConnection
+        = fixture.endpoints.runs().back().connection == fixture.endpoints.runs().front().connection;
+    cr_assert(!isSameConnection || fixture.endpoints.server(fixture.a).commands - before >= 3, "RESET, SET, WRITE");
+}
+
+// Guards against a transaction of which the endpoint lost the first statements: the session believes it open, and the
+// next statement begins another one.
+Test(Session, transactionThatTheEndpointEndedIsAborted)
+{
+    for (const bool isFirst : { true, false }) {
+        DispatcherFixture fixture;
+        FakeCaller caller(fixture, "orders");
+        caller.begin();
+        if (!isFirst) {
+            caller.write("w1");
+            fixture.advance(Milliseconds(50));
+            cr_assert(caller.succeeded());
+        }
+        fixture.endpoints.server(fixture.a).droppedTransactions = 1;
+        caller.write("w2");
+        fixture.advance(Milliseconds(50));
+        cr_assert(caller.hasError(StatementError::Aborted));
+        cr_assert(caller.replies.back().state == TransactionState::Failed);
+        const std::size_t runs = fixture.endpoints.runs().size();
+        caller.write("w3");
+        fixture.advance(Milliseconds(50));
+        cr_assert(!caller.succeeded());
+        caller.commit("c1");
+        cr_assert(caller.hasError(StatementError::Aborted));
+        cr_assert_eq(fixture.endpoints.runs().size(), runs);
+        caller.write("w4");
+        fixture.advance(Milliseconds(50));
+        cr_assert(caller.succeeded());
+        cr_assert(!fixture.endpoints.runs().back().wasInTransaction);
+    }
+}
+
+// Guards against a session that goes on in a transaction of which its runner reports success without a connection, as a
+// daemon does that answers for another one.
+Test(Session, transactionWithoutAConnectionIsAborted)
+{
+    class Runner final : public StatementRunner {
+    public:
+        Ticket submit(StatementRequest, StatementCallback callback, TimePoint now) override
+        {
+            ++submitted;
+            StatementResult result;
+            result.reply.detail = "signature";
+            result.reply.state = TransactionState::Open;
+            callback(std::move(result), now);
+            return submitted;
+        }
+        Ticket submit(const TransactionHandle&, StatementRequest, StatementCallback, TimePoint) override { return 0; }
+        void abandon(Ticket, TimePoint) override { }
+        void endTransaction(const TransactionHandle&, TimePoint) override { }
+
+        Ticket submitted = 0;
+    };
+    class Link final : public CallerLink {
+    public:
+        void send(const Reply& reply) override { replies.push_back(reply); }
+        void close() override { }
+
+        std::vector<Reply> replies;
+    };
+    DispatcherFixture fixture;
+    Runner runner;
+    Link link;
+    Session session(DatabaseId("orders"), KeyDigest(), link, fixture, fixture.access, runner, fixture.metrics);
+    session.onStatement({ "b", StatementKind::Begin, "BEGIN", "", "", false }, fixture.timers.now());
+    session.onStatement({ "w", StatementKind::Write, "WRITE x 1", "", "", false }, fixture.timers.now());
+    cr_assert(link.replies.back().error == StatementError::Aborted);
+    session.onStatement({ "v", StatementKind::Write, "WRITE x 2", "", "", false }, fixture.timers.now());
+    cr_assert_eq(runner.submitted, 1U);
+    session.onStatement({ "c", StatementKind::Commit, "COMMIT", "", "", false }, fixture.timers.now());
+    cr_assert(link.replies.back().error == StatementError::Aborted);
+    cr_assert_eq(runner.submitted, 1U);
+}
