Let the soak show answers and statements mixed up on the wire

The soak's stand-ins and callers read messages with the daemon's own reader, which ends them at LF, and their data held neither line ends nor blanks.

Options add odd bytes to fields (--odd-data blanks|all), and two faults of endpoints: answers that come once more up to 1.5 s later (--repeats) and answers that are cut off with their connection (--cuts). Each draws from a generator of its own. The checker compares the shape of a prepared name and what follows the name apart and byte for byte, judges unknown names, and reports messages that reach a caller which waits for none. The summary counts violations by rule, connections to endpoints and the served share.

--- a/soak/PromiseChecker.cpp
+++ b/soak/PromiseChecker.cpp
@@ -1,5 +1,7 @@
 #include "PromiseChecker.h"
 
+#include "OddText.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 
@@ -7,7 +9,7 @@
 
 void PromiseChecker::report(const std::string& promise, const std::string& detail)
 {
-    violations_.push_back(promise + ": " + detail);
+    violations_.push_back(promise + ": " + escape(detail));
 }
 
 void PromiseChecker::noteSent(const std::string& id, const SentStatement& statement) { sent_[id] = statement; }
@@ -20,8 +22,7 @@
     if (found == sent_.end())
         return report("unasked", "statement " + id + " ran on " + run.endpoint.text() + ", no caller sent it");
     const SentStatement& sent = found->second;
-    if (sent.text != run.text)
-        report("unasked", "statement " + id + " was sent as '" + sent.text + "' and ran as '" + run.text + "'");
+    checkText(id, sent, run);
     if (sent.values != run.values)
         report("pinned", "statement " + id + " ran with other session values on " + run.endpoint.text());
     checkPinned(id, sent, run);
@@ -29,6 +30,30 @@
         checkFresh(id, sent, run);
 }
 
+void PromiseChecker::checkText(const std::string& id, const SentStatement& sent, const RunStatement& run)
+{
+    if (sent.text != run.text || sent.prepared.has_value() != run.prepared.has_value())
+        report("unasked", "statement " + id + " was sent as '" + sent.text + "' and ran as '" + run.text + "'");
+    if (sent.prepared && run.prepared && !(*sent.prepared == *run.prepared))
+        report("pinned",
+            "statement " + id + " ran the shape '" + run.prepared->text + "', its caller had prepared '"
+                + sent.prepared->text + "'");
+}
+
+void PromiseChecker::noteUnknownName(const std::string& id)
+{
+    const auto found = sent_.find(id);
+    if (found == sent_.end())
+        return report("unasked", "an unknown name was to be executed by " + id + ", no caller sent it");
+    if (found->second.prepared)
+        report("pinned", "the name in statement " + id + " was unknown, its preparing was acknowledged");
+}
+
+void PromiseChecker::noteUnsolicited(const std::string& session, const std::string& message)
+{
+    report("unsolicited", "session " + session + " got '" + message + "' while it waited for nothing");
+}
+
 void PromiseChecker::checkPinned(const std::string& id, const SentStatement& sent, const RunStatement& run)
 {
     if (sent.transaction != 0 && run.transaction == 0)
--- a/soak/PromiseChecker.h
+++ b/soak/PromiseChecker.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -19,6 +20,17 @@
     std::vector<std::string> tokens;
 };
 
+/** What a caller prepared under a name. */
+struct PreparedShape {
+    bool isWrite = false;
+    std::string text;
+
+    friend bool operator==(const PreparedShape& a, const PreparedShape& b)
+    {
+        return a.isWrite == b.isWrite && a.text == b.text;
+    }
+};
+
 /** A read, a write or a commit as a caller sent it. */
 struct SentStatement {
     /** Differs for each session of a caller: it sees its own commits, not those of its former sessions. */
@@ -28,8 +40,10 @@
     Duration maximumStaleness { 0 };
     /** When the caller sent its first byte, or that of its transaction. */
     TimePoint since;
-    /** What an endpoint must run; the shape stands in for the name of a prepared statement. */
+    /** What an endpoint must run, byte for byte; of a prepared statement only what follows its name. */
     std::string text;
+    /** What the name of a prepared statement stands for. */
+    std::optional<PreparedShape> prepared;
     bool isRead = false;
     std::map<std::string, std::string> values;
     /** Number of the caller's transaction; 0 outside. */
@@ -41,6 +55,7 @@
     EndpointId endpoint;
     std::uint64_t connection = 0;
     std::string text;
+    std::optional<PreparedShape> prepared;
     std::map<std::string, std::string> values;
     /** Number of the endpoint's transaction; 0 outside. */
     std::uint64_t transaction = 0;
@@ -67,6 +82,10 @@
 public:
     void noteSent(const std::string& id, const SentStatement&);
     void noteRun(const std::string& id, const RunStatement&);
+    /** The name in a statement, which its caller had prepared, was unknown. */
+    void noteUnknownName(const std::string& id);
+    /** A message that reached a caller while it waited for none. */
+    void noteUnsolicited(const std::string& session, const std::string& message);
     /** A success that reached the caller. */
     void noteSuccess(const std::string& id, const std::string& signature, const std::vector<std::string>& rows);
     /** The caller has asked for the effect of these writes. */
@@ -103,6 +122,7 @@
     };
 
     void report(const std::string& promise, const std::string& detail);
+    void checkText(const std::string& id, const SentStatement&, const RunStatement&);
     void checkPinned(const std::string& id, const SentStatement&, const RunStatement&);
     void checkFresh(const std::string& id, const SentStatement&, const RunStatement&);
 
--- a/soak/SoakCaller.cpp
+++ b/soak/SoakCaller.cpp
@@ -1,7 +1,5 @@
 #include "SoakCaller.h"
 
-#include "platform/LineCodec.h"
-
 #include <set>
 
 namespace almondlever::soak {
@@ -11,7 +9,7 @@
     constexpr Milliseconds answerPatience { 4000 };
     constexpr Milliseconds reconnectPause { 60 };
     constexpr Milliseconds refusalPause { 120 };
-    constexpr int longestPauseMs = 40;
+    constexpr int pauseSteps = 40;
     constexpr int items = 40;
     constexpr double transactionShare = 0.3;
     constexpr double rollbackShare = 0.1;
@@ -30,13 +28,15 @@
 } // namespace
 
 SoakCaller::SoakCaller(asio::io_context& context, PromiseChecker& checker, SoakCounts& counts, std::string name,
-    SoakRoute route, std::uint64_t seed, DaemonChoice choose, ServedObserver onServed)
+    SoakRoute route, const SoakHabits& habits, std::uint64_t seed, DaemonChoice choose, ServedObserver onServed)
     : context_(context)
     , checker_(checker)
     , counts_(counts)
     , name_(std::move(name))
     , route_(std::move(route))
+    , habits_(habits)
     , random_(seed)
+    , odd_(habits.oddData, seed)
     , choose_(std::move(choose))
     , onServed_(std::move(onServed))
     , timer_(context)
@@ -63,20 +63,19 @@
     isRollingBack_ = false;
     ++session_;
     daemon_ = choose_(random_);
-    stream_ = std::make_shared<platform::LineStream>(context_);
-    platform::LineStream::Handlers handlers;
+    stream_ = std::make_shared<WireStream>(context_);
+    WireStream::Handlers handlers;
     const auto weak = weak_from_this();
-    handlers.onLine = [weak](std::string_view line) {
+    handlers.onMessage = [weak](std::string_view message) {
         if (const auto self = weak.lock())
-            self->onLine(line);
+            self->onMessage(message);
     };
-    handlers.onClosed = [weak](const std::string&) {
+    handlers.onClosed = [weak] {
         if (const auto self = weak.lock())
             self->onClosed();
     };
-    stream_->setHandlers(std::move(handlers));
     stream_->write("STARTUP " + route_.database + ' ' + name_ + "\r\n");
-    stream_->connect({ "127.0.0.1", daemon_ });
+    stream_->connect(daemon_, std::move(handlers));
     pause(answerPatience);
 }
 
@@ -112,18 +111,18 @@
 
 SoakCaller::Step SoakCaller::makeData(bool mayWrite)
 {
-    const std::string item = "i" + std::to_string(std::uniform_int_distribution<int>(1, items)(random_));
+    const std::string plainItem = "i" + std::to_string(std::uniform_int_distribution<int>(1, items)(random_));
     Step step;
     const bool isWrite = mayWrite && draw(writeShare);
     step.kind = isWrite ? Step::Kind::Write : Step::Kind::Read;
     if (isWrite)
-        step.token = name_ + '-' + std::to_string(++number_);
-    const std::string argument = isWrite ? item + ' ' + step.token : item;
-    const std::string name = isWrite ? "w" : "r";
-    const auto prepared = prepared_.find(name);
+        step.token = odd_.changeField(name_ + '-' + std::to_string(++number_));
+    const std::string argument = isWrite ? odd_.changeWord(plainItem) + ' ' + step.token : odd_.changeField(plainItem);
+    const auto prepared = prepared_.find(isWrite);
     if (prepared != prepared_.end() && draw(executeShare)) {
-        step.text = "EXECUTE " + name + ' ' + argument;
-        step.runs = "EXECUTE " + prepared->second + ' ' + argument;
+        step.text = "EXECUTE " + prepared->second.name + ' ' + argument;
+        step.runs = argument;
+        step.prepared = prepared->second.shape;
     } else {
         step.text = (isWrite ? "WRITE " : "READ ") + argument;
         step.runs = step.text;
@@ -131,6 +130,29 @@
     return step;
 }
 
+SoakCaller::Step SoakCaller::makeSet()
+{
+    Step step;
+    step.kind = Step::Kind::Set;
+    step.name = odd_.makeName("zone");
+    step.token = odd_.makeValue("v" + std::to_string(number_));
+    step.text = "SET " + step.name + ' ' + step.token;
+    return step;
+}
+
+SoakCaller::Step SoakCaller::makePrepare()
+{
+    Step step;
+    step.kind = Step::Kind::Prepare;
+    PreparedShape shape;
+    shape.isWrite = draw(0.5);
+    step.name = odd_.makeName(shape.isWrite ? "w" : "r");
+    shape.text = odd_.makeShape("q" + name_ + std::to_string(session_) + (shape.isWrite ? "w" : "r"));
+    step.text = "PREPARE " + step.name + (shape.isWrite ? " WRITE " : " READ ") + shape.text;
+    step.prepared = shape;
+    return step;
+}
+
 void SoakCaller::nextOperation()
 {
     steps_.clear();
@@ -139,26 +161,19 @@
     tokens_.clear();
     hasAsked_ = false;
     if (draw(sessionStateShare)) {
-        const std::string value = "v" + std::to_string(++number_);
-        if (draw(0.5)) {
-            steps_.push_back({ Step::Kind::Set, "SET zone " + value, "", value });
-        } else {
-            const bool isWrite = draw(0.5);
-            const std::string shape = "q" + name_ + std::to_string(session_) + (isWrite ? "w" : "r");
-            steps_.push_back({ Step::Kind::Prepare,
-                std::string("PREPARE ") + (isWrite ? "w WRITE " : "r READ ") + shape, isWrite ? "w" : "r", shape });
-        }
+        ++number_;
+        steps_.push_back(draw(0.5) ? makeSet() : makePrepare());
     } else if (draw(transactionShare)) {
         static std::uint64_t lastTransaction = 0;
         transaction_ = ++lastTransaction;
         const bool isReadOnly = draw(0.4);
-        steps_.push_back({ Step::Kind::Begin, isReadOnly ? "BEGIN READ" : "BEGIN", "", "" });
+        steps_.push_back({ Step::Kind::Begin, isReadOnly ? "BEGIN READ" : "BEGIN", "", {}, "", "" });
         const int count = std::uniform_int_distribution<int>(1, 4)(random_);
         for (int i = 0; i < count; ++i)
             steps_.push_back(makeData(!isReadOnly));
         const bool rollsBack = draw(rollbackShare);
         steps_.push_back({ rollsBack ? Step::Kind::Rollback : Step::Kind::Commit, rollsBack ? "ROLLBACK" : "COMMIT",
-            rollsBack ? "ROLLBACK" : "COMMIT", "" });
+            rollsBack ? "ROLLBACK" : "COMMIT", {}, "", "" });
     } else {
         steps_.push_back(makeData(true));
     }
@@ -171,7 +186,7 @@
 void SoakCaller::sendStep()
 {
     const Step& step = steps_[step_];
-    id_ = name_ + 'q' + std::to_string(++number_);
+    id_ = nextId();
     rows_.clear();
     signature_.clear();
     error_.clear();
@@ -191,6 +206,7 @@
         sent.maximumStaleness = route_.maximumStaleness;
         sent.since = since_;
         sent.text = step.runs;
+        sent.prepared = step.prepared;
         sent.isRead = step.kind == Step::Kind::Read;
         sent.values = values_;
         sent.transaction = transaction_;
@@ -200,15 +216,22 @@
     pause(answerPatience);
 }
 
-void SoakCaller::onLine(std::string_view line)
+void SoakCaller::onMessage(std::string_view message)
 {
-    const std::string_view word = platform::takeWord(line);
+    std::string_view rest = message;
+    const std::string_view word = takeField(rest);
+    if (isOpen_ && !isRunning_ && !isRollingBack_) {
+        if (word != "ERROR")
+            checker_.noteUnsolicited(sessionName(), std::string(message));
+        stream_->close();
+        return onClosed();
+    }
     if (word == "DATAROW") {
-        rows_.emplace_back(line);
+        rows_.emplace_back(rest);
     } else if (word == "COMPLETE") {
-        signature_ = line;
+        signature_ = rest;
     } else if (word == "ERROR") {
-        error_ = platform::takeWord(line);
+        error_ = takeField(rest);
     } else if (word == "READY") {
         if (!isOpen_) {
             isOpen_ = true;
@@ -228,6 +251,8 @@
     const Step& step = steps_[step_];
     if (!error_.empty()) {
         const bool nothingKept = promisesNothingKept(error_);
+        if (error_ == "NOSTMT")
+            checker_.noteUnknownName(id_);
         const bool mustRollBack
             = transaction_ != 0 && step.kind != Step::Kind::Commit && step.kind != Step::Kind::Rollback;
         endAttempt(nothingKept ? AttemptOutcome::NothingKept : AttemptOutcome::InDoubt);
@@ -235,16 +260,21 @@
             return pause(refusalPause);
         isRollingBack_ = true;
         error_.clear();
-        stream_->write("QUERY " + name_ + 'q' + std::to_string(++number_) + " ROLLBACK\r\n");
+        stream_->write("QUERY " + nextId() + " ROLLBACK\r\n");
         return pause(answerPatience);
     }
     const bool isData = step.kind == Step::Kind::Read || step.kind == Step::Kind::Write;
     if (isData || step.kind == Step::Kind::Commit)
         checker_.noteSuccess(id_, signature_, rows_);
     if (step.kind == Step::Kind::Set)
-        values_["zone"] = step.token;
-    if (step.kind == Step::Kind::Prepare)
-        prepared_[step.runs] = step.token;
+        values_[step.name] = step.token;
+    if (step.kind == Step::Kind::Prepare) {
+        const bool isWrite = step.prepared->isWrite;
+        const auto other = prepared_.find(!isWrite);
+        if (other != prepared_.end() && other->second.name == step.name)
+            prepared_.erase(other);
+        prepared_[isWrite] = { step.name, *step.prepared };
+    }
     if (++step_ < steps_.size())
         return sendStep();
     // A transaction that its caller rolled back leaves nothing and promises nothing more.
@@ -254,7 +284,8 @@
     if (isRolledBack)
         tokens_.clear();
     endAttempt(AttemptOutcome::Success);
-    pause(Milliseconds(std::uniform_int_distribution<int>(1, longestPauseMs)(random_)));
+    const int part = std::uniform_int_distribution<int>(1, pauseSteps)(random_);
+    pause(std::max(Milliseconds(1), habits_.longestPause * part / pauseSteps));
 }
 
 void SoakCaller::endAttempt(AttemptOutcome outcome)
--- a/soak/SoakCaller.h
+++ b/soak/SoakCaller.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include "OddText.h"
 #include "PromiseChecker.h"
-#include "platform/LineStream.h"
+#include "WireStream.h"
 
 #include <functional>
 #include <random>
@@ -16,6 +17,13 @@
     Milliseconds maximumStaleness { 0 };
 };
 
+/** How callers behave. */
+struct SoakHabits {
+    OddData oddData = OddData::None;
+    /** Longest time between two operations. */
+    Milliseconds longestPause { 40 };
+};
+
 /** Counts of all callers. */
 struct SoakCounts {
     std::size_t attempts = 0;
@@ -34,8 +42,8 @@
     using DaemonChoice = std::function<std::uint16_t(std::mt19937_64&)>;
     using ServedObserver = std::function<void(std::uint16_t daemon, const GroupId&)>;
 
-    SoakCaller(asio::io_context&, PromiseChecker&, SoakCounts&, std::string name, SoakRoute, std::uint64_t seed,
-        DaemonChoice, ServedObserver);
+    SoakCaller(asio::io_context&, PromiseChecker&, SoakCounts&, std::string name, SoakRoute, const SoakHabits&,
+        std::uint64_t seed, DaemonChoice, ServedObserver);
 
     void start() { connect(); }
     /** Ends the session; what is under way stays in doubt. */
@@ -48,13 +56,22 @@
         std::string text;
         /** What the endpoint must run. */
         std::string runs;
+        std::optional<PreparedShape> prepared;
+        /** Data of a write, which are unique, or a value. */
         std::string token;
+        /** Name of a value or of a prepared statement. */
+        std::string name;
+    };
+    struct Prepared {
+        std::string name;
+        PreparedShape shape;
     };
 
     void connect();
-    void onLine(std::string_view line);
+    void onMessage(std::string_view message);
     void onClosed();
     void nextOperation();
+    std::string nextId() { return odd_.changeWord(name_ + 'q' + std::to_string(++number_)); }
     void sendStep();
     void onAnswer();
     void endAttempt(AttemptOutcome);
@@ -62,24 +79,29 @@
     std::string sessionName() const { return name_ + '/' + std::to_string(session_); }
     bool draw(double share) { return std::uniform_real_distribution<double>(0, 1)(random_) < share; }
     Step makeData(bool mayWrite);
+    Step makeSet();
+    Step makePrepare();
 
     asio::io_context& context_;
     PromiseChecker& checker_;
     SoakCounts& counts_;
     std::string name_;
     SoakRoute route_;
+    SoakHabits habits_;
     std::mt19937_64 random_;
+    OddText odd_;
     DaemonChoice choose_;
     ServedObserver onServed_;
     asio::steady_timer timer_;
-    std::shared_ptr<platform::LineStream> stream_;
+    std::shared_ptr<WireStream> stream_;
     std::uint16_t daemon_ = 0;
     bool isOpen_ = false;
     bool isStopped_ = false;
     std::uint64_t session_ = 0;
     std::uint64_t number_ = 0;
     std::map<std::string, std::string> values_;
-    std::map<std::string, std::string> prepared_;
+    /** One name for each mode. */
+    std::map<bool, Prepared> prepared_;
     std::vector<Step> steps_;
     std::size_t step_ = 0;
     std::uint64_t transaction_ = 0;
--- a/soak/SoakFaults.cpp
+++ b/soak/SoakFaults.cpp
@@ -5,6 +5,13 @@
 
 namespace almondlever::soak {
 
+namespace {
+
+    constexpr int longestWireFaultMs = 4000;
+    constexpr int longestWireIntervalMs = 1500;
+
+} // namespace
+
 void SoakRun::repairLater(TimePoint at, std::function<void()> mend) { repairs_.push_back({ at, std::move(mend) }); }
 
 void SoakRun::injectFault(TimePoint now)
@@ -139,6 +146,25 @@
     }
 }
 
+void SoakRun::harmWire(TimePoint now)
+{
+    const auto drawUpTo = [this](int most) { return std::uniform_int_distribution<int>(0, most)(wireRandom_); };
+    nextWireFault_ = now + Milliseconds(1 + drawUpTo(longestWireIntervalMs));
+    const Endpoint& endpoint = endpoints_[static_cast<std::size_t>(drawUpTo(static_cast<int>(endpoints_.size()) - 1))];
+    const TimePoint until = now + Milliseconds(longestWireFaultMs / 4 + drawUpTo(longestWireFaultMs));
+    const bool isCut = settings_.repeats <= 0 || (settings_.cuts > 0 && drawUpTo(1) == 0);
+    StandinEndpoint* server = endpoint.group->find(endpoint.id);
+    if (!server)
+        return;
+    log((isCut ? "cut answers " : "repeated answers ") + endpoint.id.text());
+    const auto share = isCut ? &EndpointFaults::cuts : &EndpointFaults::repeats;
+    server->faults().*share = isCut ? settings_.cuts : settings_.repeats;
+    repairLater(until, [group = endpoint.group, id = endpoint.id, share] {
+        if (StandinEndpoint* present = group->find(id))
+            present->faults().*share = 0;
+    });
+}
+
 void SoakRun::harmPlatform(TimePoint now)
 {
     const TimePoint until = now + drawTime(500, 4000);
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -74,6 +74,7 @@
     , timer_(context_)
     , signals_(context_, SIGTERM, SIGINT)
     , store_(context_, settings.seed + 1)
+    , wireRandom_(settings.seed)
 {
 }
 
@@ -111,8 +112,8 @@
     promotionPort_ = started.value().port;
     for (std::size_t number = 0; number < settings_.groups; ++number) {
         const std::string name = "ledger" + std::to_string(number);
-        groups_.push_back(
-            std::make_unique<StandinGroup>(context_, checker_, GroupId(name), settings_.seed * 31 + number));
+        groups_.push_back(std::make_unique<StandinGroup>(
+            context_, checker_, GroupId(name), settings_.seed * 31 + number, settings_.habits.oddData));
         for (const char* suffix : { "a", "b", "c" })
             addEndpoint(*groups_.back(), name + suffix, {});
         groups_.back()->setFirstLeader(EndpointId(name + "a"));
@@ -275,7 +276,7 @@
                 served_.insert(std::to_string(daemon) + ' ' + group.text());
         };
         callers_.push_back(std::make_shared<SoakCaller>(context_, checker_, counts_, "c" + std::to_string(number),
-            routes_[number % routes_.size()], settings_.seed * 1009 + number, choose, onServed));
+            routes_[number % routes_.size()], settings_.habits, settings_.seed * 1009 + number, choose, onServed));
         callers_.back()->start();
     }
 }
@@ -296,6 +297,7 @@
     faultsUntil_ = startedAt_ + startTime + settings_.faultTime;
     drawRestores();
     nextFault_ = startedAt_ + startTime;
+    nextWireFault_ = nextFault_;
     const TimePoint callersFrom = startedAt_ + startTime / 2;
     std::function<void()> loop = [this, &loop, callersFrom] {
         timer_.expires_after(tickInterval);
@@ -337,6 +339,10 @@
     result_.inDoubt = counts_.inDoubt;
     result_.acknowledgedWrites = checker_.acknowledged();
     result_.storeCalls = store_.calls();
+    for (const auto& group : groups_) {
+        result_.connections += group->accepted();
+        result_.repeated += group->repeated();
+    }
     return result_;
 }
 
@@ -365,6 +371,9 @@
         restoresAt_.pop_front();
         restoreStore(now);
     }
+    const bool hasWireFaults = settings_.repeats > 0 || settings_.cuts > 0;
+    if (hasWireFaults && now >= nextWireFault_ && now < faultsUntil_)
+        harmWire(now);
     if (now >= nextFault_ && now < faultsUntil_) {
         injectFault(now);
         nextFault_ = now + drawTime(1, static_cast<int>(2 * settings_.faultInterval.count()));
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -16,14 +16,18 @@
 
 struct SoakSettings {
     std::string program;
-    /** Folder for settings files and logs of the daemons; must exist. */
     /** An older build of the daemon, which every second daemon runs until it is restarted; empty for none. */
     std::string formerProgram;
+    /** Folder for settings files and logs of the daemons; must exist. */
     std::string folder;
     std::uint64_t seed = 1;
     std::size_t daemons = 3;
     std::size_t groups = 2;
     std::size_t callers = 24;
+    SoakHabits habits;
+    /** Share of the answers that endpoints repeat, or cut off, while they have this fault. */
+    double repeats = 0;
+    double cuts = 0;
     /** Time in which faults are injected. */
     Milliseconds faultTime { 15000 };
     /** Routes that no caller uses, to make the configuration large. */
@@ -47,6 +51,9 @@
     std::size_t faults = 0;
     std::size_t promotions = 0;
     std::size_t storeCalls = 0;
+    /** Connections that endpoints accepted, and answers that they sent once more. */
+    std::size_t connections = 0;
+    std::size_t repeated = 0;
 };
 
 /**
@@ -117,6 +124,7 @@
     /** The store comes back from a copy; operator and endpoints write again what it lacks. */
     void restoreStore(TimePoint now);
     void drawRestores();
+    void harmWire(TimePoint now);
     void harmPlatform(TimePoint now);
     void replacePrimary(TimePoint now);
     void repairLater(TimePoint at, std::function<void()>);
@@ -157,6 +165,9 @@
     std::deque<TimePoint> restoresAt_;
     /** Draws restores only, so that a seed keeps its other faults. */
     std::mt19937_64 restoreRandom_;
+    /** Draws repeats and cuts only. */
+    std::mt19937_64 wireRandom_;
+    TimePoint nextWireFault_;
     std::size_t extraRoutes_ = 0;
     std::size_t replaced_ = 0;
     TimePoint startedAt_;
--- a/soak/StandinConnection.cpp
+++ b/soak/StandinConnection.cpp
@@ -1,7 +1,5 @@
 #include "StandinConnection.h"
 
-#include "platform/LineCodec.h"
-
 #include <charconv>
 
 namespace almondlever::soak {
@@ -11,6 +9,7 @@
     constexpr std::size_t slots = 6;
     constexpr std::size_t queueLimit = 40;
     constexpr int longestWorkMs = 6;
+    constexpr int longestRepeatMs = 1500;
 
     std::uint64_t toNumber(std::string_view text)
     {
@@ -24,7 +23,7 @@
 StandinConnection::StandinConnection(StandinGroup& group, StandinEndpoint& endpoint, asio::ip::tcp::socket&& socket)
     : group_(group)
     , endpoint_(endpoint)
-    , stream_(std::make_shared<platform::LineStream>(std::move(socket)))
+    , stream_(std::make_shared<WireStream>(std::move(socket)))
     , timer_(group.context())
     , number_(group.nextNumber())
 {
@@ -32,24 +31,25 @@
 
 void StandinConnection::start()
 {
-    platform::LineStream::Handlers handlers;
-    handlers.onLine = [weak = weak_from_this()](std::string_view line) {
+    WireStream::Handlers handlers;
+    handlers.onMessage = [weak = weak_from_this()](std::string_view message) {
         if (const auto self = weak.lock())
-            self->onLine(line);
+            self->onMessage(message);
     };
-    handlers.onClosed = [weak = weak_from_this()](const std::string&) {
+    handlers.onClosed = [weak = weak_from_this()] {
         const auto self = weak.lock();
         if (!self)
             return;
         self->close();
         self->endpoint_.connections_.erase(self);
     };
-    stream_->setHandlers(std::move(handlers));
-    stream_->start();
+    stream_->start(std::move(handlers));
 }
 
 void StandinConnection::close()
 {
+    // Also after an answer that was cut off, whose last bytes may still be unsent.
+    stream_->close();
     if (isClosed_)
         return;
     isClosed_ = true;
@@ -57,12 +57,11 @@
     if (hasSlot_ && endpoint_.running_ > 0)
         --endpoint_.running_;
     hasSlot_ = false;
-    stream_->close();
 }
 
-void StandinConnection::onLine(std::string_view line)
+void StandinConnection::onMessage(std::string_view message)
 {
-    waiting_.emplace_back(line);
+    waiting_.emplace_back(message);
     takeNext();
 }
 
@@ -85,29 +84,29 @@
     const std::string line = std::move(waiting_.front());
     waiting_.pop_front();
     std::string_view rest = line;
-    const std::string_view word = platform::takeWord(rest);
+    const std::string_view word = takeField(rest);
     if (word == "STARTUP") {
-        const std::string_view service = platform::takeWord(rest);
-        platform::takeWord(rest);
+        const std::string_view service = takeField(rest);
+        takeField(rest);
         if (service != group_.id().text() || (!rest.empty() && rest != endpoint_.id().text())) {
             stream_->write("ERROR MISROUTED " + endpoint_.id().text() + "\r\n");
             return stream_->finish();
         }
         isOpen_ = true;
-        stream_->write(readyLine());
+        answer(readyLine());
         return takeNext();
     }
     if (word != "QUERY" || !isOpen_)
         return close();
     isBusy_ = true;
-    const std::string id(platform::takeWord(rest));
+    const std::string id(takeField(rest));
     handle(id, rest);
 }
 
 void StandinConnection::handle(const std::string& id, std::string_view text)
 {
     std::string_view rest = text;
-    std::string verb(platform::takeWord(rest));
+    std::string verb(takeField(rest));
     const bool hasLostLead = state_ == 'T' && !isReadOnly_ && (!leads() || group_.term() != term_);
     const bool isEmptyCommit = verb == "COMMIT" && written_.empty();
     if (hasLostLead && verb != "ROLLBACK" && !isEmptyCommit)
@@ -115,14 +114,14 @@
     if (state_ == 'E' && verb != "ROLLBACK" && verb != "COMMIT")
         return fail("MALFORMED the transaction failed");
     if (verb == "AFTER") {
-        const auto needed = platform::decodePosition(platform::takeWord(rest));
+        const auto needed = parsePosition(takeField(rest));
         if (!needed)
             return fail("MALFORMED no position");
         const std::size_t visible = endpoint_.visible(Clock::now());
         const LogPosition held = visible == 0 ? LogPosition {} : endpoint_.log()[visible - 1].position;
         if (held < *needed)
-            return fail("LAGGING " + platform::encodePosition(held));
-        verb = platform::takeWord(rest);
+            return fail("LAGGING " + formatPosition(held));
+        verb = takeField(rest);
     }
     if (verb == "BEGIN") {
         isReadOnly_ = rest == "READ";
@@ -143,13 +142,13 @@
     if (verb == "COMMIT")
         return work([this, id] { runCommit(id); });
     if (verb == "SET") {
-        const std::string name(platform::takeWord(rest));
+        const std::string name(takeField(rest));
         values_[name] = rest;
         return complete("-", {}, false);
     }
     if (verb == "PREPARE") {
-        const std::string name(platform::takeWord(rest));
-        const bool isWrite = platform::takeWord(rest) == "WRITE";
+        const std::string name(takeField(rest));
+        const bool isWrite = takeField(rest) == "WRITE";
         prepared_[name] = { isWrite, std::string(rest) };
         return complete("-", {}, false);
     }
@@ -174,19 +173,27 @@
     }
     if (verb == "READ" || verb == "WRITE") {
         std::string_view token = rest;
-        platform::takeWord(token);
-        return work([this, id, isWrite = verb == "WRITE", run = verb + ' ' + std::string(rest),
-                        written = std::string(token)] { runStatement(id, isWrite, run, written); });
+        takeField(token);
+        RunStatement run;
+        run.text = verb + ' ' + std::string(rest);
+        return work([this, id, isWrite = verb == "WRITE", run = std::move(run), written = std::string(token)] {
+            runStatement(id, isWrite, run, written);
+        });
     }
     if (verb == "EXECUTE") {
-        const auto shape = prepared_.find(std::string(platform::takeWord(rest)));
-        if (shape == prepared_.end())
+        const auto shape = prepared_.find(std::string(takeField(rest)));
+        if (shape == prepared_.end()) {
+            group_.checker().noteUnknownName(id);
             return fail("NOSTMT -");
+        }
         std::string_view token = rest;
-        platform::takeWord(token);
-        return work(
-            [this, id, isWrite = shape->second.isWrite, run = "EXECUTE " + shape->second.text + ' ' + std::string(rest),
-                written = std::string(token)] { runStatement(id, isWrite, run, written); });
+        takeField(token);
+        RunStatement run;
+        run.text = rest;
+        run.prepared = shape->second;
+        return work([this, id, run = std::move(run), written = std::string(token)] {
+            runStatement(id, run.prepared->isWrite, run, written);
+        });
     }
     fail("MALFORMED not understood");
 }
@@ -208,23 +215,22 @@
     });
 }
 
-void StandinConnection::runStatement(
-    const std::string& id, bool isWrite, const std::string& text, const std::string& token)
+void StandinConnection::runStatement(const std::string& id, bool isWrite, RunStatement run, const std::string& token)
 {
     const bool isInTransaction = state_ == 'T';
     const bool hasLostLead = isInTransaction && !isReadOnly_ && (!leads() || group_.term() != term_);
     if (hasLostLead || (isWrite && (!leads() || (isInTransaction && isReadOnly_))))
         return fail("READONLY " + endpoint_.id().text());
-    RunStatement run;
     run.endpoint = endpoint_.id();
     run.connection = number_;
-    run.text = text;
     run.values = values_;
     run.transaction = isInTransaction ? transaction_ : 0;
     run.log = &endpoint_.log();
     run.visible = endpoint_.visible(Clock::now());
     run.signature = "sig-" + std::to_string(group_.nextNumber());
-    run.rows = { "row-" + id.substr(0, 8) + '-' + std::to_string(group_.nextNumber()) };
+    for (std::size_t count = group_.oddText().drawRows(); count > 0; --count)
+        run.rows.push_back(
+            group_.oddText().makeRow("row-" + id.substr(0, 8) + '-' + std::to_string(group_.nextNumber())));
     group_.checker().noteRun(id, run);
     if (!isWrite || isInTransaction) {
         if (isWrite)
@@ -289,7 +295,7 @@
 void StandinConnection::completeStatus()
 {
     const std::string row = std::string(leads() ? "primary" : "replica") + ' ' + std::to_string(group_.term()) + ' '
-        + platform::encodePosition(endpoint_.received()) + ' ' + std::to_string(endpoint_.pausedIn_) + " 5 0 1";
+        + formatPosition(endpoint_.received()) + ' ' + std::to_string(endpoint_.pausedIn_) + " 5 0 1";
     complete("-", { row }, false);
 }
 
@@ -299,16 +305,43 @@
         --endpoint_.running_;
     hasSlot_ = false;
     text += readyLine();
-    stream_->write(text);
     isBusy_ = false;
+    answer(text);
     takeNext();
 }
 
+void StandinConnection::answer(const std::string& text)
+{
+    const EndpointFaults& faults = endpoint_.faults_;
+    if (faults.cuts > 0 && group_.drawWireFault(faults.cuts)) {
+        stream_->write(text.substr(0, group_.drawWireNumber(text.size() - 1)));
+        stream_->finish();
+        isClosed_ = true;
+        return;
+    }
+    stream_->write(text);
+    if (faults.repeats > 0 && group_.drawWireFault(faults.repeats))
+        repeatLater(text);
+}
+
+void StandinConnection::repeatLater(const std::string& text)
+{
+    const auto timer = std::make_shared<asio::steady_timer>(group_.context());
+    timer->expires_after(Milliseconds(group_.drawWireNumber(longestRepeatMs)));
+    timer->async_wait([timer, weak = weak_from_this(), text](std::error_code) {
+        const auto self = weak.lock();
+        if (!self || self->isClosed_)
+            return;
+        self->group_.noteRepeat();
+        self->stream_->write(text);
+    });
+}
+
 std::string StandinConnection::readyLine()
 {
     const std::size_t visible = endpoint_.visible(Clock::now());
     const LogPosition position = visible == 0 ? LogPosition {} : endpoint_.log()[visible - 1].position;
-    return std::string("READY ") + state_ + ' ' + platform::encodePosition(position) + "\r\n";
+    return std::string("READY ") + state_ + ' ' + formatPosition(position) + "\r\n";
 }
 
 } // namespace almondlever::soak
--- a/soak/StandinConnection.h
+++ b/soak/StandinConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "StandinGroup.h"
+#include "WireStream.h"
 
 namespace almondlever::soak {
 
@@ -14,28 +15,27 @@
     void close();
 
 private:
-    struct Shape {
-        bool isWrite = false;
-        std::string text;
-    };
-
-    void onLine(std::string_view line);
+    void onMessage(std::string_view message);
     void takeNext();
     void handle(const std::string& id, std::string_view text);
     /** Waits for a slot and the work, then goes on. */
     void work(std::function<void()> then);
-    void runStatement(const std::string& id, bool isWrite, const std::string& text, const std::string& token);
+    /** The run holds only what the text says; the token is that of a write. */
+    void runStatement(const std::string& id, bool isWrite, RunStatement run, const std::string& token);
     void runCommit(const std::string& id);
     void complete(const std::string& signature, const std::vector<std::string>& rows, bool mayBeLost);
     void fail(const std::string& error);
     void completeStatus();
     void finish(std::string text);
     std::string readyLine();
+    /** Sends an answer; faults of the endpoint may repeat it or cut it off. */
+    void answer(const std::string& text);
+    void repeatLater(const std::string& text);
     bool leads() const { return group_.leads(endpoint_); }
 
     StandinGroup& group_;
     StandinEndpoint& endpoint_;
-    std::shared_ptr<platform::LineStream> stream_;
+    std::shared_ptr<WireStream> stream_;
     asio::steady_timer timer_;
     std::uint64_t number_;
     bool isOpen_ = false;
@@ -44,7 +44,7 @@
     bool hasSlot_ = false;
     std::deque<std::string> waiting_;
     std::map<std::string, std::string> values_;
-    std::map<std::string, Shape> prepared_;
+    std::map<std::string, PreparedShape> prepared_;
     /** 'I', 'T' or 'E' as on the wire. */
     char state_ = 'I';
     bool isReadOnly_ = false;
--- a/soak/StandinGroup.cpp
+++ b/soak/StandinGroup.cpp
@@ -68,6 +68,7 @@
         if (!error) {
             const auto connection = std::make_shared<StandinConnection>(group_, *this, std::move(socket));
             connections_.insert(connection);
+            group_.noteAccepted();
             connection->start();
         }
         accept();
@@ -103,11 +104,14 @@
     return applied_;
 }
 
-StandinGroup::StandinGroup(asio::io_context& context, PromiseChecker& checker, GroupId id, std::uint64_t seed)
+StandinGroup::StandinGroup(
+    asio::io_context& context, PromiseChecker& checker, GroupId id, std::uint64_t seed, OddData oddData)
     : context_(context)
     , checker_(checker)
     , id_(std::move(id))
     , random_(seed)
+    , wireRandom_(seed)
+    , oddText_(oddData, seed)
 {
 }
 
--- a/soak/StandinGroup.h
+++ b/soak/StandinGroup.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "OddText.h"
 #include "PromiseChecker.h"
-#include "platform/LineStream.h"
 
 #include <asio.hpp>
 #include <deque>
@@ -22,6 +22,10 @@
     bool isDeaf = false;
     /** Share of the answers that get lost with their connection after the run. */
     double lostAnswers = 0;
+    /** Share of the answers that come once more, some time later. */
+    double repeats = 0;
+    /** Share of the answers that are cut off, with the end of their connection. */
+    double cuts = 0;
     /** Added to the time that each statement takes. */
     Milliseconds extraWork { 0 };
     /** Time that a replica takes to apply what it received. */
@@ -78,7 +82,7 @@
 /** The servers of one group, their replication, and which of them leads. */
 class StandinGroup {
 public:
-    StandinGroup(asio::io_context&, PromiseChecker&, GroupId, std::uint64_t seed);
+    StandinGroup(asio::io_context&, PromiseChecker&, GroupId, std::uint64_t seed, OddData);
 
     const GroupId& id() const { return id_; }
     StandinEndpoint& add(const EndpointId&);
@@ -102,6 +106,17 @@
     asio::io_context& context() { return context_; }
     PromiseChecker& checker() { return checker_; }
     std::mt19937_64& random() { return random_; }
+    OddText& oddText() { return oddText_; }
+    /** Draws for answers that are repeated or cut off, apart from random(). */
+    bool drawWireFault(double share) { return std::uniform_real_distribution<double>(0, 1)(wireRandom_) < share; }
+    std::size_t drawWireNumber(std::size_t most)
+    {
+        return std::uniform_int_distribution<std::size_t>(0, most)(wireRandom_);
+    }
+    void noteAccepted() { ++accepted_; }
+    void noteRepeat() { ++repeated_; }
+    std::size_t accepted() const { return accepted_; }
+    std::size_t repeated() const { return repeated_; }
     /** A number that no connection, transaction or run of any group has. */
     static std::uint64_t nextNumber();
 
@@ -116,6 +131,10 @@
     PromiseChecker& checker_;
     GroupId id_;
     std::mt19937_64 random_;
+    std::mt19937_64 wireRandom_;
+    OddText oddText_;
+    std::size_t accepted_ = 0;
+    std::size_t repeated_ = 0;
     std::map<EndpointId, std::unique_ptr<StandinEndpoint>> endpoints_;
     EndpointId leader_;
     Term term_ = 1;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,6 +1,7 @@
 #include "SoakRun.h"
 
 #include <iostream>
+#include <map>
 #include <sys/stat.h>
 #include <tclap/CmdLine.h>
 
@@ -9,6 +10,9 @@
 using namespace almondlever;
 using namespace almondlever::soak;
 
+/** One cause may break a rule thousands of times. */
+constexpr std::size_t shownOfEachRule = 20;
+
 /** One seed; true when nothing was found. */
 bool runSeed(SoakSettings settings)
 {
@@ -16,13 +20,23 @@
     mkdir(settings.folder.c_str(), 0755);
     SoakRun run(settings);
     const SoakResult result = run.run();
-    for (const std::string& line : result.violations)
-        std::cout << "VIOLATION seed " << settings.seed << ' ' << line << '\n';
+    std::map<std::string, std::size_t> counts;
+    for (const std::string& line : result.violations) {
+        if (++counts[line.substr(0, line.find(':'))] <= shownOfEachRule)
+            std::cout << "VIOLATION seed " << settings.seed << ' ' << line << '\n';
+    }
+    std::string rules;
+    for (const auto& [rule, count] : counts)
+        rules += (rules.empty() ? " (" : ", ") + rule + ' ' + std::to_string(count);
     std::cout << "soak: seed " << settings.seed << ", " << result.faults << " faults, " << result.promotions
               << " promotions, " << result.attempts << " attempts, " << result.served << " served, " << result.refused
               << " refused, " << result.inDoubt << " in doubt, " << result.acknowledgedWrites
               << " acknowledged writes, " << result.storeCalls << " store calls, " << result.violations.size()
-              << " violations" << std::endl;
+              << " violations" << (rules.empty() ? "" : rules + ')') << ", " << result.connections
+              << " connections to endpoints, " << result.repeated << " repeated answers, served share "
+              << (result.attempts == 0 ? 0.0
+                                       : static_cast<double>(result.served) / static_cast<double>(result.attempts))
+              << std::endl;
     return result.violations.empty();
 }
 
@@ -46,8 +60,18 @@
         "", "store-restores", "times that the store comes back from a copy", false, defaults.storeRestores, "N");
     TCLAP::ValueArg<std::size_t> routes(
         "", "unused-routes", "routes that no caller uses", false, defaults.unusedRoutes, "N");
-    for (TCLAP::Arg* argument : std::initializer_list<TCLAP::Arg*> {
-             &program, &former, &folder, &seed, &seeds, &daemons, &groups, &callers, &seconds, &restores, &routes })
+    std::vector<std::string> oddKinds { "none", "blanks", "all" };
+    TCLAP::ValuesConstraint<std::string> oddConstraint(oddKinds);
+    TCLAP::ValueArg<std::string> oddData(
+        "", "odd-data", "what callers and endpoints put into fields", false, oddKinds.front(), &oddConstraint);
+    TCLAP::ValueArg<double> repeats(
+        "", "repeats", "share of the answers that endpoints with this fault send once more", false, 0, "SHARE");
+    TCLAP::ValueArg<double> cuts(
+        "", "cuts", "share of the answers that endpoints with this fault cut off", false, 0, "SHARE");
+    TCLAP::ValueArg<int> pause("", "caller-pause-ms", "longest time between two operations of a caller", false,
+        static_cast<int>(defaults.habits.longestPause.count()), "MS");
+    for (TCLAP::Arg* argument : std::initializer_list<TCLAP::Arg*> { &program, &former, &folder, &seed, &seeds,
+             &daemons, &groups, &callers, &seconds, &restores, &routes, &oddData, &repeats, &cuts, &pause })
         commandLine.add(argument);
     commandLine.parse(argc, argv);
     try {
@@ -64,6 +88,12 @@
             settings.faultTime = std::chrono::seconds(seconds.getValue());
             settings.storeRestores = restores.getValue();
             settings.unusedRoutes = routes.getValue();
+            settings.habits.oddData = oddData.getValue() == "all" ? OddData::All
+                : oddData.getValue() == "blanks"                  ? OddData::Blanks
+                                                                  : OddData::None;
+            settings.habits.longestPause = Milliseconds(pause.getValue());
+            settings.repeats = repeats.getValue();
+            settings.cuts = cuts.getValue();
             isClean = runSeed(settings) && isClean;
         }
         return isClean ? 0 : 1;
--- a/tests/soak/TestPromiseChecker.cpp
+++ b/tests/soak/TestPromiseChecker.cpp
@@ -225,3 +225,101 @@
     fixture.checker.noteRun("t2", makeRun("READ i1", 52));
     cr_assert(fixture.found("pinned"));
 }
+
+// Planted: a prepared name runs another shape or another mode than its caller prepared.
+Test(PromiseChecker, findsAnotherShape)
+{
+    const PreparedShape prepared { false, "q7 READ arpe" };
+    for (const PreparedShape& shape :
+        { PreparedShape { false, "q7 READ arpe " }, PreparedShape { true, prepared.text } }) {
+        Fixture fixture;
+        SentStatement sent = makeSent("i1");
+        sent.prepared = prepared;
+        fixture.checker.noteSent("e1", sent);
+        RunStatement run = makeRun("i1");
+        run.prepared = prepared;
+        fixture.checker.noteRun("e1", run);
+        cr_assert(fixture.checker.violations().empty());
+        run.prepared = shape;
+        fixture.checker.noteRun("e1", run);
+        cr_assert(fixture.found("pinned"));
+    }
+}
+
+// Planted: bytes move from the shape of a prepared name into its argument; the two joined stay the same.
+Test(PromiseChecker, findsAMovedBorderOfTheShape)
+{
+    Fixture fixture;
+    SentStatement sent = makeSent("i1");
+    sent.prepared = PreparedShape { false, "q7 READ arpe" };
+    fixture.checker.noteSent("e1", sent);
+    RunStatement run = makeRun("READ arpe i1");
+    run.prepared = PreparedShape { false, "q7" };
+    fixture.checker.noteRun("e1", run);
+    cr_assert_eq(fixture.checker.violations().size(), 2U);
+    cr_assert_eq(fixture.checker.violations()[0].rfind("unasked:", 0), 0U);
+    cr_assert_eq(fixture.checker.violations()[1].rfind("pinned:", 0), 0U);
+}
+
+// Planted: a statement that names nothing runs as a prepared one.
+Test(PromiseChecker, findsAPlainStatementThatRunsPrepared)
+{
+    Fixture fixture;
+    fixture.checker.noteSent("q2", makeSent("READ i2"));
+    RunStatement run = makeRun("READ i2");
+    run.prepared = PreparedShape { false, "q7" };
+    fixture.checker.noteRun("q2", run);
+    cr_assert(fixture.found("unasked"));
+}
+
+// Planted: the text of a statement differs in a single byte at its end.
+Test(PromiseChecker, comparesTextByteForByte)
+{
+    for (const char* text : { "WRITE i1 a\nb", "WRITE i1 a\r", "WRITE i1 a ", "WRITE i1  a", "WRITE i1 a\xff" }) {
+        Fixture fixture;
+        fixture.checker.noteSent("q2", makeSent(text));
+        fixture.checker.noteRun("q2", makeRun(text));
+        cr_assert(fixture.checker.violations().empty());
+        fixture.checker.noteRun("q2", makeRun("WRITE i1 a"));
+        cr_assert(fixture.found("unasked"));
+    }
+}
+
+// Planted: a name is unknown though its preparing was acknowledged.
+Test(PromiseChecker, findsAnUnknownName)
+{
+    Fixture fixture;
+    SentStatement sent = makeSent("i1");
+    sent.prepared = PreparedShape { false, "q7" };
+    fixture.checker.noteSent("e1", sent);
+    fixture.checker.noteUnknownName("e1");
+    cr_assert(fixture.found("pinned"));
+    Fixture forged;
+    forged.checker.noteUnknownName("x");
+    cr_assert(forged.found("unasked"));
+}
+
+// Planted: a success with the signature of a run of the statement and with rows of another one, or without a signature.
+Test(PromiseChecker, comparesSignatureAndRowsTogether)
+{
+    Fixture rows;
+    rows.checker.noteSent("q2", makeSent("READ i2"));
+    RunStatement run = makeRun("READ i2");
+    run.rows = { "row\nCOMPLETE forged-1\nREADY I 1.1" };
+    rows.checker.noteRun("q2", run);
+    rows.checker.noteSuccess("q2", "s", run.rows);
+    cr_assert(rows.checker.violations().empty());
+    rows.checker.noteSuccess("q2", "s", { "row" });
+    cr_assert(rows.found("mixed"));
+    Fixture empty;
+    empty.checker.noteSuccess("q1", "", { "row" });
+    cr_assert(empty.found("mixed"));
+}
+
+// Planted: a caller gets a message that answers nothing.
+Test(PromiseChecker, findsAnUnsolicitedMessage)
+{
+    Fixture fixture;
+    fixture.checker.noteUnsolicited("c1/1", "READY I 1.1");
+    cr_assert(fixture.found("unsolicited"));
+}
