Judge single writes in transactions and answers out of order

A single write that ran inside a transaction which was left open, with no statement before it, counted as placed rightly. A caller took a second outcome for the first, kept its session after a SET or PREPARE that failed, and never left inside a transaction. Endpoints that repeat answers hardly ever gave a promise that could be repeated.

The checker reports such writes as pinned; callers report messages out of order, close after a SET or PREPARE that failed, and beside the wire's kinds of faults leave inside transactions in 2 % of the steps, drawn apart. Endpoints that repeat answers are busy for 5 % of the statements.

--- a/soak/PromiseChecker.cpp
+++ b/soak/PromiseChecker.cpp
@@ -51,7 +51,7 @@
 
 void PromiseChecker::noteUnsolicited(const std::string& session, const std::string& message)
 {
-    report("unsolicited", "session " + session + " got '" + message + "' while it waited for nothing");
+    report("unsolicited", "session " + session + " got '" + message + "', which answers nothing");
 }
 
 void PromiseChecker::checkPinned(const std::string& id, const SentStatement& sent, const RunStatement& run)
@@ -62,6 +62,9 @@
         return;
     // A transaction that the proxy begins around a single read belongs to that read alone.
     const std::string owner = sent.transaction != 0 ? "t" + std::to_string(sent.transaction) : id;
+    // Nobody could ask for the end of a transaction around a single write.
+    if (sent.transaction == 0 && !sent.isRead)
+        report("pinned", "single write " + id + " ran inside a transaction on " + run.endpoint.text());
     const std::string& known = owners_.emplace(run.transaction, owner).first->second;
     if (known != owner)
         report("pinned", "statement " + id + " ran inside another transaction on " + run.endpoint.text());
--- a/soak/PromiseChecker.h
+++ b/soak/PromiseChecker.h
@@ -84,7 +84,7 @@
     void noteRun(const std::string& id, const RunStatement&);
     /** The name in a statement, which its caller had prepared, was unknown. */
     void noteUnknownName(const std::string& id);
-    /** A message that reached a caller while it waited for none. */
+    /** A message that reached a caller while it waited for none, or for another kind of message. */
     void noteUnsolicited(const std::string& session, const std::string& message);
     /** A success that reached the caller. */
     void noteSuccess(const std::string& id, const std::string& signature, const std::vector<std::string>& rows);
--- a/soak/SoakCaller.cpp
+++ b/soak/SoakCaller.cpp
@@ -37,6 +37,7 @@
     , habits_(habits)
     , random_(seed)
     , odd_(habits.oddData, seed)
+    , leaveRandom_(seed)
     , choose_(std::move(choose))
     , onServed_(std::move(onServed))
     , timer_(context)
@@ -61,6 +62,9 @@
     prepared_.clear();
     isOpen_ = false;
     isRollingBack_ = false;
+    rows_.clear();
+    signature_.clear();
+    error_.clear();
     ++session_;
     daemon_ = choose_(random_);
     stream_ = std::make_shared<WireStream>(context_);
@@ -109,6 +113,19 @@
     pause(reconnectPause);
 }
 
+void SoakCaller::closeSession()
+{
+    stream_->close();
+    onClosed();
+}
+
+void SoakCaller::leave()
+{
+    if (std::uniform_int_distribution<int>(0, 1)(leaveRandom_) == 0)
+        stream_->write("TERMINATE\r\n");
+    closeSession();
+}
+
 SoakCaller::Step SoakCaller::makeData(bool mayWrite)
 {
     const std::string plainItem = "i" + std::to_string(std::uniform_int_distribution<int>(1, items)(random_));
@@ -185,6 +202,10 @@
 
 void SoakCaller::sendStep()
 {
+    const bool leaves = transaction_ != 0 && step_ > 0 && habits_.leaveShare > 0
+        && std::uniform_real_distribution<double>(0, 1)(leaveRandom_) < habits_.leaveShare;
+    if (leaves)
+        return leave();
     const Step& step = steps_[step_];
     id_ = nextId();
     rows_.clear();
@@ -220,19 +241,23 @@
 {
     std::string_view rest = message;
     const std::string_view word = takeField(rest);
-    if (isOpen_ && !isRunning_ && !isRollingBack_) {
-        if (word != "ERROR")
-            checker_.noteUnsolicited(sessionName(), std::string(message));
-        stream_->close();
-        return onClosed();
-    }
+    const bool isWaiting = !isOpen_ || isRunning_ || isRollingBack_;
+    if (!isWaiting && word == "ERROR")
+        return closeSession();
+    const bool hasOutcome = !signature_.empty() || !error_.empty();
+    // READY without an outcome counts as a success without a signature.
+    const bool isExpected = word == "READY" || (isOpen_ ? !hasOutcome : word == "ERROR");
+    if (!isWaiting || !isExpected)
+        return rejectMessage(message);
     if (word == "DATAROW") {
         rows_.emplace_back(rest);
     } else if (word == "COMPLETE") {
         signature_ = rest;
     } else if (word == "ERROR") {
         error_ = takeField(rest);
-    } else if (word == "READY") {
+    } else if (word != "READY") {
+        rejectMessage(message);
+    } else {
         if (!isOpen_) {
             isOpen_ = true;
             return pause(Milliseconds(1));
@@ -246,6 +271,12 @@
     }
 }
 
+void SoakCaller::rejectMessage(std::string_view message)
+{
+    checker_.noteUnsolicited(sessionName(), std::string(message));
+    closeSession();
+}
+
 void SoakCaller::onAnswer()
 {
     const Step& step = steps_[step_];
@@ -256,9 +287,13 @@
         const bool mustRollBack
             = transaction_ != 0 && step.kind != Step::Kind::Commit && step.kind != Step::Kind::Rollback;
         endAttempt(nothingKept ? AttemptOutcome::NothingKept : AttemptOutcome::InDoubt);
+        if (step.kind == Step::Kind::Set || step.kind == Step::Kind::Prepare)
+            return closeSession();
         if (!mustRollBack)
             return pause(refusalPause);
         isRollingBack_ = true;
+        rows_.clear();
+        signature_.clear();
         error_.clear();
         stream_->write("QUERY " + nextId() + " ROLLBACK\r\n");
         return pause(answerPatience);
--- a/soak/SoakCaller.h
+++ b/soak/SoakCaller.h
@@ -22,6 +22,8 @@
     OddData oddData = OddData::None;
     /** Longest time between two operations. */
     Milliseconds longestPause { 40 };
+    /** Share of the steps of transactions at which a caller leaves instead. */
+    double leaveShare = 0;
 };
 
 /** Counts of all callers. */
@@ -69,7 +71,11 @@
 
     void connect();
     void onMessage(std::string_view message);
+    /** Reports a message that answers nothing, and ends the session. */
+    void rejectMessage(std::string_view message);
     void onClosed();
+    void closeSession();
+    void leave();
     void nextOperation();
     std::string nextId() { return odd_.changeWord(name_ + 'q' + std::to_string(++number_)); }
     void sendStep();
@@ -90,6 +96,8 @@
     SoakHabits habits_;
     std::mt19937_64 random_;
     OddText odd_;
+    /** Draws leaving only. */
+    std::mt19937_64 leaveRandom_;
     DaemonChoice choose_;
     ServedObserver onServed_;
     asio::steady_timer timer_;
--- a/soak/StandinConnection.cpp
+++ b/soak/StandinConnection.cpp
@@ -10,6 +10,7 @@
     constexpr std::size_t queueLimit = 40;
     constexpr int longestWorkMs = 6;
     constexpr int longestRepeatMs = 1500;
+    constexpr double busyShare = 0.05;
 
     std::uint64_t toNumber(std::string_view text)
     {
@@ -200,7 +201,9 @@
 
 void StandinConnection::work(std::function<void()> then)
 {
-    if (endpoint_.running_ >= slots + queueLimit)
+    // An endpoint that repeats answers is also busy at times, so that promises are repeated.
+    const bool isBusy = endpoint_.faults_.repeats > 0 && group_.drawWireFault(busyShare);
+    if (isBusy || endpoint_.running_ >= slots + queueLimit)
         return fail("BUSY -");
     ++endpoint_.running_;
     hasSlot_ = true;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -12,6 +12,8 @@
 
 /** One cause may break a rule thousands of times. */
 constexpr std::size_t shownOfEachRule = 20;
+/** Callers that leave inside of transactions, beside the faults of the wire. */
+constexpr double leaveShare = 0.02;
 
 /** One seed; true when nothing was found. */
 bool runSeed(SoakSettings settings)
@@ -92,6 +94,9 @@
                 : oddData.getValue() == "blanks"                  ? OddData::Blanks
                                                                   : OddData::None;
             settings.habits.longestPause = Milliseconds(pause.getValue());
+            const bool hasWireKind
+                = settings.habits.oddData != OddData::None || repeats.getValue() > 0 || cuts.getValue() > 0;
+            settings.habits.leaveShare = hasWireKind ? leaveShare : 0;
             settings.repeats = repeats.getValue();
             settings.cuts = cuts.getValue();
             isClean = runSeed(settings) && isClean;
--- a/tests/soak/TestPromiseChecker.cpp
+++ b/tests/soak/TestPromiseChecker.cpp
@@ -323,3 +323,21 @@
     fixture.checker.noteUnsolicited("c1/1", "READY I 1.1");
     cr_assert(fixture.found("unsolicited"));
 }
+
+// Planted: a single write runs inside a transaction that was left open, in which nothing ran before.
+Test(PromiseChecker, findsASingleWriteInsideATransaction)
+{
+    Fixture fixture;
+    fixture.checker.noteSent("q2", makeSent("WRITE i1 w2"));
+    fixture.checker.noteRun("q2", makeRun("WRITE i1 w2", 50));
+    cr_assert(fixture.found("pinned"));
+}
+
+// Guards against a single read that the proxy puts into a transaction of its own and that counts as misplaced.
+Test(PromiseChecker, allowsASingleReadInsideATransactionOfItsOwn)
+{
+    Fixture fixture;
+    fixture.checker.noteSent("q2", makeSent("READ i1"));
+    fixture.checker.noteRun("q2", makeRun("READ i1", 50));
+    cr_assert(fixture.checker.violations().empty());
+}
