--- a/scripts/soak_regressions.sh
+++ b/scripts/soak_regressions.sh
@@ -14,4 +14,10 @@
 run 2036 --seconds 12
 # A change of a primary was ended twice when two orders to resume ended in the same moment; the process died.
 run 5005 --seconds 12
+# A shape with a blank made a name of two words on endpoints, which took other words for the mode, the shape and the item.
+run 1 --seconds 12 --odd-data blanks
+# Messages ended at LF, so that data with a line end became statements and answers.
+run 1 --seconds 12 --odd-data all
+# An answer that came twice was taken for that of the next command.
+run 2 --seconds 12 --repeats 0.2 --caller-pause-ms 4
 exit "$status"
--- a/soak/StandinConnection.cpp
+++ b/soak/StandinConnection.cpp
@@ -113,7 +113,7 @@
     if (hasLostLead && verb != "ROLLBACK" && !isEmptyCommit)
         return fail("READONLY " + endpoint_.id().text());
     if (state_ == 'E' && verb != "ROLLBACK" && verb != "COMMIT")
-        return fail("MALFORMED the transaction failed");
+        return fail("MALFORMED " + group_.oddText().changeField("the transaction failed"));
     if (verb == "AFTER") {
         const auto needed = parsePosition(takeField(rest));
         if (!needed)
@@ -204,7 +204,7 @@
     // An endpoint that repeats answers is also busy at times, so that promises are repeated.
     const bool isBusy = endpoint_.faults_.repeats > 0 && group_.drawWireFault(busyShare);
     if (isBusy || endpoint_.running_ >= slots + queueLimit)
-        return fail("BUSY -");
+        return fail("BUSY " + group_.oddText().changeField("-"));
     ++endpoint_.running_;
     hasSlot_ = true;
     std::uniform_int_distribution<int> draw(1, longestWorkMs);
