Limit the state of a session, and survive a connection that fails while it sends

Cause: the whole state of a session is sent to a connection in one loop. The line stream fails at once when its buffer exceeds 4 MiB, which closes the pooled connection inside the loop; the next command of the loop was sent on a closed link, which an assertion forbids. The state itself had no limit.

Change: names, values and shapes of a session may have 1 MiB together; a SET or PREPARE beyond it is answered with TOOBIG and changes nothing. A loop that sends several commands stops when the connection has closed; the statement is then handled like one whose connection was lost before it was sent.

Evidence: StatementDispatcher.connectionThatFailsWhileItSendsIsReplaced ended the test process before (PooledLink.cpp:29). Session.limitsItsState does not compile before, since it names the limit.

--- a/include/almondlever/sessions/Session.h
+++ b/include/almondlever/sessions/Session.h
@@ -48,6 +48,9 @@
 public:
     /** Maximum number of statements that wait behind the running one. If a caller sends more, the session is closed. */
     static constexpr std::size_t maximumPipelined = 64;
+    /** Maximum size of the names, values and prepared statements of a session; a connection to an endpoint must take
+     * them in one piece. */
+    static constexpr std::size_t maximumContentsBytes = std::size_t { 1024 } * 1024;
 
     /** The key may be the empty digest where callers need none. */
     Session(DatabaseId database, const KeyDigest& key, CallerLink&, const RoutingSource&, CustomerAccess&,
--- a/include/almondlever/sessions/SessionContents.h
+++ b/include/almondlever/sessions/SessionContents.h
@@ -26,6 +26,17 @@
     std::map<std::string, std::string> values;
     /** Keyed by the name that the caller chose. Names of different sessions are independent. */
     std::map<std::string, PreparedStatement> prepared;
+
+    /** Total size of all names, values and shapes. */
+    std::size_t bytes() const
+    {
+        std::size_t total = 0;
+        for (const auto& [name, value] : values)
+            total += name.size() + value.size();
+        for (const auto& [name, statement] : prepared)
+            total += name.size() + statement.shape.size();
+        return total;
+    }
 };
 
 } // namespace almondlever
--- a/src/pooling/DispatcherRuns.cpp
+++ b/src/pooling/DispatcherRuns.cpp
@@ -150,6 +150,9 @@
             [this, ticket, kind = command.kind, sentAt = now](
                 const Reply* reply, TimePoint at) { onSetupReply(ticket, kind, sentAt, reply, at); },
             now);
+        // Sending fails at once if the endpoint takes no more bytes.
+        if (link->state() == PooledLink::State::Closed)
+            return;
     }
 }
 
--- a/src/pooling/PooledLink.cpp
+++ b/src/pooling/PooledLink.cpp
@@ -102,6 +102,8 @@
     EndpointCommand command;
     command.kind = EndpointCommand::Kind::BeginReadOnly;
     send(command, ignoreReply, now);
+    if (state_ == State::Closed)
+        return;
     command.kind = EndpointCommand::Kind::Rollback;
     send(command, ignoreReply, now);
 }
--- a/src/sessions/Session.cpp
+++ b/src/sessions/Session.cpp
@@ -183,6 +183,12 @@
 {
     if (state_ == TransactionState::Failed)
         return answerWithError(StatementError::Malformed, "the transaction has failed and must be ended first", now);
+    const std::size_t added = statement.name.size() + statement.argument.size();
+    const bool isAdded = statement.kind != StatementKind::Deallocate;
+    if (isAdded && contents_->bytes() + added > maximumContentsBytes) {
+        const std::string limit = std::to_string(maximumContentsBytes);
+        return answerWithError(StatementError::TooBig, "the state of a session may have " + limit + " bytes", now);
+    }
     SessionContents& contents = writableContents();
     if (statement.kind == StatementKind::SetValue)
         contents.values[statement.name] = statement.argument;
--- a/tests/mocks/FakeEndpoints.h
+++ b/tests/mocks/FakeEndpoints.h
@@ -4,6 +4,7 @@
 #include "almondlever/pooling/EndpointLink.h"
 
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -56,6 +57,8 @@
         Milliseconds repeatDelay { 5 };
         /** Statements in a transaction that are answered with success after the endpoint has ended the transaction. */
         std::size_t droppedTransactions = 0;
+        /** Number of commands after which a connection fails while it sends, as one whose peer does not read. */
+        std::size_t commandsUntilFull = std::numeric_limits<std::size_t>::max();
         /** Connections opened before this number return nothing further. */
         std::size_t deafBefore = 0;
         /** Never acknowledges a write, as a primary that no replica hears; all else is answered. */
@@ -144,6 +147,8 @@
     void send(const EndpointCommand& command) override
     {
         ++server().commands;
+        if (++commands_ > server().commandsUntilFull)
+            return breakOff("the peer does not read");
         waiting_.push_back(command);
         if (waiting_.size() == 1)
             after(server().distance, [](Link& self) { self.handle(); });
@@ -403,6 +408,7 @@
     std::weak_ptr<EndpointLinkObserver> observer_;
     std::size_t number_;
     std::deque<EndpointCommand> waiting_;
+    std::size_t commands_ = 0;
     std::map<std::string, std::string> values_;
     std::map<std::string, PreparedStatement> prepared_;
     TransactionState state_ = TransactionState::None;
--- a/tests/pooling/TestStatementDispatcher.cpp
+++ b/tests/pooling/TestStatementDispatcher.cpp
@@ -809,3 +809,20 @@
         cr_assert(caller->succeeded());
     }
 }
+
+// Guards against a process that ends because a connection fails while it sends the state of a session.
+Test(StatementDispatcher, connectionThatFailsWhileItSendsIsReplaced)
+{
+    DispatcherFixture fixture;
+    FakeCaller caller(fixture, "orders");
+    for (const std::string name : { "a", "b", "c", "d" })
+        caller.say(StatementKind::SetValue, "s", "SET " + name + " 1", name, "1");
+    for (const std::size_t limit : { 0, 1, 2, 3, 4, 5, 6, 7 }) {
+        fixture.endpoints.server(fixture.a).commandsUntilFull = limit;
+        caller.read("r" + std::to_string(limit));
+        fixture.advance(Milliseconds(100));
+        fixture.endpoints.server(fixture.a).commandsUntilFull = std::numeric_limits<std::size_t>::max();
+        fixture.advance(Milliseconds(900));
+        cr_assert(caller.succeeded(), "limit %zu: %s", limit, caller.replies.back().detail.c_str());
+    }
+}
--- a/tests/sessions/TestSession.cpp
+++ b/tests/sessions/TestSession.cpp
@@ -533,3 +533,23 @@
     cr_assert(link.replies.back().error == StatementError::Aborted);
     cr_assert_eq(runner.submitted, 1U);
 }
+
+// Guards against a session whose state grows without limit, and then ends the process when an endpoint is to take it.
+Test(Session, limitsItsState)
+{
+    DispatcherFixture fixture;
+    FakeCaller caller(fixture, "orders");
+    const std::string value(Session::maximumContentsBytes / 4, 'v');
+    for (const std::string name : { "a", "b", "c" }) {
+        caller.say(StatementKind::SetValue, "s", "SET " + name + ' ' + value, name, value);
+        cr_assert(caller.succeeded());
+    }
+    caller.say(StatementKind::Prepare, "p", "PREPARE d READ " + value, "d", value);
+    cr_assert(caller.hasError(StatementError::TooBig));
+    caller.say(StatementKind::SetValue, "s", "SET e 1", "e", "1");
+    cr_assert(caller.succeeded());
+    caller.read("r1");
+    fixture.advance(Milliseconds(100));
+    cr_assert(caller.succeeded());
+    cr_assert_eq(fixture.endpoints.runs().back().values.size(), 4U);
+}
