Take no answer of an endpoint for proven that a repetition could be

The soak's case was traced in the daemon's log: a refusal was repeated while the next write ran, and was held; the answer to an earlier BEGIN was repeated a moment later and was taken for the probe's, so that the refusal counted as proven. The write was sent again, and its own answer came one reply later ("mismatch command=rollback reply=success").

Cause: single acknowledgements were trusted although they equal earlier ones.

Change: a held refusal needs the answers of two transactions in a row behind it; with a second uncertain refusal, the weaker promise is kept. A refusal that equals an earlier one answers no SET, PREPARE, RESET or ROLLBACK, and BEGIN only if BEGIN can be refused so; a ROLLBACK then follows before the connection is used on. A BEGIN whose answer equals an earlier one is rolled back and begun again; a position from such an answer is queried again (in an idle group only on connections that have shown repetitions). Replies are remembered by hash for 30 s, 65,536 at most; displaced acknowledgements are remembered as well.

--- a/src/pooling/DispatcherLinks.cpp
+++ b/src/pooling/DispatcherLinks.cpp
@@ -331,8 +331,8 @@
     queues.history.add(askedAt, position);
 }
 
-void DispatcherState::queryPosition(
-    const GroupId& group, const std::shared_ptr<PooledLink>& link, bool isRegular, TimePoint now)
+void DispatcherState::queryPosition(const GroupId& group, const std::shared_ptr<PooledLink>& link, bool isRegular,
+    TimePoint now, std::optional<TimePoint> firstSentAt)
 {
     // Only a primary begins a read-write transaction, and beginning one takes no slot.
     link->setState(PooledLink::State::Busy, now);
@@ -344,7 +344,8 @@
     };
     link->send(
         begin,
-        [this, group, link, finish, before = link->displacements(), sentAt = now](const Reply* reply, TimePoint at) {
+        [this, group, link, finish, isRegular, firstSentAt, before = link->displacements(), sentAt = now](
+            const Reply* reply, TimePoint at) {
             if (!reply)
                 return finish();
             if (reply->error) {
@@ -353,12 +354,19 @@
                 returnToPool(link, reply->state, at);
                 return onDirectoryChange(at);
             }
+            // The position of an idle group seldom changes, so that equal answers are usual there.
+            const bool isSuspect = link->hasSeenRepetitions() || !isIdle(queuesOf(group), at);
+            const bool isRepeated = link->isLastAnswerLikely() && isSuspect && !firstSentAt;
             // Only the answer to the rollback shows that the one to the beginning was no repetition.
-            rollBack(link, at, [this, group, link, finish, before, sentAt, position = reply->position](TimePoint) {
+            const auto onRolledBack = [this, group, link, finish, isRegular, firstSentAt, before, sentAt, isRepeated,
+                                          position = reply->position](TimePoint then) {
+                if (isRepeated && link->state() == PooledLink::State::Idle)
+                    return queryPosition(group, link, isRegular, then, sentAt);
                 finish();
                 if (position && link->displacements() == before && link->state() != PooledLink::State::Closed)
-                    noteLeading(group, link->endpoint(), *position, sentAt);
-            });
+                    noteLeading(group, link->endpoint(), *position, firstSentAt.value_or(sentAt));
+            };
+            rollBack(link, at, onRolledBack);
         },
         now);
 }
--- a/src/pooling/DispatcherRuns.cpp
+++ b/src/pooling/DispatcherRuns.cpp
@@ -138,6 +138,7 @@
         begin.kind = isOnReplica ? EndpointCommand::Kind::BeginReadOnly : EndpointCommand::Kind::Begin;
         if (isOnReplica)
             begin.after = run.after;
+        run.beginAfter = begin.after;
         commands.push_back(begin);
         run.after.reset();
     }
@@ -172,6 +173,9 @@
         onConnectionLost(ticket, "the endpoint refused a session value or prepared statement", now);
         return link->close("session state refused", now);
     }
+    const bool isBegin = kind == EndpointCommand::Kind::Begin || kind == EndpointCommand::Kind::BeginReadOnly;
+    if (isBegin && run.link->isLastAnswerLikely() && !run.isBeginRepeated)
+        return repeatBegin(ticket, kind, now);
     if (kind == EndpointCommand::Kind::Begin) {
         run.beginPosition = reply->position;
         run.beginSentAt = sentAt;
@@ -181,6 +185,30 @@
         forward(ticket, now);
 }
 
+void DispatcherState::repeatBegin(Ticket ticket, EndpointCommand::Kind kind, TimePoint now)
+{
+    StatementRun& run = runs_.at(ticket);
+    run.isBeginRepeated = true;
+    metrics_.count("almondlever_begins_repeated_total", "");
+    run.displacementsBefore = run.link->displacements();
+    EndpointCommand command;
+    // The answer to BEGIN completes the set-up, whose last command it stays.
+    ++run.setupLeft;
+    for (const EndpointCommand::Kind next : { EndpointCommand::Kind::Rollback, kind }) {
+        const std::shared_ptr<PooledLink> link = run.link;
+        command.kind = next;
+        if (next == EndpointCommand::Kind::BeginReadOnly)
+            command.after = run.beginAfter;
+        link->send(
+            command,
+            [this, ticket, next, sentAt = now](
+                const Reply* reply, TimePoint at) { onSetupReply(ticket, next, sentAt, reply, at); },
+            now);
+        if (link->state() == PooledLink::State::Closed)
+            return;
+    }
+}
+
 void DispatcherState::forward(Ticket ticket, TimePoint now)
 {
     StatementRun& run = runs_.at(ticket);
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -41,6 +41,10 @@
     std::optional<LogPosition> after;
     /** Unanswered commands that set up the session state or begin the transaction. */
     std::size_t setupLeft = 0;
+    /** As after, for the beginning of a read-only transaction. */
+    std::optional<LogPosition> beginAfter;
+    /** The transaction was begun a second time, because the first answer may have been a repetition. */
+    bool isBeginRepeated = false;
     /** Position in the answer to the transaction's beginning, and when that was sent; only from a primary. */
     std::optional<LogPosition> beginPosition;
     TimePoint beginSentAt;
@@ -179,6 +183,8 @@
     void onRunLinkFailed(const PooledLink&, TimePoint now);
     void forward(Ticket, TimePoint now);
     void onSetupReply(Ticket, const EndpointCommand::Kind&, TimePoint sentAt, const Reply*, TimePoint now);
+    /** Rolls back and begins again: the answers show whether the transaction is open. */
+    void repeatBegin(Ticket, EndpointCommand::Kind, TimePoint now);
     void onForwardReply(Ticket, const Reply*, TimePoint now);
     void succeed(Ticket, const Reply&, TimePoint now);
     /** Ends a run that the endpoint reports as a success outside of the transaction in which it had to run. */
@@ -232,9 +238,11 @@
     void searchForPrimary(GroupQueues&, const GroupId&, TimePoint now);
     /**
      * Begins and rolls back a transaction, which succeeds only on a primary and returns its position. isRegular marks
-     * the periodic query of the known primary.
+     * the periodic query of the known primary. A position that may come from a repetition is queried once more;
+     * firstSentAt is then the time of the first query.
      */
-    void queryPosition(const GroupId&, const std::shared_ptr<PooledLink>&, bool isRegular, TimePoint now);
+    void queryPosition(const GroupId&, const std::shared_ptr<PooledLink>&, bool isRegular, TimePoint now,
+        std::optional<TimePoint> firstSentAt = std::nullopt);
     /** Records that an endpoint proved to be the primary, and its position in reply to a command sent at askedAt. */
     void noteLeading(const GroupId&, const EndpointId&, const LogPosition&, TimePoint askedAt);
     void closeUnresponsiveLinks(TimePoint now);
--- a/src/pooling/PooledLink.cpp
+++ b/src/pooling/PooledLink.cpp
@@ -65,26 +65,68 @@
     if (state_ == State::Closed)
         return;
     const auto self = shared_from_this();
-    if (heldReply_ && ReplyMatcher::answersBegin(reply)) {
-        const Reply held = std::move(*heldReply_);
-        heldReply_.reset();
-        matcher_.accept(held, now);
-        deliver(held, now);
-        if (state_ == State::Closed)
-            return;
-    }
+    if (heldReply_ && continueProbe(reply, now))
+        return;
     const ReplyMatch match = matcher_.match(oldestCommand(), reply, now);
-    if (match == ReplyMatch::Answer) {
+    if (match == ReplyMatch::Answer || match == ReplyMatch::LikelyAnswer) {
         heldReply_.reset();
+        probeReplies_.clear();
+        isLastAnswerLikely_ = match == ReplyMatch::LikelyAnswer;
+        const bool isBegin = pendingReplies_.front().command.kind == EndpointCommand::Kind::Begin
+            || pendingReplies_.front().command.kind == EndpointCommand::Kind::BeginReadOnly;
+        // If the refusal is a repetition, the transaction was begun.
+        if (isLastAnswerLikely_ && isBegin && reply.error)
+            sendIgnored(EndpointCommand::Kind::Rollback, now);
         return deliver(reply, now);
     }
     owner_->onUnmatchedReply(*this, match, reply, now);
     if (match == ReplyMatch::Mismatch)
         return close("the reply answers no command", now);
-    if (match == ReplyMatch::Uncertain && !heldReply_)
-        return hold(std::move(reply), now);
+    hasSeenRepetitions_ = hasSeenRepetitions_ || match == ReplyMatch::Repetition;
     if (match == ReplyMatch::Repetition && !ReplyMatcher::isSigned(reply))
         ++displacements_;
+    if (match == ReplyMatch::Uncertain && heldReply_)
+        holdSecond(reply, now);
+    else if (match == ReplyMatch::Uncertain)
+        hold(std::move(reply), now);
+}
+
+bool PooledLink::continueProbe(const Reply& reply, TimePoint now)
+{
+    const bool awaitsBegin = probeReplies_.size() % 2 == 0;
+    if (!awaitsBegin && ReplyMatcher::answersBegin(reply)) {
+        // The one before was a repetition.
+        probeReplies_.back() = reply;
+        return true;
+    }
+    if (!(awaitsBegin ? ReplyMatcher::answersBegin(reply) : ReplyMatcher::answersRollback(reply)))
+        return false;
+    probeReplies_.push_back(reply);
+    if (probeReplies_.size() == 2 * probeRounds)
+        deliverHeld(now);
+    return true;
+}
+
+void PooledLink::deliverHeld(TimePoint now)
+{
+    const Reply held = std::move(*heldReply_);
+    const std::vector<Reply> probeReplies = std::move(probeReplies_);
+    heldReply_.reset();
+    probeReplies_.clear();
+    matcher_.accept(held, now);
+    isLastAnswerLikely_ = true;
+    deliver(held, now);
+    for (const Reply& reply : probeReplies)
+        onLinkReply(Reply(reply), now);
+}
+
+void PooledLink::holdSecond(const Reply& reply, TimePoint now)
+{
+    if (!reply.error || !heldReply_->error)
+        return close("two statuses may be the answer", now);
+    // One of them is the answer; a promise that nothing is kept needs both.
+    if (!guaranteesNoEffect(*reply.error))
+        heldReply_ = reply;
 }
 
 void PooledLink::deliver(const Reply& reply, TimePoint now)
@@ -98,14 +140,22 @@
 void PooledLink::hold(Reply&& reply, TimePoint now)
 {
     heldReply_ = std::move(reply);
-    const auto ignoreReply = [](const Reply*, TimePoint) {};
-    EndpointCommand command;
-    command.kind = EndpointCommand::Kind::BeginReadOnly;
-    send(command, ignoreReply, now);
+    probeReplies_.clear();
+    for (std::size_t round = 0; round < probeRounds; ++round) {
+        sendIgnored(EndpointCommand::Kind::BeginReadOnly, now);
+        sendIgnored(EndpointCommand::Kind::Rollback, now);
+    }
+}
+
+void PooledLink::sendIgnored(EndpointCommand::Kind kind, TimePoint now)
+{
+    // Sending may have closed the connection.
     if (state_ == State::Closed)
         return;
-    command.kind = EndpointCommand::Kind::Rollback;
-    send(command, ignoreReply, now);
+    EndpointCommand command;
+    command.kind = kind;
+    send(
+        command, [](const Reply*, TimePoint) {}, now);
 }
 
 void PooledLink::onLinkClosed(const std::string& reason, std::optional<StatementError> refusal, TimePoint now)
--- a/src/pooling/PooledLink.h
+++ b/src/pooling/PooledLink.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <vector>
 
 namespace almondlever {
 
@@ -95,6 +96,9 @@
      * same, the position in such an answer may be older than the command.
      */
     std::size_t displacements() const { return displacements_; }
+    bool hasSeenRepetitions() const { return hasSeenRepetitions_; }
+    /** True if the answer that is being handled equals an earlier reply, and may be a repetition of it. */
+    bool isLastAnswerLikely() const { return isLastAnswerLikely_; }
     /** The oldest command without an answer; nullptr if there is none. */
     const UnansweredCommand* oldestCommand() const
     {
@@ -109,6 +113,9 @@
     bool wasOpened() const { return wasOpened_; }
 
 private:
+    /** Number of transactions that a probe begins and rolls back; as many repetitions in a row would be mistaken. */
+    static constexpr std::size_t probeRounds = 2;
+
     struct PendingReply {
         ReplyHandler handler;
         TimePoint sentAt;
@@ -118,10 +125,16 @@
     /** Passes the reply to the handler of the oldest command. */
     void deliver(const Reply&, TimePoint now);
     /**
-     * Keeps a reply that may be a repetition, and sends commands whose answers differ from it: if one of them is
-     * answered next, the reply was no repetition.
+     * Keeps a reply that may be a repetition and sends a probe behind its command: if the probe's answers follow, the
+     * reply was the answer. Otherwise the answer comes before them.
      */
     void hold(Reply&&, TimePoint now);
+    /** Judges a reply that comes while another one is held; returns false if it is none of the probe's answers. */
+    bool continueProbe(const Reply&, TimePoint now);
+    void holdSecond(const Reply&, TimePoint now);
+    /** Passes on the held reply and the answers of the probe. */
+    void deliverHeld(TimePoint now);
+    void sendIgnored(EndpointCommand::Kind, TimePoint now);
     void finishClosed(const std::string& reason, std::optional<StatementError>, TimePoint now);
 
     PooledLinkOwner* owner_;
@@ -134,7 +147,11 @@
     ReplyMatcher matcher_;
     /** An uncertain reply to the oldest command. */
     std::optional<Reply> heldReply_;
+    /** Replies that look like the answers of the probe behind the held one, so far. */
+    std::vector<Reply> probeReplies_;
+    bool isLastAnswerLikely_ = false;
     std::size_t displacements_ = 0;
+    bool hasSeenRepetitions_ = false;
     TimePoint openedAt_;
     TimePoint stateSince_;
     std::uint64_t idlePeriods_ = 0;
--- a/src/pooling/ReplyMatcher.cpp
+++ b/src/pooling/ReplyMatcher.cpp
@@ -1,6 +1,7 @@
 #include "ReplyMatcher.h"
 
 #include <functional>
+#include <iterator>
 
 namespace almondlever {
 
@@ -9,7 +10,7 @@
     /** The detail of a successful reply to a command of the proxy. */
     constexpr std::string_view noSignature = "-";
     /** Bounds the memory of a connection, whatever its endpoint sends. */
-    constexpr std::size_t maximumSeen = 4096;
+    constexpr std::size_t maximumSeen = 65536;
 
     /** True for a success that neither a statement nor a replication command can have. */
     bool isPlainAcknowledgement(const Reply& reply)
@@ -37,6 +38,8 @@
         return combine(hash, position.index);
     }
 
+    std::size_t signatureHashOf(const Reply& reply) { return combine(1, hashOf(reply.detail)); }
+
     bool isStatement(const UnansweredCommand& command)
     {
         return command.kind == EndpointCommand::Kind::Forward || command.kind == EndpointCommand::Kind::ForwardPrepared;
@@ -49,6 +52,8 @@
     switch (match) {
     case ReplyMatch::Answer:
         return "answer";
+    case ReplyMatch::LikelyAnswer:
+        return "likely_answer";
     case ReplyMatch::Repetition:
         return "repetition";
     case ReplyMatch::Uncertain:
@@ -59,74 +64,85 @@
     return "mismatch";
 }
 
-ReplyMatcher::Fingerprint::Fingerprint(const Reply& reply)
-    : content(contentHashOf(reply))
-{
-    if (isSigned(reply))
-        signature = hashOf(reply.detail);
-}
-
 void ReplyMatcher::noteOpened(const Reply& reply, TimePoint now) { accept(reply, now); }
 
 ReplyMatch ReplyMatcher::match(const UnansweredCommand* oldest, const Reply& reply, TimePoint now)
 {
-    while (!seen_.empty() && now - seen_.front().at > memoryTime)
-        forgetOldest();
-    const Fingerprint fingerprint(reply);
-    const bool isRepeated = contents_.count(fingerprint.content) > 0;
-    if (fingerprint.signature && signatures_.count(*fingerprint.signature) > 0)
+    const std::size_t content = contentHashOf(reply);
+    const bool isRepeated = hasSeen(content, now);
+    if (isSigned(reply) && hasSeen(signatureHashOf(reply), now))
         return isRepeated ? ReplyMatch::Repetition : ReplyMatch::Mismatch;
     if (!oldest || !fits(*oldest, reply)) {
         // An acknowledgement that comes one reply too late was displaced by a repetition of an earlier one.
         const bool isDisplaced = isPlainAcknowledgement(reply) && reply.state == state_;
+        if (isDisplaced)
+            remember(content, now);
         return isRepeated || isDisplaced ? ReplyMatch::Repetition : ReplyMatch::Mismatch;
     }
-    if (isRepeated && isStatement(*oldest) && reply.error)
-        return judgeRepeatedRefusal(*oldest, reply, now);
-    if (isRepeated && reply.replication)
-        return ReplyMatch::Uncertain;
-    // Other answers that are alike do no harm when they change places: the next reply that cannot be mistaken shows it
-    // before the result of a statement is passed on.
-    remember(fingerprint, now);
-    state_ = reply.state;
-    return ReplyMatch::Answer;
+    ReplyMatch match = ReplyMatch::Answer;
+    if (isRepeated && reply.error)
+        match = judgeRepeatedRefusal(*oldest, reply);
+    else if (isRepeated && reply.replication)
+        match = ReplyMatch::Uncertain;
+    else if (isRepeated)
+        match = ReplyMatch::LikelyAnswer;
+    if (match == ReplyMatch::Answer || match == ReplyMatch::LikelyAnswer)
+        accept(reply, now);
+    return match;
 }
 
-ReplyMatch ReplyMatcher::judgeRepeatedRefusal(const UnansweredCommand& command, const Reply& reply, TimePoint now)
+ReplyMatch ReplyMatcher::judgeRepeatedRefusal(const UnansweredCommand& command, const Reply& reply) const
 {
-    const bool endsOutside = state_ == TransactionState::None || command.endsTransaction;
-    if (endsOutside)
+    switch (command.kind) {
+    case EndpointCommand::Kind::Forward:
+    case EndpointCommand::Kind::ForwardPrepared:
+        // Inside a transaction, which is rolled back then, the promise that nothing is kept is true in either case.
+        if (state_ != TransactionState::None && !command.endsTransaction)
+            return ReplyMatch::Answer;
         return reply.state == TransactionState::None ? ReplyMatch::Uncertain : ReplyMatch::Mismatch;
-    // The transaction is rolled back in either case, and the promise that nothing of it is kept is true.
-    accept(reply, now);
-    return ReplyMatch::Answer;
+    case EndpointCommand::Kind::Begin:
+    case EndpointCommand::Kind::BeginReadOnly: {
+        const bool mayRefuse = reply.error == StatementError::ReadOnly || reply.error == StatementError::Lagging;
+        return mayRefuse ? ReplyMatch::LikelyAnswer : ReplyMatch::Repetition;
+    }
+    case EndpointCommand::Kind::QueryStatus:
+    case EndpointCommand::Kind::PauseReplication:
+    case EndpointCommand::Kind::ResumeReplication:
+    case EndpointCommand::Kind::StepDown:
+        return ReplyMatch::Uncertain;
+    default:
+        return ReplyMatch::Repetition;
+    }
 }
 
 void ReplyMatcher::accept(const Reply& reply, TimePoint now)
 {
-    remember(Fingerprint(reply), now);
+    remember(contentHashOf(reply), now);
+    if (isSigned(reply))
+        remember(signatureHashOf(reply), now);
     state_ = reply.state;
 }
 
-void ReplyMatcher::remember(const Fingerprint& fingerprint, TimePoint now)
+bool ReplyMatcher::hasSeen(std::size_t hash, TimePoint now) const
 {
-    if (seen_.size() == maximumSeen)
-        forgetOldest();
-    seen_.push_back({ now, fingerprint });
-    ++contents_[fingerprint.content];
-    if (fingerprint.signature)
-        signatures_.insert(*fingerprint.signature);
+    const auto found = seen_.find(hash);
+    return found != seen_.end() && now - found->second <= memoryTime;
 }
 
-void ReplyMatcher::forgetOldest()
+void ReplyMatcher::remember(std::size_t hash, TimePoint now)
 {
-    const Fingerprint oldest = seen_.front().reply;
-    seen_.pop_front();
-    const auto content = contents_.find(oldest.content);
-    if (--content->second == 0)
-        contents_.erase(content);
-    if (oldest.signature)
-        signatures_.erase(*oldest.signature);
+    if (now - forgottenAt_ > memoryTime || seen_.size() >= maximumSeen)
+        forgetOld(now);
+    seen_[hash] = now;
+}
+
+void ReplyMatcher::forgetOld(TimePoint now)
+{
+    forgottenAt_ = now;
+    for (auto it = seen_.begin(); it != seen_.end();)
+        it = now - it->second > memoryTime ? seen_.erase(it) : std::next(it);
+    if (seen_.size() >= maximumSeen)
+        seen_.clear();
 }
 
 bool ReplyMatcher::answersBegin(const Reply& reply)
@@ -134,6 +150,11 @@
     return isPlainAcknowledgement(reply) && reply.state == TransactionState::Open;
 }
 
+bool ReplyMatcher::answersRollback(const Reply& reply)
+{
+    return isPlainAcknowledgement(reply) && reply.state == TransactionState::None;
+}
+
 bool ReplyMatcher::isSigned(const Reply& reply)
 {
     return !reply.error && !reply.detail.empty() && reply.detail != noSignature;
@@ -162,7 +183,7 @@
     case EndpointCommand::Kind::BeginReadOnly:
         return answersBegin(reply);
     case EndpointCommand::Kind::Rollback:
-        return isPlainAcknowledgement(reply) && reply.state == TransactionState::None;
+        return answersRollback(reply);
     case EndpointCommand::Kind::SetValue:
     case EndpointCommand::Kind::Prepare:
     case EndpointCommand::Kind::Reset:
--- a/src/pooling/ReplyMatcher.h
+++ b/src/pooling/ReplyMatcher.h
@@ -3,11 +3,8 @@
 #include "almondlever/common/Time.h"
 #include "almondlever/pooling/EndpointLink.h"
 
-#include <cstdint>
-#include <deque>
-#include <optional>
+#include <cstddef>
 #include <unordered_map>
-#include <unordered_set>
 
 namespace almondlever {
 
@@ -15,15 +12,20 @@
 enum class ReplyMatch {
     /** Answers the oldest unanswered command. */
     Answer,
+    /**
+     * Equals an earlier reply and is taken for the answer to the oldest command. Whether a transaction is open is known
+     * only once a later command has been answered.
+     */
+    LikelyAnswer,
     /** Repeats an earlier reply, or answers a command for which a repetition was taken before; ignored. */
     Repetition,
-    /** Either repeats an earlier reply or answers the oldest unanswered command. */
+    /** Equals an earlier reply; it must not be taken for the answer before that is proven. */
     Uncertain,
     /** Belongs to no command that is known; the connection cannot be used any more. */
     Mismatch,
 };
 
-/** "answer", "repetition", "uncertain" or "mismatch". */
+/** "answer", "likely_answer", "repetition", "uncertain" or "mismatch". */
 const char* toText(ReplyMatch);
 
 /** A command without an answer. */
@@ -53,36 +55,23 @@
 
     /** True if the reply can only answer a Begin or BeginReadOnly. */
     static bool answersBegin(const Reply&);
+    /** True if the reply can answer a Rollback. */
+    static bool answersRollback(const Reply&);
     /** True for the success of a statement. */
     static bool isSigned(const Reply&);
 
 private:
-    /** Hashes that identify a reply. */
-    struct Fingerprint {
-        explicit Fingerprint(const Reply&);
-
-        std::size_t content = 0;
-        /** nullopt for replies without a signature. */
-        std::optional<std::size_t> signature;
-    };
-
-    struct Seen {
-        TimePoint at;
-        Fingerprint reply;
-    };
-
-    /** Judges an error in reply to a statement that equals an earlier reply. */
-    ReplyMatch judgeRepeatedRefusal(const UnansweredCommand&, const Reply&, TimePoint now);
-    void remember(const Fingerprint&, TimePoint now);
-    void forgetOldest();
+    /** Judges an error that equals an earlier reply. */
+    ReplyMatch judgeRepeatedRefusal(const UnansweredCommand&, const Reply&) const;
+    void remember(std::size_t hash, TimePoint now);
+    bool hasSeen(std::size_t hash, TimePoint now) const;
+    void forgetOld(TimePoint now);
     bool isStateAfterStatement(const UnansweredCommand&, TransactionState) const;
     bool fits(const UnansweredCommand&, const Reply&) const;
 
-    /** Replies that were taken, oldest first. */
-    std::deque<Seen> seen_;
-    /** How often each content occurs in seen_. */
-    std::unordered_map<std::size_t, std::size_t> contents_;
-    std::unordered_set<std::size_t> signatures_;
+    /** Hashes of replies, and of their signatures, with the time at which they came last. */
+    std::unordered_map<std::size_t, TimePoint> seen_;
+    TimePoint forgottenAt_ {};
     /** State of the connection's transaction after the last answer. */
     TransactionState state_ = TransactionState::None;
 };
