--- a/tests/users_platform/TestCallerListener.cpp
+++ b/tests/users_platform/TestCallerListener.cpp
@@ -160,6 +160,22 @@
     cr_assert(textsOf(fixture.endpoints) == statements);
 }
 
+// Guards against running a statement that was cut off before its end.
+Test(CallerListener, runsNoStatementWithoutItsEnd)
+{
+    for (const char* end : { "", "\r", "\n", "\n\n", "\n\r" }) {
+        Fixture fixture;
+        fixture.startDaemon();
+        {
+            Caller caller(fixture);
+            cr_assert_eq(caller.exchange("STARTUP fiti who\r\n"), "READY I -\r\n");
+            cr_assert_eq(caller.exchange(std::string("QUERY 1 WRITE 1a4 x") + end), "");
+        }
+        fixture.run(Milliseconds(100));
+        cr_assert(fixture.endpoints.runs().empty());
+    }
+}
+
 // Guards against losing a statement that is sent behind STARTUP while the daemon does not know its configuration yet.
 Test(CallerListener, answersStatementsSentBeforeTheSessionIsOpen)
 {
--- a/tests/users_platform/TestLineStream.cpp
+++ b/tests/users_platform/TestLineStream.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 #include <stdexcept>
+#include <string>
+#include <vector>
 
 using namespace almondlever;
 using namespace almondlever::platform;
@@ -54,3 +56,44 @@
     cr_assert(good.reason.empty());
     good.stream->close();
 }
+
+// Guards against passing on an endpoint's message that is too long, and what follows it.
+Test(LineStream, closesOnAMessageThatIsTooLong)
+{
+    asio::io_context context;
+    ConnectedPair pair(context);
+    std::vector<std::string> lines;
+    pair.startReading([&lines](std::string_view line) { lines.emplace_back(line); });
+    pair.peer.non_blocking(true);
+    const std::string text = "READY I -\r\n" + std::string(maximumMessageBytes + 1, 'x') + "\r\nREADY I -\r\n";
+    std::string_view unsent = text;
+    for (int i = 0; i < 2000 && pair.reason.empty(); ++i) {
+        std::error_code ignored;
+        unsent.remove_prefix(pair.peer.write_some(asio::buffer(unsent), ignored));
+        context.run_one_for(Milliseconds(5));
+    }
+    cr_assert_eq(pair.reason, "a message is too long");
+    cr_assert_eq(lines.size(), 1U);
+    cr_assert_eq(lines[0], "READY I -");
+}
+
+// Guards against handling messages after their owner has decided not to, and against missing the end of the connection.
+Test(LineStream, ignoresInputAndNoticesTheEnd)
+{
+    asio::io_context context;
+    ConnectedPair pair(context);
+    std::vector<std::string> lines;
+    pair.startReading([&](std::string_view line) {
+        lines.emplace_back(line);
+        pair.stream->ignoreInput();
+    });
+    pair.sendFromPeer("a\r\nb\r\nc");
+    for (int i = 0; i < 100 && lines.empty(); ++i)
+        context.run_one_for(Milliseconds(50));
+    pair.sendFromPeer("\r\nd\r\n");
+    pair.peer.close();
+    for (int i = 0; i < 100 && pair.reason.empty(); ++i)
+        context.run_one_for(Milliseconds(50));
+    cr_assert_eq(pair.reason, "closed by the peer");
+    cr_assert_eq(lines.size(), 1U);
+}
