--- a/tests/users_platform/TestCallerListener.cpp
+++ b/tests/users_platform/TestCallerListener.cpp
@@ -57,6 +57,8 @@
     ~Fixture()
     {
         listener->stop();
+        // The callers have closed; their connections end with the events that are left.
+        run(Milliseconds(20));
         daemon.reset();
     }
 
@@ -128,6 +130,13 @@
         return received;
     }
 
+    /** Resets the connection, so that writing to it fails. */
+    void reset()
+    {
+        socket_.set_option(asio::socket_base::linger(true, 0));
+        socket_.close();
+    }
+
     bool isClosed() const { return isClosed_; }
 
 private:
@@ -281,3 +290,36 @@
     }
     cr_assert(fixture.endpoints.runs().empty());
 }
+
+// Guards against using a connection after it was released: the answer to a statement and the refusal behind it meet a
+// caller that has reset its connection.
+Test(CallerListener, survivesACallerThatResetsBeforeItIsRefused)
+{
+    Fixture fixture;
+    fixture.startDaemon();
+    Caller caller(fixture);
+    cr_assert_eq(caller.exchange("STARTUP fiti who\r\n"), "READY I -\r\n");
+    caller.send("QUERY 1 WRITE 1a4 x\r\nHELLO\r\n");
+    caller.reset();
+    // The answer arrives before the reset has been noticed.
+    fixture.timers.advance(Milliseconds(100));
+    fixture.run(Milliseconds(10));
+    cr_assert_eq(fixture.endpoints.runs().size(), 1U);
+}
+
+// Guards against the same at the end of the process, when a running statement is answered and the connection closed.
+Test(CallerListener, survivesACallerThatResetsBeforeTheDaemonStops)
+{
+    Fixture fixture;
+    fixture.startDaemon();
+    Caller caller(fixture);
+    cr_assert_eq(caller.exchange("STARTUP fiti who\r\n"), "READY I -\r\n");
+    fixture.endpoints.server(EndpointId("i-1")).stallsWrites = true;
+    caller.send("QUERY 1 WRITE 1a4 x\r\n");
+    caller.reset();
+    bool isStopped = false;
+    fixture.daemon->beginStop([&isStopped] { isStopped = true; });
+    fixture.timers.advance(Milliseconds(30000));
+    fixture.run(Milliseconds(10));
+    cr_assert(isStopped);
+}
