Keep statements that the owner would refuse on the caller's daemon

Callers could see: one statement with an id over 256 bytes, or of a session with more than 1024 values, ended the running statements and transactions of all callers between two daemons. One statement near 1 MiB made its daemon take the group's owners for unresponsive, and a transaction in which such a statement was sent stayed open at the owner until the channel closed.

Cause: the owner closes the channel on a message that exceeds its limits, and the sender knew neither the limits nor why send() failed.

Evidence: Forwarding.statementTooLargeForAMessageRunsHere, tooManySessionValuesAreNotSent and statementTooLargeForAMessageEndsItsTransaction failed on the code before: the decoder refused the messages, no statement was sent to the owner after the large one, and the transaction stayed open.

Fix: isForwardable() is checked before a message is sent. Such a statement runs on a connection of the caller's daemon; in a transaction of another daemon it is answered ABORTED and the transaction is ended there. The format of the messages is unchanged.

--- a/include/almondlever/forwarding/StatementForwarder.h
+++ b/include/almondlever/forwarding/StatementForwarder.h
@@ -85,8 +85,15 @@
     static bool mayHaveEffect(const Forwarded&);
     /** Forwards the statement to the next owner, or runs it on this daemon when there is none. */
     void place(Ticket, Forwarded, TimePoint now);
-    bool send(Ticket, const Forwarded&, TimePoint now);
-    void runLocally(Ticket, Forwarded, TimePoint now);
+    /** What became of a statement that was to be sent to an owner. */
+    enum class SendResult {
+        Sent,
+        Unreachable,
+        /** The owner would refuse the message and close the channel; it was not sent. */
+        TooLarge,
+    };
+    SendResult send(Ticket, const Forwarded&, TimePoint now);
+    void runLocally(Ticket, Forwarded, const std::string& reason, TimePoint now);
     Forwarded take(Ticket);
     /** Handles a statement that may have run and will not be answered: repeats it if that is safe, or fails it. */
     void fail(Ticket, const std::string& reason, TimePoint now);
--- a/include/almondlever/wire/Messages.h
+++ b/include/almondlever/wire/Messages.h
@@ -224,6 +224,14 @@
     std::size_t attempts = 0;
 };
 
+/**
+ * True if the receiver accepts the message. A daemon closes the channel on a message that it refuses, which ends the
+ * statements of all callers on it, so others must not be sent. The answer is an estimate that refuses some messages
+ * just below the limit.
+ */
+bool isForwardable(const SessionStatement&);
+bool isForwardable(const SessionAnswer&);
+
 /** Asks the receiver to roll back an open transaction. */
 struct SessionTransactionEnd {
     std::uint64_t transaction = 0;
--- a/src/forwarding/StatementForwarder.cpp
+++ b/src/forwarding/StatementForwarder.cpp
@@ -58,14 +58,19 @@
         return local_.submit(link, std::move(request), std::move(callback), now);
     const Ticket ticket = ++lastTicket_;
     Forwarded forwarded { std::move(request), std::move(callback), remote->owner(), remote, {} };
-    if (send(ticket, forwarded, now)) {
+    const SendResult sent = send(ticket, forwarded, now);
+    if (sent == SendResult::Sent) {
         forwarded_.emplace(ticket, std::move(forwarded));
         return ticket;
     }
+    // The session forgets the transaction, and the owner holds it while the channel is open.
+    endTransaction(link, now);
+    const bool isTooLarge = sent == SendResult::TooLarge;
     StatementResult result;
     result.reply.error = StatementError::Aborted;
-    result.reply.detail = "the daemon that held the transaction cannot be reached";
-    log(forwarded, "fail", "owner_unreachable", now);
+    result.reply.detail = isTooLarge ? "the statement is too large for the daemon that held the transaction"
+                                     : "the daemon that held the transaction cannot be reached";
+    log(forwarded, "fail", isTooLarge ? "too_large_to_forward" : "owner_unreachable", now);
     forwarded.callback(std::move(result), now);
     return ticket;
 }
@@ -127,7 +132,10 @@
     while (const LiveDaemon* owner = chooseOwner(forwarded.request.group, forwarded.tried, now)) {
         forwarded.owner = *owner;
         forwarded.tried.insert(owner->id);
-        if (!send(ticket, forwarded, now)) {
+        const SendResult sent = send(ticket, forwarded, now);
+        if (sent == SendResult::TooLarge)
+            return runLocally(ticket, std::move(forwarded), "too_large_to_forward", now);
+        if (sent == SendResult::Unreachable) {
             healthOf(forwarded.owner.id).recordFailure(now);
             continue;
         }
@@ -135,10 +143,10 @@
         forwarded_.emplace(ticket, std::move(forwarded));
         return;
     }
-    runLocally(ticket, std::move(forwarded), now);
+    runLocally(ticket, std::move(forwarded), "no_owner_reachable", now);
 }
 
-bool StatementForwarder::send(Ticket ticket, const Forwarded& forwarded, TimePoint now)
+StatementForwarder::SendResult StatementForwarder::send(Ticket ticket, const Forwarded& forwarded, TimePoint now)
 {
     const StatementRequest& request = forwarded.request;
     SessionStatement message;
@@ -160,16 +168,19 @@
     if (prepared != request.contents->prepared.end())
         message.contents.prepared.insert(*prepared);
     message.transaction = forwarded.transaction ? forwarded.transaction->number() : 0;
+    if (!isForwardable(message))
+        return SendResult::TooLarge;
     if (!network_ || !network_->send(forwarded.owner.id, forwarded.owner.peerAddress, message))
-        return false;
+        return SendResult::Unreachable;
     healthOf(forwarded.owner.id).recordSent(now);
-    return true;
+    return SendResult::Sent;
 }
 
-void StatementForwarder::runLocally(Ticket ticket, Forwarded forwarded, TimePoint now)
+void StatementForwarder::runLocally(Ticket ticket, Forwarded forwarded, const std::string& reason, TimePoint now)
 {
-    log(forwarded, "run_here", "no_owner_reachable", now);
-    metrics_.count("almondlever_forwarded_total", "result=\"no_owner\"");
+    log(forwarded, "run_here", reason, now);
+    metrics_.count("almondlever_forwarded_total",
+        reason == "too_large_to_forward" ? "result=\"too_large\"" : "result=\"no_owner\"");
     localTickets_[ticket] = 0;
     const Ticket local = local_.submit(
         std::move(forwarded.request),
--- a/src/wire/SessionMessages.cpp
+++ b/src/wire/SessionMessages.cpp
@@ -11,6 +11,15 @@
     constexpr std::size_t maximumRows = 65536;
     constexpr std::size_t maximumValues = 1024;
 
+    /** Upper limit of the encoded size of a message without its texts, rows and values. */
+    constexpr std::size_t fixedBytes = 512;
+    /** Upper limit of the bytes that precede a text, row or pair of texts. */
+    constexpr std::size_t headerBytes = 5;
+
+    std::size_t encodedBytes(const std::string& text) { return headerBytes + text.size(); }
+
+    bool isName(const std::string& text) { return text.size() <= maximumNameBytes; }
+
     void writeValues(Json& map, const std::map<std::string, std::string>& values)
     {
         if (values.empty())
@@ -142,4 +151,34 @@
 
 SessionAbandon readSessionAbandon(CborReader& reader) { return { reader.number("c") }; }
 
+bool isForwardable(const SessionStatement& message)
+{
+    const Statement& statement = message.statement;
+    // Former versions refuse longer ids.
+    if (!isName(statement.id) || !isName(message.group.text()) || !isName(message.customer.text()))
+        return false;
+    if (message.contents.values.size() > maximumValues)
+        return false;
+    std::size_t bytes = fixedBytes + encodedBytes(statement.id) + encodedBytes(statement.text)
+        + encodedBytes(statement.name) + encodedBytes(statement.argument) + encodedBytes(message.group.text())
+        + encodedBytes(message.customer.text());
+    for (const auto& [name, value] : message.contents.values)
+        bytes += headerBytes + encodedBytes(name) + encodedBytes(value);
+    const auto prepared = message.contents.prepared.find(statement.name);
+    if (prepared != message.contents.prepared.end())
+        bytes += encodedBytes(prepared->second.shape);
+    return bytes <= maximumMessageBytes;
+}
+
+bool isForwardable(const SessionAnswer& message)
+{
+    const Reply& reply = message.reply;
+    if (!isName(message.endpoint.text()) || reply.rows.size() > maximumRows)
+        return false;
+    std::size_t bytes = fixedBytes + encodedBytes(reply.detail) + encodedBytes(message.endpoint.text());
+    for (const std::string& row : reply.rows)
+        bytes += encodedBytes(row);
+    return bytes <= maximumMessageBytes;
+}
+
 } // namespace almondlever
--- a/tests/forwarding/TestForwarding.cpp
+++ b/tests/forwarding/TestForwarding.cpp
@@ -1,6 +1,7 @@
 #include "almondlever/forwarding/ForwardedStatements.h"
 #include "almondlever/forwarding/StatementForwarder.h"
 #include "mocks/DispatcherFixture.h"
+#include "wire/CborReader.h"
 
 #include <criterion/criterion.h>
 
@@ -20,7 +21,7 @@
     Result<Done, std::string> listen() override { return Done {}; }
     bool send(const VmId& id, const std::string&, const Message& message) override
     {
-        if (isCut || !other || id != other->self_.id)
+        if (isCut || !other || id != other->self_.id || encodeMessage(message).size() > maximumMessageBytes)
             return false;
         ++sent;
         if (isSilent)
@@ -287,3 +288,59 @@
     cr_assert(!caller.replies[0].error);
     cr_assert_eq(fixture.endpoints.runsOf("r1"), 1U);
 }
+
+// Guards against a statement that the owner refuses, whereupon it closes the channel and with it ends the statements of
+// other callers; and against taking the owner for unresponsive because of it.
+Test(Forwarding, statementTooLargeForAMessageRunsHere)
+{
+    for (const bool isIdTooLong : { false, true }) {
+        Fixture fixture;
+        RemoteCaller caller(fixture, "proofs");
+        const std::string id(isIdTooLong ? maximumNameBytes + 1 : 1, 'i');
+        const std::string text = "READ " + std::string(isIdTooLong ? 1 : maximumMessageBytes, 'x');
+        caller.say(StatementKind::Read, id, text);
+        fixture.run(Milliseconds(100));
+        cr_assert_eq(caller.replies.size(), 1U);
+        cr_assert(!caller.replies[0].error);
+        cr_assert_eq(fixture.endpoints.runsOf(id), 1U);
+        cr_assert_eq(fixture.entryNetwork.sent, 0U);
+        caller.say(StatementKind::Read, "r2", "READ x");
+        fixture.run(Milliseconds(100));
+        cr_assert_eq(caller.replies.size(), 2U);
+        cr_assert_eq(fixture.entryNetwork.sent, 1U);
+    }
+}
+
+// Guards against session values in a number for which the owner closes the channel.
+Test(Forwarding, tooManySessionValuesAreNotSent)
+{
+    constexpr std::size_t values = 1025;
+    Fixture fixture;
+    RemoteCaller caller(fixture, "proofs");
+    for (std::size_t number = 0; number < values; ++number)
+        caller.session.onStatement(
+            { "s", StatementKind::SetValue, "", std::to_string(number), "1", false }, fixture.timers.now());
+    caller.say(StatementKind::Read, "r1", "READ x");
+    fixture.run(Milliseconds(1500));
+    cr_assert_eq(caller.replies.size(), values + 1);
+    cr_assert_eq(fixture.entryNetwork.sent, 0U);
+}
+
+// Guards against a transaction that stays open at the owner when one of its statements cannot be sent there.
+Test(Forwarding, statementTooLargeForAMessageEndsItsTransaction)
+{
+    Fixture fixture;
+    RemoteCaller caller(fixture, "orders");
+    caller.say(StatementKind::Begin, "b", "BEGIN");
+    caller.say(StatementKind::Write, "w1", "WRITE x 1");
+    fixture.run(Milliseconds(100));
+    cr_assert_eq(fixture.owner.openTransactions(), 1U);
+    caller.say(StatementKind::Write, "w2", "WRITE x " + std::string(maximumMessageBytes, '2'));
+    fixture.run(Milliseconds(100));
+    cr_assert(caller.replies.back().error == StatementError::Aborted);
+    cr_assert_eq(fixture.owner.openTransactions(), 0U);
+    caller.say(StatementKind::Commit, "c1", "COMMIT");
+    fixture.run(Milliseconds(100));
+    cr_assert(caller.replies.back().error == StatementError::Aborted);
+    cr_assert_eq(fixture.endpoints.runsOf("c1"), 0U);
+}
--- a/tests/wire/TestSessionMessages.cpp
+++ b/tests/wire/TestSessionMessages.cpp
@@ -1,6 +1,7 @@
 #include "almondlever/wire/Messages.h"
 
 #include <criterion/criterion.h>
+#include <rapidcheck.h>
 
 using namespace almondlever;
 
@@ -137,3 +138,40 @@
     cr_assert_eq(requestCopy.known.size(), 2U);
     cr_assert_eq(requestCopy.known[0].revision, 5U);
 }
+
+// Guards against a message that passes the check of the sender and is refused by the receiver, which closes the
+// channel.
+Test(SessionMessages, receiverAcceptsWhatIsForwardable)
+{
+    const bool isPassed = rc::check("forwardable messages are accepted", [] {
+        constexpr std::size_t margin = 1500;
+        const auto length = *rc::gen::inRange<std::size_t>(maximumMessageBytes - margin, maximumMessageBytes + margin);
+        const auto values = *rc::gen::inRange<std::size_t>(0, 1200);
+        SessionStatement statement;
+        statement.correlation = statement.transaction = ~std::uint64_t { 0 };
+        statement.statement
+            = { std::string(*rc::gen::inRange(0, 300), 'i'), StatementKind::Execute, "EXECUTE s x", "s", "x", false };
+        statement.group = GroupId("ledger");
+        statement.timeLeft = statement.maximumStaleness = Milliseconds(std::int64_t { 1 } << 40U);
+        statement.isWrite = statement.needsPrimary = statement.opensTransaction = true;
+        statement.sessionPosition = LogPosition { ~std::uint64_t { 0 }, ~std::uint64_t { 0 } };
+        for (std::size_t value = 0; value < values; ++value)
+            statement.contents.values[std::to_string(value)] = "v";
+        std::size_t rest = length;
+        for (const auto& [name, value] : statement.contents.values)
+            rest -= 5 + name.size() + value.size();
+        statement.contents.prepared["s"] = { true, std::string(rest / 2, 's') };
+        statement.statement.argument = std::string(rest - rest / 2, 'a');
+        if (isForwardable(statement))
+            RC_ASSERT(decodeMessage(encodeMessage(statement)).hasValue());
+        SessionAnswer answer;
+        answer.correlation = answer.transaction = ~std::uint64_t { 0 };
+        answer.reply.position = statement.sessionPosition;
+        const auto rows = *rc::gen::inRange<std::size_t>(1, 70000);
+        answer.reply.rows.assign(rows, std::string(length / rows - 5, 'r'));
+        if (isForwardable(answer))
+            RC_ASSERT(decodeMessage(encodeMessage(answer)).hasValue());
+        RC_TAG(isForwardable(statement) || isForwardable(answer));
+    });
+    cr_assert(isPassed);
+}
