Answer when an answer is too large to be forwarded

Callers could see: a statement whose answer exceeds 1 MiB, or 65536 rows, at another daemon's connection was answered only after its time-out, or ended the statements of all callers on the channel. In a transaction, the transaction could stay open.

Cause: the owner dropped an answer that the channel does not take, and sent rows in a number that the receiver refuses by closing the channel.

Evidence: Forwarding.answerTooLargeForAMessageIsReplaced, answerTooLargeForAMessageRollsItsTransactionBack and errorWithLargeTextKeepsItsCode failed on the code before.

Fix: the owner checks the answer and sends an error in its place: FAILED for a read, ABORTED in a transaction, which it rolls back, and UNKNOWN for a commit of writes or a write outside a transaction, which may have taken effect. An error keeps its code and the start of its text.

--- a/include/almondlever/forwarding/ForwardedStatements.h
+++ b/include/almondlever/forwarding/ForwardedStatements.h
@@ -39,7 +39,20 @@
     /** Sending daemon, and its number for the statement or transaction. */
     using Key = std::pair<VmId, std::uint64_t>;
 
-    void answer(const VmId& to, std::uint64_t correlation, std::uint64_t transaction, StatementResult&&, TimePoint now);
+    /** The statement of a peer that is answered. */
+    struct Origin {
+        Key key;
+        /** Number of the transaction in which it ran; 0 outside of transactions. */
+        std::uint64_t transaction = 0;
+        /** True if it belongs to a transaction or opens one. */
+        bool isInTransaction = false;
+        /** True for a commit of writes and for a write outside a transaction. */
+        bool mayHaveEffect = false;
+    };
+
+    void answer(const Origin&, StatementResult&&, TimePoint now);
+    /** Replaces an answer that the peer would refuse, so that the peer need not wait for its time-out. */
+    void replaceTooLarge(const Origin&, SessionAnswer&, TransactionHandle&, TimePoint now);
 
     StatementRunner& local_;
     PeerNetwork* network_ = nullptr;
--- a/src/forwarding/ForwardedStatements.cpp
+++ b/src/forwarding/ForwardedStatements.cpp
@@ -1,10 +1,20 @@
 #include "almondlever/forwarding/ForwardedStatements.h"
 
+#include "almondlever/observability/DecisionLog.h"
+
+#include <algorithm>
 #include <memory>
 #include <vector>
 
 namespace almondlever {
 
+namespace {
+
+    /** Part of an error's text that is kept when the whole text is too large. */
+    constexpr std::size_t keptDetailBytes = 256;
+
+} // namespace
+
 void ForwardedStatements::onStatement(const VmId& from, SessionStatement&& message, TimePoint now)
 {
     StatementRequest request;
@@ -27,9 +37,12 @@
 
     const Key key { from, message.correlation };
     const std::uint64_t transaction = message.transaction;
-    const auto report = [this, key, transaction](StatementResult&& result, TimePoint at) {
-        running_.erase(key);
-        answer(key.first, key.second, transaction, std::move(result), at);
+    Origin origin { key, transaction, transaction != 0 || request.opensTransaction, false };
+    origin.mayHaveEffect
+        = request.isWrite && (request.statement.kind == StatementKind::Commit || !origin.isInTransaction);
+    const auto report = [this, origin](StatementResult&& result, TimePoint at) {
+        running_.erase(origin.key);
+        answer(origin, std::move(result), at);
     };
     running_[key] = 0;
     Ticket ticket = 0;
@@ -50,19 +63,21 @@
         running->second = ticket;
 }
 
-void ForwardedStatements::answer(
-    const VmId& to, std::uint64_t correlation, std::uint64_t transaction, StatementResult&& result, TimePoint now)
+void ForwardedStatements::answer(const Origin& origin, StatementResult&& result, TimePoint now)
 {
+    const VmId& to = origin.key.first;
     SessionAnswer message;
-    message.correlation = correlation;
+    message.correlation = origin.key.second;
     message.reply = std::move(result.reply);
     message.endpoint = result.endpoint;
     message.attempts = result.attempts;
+    if (!isForwardable(message))
+        replaceTooLarge(origin, message, result.transaction, now);
     if (result.transaction) {
-        message.transaction = transaction != 0 ? transaction : ++lastTransaction_;
+        message.transaction = origin.transaction != 0 ? origin.transaction : ++lastTransaction_;
         transactions_[{ to, message.transaction }] = result.transaction;
-    } else if (transaction != 0) {
-        transactions_.erase({ to, transaction });
+    } else if (origin.transaction != 0) {
+        transactions_.erase({ to, origin.transaction });
     }
     // If the answer cannot be sent, the channel to the peer is lost. onLoss() ends the peer's transactions, but it may
     // have been called before this one was added, so this one is ended here.
@@ -72,6 +87,27 @@
         onTransactionEnd(to, { message.transaction }, now);
 }
 
+void ForwardedStatements::replaceTooLarge(
+    const Origin& origin, SessionAnswer& message, TransactionHandle& transaction, TimePoint now)
+{
+    Reply& reply = message.reply;
+    logWarning("answer_too_large",
+        { { "peer", origin.key.first.text() }, { "rows", std::to_string(reply.rows.size()) },
+            { "endpoint", message.endpoint.text() } });
+    reply.rows.clear();
+    if (reply.error) {
+        reply.detail.resize(std::min(reply.detail.size(), keptDetailBytes));
+        return;
+    }
+    reply.error = origin.mayHaveEffect ? StatementError::Unknown
+        : origin.isInTransaction       ? StatementError::Aborted
+                                       : StatementError::Failed;
+    reply.detail = "the answer is too large to be passed on";
+    if (transaction)
+        local_.endTransaction(transaction, now);
+    transaction = nullptr;
+}
+
 void ForwardedStatements::onAbandon(const VmId& from, const SessionAbandon& message, TimePoint now)
 {
     const auto found = running_.find({ from, message.correlation });
--- a/tests/forwarding/TestForwarding.cpp
+++ b/tests/forwarding/TestForwarding.cpp
@@ -1,6 +1,7 @@
 #include "almondlever/forwarding/ForwardedStatements.h"
 #include "almondlever/forwarding/StatementForwarder.h"
 #include "mocks/DispatcherFixture.h"
+#include "mocks/FakePeerNetwork.h"
 #include "wire/CborReader.h"
 
 #include <criterion/criterion.h>
@@ -344,3 +345,115 @@
     cr_assert(caller.replies.back().error == StatementError::Aborted);
     cr_assert_eq(fixture.endpoints.runsOf("c1"), 0U);
 }
+
+namespace {
+
+struct FakeTransaction final : OpenTransaction { };
+
+/** Records the statement that was submitted last and the transactions that were ended. */
+struct FakeRunner final : StatementRunner {
+    Ticket submit(StatementRequest, StatementCallback callback, TimePoint) override
+    {
+        callbacks.push_back(std::move(callback));
+        return callbacks.size();
+    }
+    Ticket submit(const TransactionHandle&, StatementRequest, StatementCallback callback, TimePoint) override
+    {
+        callbacks.push_back(std::move(callback));
+        return callbacks.size();
+    }
+    void abandon(Ticket, TimePoint) override { }
+    void endTransaction(const TransactionHandle& transaction, TimePoint) override { ended.push_back(transaction); }
+
+    std::vector<StatementCallback> callbacks;
+    std::vector<TransactionHandle> ended;
+};
+
+/** An owner whose answers are recorded. */
+struct OwnerFixture {
+    OwnerFixture() { owner.setNetwork(&network); }
+
+    /** Lets a statement succeed with these rows and returns the answer that was sent. */
+    SessionAnswer answer(SessionStatement message, const std::vector<std::string>& rows, const TransactionHandle& open)
+    {
+        message.timeLeft = Milliseconds(1000);
+        owner.onStatement(peer, std::move(message), now);
+        StatementResult result;
+        result.reply.rows = rows;
+        result.reply.detail = "signature";
+        result.transaction = open;
+        runner.callbacks.back()(std::move(result), now);
+        const Message sent = network.sent.back().second;
+        const std::string bytes = encodeMessage(sent);
+        cr_assert_leq(bytes.size(), maximumMessageBytes);
+        cr_assert(decodeMessage(bytes).hasValue());
+        return std::get<SessionAnswer>(sent);
+    }
+
+    const VmId peer { "entry" };
+    const TimePoint now {};
+    FakePeerNetwork network;
+    FakeRunner runner;
+    ForwardedStatements owner { runner, 77 };
+};
+
+SessionStatement statementOf(StatementKind kind, bool isWrite)
+{
+    SessionStatement message;
+    message.correlation = 5;
+    message.statement.kind = kind;
+    message.isWrite = isWrite;
+    return message;
+}
+
+const std::vector<std::string> largeRows { std::string(maximumMessageBytes, 'r') };
+const std::vector<std::string> manyRows(70000, "r");
+
+} // namespace
+
+// Guards against an answer that cannot be sent, for which the caller's daemon waits until the time-out, and against one
+// that it refuses by closing the channel. A write that ran must not be reported as not run.
+Test(Forwarding, answerTooLargeForAMessageIsReplaced)
+{
+    for (const auto& rows : { largeRows, manyRows }) {
+        OwnerFixture fixture;
+        const SessionAnswer read = fixture.answer(statementOf(StatementKind::Read, false), rows, nullptr);
+        cr_assert_eq(read.correlation, 5U);
+        cr_assert(read.reply.error == StatementError::Failed);
+        const SessionAnswer write = fixture.answer(statementOf(StatementKind::Write, true), rows, nullptr);
+        cr_assert(write.reply.error == StatementError::Unknown);
+    }
+}
+
+// Guards against a transaction that stays open, or a promise that does not hold, after an answer that is too large.
+Test(Forwarding, answerTooLargeForAMessageRollsItsTransactionBack)
+{
+    OwnerFixture fixture;
+    const auto transaction = std::make_shared<FakeTransaction>();
+    SessionStatement opening = statementOf(StatementKind::Write, true);
+    opening.opensTransaction = true;
+    const SessionAnswer first = fixture.answer(opening, largeRows, transaction);
+    cr_assert(first.reply.error == StatementError::Aborted);
+    cr_assert_eq(first.transaction, 0U);
+    const SessionAnswer second = fixture.answer(opening, {}, transaction);
+    SessionStatement later = statementOf(StatementKind::Read, false);
+    later.transaction = second.transaction;
+    const SessionAnswer third = fixture.answer(later, largeRows, transaction);
+    cr_assert(third.reply.error == StatementError::Aborted);
+    cr_assert_eq(fixture.runner.ended.size(), 2U);
+    cr_assert_eq(fixture.owner.openTransactions(), 0U);
+}
+
+// Guards against an error that becomes another one because its text is too large.
+Test(Forwarding, errorWithLargeTextKeepsItsCode)
+{
+    OwnerFixture fixture;
+    fixture.owner.onStatement(fixture.peer, statementOf(StatementKind::Write, true), fixture.now);
+    StatementResult result;
+    result.reply.error = StatementError::Busy;
+    result.reply.detail = std::string(maximumMessageBytes, 'd');
+    fixture.runner.callbacks.back()(std::move(result), fixture.now);
+    const auto& answer = std::get<SessionAnswer>(fixture.network.sent.back().second);
+    cr_assert(answer.reply.error == StatementError::Busy);
+    cr_assert(decodeMessage(encodeMessage(answer)).hasValue());
+}
