Send prepared statements without text, and test the bytes of forwarded texts

Callers could see: executing a prepared statement with an empty text on another daemon's connection would close the channel, which ends the statements of all callers on it. The line protocol's decoder refuses such a PREPARE, so no caller reached this.

Cause: the encoder omits empty texts, and the decoder refuses an EXECUTE without the prepared text.

Line ends, NUL and bytes that are no UTF-8 text were kept already.

Fix: the field is written whenever the statement is known.

--- a/src/wire/SessionMessages.cpp
+++ b/src/wire/SessionMessages.cpp
@@ -66,7 +66,8 @@
     writeValues(map, message.contents.values);
     const auto prepared = message.contents.prepared.find(message.statement.name);
     if (prepared != message.contents.prepared.end()) {
-        writer.text("ps", prepared->second.shape);
+        // Present even if it is empty: the receiver refuses to execute a statement that was not sent.
+        map["ps"] = prepared->second.shape;
         writer.flag("pw", prepared->second.isWrite);
     }
     writer.number("tx", message.transaction);
--- a/tests/wire/TestSessionMessages.cpp
+++ b/tests/wire/TestSessionMessages.cpp
@@ -175,3 +175,36 @@
     });
     cr_assert(isPassed);
 }
+
+// Guards against bytes that change on the way between daemons: line ends, NUL and bytes that are no UTF-8 text, in any
+// text of a statement or an answer.
+Test(SessionMessages, keepsEveryByteOfItsTexts)
+{
+    const bool isPassed = rc::check("texts keep their bytes", [] {
+        const auto bytes = [] { return *rc::gen::container<std::string>(rc::gen::arbitrary<char>()); };
+        SessionStatement statement;
+        statement.statement = { bytes(), StatementKind::Execute, bytes(), bytes(), bytes(), false };
+        statement.group = GroupId(bytes());
+        statement.customer = CustomerId(bytes());
+        statement.contents.values = { { bytes(), bytes() }, { "\r\n", std::string("\0\xff\r\n", 4) } };
+        statement.contents.prepared[statement.statement.name] = { true, bytes() };
+        const SessionStatement copy = roundTrip(statement);
+        RC_ASSERT(copy.statement.id == statement.statement.id);
+        RC_ASSERT(copy.statement.text == statement.statement.text);
+        RC_ASSERT(copy.statement.name == statement.statement.name);
+        RC_ASSERT(copy.statement.argument == statement.statement.argument);
+        RC_ASSERT(copy.group == statement.group);
+        RC_ASSERT(copy.customer == statement.customer);
+        RC_ASSERT(copy.contents.values == statement.contents.values);
+        RC_ASSERT(copy.contents.prepared == statement.contents.prepared);
+        SessionAnswer answer;
+        answer.reply.rows = { bytes(), "", bytes(), std::string("\0\xff\r\n", 4) };
+        answer.reply.detail = bytes();
+        answer.endpoint = EndpointId(bytes());
+        const SessionAnswer answerCopy = roundTrip(answer);
+        RC_ASSERT(answerCopy.reply.rows == answer.reply.rows);
+        RC_ASSERT(answerCopy.reply.detail == answer.reply.detail);
+        RC_ASSERT(answerCopy.endpoint == answer.endpoint);
+    });
+    cr_assert(isPassed);
+}
