Skip interim HTTP responses

Callers could see: after "100 Continue" or "103 Early Hints" from the store, the promotion service or an HTTP endpoint, the interim response was taken for the response, and the response itself closed the connection or became the response to the next request on it: a wrong revision, lease, acceptance or row.

Cause: the parser ended at the first complete response header whose status has no body.

Fix: the parser starts anew after a complete response with a status from 100 to 199, except 101.

--- a/src/transport/HttpResponseParser.cpp
+++ b/src/transport/HttpResponseParser.cpp
@@ -18,6 +18,21 @@
     std::optional<http::response_parser<http::string_body>> parser;
     /** Received bytes that the parser has not consumed yet because a line is incomplete. */
     std::string pending;
+
+    void startResponse()
+    {
+        parser.emplace();
+        parser->body_limit(maximumResponseBytes);
+        parser->eager(true);
+    }
+
+    /** True for a complete response that the actual response follows, such as 100 (Continue). */
+    bool isInterim() const
+    {
+        constexpr unsigned switchingProtocols = 101;
+        const unsigned status = parser->get().result_int();
+        return parser->is_done() && status < 200 && status != switchingProtocols;
+    }
 };
 
 HttpResponseParser::HttpResponseParser()
@@ -30,9 +45,7 @@
 void HttpResponseParser::reset()
 {
     state_->pending.clear();
-    state_->parser.emplace();
-    state_->parser->body_limit(maximumResponseBytes);
-    state_->parser->eager(true);
+    state_->startResponse();
 }
 
 std::string HttpResponseParser::feed(const char* bytes, std::size_t size)
@@ -50,6 +63,8 @@
             return "malformed response: " + error.message();
         if (used == 0)
             return {};
+        if (state_->isInterim())
+            state_->startResponse();
     }
     return parser.is_done() && !pending.empty() ? "data after the response" : std::string();
 }
