Do not reuse an HTTP connection on which unread data waits

Callers could see: when a server answers a request twice, the second copy was taken for the response to the next request on the connection if that request was sent before the second copy was read: a wrong revision or lease of the store, a wrong acceptance of a promotion, another row of an HTTP endpoint.

Cause: data without a request closes an idle connection only once its read handler runs. A read was started before the response was delivered, and a request sent in between, for example while the thread was busy, made the connection busy again.

Evidence: HttpResponses.unreadSecondResponseIsNotTheNextOne failed on the code before: the second request got the body "/a" of the first.

Fix: data stays in the socket until it is handled, and a connection that is idle and has unread data is not open. A copy that arrives after the next request was sent cannot be told apart: HTTP/1.1 responses name no request.

--- a/include/almondlever/transport/HttpConnection.h
+++ b/include/almondlever/transport/HttpConnection.h
@@ -42,7 +42,10 @@
     virtual void send(const HttpRequest&, Duration timeout, ResponseCallback) = 0;
     /** By default the time-out of a request includes its whole response. Call before send(). */
     virtual void setTransferLimits(const HttpTransferLimits&) = 0;
-    /** True while connected and usable for another request. */
+    /**
+     * True while connected and usable for another request. False when data has arrived although no request is in
+     * flight: it could be taken for the response to the next one.
+     */
     virtual bool isOpen() const = 0;
     /** True between send and its callback. */
     virtual bool isBusy() const = 0;
--- a/src/transport/HttpConnection.cpp
+++ b/src/transport/HttpConnection.cpp
@@ -51,7 +51,7 @@
         void send(const HttpRequest& request, Duration timeout, ResponseCallback callback) override
         {
             assert(!isBusy());
-            if (!open_)
+            if (!isOpen())
                 return callback(HttpFailure { false, "connection is closed" });
             callback_ = std::move(callback);
             output_ = serialize(request, host_);
@@ -67,7 +67,7 @@
 
         void setTransferLimits(const HttpTransferLimits& limits) override { transferLimits_ = limits; }
 
-        bool isOpen() const override { return open_; }
+        bool isOpen() const override { return open_ && (isBusy() || !hasUnreadData()); }
         bool isBusy() const override { return static_cast<bool>(callback_); }
 
         void close() override { fail("connection closed locally"); }
@@ -83,6 +83,7 @@
                 return fail("cannot connect: " + error.message());
             timer_.cancel();
             std::error_code ignored;
+            socket_.non_blocking(true, ignored);
             socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
             // No data may arrive for a long time while a request is pending. Without this, a partition would go
             // undetected until the request times out.
@@ -94,16 +95,34 @@
             callback(Done {});
         }
 
+        /** True if data has arrived that is not part of a response to a request, because none is in flight. */
+        bool hasUnreadData() const
+        {
+            std::error_code ignored;
+            return socket_.available(ignored) > 0;
+        }
+
+        /** Data stays in the socket until it is handled, so that hasUnreadData() knows of all that has arrived. */
         void read()
         {
-            socket_.async_read_some(asio::buffer(input_),
-                [self = shared_from_this()](std::error_code error, std::size_t size) { self->consume(error, size); });
+            socket_.async_wait(asio::socket_base::wait_read,
+                [self = shared_from_this()](std::error_code error) { self->readAvailable(error); });
         }
 
-        void consume(std::error_code error, std::size_t size)
+        void readAvailable(std::error_code error)
         {
             if (!open_)
                 return;
+            std::size_t size = 0;
+            if (!error)
+                size = socket_.read_some(asio::buffer(input_), error);
+            if (error == asio::error::would_block)
+                return read();
+            consume(error, size);
+        }
+
+        void consume(std::error_code error, std::size_t size)
+        {
             if (error)
                 return fail("connection lost: " + error.message());
             if (!isBusy())
--- a/tests/transport/TestHttpResponses.cpp
+++ b/tests/transport/TestHttpResponses.cpp
@@ -135,6 +135,31 @@
 
 } // namespace
 
+// Guards against the second copy of a response being taken for the response to the next request, when it has arrived
+// but not been read by the time that request is sent.
+Test(HttpResponses, unreadSecondResponseIsNotTheNextOne)
+{
+    const ScriptedServer server(answerFirst([](auto& socket, const std::string& target) {
+        ScriptedServer::send(socket, responseTo(target));
+        std::this_thread::sleep_for(transferTime / 3);
+        ScriptedServer::send(socket, responseTo(target));
+    }));
+    Client client;
+    std::optional<HttpResult> second;
+    client.client.request(server.address(), { "GET", "/a", {}, {} }, requestTimeout, [&](const HttpResult& first) {
+        cr_assert(first.hasValue());
+        // The thread is busy while the second copy arrives.
+        std::this_thread::sleep_for(transferTime);
+        client.client.request(server.address(), { "GET", "/b", {}, {} }, requestTimeout,
+            [&second](HttpResult received) { second = std::move(received); });
+    });
+    while (!second)
+        client.context.run_one_for(Milliseconds(100));
+    cr_assert(second->hasValue());
+    cr_assert_str_eq(second->value().body.c_str(), "/b");
+    cr_assert_eq(server.connections(), 2);
+}
+
 // Guards against using a connection again on which a response came that nobody asked for.
 Test(HttpResponses, secondResponseClosesTheIdleConnection)
 {
