Answer callers whose bytes are no UTF-8 text

Callers could see: a request of an unknown caller or for an unknown database whose name is no UTF-8 text ended without a response, and so did a request of /v1/explain.

Cause: the problem and the explanation quote the name, and nlohmann::json throws when it writes text that is no UTF-8.

Evidence: CallerApi.answersAlthoughTheDetailIsNoText and explainsAlthoughTheReasonIsNoText failed on the code before with json.exception.type_error.316.

Fix: invalid bytes of these explanations are replaced with U+FFFD. Keys and values of statements come from parsed JSON and are valid.

--- a/src/caller_api/ProblemDetails.cpp
+++ b/src/caller_api/ProblemDetails.cpp
@@ -41,7 +41,10 @@
         { "outcome", toText(error.outcome) } };
     if (!requestId.isEmpty())
         body["request_id"] = requestId.text();
-    HttpResponse response { status, { { "Content-Type", "application/problem+json" } }, body.dump() };
+    // The detail may quote bytes of the caller that are no UTF-8 text, for which dump() would throw.
+    constexpr auto replaceInvalid = nlohmann::json::error_handler_t::replace;
+    HttpResponse response { status, { { "Content-Type", "application/problem+json" } },
+        body.dump(-1, ' ', false, replaceInvalid) };
     if (error.retryAfter.count() > 0) {
         // Retry-After has whole seconds, rounded up; a second header has the exact milliseconds.
         response.headers.emplace_back("Retry-After", std::to_string((error.retryAfter.count() + 999) / 1000));
--- a/src/daemon/StatusPages.cpp
+++ b/src/daemon/StatusPages.cpp
@@ -45,7 +45,8 @@
             entry["expected_wait_ms"] = step.expectedWait.count();
         page["steps"].push_back(std::move(entry));
     }
-    return page.dump();
+    // The reason may quote bytes of the query that are no UTF-8 text, for which dump() would throw.
+    return page.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 } // namespace almondlever
--- a/tests/caller_api/TestCallerApi.cpp
+++ b/tests/caller_api/TestCallerApi.cpp
@@ -1,4 +1,5 @@
 #include "almondlever/caller_api/CallerApi.h"
+#include "daemon/StatusPages.h"
 
 #include <criterion/criterion.h>
 #include <nlohmann/json.hpp>
@@ -108,3 +109,22 @@
     cr_assert(response.header("Retry-After") == "1");
     cr_assert(response.header("Almondlever-Retry-After-Ms") == "120");
 }
+
+// Guards against a connection that ends without a response because a caller's bytes are no UTF-8 text.
+Test(CallerApi, answersAlthoughTheDetailIsNoText)
+{
+    ApiFixture f;
+    f.handler.reply.result
+        = CallerError { CallerErrorCode::UnknownCaller, Outcome::NotRun, "caller '\xff\xc3' is not known", {} };
+    const HttpResponse response = f.send(f.exchange);
+    cr_assert(response.status == 403);
+    cr_assert(f.outcomeOf(response) == "not_run");
+}
+
+// Guards against the same for the page that explains a route, whose reason quotes the query.
+Test(CallerApi, explainsAlthoughTheReasonIsNoText)
+{
+    RouteExplanation explanation;
+    explanation.reason = "caller '\xff' is not known";
+    cr_assert(nlohmann::json::parse(explanationPage(explanation)).at("accepted") == false);
+}
