Refuse requests of callers that the owner's daemon would refuse

Callers could see: one request with a traceparent or an id of a transaction over 256 bytes ended all requests in flight between two daemons.

Cause: the receiving daemon accepts 256 bytes and closes the channel on a longer field.

Evidence: CallerApi.refusesTransactionThatCannotBeForwarded and dropsTraceparentThatCannotBeForwarded failed on the code before.

Fix: such an id is answered with 400 and "not_run"; such a traceparent, which no version of its specification allows, is ignored.

--- a/src/caller_api/CallerApi.cpp
+++ b/src/caller_api/CallerApi.cpp
@@ -15,6 +15,8 @@
     constexpr const char* databasePrefix = "/v1/databases/";
     constexpr std::size_t maximumKeyBytes = 1024;
     constexpr std::size_t maximumIdempotencyKeyBytes = 256;
+    /** Other daemons refuse a message with a longer id of a transaction or a longer traceparent. */
+    constexpr std::size_t maximumForwardedNameBytes = 256;
     /** Larger bodies are answered with 413; the server closes connections only far above this limit, so callers get a
      * response. */
     constexpr std::size_t maximumBodyBytes = 1024 * 1024;
@@ -76,6 +78,8 @@
         if (request.idempotencyKey.size() > maximumIdempotencyKeyBytes)
             return badRequest("the header Idempotency-Key is longer than 256 bytes");
         request.traceparent = exchange.header("traceparent");
+        if (request.traceparent.size() > maximumForwardedNameBytes)
+            request.traceparent.clear();
         const std::string deadline = exchange.header("Almondlever-Deadline-Ms");
         if (deadline.empty())
             return std::nullopt;
@@ -183,6 +187,8 @@
         if (const auto error = readStatement(exchange->body(), *request))
             return exchange->respond(problemResponse(*error, RequestId()));
     }
+    if (request->transaction.text().size() > maximumForwardedNameBytes)
+        return exchange->respond(problemResponse(badRequest("the transaction is longer than 256 bytes"), RequestId()));
     submit(exchange, std::move(*request));
 }
 
--- a/tests/caller_api/TestCallerApi.cpp
+++ b/tests/caller_api/TestCallerApi.cpp
@@ -128,3 +128,34 @@
     explanation.reason = "caller '\xff' is not known";
     cr_assert(nlohmann::json::parse(explanationPage(explanation)).at("accepted") == false);
 }
+
+// Guards against a message that the daemon of the transaction refuses, whereupon it closes the channel and with it ends
+// the requests of other callers.
+Test(CallerApi, refusesTransactionThatCannotBeForwarded)
+{
+    const std::string transaction = "vm-1." + std::string(256, '7');
+    for (const bool isInPath : { false, true }) {
+        ApiFixture f;
+        if (isInPath)
+            f.exchange->path_ = "/v1/databases/lots/transactions/" + transaction + "/commit";
+        else
+            f.exchange->body_ = R"({"op":"read","key":"k","transaction":")" + transaction + "\"}";
+        const HttpResponse response = f.send(f.exchange);
+        cr_assert(response.status == 400);
+        cr_assert(f.outcomeOf(response) == "not_run");
+        cr_assert(f.handler.requests.empty());
+    }
+}
+
+// Guards against the same for a header that callers may set to anything; it must not keep the request from running.
+Test(CallerApi, dropsTraceparentThatCannotBeForwarded)
+{
+    ApiFixture f;
+    f.exchange->headers["traceparent"] = std::string(257, 'a');
+    cr_assert(f.send(f.exchange).status == 200);
+    cr_assert(f.handler.requests.at(0).traceparent.empty());
+    f.exchange->headers["traceparent"] = std::string(256, 'a');
+    f.exchange->answer.reset();
+    cr_assert(f.send(f.exchange).status == 200);
+    cr_assert_eq(f.handler.requests.at(1).traceparent.size(), 256U);
+}
