Ignore replies of the serving daemon to requests of an earlier run

Callers could see: after a restart of the entry daemon, the result of another request: a read with another row, or a write reported as run that was not.

Cause: requests between daemons were numbered from 1 in each run of the process, and a reply was matched by its number alone, whichever daemon sent it. A request of the former run that still ran at the owner was answered on the new channel.

Fix: the numbers start at a random number, and a reply counts only when it comes from the daemon to which the request was sent.

--- a/include/almondlever/daemon/PeerForwarder.h
+++ b/include/almondlever/daemon/PeerForwarder.h
@@ -17,13 +17,17 @@
  */
 class PeerForwarder final : public Forwarder {
 public:
-    PeerForwarder(PeerNetwork&, ServingHost&, TimerService&);
+    /**
+     * firstNumber is random, so that a reply to a request of an earlier run of this process does not match a request of
+     * this run.
+     */
+    PeerForwarder(PeerNetwork&, ServingHost&, TimerService&, std::uint64_t firstNumber);
 
     void setSnapshot(SnapshotPtr);
     void forward(const VmId& owner, ForwardRequest, TimePoint deadline, ReplyCallback) override;
 
     /** Handles a reply from another daemon. */
-    void onReply(ForwardReply, TimePoint now);
+    void onReply(const VmId& from, ForwardReply, TimePoint now);
     /** Handles a request from another daemon. */
     void onRequest(const PeerIdentity& from, ForwardRequest, TimePoint now);
     /** Ends a request that was dropped before it was sent. */
@@ -50,7 +54,7 @@
     SnapshotPtr snapshot_;
     std::unordered_map<std::uint64_t, Pending> pending_;
     std::multimap<TimePoint, std::uint64_t> expiries_;
-    std::uint64_t lastCorrelation_ = 0;
+    std::uint64_t lastCorrelation_;
 };
 
 } // namespace almondlever
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -64,7 +64,7 @@
                   asio::post(control, [this, call = std::move(call)] { call(*controlLoop, Clock::now()); });
               })
         , serving(servingContext())
-        , forwarder(*network, serving, trafficTimers)
+        , forwarder(*network, serving, trafficTimers, randomSeed() / 2)
         , router(forwarder, trafficTimers, tokenCodec, retryBudget, metrics, decisions, randomSeed())
         , api(router, pages())
         , server(makeHttpServer(traffic, serverSettings(settings),
@@ -194,7 +194,7 @@
         if (auto* request = std::get_if<ForwardRequest>(&message))
             return forwarder.onRequest(from, std::move(*request), now);
         if (auto* reply = std::get_if<ForwardReply>(&message))
-            return forwarder.onReply(std::move(*reply), now);
+            return forwarder.onReply(from.id, std::move(*reply), now);
         asio::post(control,
             [this, from, message = std::move(message)] { controlLoop->onMessage(from, message, Clock::now()); });
     }
--- a/src/daemon/PeerForwarder.cpp
+++ b/src/daemon/PeerForwarder.cpp
@@ -16,10 +16,12 @@
 
 } // namespace
 
-PeerForwarder::PeerForwarder(PeerNetwork& network, ServingHost& serving, TimerService& timers)
+PeerForwarder::PeerForwarder(
+    PeerNetwork& network, ServingHost& serving, TimerService& timers, std::uint64_t firstNumber)
     : network_(network)
     , serving_(serving)
     , timers_(timers)
+    , lastCorrelation_(firstNumber)
 {
 }
 
@@ -65,9 +67,12 @@
     callback(std::move(reply), now);
 }
 
-void PeerForwarder::onReply(ForwardReply reply, TimePoint now)
+void PeerForwarder::onReply(const VmId& from, ForwardReply reply, TimePoint now)
 {
     const std::uint64_t correlation = reply.correlation;
+    const auto found = pending_.find(correlation);
+    if (found == pending_.end() || found->second.owner != from)
+        return;
     finish(correlation, std::move(reply), now);
 }
 
--- /dev/null
+++ b/tests/entry/TestPeerForwarder.cpp
@@ -0,0 +1,83 @@
+#include "almondlever/daemon/PeerForwarder.h"
+#include "mocks/FakeEndpoint.h"
+#include "mocks/FakePeerNetwork.h"
+#include "mocks/FakeTimerService.h"
+
+#include <criterion/criterion.h>
+
+using namespace almondlever;
+
+namespace {
+
+const VmId entryVm("entry");
+const VmId ownerVm("owner");
+const VmId otherVm("other");
+
+struct IgnoringListener final : PrimaryListener {
+    void primaryAnswered(const DatabaseId&, const EndpointId&, Term) override { }
+    void primaryFailed(const DatabaseId&, const EndpointId&) override { }
+    void writesPaused(const DatabaseId&, const EndpointId&, LogPosition) override { }
+};
+
+/** One run of a daemon's process, without endpoints of its own. */
+template <typename Network> struct Run {
+    explicit Run(std::uint64_t firstNumber)
+        : serving(ServingContext { connector, timers, listener, metrics, decisions, {},
+            [](const std::vector<RankRule>& ranks, std::size_t slots) {
+                return std::make_unique<RankScheduler>(ranks, slots);
+            },
+            [] { return std::uint64_t { 1 }; } })
+        , forwarder(network, serving, timers, firstNumber)
+    {
+        Snapshot snapshot;
+        snapshot.self = entryVm;
+        snapshot.members.daemons
+            = { { otherVm, FailureDomainId("d"), "2", false }, { ownerVm, FailureDomainId("d"), "1", false } };
+        forwarder.setSnapshot(std::make_shared<const Snapshot>(snapshot));
+    }
+
+    /** Sends a read to the owner and returns its number. */
+    std::uint64_t sendRead()
+    {
+        forwarder.forward(ownerVm, {}, timers.now() + Milliseconds(1000),
+            [this](ForwardReply reply, TimePoint) { replies.push_back(std::move(reply)); });
+        return std::get<ForwardRequest>(network.sent.back().second).correlation;
+    }
+
+    FakeTimerService timers;
+    FakeEndpointConnector connector;
+    IgnoringListener listener;
+    Metrics metrics;
+    DecisionLog decisions { 0 };
+    Network network;
+    ServingHost serving;
+    PeerForwarder forwarder;
+    std::vector<ForwardReply> replies;
+};
+
+ForwardReply replyTo(std::uint64_t correlation)
+{
+    ForwardReply reply;
+    reply.correlation = correlation;
+    return reply;
+}
+
+} // namespace
+
+// Guards against the reply to a request of the process's former run, or of another daemon, being given to a caller of
+// this run: the owner may still run that request when the new process has connected.
+Test(PeerForwarder, replyToAnotherRequestIsIgnored)
+{
+    Run<FakePeerNetwork> former(1000);
+    Run<FakePeerNetwork> current(2000);
+    const std::uint64_t formerNumber = former.sendRead();
+    const std::uint64_t number = current.sendRead();
+    current.forwarder.onReply(ownerVm, replyTo(formerNumber), current.timers.now());
+    cr_assert(current.replies.empty());
+    current.forwarder.onReply(otherVm, replyTo(number), current.timers.now());
+    cr_assert(current.replies.empty());
+    current.forwarder.onReply(ownerVm, replyTo(number), current.timers.now());
+    cr_assert_eq(current.replies.size(), 1U);
+    current.forwarder.onReply(ownerVm, replyTo(number), current.timers.now());
+    cr_assert_eq(current.replies.size(), 1U);
+}
