Answer the entry daemon when a reply is too large to be forwarded

Callers could see: a read whose value with its message exceeds 1 MiB was answered only after the deadline.

Cause: the serving daemon dropped a reply that the channel does not take.

Evidence: PeerForwarder.replyThatCannotBeSentIsReplaced failed on the code before: nothing was sent after the refused reply.

Fix: a small reply is sent in its place: rejected, outcome unknown.

--- a/src/daemon/PeerForwarder.cpp
+++ b/src/daemon/PeerForwarder.cpp
@@ -1,5 +1,7 @@
 #include "almondlever/daemon/PeerForwarder.h"
 
+#include "almondlever/observability/DecisionLog.h"
+
 namespace almondlever {
 
 namespace {
@@ -81,7 +83,14 @@
     const std::uint64_t correlation = request.correlation;
     serving_.submit(std::move(request), now, [this, from, correlation](ForwardReply reply, TimePoint) {
         reply.correlation = correlation;
-        network_.send(from.id, from.address, reply);
+        if (network_.send(from.id, from.address, reply))
+            return;
+        // If the channel is lost, this fails as well, and the other daemon notices the loss by itself.
+        ForwardReply replacement
+            = errorReply(ForwardErrorCode::Rejected, Outcome::Unknown, "the answer is too large to be passed on");
+        replacement.correlation = correlation;
+        if (network_.send(from.id, from.address, replacement))
+            logWarning("answer_too_large", { { "peer", from.id.text() } });
     });
 }
 
--- a/tests/entry/TestPeerForwarder.cpp
+++ b/tests/entry/TestPeerForwarder.cpp
@@ -19,6 +19,26 @@
     void writesPaused(const DatabaseId&, const EndpointId&, LogPosition) override { }
 };
 
+/** Refuses messages, as for an answer that is too large. */
+struct RefusingNetwork final : PeerNetwork {
+    Result<Done, std::string> listen() override { return Done {}; }
+    bool send(const VmId&, const std::string&, const Message& message) override
+    {
+        attempts.push_back(message);
+        return attempts.size() > refused;
+    }
+    bool isConnected(const VmId&) const override { return true; }
+    void onMessage(MessageHandler) override { }
+    void onLoss(LossHandler) override { }
+    void onUnsent(UnsentHandler) override { }
+    std::uint64_t bytesTransferred() const override { return 0; }
+    PeerTraffic traffic() const override { return {}; }
+    void stop() override { }
+
+    std::size_t refused = 0;
+    std::vector<Message> attempts;
+};
+
 /** One run of a daemon's process, without endpoints of its own. */
 template <typename Network> struct Run {
     explicit Run(std::uint64_t firstNumber)
@@ -81,3 +101,19 @@
     current.forwarder.onReply(ownerVm, replyTo(number), current.timers.now());
     cr_assert_eq(current.replies.size(), 1U);
 }
+
+// Guards against a caller that waits until its deadline because the answer to its request cannot be sent.
+Test(PeerForwarder, replyThatCannotBeSentIsReplaced)
+{
+    Run<RefusingNetwork> owner(0);
+    owner.network.refused = 1;
+    ForwardRequest request;
+    request.correlation = 7;
+    owner.forwarder.onRequest({ otherVm, FailureDomainId("d"), "2" }, request, owner.timers.now());
+    cr_assert_eq(owner.network.attempts.size(), 2U);
+    const auto& reply = std::get<ForwardReply>(owner.network.attempts.back());
+    cr_assert_eq(reply.correlation, 7U);
+    const auto& error = std::get<ForwardError>(reply.result);
+    cr_assert(error.code == ForwardErrorCode::Rejected);
+    cr_assert(error.outcome == Outcome::Unknown);
+}
