Start the numbers of transactions at random

Callers could see: a caller that goes on with a transaction whose daemon was restarted could reach another transaction, which had got the same id "VM.1" since: a statement or a commit in it.

Cause: the ids of transactions of HTTP callers end with a number that started at 0 in each run of the process.

Evidence: by reading; no test starts two runs of a whole daemon. The id is made in ServedEndpoint from ServingContext::nextNumber, which Daemon provides.

Fix: the number starts at a random one, as for the sessions of the line protocol (ForwardedStatements).

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -266,8 +266,9 @@
     std::unique_ptr<ControlLoop> controlLoop;
     std::thread controlThread;
     SnapshotPtr snapshot;
-    /** Last number that ServingContext::nextNumber returned. */
-    std::uint64_t lastNumber = 0;
+    /** Last number that ServingContext::nextNumber returned. Starts at random, so that a transaction id of an earlier
+     * run of this process does not name another transaction. */
+    std::uint64_t lastNumber = randomSeed() / 2;
     TimePoint lastRequest;
     TimePoint lastBusy;
     TimePoint stopDeadline;
