Ignore answers to orders to step down of an earlier run

Callers could see: acknowledged writes lost, or a write gap, when a daemon was restarted while its order to step down was under way and then ordered another primary to step down: the answer about the first primary, with its position, was taken for the answer about the second.

Cause: the orders were numbered from 2^40 in each run of the process, and the answer, which comes when the endpoint has answered, names only the number.

Evidence: PeerStepDownRelay.answerToAnOrderOfTheFormerRunIsIgnored failed with numbers that start as before.

Fix: the numbers start at a random number from 2^40 to 2^41.

--- a/include/almondlever/front/PeerStepDownRelay.h
+++ b/include/almondlever/front/PeerStepDownRelay.h
@@ -15,11 +15,11 @@
 /** Asks the other owners of a group to order its primary to step down, and carries out their requests. */
 class PeerStepDownRelay final : public StepDownRelay {
 public:
-    PeerStepDownRelay(StatementDispatcher& dispatcher, VmId self)
-        : dispatcher_(dispatcher)
-        , self_(std::move(self))
-    {
-    }
+    /**
+     * firstNumber is random, so that an answer to a request of an earlier run of this process does not match a request
+     * of this run.
+     */
+    PeerStepDownRelay(StatementDispatcher& dispatcher, VmId self, std::uint64_t firstNumber);
 
     void setNetwork(PeerNetwork* network) { network_ = network; }
     void setOwners(std::map<GroupId, std::vector<LiveDaemon>> owners) { owners_ = std::move(owners); }
@@ -47,7 +47,7 @@
     PeerNetwork* network_ = nullptr;
     std::map<GroupId, std::vector<LiveDaemon>> owners_;
     std::map<GroupId, Request> requests_;
-    std::uint64_t requestCount_ = 0;
+    std::uint64_t lastNumber_;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -55,7 +55,7 @@
     , forwarder_(dispatcher_, log_, metrics_, forwarderSettings(settings))
     , forwarded_(dispatcher_, settings.randomSeed)
     , suspicionConfirmer_(dispatcher_, settings.vm)
-    , stepDownRelay_(dispatcher_, settings.vm)
+    , stepDownRelay_(dispatcher_, settings.vm, settings.randomSeed)
     , promotions_(directory_, dispatcher_, store, promotions, timers, settings.promotion)
     , stop_(settings.stop)
     , configurationFollower_(store, timers, decoder.configurationPrefix(), configurationBatchDelay, *this)
--- a/src/front/PeerStepDownRelay.cpp
+++ b/src/front/PeerStepDownRelay.cpp
@@ -15,6 +15,13 @@
 
 } // namespace
 
+PeerStepDownRelay::PeerStepDownRelay(StatementDispatcher& dispatcher, VmId self, std::uint64_t firstNumber)
+    : dispatcher_(dispatcher)
+    , self_(std::move(self))
+    , lastNumber_(firstRequestNumber + firstNumber % firstRequestNumber)
+{
+}
+
 std::vector<LiveDaemon> PeerStepDownRelay::peersOf(const GroupId& group) const
 {
     const auto owners = owners_.find(group);
@@ -30,7 +37,7 @@
 {
     Request& request = requests_[group];
     request = Request();
-    request.number = firstRequestNumber + ++requestCount_;
+    request.number = ++lastNumber_;
     request.callback = std::move(callback);
     PrimarySuspicion message;
     message.number = request.number;
--- a/tests/front/TestPeerStepDownRelay.cpp
+++ b/tests/front/TestPeerStepDownRelay.cpp
@@ -12,7 +12,7 @@
 
 struct Fixture : DispatcherFixture {
     FakePeerNetwork network;
-    PeerStepDownRelay relay { dispatcher, VmId("vm-1") };
+    PeerStepDownRelay relay { dispatcher, VmId("vm-1"), 77 };
     std::vector<StepDownReport> reports;
 
     Fixture()
@@ -136,3 +136,25 @@
     fixture.advance(Milliseconds(100));
     cr_assert(fixture.carryOut(Duration(0)).stepDown->result == StepDownResult::Unreachable);
 }
+
+// Guards against taking the answer to another order, of this daemon's former run, for the answer to an order of this
+// run: the primary would be believed to have stepped down with another log.
+Test(PeerStepDownRelay, answerToAnOrderOfTheFormerRunIsIgnored)
+{
+    Fixture former;
+    former.request();
+    Fixture current;
+    PeerStepDownRelay relay { current.dispatcher, VmId("vm-1"), ~std::uint64_t { 0 } - 5 };
+    relay.setNetwork(&current.network);
+    relay.setOwners({ { current.group, { { VmId("vm-2"), FailureDomainId("y"), "", false } } } });
+    relay.request(
+        current.group, current.a, term,
+        [&current](const StepDownReport& report, TimePoint) { current.reports.push_back(report); },
+        current.timers.now());
+    const StepDownReport answered { StepDownResult::Answered, { false, 7, { 6, 120 } } };
+    cr_assert(relay.onAnswer(VmId("vm-2"), former.answerTo(0, answered), current.timers.now()),
+        "the answer is not one to a question about a suspicion either");
+    cr_assert(current.reports.empty());
+    cr_assert(relay.onAnswer(VmId("vm-2"), current.answerTo(0, answered), current.timers.now()));
+    cr_assert_eq(current.reports.size(), 1U);
+}
