--- a/include/almondlever/transport/HttpClient.h
+++ b/include/almondlever/transport/HttpClient.h
@@ -18,7 +18,14 @@
  */
 class HttpClient {
 public:
-    explicit HttpClient(asio::io_context&, const HttpTransferLimits& = {});
+    enum class Reuse {
+        KeepAlive,
+        /** Each request has a connection of its own, so that no response to another one can be taken for its response,
+         * not even one that the server sends twice and late. For calls whose acceptance must not be mistaken. */
+        OneRequest,
+    };
+
+    explicit HttpClient(asio::io_context&, const HttpTransferLimits& = {}, Reuse = Reuse::KeepAlive);
     ~HttpClient();
     HttpClient(const HttpClient&) = delete;
     HttpClient& operator=(const HttpClient&) = delete;
--- a/src/transport/HttpClient.cpp
+++ b/src/transport/HttpClient.cpp
@@ -6,9 +6,10 @@
 namespace almondlever {
 
 struct HttpClient::State : std::enable_shared_from_this<HttpClient::State> {
-    State(asio::io_context& ioContext, const HttpTransferLimits& limits)
+    State(asio::io_context& ioContext, const HttpTransferLimits& limits, Reuse connectionReuse)
         : context(ioContext)
         , transferLimits(limits)
+        , reuse(connectionReuse)
     {
     }
 
@@ -38,6 +39,8 @@
         connection->send(request, remaining,
             [self = shared_from_this(), address, connection, callback = std::move(callback)](HttpResult result) {
                 self->active.erase(connection);
+                if (self->reuse == Reuse::OneRequest)
+                    connection->close();
                 if (connection->isOpen() && !self->isClosed)
                     self->idle[address].push_back(connection);
                 callback(std::move(result));
@@ -46,13 +49,14 @@
 
     asio::io_context& context;
     HttpTransferLimits transferLimits;
+    Reuse reuse;
     std::map<HttpAddress, std::vector<Connection>> idle;
     std::set<Connection> active;
     bool isClosed = false;
 };
 
-HttpClient::HttpClient(asio::io_context& context, const HttpTransferLimits& transferLimits)
-    : state_(std::make_shared<State>(context, transferLimits))
+HttpClient::HttpClient(asio::io_context& context, const HttpTransferLimits& transferLimits, Reuse reuse)
+    : state_(std::make_shared<State>(context, transferLimits, reuse))
 {
 }
 
