Keep an open transaction when an answer comes a second time

Callers could see: ABORTED for the rest of a transaction, or UNKNOWN for its COMMIT, if an owner's answer to one of its statements came twice.

Cause: an answer that no statement awaits ended the transaction that it names, because the statement may have been abandoned. That transaction can be one that a session uses.

Evidence: Forwarding.secondAnswerDoesNotEndAnOpenTransaction failed on the code before.

Fix: the forwarder knows the transactions that sessions hold and ends only others; it logs event=answer_not_awaited.

--- a/include/almondlever/forwarding/StatementForwarder.h
+++ b/include/almondlever/forwarding/StatementForwarder.h
@@ -95,6 +95,8 @@
     SendResult send(Ticket, const Forwarded&, TimePoint now);
     void runLocally(Ticket, Forwarded, const std::string& reason, TimePoint now);
     Forwarded take(Ticket);
+    /** The transaction of an answer: that of its statement, or one that the statement has opened. */
+    std::shared_ptr<RemoteTransaction> transactionOf(const Forwarded&, const SessionAnswer&);
     /** Handles a statement that may have run and will not be answered: repeats it if that is safe, or fails it. */
     void fail(Ticket, const std::string& reason, TimePoint now);
     void log(const Forwarded&, std::string_view decision, std::string_view reason, TimePoint now);
@@ -109,6 +111,8 @@
     /** Peer addresses of all owners in owners_. */
     std::map<VmId, std::string> addresses_;
     std::unordered_map<Ticket, Forwarded> forwarded_;
+    /** Transactions that sessions hold, by their owner and the owner's number. */
+    std::map<std::pair<VmId, std::uint64_t>, std::weak_ptr<RemoteTransaction>> transactions_;
     /** Tickets of the local runner for statements that this daemon runs because no owner could be reached. */
     std::unordered_map<Ticket, Ticket> localTickets_;
     Ticket lastTicket_;
--- a/src/forwarding/StatementForwarder.cpp
+++ b/src/forwarding/StatementForwarder.cpp
@@ -209,6 +209,12 @@
     const auto found = forwarded_.find(answer.correlation);
     const bool isAwaited = found != forwarded_.end() && found->second.owner.id == owner;
     if (!isAwaited) {
+        const auto open = transactions_.find({ owner, answer.transaction });
+        if (open != transactions_.end() && !open->second.expired()) {
+            logWarning("answer_not_awaited",
+                { { "owner", owner.text() }, { "statement", std::to_string(answer.correlation) } });
+            return;
+        }
         // The statement was abandoned, so nothing else would end the transaction that it opened.
         if (answer.transaction != 0 && network_)
             network_->send(owner, "", SessionTransactionEnd { answer.transaction });
@@ -220,11 +226,22 @@
     result.reply = std::move(answer.reply);
     result.endpoint = answer.endpoint;
     result.attempts = answer.attempts;
-    if (answer.transaction != 0)
-        result.transaction = std::make_shared<RemoteTransaction>(forwarded.owner, answer.transaction);
+    result.transaction = transactionOf(forwarded, answer);
     forwarded.callback(std::move(result), now);
 }
 
+std::shared_ptr<StatementForwarder::RemoteTransaction> StatementForwarder::transactionOf(
+    const Forwarded& forwarded, const SessionAnswer& answer)
+{
+    if (answer.transaction == 0)
+        return nullptr;
+    if (forwarded.transaction && forwarded.transaction->number() == answer.transaction)
+        return forwarded.transaction;
+    auto transaction = std::make_shared<RemoteTransaction>(forwarded.owner, answer.transaction);
+    transactions_[{ forwarded.owner.id, answer.transaction }] = transaction;
+    return transaction;
+}
+
 void StatementForwarder::onUnsent(std::uint64_t correlation, TimePoint now)
 {
     if (forwarded_.count(correlation) == 0)
@@ -334,6 +351,8 @@
             health.restartTimeouts(now);
     }
     lastTick_ = now;
+    for (auto it = transactions_.begin(); it != transactions_.end();)
+        it = it->second.expired() ? transactions_.erase(it) : std::next(it);
     checkOwnerHealth(now);
     std::vector<Ticket> overdue;
     for (const auto& [ticket, forwarded] : forwarded_) {
--- a/tests/forwarding/TestForwarding.cpp
+++ b/tests/forwarding/TestForwarding.cpp
@@ -236,6 +236,35 @@
     cr_assert_eq(fixture.owner.openTransactions(), 0U);
 }
 
+// Guards against an answer that comes again and ends a transaction that its session still uses.
+Test(Forwarding, secondAnswerDoesNotEndAnOpenTransaction)
+{
+    Fixture fixture;
+    RemoteCaller caller(fixture, "orders");
+    std::vector<SessionAnswer> answers;
+    fixture.entryNetwork.onMessage([&](const PeerIdentity& from, Message message) {
+        if (auto* answer = std::get_if<SessionAnswer>(&message)) {
+            answers.push_back(*answer);
+            fixture.forwarder.onAnswer(from.id, std::move(*answer), fixture.timers.now());
+        }
+    });
+    caller.say(StatementKind::Begin, "b", "BEGIN");
+    caller.say(StatementKind::Write, "w1", "WRITE x 1");
+    fixture.run(Milliseconds(100));
+    cr_assert_eq(answers.size(), 1U);
+    fixture.forwarder.onAnswer(fixture.ownerVm, SessionAnswer(answers[0]), fixture.timers.now());
+    fixture.run(Milliseconds(50));
+    cr_assert_eq(fixture.owner.openTransactions(), 1U);
+    caller.say(StatementKind::Read, "r1", "READ x");
+    caller.say(StatementKind::Commit, "c1", "COMMIT");
+    fixture.run(Milliseconds(200));
+    cr_assert(!caller.replies.back().error);
+    // The transaction has ended, so an answer that names it has to end what it may have opened.
+    const std::size_t sent = fixture.entryNetwork.sent;
+    fixture.forwarder.onAnswer(fixture.ownerVm, SessionAnswer(answers[0]), fixture.timers.now());
+    cr_assert_eq(fixture.entryNetwork.sent, sent + 1);
+}
+
 // Guards against reads that wait until their time-out for an owner that has stopped responding, and against sending it
 // further reads.
 Test(Forwarding, readsAreMovedFromAnUnresponsiveOwner)
