Ignore a forwarded statement that runs already

Callers could see: a write that takes effect twice if its message came twice while it ran. Channels between daemons deliver a message once, so no run showed it.

Cause: the owner did not check whether the number of a statement is in use.

Evidence: Forwarding.secondMessageOfARunningStatementIsIgnored failed on the code before: the write ran twice.

Fix: the second message is ignored and logged as event=statement_runs_already.

--- a/src/forwarding/ForwardedStatements.cpp
+++ b/src/forwarding/ForwardedStatements.cpp
@@ -36,6 +36,11 @@
     request.contents = std::make_shared<const SessionContents>(std::move(message.contents));
 
     const Key key { from, message.correlation };
+    if (running_.count(key) > 0) {
+        logWarning("statement_runs_already",
+            { { "peer", from.text() }, { "statement", std::to_string(message.correlation) } });
+        return;
+    }
     const std::uint64_t transaction = message.transaction;
     Origin origin { key, transaction, transaction != 0 || request.opensTransaction, false };
     origin.mayHaveEffect
--- a/tests/forwarding/TestForwarding.cpp
+++ b/tests/forwarding/TestForwarding.cpp
@@ -265,6 +265,22 @@
     cr_assert_eq(fixture.entryNetwork.sent, sent + 1);
 }
 
+// Guards against a statement that runs twice because its message comes again while it runs.
+Test(Forwarding, secondMessageOfARunningStatementIsIgnored)
+{
+    Fixture fixture;
+    SessionStatement message;
+    message.correlation = 9;
+    message.statement = { "w1", StatementKind::Write, "WRITE x 1", "", "", false };
+    message.group = fixture.group;
+    message.timeLeft = Milliseconds(1000);
+    message.isWrite = message.needsPrimary = true;
+    fixture.owner.onStatement(fixture.entryVm, SessionStatement(message), fixture.timers.now());
+    fixture.owner.onStatement(fixture.entryVm, SessionStatement(message), fixture.timers.now());
+    fixture.run(Milliseconds(200));
+    cr_assert_eq(fixture.endpoints.runsOf("w1"), 1U);
+}
+
 // Guards against reads that wait until their time-out for an owner that has stopped responding, and against sending it
 // further reads.
 Test(Forwarding, readsAreMovedFromAnUnresponsiveOwner)
