Refuse to send an HTTP request with a line end in its head

Callers could see nothing so far: the targets and headers that we write come from settings, from numbers or percent-encoded.

Cause: HttpConnection wrote the method, target and headers as they are, so a name with CR LF would have added a header or another request.

Evidence: HttpResponses.requestWithALineEndIsNotSent failed on the code before: the requests were sent.

Fix: such a request fails as not sent.

--- a/src/transport/HttpConnection.cpp
+++ b/src/transport/HttpConnection.cpp
@@ -14,6 +14,20 @@
 
     constexpr std::size_t readBufferBytes = 16 * 1024;
 
+    bool hasLineEnd(const std::string& text)
+    {
+        return text.find_first_of(std::string("\r\n\0", 3)) != std::string::npos;
+    }
+
+    /** True if the request would be read as another one: a value ends its line, or a blank ends the target. */
+    bool isMalformed(const HttpRequest& request)
+    {
+        const auto isBadField
+            = [](const HttpHeader& field) { return hasLineEnd(field.first) || hasLineEnd(field.second); };
+        return hasLineEnd(request.method) || hasLineEnd(request.target) || request.target.find(' ') != std::string::npos
+            || std::any_of(request.headers.begin(), request.headers.end(), isBadField);
+    }
+
     std::string serialize(const HttpRequest& request, const std::string& host)
     {
         std::string text = request.method + ' ' + request.target + " HTTP/1.1\r\nHost: " + host + "\r\n";
@@ -53,6 +67,8 @@
             assert(!isBusy());
             if (!isOpen())
                 return callback(HttpFailure { false, "connection is closed" });
+            if (isMalformed(request))
+                return callback(HttpFailure { false, "the request contains a line end" });
             callback_ = std::move(callback);
             output_ = serialize(request, host_);
             parser_.reset();
--- a/tests/transport/TestHttpResponses.cpp
+++ b/tests/transport/TestHttpResponses.cpp
@@ -254,3 +254,33 @@
     cr_assert_str_eq(first.value().body.c_str(), "/a");
     cr_assert_eq(server.connections(), 1);
 }
+
+// Guards against a name or value in a request that ends its line and is read as another header or request.
+Test(HttpResponses, requestWithALineEndIsNotSent)
+{
+    const std::vector<HttpRequest> requests {
+        { "GET", "/a HTTP/1.1\r\n\r\nGET /hidden", {}, {} },
+        { "GET", "/a\n", {}, {} },
+        { "GET", "/a b", {}, {} },
+        { "GET", "/a", { { "Almondlever-Vm", "vm\r\nX-Fence-Token: 9" } }, {} },
+        { "GET", "/a", { { "Almondlever-Vm", std::string("vm\0", 3) } }, {} },
+        { "GET", "/a", { { "A:b\nC", "vm" } }, {} },
+    };
+    for (const HttpRequest& request : requests) {
+        std::atomic<bool> isSent { false };
+        const ScriptedServer server(
+            [&isSent](auto& socket) { isSent = isSent || !ScriptedServer::readTarget(socket).empty(); });
+        std::optional<HttpResult> result;
+        {
+            Client client;
+            client.client.request(server.address(), request, requestTimeout,
+                [&result](HttpResult received) { result = std::move(received); });
+            while (!result)
+                client.context.run_one_for(Milliseconds(100));
+        }
+        std::this_thread::sleep_for(transferTime / 3);
+        cr_assert(!result->hasValue());
+        cr_assert(!result->error().mayHaveBeenSent);
+        cr_assert(!isSent);
+    }
+}
