Refuse a request at once that is too large for its serving daemon

Callers could see: a write or a request of a transaction whose value is just below the limit of 1 MiB was repeated until its deadline when another daemon serves the endpoint.

Cause: the message with its names exceeds the channel's limit, and the entry daemon took that for a daemon that cannot be reached.

Evidence: PeerForwarder.requestTooLargeForAMessageIsRefusedAtOnce failed on the code before.

The check covers names over 256 bytes as well.

--- a/include/almondlever/wire/Messages.h
+++ b/include/almondlever/wire/Messages.h
@@ -229,6 +229,7 @@
  * statements of all callers on it, so others must not be sent. The answer is an estimate that refuses some messages
  * just below the limit.
  */
+bool isForwardable(const ForwardRequest&);
 bool isForwardable(const SessionStatement&);
 bool isForwardable(const SessionAnswer&);
 
--- a/src/daemon/PeerForwarder.cpp
+++ b/src/daemon/PeerForwarder.cpp
@@ -48,6 +48,10 @@
     if (!peer)
         return callback(
             errorReply(ForwardErrorCode::NotOwner, Outcome::NotRun, "the owner is not believed to live"), now);
+    if (!isForwardable(request))
+        return callback(errorReply(ForwardErrorCode::Rejected, Outcome::NotRun,
+                            "the request is too large to be passed on to the serving daemon"),
+            now);
     const std::uint64_t correlation = ++lastCorrelation_;
     request.correlation = correlation;
     if (!network_.send(owner, peer->peerAddress, request))
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -490,6 +490,20 @@
     return "rejected";
 }
 
+bool isForwardable(const ForwardRequest& request)
+{
+    // Upper limit of the encoded size without the texts, each of which has a header.
+    constexpr std::size_t fixedBytes = 512;
+    std::size_t bytes = fixedBytes + request.key.size() + request.value.size();
+    for (const std::string* name : { &request.requestId.text(), &request.caller.text(), &request.database.text(),
+             &request.endpoint.text(), &request.transaction.text(), &request.traceparent }) {
+        if (name->size() > maximumNameBytes)
+            return false;
+        bytes += name->size();
+    }
+    return bytes <= maximumMessageBytes;
+}
+
 std::string encodeMessage(const Message& message)
 {
     Json map = { { "v", static_cast<unsigned>(wireVersion) }, { "t", message.index() } };
--- a/tests/entry/TestPeerForwarder.cpp
+++ b/tests/entry/TestPeerForwarder.cpp
@@ -102,6 +102,26 @@
     cr_assert_eq(current.replies.size(), 1U);
 }
 
+// Guards against a request that is repeated until its deadline, or closes the channel, because it is too large to be
+// sent.
+Test(PeerForwarder, requestTooLargeForAMessageIsRefusedAtOnce)
+{
+    for (const bool isNameTooLong : { false, true }) {
+        Run<FakePeerNetwork> run(0);
+        ForwardRequest request;
+        request.operation = OperationKind::Write;
+        request.value = std::string(isNameTooLong ? 1 : maximumMessageBytes - 100, 'v');
+        request.transaction = TransactionId(std::string(isNameTooLong ? 257 : 1, '7'));
+        run.forwarder.forward(ownerVm, request, run.timers.now() + Milliseconds(1000),
+            [&run](ForwardReply reply, TimePoint) { run.replies.push_back(std::move(reply)); });
+        cr_assert(run.network.sent.empty());
+        cr_assert_eq(run.replies.size(), 1U);
+        const auto& error = std::get<ForwardError>(run.replies[0].result);
+        cr_assert(error.code == ForwardErrorCode::Rejected);
+        cr_assert(error.outcome == Outcome::NotRun);
+    }
+}
+
 // Guards against a caller that waits until its deadline because the answer to its request cannot be sent.
 Test(PeerForwarder, replyThatCannotBeSentIsReplaced)
 {
