--- a/include/almondlever/forwarding/StatementForwarder.h
+++ b/include/almondlever/forwarding/StatementForwarder.h
@@ -85,9 +85,18 @@
     static bool mayHaveEffect(const Forwarded&);
     /** Forwards the statement to the next owner, or runs it on this daemon when there is none. */
     void place(Ticket, Forwarded, TimePoint now);
-    bool send(Ticket, const Forwarded&, TimePoint now);
-    void runLocally(Ticket, Forwarded, TimePoint now);
+    /** What became of a statement that was to be sent to an owner. */
+    enum class SendResult {
+        Sent,
+        Unreachable,
+        /** The owner would refuse the message and close the channel; it was not sent. */
+        TooLarge,
+    };
+    SendResult send(Ticket, const Forwarded&, TimePoint now);
+    void runLocally(Ticket, Forwarded, const std::string& reason, TimePoint now);
     Forwarded take(Ticket);
+    /** The transaction of an answer: that of its statement, or one that the statement has opened. */
+    std::shared_ptr<RemoteTransaction> transactionOf(const Forwarded&, const SessionAnswer&);
     /** Handles a statement that may have run and will not be answered: repeats it if that is safe, or fails it. */
     void fail(Ticket, const std::string& reason, TimePoint now);
     void log(const Forwarded&, std::string_view decision, std::string_view reason, TimePoint now);
@@ -102,6 +111,8 @@
     /** Peer addresses of all owners in owners_. */
     std::map<VmId, std::string> addresses_;
     std::unordered_map<Ticket, Forwarded> forwarded_;
+    /** Transactions that sessions hold, by their owner and the owner's number. */
+    std::map<std::pair<VmId, std::uint64_t>, std::weak_ptr<RemoteTransaction>> transactions_;
     /** Tickets of the local runner for statements that this daemon runs because no owner could be reached. */
     std::unordered_map<Ticket, Ticket> localTickets_;
     Ticket lastTicket_;
--- a/src/daemon/PeerForwarder.cpp
+++ b/src/daemon/PeerForwarder.cpp
@@ -1,5 +1,7 @@
 #include "almondlever/daemon/PeerForwarder.h"
 
+#include "almondlever/observability/DecisionLog.h"
+
 namespace almondlever {
 
 namespace {
@@ -16,10 +18,12 @@
 
 } // namespace
 
-PeerForwarder::PeerForwarder(PeerNetwork& network, ServingHost& serving, TimerService& timers)
+PeerForwarder::PeerForwarder(
+    PeerNetwork& network, ServingHost& serving, TimerService& timers, std::uint64_t firstNumber)
     : network_(network)
     , serving_(serving)
     , timers_(timers)
+    , lastCorrelation_(firstNumber)
 {
 }
 
@@ -44,6 +48,10 @@
     if (!peer)
         return callback(
             errorReply(ForwardErrorCode::NotOwner, Outcome::NotRun, "the owner is not believed to live"), now);
+    if (!isForwardable(request))
+        return callback(errorReply(ForwardErrorCode::Rejected, Outcome::NotRun,
+                            "the request is too large to be passed on to the serving daemon"),
+            now);
     const std::uint64_t correlation = ++lastCorrelation_;
     request.correlation = correlation;
     if (!network_.send(owner, peer->peerAddress, request))
@@ -65,9 +73,12 @@
     callback(std::move(reply), now);
 }
 
-void PeerForwarder::onReply(ForwardReply reply, TimePoint now)
+void PeerForwarder::onReply(const VmId& from, ForwardReply reply, TimePoint now)
 {
     const std::uint64_t correlation = reply.correlation;
+    const auto found = pending_.find(correlation);
+    if (found == pending_.end() || found->second.owner != from)
+        return;
     finish(correlation, std::move(reply), now);
 }
 
@@ -76,7 +87,14 @@
     const std::uint64_t correlation = request.correlation;
     serving_.submit(std::move(request), now, [this, from, correlation](ForwardReply reply, TimePoint) {
         reply.correlation = correlation;
-        network_.send(from.id, from.address, reply);
+        if (network_.send(from.id, from.address, reply))
+            return;
+        // If the channel is lost, this fails as well, and the other daemon notices the loss by itself.
+        ForwardReply replacement
+            = errorReply(ForwardErrorCode::Rejected, Outcome::Unknown, "the answer is too large to be passed on");
+        replacement.correlation = correlation;
+        if (network_.send(from.id, from.address, replacement))
+            logWarning("answer_too_large", { { "peer", from.id.text() } });
     });
 }
 
--- a/tests/forwarding/TestForwarding.cpp
+++ b/tests/forwarding/TestForwarding.cpp
@@ -1,6 +1,8 @@
 #include "almondlever/forwarding/ForwardedStatements.h"
 #include "almondlever/forwarding/StatementForwarder.h"
 #include "mocks/DispatcherFixture.h"
+#include "mocks/FakePeerNetwork.h"
+#include "wire/CborReader.h"
 
 #include <criterion/criterion.h>
 
@@ -20,7 +22,7 @@
     Result<Done, std::string> listen() override { return Done {}; }
     bool send(const VmId& id, const std::string&, const Message& message) override
     {
-        if (isCut || !other || id != other->self_.id)
+        if (isCut || !other || id != other->self_.id || encodeMessage(message).size() > maximumMessageBytes)
             return false;
         ++sent;
         if (isSilent)
@@ -234,6 +236,51 @@
     cr_assert_eq(fixture.owner.openTransactions(), 0U);
 }
 
+// Guards against an answer that comes again and ends a transaction that its session still uses.
+Test(Forwarding, secondAnswerDoesNotEndAnOpenTransaction)
+{
+    Fixture fixture;
+    RemoteCaller caller(fixture, "orders");
+    std::vector<SessionAnswer> answers;
+    fixture.entryNetwork.onMessage([&](const PeerIdentity& from, Message message) {
+        if (auto* answer = std::get_if<SessionAnswer>(&message)) {
+            answers.push_back(*answer);
+            fixture.forwarder.onAnswer(from.id, std::move(*answer), fixture.timers.now());
+        }
+    });
+    caller.say(StatementKind::Begin, "b", "BEGIN");
+    caller.say(StatementKind::Write, "w1", "WRITE x 1");
+    fixture.run(Milliseconds(100));
+    cr_assert_eq(answers.size(), 1U);
+    fixture.forwarder.onAnswer(fixture.ownerVm, SessionAnswer(answers[0]), fixture.timers.now());
+    fixture.run(Milliseconds(50));
+    cr_assert_eq(fixture.owner.openTransactions(), 1U);
+    caller.say(StatementKind::Read, "r1", "READ x");
+    caller.say(StatementKind::Commit, "c1", "COMMIT");
+    fixture.run(Milliseconds(200));
+    cr_assert(!caller.replies.back().error);
+    // The transaction has ended, so an answer that names it has to end what it may have opened.
+    const std::size_t sent = fixture.entryNetwork.sent;
+    fixture.forwarder.onAnswer(fixture.ownerVm, SessionAnswer(answers[0]), fixture.timers.now());
+    cr_assert_eq(fixture.entryNetwork.sent, sent + 1);
+}
+
+// Guards against a statement that runs twice because its message comes again while it runs.
+Test(Forwarding, secondMessageOfARunningStatementIsIgnored)
+{
+    Fixture fixture;
+    SessionStatement message;
+    message.correlation = 9;
+    message.statement = { "w1", StatementKind::Write, "WRITE x 1", "", "", false };
+    message.group = fixture.group;
+    message.timeLeft = Milliseconds(1000);
+    message.isWrite = message.needsPrimary = true;
+    fixture.owner.onStatement(fixture.entryVm, SessionStatement(message), fixture.timers.now());
+    fixture.owner.onStatement(fixture.entryVm, SessionStatement(message), fixture.timers.now());
+    fixture.run(Milliseconds(200));
+    cr_assert_eq(fixture.endpoints.runsOf("w1"), 1U);
+}
+
 // Guards against reads that wait until their time-out for an owner that has stopped responding, and against sending it
 // further reads.
 Test(Forwarding, readsAreMovedFromAnUnresponsiveOwner)
@@ -287,3 +334,171 @@
     cr_assert(!caller.replies[0].error);
     cr_assert_eq(fixture.endpoints.runsOf("r1"), 1U);
 }
+
+// Guards against a statement that the owner refuses, whereupon it closes the channel and with it ends the statements of
+// other callers; and against taking the owner for unresponsive because of it.
+Test(Forwarding, statementTooLargeForAMessageRunsHere)
+{
+    for (const bool isIdTooLong : { false, true }) {
+        Fixture fixture;
+        RemoteCaller caller(fixture, "proofs");
+        const std::string id(isIdTooLong ? maximumNameBytes + 1 : 1, 'i');
+        const std::string text = "READ " + std::string(isIdTooLong ? 1 : maximumMessageBytes, 'x');
+        caller.say(StatementKind::Read, id, text);
+        fixture.run(Milliseconds(100));
+        cr_assert_eq(caller.replies.size(), 1U);
+        cr_assert(!caller.replies[0].error);
+        cr_assert_eq(fixture.endpoints.runsOf(id), 1U);
+        cr_assert_eq(fixture.entryNetwork.sent, 0U);
+        caller.say(StatementKind::Read, "r2", "READ x");
+        fixture.run(Milliseconds(100));
+        cr_assert_eq(caller.replies.size(), 2U);
+        cr_assert_eq(fixture.entryNetwork.sent, 1U);
+    }
+}
+
+// Guards against session values in a number for which the owner closes the channel.
+Test(Forwarding, tooManySessionValuesAreNotSent)
+{
+    constexpr std::size_t values = 1025;
+    Fixture fixture;
+    RemoteCaller caller(fixture, "proofs");
+    for (std::size_t number = 0; number < values; ++number)
+        caller.session.onStatement(
+            { "s", StatementKind::SetValue, "", std::to_string(number), "1", false }, fixture.timers.now());
+    caller.say(StatementKind::Read, "r1", "READ x");
+    fixture.run(Milliseconds(1500));
+    cr_assert_eq(caller.replies.size(), values + 1);
+    cr_assert_eq(fixture.entryNetwork.sent, 0U);
+}
+
+// Guards against a transaction that stays open at the owner when one of its statements cannot be sent there.
+Test(Forwarding, statementTooLargeForAMessageEndsItsTransaction)
+{
+    Fixture fixture;
+    RemoteCaller caller(fixture, "orders");
+    caller.say(StatementKind::Begin, "b", "BEGIN");
+    caller.say(StatementKind::Write, "w1", "WRITE x 1");
+    fixture.run(Milliseconds(100));
+    cr_assert_eq(fixture.owner.openTransactions(), 1U);
+    caller.say(StatementKind::Write, "w2", "WRITE x " + std::string(maximumMessageBytes, '2'));
+    fixture.run(Milliseconds(100));
+    cr_assert(caller.replies.back().error == StatementError::Aborted);
+    cr_assert_eq(fixture.owner.openTransactions(), 0U);
+    caller.say(StatementKind::Commit, "c1", "COMMIT");
+    fixture.run(Milliseconds(100));
+    cr_assert(caller.replies.back().error == StatementError::Aborted);
+    cr_assert_eq(fixture.endpoints.runsOf("c1"), 0U);
+}
+
+namespace {
+
+struct FakeTransaction final : OpenTransaction { };
+
+/** Records the statement that was submitted last and the transactions that were ended. */
+struct FakeRunner final : StatementRunner {
+    Ticket submit(StatementRequest, StatementCallback callback, TimePoint) override
+    {
+        callbacks.push_back(std::move(callback));
+        return callbacks.size();
+    }
+    Ticket submit(const TransactionHandle&, StatementRequest, StatementCallback callback, TimePoint) override
+    {
+        callbacks.push_back(std::move(callback));
+        return callbacks.size();
+    }
+    void abandon(Ticket, TimePoint) override { }
+    void endTransaction(const TransactionHandle& transaction, TimePoint) override { ended.push_back(transaction); }
+
+    std::vector<StatementCallback> callbacks;
+    std::vector<TransactionHandle> ended;
+};
+
+/** An owner whose answers are recorded. */
+struct OwnerFixture {
+    OwnerFixture() { owner.setNetwork(&network); }
+
+    /** Lets a statement succeed with these rows and returns the answer that was sent. */
+    SessionAnswer answer(SessionStatement message, const std::vector<std::string>& rows, const TransactionHandle& open)
+    {
+        message.timeLeft = Milliseconds(1000);
+        owner.onStatement(peer, std::move(message), now);
+        StatementResult result;
+        result.reply.rows = rows;
+        result.reply.detail = "signature";
+        result.transaction = open;
+        runner.callbacks.back()(std::move(result), now);
+        const Message sent = network.sent.back().second;
+        const std::string bytes = encodeMessage(sent);
+        cr_assert_leq(bytes.size(), maximumMessageBytes);
+        cr_assert(decodeMessage(bytes).hasValue());
+        return std::get<SessionAnswer>(sent);
+    }
+
+    const VmId peer { "entry" };
+    const TimePoint now {};
+    FakePeerNetwork network;
+    FakeRunner runner;
+    ForwardedStatements owner { runner, 77 };
+};
+
+SessionStatement statementOf(StatementKind kind, bool isWrite)
+{
+    SessionStatement message;
+    message.correlation = 5;
+    message.statement.kind = kind;
+    message.isWrite = isWrite;
+    return message;
+}
+
+const std::vector<std::string> largeRows { std::string(maximumMessageBytes, 'r') };
+const std::vector<std::string> manyRows(70000, "r");
+
+} // namespace
+
+// Guards against an answer that cannot be sent, for which the caller's daemon waits until the time-out, and against one
+// that it refuses by closing the channel. A write that ran must not be reported as not run.
+Test(Forwarding, answerTooLargeForAMessageIsReplaced)
+{
+    for (const auto& rows : { largeRows, manyRows }) {
+        OwnerFixture fixture;
+        const SessionAnswer read = fixture.answer(statementOf(StatementKind::Read, false), rows, nullptr);
+        cr_assert_eq(read.correlation, 5U);
+        cr_assert(read.reply.error == StatementError::Failed);
+        const SessionAnswer write = fixture.answer(statementOf(StatementKind::Write, true), rows, nullptr);
+        cr_assert(write.reply.error == StatementError::Unknown);
+    }
+}
+
+// Guards against a transaction that stays open, or a promise that does not hold, after an answer that is too large.
+Test(Forwarding, answerTooLargeForAMessageRollsItsTransactionBack)
+{
+    OwnerFixture fixture;
+    const auto transaction = std::make_shared<FakeTransaction>();
+    SessionStatement opening = statementOf(StatementKind::Write, true);
+    opening.opensTransaction = true;
+    const SessionAnswer first = fixture.answer(opening, largeRows, transaction);
+    cr_assert(first.reply.error == StatementError::Aborted);
+    cr_assert_eq(first.transaction, 0U);
+    const SessionAnswer second = fixture.answer(opening, {}, transaction);
+    SessionStatement later = statementOf(StatementKind::Read, false);
+    later.transaction = second.transaction;
+    const SessionAnswer third = fixture.answer(later, largeRows, transaction);
+    cr_assert(third.reply.error == StatementError::Aborted);
+    cr_assert_eq(fixture.runner.ended.size(), 2U);
+    cr_assert_eq(fixture.owner.openTransactions(), 0U);
+}
+
+// Guards against an error that becomes another one because its text is too large.
+Test(Forwarding, errorWithLargeTextKeepsItsCode)
+{
+    OwnerFixture fixture;
+    fixture.owner.onStatement(fixture.peer, statementOf(StatementKind::Write, true), fixture.now);
+    StatementResult result;
+    result.reply.error = StatementError::Busy;
+    result.reply.detail = std::string(maximumMessageBytes, 'd');
+    fixture.runner.callbacks.back()(std::move(result), fixture.now);
+    const auto& answer = std::get<SessionAnswer>(fixture.network.sent.back().second);
+    cr_assert(answer.reply.error == StatementError::Busy);
+    cr_assert(decodeMessage(encodeMessage(answer)).hasValue());
+}
