--- a/tests/mocks/FakeEndpoints.h
+++ b/tests/mocks/FakeEndpoints.h
@@ -23,6 +23,8 @@
     CustomerId customer;
     /** Executions only: what the endpoint has under the name. */
     PreparedStatement prepared;
+    /** Number of the transaction, over all endpoints; 0 outside of transactions. */
+    std::size_t transaction = 0;
 };
 
 /**
@@ -106,6 +108,7 @@
     std::vector<RunStatement> runs_;
     std::vector<std::weak_ptr<Link>> links_;
     std::size_t lastConnection_ = 0;
+    std::size_t lastTransaction_ = 0;
 };
 
 /** One connection of FakeEndpoints. */
@@ -288,12 +291,14 @@
                 return makeError(StatementError::ReadOnly);
             state_ = TransactionState::Open;
             isReadOnly_ = false;
+            transaction_ = ++owner_.lastTransaction_;
             break;
         case EndpointCommand::Kind::BeginReadOnly:
             if (command.after && server().position < *command.after)
                 return makeError(StatementError::Lagging);
             state_ = TransactionState::Open;
             isReadOnly_ = true;
+            transaction_ = ++owner_.lastTransaction_;
             break;
         case EndpointCommand::Kind::Rollback:
             state_ = TransactionState::None;
@@ -344,10 +349,10 @@
     {
         const std::string text
             = command.kind == EndpointCommand::Kind::Forward ? command.text : command.name + ' ' + command.argument;
-        owner_.runs_.push_back(
-            { endpoint_, number_, command.id, text, state_ != TransactionState::None, values_, customer_,
-                command.kind == EndpointCommand::Kind::ForwardPrepared ? prepared_.at(command.name)
-                                                                       : PreparedStatement() });
+        owner_.runs_.push_back({ endpoint_, number_, command.id, text, state_ != TransactionState::None, values_,
+            customer_,
+            command.kind == EndpointCommand::Kind::ForwardPrepared ? prepared_.at(command.name) : PreparedStatement(),
+            state_ == TransactionState::None ? 0 : transaction_ });
         reply.detail = "signed-by-" + endpoint_.text();
         const bool isWriteStatement = isWrite(command);
         if (isWriteStatement)
@@ -389,6 +394,7 @@
     std::map<std::string, std::string> values_;
     std::map<std::string, PreparedStatement> prepared_;
     TransactionState state_ = TransactionState::None;
+    std::size_t transaction_ = 0;
     bool isReadOnly_ = false;
     bool hasWritten_ = false;
     bool isCounted_ = false;
