Answer callers whose names are not UTF-8

What callers saw: no problem document when an error quoted bytes that are not UTF-8, such as an unknown name in Almondlever-Caller, and no page from /v1/explain with such a name in its query: the response was given up with an exception. Cause: nlohmann::json::dump throws for such text. Problem documents and status pages now write U+FFFD for what is not UTF-8. What RESTinio did with the exception was not tried.

--- a/src/caller_api/ProblemDetails.cpp
+++ b/src/caller_api/ProblemDetails.cpp
@@ -41,7 +41,9 @@
         { "outcome", toText(error.outcome) } };
     if (!requestId.isEmpty())
         body["request_id"] = requestId.text();
-    HttpResponse response { status, { { "Content-Type", "application/problem+json" } }, body.dump() };
+    // Details may quote a caller's bytes, which need not be UTF-8.
+    HttpResponse response { status, { { "Content-Type", "application/problem+json" } },
+        body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) };
     if (error.retryAfter.count() > 0) {
         // Retry-After has whole seconds, rounded up; a second header has the exact milliseconds.
         response.headers.emplace_back("Retry-After", std::to_string((error.retryAfter.count() + 999) / 1000));
--- a/src/daemon/StatusPages.cpp
+++ b/src/daemon/StatusPages.cpp
@@ -12,7 +12,7 @@
 {
     Json page { { "version", buildVersion }, { "ready", isReady } };
     if (!snapshot)
-        return page.dump();
+        return page.dump(-1, ' ', false, Json::error_handler_t::replace);
     page["vm"] = snapshot->self.text();
     page["failure_domain"] = snapshot->failureDomain.text();
     page["configuration_version"] = snapshot->configuration ? snapshot->configuration->version : 0;
@@ -31,7 +31,7 @@
     page["leaving_endpoints"] = Json::array();
     for (const EndpointId& endpoint : snapshot->leavingEndpoints)
         page["leaving_endpoints"].push_back(endpoint.text());
-    return page.dump();
+    return page.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 std::string explanationPage(const RouteExplanation& explanation)
@@ -45,7 +45,7 @@
             entry["expected_wait_ms"] = step.expectedWait.count();
         page["steps"].push_back(std::move(entry));
     }
-    return page.dump();
+    return page.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 } // namespace almondlever
--- a/tests/caller_api/TestCallerApi.cpp
+++ b/tests/caller_api/TestCallerApi.cpp
@@ -108,3 +108,17 @@
     cr_assert(response.header("Retry-After") == "1");
     cr_assert(response.header("Almondlever-Retry-After-Ms") == "120");
 }
+
+// Guards against an exception instead of a response when an error quotes bytes that are not UTF-8, such as the name of
+// an unknown caller from a header.
+Test(CallerApi, reportsErrorsWithBytesThatAreNotUtf8)
+{
+    ApiFixture f;
+    f.handler.reply.result
+        = CallerError { CallerErrorCode::UnknownCaller, Outcome::NotRun, "caller 'a\xff\"\r\n' is unknown", {} };
+    const HttpResponse response = f.send(f.exchange);
+    cr_assert(response.status == 403);
+    cr_assert(f.outcomeOf(response) == "not_run");
+    const std::string detail = nlohmann::json::parse(response.body).at("detail");
+    cr_assert_eq(detail, "caller 'a\xef\xbf\xbd\"\r\n' is unknown");
+}
