Send no HTTP request that its own texts would split

A name with a line end, such as the holder of a duty in X-Duty-Holder, would end its header early, and a target with a blank its request line, so that the server read other headers or another request. Today's names come from the settings of the daemon, which check no characters, and from the store. The connection now refuses such a request as not sent.

--- a/src/transport/HttpConnection.cpp
+++ b/src/transport/HttpConnection.cpp
@@ -14,6 +14,25 @@
 
     constexpr std::size_t readBufferBytes = 16 * 1024;
 
+    bool hasOnly(const std::string& text, bool mayHaveBlanks)
+    {
+        constexpr unsigned char deleteCharacter = 0x7f;
+        return std::all_of(text.begin(), text.end(), [mayHaveBlanks](unsigned char c) {
+            return (c > ' ' && c != deleteCharacter) || (mayHaveBlanks && (c == ' ' || c == '\t'));
+        });
+    }
+
+    /** True if no text of the request ends its line or its field early, so that a server would read another request. */
+    bool isOneRequest(const HttpRequest& request)
+    {
+        const auto isField = [](const HttpHeader& field) {
+            const bool isName = !field.first.empty() && field.first.find(':') == std::string::npos;
+            return isName && hasOnly(field.first, false) && hasOnly(field.second, true);
+        };
+        return !request.method.empty() && hasOnly(request.method, false) && !request.target.empty()
+            && hasOnly(request.target, false) && std::all_of(request.headers.begin(), request.headers.end(), isField);
+    }
+
     std::string serialize(const HttpRequest& request, const std::string& host)
     {
         std::string text = request.method + ' ' + request.target + " HTTP/1.1\r\nHost: " + host + "\r\n";
@@ -53,6 +72,8 @@
             assert(!isBusy());
             if (!open_)
                 return callback(HttpFailure { false, "connection is closed" });
+            if (!isOneRequest(request))
+                return callback(HttpFailure { false, "a header or the target has characters that end it" });
             callback_ = std::move(callback);
             output_ = serialize(request, host_);
             parser_.reset();
--- a/tests/transport/TestHttpClient.cpp
+++ b/tests/transport/TestHttpClient.cpp
@@ -31,13 +31,12 @@
     }
 
     /** Requests the response and runs the event loop until it has arrived or failed. */
-    HttpResult request(HttpClient& client)
+    HttpResult request(HttpClient& client, const HttpRequest& sent = { "GET", "/", {}, {} })
     {
         std::optional<HttpResult> result;
         const HttpAddress address { "127.0.0.1", acceptor_.local_endpoint().port() };
         startedAt = Clock::now();
-        client.request(address, { "GET", "/", {}, {} }, requestTimeout,
-            [&result](HttpResult received) { result = std::move(received); });
+        client.request(address, sent, requestTimeout, [&result](HttpResult received) { result = std::move(received); });
         while (!result)
             context.run_one_for(Milliseconds(100));
         return *result;
@@ -122,3 +121,29 @@
     cr_assert(!server.request(client));
     cr_assert_lt(server.elapsed() / Milliseconds(1), 1000);
 }
+
+// Guards against a name with a line end or a blank that ends a header or a target and begins another request.
+Test(HttpClient, sendsNoRequestThatItsTextsWouldSplit)
+{
+    const std::vector<HttpRequest> requests {
+        { "POST", "/promotion", { { "X-Duty-Holder", "a\r\nX-Fence-Token: 9" } }, "" },
+        { "POST", "/promotion", { { "X-Duty-Holder", "a\nb" } }, "" },
+        { "POST", "/promotion", { { "X-Duty-Holder", std::string("a\0b", 3) } }, "" },
+        { "POST", "/promotion", { { "X: y\r\nZ", "a" } }, "" },
+        { "GET", "/key HTTP/1.1\r\n\r\nGET /", {}, "" },
+        { "GET", "/key with blank", {}, "" },
+        { "GET", "", {}, "" },
+    };
+    for (const HttpRequest& request : requests) {
+        SlowServer server;
+        HttpClient client(server.context);
+        const HttpResult result = server.request(client, request);
+        cr_assert(!result);
+        cr_assert(!result.error().mayHaveBeenSent);
+        cr_assert_eq(server.piecesSent, 0U);
+    }
+    SlowServer server;
+    server.pieces = 1;
+    HttpClient client(server.context);
+    cr_assert(server.request(client, { "POST", "/promotion", { { "X-Duty-Holder", "a b \xc3\xa4" } }, "" }).hasValue());
+}
