--- a/tests/front/TestFleetMembers.cpp
+++ b/tests/front/TestFleetMembers.cpp
@@ -90,3 +90,19 @@
     cr_assert(!members.add("", "d 1"));
     cr_assert_eq(members.view().daemons.size(), 1U);
 }
+
+// Guards against a daemon that its peers do not see, or see in another zone, because the name of its zone has blanks.
+Test(FleetMembers, entryKeepsAnyZone)
+{
+    for (const std::string zone :
+        { "d2", "rack 1", " ", "a\r\nb", "50%", "%20", "a%", "\xc3\xa4\xff", "10.0.0.9:1 4 leaving" }) {
+        FleetMembers members(self);
+        LiveDaemon daemon { VmId("a"), FailureDomainId(zone), "10.0.0.2:1", false, 25 };
+        cr_assert(members.add("a", FleetMembers::encode(daemon)), "%s", zone.c_str());
+        const LiveDaemon seen = members.view().daemons.front();
+        cr_assert_eq(seen.failureDomain.text(), zone);
+        cr_assert_eq(seen.peerAddress, "10.0.0.2:1");
+        cr_assert_eq(seen.capacity, 25U);
+        cr_assert(!seen.isLeaving);
+    }
+}
