Check the customers of connections in the sessions' property test

Sessions now hold keys of two customers in half of the cases, and keys move to another customer while a session is open, also inside a transaction. Each run must reach the endpoint on a connection of the session's customer.

--- a/tests/sessions/TestSessionProperties.cpp
+++ b/tests/sessions/TestSessionProperties.cpp
@@ -28,6 +28,7 @@
         std::string argument;
         /** Number of the transaction; 0 outside of transactions. */
         std::size_t transaction = 0;
+        CustomerId customer;
     };
 
     std::map<std::string, std::string> values;
@@ -35,17 +36,21 @@
     std::map<std::string, Expected> sent;
     TransactionState state = TransactionState::None;
     std::size_t transaction = 0;
+    /** The customer that holds the session's key; empty where callers need none. */
+    CustomerId customer;
 };
 
 /** One caller, which sends a statement only after the answer to the one before it. */
 class ModelledCaller {
 public:
     ModelledCaller(DispatcherFixture& fixture, const std::string& database, std::size_t number)
-        : caller_(fixture, database)
+        : caller_(fixture, database, keyOf(number))
         , number_(number)
     {
     }
 
+    static std::string keyOf(std::size_t number) { return "key-" + std::to_string(number); }
+
     /** Brings the model up to date with the answer, if there is a new one. */
     void noteAnswer()
     {
@@ -90,7 +95,8 @@
         statement.text = textOf(statement);
         last_ = statement;
         isWaiting_ = true;
-        SessionModel::Expected expected { model.values, std::nullopt, statement.argument, model.transaction };
+        SessionModel::Expected expected { model.values, std::nullopt, statement.argument, model.transaction,
+            model.customer };
         const auto found = model.prepared.find(statement.name);
         if (statement.kind == StatementKind::Execute && found != model.prepared.end())
             expected.prepared = found->second;
@@ -107,6 +113,8 @@
         caller_.session.onCallerClosed(now);
     }
 
+    bool isWaiting() const { return isWaiting_; }
+
     SessionModel model;
 
 private:
@@ -142,6 +150,7 @@
         const auto expected = callers.at(number)->model.sent.find(run.id);
         RC_ASSERT(expected != callers.at(number)->model.sent.end());
         RC_ASSERT(run.values == expected->second.values);
+        RC_ASSERT(run.customer == expected->second.customer);
         if (expected->second.prepared) {
             RC_ASSERT(run.prepared == *expected->second.prepared);
             const std::string name = run.text.substr(0, run.text.find(' '));
@@ -212,12 +221,21 @@
         fixture.dispatcher.setGroups(fixture.configuration->groups, fixture.timers.now());
         for (const EndpointId& id : { fixture.a, fixture.b, fixture.c })
             fixture.endpoints.server(id).work = Milliseconds(2);
+        const bool hasCustomers = *rc::gen::arbitrary<bool>();
+        fixture.dispatcher.setConnectionsByCustomer(hasCustomers);
         std::vector<std::unique_ptr<ModelledCaller>> callers;
+        const auto assignCustomer = [&](std::size_t number) {
+            if (!hasCustomers)
+                return;
+            callers[number]->model.customer = CustomerId("customer-" + std::to_string(draw(0, 2)));
+            fixture.access.addKey(ModelledCaller::keyOf(number), callers[number]->model.customer.text());
+        };
         const std::vector<std::string> databases { "orders", "proofs", "jobs", "orders", "jobs" };
         std::vector<std::size_t> live;
         for (const std::string& database : databases) {
             live.push_back(callers.size());
             callers.push_back(std::make_unique<ModelledCaller>(fixture, database, callers.size()));
+            assignCustomer(live.back());
         }
         RunChecker checker;
         std::size_t checked = 0;
@@ -229,6 +247,9 @@
                 callers[chosen]->leave(fixture.timers.now());
                 chosen = callers.size();
                 callers.push_back(std::make_unique<ModelledCaller>(fixture, "orders", chosen));
+                assignCustomer(chosen);
+            } else if (action < 2 && !callers[chosen]->isWaiting()) {
+                assignCustomer(chosen);
             } else if (action < 4) {
                 disturb(fixture);
             } else {
