--- a/tests/observability/TestDecisionLog.cpp
+++ b/tests/observability/TestDecisionLog.cpp
@@ -3,6 +3,8 @@
 #include <chrono>
 #include <criterion/criterion.h>
 #include <csignal>
+#include <cstdio>
+#include <fstream>
 #include <thread>
 #include <unistd.h>
 
@@ -48,3 +50,34 @@
     cr_assert_lt(std::chrono::duration_cast<std::chrono::seconds>(taken).count(), 20);
     _exit(0);
 }
+
+// Guards against text from outside that ends its line or its field and is read as another event or another field.
+Test(DecisionLog, outsideTextStaysInItsField)
+{
+    const std::string path = "/tmp/almondlever-log-" + std::to_string(getpid());
+    cr_assert_eq(configureLog({ "info", path }), "");
+    const std::vector<std::string> texts { "a\nevent=b", "a\r\nb", "\" endpoint=b", "a=b", "\\\"", "", "a\xff\nb",
+        std::string("a\0b", 3), "\xe2\x80\xa8" };
+    for (const std::string& text : texts)
+        logInfo("first", { { "text", text }, { "last", "end" } });
+    flushLog();
+    std::ifstream file(path);
+    std::size_t lines = 0;
+    for (std::string line; std::getline(file, line); ++lines) {
+        cr_assert_eq(line.find('\r'), std::string::npos);
+        const std::size_t event = line.find(" event=first text=");
+        cr_assert_neq(event, std::string::npos, "%s", line.c_str());
+        cr_assert_eq(line.substr(line.size() - 9), " last=end", "%s", line.c_str());
+        // Quotes within the field are escaped, so that only its own are not.
+        std::size_t quotes = 0;
+        for (std::size_t at = event; at < line.size(); ++at) {
+            if (line[at] == '\\')
+                ++at;
+            else if (line[at] == '"')
+                ++quotes;
+        }
+        cr_assert(quotes == 0 || quotes == 2, "%s", line.c_str());
+    }
+    cr_assert_eq(lines, texts.size());
+    std::remove(path.c_str());
+}
