Undo what a transaction set when a fake endpoint rolls it back

The property test of sessions so covers connections whose values and prepared statements a rollback took back.

--- a/tests/mocks/FakeEndpoints.h
+++ b/tests/mocks/FakeEndpoints.h
@@ -270,6 +270,14 @@
         return std::nullopt;
     }
 
+    /** A rollback undoes what was set and prepared since. */
+    void beginTransaction()
+    {
+        transaction_ = ++owner_.lastTransaction_;
+        valuesBefore_ = values_;
+        preparedBefore_ = prepared_;
+    }
+
     Reply makeError(StatementError error)
     {
         Reply reply;
@@ -291,16 +299,20 @@
                 return makeError(StatementError::ReadOnly);
             state_ = TransactionState::Open;
             isReadOnly_ = false;
-            transaction_ = ++owner_.lastTransaction_;
+            beginTransaction();
             break;
         case EndpointCommand::Kind::BeginReadOnly:
             if (command.after && server().position < *command.after)
                 return makeError(StatementError::Lagging);
             state_ = TransactionState::Open;
             isReadOnly_ = true;
-            transaction_ = ++owner_.lastTransaction_;
+            beginTransaction();
             break;
         case EndpointCommand::Kind::Rollback:
+            if (state_ != TransactionState::None) {
+                values_ = valuesBefore_;
+                prepared_ = preparedBefore_;
+            }
             state_ = TransactionState::None;
             break;
         case EndpointCommand::Kind::SetValue:
@@ -393,6 +405,8 @@
     std::deque<EndpointCommand> waiting_;
     std::map<std::string, std::string> values_;
     std::map<std::string, PreparedStatement> prepared_;
+    std::map<std::string, std::string> valuesBefore_;
+    std::map<std::string, PreparedStatement> preparedBefore_;
     TransactionState state_ = TransactionState::None;
     std::size_t transaction_ = 0;
     bool isReadOnly_ = false;
