--- a/src/transport/HttpConnection.cpp
+++ b/src/transport/HttpConnection.cpp
@@ -14,18 +14,23 @@
 
     constexpr std::size_t readBufferBytes = 16 * 1024;
 
-    bool hasLineEnd(const std::string& text)
+    bool hasOnly(const std::string& text, bool mayHaveBlanks)
     {
-        return text.find_first_of(std::string("\r\n\0", 3)) != std::string::npos;
+        constexpr unsigned char deleteCharacter = 0x7f;
+        return std::all_of(text.begin(), text.end(), [mayHaveBlanks](unsigned char c) {
+            return (c > ' ' && c != deleteCharacter) || (mayHaveBlanks && (c == ' ' || c == '\t'));
+        });
     }
 
-    /** True if the request would be read as another one: a value ends its line, or a blank ends the target. */
-    bool isMalformed(const HttpRequest& request)
+    /** True if no text of the request ends its line or its field early, so that a server would read another request. */
+    bool isOneRequest(const HttpRequest& request)
     {
-        const auto isBadField
-            = [](const HttpHeader& field) { return hasLineEnd(field.first) || hasLineEnd(field.second); };
-        return hasLineEnd(request.method) || hasLineEnd(request.target) || request.target.find(' ') != std::string::npos
-            || std::any_of(request.headers.begin(), request.headers.end(), isBadField);
+        const auto isField = [](const HttpHeader& field) {
+            const bool isName = !field.first.empty() && field.first.find(':') == std::string::npos;
+            return isName && hasOnly(field.first, false) && hasOnly(field.second, true);
+        };
+        return !request.method.empty() && hasOnly(request.method, false) && !request.target.empty()
+            && hasOnly(request.target, false) && std::all_of(request.headers.begin(), request.headers.end(), isField);
     }
 
     std::string serialize(const HttpRequest& request, const std::string& host)
@@ -67,8 +72,8 @@
             assert(!isBusy());
             if (!isOpen())
                 return callback(HttpFailure { false, "connection is closed" });
-            if (isMalformed(request))
-                return callback(HttpFailure { false, "the request contains a line end" });
+            if (!isOneRequest(request))
+                return callback(HttpFailure { false, "a header or the target has characters that end it" });
             callback_ = std::move(callback);
             output_ = serialize(request, host_);
             parser_.reset();
--- a/tests/caller_api/TestCallerApi.cpp
+++ b/tests/caller_api/TestCallerApi.cpp
@@ -159,3 +159,17 @@
     cr_assert(f.send(f.exchange).status == 200);
     cr_assert_eq(f.handler.requests.at(1).traceparent.size(), 256U);
 }
+
+// Guards against an exception instead of a response when an error quotes bytes that are not UTF-8, such as the name of
+// an unknown caller from a header.
+Test(CallerApi, reportsErrorsWithBytesThatAreNotUtf8)
+{
+    ApiFixture f;
+    f.handler.reply.result
+        = CallerError { CallerErrorCode::UnknownCaller, Outcome::NotRun, "caller 'a\xff\"\r\n' is unknown", {} };
+    const HttpResponse response = f.send(f.exchange);
+    cr_assert(response.status == 403);
+    cr_assert(f.outcomeOf(response) == "not_run");
+    const std::string detail = nlohmann::json::parse(response.body).at("detail");
+    cr_assert_eq(detail, "caller 'a\xef\xbf\xbd\"\r\n' is unknown");
+}
--- a/tests/mocks/FakeEndpoints.h
+++ b/tests/mocks/FakeEndpoints.h
@@ -24,6 +24,8 @@
     CustomerId customer;
     /** Executions only: what the endpoint has under the name. */
     PreparedStatement prepared;
+    /** Number of the transaction, over all endpoints; 0 outside of transactions. */
+    std::size_t transaction = 0;
     /** Unlike that of any other run. */
     std::string signature;
 };
@@ -120,6 +122,7 @@
     std::vector<RunStatement> runs_;
     std::vector<std::weak_ptr<Link>> links_;
     std::size_t lastConnection_ = 0;
+    std::size_t lastTransaction_ = 0;
 };
 
 /** One connection of FakeEndpoints. */
@@ -283,6 +286,14 @@
         return std::nullopt;
     }
 
+    /** A rollback undoes what was set and prepared since. */
+    void beginTransaction()
+    {
+        transaction_ = ++owner_.lastTransaction_;
+        valuesBefore_ = values_;
+        preparedBefore_ = prepared_;
+    }
+
     Reply makeError(StatementError error)
     {
         Reply reply;
@@ -304,14 +315,20 @@
                 return makeError(StatementError::ReadOnly);
             state_ = TransactionState::Open;
             isReadOnly_ = false;
+            beginTransaction();
             break;
         case EndpointCommand::Kind::BeginReadOnly:
             if (command.after && server().position < *command.after)
                 return makeError(StatementError::Lagging);
             state_ = TransactionState::Open;
             isReadOnly_ = true;
+            beginTransaction();
             break;
         case EndpointCommand::Kind::Rollback:
+            if (state_ != TransactionState::None) {
+                values_ = valuesBefore_;
+                prepared_ = preparedBefore_;
+            }
             state_ = TransactionState::None;
             break;
         case EndpointCommand::Kind::SetValue:
@@ -365,7 +382,7 @@
         owner_.runs_.push_back({ endpoint_, number_, command.id, text, state_ != TransactionState::None, values_,
             customer_,
             command.kind == EndpointCommand::Kind::ForwardPrepared ? prepared_.at(command.name) : PreparedStatement(),
-            reply.detail });
+            state_ == TransactionState::None ? 0 : transaction_, reply.detail });
         const bool isWriteStatement = isWrite(command);
         if (isWriteStatement)
             hasWritten_ = true;
@@ -422,7 +439,10 @@
     std::size_t commands_ = 0;
     std::map<std::string, std::string> values_;
     std::map<std::string, PreparedStatement> prepared_;
+    std::map<std::string, std::string> valuesBefore_;
+    std::map<std::string, PreparedStatement> preparedBefore_;
     TransactionState state_ = TransactionState::None;
+    std::size_t transaction_ = 0;
     bool isReadOnly_ = false;
     bool hasWritten_ = false;
     bool isCounted_ = false;
