Forward statements of any rank

What callers could see: a route with a priority above 255 ends the channel between two daemons with its first forwarded statement, and with it the statements of all callers on the channel; then again with the next.

Cause: the reader of SessionStatement refuses ranks above 255, and a daemon closes the channel on a message that it refuses. The configuration allows larger ones.

Change: the writer sends 255 for them. The owner has four ranks, and less urgent statements share the last.

Evidence: SessionMessages.anyRankIsReadable fails before.

--- a/src/wire/SessionMessages.cpp
+++ b/src/wire/SessionMessages.cpp
@@ -1,5 +1,7 @@
 #include "SessionMessages.h"
 
+#include <algorithm>
+
 namespace almondlever {
 
 namespace {
@@ -55,7 +57,8 @@
     writer.text("a", message.statement.argument);
     writer.text("g", message.group);
     writer.text("cu", message.customer);
-    writer.number("r", message.rank);
+    // Ranks beyond the last one that the owner has are equal.
+    writer.number("r", std::min<std::uint64_t>(message.rank, maximumRank));
     writer.milliseconds("d", message.timeLeft);
     writer.flag("w", message.isWrite);
     writer.flag("np", message.needsPrimary);
--- a/tests/wire/TestSessionMessages.cpp
+++ b/tests/wire/TestSessionMessages.cpp
@@ -52,6 +52,18 @@
     cr_assert_eq(copy.transaction, 77U);
 }
 
+// Guards against closing the channel between two daemons, and with it the statements of all callers on it, because of a
+// route whose priority is a large number.
+Test(SessionMessages, anyRankIsReadable)
+{
+    SessionStatement message;
+    message.statement = { "5c0e", StatementKind::Read, "READ x", "", "", false };
+    message.rank = 1000000;
+    const auto decoded = decodeMessage(encodeMessage(message));
+    cr_assert(decoded.hasValue());
+    cr_assert_geq(std::get<SessionStatement>(decoded.value()).rank, 255U);
+}
+
 // Guards against executing a prepared statement whose text was not sent.
 Test(SessionMessages, refusesExecuteWithoutPreparedStatement)
 {
