Refuse at once what no message to an endpoint can hold

What callers could see: a statement of almost 1 MiB waited for its time-out, since its message, with the proxy's name for the prepared statement or with AFTER, would have had more than 1 MiB and was not sent.

Change: a statement with its id, and the state of a session, may have 1,020 KiB; beyond it the answer is TOOBIG.

--- a/include/almondlever/sessions/Session.h
+++ b/include/almondlever/sessions/Session.h
@@ -48,9 +48,12 @@
 public:
     /** Maximum number of statements that wait behind the running one. If a caller sends more, the session is closed. */
     static constexpr std::size_t maximumPipelined = 64;
-    /** Maximum size of the names, values and prepared statements of a session; a connection to an endpoint must take
-     * them in one piece. */
-    static constexpr std::size_t maximumContentsBytes = std::size_t { 1024 } * 1024;
+    /**
+     * Maximum size of a statement with its id, and of the names, values and prepared statements of a session together.
+     * Messages have at most 1 MiB, and the proxy's own name or position may take more room than the caller's text.
+     */
+    static constexpr std::size_t maximumStatementBytes = std::size_t { 1020 } * 1024;
+    static constexpr std::size_t maximumContentsBytes = maximumStatementBytes;
 
     /** The key may be the empty digest where callers need none. */
     Session(DatabaseId database, const KeyDigest& key, CallerLink&, const RoutingSource&, CustomerAccess&,
--- a/src/sessions/Session.cpp
+++ b/src/sessions/Session.cpp
@@ -324,8 +324,9 @@
     if (state_ == TransactionState::None && !resolveRoute(now))
         return;
     const auto configuration = routing_.routing();
-    const std::size_t limit = configuration ? configuration->maximumStatementBytes : 0;
-    if (limit > 0 && statement.text.size() > limit)
+    const std::size_t configured = configuration ? configuration->maximumStatementBytes : 0;
+    const std::size_t limit = configured > 0 ? std::min(configured, maximumStatementBytes) : maximumStatementBytes;
+    if (statement.text.size() > limit || statement.id.size() + statement.text.size() > maximumStatementBytes)
         return answerWithError(StatementError::TooBig, "a statement may have " + std::to_string(limit) + " bytes", now);
     const bool isPrepared = contents_->prepared.count(statement.name) > 0;
     if (statement.kind == StatementKind::Execute && !isPrepared)
--- a/tests/sessions/TestSession.cpp
+++ b/tests/sessions/TestSession.cpp
@@ -554,3 +554,17 @@
     cr_assert(caller.succeeded());
     cr_assert_eq(fixture.endpoints.runs().back().values.size(), 4U);
 }
+
+// Guards against a statement of almost 1 MiB that no message to an endpoint can hold: it must be refused at once, not
+// time out.
+Test(Session, statementThatNoMessageHoldsIsRefused)
+{
+    DispatcherFixture fixture;
+    FakeCaller caller(fixture, "orders");
+    const std::string item(Session::maximumStatementBytes, 'x');
+    caller.say(StatementKind::Read, "r1", "READ " + item);
+    cr_assert(caller.hasError(StatementError::TooBig));
+    caller.say(StatementKind::Read, std::string(Session::maximumStatementBytes, 'i'), "READ x");
+    cr_assert(caller.hasError(StatementError::TooBig));
+    cr_assert(fixture.endpoints.runs().empty());
+}
--- a/tests/users_platform/TestLineEndpointConnector.cpp
+++ b/tests/users_platform/TestLineEndpointConnector.cpp
@@ -139,3 +139,14 @@
     cr_assert(endpoint.replies.empty());
     cr_assert_neq(endpoint.owner.closeReason, "");
 }
+
+// Guards against a command that is never sent, and whose statement waits for its time-out.
+Test(LineEndpointConnector, commandThatIsNoMessageClosesTheConnection)
+{
+    PlayedEndpoint endpoint;
+    endpoint.send(EndpointCommand::Kind::Forward, "READ x\r\nQUERY 2 WRITE y z");
+    cr_assert_eq(endpoint.owner.closeReason, "");
+    endpoint.play("", [&endpoint] { return !endpoint.owner.closeReason.empty(); });
+    cr_assert_eq(endpoint.owner.closeReason, "a command does not fit into one message");
+    cr_assert(endpoint.replies.empty());
+}
