Close a connection whose transaction is refused in a way seen before

Change: a refusal inside a transaction that equals an earlier reply closes the connection. The caller gets ABORTED, which is true in either case, or its first statement is repeated.

It goes on from a connection that stays open; a closed one it now leaves after a check that nothing was promised.

--- a/src/pooling/ReplyMatcher.cpp
+++ b/src/pooling/ReplyMatcher.cpp
@@ -96,9 +96,9 @@
     switch (command.kind) {
     case EndpointCommand::Kind::Forward:
     case EndpointCommand::Kind::ForwardPrepared:
-        // Inside a transaction, which is rolled back then, the promise that nothing is kept is true in either case.
+        // An answer that is still to come must not meet the next transaction's statement.
         if (state_ != TransactionState::None && !command.endsTransaction)
-            return ReplyMatch::Answer;
+            return ReplyMatch::Mismatch;
         return reply.state == TransactionState::None ? ReplyMatch::Uncertain : ReplyMatch::Mismatch;
     case EndpointCommand::Kind::Begin:
     case EndpointCommand::Kind::BeginReadOnly: {
--- a/tests/pooling/TestPooledLink.cpp
+++ b/tests/pooling/TestPooledLink.cpp
@@ -148,10 +148,12 @@
     std::string first = "none";
     open.send(Kind::Forward, first);
     open.receive(makeRefusal(StatementError::Busy, TransactionState::Failed));
+    if (open.wire->isClosed) {
+        cr_assert_str_eq(first.c_str(), "lost");
+        return;
+    }
     open.ask(Kind::Rollback, ack);
     open.ask(Kind::Begin, ackOpen);
-    if (open.wire->isClosed)
-        return;
     std::string second = "none";
     open.send(Kind::Forward, second);
     open.receive(makeReply("signature of the first", TransactionState::Open));
@@ -243,3 +245,34 @@
     open.link->onLinkClosed("reset", std::nullopt, open.now);
     cr_assert_str_eq(outcome.c_str(), "lost");
 }
+
+// Guards against using on a connection whose state nobody knows, after a reply that answers no command.
+Test(PooledLink, replyThatAnswersNoCommandClosesTheConnection)
+{
+    OpenLink open;
+    std::string outcome = "none";
+    open.send(Kind::Forward, outcome);
+    open.receive(makeReply("s1", TransactionState::Open));
+    cr_assert(open.wire->isClosed);
+    cr_assert_str_eq(outcome.c_str(), "lost");
+}
+
+// Guards against a commit whose end of the transaction the connection does not expect, and against one that did not
+// end.
+Test(PooledLink, commitEndsTheTransaction)
+{
+    OpenLink open;
+    open.ask(Kind::Begin, ackOpen);
+    std::string outcome = "none";
+    open.send(Kind::Forward, outcome, true);
+    open.receive(makeReply("s1", TransactionState::None));
+    cr_assert_str_eq(outcome.c_str(), "s1");
+    open.send(Kind::Forward, outcome);
+    open.receive(makeReply("s2", TransactionState::None));
+    cr_assert_str_eq(outcome.c_str(), "s2");
+    open.send(Kind::Begin, outcome);
+    open.receive(makeReply("-", TransactionState::Open, 2));
+    open.send(Kind::Forward, outcome, true);
+    open.receive(makeReply("s3", TransactionState::Open));
+    cr_assert_str_eq(outcome.c_str(), "lost");
+}
