--- a/tests/forwarding/TestForwarding.cpp
+++ b/tests/forwarding/TestForwarding.cpp
@@ -54,6 +54,9 @@
     MessageHandler handler_;
 };
 
+/** A value of this distance to the limit of a message, and a statement of twice this size, do not fit into one. */
+constexpr std::size_t largeBytes = std::size_t { 64 } * 1024;
+
 /** Two daemons: the caller's, which owns no group, and the owner, which runs the fixture's dispatcher. */
 struct Fixture : DispatcherFixture {
     const VmId entryVm { "entry" };
@@ -132,6 +135,11 @@
     Session session;
 };
 
+void setValue(Fixture& fixture, RemoteCaller& caller, const std::string& value)
+{
+    caller.session.onStatement({ "s", StatementKind::SetValue, "", "v", value, false }, fixture.timers.now());
+}
+
 } // namespace
 
 // Guards against statements or answers that are lost or altered between the caller's daemon and the owner.
@@ -343,16 +351,17 @@
         Fixture fixture;
         RemoteCaller caller(fixture, "proofs");
         const std::string id(isIdTooLong ? maximumNameBytes + 1 : 1, 'i');
-        const std::string text = "READ " + std::string(isIdTooLong ? 1 : maximumMessageBytes, 'x');
-        caller.say(StatementKind::Read, id, text);
+        const std::string value(maximumMessageBytes - largeBytes, 'v');
+        setValue(fixture, caller, isIdTooLong ? "" : value);
+        caller.say(StatementKind::Read, id, "READ " + std::string(isIdTooLong ? 1 : 2 * largeBytes, 'x'));
         fixture.run(Milliseconds(100));
-        cr_assert_eq(caller.replies.size(), 1U);
-        cr_assert(!caller.replies[0].error);
+        cr_assert_eq(caller.replies.size(), 2U);
+        cr_assert(!caller.replies[1].error);
         cr_assert_eq(fixture.endpoints.runsOf(id), 1U);
         cr_assert_eq(fixture.entryNetwork.sent, 0U);
         caller.say(StatementKind::Read, "r2", "READ x");
         fixture.run(Milliseconds(100));
-        cr_assert_eq(caller.replies.size(), 2U);
+        cr_assert_eq(caller.replies.size(), 3U);
         cr_assert_eq(fixture.entryNetwork.sent, 1U);
     }
 }
@@ -381,7 +390,8 @@
     caller.say(StatementKind::Write, "w1", "WRITE x 1");
     fixture.run(Milliseconds(100));
     cr_assert_eq(fixture.owner.openTransactions(), 1U);
-    caller.say(StatementKind::Write, "w2", "WRITE x " + std::string(maximumMessageBytes, '2'));
+    setValue(fixture, caller, std::string(maximumMessageBytes - largeBytes, 'v'));
+    caller.say(StatementKind::Write, "w2", "WRITE x " + std::string(2 * largeBytes, '2'));
     fixture.run(Milliseconds(100));
     cr_assert(caller.replies.back().error == StatementError::Aborted);
     cr_assert_eq(fixture.owner.openTransactions(), 0U);
--- a/tests/pooling/TestLinkContents.cpp
+++ b/tests/pooling/TestLinkContents.cpp
@@ -50,6 +50,19 @@
     cr_assert(kindsOf(link.prepareFor(SessionContents(), makeRead())) == std::vector<Kind>({ Kind::Reset }));
 }
 
+// Guards against running a statement with the former value of a name that its session, or another one, has set anew.
+Test(LinkContents, sendsChangedValues)
+{
+    LinkContents link;
+    SessionContents session;
+    session.values["zone"] = "1";
+    link.prepareFor(session, makeRead());
+    session.values["zone"] = "2";
+    const auto commands = link.prepareFor(session, makeRead());
+    cr_assert(kindsOf(commands) == std::vector<Kind>({ Kind::SetValue }));
+    cr_assert_eq(commands[0].argument, "2");
+}
+
 // Guards against executing another session's shape when two sessions use the same statement name.
 Test(LinkContents, namesOfSessionsAreIndependent)
 {
--- a/tests/sessions/TestSession.cpp
+++ b/tests/sessions/TestSession.cpp
@@ -568,3 +568,22 @@
     cr_assert(caller.hasError(StatementError::TooBig));
     cr_assert(fixture.endpoints.runs().empty());
 }
+
+// Guards against reads of a session that do not see what its own transaction has committed.
+Test(Session, readsSeeTheCommitsOfTheirOwnTransactions)
+{
+    DispatcherFixture fixture;
+    FakeCaller caller(fixture, "jobs");
+    fixture.endpoints.server(fixture.a).position = { 1, 300 };
+    caller.begin();
+    caller.write("w1");
+    fixture.advance(Milliseconds(50));
+    caller.commit("c1");
+    fixture.advance(Milliseconds(50));
+    cr_assert(caller.succeeded());
+    caller.read("r1");
+    fixture.advance(Milliseconds(100));
+    cr_assert(caller.succeeded());
+    cr_assert(fixture.endpoints.runs().back().id == "r1");
+    cr_assert(fixture.endpoints.runs().back().endpoint == fixture.a);
+}
