Let each run of the soak take ports that no other run uses

Runs at the same time took their ports from a part drawn by process id modulo 40, so that two of them could take the same part; the port of a daemon that a fault had stopped was then taken by the other run.

Change: a run keeps the first port of its part bound for as long as it lives, and goes on to the next part if that is taken.

That two runs never share a part follows from the bound port; there is no test of its own.

--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -36,13 +36,32 @@
     constexpr int parts = 40;
     constexpr int startAttempts = 20;
 
+    /** Takes a part of the ports that no other run uses; its first port stays bound for as long as this process lives.
+     */
+    int takePart()
+    {
+        static asio::io_context context;
+        static asio::ip::tcp::acceptor reserved(context);
+        for (int attempt = 0; attempt < parts; ++attempt) {
+            const int first = firstPort + (getpid() + attempt) % parts * portsOfARun;
+            std::error_code error;
+            reserved.open(asio::ip::tcp::v4(), error);
+            if (!error)
+                reserved.bind({ asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(first) }, error);
+            if (!error)
+                return first;
+            reserved.close(error);
+        }
+        throw std::runtime_error("other runs use all ports");
+    }
+
     std::uint16_t findFreePort()
     {
+        static const int first = takePart();
         static int next = 0;
-        const int first = firstPort + (getpid() % parts) * portsOfARun;
         asio::io_context context;
         for (;;) {
-            const auto port = static_cast<std::uint16_t>(first + next++ % portsOfARun);
+            const auto port = static_cast<std::uint16_t>(first + 1 + next++ % (portsOfARun - 1));
             asio::ip::tcp::acceptor acceptor(context, asio::ip::tcp::v4());
             std::error_code error;
             acceptor.set_option(asio::socket_base::reuse_address(true), error);
