Count only what a SET or PREPARE adds to a session's state

What callers could see (found in the reading of the diff): a session that sets the same large value again is refused with TOOBIG, although its state does not grow.

Cause: the limit added the new value to a state that still held the one it replaces.

Evidence: Session.limitsItsState, which now sets a value again, fails before.

--- a/src/sessions/Session.cpp
+++ b/src/sessions/Session.cpp
@@ -16,6 +16,23 @@
 
     std::string retryAfterText(Milliseconds wait) { return ", retry after " + std::to_string(wait.count()) + " ms"; }
 
+    /** Number of bytes that the statement adds to the contents; what it replaces is not counted. */
+    std::size_t growthBy(const Statement& statement, const SessionContents& contents)
+    {
+        if (statement.kind == StatementKind::Deallocate)
+            return 0;
+        std::size_t replaced = 0;
+        if (statement.kind == StatementKind::SetValue) {
+            const auto held = contents.values.find(statement.name);
+            replaced = held == contents.values.end() ? 0 : held->first.size() + held->second.size();
+        } else {
+            const auto held = contents.prepared.find(statement.name);
+            replaced = held == contents.prepared.end() ? 0 : held->first.size() + held->second.shape.size();
+        }
+        const std::size_t added = statement.name.size() + statement.argument.size();
+        return added > replaced ? added - replaced : 0;
+    }
+
     Reply makeLocalSuccess()
     {
         Reply reply;
@@ -183,9 +200,7 @@
 {
     if (state_ == TransactionState::Failed)
         return answerWithError(StatementError::Malformed, "the transaction has failed and must be ended first", now);
-    const std::size_t added = statement.name.size() + statement.argument.size();
-    const bool isAdded = statement.kind != StatementKind::Deallocate;
-    if (isAdded && contents_->bytes() + added > maximumContentsBytes) {
+    if (contents_->bytes() + growthBy(statement, *contents_) > maximumContentsBytes) {
         const std::string limit = std::to_string(maximumContentsBytes);
         return answerWithError(StatementError::TooBig, "the state of a session may have " + limit + " bytes", now);
     }
--- a/tests/sessions/TestSession.cpp
+++ b/tests/sessions/TestSession.cpp
@@ -545,6 +545,8 @@
         caller.say(StatementKind::SetValue, "s", "SET " + name + ' ' + value, name, value);
         cr_assert(caller.succeeded());
     }
+    caller.say(StatementKind::SetValue, "s", "SET a " + value, "a", value);
+    cr_assert(caller.succeeded(), "a value that replaces another one does not add to the state");
     caller.say(StatementKind::Prepare, "p", "PREPARE d READ " + value, "d", value);
     cr_assert(caller.hasError(StatementError::TooBig));
     caller.say(StatementKind::SetValue, "s", "SET e 1", "e", "1");
