--- a/src/observability/DecisionLog.cpp
+++ b/src/observability/DecisionLog.cpp
@@ -34,8 +34,12 @@
         });
     }
 
+    /** Maximum size of a value in a line; the rest is left out. */
+    constexpr std::size_t maximumValueBytes = 512;
+
     void appendValue(std::string& line, std::string_view value)
     {
+        value = value.substr(0, maximumValueBytes);
         if (!needsQuotes(value)) {
             line += value;
             return;
--- a/tests/observability/TestDecisionLog.cpp
+++ b/tests/observability/TestDecisionLog.cpp
@@ -81,3 +81,18 @@
     cr_assert_eq(lines, texts.size());
     std::remove(path.c_str());
 }
+
+// Guards against a line that grows with a text from outside, such as the id of a statement, which may have a megabyte.
+Test(DecisionLog, longTextIsCut)
+{
+    const std::string path = "/tmp/almondlever-log-" + std::to_string(getpid());
+    cr_assert_eq(configureLog({ "info", path }), "");
+    logInfo("first", { { "text", std::string(1000000, 'x') }, { "last", "end" } });
+    flushLog();
+    std::ifstream file(path);
+    std::string line;
+    cr_assert(std::getline(file, line));
+    cr_assert_lt(line.size(), 1000U);
+    cr_assert_eq(line.substr(line.size() - 9), " last=end");
+    std::remove(path.c_str());
+}
