--- a/tests/wire/TestSessionMessages.cpp
+++ b/tests/wire/TestSessionMessages.cpp
@@ -15,6 +15,17 @@
     return std::get<Type>(decoded.value());
 }
 
+std::string toHex(const std::string& bytes)
+{
+    std::string text;
+    for (const char c : bytes) {
+        const auto byte = static_cast<unsigned char>(c);
+        text += "0123456789abcdef"[byte >> 4U];
+        text += "0123456789abcdef"[byte & 0xfU];
+    }
+    return text;
+}
+
 } // namespace
 
 // Guards against losing a field of a forwarded statement.
@@ -64,6 +75,44 @@
     cr_assert_geq(std::get<SessionStatement>(decoded.value()).rank, 255U);
 }
 
+// Guards against a daemon of the former version that cannot read the statements and answers of this one, or the other
+// way round, while VMs are replaced. The bytes are those of the former version (77823ea).
+Test(SessionMessages, areReadByTheFormerVersion)
+{
+    const std::string formerStatement
+        = "b56161637820796163076263756473686f7061641903846167666c656467657261696435633065616b08626d731905dc616e"
+          "627331626e70f5626f74f56270736c713720524541442061727065627077f561720262737082030c6273768182647a6f6e65"
+          "63310a326174076274746e4558454355544520733120782079627478184d6176016177f5";
+    const std::string formerAnswer
+        = "aa626174026163076264656373696762656e63692d31617082030d62726f8163610a62617301617408627478184d617601";
+    SessionStatement statement;
+    statement.correlation = 7;
+    statement.statement = { "5c0e", StatementKind::Execute, "EXECUTE s1 x y", "s1", "x y", false };
+    statement.group = GroupId("ledger");
+    statement.customer = CustomerId("shop");
+    statement.rank = 2;
+    statement.timeLeft = Milliseconds(900);
+    statement.isWrite = true;
+    statement.needsPrimary = true;
+    statement.opensTransaction = true;
+    statement.maximumStaleness = Milliseconds(1500);
+    statement.sessionPosition = LogPosition { 3, 12 };
+    statement.contents.values["zone"] = "1\n2";
+    statement.contents.prepared["s1"] = { true, "q7 READ arpe" };
+    statement.transaction = 77;
+    cr_assert(toHex(encodeMessage(statement)) == formerStatement);
+    SessionAnswer answer;
+    answer.correlation = 7;
+    answer.reply.rows = { "a\nb" };
+    answer.reply.detail = "sig";
+    answer.reply.state = TransactionState::Open;
+    answer.reply.position = LogPosition { 3, 13 };
+    answer.transaction = 77;
+    answer.endpoint = EndpointId("i-1");
+    answer.attempts = 2;
+    cr_assert(toHex(encodeMessage(answer)) == formerAnswer);
+}
+
 // Guards against executing a prepared statement whose text was not sent.
 Test(SessionMessages, refusesExecuteWithoutPreparedStatement)
 {
