--- a/scripts/soak_regressions.sh
+++ b/scripts/soak_regressions.sh
@@ -20,4 +20,6 @@
 run 1 --seconds 12 --odd-data all
 # An answer that came twice was taken for that of the next command.
 run 2 --seconds 12 --repeats 0.2 --caller-pause-ms 4
+# A refusal and the answer to a BEGIN were repeated in the same moment, so that a write counted as refused and was sent again.
+run 5000 --seconds 12 --repeats 0.2 --caller-pause-ms 4
 exit "$status"
