--- a/tests/mocks/FakeEndpoints.h
+++ b/tests/mocks/FakeEndpoints.h
@@ -54,6 +54,8 @@
         /** Selects answers that come a second time, repeatDelay after the first. */
         std::function<bool(const Reply&)> repeats;
         Milliseconds repeatDelay { 5 };
+        /** Runs the next command of a connection while the answer to the one before is on its way. */
+        bool isPipelined = false;
         /** Statements in a transaction that are answered with success after the endpoint has ended the transaction. */
         std::size_t droppedTransactions = 0;
         /** Connections opened before this number return nothing further. */
@@ -379,18 +381,27 @@
             --server().lostAnswers;
             return breakOff("connection lost");
         }
-        after(server().distance, [reply](Link& self) {
+        const bool isPipelined = server().isPipelined;
+        if (isPipelined)
+            startNext();
+        after(server().distance, [reply, isPipelined](Link& self) {
             if (self.server().isSilent)
                 return;
-            self.waiting_.pop_front();
-            if (!self.waiting_.empty())
-                self.after(Duration(0), [](Link& next) { next.handle(); });
+            if (!isPipelined)
+                self.startNext();
             if (self.server().repeats && self.server().repeats(reply))
                 self.after(self.server().repeatDelay, [reply](Link& later) { later.deliver(reply); });
             self.deliver(reply);
         });
     }
 
+    void startNext()
+    {
+        waiting_.pop_front();
+        if (!waiting_.empty())
+            after(Duration(0), [](Link& next) { next.handle(); });
+    }
+
     void deliver(const Reply& reply)
     {
         if (const auto observer = observer_.lock())
--- a/tests/pooling/TestRepeatedAnswers.cpp
+++ b/tests/pooling/TestRepeatedAnswers.cpp
@@ -177,3 +177,141 @@
         }
     }
 }
+
+// Guards against a write that runs twice: the refusal of its first attempt is repeated while the second one runs, and
+// so is the answer to an earlier BEGIN, which is taken for the answer to the probe behind that refusal.
+Test(RepeatedAnswers, repeatedBeginDoesNotConfirmARepeatedRefusal)
+{
+    std::size_t twice = 0;
+    for (int delay = 10; delay < 130; delay += 3) {
+        DispatcherFixture fixture;
+        fixture.endpoints.server(fixture.a).work = Milliseconds(60);
+        repeatAnswers(fixture, Milliseconds(delay), [&fixture, delay](const Reply& reply) {
+            fixture.endpoints.server(fixture.a).repeatDelay = Milliseconds(reply.error ? delay : delay + 100);
+            return reply.error || (reply.detail == "-" && reply.state == TransactionState::Open);
+        });
+        auto& primary = fixture.endpoints.server(fixture.a);
+        FakeCaller caller(fixture, "orders");
+        for (int number = 0; number < 20; ++number) {
+            // A read of the primary, which begins a transaction for it, and then a write that is refused once.
+            caller.read("r" + std::to_string(number));
+            fixture.advance(Milliseconds(80));
+            primary.slots = 0;
+            primary.queueLimit = 0;
+            const std::string id = "w" + std::to_string(number);
+            caller.write(id);
+            fixture.advance(Milliseconds(3));
+            primary.slots = 2;
+            primary.queueLimit = 24;
+            fixture.advance(Milliseconds(300));
+            twice += fixture.endpoints.runsOf(id) > 1 ? 1 : 0;
+        }
+    }
+    cr_assert_eq(twice, 0U, "%zu writes ran twice", twice);
+}
+
+// Guards against a write outside of transactions that runs inside one that the proxy began: a refusal is repeated while
+// BEGIN is unanswered, and the connection is used for another statement.
+Test(RepeatedAnswers, repeatedRefusalDoesNotAnswerBegin)
+{
+    std::size_t misplaced = 0;
+    for (int delay = 1; delay < 80; ++delay) {
+        DispatcherFixture fixture;
+        repeatAnswers(fixture, Milliseconds(delay), [](const Reply& reply) { return reply.error.has_value(); });
+        auto& primary = fixture.endpoints.server(fixture.a);
+        FakeCaller first(fixture, "orders");
+        FakeCaller second(fixture, "orders");
+        for (int number = 0; number < 20; ++number) {
+            primary.slots = 0;
+            primary.queueLimit = 0;
+            first.write("w" + std::to_string(number));
+            fixture.advance(Milliseconds(3));
+            primary.slots = 2;
+            primary.queueLimit = 24;
+            for (int turn = 0; turn < 6; ++turn) {
+                const std::string suffix = std::to_string(number) + '.' + std::to_string(turn);
+                second.read("r" + suffix);
+                first.write("v" + suffix);
+                fixture.advance(Milliseconds(15));
+            }
+            fixture.advance(Milliseconds(100));
+        }
+        for (const RunStatement& run : fixture.endpoints.runs())
+            misplaced += run.id.front() != 'r' && run.wasInTransaction ? 1 : 0;
+    }
+    cr_assert_eq(misplaced, 0U, "%zu writes ran in a transaction that was not theirs", misplaced);
+}
+
+// Guards against a statement of a transaction that runs outside of it: the answer to an earlier BEGIN is repeated while
+// the endpoint refuses the present one.
+Test(RepeatedAnswers, repeatedBeginDoesNotReplaceARefusedOne)
+{
+    std::size_t outside = 0;
+    for (int delay = 30; delay < 160; ++delay) {
+        DispatcherFixture fixture;
+        auto& former = fixture.endpoints.server(fixture.a);
+        former.isPipelined = true;
+        former.distance = Milliseconds(10);
+        former.work = Milliseconds(2);
+        fixture.advance(Milliseconds(1000));
+        repeatAnswers(fixture, Milliseconds(delay),
+            [](const Reply& reply) { return !reply.error && reply.state == TransactionState::Open; });
+        FakeCaller caller(fixture, "orders");
+        caller.begin();
+        caller.read("r1");
+        fixture.advance(Milliseconds(60));
+        caller.commit("c1");
+        fixture.advance(Milliseconds(40));
+        // Another daemon has the primary changed.
+        former.leads = false;
+        fixture.endpoints.server(fixture.b).leads = true;
+        fixture.endpoints.server(fixture.b).position = { 2, 100 };
+        caller.begin();
+        caller.read("r2");
+        fixture.advance(Milliseconds(900));
+        for (const RunStatement& run : fixture.endpoints.runs())
+            outside += run.id.front() == 'r' && !run.wasInTransaction ? 1 : 0;
+    }
+    cr_assert_eq(outside, 0U, "%zu statements ran outside of their transactions", outside);
+}
+
+// Guards against a stale read: the answers to the BEGIN and the ROLLBACK of an earlier query of the primary's position
+// both come again before those to the present query.
+Test(RepeatedAnswers, repeatedBeginAndRollbackDoNotProveAPosition)
+{
+    std::size_t stale = 0;
+    for (int delay = 250; delay < 800; delay += 10) {
+        DispatcherFixture fixture;
+        auto& primary = fixture.endpoints.server(fixture.a);
+        primary.distance = Milliseconds(50);
+        fixture.advance(Milliseconds(2000));
+        int begins = 0;
+        repeatAnswers(fixture, Milliseconds(delay), [&primary, &begins, delay](const Reply& reply) {
+            if (reply.error || reply.detail != "-")
+                return false;
+            const bool isBegin = reply.state == TransactionState::Open;
+            primary.repeatDelay = Milliseconds(isBegin ? delay : delay - 95);
+            begins += isBegin ? 1 : 0;
+            return begins == 1;
+        });
+        while (begins < 1)
+            fixture.advance(Milliseconds(1));
+        fixture.advance(Milliseconds(110));
+        // Another daemon's commit is acknowledged now; the replicas do not receive it.
+        primary.position = { 1, 200 };
+        const TimePoint acknowledged = fixture.timers.now();
+        FakeCaller caller(fixture, "proofs");
+        std::map<std::string, TimePoint> sentAt;
+        for (int number = 0; number < 160; ++number) {
+            const std::string id = "r" + std::to_string(number);
+            sentAt[id] = fixture.timers.now();
+            caller.read(id);
+            fixture.advance(Milliseconds(18));
+        }
+        for (const RunStatement& run : fixture.endpoints.runs()) {
+            const bool mustSeeCommit = sentAt.at(run.id) - Milliseconds(1500) > acknowledged;
+            stale += mustSeeCommit && run.endpoint != fixture.a ? 1 : 0;
+        }
+    }
+    cr_assert_eq(stale, 0U, "%zu stale reads", stale);
+}
--- a/tests/pooling/TestReplyMatcher.cpp
+++ b/tests/pooling/TestReplyMatcher.cpp
@@ -174,3 +174,16 @@
     matcher.now += ReplyMatcher::memoryTime + Milliseconds(1);
     cr_assert(matcher.take(statement, busy) == ReplyMatch::Answer);
 }
+
+// Guards against giving a caller the answer to another statement on a busy connection: after some thousand replies, a
+// repetition is not recognised although it comes within memoryTime.
+Test(ReplyMatcher, recognisesRepetitionsOnABusyConnection)
+{
+    OpenMatcher matcher;
+    for (int number = 0; number < 5000; ++number) {
+        matcher.now += Milliseconds(2);
+        cr_assert(matcher.take(statement, makeReply("s" + std::to_string(number), TransactionState::None))
+            == ReplyMatch::Answer);
+    }
+    cr_assert(matcher.take(statement, makeReply("s1", TransactionState::None)) != ReplyMatch::Answer);
+}
