Test the sizes of callers' statements between daemons and to endpoints

These tests fail: another daemon refuses the whole channel when a caller's statement has an id above 256 bytes or its session more than 1024 values; large statements do not fit into one message, and the largest ones are not sent to the endpoint because the proxy's own name is longer than the caller's.

--- a/tests/users_platform/TestLineCodec.cpp
+++ b/tests/users_platform/TestLineCodec.cpp
@@ -448,3 +448,20 @@
     cr_assert(!decodeStatusRow("replica x 3.1"));
     cr_assert(!decodeStatusRow(""));
 }
+
+// Guards against a statement of the largest size that is silently not sent because the proxy's name for its prepared
+// statement, or the position it adds, is longer than what the caller wrote.
+Test(LineCodec, largestStatementsOfCallersAreSent)
+{
+    const std::string start = "QUERY 5 EXECUTE s x ";
+    const std::string data(maximumMessageBytes - start.size(), 'd');
+    const CallerMessage message = decodeCallerLine(start + data);
+    const auto* statement = std::get_if<Statement>(&message);
+    cr_assert(statement && statement->kind == StatementKind::Execute);
+    EndpointCommand command;
+    command.kind = EndpointCommand::Kind::ForwardPrepared;
+    command.id = statement->id;
+    command.name = "p10";
+    command.argument = statement->argument;
+    cr_assert(!encodeCommand(command).empty());
+}
--- a/tests/wire/TestSessionMessages.cpp
+++ b/tests/wire/TestSessionMessages.cpp
@@ -51,6 +51,24 @@
     cr_assert_eq(copy.transaction, 77U);
 }
 
+// Guards against a caller who ends the channel between two daemons, and with it the statements of others: whatever a
+// session accepts must be readable at the other daemon.
+Test(SessionMessages, whateverASessionAcceptsIsReadable)
+{
+    SessionStatement longId;
+    longId.statement = { std::string(300, 'i'), StatementKind::Read, "READ x", "", "", false };
+    cr_expect(decodeMessage(encodeMessage(longId)).hasValue(), "an id of 300 bytes");
+    SessionStatement manyValues;
+    manyValues.statement = { "5c0e", StatementKind::Read, "READ x", "", "", false };
+    for (int number = 0; number < 1100; ++number)
+        manyValues.contents.values["v" + std::to_string(number)] = "1";
+    cr_expect(decodeMessage(encodeMessage(manyValues)).hasValue(), "1100 session values");
+    SessionStatement large;
+    large.statement = { "5c0e", StatementKind::Execute, "EXECUTE s1 x " + std::string(600000, 'd'), "s1",
+        std::string(600000, 'd'), false };
+    cr_expect_leq(encodeMessage(large).size(), maximumMessageBytes, "data of 600 kB");
+}
+
 // Guards against executing a prepared statement whose text was not sent.
 Test(SessionMessages, refusesExecuteWithoutPreparedStatement)
 {
