--- a/tests/pooling/TestPooledLink.cpp
+++ b/tests/pooling/TestPooledLink.cpp
@@ -114,6 +114,27 @@
     cr_assert_str_neq(outcome.c_str(), toText(StatementError::Busy));
 }
 
+// Guards against giving a caller the answer to another statement: the refusal and the answers to BEGIN and ROLLBACK of
+// an earlier read are all repeated, so that the probe counts as answered while the statement before it still runs.
+Test(PooledLink, repeatedAnswersToTheProbeDoNotShiftStatements)
+{
+    OpenLink open;
+    open.ask(Kind::Begin, ackOpen);
+    open.ask(Kind::Rollback, ack);
+    open.ask(Kind::Forward, makeRefusal(StatementError::Busy));
+    std::string first = "none";
+    open.send(Kind::Forward, first);
+    open.receive(makeRefusal(StatementError::Busy));
+    open.receive(ackOpen);
+    open.receive(ack);
+    if (open.wire->isClosed)
+        return;
+    std::string second = "none";
+    open.send(Kind::Forward, second);
+    open.receive(makeReply("signature of the first", TransactionState::None));
+    cr_assert_str_neq(second.c_str(), "signature of the first");
+}
+
 // Guards against a false promise: of two uncertain refusals the first one is a repetition, and the second one, which
 // promises nothing, is the answer.
 Test(PooledLink, secondUncertainRefusalIsNotDropped)
