--- a/tests/pooling/TestPooledLink.cpp
+++ b/tests/pooling/TestPooledLink.cpp
@@ -135,6 +135,28 @@
     cr_assert_str_neq(second.c_str(), "signature of the first");
 }
 
+// Guards against giving a caller the answer to another statement: the refusal of a statement in a transaction, and the
+// answers to ROLLBACK and BEGIN behind it, are repeated while a statement of the next transaction still runs.
+Test(PooledLink, repeatedEndOfATransactionDoesNotShiftStatements)
+{
+    OpenLink open;
+    open.ask(Kind::Begin, ackOpen);
+    open.ask(Kind::Forward, makeRefusal(StatementError::Busy, TransactionState::Failed));
+    open.ask(Kind::Rollback, ack);
+    open.ask(Kind::Begin, ackOpen);
+    std::string first = "none";
+    open.send(Kind::Forward, first);
+    open.receive(makeRefusal(StatementError::Busy, TransactionState::Failed));
+    open.ask(Kind::Rollback, ack);
+    open.ask(Kind::Begin, ackOpen);
+    if (open.wire->isClosed)
+        return;
+    std::string second = "none";
+    open.send(Kind::Forward, second);
+    open.receive(makeReply("signature of the first", TransactionState::Open));
+    cr_assert_str_neq(second.c_str(), "signature of the first");
+}
+
 // Guards against a false promise: of two uncertain refusals the first one is a repetition, and the second one, which
 // promises nothing, is the answer.
 Test(PooledLink, secondUncertainRefusalIsNotDropped)
