--- a/tests/front/TestFleetMembers.cpp
+++ b/tests/front/TestFleetMembers.cpp
@@ -91,6 +91,17 @@
     cr_assert_eq(members.view().daemons.size(), 1U);
 }
 
+// Guards against daemons of the former version and of this one that do not see each other: the text of an ordinary
+// entry is the same for both, and a percent sign that the former version wrote stands for itself.
+Test(FleetMembers, entriesOfTheFormerVersionAreRead)
+{
+    const LiveDaemon daemon { VmId("a"), FailureDomainId("khomas-a"), "10.0.0.2:1", false, 25 };
+    cr_assert_eq(FleetMembers::encode(daemon), "khomas-a 10.0.0.2:1 25");
+    FleetMembers members(self);
+    cr_assert(members.add("a", "50% 10.0.0.2:1 25"));
+    cr_assert_eq(members.view().daemons.front().failureDomain.text(), "50%");
+}
+
 // Guards against a daemon that its peers do not see, or see in another zone, because the name of its zone has blanks.
 Test(FleetMembers, entryKeepsAnyZone)
 {
