Read the memory limit, regions and features of a deployment

New parts take effect only where a deployment's settings ask for them. The adapter translates the list of rules in force into features of the product, and passes on the memory limit and the region of each failure domain. A list of another type is a finding.

--- a/tests/users_platform/TestBootSettings.cpp
+++ b/tests/users_platform/TestBootSettings.cpp
@@ -43,6 +43,25 @@
     cr_assert_float_eq(with.value().quotaSlack, 20, 1e-9);
 }
 
+// Guards against a feature that is enabled where the deployment does not ask for it, or not enabled where it does.
+Test(BootSettings, decodesFeaturesAndResources)
+{
+    const BootSettings without = decodeBootSettings(sampleSettings(), "boot.json").value();
+    cr_assert(!without.features.hasUnreliableEndpoints);
+    cr_assert(!without.features.hasScarceConnections);
+    cr_assert(!without.features.hasOverload);
+    cr_assert_eq(without.memoryBytes, 260000000U);
+    cr_assert_eq(without.regions.at(FailureDomainId("erongo-a")), "erongo");
+    const std::string text
+        = replaced(sampleSettings(), "\"bounds\": {", R"("contracts": ["base", "health", "quota"], "bounds": {)");
+    const BootSettings with = decodeBootSettings(text, "boot.json").value();
+    cr_assert(with.features.hasUnreliableEndpoints);
+    cr_assert(with.features.hasCustomerLimits);
+    cr_assert(!with.features.hasCustomers);
+    const std::string wrong = replaced(sampleSettings(), "\"bounds\": {", R"("contracts": "health", "bounds": {)");
+    cr_assert(!decodeBootSettings(wrong, "boot.json"));
+}
+
 // Guards against a setting being read from the wrong member of the file.
 Test(BootSettings, decodesAllSettings)
 {
