Follow the store with one watch for all prefixes

A watcher called the store once for each of three prefixes, and again for each batch of endpoint heartbeats. Enabled by FrontSettings::sharesStoreWatch, which the adapter sets where connections are scarce.

--- a/include/almondlever/front/FrontDaemon.h
+++ b/include/almondlever/front/FrontDaemon.h
@@ -16,6 +16,7 @@
 #include "almondlever/placement/GroupOwners.h"
 #include "almondlever/sessions/Session.h"
 #include "almondlever/store/PrefixFollower.h"
+#include "almondlever/store/SharedWatchStore.h"
 
 #include <functional>
 #include <map>
@@ -177,6 +178,7 @@
     TimerService& timers_;
     DecisionLog log_;
     Metrics metrics_;
+    SharedWatchStore sharedStore_;
     EndpointDirectory directory_;
     StatementDispatcher dispatcher_;
     StatementForwarder forwarder_;
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -51,6 +51,7 @@
     , decoder_(decoder)
     , timers_(timers)
     , log_(settings.decisionLinesPerSecond)
+    , sharedStore_(store, timers, metrics_)
     , dispatcher_(directory_, connector, log_, metrics_, dispatcherSettings(settings))
     , forwarder_(dispatcher_, log_, metrics_, forwarderSettings(settings))
     , forwarded_(dispatcher_, settings.randomSeed)
@@ -58,9 +59,9 @@
     , stepDownRelay_(dispatcher_, settings.vm, settings.randomSeed)
     , promotions_(directory_, dispatcher_, store, promotions, timers, settings.promotion)
     , stop_(settings.stop)
-    , configurationFollower_(store, timers, decoder.configurationPrefix(), configurationBatchDelay, *this)
-    , endpointFollower_(store, timers, decoder.endpointPrefix(), endpointBatchDelay, *this)
-    , ownFollower_(store, timers, storeKeys::root, ownBatchDelay, *this)
+    , configurationFollower_(sharedStore_, timers, decoder.configurationPrefix(), configurationBatchDelay, *this)
+    , endpointFollower_(sharedStore_, timers, decoder.endpointPrefix(), endpointBatchDelay, *this)
+    , ownFollower_(sharedStore_, timers, storeKeys::root, ownBatchDelay, *this)
     , relay_(relaySettings(settings), { &configurationFollower_, &endpointFollower_, &ownFollower_ })
     , members_(self())
     , quotaCoordinator_(settings.vm, settings.quota)
@@ -74,6 +75,8 @@
     promotions_.setStepDownRelay(&stepDownRelay_);
     promotions_.setMembersRefresh(
         [this](const std::function<void(bool)>& callback) { endpointFollower_.refresh(callback); });
+    if (settings.sharesStoreWatch)
+        sharedStore_.enable();
     if (settings.isFirstStart)
         quotaCoordinator_.setFirstStart();
 }
--- a/tests/mocks/FakeMetadataStore.h
+++ b/tests/mocks/FakeMetadataStore.h
@@ -28,11 +28,14 @@
     /** Ranges of this prefix take longer; empty when none does. */
     std::string slowPrefix;
     Milliseconds slowDelay { 0 };
+    /** A watch of all keys is an invalid call. */
+    bool rejectsWatchesOfAllKeys = false;
     /** Watches report no changes and end empty, with the store's present revision. */
     bool watchesReportNothing = false;
     std::size_t pageSize = 500;
     std::size_t calls = 0;
     std::size_t rangeCalls = 0;
+    std::size_t watchCalls = 0;
 
     void put(const std::string& key, const std::string& value, std::uint64_t lease = 0)
     {
@@ -123,11 +126,14 @@
     void watch(const std::string& prefix, std::uint64_t afterRevision, Milliseconds wait,
         std::function<void(StoreResult<StorePage>)> callback) override
     {
+        ++watchCalls;
         later([this, prefix, afterRevision, wait, callback] {
             if (isDown)
                 return callback(unavailable());
             if (isSilent)
                 return timeOut(callback, wait + watchTimeoutMargin);
+            if (rejectsWatchesOfAllKeys && prefix.empty())
+                return callback(StoreFailure { StoreFailure::Kind::Rejected, "status 400" });
             const bool isOfEra = storeEra::eraOf(afterRevision) == era_;
             if (!isOfEra || storeEra::numberOf(afterRevision) < oldest_)
                 return callback(StoreFailure { StoreFailure::Kind::HistoryGone, "status 410" });
