Leave store calls to peers at the start and after outages

On a large fleet every daemon read three prefixes at its first start and again after each outage, and daemons without a way to the store verified the configuration beside their retries. Enabled by FrontSettings::limitsStoreCalls, which the adapter sets where connections are scarce.

--- a/include/almondlever/front/FrontDaemon.h
+++ b/include/almondlever/front/FrontDaemon.h
@@ -42,8 +42,11 @@
     bool spreadsCustomersOverOwners = false;
     /** Obtains operations of customers' limits ahead of demand, and shares slot time fairly over all owners. */
     bool prefetchesQuota = false;
-    /** Follows the store with one watch for all prefixes. */
-    bool sharesStoreWatch = false;
+    /**
+     * Follows the store with one watch for all prefixes, and leaves calls out that peers can make unnecessary: for a
+     * fleet that is large in comparison with the rates of the store.
+     */
+    bool limitsStoreCalls = false;
     /** Random seed for values that must differ between two runs of the process. */
     std::uint64_t randomSeed = 0;
     GroupOwnerSettings sharing;
--- a/include/almondlever/front/StoreRelay.h
+++ b/include/almondlever/front/StoreRelay.h
@@ -26,6 +26,8 @@
      * the store is available again after an outage; they call it only in case it rejects just the watchers.
      */
     PrefixFollower::RetryDelays nonWatcherRetryDelays { Milliseconds(400), Milliseconds(2000) };
+    /** PrefixFollower::setProbeDelay() of daemons that are not watchers. */
+    Milliseconds probeDelay { 0 };
     /** Interval at which a source is queried once it has answered. */
     Milliseconds queryInterval { 400 };
     /** Updates with more bytes of values are packed and downloaded in parts. */
--- a/include/almondlever/store/PrefixFollower.h
+++ b/include/almondlever/store/PrefixFollower.h
@@ -56,9 +56,15 @@
      * keys again at an interval instead of waiting for changes, which would cost one call for each change.
      */
     void start(Milliseconds interval, TimePoint pollUntil);
+    /**
+     * Like start(), for a daemon whose peers probably send it everything soon: reads only if the follower has not been
+     * paused within the delay.
+     */
+    void startLater(Duration delay);
     /** Makes no further calls until resume(); updates come from a peer through applyUpdate() instead. */
     void pause() { isPaused_ = true; }
-    /** Ends a pause: reads all keys again and follows the store itself. */
+    /** Ends a pause: reads all keys again and follows the store itself, with a probe delay only if the store answers
+     * the probe. */
     void resume();
     /** Reads all keys now, in parallel with a pending watch; the observer receives them before the callback. */
     void refresh(std::function<void(bool isFresh)> callback);
@@ -82,6 +88,11 @@
      * soon as the other one gets an answer. The other one must outlive this one.
      */
     void setProbe(const PrefixFollower& other) { probe_ = &other; }
+    /**
+     * Time after the first answer to the probe until this follower calls the store again, so that peers, whose probes
+     * are answered at the same time, can send the changes first. Zero on a daemon that others depend on.
+     */
+    void setProbeDelay(Milliseconds delay) { probeDelay_ = delay; }
     /** The last call failed. */
     bool isLost() const { return isLost_; }
     /** Revision of the store's newest answer, with or without changes; 0 before the first one. Tells which of two
@@ -114,6 +125,8 @@
     void handleSuccess();
     void handleFailure(const StoreFailure&);
     void scheduleRetry();
+    /** True if calls are left to the probe for now. */
+    bool waitsForProbe() const;
     void readAll();
 
     MetadataStore& store_;
@@ -146,6 +159,9 @@
     /** Short at first, since this daemon has no peer to query yet. */
     RetryDelays retryDelays_;
     const PrefixFollower* probe_ = nullptr;
+    Milliseconds probeDelay_ { 0 };
+    /** Time of the first answer after a failure or a pause; nullopt until there is one. */
+    std::optional<TimePoint> answeredSince_;
     Milliseconds retryDelay_ { 0 };
     Milliseconds rereadInterval_ { 0 };
     TimePoint pollUntil_ {};
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -39,6 +39,8 @@
     {
         StoreRelaySettings relay;
         relay.self = settings.vm;
+        if (settings.limitsStoreCalls)
+            relay.probeDelay = relay.sourceTimeout;
         return relay;
     }
 
@@ -69,13 +71,19 @@
     , gate_(settings.keyWithdrawalLimit, quotaClient_, log_, metrics_)
     , makeNetwork_(std::move(makeNetwork))
 {
-    configurationFollower_.setProbe(ownFollower_);
-    endpointFollower_.setProbe(ownFollower_);
+    // Peers can send the other prefixes later, but the configuration must be in force in time.
+    if (settings.limitsStoreCalls) {
+        ownFollower_.setProbe(configurationFollower_);
+        endpointFollower_.setProbe(configurationFollower_);
+    } else {
+        configurationFollower_.setProbe(ownFollower_);
+        endpointFollower_.setProbe(ownFollower_);
+    }
     promotions_.setSuspicionConfirmer(&suspicionConfirmer_);
     promotions_.setStepDownRelay(&stepDownRelay_);
     promotions_.setMembersRefresh(
         [this](const std::function<void(bool)>& callback) { endpointFollower_.refresh(callback); });
-    if (settings.sharesStoreWatch)
+    if (settings.limitsStoreCalls)
         sharedStore_.enable();
     if (settings.isFirstStart)
         quotaCoordinator_.setFirstStart();
@@ -116,6 +124,8 @@
         // A watcher follows at once, since other daemons depend on the freshness of its updates.
         if (relay_.isWatcher())
             follower->start();
+        else if (settings_.limitsStoreCalls && settings_.isFirstStart)
+            follower->startLater(peerUpdateTimeout());
         else
             follower->start(peerUpdateTimeout(), now + peerUpdateTimeout());
     }
--- a/src/front/StoreRelay.cpp
+++ b/src/front/StoreRelay.cpp
@@ -42,6 +42,7 @@
             treePosition_.isWatcher ? settings_.watcherPollTimeout : PrefixFollower::longPollTimeout);
         follower->setRetryDelays(
             treePosition_.isWatcher ? PrefixFollower::RetryDelays() : settings_.nonWatcherRetryDelays);
+        follower->setProbeDelay(treePosition_.isWatcher ? Milliseconds(0) : settings_.probeDelay);
     }
     if (treePosition_.isWatcher && !wasWatcher)
         watchDirectly("this daemon is a watcher");
@@ -97,7 +98,8 @@
 void StoreRelay::verifyIfDue(TimePoint now)
 {
     PrefixFollower* follower = followerOf(verifiedPrefix_);
-    if (!follower || follower->isPaused())
+    // A lost follower reads all keys as soon as the store answers, which is a proof as well.
+    if (!follower || follower->isPaused() || (follower->isLost() && settings_.probeDelay > Milliseconds(0)))
         return;
     const Milliseconds interval = treePosition_.isWatcher ? settings_.watcherVerifyInterval : settings_.verifyInterval;
     const std::optional<TimePoint> proven = provenAt(verifiedPrefix_);
--- a/src/store/PrefixFollower.cpp
+++ b/src/store/PrefixFollower.cpp
@@ -45,13 +45,27 @@
     readAll();
 }
 
+void PrefixFollower::startLater(Duration delay)
+{
+    isActive_ = true;
+    timers_.callAfter(delay, [this, alive = std::weak_ptr<int>(alive_)](TimePoint) {
+        if (!alive.expired())
+            readAll();
+    });
+}
+
 void PrefixFollower::resume()
 {
     if (!isPaused_)
         return;
     isPaused_ = false;
-    if (!isActive_)
-        readAll();
+    answeredSince_.reset();
+    if (isActive_)
+        return;
+    isActive_ = true;
+    if (probe_ && probeDelay_ > Milliseconds(0))
+        return scheduleRetry();
+    readAll();
 }
 
 void PrefixFollower::applyUpdate(
@@ -226,6 +240,8 @@
 {
     retryDelay_ = Milliseconds(0);
     confirmedAt_ = timers_.now();
+    if (!answeredSince_)
+        answeredSince_ = confirmedAt_;
     if (!isLost_)
         return;
     isLost_ = false;
@@ -234,6 +250,7 @@
 
 void PrefixFollower::handleFailure(const StoreFailure& failure)
 {
+    answeredSince_.reset();
     if (!isLost_) {
         isLost_ = true;
         observer_.onStoreLost(prefix_, failure, timers_.now());
@@ -242,13 +259,21 @@
     scheduleRetry();
 }
 
+bool PrefixFollower::waitsForProbe() const
+{
+    if (!probe_ || probe_->isPaused() || isPaused_)
+        return false;
+    if (probeDelay_ == Milliseconds(0))
+        return probe_->isLost();
+    return !probe_->answeredSince_ || timers_.now() - *probe_->answeredSince_ < probeDelay_;
+}
+
 void PrefixFollower::scheduleRetry()
 {
     timers_.callAfter(retryDelay_, [this, alive = std::weak_ptr<int>(alive_)](TimePoint) {
         if (alive.expired())
             return;
-        const bool waitsForProbe = probe_ && probe_->isLost() && !probe_->isPaused() && !isPaused_;
-        if (!waitsForProbe)
+        if (!waitsForProbe())
             return readAll();
         retryDelay_ = retryDelays_.initial;
         scheduleRetry();
