--- a/include/almondlever/front/FrontDaemon.h
+++ b/include/almondlever/front/FrontDaemon.h
@@ -16,6 +16,7 @@
 #include "almondlever/placement/GroupOwners.h"
 #include "almondlever/sessions/Session.h"
 #include "almondlever/store/PrefixFollower.h"
+#include "almondlever/store/SharedWatchStore.h"
 
 #include <functional>
 #include <map>
@@ -33,6 +34,19 @@
     std::string peerAddress;
     /** CPU share of this VM, in hundredths of a core. */
     std::uint32_t capacity = 0;
+    /** Region of each failure domain of the deployment; empty if it is not known. */
+    std::map<FailureDomainId, std::string> regions;
+    /** Learns the capacity of endpoints from completed statements and ejects those that fail. */
+    bool learnsEndpointCapacity = false;
+    /** Routes the statements of a customer to few owners of a group, so that they find its connections. */
+    bool spreadsCustomersOverOwners = false;
+    /** Obtains operations of customers' limits ahead of demand, and shares slot time fairly over all owners. */
+    bool prefetchesQuota = false;
+    /**
+     * Follows the store with one watch for all prefixes, and leaves calls out that peers can make unnecessary: for a
+     * fleet that is large in comparison with the rates of the store.
+     */
+    bool limitsStoreCalls = false;
     /** Random seed for values that must differ between two runs of the process. */
     std::uint64_t randomSeed = 0;
     GroupOwnerSettings sharing;
@@ -167,6 +181,7 @@
     TimerService& timers_;
     DecisionLog log_;
     Metrics metrics_;
+    SharedWatchStore sharedStore_;
     EndpointDirectory directory_;
     StatementDispatcher dispatcher_;
     StatementForwarder forwarder_;
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -39,6 +39,8 @@
     {
         StoreRelaySettings relay;
         relay.self = settings.vm;
+        if (settings.limitsStoreCalls)
+            relay.probeDelay = relay.sourceTimeout;
         return relay;
     }
 
@@ -51,6 +53,7 @@
     , decoder_(decoder)
     , timers_(timers)
     , log_(settings.decisionLinesPerSecond)
+    , sharedStore_(store, timers, metrics_)
     , dispatcher_(directory_, connector, log_, metrics_, dispatcherSettings(settings))
     , forwarder_(dispatcher_, log_, metrics_, forwarderSettings(settings))
     , forwarded_(dispatcher_, settings.randomSeed)
@@ -58,9 +61,9 @@
     , stepDownRelay_(dispatcher_, settings.vm, settings.randomSeed)
     , promotions_(directory_, dispatcher_, store, promotions, timers, settings.promotion)
     , stop_(settings.stop)
-    , configurationFollower_(store, timers, decoder.configurationPrefix(), configurationBatchDelay, *this)
-    , endpointFollower_(store, timers, decoder.endpointPrefix(), endpointBatchDelay, *this)
-    , ownFollower_(store, timers, storeKeys::root, ownBatchDelay, *this)
+    , configurationFollower_(sharedStore_, timers, decoder.configurationPrefix(), configurationBatchDelay, *this)
+    , endpointFollower_(sharedStore_, timers, decoder.endpointPrefix(), endpointBatchDelay, *this)
+    , ownFollower_(sharedStore_, timers, storeKeys::root, ownBatchDelay, *this)
     , relay_(relaySettings(settings), { &configurationFollower_, &endpointFollower_, &ownFollower_ })
     , members_(self())
     , quotaCoordinator_(settings.vm, settings.quota)
@@ -68,12 +71,20 @@
     , gate_(settings.keyWithdrawalLimit, quotaClient_, log_, metrics_)
     , makeNetwork_(std::move(makeNetwork))
 {
-    configurationFollower_.setProbe(ownFollower_);
-    endpointFollower_.setProbe(ownFollower_);
+    // Peers can send the other prefixes later, but the configuration must be in force in time.
+    if (settings.limitsStoreCalls) {
+        ownFollower_.setProbe(configurationFollower_);
+        endpointFollower_.setProbe(configurationFollower_);
+    } else {
+        configurationFollower_.setProbe(ownFollower_);
+        endpointFollower_.setProbe(ownFollower_);
+    }
     promotions_.setSuspicionConfirmer(&suspicionConfirmer_);
     promotions_.setStepDownRelay(&stepDownRelay_);
     promotions_.setMembersRefresh(
         [this](const std::function<void(bool)>& callback) { endpointFollower_.refresh(callback); });
+    if (settings.limitsStoreCalls)
+        sharedStore_.enable();
     if (settings.isFirstStart)
         quotaCoordinator_.setFirstStart();
 }
@@ -113,6 +124,8 @@
         // A watcher follows at once, since other daemons depend on the freshness of its updates.
         if (relay_.isWatcher())
             follower->start();
+        else if (settings_.limitsStoreCalls && settings_.isFirstStart)
+            follower->startLater(peerUpdateTimeout());
         else
             follower->start(peerUpdateTimeout(), now + peerUpdateTimeout());
     }
