Move callers away before their keys have to be refused

A daemon that has lost the store and all peers that have it refuses keys once the proof of its configuration is 5 s old, and was ready until then. The balancer needs two seconds to move new connections, and long sessions stayed with a daemon that refused them. Now such a daemon ceases to be ready 2 s earlier and ends sessions that it refuses outside of transactions.

--- a/include/almondlever/customers/CustomerAccess.h
+++ b/include/almondlever/customers/CustomerAccess.h
@@ -27,6 +27,8 @@
     CustomerId customer;
     /** With Unconfirmed: time after which a retry may succeed. */
     Milliseconds retryAfter { 0 };
+    /** With Unconfirmed: another daemon may accept the key, so the session should end and the caller connect anew. */
+    bool endsSession = false;
 };
 
 /** An operation of a session: a statement outside of transactions, or a transaction. */
--- a/include/almondlever/customers/CustomerGate.h
+++ b/include/almondlever/customers/CustomerGate.h
@@ -28,6 +28,13 @@
     void confirm(TimePoint provenAt);
     /** True if keys of the configuration in force may be accepted. */
     bool isConfirmed(TimePoint now) const;
+    /**
+     * Moves callers to other daemons before this one has to refuse them: it counts as unable to serve this long before
+     * the withdrawal limit, and ends sessions that it refuses. Zero does neither.
+     */
+    void setReadinessLead(Milliseconds lead) { readinessLead_ = lead; }
+    /** False if keys cannot be accepted, or soon not any more. */
+    bool canServe(TimePoint now) const { return isConfirmed(now + readinessLead_); }
 
     KeyDecision checkKey(const KeyDigest&, TimePoint now) const override;
     void logKeyRefusal(const std::string& statementId, const KeyDecision&, std::size_t rank, TimePoint now) override;
@@ -36,6 +43,7 @@
 
 private:
     Milliseconds withdrawalLimit_;
+    Milliseconds readinessLead_ { 0 };
     QuotaClient& quota_;
     DecisionLog& log_;
     Metrics& metrics_;
--- a/include/almondlever/front/FrontDaemon.h
+++ b/include/almondlever/front/FrontDaemon.h
@@ -55,6 +55,11 @@
     StopSettings stop;
     /** Time after which a withdrawn API key must not be accepted any more; 0 if there is no limit. */
     Milliseconds keyWithdrawalLimit { 0 };
+    /**
+     * Time before keys have to be refused at which the daemon ceases to be ready, so that the balancer has moved new
+     * connections by then; 0 if it stays ready until it refuses.
+     */
+    Milliseconds readinessLead { 0 };
     QuotaSettings quota;
     /** Limit of decision log lines per second; lines of the most urgent rank are not counted. */
     double decisionLinesPerSecond = 20;
@@ -112,7 +117,7 @@
 
     bool isReady() const
     {
-        return routing_ && hasEndpoints_ && hasMembers_ && !stop_.isStopping() && gate_.isConfirmed(now());
+        return routing_ && hasEndpoints_ && hasMembers_ && !stop_.isStopping() && gate_.canServe(now());
     }
     TimePoint now() const { return timers_.now(); }
     std::shared_ptr<const RoutingConfiguration> routing() const override { return routing_; }
--- a/src/customers/CustomerGate.cpp
+++ b/src/customers/CustomerGate.cpp
@@ -47,6 +47,7 @@
         metrics_.count("almondlever_key_refusals_total", "reason=\"unconfirmed\"");
         decision.outcome = KeyDecision::Outcome::Unconfirmed;
         decision.retryAfter = unconfirmedRetryAfter;
+        decision.endsSession = readinessLead_ > Milliseconds(0);
     } else {
         decision.customer = customer->id;
     }
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -85,6 +85,7 @@
         [this](const std::function<void(bool)>& callback) { endpointFollower_.refresh(callback); });
     if (settings.limitsStoreCalls)
         sharedStore_.enable();
+    gate_.setReadinessLead(settings.readinessLead);
     if (settings.isFirstStart)
         quotaCoordinator_.setFirstStart();
 }
--- a/src/sessions/Session.cpp
+++ b/src/sessions/Session.cpp
@@ -243,6 +243,7 @@
             refuseInTransaction(statement, reason, now);
         else
             answerWithError(StatementError::Busy, reason, now);
+        isClosing_ = isClosing_ || (decision.endsSession && !isInTransaction);
         return false;
     }
     if (isInTransaction && decision.customer != customer_) {
--- a/tests/customers/TestKeys.cpp
+++ b/tests/customers/TestKeys.cpp
@@ -93,6 +93,22 @@
     cr_assert(fixture.check("k1", Milliseconds(8000)).outcome == KeyDecision::Outcome::Accepted);
 }
 
+// Half of a fleet loses the store for longer than withdrawn keys may be accepted. Guards against callers that stay with
+// a daemon until it refuses them, although the balancer could have moved them meanwhile.
+Test(Keys, callersAreMovedBeforeTheirKeysAreRefused)
+{
+    GateFixture fixture;
+    fixture.gate.setCustomers(makeRegistry({ makeCustomer("curing", { "k1" }) }));
+    fixture.gate.confirm(fixture.start);
+    cr_assert(fixture.gate.canServe(fixture.start + Milliseconds(5000)));
+    cr_assert(!fixture.check("k1", Milliseconds(5001)).endsSession);
+    fixture.gate.setReadinessLead(Milliseconds(2000));
+    cr_assert(fixture.gate.canServe(fixture.start + Milliseconds(3000)));
+    cr_assert(!fixture.gate.canServe(fixture.start + Milliseconds(3001)));
+    cr_assert(fixture.check("k1", Milliseconds(5000)).outcome == KeyDecision::Outcome::Accepted);
+    cr_assert(fixture.check("k1", Milliseconds(5001)).endsSession);
+}
+
 // Guards against keys that are demanded where the configuration has no customers.
 Test(Keys, areNotNeededWithoutCustomers)
 {
--- a/tests/mocks/FakeCustomerAccess.h
+++ b/tests/mocks/FakeCustomerAccess.h
@@ -35,6 +35,7 @@
             decision.outcome = KeyDecision::Outcome::Unconfirmed;
         else
             decision.customer = found->second;
+        decision.endsSession = endsUnconfirmedSessions && decision.outcome == KeyDecision::Outcome::Unconfirmed;
         return decision;
     }
 
@@ -55,6 +56,7 @@
 
     bool areKeysNeeded = false;
     bool isConfirmed = true;
+    bool endsUnconfirmedSessions = false;
     bool isDeferring = false;
     std::optional<QuotaRefusal> refusal;
     std::vector<Deferred> deferred;
--- a/tests/sessions/TestSession.cpp
+++ b/tests/sessions/TestSession.cpp
@@ -328,6 +328,24 @@
     cr_assert_eq(fixture.endpoints.runsOf("w2") + fixture.endpoints.runsOf("w3") + fixture.endpoints.runsOf("c1"), 0U);
 }
 
+// Guards against callers that stay with a daemon that cannot confirm their keys, while other daemons could serve them,
+// and against a session that is closed before its statement is answered.
+Test(Session, unconfirmedKeyEndsTheSessionOnceItIsAnswered)
+{
+    DispatcherFixture fixture;
+    fixture.access.addKey("k1", "curing");
+    fixture.access.isConfirmed = false;
+    FakeCaller staying(fixture, "orders", "k1");
+    staying.write("w1");
+    cr_assert(staying.hasError(StatementError::Busy));
+    cr_assert(!staying.isClosed);
+    fixture.access.endsUnconfirmedSessions = true;
+    FakeCaller moving(fixture, "orders", "k1");
+    moving.write("w2");
+    cr_assert(moving.hasError(StatementError::Busy));
+    cr_assert(moving.isClosed);
+}
+
 // Guards against keys demanded on a public route.
 Test(Session, publicRouteNeedsNoKey)
 {
--- a/tests/store/TestPrefixFollower.cpp
+++ b/tests/store/TestPrefixFollower.cpp
@@ -453,3 +453,93 @@
     fixture.timers.advance(Milliseconds(1000));
     cr_assert(*fixture.follower.provenAt() == verified);
 }
+
+// A fleet starts for the first time, and peers send a daemon everything. Guards against reads that this makes
+// unnecessary, and against a daemon without peers that knows nothing.
+Test(PrefixFollower, startsLaterUnlessPeersSendEverything)
+{
+    Fixture withPeers;
+    withPeers.store.put("op/0", "a");
+    withPeers.follower.startLater(Milliseconds(700));
+    withPeers.timers.advance(Milliseconds(300));
+    withPeers.follower.pause();
+    withPeers.timers.advance(Milliseconds(5000));
+    cr_assert_eq(withPeers.store.calls, 0U);
+    Fixture alone;
+    alone.store.put("op/0", "a");
+    alone.follower.startLater(Milliseconds(700));
+    alone.timers.advance(Milliseconds(800));
+    cr_assert_eq(alone.recorder.keys["op/0"], "a");
+}
+
+namespace {
+
+/** A follower that leaves calls to another one, which it uses as its probe. */
+struct ProbeFixture : Fixture {
+    ProbeFixture()
+    {
+        store.put("op/0", "a");
+        store.put("servers/0", "a");
+        second.setProbe(follower);
+        second.setProbeDelay(Milliseconds(700));
+        follower.start();
+        second.start();
+        timers.advance(Milliseconds(500));
+    }
+    Recorder secondRecorder;
+    PrefixFollower second { store, timers, "servers/", Milliseconds(100), secondRecorder };
+};
+
+} // namespace
+
+// All daemons lose the store for seconds and get it back at once. Guards against each of them reading everything at
+// that moment, although their watchers have it back as well.
+Test(PrefixFollower, leavesCallsToPeersAfterAnOutage)
+{
+    ProbeFixture fixture;
+    fixture.store.isDown = true;
+    fixture.store.cutWatches();
+    fixture.timers.advance(Milliseconds(5000));
+    cr_assert_eq(fixture.secondRecorder.losses, 1);
+    const std::size_t before = fixture.store.rangeCalls;
+    fixture.store.isDown = false;
+    fixture.timers.advance(Milliseconds(600));
+    cr_assert_eq(fixture.store.rangeCalls - before, 1U, "only the probe calls the store");
+    fixture.second.pause();
+    fixture.timers.advance(Milliseconds(5000));
+    cr_assert_eq(fixture.store.rangeCalls - before, 1U, "a peer has sent the changes");
+}
+
+// As above, without peers. Guards against a prefix that is not followed any more.
+Test(PrefixFollower, readsAfterAnOutageWithoutPeers)
+{
+    ProbeFixture fixture;
+    fixture.store.isDown = true;
+    fixture.store.cutWatches();
+    fixture.timers.advance(Milliseconds(5000));
+    fixture.store.put("servers/0", "b");
+    fixture.store.isDown = false;
+    fixture.timers.advance(Milliseconds(2000));
+    cr_assert_eq(fixture.secondRecorder.keys["servers/0"], "b");
+}
+
+// A daemon loses its sources among the peers while the store refuses it too. Guards against a call for each prefix
+// and attempt, and against a follower that waits although the store answers.
+Test(PrefixFollower, resumesBehindItsProbe)
+{
+    ProbeFixture fixture;
+    fixture.follower.pause();
+    fixture.second.pause();
+    fixture.timers.advance(Milliseconds(5000));
+    fixture.store.isDown = true;
+    const std::size_t before = fixture.store.calls;
+    fixture.follower.resume();
+    fixture.second.resume();
+    fixture.timers.advance(Milliseconds(2000));
+    const std::size_t calls = fixture.store.calls - before;
+    cr_assert_leq(calls, 8U, "%zu calls", calls);
+    fixture.store.put("servers/0", "b");
+    fixture.store.isDown = false;
+    fixture.timers.advance(Milliseconds(2500));
+    cr_assert_eq(fixture.secondRecorder.keys["servers/0"], "b");
+}
