Use a late quota answer only for the operations that asked for it

Cause: QuotaClient::onGrant dropped only the spare part of an answer that was older than grantLifetime. An operation that arrived after the request was sent could use a grant older than that, while the bound in QuotaBucket assumes the lifetime.

Change: a request notes the last operation that waited when it was sent; a late answer serves only operations up to that one, whose span contains the grant. Later ones are asked for again, at the same coordinator if it granted all it was asked for. onAnswer finds the customer of a request by its number instead of searching all accounts.

--- a/include/almondlever/customers/QuotaClient.h
+++ b/include/almondlever/customers/QuotaClient.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <unordered_map>
 #include <vector>
 
 namespace almondlever {
@@ -52,6 +53,8 @@
         VmId coordinator;
         TimePoint sentAt;
         std::uint64_t operations = 0;
+        /** Operations up to this ticket were waiting when the request was sent. */
+        QuotaTicket lastWaiting = 0;
     };
     struct Account {
         std::deque<Waiting> waiting;
@@ -78,8 +81,11 @@
     void ask(const CustomerId&, Account&, TimePoint now);
     std::vector<LiveDaemon> candidatesFor(const CustomerId&, const Account&, TimePoint now) const;
     void onGrant(const CustomerId&, Account&, const QuotaAnswer&, TimePoint now);
-    /** Calls back the first waiting operations of the most urgent rank, or of the others. */
-    static void grantWaiting(Account&, std::uint64_t granted, bool areUrgent, TimePoint now);
+    /** Waiting operations up to a ticket, of the most urgent rank or of the others. */
+    static std::uint64_t countWaiting(const Account&, QuotaTicket last, bool areUrgent);
+    /** Calls back the first waiting operations up to a ticket, of the most urgent rank or of the others. */
+    static void grantWaiting(Account&, std::uint64_t granted, QuotaTicket last, bool areUrgent, TimePoint now);
+    void closeRequest(Account&);
     void refuseWaiting(Account&, TimePoint now);
     void logRefusal(const OperationRequest&, const QuotaRefusal&, const Account&, TimePoint now);
     void setSilent(const VmId&, TimePoint now);
@@ -94,6 +100,8 @@
     std::shared_ptr<const CustomerRegistry> customers_;
     std::vector<LiveDaemon> coordinators_;
     std::map<CustomerId, Account> accounts_;
+    /** Customers of the requests that have not been answered, by number. */
+    std::unordered_map<std::uint64_t, CustomerId> openRequests_;
     /** Coordinators that did not answer, with the time until which they are not asked. */
     std::map<VmId, TimePoint> silentUntil_;
     std::uint64_t lastNumber_ = 0;
--- a/src/customers/QuotaClient.cpp
+++ b/src/customers/QuotaClient.cpp
@@ -121,12 +121,13 @@
         if (account.spareFrom == coordinator.id)
             request.unused = account.spare;
         account.spare = 0;
-        account.open = OpenRequest { request.number, coordinator.id, now, request.operations };
+        account.open = OpenRequest { request.number, coordinator.id, now, request.operations, lastTicket_ };
+        openRequests_.emplace(request.number, id);
         if (coordinator.id == self_)
             return onGrant(id, account, local_.onRequest(request, now), now);
         if (network_ && network_->send(coordinator.id, coordinator.peerAddress, request))
             return;
-        account.open.reset();
+        closeRequest(account);
         setSilent(coordinator.id, now);
     }
     refuseWaiting(account, now);
@@ -134,32 +135,43 @@
 
 void QuotaClient::onAnswer(const VmId& from, const QuotaAnswer& answer, TimePoint now)
 {
-    for (auto& [id, account] : accounts_) {
-        const bool isAwaited
-            = account.open && account.open->number == answer.number && account.open->coordinator == from;
-        if (isAwaited)
-            return onGrant(id, account, answer, now);
-    }
+    const auto found = openRequests_.find(answer.number);
+    if (found == openRequests_.end())
+        return;
+    const CustomerId id = found->second;
+    Account& account = accounts_.at(id);
+    if (account.open->coordinator == from)
+        onGrant(id, account, answer, now);
+}
+
+void QuotaClient::closeRequest(Account& account)
+{
+    openRequests_.erase(account.open->number);
+    account.open.reset();
 }
 
 void QuotaClient::onGrant(const CustomerId& id, Account& account, const QuotaAnswer& answer, TimePoint now)
 {
     const OpenRequest open = *account.open;
-    account.open.reset();
+    closeRequest(account);
     const std::uint64_t granted = std::min(answer.granted, open.operations);
     if (granted < open.operations)
         account.retryAfter = std::min(account.retryAfter.value_or(answer.retryAfter), answer.retryAfter);
-    // An answer that was under way for long must not be used: the coordinator counts on the lifetime of its grants.
+    // The coordinator counts on the lifetime of its grants: a late answer serves only operations that were waiting when
+    // the request was sent, since the grant lies between their arrival and their decision.
     const bool isLate = now - open.sentAt >= settings_.grantLifetime;
-    const auto urgentWaiting = static_cast<std::uint64_t>(std::count_if(
-        account.waiting.begin(), account.waiting.end(), [](const Waiting& waiting) { return waiting.isUrgent(); }));
-    const std::uint64_t usedUrgent = std::min(urgentWaiting, std::min(answer.grantedUrgent, granted));
-    const std::uint64_t used = std::min<std::uint64_t>(granted - usedUrgent, account.waiting.size() - urgentWaiting);
+    const QuotaTicket last = isLate ? open.lastWaiting : lastTicket_;
+    // Operations that arrived since then are no reason to pass over a coordinator that granted all it was asked for.
+    if (isLate && granted == open.operations)
+        account.asked.erase(open.coordinator);
+    const std::uint64_t usedUrgent
+        = std::min(countWaiting(account, last, true), std::min(answer.grantedUrgent, granted));
+    const std::uint64_t used = std::min(granted - usedUrgent, countWaiting(account, last, false));
     account.spare = isLate ? 0 : granted - usedUrgent - used;
     account.spareFrom = open.coordinator;
     account.spareUntil = open.sentAt + settings_.grantLifetime;
-    grantWaiting(account, usedUrgent, true, now);
-    grantWaiting(account, used, false, now);
+    grantWaiting(account, usedUrgent, last, true, now);
+    grantWaiting(account, used, last, false, now);
     if (account.waiting.empty()) {
         account.asked.clear();
         account.retryAfter.reset();
@@ -169,11 +181,19 @@
         ask(id, account, now);
 }
 
-void QuotaClient::grantWaiting(Account& account, std::uint64_t granted, bool areUrgent, TimePoint now)
+std::uint64_t QuotaClient::countWaiting(const Account& account, QuotaTicket last, bool areUrgent)
+{
+    return static_cast<std::uint64_t>(
+        std::count_if(account.waiting.begin(), account.waiting.end(), [last, areUrgent](const Waiting& waiting) {
+            return waiting.ticket <= last && waiting.isUrgent() == areUrgent;
+        }));
+}
+
+void QuotaClient::grantWaiting(Account& account, std::uint64_t granted, QuotaTicket last, bool areUrgent, TimePoint now)
 {
     std::vector<QuotaCallback> callbacks;
     for (auto it = account.waiting.begin(); it != account.waiting.end() && callbacks.size() < granted;) {
-        if (it->isUrgent() != areUrgent) {
+        if (it->ticket > last || it->isUrgent() != areUrgent) {
             ++it;
             continue;
         }
@@ -235,7 +255,7 @@
         setSilent(peer, now);
     for (const CustomerId& id : affected) {
         Account& account = accounts_[id];
-        account.open.reset();
+        closeRequest(account);
         if (!account.waiting.empty())
             ask(id, account, now);
     }
--- a/tests/customers/TestQuota.cpp
+++ b/tests/customers/TestQuota.cpp
@@ -112,27 +112,32 @@
                 nextTick = timers.now() + Milliseconds(25);
             }
             if (timers.now() >= next) {
-                ++requested;
-                const TimePoint sent = timers.now();
-                daemons.at(view.daemons[index(random_)].id)
-                    ->client.request(
-                        { "q" + std::to_string(requested), customer, rank },
-                        [this, rank, sent](const std::optional<QuotaRefusal>& refusal, TimePoint at) {
-                            if (!refusal) {
-                                granted.emplace_back(sent, at);
-                                ++grantedOf[rank];
-                                return;
-                            }
-                            ++refusedOf[rank];
-                            lastRefusal = *refusal;
-                        },
-                        sent);
+                requestAt(*daemons.at(view.daemons[index(random_)].id), rank);
                 next += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap(random_)));
             }
             timers.advance(std::max<Duration>(std::min(next, nextTick) - timers.now(), Milliseconds(0)));
         }
     }
 
+    /** Requests one operation at a daemon; the result is noted in granted, grantedOf and refusedOf. */
+    void requestAt(Daemon& daemon, std::size_t rank = 1)
+    {
+        ++requested;
+        const TimePoint sent = timers.now();
+        daemon.client.request(
+            { "q" + std::to_string(requested), customer, rank },
+            [this, rank, sent](const std::optional<QuotaRefusal>& refusal, TimePoint at) {
+                if (!refusal) {
+                    granted.emplace_back(sent, at);
+                    ++grantedOf[rank];
+                    return;
+                }
+                ++refusedOf[rank];
+                lastRefusal = *refusal;
+            },
+            sent);
+    }
+
     /** Largest number of operations that were both requested and granted in one window. */
     std::size_t most() const
     {
@@ -262,6 +267,30 @@
     cr_assert_leq(fleet.granted.size(), 240U / 5U);
 }
 
+// A daemon's callers send while the answer of a coordinator is late or the daemon is suspended. Guards against
+// operations that use a grant older than its lifetime, on which the coordinator's bound rests.
+Test(Quota, lateAnswerServesOnlyTheOperationsThatAskedForIt)
+{
+    QuotaFleet fleet(73, { 40, 40 });
+    auto& daemon = *fleet.daemons.at(VmId("vm-1050"));
+    // Spare operations are requested once the customer's operations arrive steadily.
+    for (int count = 0; count < 40; ++count) {
+        fleet.requestAt(daemon);
+        fleet.timers.advance(Milliseconds(30));
+    }
+    fleet.timers.advance(Milliseconds(300));
+    const std::size_t before = fleet.granted.size();
+    fleet.delay = Milliseconds(90);
+    fleet.requestAt(daemon);
+    fleet.timers.advance(Milliseconds(150));
+    fleet.requestAt(daemon);
+    // The answer to the first request arrives after 180 ms with operations for both.
+    fleet.timers.advance(Milliseconds(40));
+    cr_assert_eq(fleet.granted.size() - before, 1U, "%zu used a late answer", fleet.granted.size() - before);
+    fleet.timers.advance(Milliseconds(200));
+    cr_assert_eq(fleet.granted.size() - before, 2U, "the later operation is asked for again");
+}
+
 // Hot customer: its urgent operations compete with a flood of its own other ones. Guards against refusing urgent
 // operations at random when the customer exceeds its limit.
 Test(Quota, urgentOperationsGoFirstWithinTheLimit)
