Add group reports

OwnerProbe and OwnerProbeAnswer get an optional member of reports. OwnerReports (capacity/) decides which owner is sent a report when, within a byte budget, and drops older ones. Its participants fill reports and receive those of others; without a participant nothing is sent, and probes have the bytes of the former version.

A report of three endpoints and two kinds of statement takes at most 200 bytes (TestGroupReports).

--- a/include/almondlever/forwarding/ForwardedStatements.h
+++ b/include/almondlever/forwarding/ForwardedStatements.h
@@ -28,8 +28,8 @@
     void onStatement(const VmId& from, SessionStatement&&, TimePoint now);
     void onAbandon(const VmId& from, const SessionAbandon&, TimePoint now);
     void onTransactionEnd(const VmId& from, const SessionTransactionEnd&, TimePoint now);
-    /** Answers a probe with OwnerProbeAnswer. */
-    void onProbe(const VmId& from);
+    /** Answers a probe with OwnerProbeAnswer, which carries the reports. */
+    void onProbe(const VmId& from, std::vector<GroupReport> reports = {});
     void onLoss(const VmId& from, TimePoint now);
     std::size_t openTransactions() const { return transactions_.size(); }
     /** True when no statement of another daemon is running or waiting here and no transaction is open. */
--- a/include/almondlever/front/FrontDaemon.h
+++ b/include/almondlever/front/FrontDaemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "almondlever/capacity/OwnerReports.h"
 #include "almondlever/common/TimerService.h"
 #include "almondlever/customers/CustomerGate.h"
 #include "almondlever/forwarding/ForwardedStatements.h"
@@ -150,6 +151,11 @@
     /** Writes the cluster key unless the store has one. */
     void writeClusterKey(const std::string& key);
     void onPeerMessage(const VmId& from, Message&&);
+    /** Receives the reports of a probe and answers it. */
+    void onOwnerProbe(const VmId& from, const OwnerProbe&, TimePoint now);
+    void onOwnerProbeAnswer(const VmId& from, const OwnerProbeAnswer&, TimePoint now);
+    /** Sends the reports to other owners that are due. */
+    void sendReports(TimePoint now);
     void onPrimarySuspicion(const VmId& from, const PrimarySuspicion&, TimePoint now);
     void onPrimarySuspicionAnswer(const VmId& from, const PrimarySuspicionAnswer&, TimePoint now);
     /** Recomputes which daemons own which group after a change of the members or groups. */
@@ -181,6 +187,7 @@
     StatementDispatcher dispatcher_;
     StatementForwarder forwarder_;
     ForwardedStatements forwarded_;
+    OwnerReports ownerReports_;
     PeerSuspicionConfirmer suspicionConfirmer_;
     PeerStepDownRelay stepDownRelay_;
     PromotionDriver promotions_;
--- a/include/almondlever/wire/Messages.h
+++ b/include/almondlever/wire/Messages.h
@@ -12,6 +12,7 @@
 #include "almondlever/sessions/SessionContents.h"
 #include "almondlever/sessions/Statement.h"
 #include "almondlever/store/MetadataStore.h"
+#include "almondlever/wire/GroupReport.h"
 
 #include <cstdint>
 #include <optional>
@@ -344,11 +345,17 @@
     std::optional<StepDownReport> stepDown {};
 };
 
-/** Liveness probe to a daemon that runs forwarded statements. */
-struct OwnerProbe { };
+/** Liveness probe to a daemon that runs forwarded statements, or to another owner of a group to exchange reports. */
+struct OwnerProbe {
+    /** Daemons of earlier versions ignore the member and send none. */
+    std::vector<GroupReport> reports {};
+};
 
 /** Answer to OwnerProbe, sent at once. */
-struct OwnerProbeAnswer { };
+struct OwnerProbeAnswer {
+    /** As in OwnerProbe. */
+    std::vector<GroupReport> reports {};
+};
 
 using Message = std::variant<ForwardRequest, ForwardReply, Gossip, ConfigRequest, ConfigReply, SuspicionReport,
     PrimaryView, SessionStatement, SessionAnswer, SessionTransactionEnd, SessionAbandon, StoreUpdateRequest,
--- a/scripts/check_layers.sh
+++ b/scripts/check_layers.sh
@@ -5,6 +5,7 @@
 cd "$(dirname "$0")/.."
 # What each deciding module may include besides itself; wire and endpoints only for their plain message types.
 declare -A may_use=(
+  [capacity]='common/|wire/GroupReport|membership/MembershipView|sessions/Statement'
   [config]='common/'
   [consistency]='common/|config/'
   [failover]='common/|config/|endpoints/EndpointMessages|groups/EndpointEntry|sessions/Routing'
--- a/src/forwarding/ForwardedStatements.cpp
+++ b/src/forwarding/ForwardedStatements.cpp
@@ -133,10 +133,10 @@
     local_.endTransaction(handle, now);
 }
 
-void ForwardedStatements::onProbe(const VmId& from)
+void ForwardedStatements::onProbe(const VmId& from, std::vector<GroupReport> reports)
 {
     if (network_)
-        network_->send(from, "", OwnerProbeAnswer {});
+        network_->send(from, "", OwnerProbeAnswer { std::move(reports) });
 }
 
 void ForwardedStatements::onLoss(const VmId& from, TimePoint now)
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -54,6 +54,7 @@
     , dispatcher_(directory_, connector, log_, metrics_, dispatcherSettings(settings))
     , forwarder_(dispatcher_, log_, metrics_, forwarderSettings(settings))
     , forwarded_(dispatcher_, settings.randomSeed)
+    , ownerReports_(settings.vm)
     , suspicionConfirmer_(dispatcher_, settings.vm)
     , stepDownRelay_(dispatcher_, settings.vm, settings.randomSeed)
     , promotions_(directory_, dispatcher_, store, promotions, timers, settings.promotion)
@@ -194,6 +195,7 @@
         logInfo("peer_lost", { { "peer", peer.text() } });
         forwarder_.onLoss(peer, now);
         forwarded_.onLoss(peer, now);
+        ownerReports_.onLoss(peer);
         relay_.onLoss(peer);
         quotaClient_.onLoss(peer, now);
     });
@@ -223,10 +225,10 @@
         forwarded_.onTransactionEnd(from, *end, now);
     else if (const auto* abandon = std::get_if<SessionAbandon>(&message))
         forwarded_.onAbandon(from, *abandon, now);
-    else if (std::holds_alternative<OwnerProbe>(message))
-        forwarded_.onProbe(from);
-    else if (std::holds_alternative<OwnerProbeAnswer>(message))
-        forwarder_.onAlive(from, now);
+    else if (const auto* probe = std::get_if<OwnerProbe>(&message))
+        onOwnerProbe(from, *probe, now);
+    else if (const auto* probeAnswer = std::get_if<OwnerProbeAnswer>(&message))
+        onOwnerProbeAnswer(from, *probeAnswer, now);
     else if (const auto* request = std::get_if<StoreUpdateRequest>(&message))
         relay_.onRequest(from, *request, now);
     else if (const auto* update = std::get_if<StoreUpdate>(&message))
@@ -247,6 +249,27 @@
         logWarning("peer_message_ignored", { { "peer", from.text() }, { "type", std::to_string(message.index()) } });
 }
 
+void FrontDaemon::onOwnerProbe(const VmId& from, const OwnerProbe& probe, TimePoint now)
+{
+    ownerReports_.onReports(from, probe.reports, now);
+    // A daemon that only asks whether this one is alive gets no reports.
+    forwarded_.onProbe(from, probe.reports.empty() ? std::vector<GroupReport>() : ownerReports_.reportsFor(from, now));
+}
+
+void FrontDaemon::onOwnerProbeAnswer(const VmId& from, const OwnerProbeAnswer& answer, TimePoint now)
+{
+    forwarder_.onAlive(from, now);
+    ownerReports_.onReports(from, answer.reports, now);
+}
+
+void FrontDaemon::sendReports(TimePoint now)
+{
+    if (!network_)
+        return;
+    for (OutgoingReports& outgoing : ownerReports_.takeDue(now))
+        network_->send(outgoing.to, outgoing.address, OwnerProbe { std::move(outgoing.reports) });
+}
+
 void FrontDaemon::onPrimarySuspicion(const VmId& from, const PrimarySuspicion& query, TimePoint now)
 {
     if (query.stepDownTerm != 0)
@@ -290,6 +313,7 @@
     lastLoggedOwners_ = names;
     promotions_.setOwners(std::move(names));
     stepDownRelay_.setOwners(owned);
+    ownerReports_.setOwners(owned);
     suspicionConfirmer_.setOwners(std::move(owned));
     forwarder_.setOwners(std::move(forwardTo));
     dispatcher_.setSharing(sharing, now);
@@ -383,6 +407,7 @@
         updateOwners(now);
     dispatcher_.onTick(now);
     forwarder_.onTick(now);
+    sendReports(now);
     relay_.onTick(now);
     quotaClient_.onTick(now);
     confirmConfiguration();
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -1,6 +1,7 @@
 #include "almondlever/wire/Messages.h"
 
 #include "CborWriter.h"
+#include "GroupReportEncoding.h"
 #include "SessionMessages.h"
 #include "StoreMessages.h"
 
@@ -369,9 +370,9 @@
         return answer;
     }
 
-    void write(Json&, const OwnerProbe&) { }
+    void write(Json& map, const OwnerProbe& probe) { writeGroupReports(map, probe.reports); }
 
-    void write(Json&, const OwnerProbeAnswer&) { }
+    void write(Json& map, const OwnerProbeAnswer& answer) { writeGroupReports(map, answer.reports); }
 
     void write(Json& map, const QuotaRequest& request)
     {
@@ -447,9 +448,9 @@
         case 14:
             return readPrimarySuspicionAnswer(reader);
         case 15:
-            return OwnerProbe {};
+            return OwnerProbe { readGroupReports(reader) };
         case 16:
-            return OwnerProbeAnswer {};
+            return OwnerProbeAnswer { readGroupReports(reader) };
         case 17:
             return readQuotaRequest(reader);
         case 18:
