--- a/include/almondlever/pooling/EndpointSelection.h
+++ b/include/almondlever/pooling/EndpointSelection.h
@@ -14,6 +14,8 @@
     /** Index that the caller uses for the endpoint. */
     std::size_t index = 0;
     bool isPrimary = false;
+    /** The endpoint answers and is not leaving, whether or not a connection is free. */
+    bool isUsable = false;
     /** The endpoint has an idle connection, and its concurrency window admits another statement. */
     bool hasFreeConnection = false;
     /** Statements of this daemon that the endpoint has not answered. */
@@ -30,6 +32,9 @@
     bool wasLaggingLately = false;
 };
 
+/** False if the endpoint probably lacks the log position that a read must see. */
+bool isPossible(const ReadCandidate&, const LogPosition& minimum);
+
 /**
  * Selects the endpoint with the lowest expected response time among those that may serve a read. The estimate is the
  * smoothed latency, which includes the network round trip, multiplied by a queue factor: the number of statements of
--- a/include/almondlever/pooling/StatementDispatcher.h
+++ b/include/almondlever/pooling/StatementDispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "almondlever/admission/Scheduler.h"
+#include "almondlever/capacity/OwnerReports.h"
 #include "almondlever/consistency/PositionHistory.h"
 #include "almondlever/failover/FailureConfirmation.h"
 #include "almondlever/groups/EndpointDirectory.h"
@@ -73,6 +74,9 @@
     double floor = 0.1;
     /** Share of the time from arrival to deadline that a statement waits before its rank claims that minimum. */
     double floorWaitShare = 0.5;
+    /** Learns the capacity of endpoints from completed statements, ejects endpoints that serve worse than the others of
+     * their group, and shares what it learns with the other owners. */
+    bool learnsCapacity = false;
     /** Gap between two ticks that indicates that this process was suspended. */
     Milliseconds stallLimit { 300 };
 };
@@ -116,6 +120,9 @@
     /** Ends the hold that stepDown() began; a new primary ends it as well. */
     void endHold(const GroupId&, TimePoint now);
 
+    /** What this daemon reports to other owners, and receives from them; nullptr unless learnsCapacity is set. */
+    GroupReportParticipant* capacityReports();
+
     /** Applies a new configuration. */
     void setGroups(const std::map<GroupId, GroupRule>&, TimePoint now);
     /** Sets whether endpoints are told the customer of a connection, which then runs statements of no other. */
--- a/scripts/check_layers.sh
+++ b/scripts/check_layers.sh
@@ -15,7 +15,7 @@
   [membership]='common/|wire/Messages'
   [sessions]='common/|customers/|pooling/StatementRunner|observability/Metrics'
   [groups]='common/|sessions/'
-  [pooling]='common/|failover/FailureConfirmation|sessions/|groups/|consistency/|admission/|config/|observability/'
+  [pooling]='common/|capacity/|failover/FailureConfirmation|sessions/|groups/|consistency/|admission/|config/|observability/'
   [store]='common/|sessions/Routing|observability/'
   [forwarding]='common/|pooling/StatementRunner|wire/|membership/MembershipView|observability/'
 )
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -24,6 +24,7 @@
     {
         DispatcherSettings dispatcher = settings.dispatcher;
         dispatcher.keptShare = settings.sharing.keptShare;
+        dispatcher.learnsCapacity = settings.learnsEndpointCapacity;
         return dispatcher;
     }
 
@@ -73,6 +74,8 @@
     endpointFollower_.setProbe(ownFollower_);
     promotions_.setSuspicionConfirmer(&suspicionConfirmer_);
     promotions_.setStepDownRelay(&stepDownRelay_);
+    if (GroupReportParticipant* capacity = dispatcher_.capacityReports())
+        ownerReports_.addParticipant(*capacity);
     promotions_.setMembersRefresh(
         [this](const std::function<void(bool)>& callback) { endpointFollower_.refresh(callback); });
     if (settings.isFirstStart)
--- a/src/pooling/DispatcherRuns.cpp
+++ b/src/pooling/DispatcherRuns.cpp
@@ -236,6 +236,8 @@
         return succeed(ticket, *reply, now);
     const StatementError error = *reply->error;
     noteRefusal(run.link->endpoint(), error, now);
+    if (capacity_)
+        capacity_->noteError(request, run.isInTransaction, run.link->endpoint(), error, now);
     if (guaranteesNoEffect(error) && !run.isInTransaction)
         return retryElsewhere(ticket, *reply, now);
     completeWithError(ticket, *reply, now);
@@ -289,8 +291,19 @@
     return run;
 }
 
+void DispatcherState::noteCapacityAnswer(Ticket ticket, TimePoint now)
+{
+    if (!capacity_)
+        return;
+    const StatementRun& run = runs_.at(ticket);
+    const EndpointId endpoint = run.link->endpoint();
+    capacity_->noteAnswer(pending_.at(ticket).request, run.isInTransaction, endpoint, now - run.forwardedAt,
+        linksOf(endpoint).running(), now);
+}
+
 void DispatcherState::succeed(Ticket ticket, const Reply& reply, TimePoint now)
 {
+    noteCapacityAnswer(ticket, now);
     const StatementRun run = removeRun(ticket, now, true);
     const StatementRequest request = pending_.at(ticket).request;
     // Only a primary acknowledges a write or runs a read-write transaction.
@@ -395,6 +408,8 @@
     const GroupId group = request.group;
     if (!isForwarded)
         noteRefusal(endpoint, error, now);
+    if (!isForwarded && capacity_)
+        capacity_->noteError(request, run.isInTransaction, endpoint, error, now);
     const bool isLinkUnreliable = error == StatementError::Misrouted || error == StatementError::UnknownStatement;
     if (isLinkUnreliable) {
         run.link->close(std::string("endpoint answered ") + toText(error), now);
@@ -442,6 +457,8 @@
     const StatementRun run = removeRun(ticket, now, false);
     PendingStatement& pending = pending_.at(ticket);
     const StatementRequest& request = pending.request;
+    if (capacity_ && !run.isOpening)
+        capacity_->noteLost(request, run.isInTransaction, run.link->endpoint(), now);
     const Reply reply = makeLostReply(request, run.isInTransaction, reason);
     const bool isSafeToRepeat = !run.isForwarded || *reply.error != StatementError::Unknown;
     const bool mayRetry = isSafeToRepeat && !run.isInTransaction && pending.callback
@@ -481,6 +498,8 @@
     const bool wasToPrimary = primary && primary->id == result.endpoint;
     if (isForwarded && wasToPrimary && acknowledgesWrite(request, run.isInTransaction))
         queuesOf(request.group).writes.noteUnanswered(run.forwardedAt);
+    if (capacity_ && isForwarded)
+        capacity_->noteTimeout(request, run.isInTransaction, result.endpoint, now - run.forwardedAt, now);
     logOutcome(request, "time_out", result.endpoint,
         result.reply.error == StatementError::Unknown ? "unknown" : "not_run",
         isForwarded ? "no_answer" : "connection_not_prepared", now);
--- a/src/pooling/DispatcherState.cpp
+++ b/src/pooling/DispatcherState.cpp
@@ -21,6 +21,10 @@
         return ranks;
     }
 
+    /** With learned capacity, an endpoint whose entry is missing from the store gets reads while it has answered within
+     * this time. The directory removes it when the grace period ends. */
+    constexpr Milliseconds lapseProof { 500 };
+
 } // namespace
 
 DispatcherState::DispatcherState(EndpointDirectory& directory, EndpointConnector& connector, DecisionLog& log,
@@ -31,6 +35,7 @@
     , metrics_(metrics)
     , settings_(settings)
     , ranks_(makeRanks(settings))
+    , capacity_(settings.learnsCapacity ? std::make_unique<CapacityTracker>(log, metrics) : nullptr)
 {
 }
 
@@ -118,11 +123,12 @@
     double reads = 0;
     for (const EndpointEntry* entry : directory_.endpointsOf(group)) {
         EndpointLinks& links = linksOf(entry->id);
-        if (!entry->isLeaving && !links.isSuspect(now) && !links.wasLaggingLately(now))
-            reads += links.window().size();
+        const bool mayRead = !capacity_ || capacity_->mayRead(group, entry->id);
+        if (!entry->isLeaving && !links.isSuspect(now) && !links.wasLaggingLately(now) && mayRead)
+            reads += links.windowSize();
     }
     const EndpointEntry* primary = directory_.primaryOf(group);
-    const double writes = primary ? linksOf(primary->id).window().size() : 1;
+    const double writes = primary ? linksOf(primary->id).windowSize() : 1;
     queues.primaryQueue.setSlots(std::max<std::size_t>(static_cast<std::size_t>(writes), 1));
     queues.readQueue.setSlots(std::max<std::size_t>(static_cast<std::size_t>(reads), 1));
 }
@@ -185,8 +191,10 @@
         // Reserves connections for statements that only the primary can run.
         const std::size_t kept
             = candidate.isPrimary && connectionShare(*entry) > 1 ? queues.primaryQueue.size() + 1 : 0;
-        const bool isUsable
-            = !entry->isLeaving && !directory_.isLapsing(entry->id) && !links.isSuspect(now) && !links.isBusy(now);
+        const bool isLapsing
+            = directory_.isLapsing(entry->id) && !(capacity_ && links.hasRepliedSince(now - lapseProof));
+        candidate.isUsable = !entry->isLeaving && !isLapsing && !links.isSuspect(now);
+        const bool isUsable = candidate.isUsable && !links.isBusy(now);
         const bool hasOwnIdle = customer ? links.hasIdle(*customer) : idle > 0;
         const bool hasConnection = areConnectionsByCustomer_ ? hasOwnIdle || mayOpenLink(links, now) : idle > kept;
         candidate.hasFreeConnection = isUsable && hasConnection && links.hasRoom(false, now);
@@ -202,6 +210,8 @@
             openLinks(links, 1, now);
         candidates.push_back(candidate);
     }
+    if (capacity_)
+        capacity_->withhold(group, directory_.endpointsOf(group), candidates);
     return candidates;
 }
 
@@ -234,11 +244,16 @@
     const std::vector<const EndpointEntry*> entries = directory_.endpointsOf(group);
     std::vector<ReadCandidate> candidates = readCandidates(queues, group, pending.request.customer, now);
     for (ReadCandidate& candidate : candidates) {
-        if (pending.refusedBy.count(entries[candidate.index]->id) > 0)
-            candidate.hasFreeConnection = false;
+        if (pending.refusedBy.count(entries[candidate.index]->id) == 0)
+            continue;
+        candidate.hasFreeConnection = false;
+        candidate.isUsable = false;
     }
     const std::optional<LogPosition> minimum = minimumFor(queues, pending.request);
-    const std::optional<std::size_t> chosen = minimum ? selectReadEndpoint(candidates, *minimum) : std::nullopt;
+    std::optional<std::size_t> chosen;
+    if (minimum)
+        chosen = capacity_ ? capacity_->selectRead(group, entries, candidates, *minimum, pending.request, now)
+                           : selectReadEndpoint(candidates, *minimum);
     if (chosen) {
         StatementRun run;
         run.queued = queued;
@@ -357,8 +372,9 @@
     }
     for (const GroupId& group : directory_.groups()) {
         GroupQueues& queues = queuesOf(group);
+        trackCapacity(group);
         for (const EndpointEntry* entry : directory_.endpointsOf(group))
-            linksOf(entry->id).window().setMaximum(connectionShare(*entry));
+            linksOf(entry->id).setMaximum(connectionShare(*entry));
         const EndpointEntry* primary = directory_.primaryOf(group);
         const EndpointId id = primary ? primary->id : EndpointId();
         if (id != queues.lastPrimary && !id.isEmpty()) {
@@ -413,10 +429,39 @@
         ensureOpenLink(group, now);
         refreshPrimaryPosition(queues, group, now);
         refuseUnservable(queues, group, now);
+        evaluateCapacity(group, now);
         dispatch(group, now);
     }
 }
 
+void DispatcherState::trackCapacity(const GroupId& group)
+{
+    if (!capacity_)
+        return;
+    std::vector<EndpointId> ids;
+    for (const EndpointEntry* entry : directory_.endpointsOf(group))
+        ids.push_back(entry->id);
+    // References to endpoints that are kept stay valid.
+    capacity_->retain(group, ids);
+    for (const EndpointId& id : ids)
+        linksOf(id).setCapacity(&capacity_->endpoint(group, id));
+}
+
+void DispatcherState::evaluateCapacity(const GroupId& group, TimePoint now)
+{
+    if (!capacity_)
+        return;
+    std::vector<EndpointId> serving;
+    for (const EndpointEntry* entry : directory_.endpointsOf(group)) {
+        const EndpointLinks& links = linksOf(entry->id);
+        capacity_->setRunning(group, entry->id, links.running());
+        const bool isConnected = links.openCount() > links.count(PooledLink::State::Opening);
+        if (!entry->isLeaving && !links.isSuspect(now) && isConnected)
+            serving.push_back(entry->id);
+    }
+    capacity_->evaluate(group, serving, now);
+}
+
 bool DispatcherState::isIdle(const GroupId& group, TimePoint now) const
 {
     const auto found = groups_.find(group);
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CapacityTracker.h"
 #include "EndpointLinks.h"
 #include "LinkTransaction.h"
 #include "almondlever/admission/RankScheduler.h"
@@ -125,6 +126,7 @@
     LogPosition acknowledgedPositionOf(const GroupId&, TimePoint now) const;
     bool isReachable(const EndpointId&) const;
     bool isIdle(const GroupId&, TimePoint now) const;
+    GroupReportParticipant* capacityReports() { return capacity_.get(); }
 
     void onPooledLinkOpened(PooledLink&, const Reply&, TimePoint now) override;
     void onPooledLinkReply(PooledLink&, const Reply&, TimePoint now) override;
@@ -154,6 +156,11 @@
     void finish(Ticket, StatementResult&&, TimePoint now);
     std::optional<LogPosition> minimumFor(const GroupQueues&, const StatementRequest&) const;
 
+    /** Creates the learned capacity of new endpoints and forgets that of removed ones. */
+    void trackCapacity(const GroupId&);
+    /** Ejects and readmits endpoints of the group; does nothing unless capacity is learned. */
+    void evaluateCapacity(const GroupId&, TimePoint now);
+
     // The primary (DispatcherPrimary.cpp).
     EndpointLinks* usablePrimary(const GroupId&, TimePoint now);
     /** Discards what was known of the former primary's log. */
@@ -186,6 +193,7 @@
     /** Rolls back and begins again: the answers show whether the transaction is open. */
     void repeatBegin(Ticket, EndpointCommand::Kind, TimePoint now);
     void onForwardReply(Ticket, const Reply*, TimePoint now);
+    void noteCapacityAnswer(Ticket, TimePoint now);
     void succeed(Ticket, const Reply&, TimePoint now);
     /** Ends a run that the endpoint reports as a success outside of the transaction in which it had to run. */
     void loseTransaction(Ticket, TimePoint now);
@@ -261,6 +269,8 @@
     /** A connection serves one customer for as long as it is open. */
     bool areConnectionsByCustomer_ = false;
     std::map<GroupId, GroupQueues> groups_;
+    /** nullptr unless the settings ask for it. */
+    std::unique_ptr<CapacityTracker> capacity_;
     std::map<EndpointId, EndpointLinks> endpoints_;
     std::unordered_map<Ticket, PendingStatement> pending_;
     std::unordered_map<Ticket, StatementRun> runs_;
--- a/src/pooling/EndpointLinks.h
+++ b/src/pooling/EndpointLinks.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "PooledLink.h"
+#include "almondlever/capacity/EndpointCapacity.h"
 #include "almondlever/failover/FailureConfirmation.h"
 #include "almondlever/pooling/SharedWindow.h"
 
@@ -73,12 +74,26 @@
             --running_;
     }
     SharedWindow& window() { return window_; }
+    /** Replaces the window by the learned capacity; it must outlive this object. */
+    void setCapacity(EndpointCapacity* capacity) { capacity_ = capacity; }
+    void setMaximum(std::size_t connections)
+    {
+        window_.setMaximum(connections);
+        if (capacity_)
+            capacity_->setMaximum(connections);
+    }
+    /** Average number of statements that may run. */
+    double windowSize() const { return capacity_ ? capacity_->window() : window_.size(); }
     /** Statements that the endpoint has not answered. */
     std::size_t running() const { return running_; }
     /** True if the window admits another statement. */
-    bool hasRoom(bool isUrgent, TimePoint now) const { return window_.allows(running_, isUrgent, now); }
+    bool hasRoom(bool isUrgent, TimePoint now) const
+    {
+        return capacity_ ? capacity_->allows(running_, isUrgent, now) : window_.allows(running_, isUrgent, now);
+    }
     /** Ignores silence before this time, because this process was suspended. */
     void ignoreSilenceBefore(TimePoint now) { lastReplyAt_ = now; }
+    bool hasRepliedSince(TimePoint since) const { return lastActualReplyAt_ > since; }
     /** Whether the endpoint answers this daemon; asked by another daemon, which got no answer since the given time. */
     PrimaryOpinion opinionSince(TimePoint, TimePoint now) const;
 
@@ -120,6 +135,7 @@
     EndpointHealthSettings settings_;
     std::vector<std::shared_ptr<PooledLink>> links_;
     SharedWindow window_;
+    EndpointCapacity* capacity_ = nullptr;
     std::size_t running_ = 0;
     bool wasOpen_ = false;
     LogPosition position_;
--- a/src/pooling/EndpointSelection.cpp
+++ b/src/pooling/EndpointSelection.cpp
@@ -21,14 +21,19 @@
 
 } // namespace
 
+bool isPossible(const ReadCandidate& candidate, const LogPosition& minimum)
+{
+    const bool isProbablyBehind = candidate.wasLaggingLately && candidate.position < minimum;
+    return !isProbablyBehind || candidate.isPrimary;
+}
+
 std::optional<std::size_t> selectReadEndpoint(const std::vector<ReadCandidate>& candidates, const LogPosition& minimum)
 {
     const ReadCandidate* best = nullptr;
     for (const ReadCandidate& candidate : candidates) {
         if (!candidate.hasFreeConnection)
             continue;
-        const bool isProbablyBehind = candidate.wasLaggingLately && candidate.position < minimum;
-        if (isProbablyBehind && !candidate.isPrimary)
+        if (!isPossible(candidate, minimum))
             continue;
         if (!best || expectedResponseTime(candidate) < expectedResponseTime(*best))
             best = &candidate;
--- a/src/pooling/StatementDispatcher.cpp
+++ b/src/pooling/StatementDispatcher.cpp
@@ -45,6 +45,8 @@
     state_->sendReplicationCommand(endpoint, command, std::move(callback), now);
 }
 
+GroupReportParticipant* StatementDispatcher::capacityReports() { return state_->capacityReports(); }
+
 void StatementDispatcher::setGroups(const std::map<GroupId, GroupRule>& groups, TimePoint now)
 {
     state_->setGroups(groups, now);
