Bound the work of learned capacity and test reports in the daemon

Endpoints were evaluated with every tick of 25 ms, and candidates were copied for each dispatch. They are now evaluated every 50 ms, and copied only while an endpoint is not admitted.

New tests: reports of another owner eject an endpoint only where capacity is learned (FrontDaemon), an ejected endpoint serves when no other can, a read goes where it is expected to complete first.

--- a/include/almondlever/capacity/GroupCapacity.h
+++ b/include/almondlever/capacity/GroupCapacity.h
@@ -91,6 +91,8 @@
     std::optional<std::size_t> chooseRead(std::vector<CapacityCandidate>, const StatementClass&, TimePoint now);
     /** Clears hasFreeConnection of those candidates that chooseRead() would not return. */
     void withhold(std::vector<CapacityCandidate>&) const;
+    /** True if withhold() would change nothing. */
+    bool areAllAdmitted() const;
     /** False for an ejected endpoint. */
     bool mayRead(const EndpointId&) const;
     /** Expected time until the candidate completes a read that is started now. */
--- a/src/capacity/GroupCapacity.cpp
+++ b/src/capacity/GroupCapacity.cpp
@@ -48,6 +48,12 @@
 
 bool GroupCapacity::mayRead(const EndpointId& id) const { return stateOf(id) != EndpointCapacity::State::Ejected; }
 
+bool GroupCapacity::areAllAdmitted() const
+{
+    return std::all_of(endpoints_.begin(), endpoints_.end(),
+        [](const auto& entry) { return entry.second.state() == EndpointCapacity::State::Admitted; });
+}
+
 void GroupCapacity::withhold(std::vector<CapacityCandidate>& candidates) const
 {
     const bool canAdmittedServe
--- a/src/pooling/CapacityTracker.cpp
+++ b/src/pooling/CapacityTracker.cpp
@@ -1,6 +1,7 @@
 #include "CapacityTracker.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace almondlever {
 
@@ -18,7 +19,7 @@
     std::string toText(double value)
     {
         // Two decimals without the locale.
-        const auto hundredths = static_cast<std::int64_t>(value * 100 + 0.5);
+        const auto hundredths = std::lround(value * 100);
         std::string text = std::to_string(hundredths % 100);
         return std::to_string(hundredths / 100) + (text.size() < 2 ? ".0" : ".") + text;
     }
@@ -111,7 +112,7 @@
     std::vector<ReadCandidate>& candidates) const
 {
     const auto found = groups_.find(group);
-    if (found == groups_.end())
+    if (found == groups_.end() || found->second.areAllAdmitted())
         return;
     std::vector<CapacityCandidate> converted = toCandidates(entries, candidates);
     found->second.withhold(converted);
--- a/src/pooling/DispatcherState.cpp
+++ b/src/pooling/DispatcherState.cpp
@@ -24,6 +24,8 @@
     /** With learned capacity, an endpoint whose entry is missing from the store gets reads while it has answered within
      * this time. The directory removes it when the grace period ends. */
     constexpr Milliseconds lapseProof { 500 };
+    /** Interval at which endpoints are ejected and readmitted; bounds the work of a daemon that owns many groups. */
+    constexpr Milliseconds capacityInterval { 50 };
 
 } // namespace
 
@@ -429,7 +431,10 @@
         ensureOpenLink(group, now);
         refreshPrimaryPosition(queues, group, now);
         refuseUnservable(queues, group, now);
-        evaluateCapacity(group, now);
+        if (capacity_ && now - queues.capacityEvaluatedAt >= capacityInterval) {
+            queues.capacityEvaluatedAt = now;
+            evaluateCapacity(group, now);
+        }
         dispatch(group, now);
     }
 }
@@ -449,8 +454,6 @@
 
 void DispatcherState::evaluateCapacity(const GroupId& group, TimePoint now)
 {
-    if (!capacity_)
-        return;
     std::vector<EndpointId> serving;
     for (const EndpointEntry* entry : directory_.endpointsOf(group)) {
         const EndpointLinks& links = linksOf(entry->id);
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -86,6 +86,7 @@
     TimePoint lastSubmitAt {};
     TimePoint lastTickAt {};
     bool isQueryingPosition = false;
+    TimePoint capacityEvaluatedAt {};
 };
 
 /** A replication command that has not been answered. */
@@ -158,7 +159,7 @@
 
     /** Creates the learned capacity of new endpoints and forgets that of removed ones. */
     void trackCapacity(const GroupId&);
-    /** Ejects and readmits endpoints of the group; does nothing unless capacity is learned. */
+    /** Ejects and readmits endpoints of the group; only while capacity is learned. */
     void evaluateCapacity(const GroupId&, TimePoint now);
 
     // The primary (DispatcherPrimary.cpp).
--- a/tests/capacity/TestEndpointCapacity.cpp
+++ b/tests/capacity/TestEndpointCapacity.cpp
@@ -148,3 +148,39 @@
     group.evaluate(both, now);
     cr_assert(group.endpoint(a).state() == EndpointCapacity::State::Ejected);
 }
+
+// Guards against reads that wait although an ejected endpoint could serve them, when the admitted one is gone, and
+// against reads for a slow ejected endpoint while the admitted one is only full.
+Test(EndpointCapacity, ejectedEndpointServesWhenNoOtherCan)
+{
+    GroupCapacity group(GroupId("ledger"));
+    const TimePoint now(std::chrono::hours(1));
+    answer(group, a, 1, now);
+    answer(group, b, 1, now);
+    group.endpoint(a).eject(false, now);
+    CapacityCandidate slow { 0, a, false, true, true, 0, 5, {} };
+    CapacityCandidate full { 1, b, false, false, true, 5, 5, {} };
+    cr_assert(!group.chooseRead({ slow, full }, shortRead, now).has_value());
+    full.canServe = false;
+    cr_assert(group.chooseRead({ slow, full }, shortRead, now) == std::optional<std::size_t>(0));
+}
+
+// Guards against a choice that ignores how long an endpoint takes: an idle nearby one, a remote one, and a nearby one
+// with statements waiting.
+Test(EndpointCapacity, readGoesWhereItIsExpectedToCompleteFirst)
+{
+    GroupCapacity group(GroupId("ledger"));
+    const TimePoint now(std::chrono::hours(1));
+    for (int number = 0; number < 4; ++number) {
+        group.endpoint(a).noteAnswer(shortRead, Milliseconds(60), 1, now);
+        group.endpoint(b).noteAnswer(shortRead, Milliseconds(20), 1, now);
+    }
+    CapacityCandidate remote { 0, a, false, true, true, 0, 5, {} };
+    CapacityCandidate nearby { 1, b, false, true, true, 2, 5, {} };
+    cr_assert(group.chooseRead({ remote, nearby }, shortRead, now) == std::optional<std::size_t>(1));
+    nearby.running = 15;
+    cr_assert(group.chooseRead({ remote, nearby }, shortRead, now) == std::optional<std::size_t>(0));
+    nearby.running = 0;
+    nearby.openingTime = Milliseconds(50);
+    cr_assert(group.chooseRead({ remote, nearby }, shortRead, now) == std::optional<std::size_t>(0));
+}
--- a/tests/front/TestFrontDaemon.cpp
+++ b/tests/front/TestFrontDaemon.cpp
@@ -88,6 +88,7 @@
     FakeInventory inventory;
     FailingPromotions promotions;
     std::shared_ptr<FakePeers::Record> peers = std::make_shared<FakePeers::Record>();
+    bool learnsEndpointCapacity = false;
 
     Fixture()
     {
@@ -108,6 +109,7 @@
         settings.vm = VmId("vm-" + std::to_string(number));
         settings.failureDomain = FailureDomainId("zone");
         settings.peerAddress = "10.0.0.1:1";
+        settings.learnsEndpointCapacity = learnsEndpointCapacity;
         return std::make_unique<FrontDaemon>(settings, store, endpoints, promotions, inventory, timers,
             [this](const std::string&) { return std::make_unique<FakePeers>(peers); });
     }
@@ -328,3 +330,41 @@
     cr_assert(daemon->isReady());
     cr_assert_geq(fixture.endpoints.server(EndpointId("a")).openedConnections, 1U);
 }
+
+// Guards against reports of another owner that do not reach the decision, and against a daemon that uses or sends
+// reports although its settings do not ask for it.
+Test(FrontDaemon, usesReportsOfOtherOwnersOnlyWhereCapacityIsLearned)
+{
+    for (const bool learns : { true, false }) {
+        Fixture fixture;
+        fixture.learnsEndpointCapacity = learns;
+        fixture.store.put(storeKeys::clusterKey, "key");
+        fixture.putMember(2);
+        const auto daemon = fixture.makeDaemon(1);
+        daemon->start();
+        fixture.timers.advance(Milliseconds(1500));
+        cr_assert(daemon->isReady() && fixture.peers->handler);
+        GroupReport report;
+        report.group = GroupId("ledger");
+        report.number = 1;
+        report.period = Milliseconds(4000);
+        EndpointReport entry;
+        entry.endpoint = EndpointId("b");
+        entry.failures = 20;
+        report.endpoints.push_back(entry);
+        fixture.peers->sent.clear();
+        fixture.peers->handler({ VmId("vm-2"), FailureDomainId("zone"), "10.0.0.1:1" }, OwnerProbe { { report } });
+        cr_assert_eq(fixture.peers->sent.size(), 1U);
+        cr_assert(std::holds_alternative<OwnerProbeAnswer>(fixture.peers->sent[0]));
+        fixture.timers.advance(Milliseconds(500));
+        const std::uint64_t ejections = daemon->metrics().counter("almondlever_endpoint_capacity_changes_total",
+            "endpoint=\"b\",change=\"endpoint_ejected\",reason=\"failures\"");
+        cr_assert_eq(ejections, learns ? 1U : 0U);
+        const bool hasSentReports
+            = std::any_of(fixture.peers->sent.begin(), fixture.peers->sent.end(), [](const Message& message) {
+                  const auto* probe = std::get_if<OwnerProbe>(&message);
+                  return probe && !probe->reports.empty();
+              });
+        cr_assert(!hasSentReports, "no statement was observed");
+    }
+}
