Grow the window of a new daemon within a round of answers

A window that starts at one statement grew by a tenth per answer, which takes ten seconds at six answers a second: after a power loss every owner would hold back its statements at idle endpoints. In the first 16 answers it now grows by one with each answer that finds it full, until a queue or a refusal shows. Without the limit of 16 answers the window of an endpoint that slowed down later grew before it shrank (seen by endpointThatSlowsDownBeforeItIsFullAndRecovers).

--- a/include/almondlever/capacity/EndpointCapacity.h
+++ b/include/almondlever/capacity/EndpointCapacity.h
@@ -161,6 +161,8 @@
 
     double maximum_ = 1;
     double window_ = 1;
+    /** Answers in which the window of a new daemon grows quickly; 0 after the first sign of a queue. */
+    std::size_t startAnswers_ = 16;
     TimePoint refusedAt_ {};
     TimePoint pausedUntil_ {};
 
--- a/src/capacity/EndpointCapacity.cpp
+++ b/src/capacity/EndpointCapacity.cpp
@@ -122,6 +122,7 @@
 void EndpointCapacity::noteRefusal(const StatementClass& kind, TimePoint now)
 {
     ++bucketAt(recordOf(kind), now).refusals;
+    startAnswers_ = 0;
     if (now - refusedAt_ < refusalInterval)
         return;
     refusedAt_ = now;
@@ -241,6 +242,12 @@
     const double tolerated = std::max(unloaded * latencyTolerance, unloaded + seconds(toleratedExcess));
     const double gradient = std::clamp(tolerated / (unloaded + seconds(excess(now))), strongestDecrease, 1.0);
     const bool isFull = static_cast<double>(running) + 1 > window_;
+    startAnswers_ = gradient >= 1 && startAnswers_ > 0 ? startAnswers_ - 1 : 0;
+    if (startAnswers_ > 0) {
+        // Doubles with each round of answers: after a power loss, all owners begin with one statement.
+        window_ = isFull ? std::min(window_ + 1, maximum_) : window_;
+        return;
+    }
     const double target = window_ * gradient + (isFull && gradient >= 1 ? windowGrowth : 0);
     window_ = std::clamp(window_ + (target - window_) * windowSmoothing, minimumWindow, maximum_);
     if (window_ < 1)
--- a/tests/capacity/TestEndpointCapacity.cpp
+++ b/tests/capacity/TestEndpointCapacity.cpp
@@ -184,3 +184,22 @@
     nearby.openingTime = Milliseconds(50);
     cr_assert(group.chooseRead({ remote, nearby }, shortRead, now) == std::optional<std::size_t>(0));
 }
+
+// After a power loss all owners begin with one statement. Guards against seconds of low concurrency at idle endpoints,
+// and against a window that goes on doubling when a queue shows.
+Test(EndpointCapacity, windowOfANewDaemonGrowsWithinARoundOfAnswers)
+{
+    EndpointCapacity capacity;
+    capacity.setMaximum(7);
+    const TimePoint now(std::chrono::hours(1));
+    cr_assert(!capacity.allows(1, false, now));
+    for (std::size_t running = 1; running <= 7; ++running)
+        capacity.noteAnswer(shortRead, Milliseconds(20), running, now);
+    cr_assert_geq(capacity.window(), 7);
+    EndpointCapacity loaded;
+    loaded.setMaximum(7);
+    loaded.noteAnswer(shortRead, Milliseconds(20), 1, now);
+    for (int number = 0; number < 6; ++number)
+        loaded.noteAnswer(shortRead, Milliseconds(300), 7, now);
+    cr_assert_lt(loaded.window(), 4);
+}
