--- a/scripts/check_layers.sh
+++ b/scripts/check_layers.sh
@@ -5,6 +5,7 @@
 cd "$(dirname "$0")/.."
 # What each deciding module may include besides itself; wire and endpoints only for their plain message types.
 declare -A may_use=(
+  [capacity]='common/|wire/GroupReport|membership/MembershipView|sessions/Statement'
   [config]='common/'
   [consistency]='common/|config/'
   [failover]='common/|config/|endpoints/EndpointMessages|groups/EndpointEntry|sessions/Routing'
@@ -14,7 +15,7 @@
   [membership]='common/|wire/Messages'
   [sessions]='common/|customers/|pooling/StatementRunner|observability/Metrics'
   [groups]='common/|sessions/'
-  [pooling]='common/|failover/FailureConfirmation|sessions/|groups/|consistency/|admission/|config/|observability/'
+  [pooling]='common/|capacity/|failover/FailureConfirmation|sessions/|groups/|consistency/|admission/|config/|observability/'
   [store]='common/|sessions/Routing|observability/'
   [forwarding]='common/|pooling/StatementRunner|wire/|membership/MembershipView|observability/'
 )
