Route statements of customers to few owners of a group

An endpoint connection serves one customer for its lifetime, and with six owners of a group a customer needs connections at each of them: 0.57 openings for each statement at an endpoint (docs/contended-load.md).

CustomerOwners orders the owners of the caller's region by rendezvous hashing of customer and group; a customer with much of the load spills to the next owner when the preferred one has more than 1.25 times the mean. Used only with FrontSettings::spreadsCustomersOverOwners. Not measured yet; test_forwarding, test_placement and test_front pass.

--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -30,7 +30,10 @@
     ForwarderSettings forwarderSettings(const FrontSettings& settings)
     {
         ForwarderSettings forwarder;
+        forwarder.self = settings.vm;
         forwarder.failureDomain = settings.failureDomain;
+        forwarder.regions = settings.regions;
+        forwarder.spreadsCustomersOverOwners = settings.spreadsCustomersOverOwners;
         forwarder.firstNumber = settings.randomSeed;
         return forwarder;
     }
@@ -290,8 +293,8 @@
     lastLoggedOwners_ = names;
     promotions_.setOwners(std::move(names));
     stepDownRelay_.setOwners(owned);
+    forwarder_.setOwners(std::move(forwardTo), owned);
     suspicionConfirmer_.setOwners(std::move(owned));
-    forwarder_.setOwners(std::move(forwardTo));
     dispatcher_.setSharing(sharing, now);
 }
 
