--- a/include/almondlever/placement/CustomerOwners.h
+++ b/include/almondlever/placement/CustomerOwners.h
@@ -21,11 +21,12 @@
     /** Statements count by half after this time; long enough that the few statements of one daemon form a mean. */
     Milliseconds loadHalfLife { 10000 };
     /**
-     * Only a customer with at least this share of the group's statements spills to another owner because of load. Its
-     * next statement arrives soon and uses the connection again; a small customer would open one for each spill.
+     * Only a customer with at least this share of the daemon's statements, over all groups, spills to another owner
+     * because of load. Its next statement arrives soon and uses the connection again; a small customer would open one
+     * for each spill.
      */
     double spillingShare = 0.1;
-    /** Number of customers and groups whose order of owners is kept; all are discarded beyond it. */
+    /** Number of orders of owners, and of customers, that are kept; all are discarded beyond it. */
     std::size_t maximumCachedOrders = 4096;
 };
 
@@ -62,7 +63,7 @@
     /** Recent statements of this daemon for the group: at the preferred owner, and the most that it may get. */
     double preferredLoad = 0;
     double bound = 0;
-    /** Share of the customer in this daemon's recent statements for the group. */
+    /** Share of the customer in this daemon's recent statements. */
     double customerShare = 0;
 };
 
@@ -98,21 +99,24 @@
         double load = 0;
     };
 
-    struct CustomerState {
-        /** Indexes of the owners, the preferred one first; those of the region precede the others. */
-        std::vector<std::uint16_t> order;
+    /** Recent statements. */
+    struct Demand {
         double load = 0;
-        TimePoint loadAt {};
+        TimePoint at {};
     };
 
     struct Group {
         std::vector<Owner> owners;
-        std::unordered_map<CustomerId, CustomerState> customers;
+        /** For each customer the indexes of the owners, the preferred one first; those of the region precede the
+         * others. */
+        std::unordered_map<CustomerId, std::vector<std::uint16_t>> orders;
         TimePoint loadAt {};
     };
 
     const std::string& regionOf(const FailureDomainId&) const;
-    CustomerState& stateOf(const GroupId&, Group&, const CustomerId&);
+    const std::vector<std::uint16_t>& orderOf(const GroupId&, Group&, const CustomerId&);
+    /** Share of a customer in the recent statements of this daemon. */
+    double shareOf(const CustomerId&, TimePoint now) const;
     /** Reduces a load by the time that has passed since `at`. */
     double decayed(double load, TimePoint at, TimePoint now) const;
     void decayLoads(Group&, TimePoint now) const;
@@ -122,6 +126,8 @@
     std::string region_;
     std::map<GroupId, Group> groups_;
     std::size_t cachedOrders_ = 0;
+    std::unordered_map<CustomerId, Demand> demand_;
+    Demand total_;
     /** Owners of the region that can get the present statement; kept to avoid an allocation for each. */
     std::vector<const Owner*> ready_;
 };
--- a/src/placement/CustomerOwners.cpp
+++ b/src/placement/CustomerOwners.cpp
@@ -53,7 +53,7 @@
             ++it;
             continue;
         }
-        cachedOrders_ -= it->second.customers.size();
+        cachedOrders_ -= it->second.orders.size();
         it = groups_.erase(it);
     }
     for (const auto& [id, daemons] : owners) {
@@ -62,7 +62,7 @@
             [](const Owner& owner, const LiveDaemon& daemon) { return isSameDaemon(owner.daemon, daemon); });
         if (isUnchanged)
             continue;
-        cachedOrders_ -= group.customers.size();
+        cachedOrders_ -= group.orders.size();
         group = Group();
         for (const LiveDaemon& daemon : daemons) {
             Owner owner;
@@ -74,32 +74,32 @@
     }
 }
 
-CustomerOwners::CustomerState& CustomerOwners::stateOf(const GroupId& id, Group& group, const CustomerId& customer)
+const std::vector<std::uint16_t>& CustomerOwners::orderOf(const GroupId& id, Group& group, const CustomerId& customer)
 {
-    const auto found = group.customers.find(customer);
-    if (found != group.customers.end())
+    const auto found = group.orders.find(customer);
+    if (found != group.orders.end())
         return found->second;
     if (cachedOrders_ >= settings_.maximumCachedOrders) {
-        for (auto& [other, state] : groups_)
-            state.customers.clear();
+        for (auto& [other, cached] : groups_)
+            cached.orders.clear();
         cachedOrders_ = 0;
     }
     ++cachedOrders_;
-    CustomerState& state = group.customers[customer];
+    std::vector<std::uint16_t>& order = group.orders[customer];
     const std::uint64_t key = hashName(customer.text() + '/' + id.text());
     std::vector<std::uint64_t> scores;
     for (std::size_t index = 0; index < group.owners.size(); ++index) {
         scores.push_back(rendezvousScore(key, group.owners[index].hash));
-        state.order.push_back(static_cast<std::uint16_t>(index));
+        order.push_back(static_cast<std::uint16_t>(index));
     }
-    std::sort(state.order.begin(), state.order.end(), [&group, &scores](std::uint16_t left, std::uint16_t right) {
+    std::sort(order.begin(), order.end(), [&group, &scores](std::uint16_t left, std::uint16_t right) {
         const Owner& leftOwner = group.owners[left];
         const Owner& rightOwner = group.owners[right];
         if (leftOwner.isInRegion != rightOwner.isInRegion)
             return leftOwner.isInRegion;
         return wins(scores[left], leftOwner.daemon.id, scores[right], rightOwner.daemon.id);
     });
-    return state;
+    return order;
 }
 
 double CustomerOwners::decayed(double load, TimePoint at, TimePoint now) const
@@ -127,12 +127,12 @@
         return choice;
     Group& group = found->second;
     decayLoads(group, now);
-    const CustomerState& state = stateOf(id, group, customer);
+    const std::vector<std::uint16_t>& order = orderOf(id, group, customer);
     const Owner* firstElsewhere = nullptr;
     const Owner* firstNotConnected = nullptr;
     double total = 0;
     ready_.clear();
-    for (const std::uint16_t index : state.order) {
+    for (const std::uint16_t index : order) {
         const Owner& owner = group.owners[index];
         // Owners of other regions count only if none of this region can serve.
         if (!owner.isInRegion && !ready_.empty())
@@ -149,7 +149,7 @@
         ready_.push_back(&owner);
         total += owner.load;
     }
-    const Owner& preferred = group.owners[state.order.front()];
+    const Owner& preferred = group.owners[order.front()];
     choice.preferred = &preferred.daemon;
     choice.preferredLoad = preferred.load;
     if (ready_.empty()) {
@@ -162,7 +162,7 @@
     }
     // A statement always fits an owner without load.
     choice.bound = std::max(settings_.loadFactor * (total + 1) / static_cast<double>(ready_.size()), 1.0);
-    choice.customerShare = total > 0 ? decayed(state.load, state.loadAt, now) / total : 0;
+    choice.customerShare = shareOf(customer, now);
     const Owner* chosen = ready_.front();
     if (choice.customerShare >= settings_.spillingShare) {
         const auto fits = [&choice](const Owner* owner) { return owner->load + 1 <= choice.bound; };
@@ -176,6 +176,15 @@
     return choice;
 }
 
+double CustomerOwners::shareOf(const CustomerId& customer, TimePoint now) const
+{
+    const auto found = demand_.find(customer);
+    if (found == demand_.end())
+        return 0;
+    const double total = decayed(total_.load, total_.at, now);
+    return total > 0 ? decayed(found->second.load, found->second.at, now) / total : 0;
+}
+
 void CustomerOwners::noteSent(const GroupId& id, const CustomerId& customer, const VmId& vm, TimePoint now)
 {
     const auto found = groups_.find(id);
@@ -187,12 +196,14 @@
         if (owner.daemon.id == vm)
             owner.load += 1;
     }
-    const auto state = group.customers.find(customer);
-    if (state == group.customers.end())
-        return;
-    CustomerState& known = state->second;
-    known.load = decayed(known.load, known.loadAt, now) + 1;
-    known.loadAt = now;
+    if (demand_.size() >= settings_.maximumCachedOrders) {
+        demand_.clear();
+        total_ = Demand();
+    }
+    for (Demand* demand : { &demand_[customer], &total_ }) {
+        demand->load = decayed(demand->load, demand->at, now) + 1;
+        demand->at = now;
+    }
 }
 
 } // namespace almondlever
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -215,6 +215,8 @@
     /** This daemon's share of a fraction of the endpoint's connections; at least one. */
     std::size_t shareOf(const EndpointEntry&, double fraction) const;
     void closeSurplusLinks(TimePoint now);
+    /** True if LinkRetention decides which idle connections are closed. */
+    bool retainsByDemand() const { return areConnectionsByCustomer_ && settings_.retainsLinksByDemand; }
     /**
      * Opens connections until the wanted number is being opened, at most openingsAtOnce. The total may exceed the
      * daemon's share by extra.
@@ -228,6 +230,8 @@
     /** True if openLinkFor() would open a connection. */
     bool mayOpenLink(EndpointLinks&, TimePoint now);
     std::shared_ptr<PooledLink> openLink(EndpointLinks&, const EndpointEntry&, const CustomerId&, TimePoint now);
+    /** Counts a statement that was not started when it was submitted, with what it waits for. */
+    void noteQueued(Ticket, TimePoint now);
     void ensureOpenLink(const GroupId&, TimePoint now);
     void refreshPrimaryPosition(GroupQueues&, const GroupId&, TimePoint now);
     /** True if no statement was submitted recently. */
