Play the deployment's waves of demand; count operations that end after the measured time

SkewedLoad counted operations that were under way at its end as not served, so that the served share depended on the seed; it now waits for them.

--- a/tests/mocks/SkewedLoad.h
+++ b/tests/mocks/SkewedLoad.h
@@ -31,6 +31,8 @@
     bool ownersRunTheirOwn = false;
     CustomerOwnerSettings owners;
     DispatcherSettings dispatcher;
+    /** Part by which the demand of each failure domain rises and falls in 11 s; their phases differ. */
+    double wave = 0;
     Duration warmUp = std::chrono::seconds(8);
     Duration measured = std::chrono::seconds(30);
     /** Called every 100 ms with the time since the start. */
@@ -141,6 +143,13 @@
         result_.openings = countOpened() - openedAtStart;
         result_.statements = countRuns() - runsAtStart_;
         finishResult();
+        // Operations that began before the end are served or refused after it.
+        isMeasuring_ = false;
+        for (TimePoint drained = end + std::chrono::seconds(4); timers.now() < drained;) {
+            timers.advance(StatementDispatcher::tickInterval);
+            for (auto& group : groups_)
+                group->tick(timers.now());
+        }
         return result_;
     }
 
@@ -318,11 +327,21 @@
         return 1 + (hotFactor_ - 1) * static_cast<double>(hot) / static_cast<double>(sessions_.size());
     }
 
+    /** Present demand of the session's failure domain, as a multiple of its mean. */
+    double waveOf(const Session& session) const
+    {
+        const double seconds = std::chrono::duration<double>(timers.now().time_since_epoch()).count();
+        const auto domain = static_cast<double>(session.entry % domains);
+        return 1 + settings_.wave * std::sin(2 * 3.14159265358979 * (seconds / 11 + domain / domains));
+    }
+
     Session& chooseSession()
     {
         std::uniform_real_distribution<double> share(0, 1);
         while (true) {
             Session& session = sessions_[random_() % sessions_.size()];
+            if (settings_.wave > 0 && share(random_) * (1 + settings_.wave) > waveOf(session))
+                continue;
             if (hotFactor_ == 1 || session.customer.text() == hotCustomer_ || share(random_) < 1 / hotFactor_)
                 return session;
         }
--- a/tests/pooling/TestSkewedLoad.cpp
+++ b/tests/pooling/TestSkewedLoad.cpp
@@ -124,6 +124,20 @@
     cr_assert_lt(forwarding.openings, local.openings);
 }
 
+// The waves of the deployment: 27 %, with a phase of its own in each failure domain. Guards against connections that
+// are closed in each trough and opened again at the next crest.
+Test(SkewedLoad, wavesOfDemandCloseNoConnections)
+{
+    for (const std::uint32_t seed : { 1U, 2U, 3U }) {
+        SkewedLoadSettings settings = makeSettings();
+        settings.seed = seed;
+        settings.wave = 0.27;
+        const SkewedLoadResult result = play("waves", settings);
+        cr_assert_leq(result.openingsPerStatement(), openingsTarget);
+        cr_assert_leq(result.worstOwner, loadTarget);
+    }
+}
+
 // One customer at five times its rate. Guards against an owner that gets all of the flood.
 Test(SkewedLoad, floodOfOneCustomerIsSpread)
 {
