--- a/tests/placement/TestCustomerOwners.cpp
+++ b/tests/placement/TestCustomerOwners.cpp
@@ -39,7 +39,7 @@
     {
         const OwnerChoice choice = owners.choose(group, CustomerId(customer), availability, now);
         cr_assert(choice.owner);
-        const VmId owner = choice.owner->id;
+        VmId owner = choice.owner->id;
         owners.noteSent(group, CustomerId(customer), owner, now);
         return owner;
     }
