--- a/soak/StandinConnection.cpp
+++ b/soak/StandinConnection.cpp
@@ -235,6 +235,9 @@
         run.rows.push_back(
             group_.oddText().makeRow("row-" + id.substr(0, 8) + '-' + std::to_string(group_.nextNumber())));
     group_.checker().noteRun(id, run);
+    const bool isLargeRead = !endpoint_.largeItems_.empty() && run.text.rfind("READ " + endpoint_.largeItems_, 0) == 0;
+    if (isLargeRead)
+        run.rows.insert(run.rows.end(), endpoint_.largeRows_.begin(), endpoint_.largeRows_.end());
     if (!isWrite || isInTransaction) {
         if (isWrite)
             written_.push_back(token);
--- a/soak/StandinGroup.h
+++ b/soak/StandinGroup.h
@@ -45,6 +45,12 @@
     std::uint16_t port() const { return port_; }
     const EndpointId& id() const { return id_; }
     EndpointFaults& faults() { return faults_; }
+    /** Reads of items that begin with the prefix return this many rows of this size as well; call before start(). */
+    void setLargeReads(std::string itemPrefix, std::size_t rows, std::size_t rowBytes)
+    {
+        largeItems_ = std::move(itemPrefix);
+        largeRows_.assign(rows, std::string(rowBytes, 'x'));
+    }
     const std::vector<LogEntry>& log() const { return log_; }
     /** Takes over the log of an endpoint that this one replaces. */
     void takeLog(const std::vector<LogEntry>& log) { log_ = log; }
@@ -70,6 +76,8 @@
     std::uint16_t port_ = 0;
     bool isUp_ = false;
     EndpointFaults faults_;
+    std::string largeItems_;
+    std::vector<std::string> largeRows_;
     std::vector<LogEntry> log_;
     /** Sizes that the log had, and when; what was received is visible after the lag. */
     std::deque<std::pair<TimePoint, std::size_t>> growth_;
