Limit what untrusted callers make a daemon hold

Cause: a daemon counted callers' connections and nothing else. Incomplete statements, session state and unread responses of a few hundred callers exceeded the memory of a VM, silent connections used up the descriptors, and a caller that pipelined more than 64 statements was disconnected.

Change: the module limits/ decides without network. Session state is charged with its entries, per database and in total, and answered with TOOBIG. The limits follow from the VM's memory and descriptors and the system's rlimit; `caller-limits` in the settings file overrides them.

Sessions keep the size of their contents instead of adding it up for each SET.

--- a/include/almondlever/sessions/Session.h
+++ b/include/almondlever/sessions/Session.h
@@ -21,6 +21,11 @@
     virtual void send(const Reply&) = 0;
     /** Sends what has been written so far, then closes. The session gets no further callbacks. */
     virtual void close() = 0;
+    /**
+     * Accounts for the session's values and prepared statements: their size and number. False if there is no memory
+     * for them; the session then keeps what it had.
+     */
+    virtual bool holdSessionState(std::size_t /*bytes*/, std::size_t /*entries*/) { return true; }
 };
 
 /** Provides sessions with the configuration in force. */
@@ -115,6 +120,8 @@
     bool resolveRoute(TimePoint now);
     StatementRequest makeRequest(const Statement&, TimePoint now) const;
     SessionContents& writableContents();
+    /** Accounts for the contents as they will be after the statement; answers it if there is no room for them. */
+    bool admitContents(const Statement&, TimePoint now);
 
     DatabaseId database_;
     KeyDigest key_;
@@ -125,6 +132,8 @@
     Metrics& metrics_;
 
     std::shared_ptr<SessionContents> contents_ = std::make_shared<SessionContents>();
+    /** Equal to contents_->bytes(), whose cost grows with the number of values. */
+    std::size_t contentsBytes_ = 0;
     /** Highest position of the session's own commits. */
     std::optional<LogPosition> position_;
     TransactionState state_ = TransactionState::None;
--- a/scripts/check_layers.sh
+++ b/scripts/check_layers.sh
@@ -12,6 +12,7 @@
   [placement]='common/|config/|membership/MembershipView|sessions/Routing'
   [admission]='common/|config/'
   [membership]='common/|wire/Messages'
+  [limits]='common/|observability/'
   [sessions]='common/|customers/|pooling/StatementRunner|observability/Metrics'
   [groups]='common/|sessions/'
   [pooling]='common/|failover/FailureConfirmation|sessions/|groups/|consistency/|admission/|config/|observability/'
--- a/src/sessions/Session.cpp
+++ b/src/sessions/Session.cpp
@@ -16,21 +16,19 @@
 
     std::string retryAfterText(Milliseconds wait) { return ", retry after " + std::to_string(wait.count()) + " ms"; }
 
-    /** Number of bytes that the statement adds to the contents; what it replaces is not counted. */
-    std::size_t growthBy(const Statement& statement, const SessionContents& contents)
+    /** Size of the value or prepared statement that the statement replaces or removes; nullopt if there is none. */
+    std::optional<std::size_t> bytesReplaced(const Statement& statement, const SessionContents& contents)
     {
-        if (statement.kind == StatementKind::Deallocate)
-            return 0;
-        std::size_t replaced = 0;
         if (statement.kind == StatementKind::SetValue) {
             const auto held = contents.values.find(statement.name);
-            replaced = held == contents.values.end() ? 0 : held->first.size() + held->second.size();
-        } else {
-            const auto held = contents.prepared.find(statement.name);
-            replaced = held == contents.prepared.end() ? 0 : held->first.size() + held->second.shape.size();
+            if (held == contents.values.end())
+                return std::nullopt;
+            return held->first.size() + held->second.size();
         }
-        const std::size_t added = statement.name.size() + statement.argument.size();
-        return added > replaced ? added - replaced : 0;
+        const auto held = contents.prepared.find(statement.name);
+        if (held == contents.prepared.end())
+            return std::nullopt;
+        return held->first.size() + held->second.shape.size();
     }
 
     Reply makeLocalSuccess()
@@ -200,10 +198,8 @@
 {
     if (state_ == TransactionState::Failed)
         return answerWithError(StatementError::Malformed, "the transaction has failed and must be ended first", now);
-    if (contents_->bytes() + growthBy(statement, *contents_) > maximumContentsBytes) {
-        const std::string limit = std::to_string(maximumContentsBytes);
-        return answerWithError(StatementError::TooBig, "the state of a session may have " + limit + " bytes", now);
-    }
+    if (!admitContents(statement, now))
+        return;
     SessionContents& contents = writableContents();
     if (statement.kind == StatementKind::SetValue)
         contents.values[statement.name] = statement.argument;
@@ -214,6 +210,27 @@
     answer(makeLocalSuccess(), state_);
 }
 
+bool Session::admitContents(const Statement& statement, TimePoint now)
+{
+    const std::optional<std::size_t> replaced = bytesReplaced(statement, *contents_);
+    const bool isRemoval = statement.kind == StatementKind::Deallocate;
+    const std::size_t added = isRemoval ? 0 : statement.name.size() + statement.argument.size();
+    const std::size_t bytes = contentsBytes_ - replaced.value_or(0) + added;
+    if (bytes > contentsBytes_ && bytes > maximumContentsBytes) {
+        const std::string limit = std::to_string(maximumContentsBytes);
+        answerWithError(StatementError::TooBig, "the state of a session may have " + limit + " bytes", now);
+        return false;
+    }
+    const std::size_t entries
+        = contents_->values.size() + contents_->prepared.size() - (replaced ? 1 : 0) + (isRemoval ? 0 : 1);
+    if (!link_.holdSessionState(bytes, entries)) {
+        answerWithError(StatementError::TooBig, "the sessions hold too much state, retry after 1000 ms", now);
+        return false;
+    }
+    contentsBytes_ = bytes;
+    return true;
+}
+
 void Session::runBegin(const Statement& statement, TimePoint now)
 {
     if (state_ != TransactionState::None)
--- a/src/wire/WebSocketPeerNetwork.cpp
+++ b/src/wire/WebSocketPeerNetwork.cpp
@@ -91,6 +91,11 @@
     server_.set_reuse_addr(true);
     server_.set_validate_handler(
         [core = shared_from_this()](const websocketpp::connection_hdl& handle) { return core->acceptsPath(handle); });
+    server_.set_tcp_pre_init_handler(
+        [core = shared_from_this()](const websocketpp::connection_hdl& handle) { core->onTcpAccepted(handle); });
+    server_.set_fail_handler(
+        [core = shared_from_this()](const websocketpp::connection_hdl& handle) { core->upgrading_.erase(handle); });
+    server_.set_open_handshake_timeout(settings_.handshakeTimeout.count());
     server_.set_open_handler(
         [core = shared_from_this()](const websocketpp::connection_hdl& handle) { core->onAccepted(handle); });
     const asio::ip::tcp::endpoint endpoint(address, static_cast<std::uint16_t>(port));
@@ -213,12 +218,27 @@
     });
 }
 
+void WebSocketPeerCore::onTcpAccepted(const websocketpp::connection_hdl& handle)
+{
+    std::error_code error;
+    const PeerConnection::ptr connection = server_.get_con_from_hdl(handle, error);
+    if (error)
+        return;
+    upgrading_.insert(handle);
+    if (upgrading_.size() + countUnauthenticatedAccepted() <= settings_.maximumUnauthenticatedChannels)
+        return;
+    log_.warn("event=channel_refused reason=too_many", Clock::now());
+    // Reading then fails, which ends the connection through the fail handler.
+    connection->get_raw_socket().close(error);
+}
+
 void WebSocketPeerCore::onAccepted(const websocketpp::connection_hdl& handle)
 {
     std::error_code error;
     const PeerConnection::ptr connection = server_.get_con_from_hdl(handle, error);
     if (error)
         return;
+    upgrading_.erase(handle);
     auto channel = std::make_shared<PeerChannel>();
     channel->end = ChannelEnd::Acceptor;
     channel->connection = connection;
--- a/src/wire/WebSocketPeerNetwork.h
+++ b/src/wire/WebSocketPeerNetwork.h
@@ -56,6 +56,8 @@
 
     bool dial(const VmId&, const std::string& address, Peer&);
     void attach(const PeerChannelPointer&);
+    /** Counts a connection whose upgrade to WebSocket has not begun, and closes it if there are too many. */
+    void onTcpAccepted(const websocketpp::connection_hdl&);
     bool acceptsPath(const websocketpp::connection_hdl&);
     void onAccepted(const websocketpp::connection_hdl&);
     void onOpen(const PeerChannelPointer&);
@@ -92,6 +94,8 @@
     std::mt19937_64 random_;
     std::unordered_map<VmId, Peer> peers_;
     std::set<PeerChannelPointer> channels_;
+    /** Accepted connections that are not upgraded to WebSocket yet. */
+    std::set<websocketpp::connection_hdl, std::owner_less<websocketpp::connection_hdl>> upgrading_;
     PeerNetwork::MessageHandler messageHandler_;
     PeerNetwork::LossHandler lossHandler_;
     PeerNetwork::UnsentHandler unsentHandler_;
--- a/tests/users_platform/TestBootSettings.cpp
+++ b/tests/users_platform/TestBootSettings.cpp
@@ -103,3 +103,26 @@
     cr_assert(
         decodeBootSettings(replaced(sampleSettings(), "\"entry\": \"vip\"", "\"new\": {\"a\": [1]}"), "x").hasValue());
 }
+
+// Guards against limits on callers that exceed the VM, and against stated ones that are ignored or out of range.
+Test(BootSettings, decodesLimitsOnCallers)
+{
+    const BootSettings derived = decodeBootSettings(sampleSettings(), "boot.json").value();
+    cr_assert_eq(derived.limits.callerDescriptors, 3500U);
+    cr_assert_lt(derived.limits.largeStatementBytes, derived.memoryBytes / 2);
+    const std::string text = replaced(sampleSettings(), "\"bounds\": {",
+        R"("caller-limits": {"connections": 900, "startup-timeout-ms": 3000, "pipelined-statements": 8}, "bounds": {)");
+    const BootSettings stated = decodeBootSettings(text, "boot.json").value();
+    cr_assert_eq(stated.limits.callerDescriptors, 900U);
+    cr_assert(stated.limits.startupTimeout == Milliseconds(3000));
+    cr_assert_eq(stated.limits.pipelinedStatements, 8U);
+    cr_assert_eq(stated.limits.largeStatementBytes, derived.limits.largeStatementBytes);
+    for (const char* invalid : { R"("startup-timeout-ms": 10)", R"("large-statements-bytes": 1000)",
+             R"("pipelined-statements": 65)", R"("progress-period-ms": "long")" }) {
+        const auto rejected
+            = decodeBootSettings(replaced(sampleSettings(), "\"bounds\": {",
+                                     std::string("\"caller-limits\": {") + invalid + "}, \"bounds\": {"),
+                "boot.json");
+        cr_assert(!rejected.hasValue(), "%s", invalid);
+    }
+}
