--- a/tests/crowds/CrowdDeployment.cpp
+++ b/tests/crowds/CrowdDeployment.cpp
@@ -176,6 +176,8 @@
     for (std::string line; std::getline(status, line);) {
         if (line.rfind("VmHWM:", 0) == 0)
             usage.peakBytes = std::stoull(line.substr(6)) * bytesInKilobyte;
+        else if (line.rfind("VmRSS:", 0) == 0)
+            usage.residentBytes = std::stoull(line.substr(6)) * bytesInKilobyte;
     }
     std::error_code error;
     for (std::filesystem::directory_iterator entry(root + "/fd", error), end; !error && entry != end;
--- a/tests/crowds/CrowdDeployment.h
+++ b/tests/crowds/CrowdDeployment.h
@@ -21,6 +21,7 @@
 /** Memory and descriptors of a process as /proc shows them. */
 struct Usage {
     std::size_t peakBytes = 0;
+    std::size_t residentBytes = 0;
     std::size_t descriptors = 0;
 };
 
--- a/tests/wire/TestPeerNetwork.cpp
+++ b/tests/wire/TestPeerNetwork.cpp
@@ -271,6 +271,40 @@
     cr_assert(runUntil(context, [&] { return silent.isClosed; }));
 }
 
+// Guards against outsiders that use up the descriptors with connections that never begin a channel, and against a
+// daemon that refuses its peers after such a flood.
+Test(PeerNetwork, boundsConnectionsThatBeginNoChannel)
+{
+    asio::io_context context;
+    PeerNetworkSettings settings = shortTimes();
+    settings.maximumUnauthenticatedChannels = 4;
+    Daemon daemon(context, "daemon", clusterKey, settings);
+    const std::string& address = daemon.identity.address;
+    const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+    std::vector<asio::ip::tcp::socket> silent;
+    for (int i = 0; i < 12; ++i) {
+        silent.emplace_back(context);
+        silent.back().connect({ asio::ip::address_v4::loopback(), port });
+        silent.back().non_blocking(true);
+        runFor(context, Milliseconds(5));
+    }
+    const auto countOpen = [&silent] {
+        std::size_t open = 0;
+        for (auto& socket : silent) {
+            char byte = 0;
+            std::error_code error;
+            socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+            open += error == asio::error::would_block ? 1 : 0;
+        }
+        return open;
+    };
+    cr_assert_leq(countOpen(), settings.maximumUnauthenticatedChannels);
+    cr_assert(runUntil(context, [&] { return countOpen() == 0; }), "silent connections are not closed");
+    Daemon peer(context, "peer");
+    peer.sendTo(daemon, 1);
+    cr_assert(runUntil(context, [&] { return !daemon.received.empty(); }));
+}
+
 // Guards against requests that wait indefinitely on a channel whose peer vanished without closing it.
 Test(PeerNetwork, findsHalfOpenChannel)
 {
