Let sessions that idle in transactions make room, and bound almondleverd's connections

Cause: a session whose transaction was rolled back for idleness counted as busy until its next statement, so that a flood of them kept all descriptors. A flood of one database could keep its sessions active. almondleverd accepted up to 20,000 connections whatever the system's limit of descriptors.

Change: after silent and idle connections, sessions that idle in a transaction for 15 s make room; those of a database with more than half of all sessions also sooner. almondleverd accepts at most the system's descriptors less the reserve.

--- a/include/almondlever/limits/CallerAccount.h
+++ b/include/almondlever/limits/CallerAccount.h
@@ -15,6 +15,8 @@
 enum class LimitReason {
     /** No STARTUP was completed in time. */
     StartupTimeout,
+    /** A session that idles in a transaction makes room for another connection. */
+    TransactionEvicted,
     /** A silent connection makes room for another one. */
     SilentEvicted,
     /** An idle session makes room for another connection. */
@@ -86,7 +88,9 @@
     enum class Phase {
         Silent,
         Idle,
-        /** A statement is unanswered or a transaction is open. */
+        /** All statements are answered and a transaction is open or has failed. */
+        InTransaction,
+        /** A statement is unanswered. */
         Busy,
         Closing,
     };
@@ -120,7 +124,6 @@
     Reservation reservation_ = Reservation::None;
     /** The reservation that the connection waits for; reading is paused meanwhile. */
     Reservation awaited_ = Reservation::None;
-    bool isTransactionOpen_ = false;
     bool isInTransfers_ = false;
     TimePoint phaseSince_;
     TimePoint awaitedSince_ {};
--- a/include/almondlever/limits/CallerLimits.h
+++ b/include/almondlever/limits/CallerLimits.h
@@ -30,6 +30,8 @@
     std::size_t stateBytes = 0;
     /** The one that is idle for the longest time first. */
     Accounts idle;
+    /** Likewise. */
+    Accounts inTransaction;
     Accounts busy;
 };
 
@@ -42,7 +44,7 @@
  *   others wait, a holder that makes no progress is closed.
  * - Small messages, small session state and one statement per connection never wait.
  * - When no descriptor is left, the connection that was silent for the longest time makes room, then the session that
- *   was idle for the longest time, of the database with the most sessions.
+ *   was idle for the longest time, of the database with the most sessions, at last one that idles in a transaction.
  *
  * Does no I/O and reads no clock. Runs on one thread.
  */
@@ -79,6 +81,8 @@
     void remove(CallerAccount&);
     void setPhase(CallerAccount&, Phase, TimePoint now);
     Accounts& listOf(const CallerAccount&);
+    /** Closes the session that has been in the list for the longest time, of the database with the most sessions. */
+    bool evictSession(Accounts CallerAccount::Database::*list, Milliseconds least, LimitReason, TimePoint now);
     /** Closes one connection to make room for another; false if all of them are in use. */
     bool evict(TimePoint now);
 
--- a/include/almondlever/limits/LimitSettings.h
+++ b/include/almondlever/limits/LimitSettings.h
@@ -64,6 +64,11 @@
     Milliseconds reservationTimeout { 10000 };
     /** A session idle for a shorter time is not closed to make room for a new connection; 0 s to 1 h. */
     Milliseconds shortestEvictedIdle { 5000 };
+    /**
+     * Like shortestEvictedIdle, for a session in a transaction; 0 s to 1 h. The configuration's idle limit has rolled
+     * the transaction back by then, but the session still has to learn it.
+     */
+    Milliseconds shortestEvictedTransaction { 15000 };
     /** Limit of log lines about closed and rejected callers per second; 0.1 to 1000. */
     double logLinesPerSecond = 5;
 };
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -7,13 +7,16 @@
 #include "almondlever/daemon/PeerForwarder.h"
 #include "almondlever/endpoints/HttpEndpointConnector.h"
 #include "almondlever/entry/EntryRouter.h"
+#include "almondlever/limits/LimitSettings.h"
 #include "almondlever/platform/HttpPlatform.h"
 #include "almondlever/transport/AsioTimerService.h"
 
+#include <algorithm>
 #include <asio.hpp>
 #include <csignal>
 #include <ctime>
 #include <pthread.h>
+#include <sys/resource.h>
 #include <thread>
 
 namespace almondlever {
@@ -36,7 +39,12 @@
         HttpServerSettings server;
         server.host = settings.listenHost;
         server.port = settings.listenPort;
-        server.maximumConnections = settings.maximumConnections;
+        // Beyond the system's limit every accept would fail, also those of the connections between daemons.
+        rlimit descriptors {};
+        const bool isKnown = getrlimit(RLIMIT_NOFILE, &descriptors) == 0;
+        const std::size_t usable
+            = isKnown ? limitSettingsFor(0, descriptors.rlim_cur).callerDescriptors : settings.maximumConnections;
+        server.maximumConnections = std::min(settings.maximumConnections, usable);
         // Above the documented limits, so that callers who exceed those get an answer that names the limit.
         server.maximumBodyBytes = 4 * 1024 * 1024;
         server.maximumHeaderValueBytes = 32 * 1024;
--- a/src/limits/CallerAccount.cpp
+++ b/src/limits/CallerAccount.cpp
@@ -13,6 +13,8 @@
         return "silent_evicted";
     case LimitReason::IdleEvicted:
         return "idle_evicted";
+    case LimitReason::TransactionEvicted:
+        return "transaction_evicted";
     case LimitReason::NoDescriptor:
         return "no_descriptor";
     case LimitReason::SlowSender:
@@ -80,14 +82,13 @@
     ++unansweredStatements_;
     ++limits_.unansweredStatements_;
     unansweredBytes_ += bytes;
-    if (phase_ == Phase::Idle)
+    if (phase_ == Phase::Idle || phase_ == Phase::InTransaction)
         limits_.setPhase(*this, Phase::Busy, now);
 }
 
 void CallerAccount::onAnswer(bool isTransactionOpen, TimePoint now)
 {
     const bool mightContinue = mayContinue();
-    isTransactionOpen_ = isTransactionOpen;
     if (unansweredStatements_ > 0) {
         --unansweredStatements_;
         --limits_.unansweredStatements_;
@@ -96,8 +97,8 @@
         unansweredBytes_ = 0;
         if (incompleteBytes_ == 0)
             limits_.release(*this, now);
-        if (phase_ == Phase::Busy && !isTransactionOpen)
-            limits_.setPhase(*this, Phase::Idle, now);
+        if (phase_ == Phase::Busy)
+            limits_.setPhase(*this, isTransactionOpen ? Phase::InTransaction : Phase::Idle, now);
     }
     if (!mightContinue && mayContinue())
         connection_.scheduleResume();
--- a/src/limits/CallerLimits.cpp
+++ b/src/limits/CallerLimits.cpp
@@ -91,6 +91,8 @@
         return silent_;
     case Phase::Idle:
         return account.database_->second.idle;
+    case Phase::InTransaction:
+        return account.database_->second.inTransaction;
     case Phase::Busy:
         return account.database_->second.busy;
     case Phase::Closing:
@@ -114,16 +116,28 @@
         close(*silent_.front(), LimitReason::SilentEvicted, now);
         return true;
     }
+    return evictSession(&CallerAccount::Database::idle, settings_.shortestEvictedIdle, LimitReason::IdleEvicted, now)
+        || evictSession(&CallerAccount::Database::inTransaction, settings_.shortestEvictedTransaction,
+            LimitReason::TransactionEvicted, now);
+}
+
+bool CallerLimits::evictSession(
+    Accounts CallerAccount::Database::*list, Milliseconds least, LimitReason reason, TimePoint now)
+{
     CallerAccount::Database* largest = nullptr;
     for (auto& [name, database] : databases_) {
-        const bool hasIdle
-            = !database.idle.empty() && now - database.idle.front()->phaseSince_ >= settings_.shortestEvictedIdle;
-        if (hasIdle && (!largest || database.sessions > largest->sessions))
+        const Accounts& accounts = database.*list;
+        if (accounts.empty())
+            continue;
+        // A flood of one database must not lock out the others by keeping its sessions active.
+        const bool isDominant = databases_.size() > 1 && database.sessions > connections_ / 2;
+        const bool isLongEnough = isDominant || now - accounts.front()->phaseSince_ >= least;
+        if (isLongEnough && (!largest || database.sessions > largest->sessions))
             largest = &database;
     }
     if (!largest)
         return false;
-    close(*largest->idle.front(), LimitReason::IdleEvicted, now);
+    close(*(largest->*list).front(), reason, now);
     return true;
 }
 
@@ -382,6 +396,7 @@
     add(closing_);
     for (const auto& [name, database] : databases_) {
         add(database.idle);
+        add(database.inTransaction);
         add(database.busy);
     }
     return sum;
--- a/tests/limits/TestCallerLimits.cpp
+++ b/tests/limits/TestCallerLimits.cpp
@@ -245,6 +245,38 @@
     cr_assert(!other.closed);
 }
 
+// Guards against sessions that stay in a transaction, open or rolled back, and keep all descriptors for ever.
+Test(CallerLimits, sessionsThatIdleInTransactionsMakeRoomAtLast)
+{
+    Fixture fixture;
+    for (std::size_t i = 0; i < fixture.settings.callerDescriptors; ++i) {
+        FakeConnection& connection = fixture.openSession();
+        connection.account->onStatement(10, fixture.now);
+        connection.account->onAnswer(true, fixture.now);
+        fixture.advance(Milliseconds(250));
+    }
+    FakeConnection& first = *fixture.connections[0];
+    first.account->onStatement(10, fixture.now);
+    fixture.advance(fixture.settings.shortestEvictedIdle);
+    cr_assert(!fixture.connect().account, "a transaction was ended too early");
+    fixture.advance(fixture.settings.shortestEvictedTransaction);
+    cr_assert(fixture.connect().account);
+    cr_assert(!first.closed, "a running statement was ended");
+    cr_assert(fixture.connections[1]->closed == LimitReason::TransactionEvicted);
+}
+
+// Guards against a flood of one database that locks out the others by keeping its sessions active.
+Test(CallerLimits, dominantDatabaseMakesRoomAlsoWhenItsSessionsAreActive)
+{
+    Fixture fixture;
+    FakeConnection& other = fixture.openSession("proofs");
+    for (std::size_t i = 1; i < fixture.settings.callerDescriptors; ++i)
+        fixture.openSession("orders");
+    cr_assert(fixture.connect().account);
+    cr_assert(fixture.connections[1]->closed == LimitReason::IdleEvicted);
+    cr_assert(!other.closed);
+}
+
 // Guards against one database that uses up the state of all sessions, and against refusing small state.
 Test(CallerLimits, stateOfAFloodIsRefusedAndSmallStateAdmitted)
 {
