Test that a stalled statement is refused while others wait for its memory

CallerListener.refusesAStalledStatementForWhoseMemoryOthersWait checks the decision on real connections: BUSY, then closed, and the other statement runs once.

--- a/tests/users_platform/TestCallerListener.cpp
+++ b/tests/users_platform/TestCallerListener.cpp
@@ -278,6 +278,34 @@
     cr_assert_eq(fixture.listener->limits().connections(), 1U);
 }
 
+// Guards against a caller that stops in the middle of a large statement and keeps others from theirs, and against
+// closing its connection without saying that the statement has not run.
+Test(CallerListener, refusesAStalledStatementForWhoseMemoryOthersWait)
+{
+    Fixture fixture;
+    fixture.limits.largeStatementBytes = fixture.limits.statementCopies * platform::maximumMessageBytes;
+    fixture.restartListener();
+    fixture.startDaemon();
+    Caller stalled(fixture);
+    cr_assert_eq(stalled.exchange("STARTUP fiti who\r\n"), "READY I -\r\n");
+    Caller waiting(fixture);
+    cr_assert_eq(waiting.exchange("STARTUP fiti who\r\n"), "READY I -\r\n");
+    const std::string data(300000, 'x');
+    cr_assert_eq(stalled.exchange("QUERY 1 WRITE 1a4 " + data), "");
+    cr_assert_eq(waiting.exchange("QUERY 1 WRITE 1a4 " + data + "\r\n"), "", "two statements have the memory of one");
+    std::string refusal;
+    std::string answer;
+    for (int i = 0; i < 80 && (refusal.empty() || answer.empty()); ++i) {
+        refusal += stalled.exchange("");
+        answer += waiting.exchange("");
+    }
+    cr_assert(startsWith(refusal, "ERROR BUSY "), "'%s'", refusal.c_str());
+    cr_assert(stalled.isClosed());
+    cr_assert(startsWith(answer, "COMPLETE "), "'%s'", answer.c_str());
+    cr_assert_eq(fixture.endpoints.runs().size(), 1U);
+    cr_assert_eq(fixture.listener->limits().held().largeStatements, 0U);
+}
+
 // Guards against closing the connection silently when a session's state gets no memory.
 Test(CallerListener, refusesStateBeyondTheShareOfAllSessions)
 {
