--- a/include/almondlever/forwarding/StatementForwarder.h
+++ b/include/almondlever/forwarding/StatementForwarder.h
@@ -4,7 +4,6 @@
 #include "almondlever/membership/MembershipView.h"
 #include "almondlever/observability/DecisionLog.h"
 #include "almondlever/observability/Metrics.h"
-#include "almondlever/placement/CustomerOwners.h"
 #include "almondlever/pooling/StatementRunner.h"
 #include "almondlever/wire/PeerNetwork.h"
 
@@ -18,14 +17,7 @@
 
 /** Settings of StatementForwarder. */
 struct ForwarderSettings {
-    /** This daemon, which runs the statements itself where it is the chosen owner. */
-    VmId self;
     FailureDomainId failureDomain;
-    /** Region of each failure domain; empty if it is not known. */
-    std::map<FailureDomainId, std::string> regions;
-    /** Chooses owners by CustomerOwners for statements that belong to a customer. */
-    bool spreadsCustomersOverOwners = false;
-    CustomerOwnerSettings customerOwners;
     /** Start of the statement numbers. Random, so that an answer to an earlier run of this process does not match a
      * statement of this run. */
     std::uint64_t firstNumber = 0;
@@ -40,12 +32,11 @@
 
 /**
  * Runs statements on the owners of their group: on this daemon when it is one, and otherwise on the least loaded owner,
- * preferring those with an open channel, then those of its own failure domain. With spreadsCustomersOverOwners, the
- * customer of a statement determines the owner instead, also on a daemon that is one. Unresponsive owners are skipped.
+ * preferring those with an open channel, then those of its own failure domain. Unresponsive owners are skipped.
  * Statements that certainly had no effect are repeated on another owner, or run on a connection of this daemon when no
  * owner can be reached.
  *
- * @see ownersOf, CustomerOwners, ForwardedStatements
+ * @see ownersOf, ForwardedStatements
  */
 class StatementForwarder final : public StatementRunner {
 public:
@@ -61,10 +52,6 @@
     void setNetwork(PeerNetwork* network) { network_ = network; }
     /** Sets the owners of each group that this daemon does not own. */
     void setOwners(std::map<GroupId, std::vector<LiveDaemon>>);
-    /**
-     * As above, with the owners of the groups that this daemon owns, which are used with spreadsCustomersOverOwners.
-     */
-    void setOwners(std::map<GroupId, std::vector<LiveDaemon>> others, std::map<GroupId, std::vector<LiveDaemon>> owned);
     void onAnswer(const VmId& owner, SessionAnswer&&, TimePoint now);
     /** The owner answered a probe. */
     void onAlive(const VmId& owner, TimePoint now);
@@ -86,12 +73,7 @@
     };
 
     OwnerHealth& healthOf(const VmId&);
-    const LiveDaemon* chooseOwner(const StatementRequest&, const std::set<VmId>& tried, TimePoint now);
-    /** True if the customer of the statement determines its owner. */
-    bool isOwnerByCustomer(const StatementRequest&) const;
-    /** Chooses among the owners by CustomerOwners; may return this daemon. */
-    const LiveDaemon* chooseCustomerOwner(const StatementRequest&, const std::set<VmId>& tried, TimePoint now);
-    void noteOwnerChoice(const StatementRequest&, const OwnerChoice&, TimePoint now);
+    const LiveDaemon* chooseOwner(const GroupId&, const std::set<VmId>& tried, TimePoint now);
     /** True when the left owner is preferred. */
     bool isPreferred(const LiveDaemon& left, const LiveDaemon& right);
     void probeOwner(const VmId&, const std::string& address, TimePoint now);
@@ -101,11 +83,8 @@
     void moveStatements(const VmId&, TimePoint now);
     /** True for a commit and for a write outside a transaction, which must not be repeated once it was sent. */
     static bool mayHaveEffect(const Forwarded&);
-    /**
-     * Forwards the statement to the next owner, or runs it on this daemon when there is none. `first` is an owner that
-     * was already chosen for it.
-     */
-    void place(Ticket, Forwarded, TimePoint now, const LiveDaemon* first = nullptr);
+    /** Forwards the statement to the next owner, or runs it on this daemon when there is none. */
+    void place(Ticket, Forwarded, TimePoint now);
     /** What became of a statement that was to be sent to an owner. */
     enum class SendResult {
         Sent,
@@ -126,11 +105,8 @@
     DecisionLog& log_;
     Metrics& metrics_;
     ForwarderSettings settings_;
-    CustomerOwners customerOwners_;
     PeerNetwork* network_ = nullptr;
     std::map<GroupId, std::vector<LiveDaemon>> owners_;
-    /** Groups of this daemon for which other owners are considered as well. */
-    std::set<GroupId> owned_;
     std::map<VmId, OwnerHealth> health_;
     /** Peer addresses of all owners in owners_. */
     std::map<VmId, std::string> addresses_;
--- a/include/almondlever/pooling/StatementDispatcher.h
+++ b/include/almondlever/pooling/StatementDispatcher.h
@@ -7,7 +7,6 @@
 #include "almondlever/groups/EndpointDirectory.h"
 #include "almondlever/observability/DecisionLog.h"
 #include "almondlever/observability/Metrics.h"
-#include "almondlever/pooling/LinkRetention.h"
 #include "almondlever/pooling/StatementRunner.h"
 
 #include <map>
@@ -29,14 +28,6 @@
     double keptShare = 0.45;
     /** Idle time after which a connection beyond the kept share is closed. */
     Milliseconds surplusIdleTimeout { 250 };
-    /** LinkRetention decides which idle connections of customers are closed, instead of their idle time. */
-    bool retainsLinksByDemand = false;
-    LinkRetentionSettings retention;
-    /**
-     * With retainsLinksByDemand: added to the time of opening a connection when the endpoint for a read is selected,
-     * because the opening also takes the place of another customer's connection, which is then opened again.
-     */
-    Milliseconds openingPenalty { 30 };
     /** Age at which the primary's position is queried again; a quarter of the shortest usual staleness bound. */
     Milliseconds positionRefreshInterval { 300 };
     /** Time without statements after which a group is idle; longer than the usual pauses of its callers. */
--- a/scripts/check_layers.sh
+++ b/scripts/check_layers.sh
@@ -18,7 +18,7 @@
   [groups]='common/|sessions/'
   [pooling]='common/|capacity/|failover/FailureConfirmation|sessions/|groups/|consistency/|admission/|config/|observability/'
   [store]='common/|sessions/Routing|observability/'
-  [forwarding]='common/|pooling/StatementRunner|wire/|membership/MembershipView|placement/CustomerOwners|observability/'
+  [forwarding]='common/|pooling/StatementRunner|wire/|membership/MembershipView|observability/'
 )
 networking='<(asio|restinio|websocketpp|boost/(asio|beast)|sys/(socket|select|epoll|un)|netinet/|arpa/|netdb|poll|unistd|fcntl|http_parser|fstream)'
 status=0
--- a/src/forwarding/StatementForwarder.cpp
+++ b/src/forwarding/StatementForwarder.cpp
@@ -9,9 +9,6 @@
     /** Larger tickets were issued by the forwarder, the others by the local runner. */
     constexpr Ticket firstOwnTicket = Ticket { 1 } << 62U;
 
-    /** Rank under which routine decisions are logged. */
-    constexpr std::size_t leastUrgent = 255;
-
 } // namespace
 
 /** A transaction that is open on another daemon. */
@@ -37,7 +34,6 @@
     , log_(log)
     , metrics_(metrics)
     , settings_(settings)
-    , customerOwners_(settings.failureDomain, settings.regions, settings.customerOwners)
     , lastTicket_(firstOwnTicket + settings.firstNumber % firstOwnTicket)
 {
 }
@@ -47,16 +43,10 @@
 Ticket StatementForwarder::submit(StatementRequest request, StatementCallback callback, TimePoint now)
 {
     const bool isOwner = owners_.count(request.group) == 0;
-    const bool mayPreferOther = isOwner && network_ && owned_.count(request.group) > 0 && isOwnerByCustomer(request);
-    const LiveDaemon* preferred = mayPreferOther ? chooseCustomerOwner(request, {}, now) : nullptr;
-    if (preferred && preferred->id == settings_.self) {
-        customerOwners_.noteSent(request.group, request.customer, settings_.self, now);
-        preferred = nullptr;
-    }
-    if ((isOwner && !preferred) || !network_)
+    if (isOwner || !network_)
         return local_.submit(std::move(request), std::move(callback), now);
     const Ticket ticket = ++lastTicket_;
-    place(ticket, { std::move(request), std::move(callback), {}, nullptr, {} }, now, preferred);
+    place(ticket, { std::move(request), std::move(callback), {}, nullptr, {} }, now);
     return ticket;
 }
 
@@ -64,8 +54,6 @@
     const TransactionHandle& link, StatementRequest request, StatementCallback callback, TimePoint now)
 {
     const auto remote = std::dynamic_pointer_cast<RemoteTransaction>(link);
-    if (!remote && isOwnerByCustomer(request))
-        customerOwners_.noteSent(request.group, request.customer, settings_.self, now);
     if (!remote)
         return local_.submit(link, std::move(request), std::move(callback), now);
     const Ticket ticket = ++lastTicket_;
@@ -89,26 +77,8 @@
 
 void StatementForwarder::setOwners(std::map<GroupId, std::vector<LiveDaemon>> owners)
 {
-    setOwners(std::move(owners), {});
-}
-
-void StatementForwarder::setOwners(
-    std::map<GroupId, std::vector<LiveDaemon>> others, std::map<GroupId, std::vector<LiveDaemon>> owned)
-{
-    owners_ = std::move(others);
-    owned_.clear();
+    owners_ = std::move(owners);
     addresses_.clear();
-    if (settings_.spreadsCustomersOverOwners) {
-        for (const auto& [group, daemons] : owned) {
-            owned_.insert(group);
-            for (const LiveDaemon& daemon : daemons) {
-                if (daemon.id != settings_.self)
-                    addresses_[daemon.id] = daemon.peerAddress;
-            }
-        }
-        owned.insert(owners_.begin(), owners_.end());
-        customerOwners_.setOwners(owned);
-    }
     for (const auto& [group, daemons] : owners_) {
         for (const LiveDaemon& daemon : daemons)
             addresses_[daemon.id] = daemon.peerAddress;
@@ -138,55 +108,10 @@
     return healthOf(left.id).running() < healthOf(right.id).running();
 }
 
-bool StatementForwarder::isOwnerByCustomer(const StatementRequest& request) const
-{
-    return settings_.spreadsCustomersOverOwners && !request.customer.isEmpty();
-}
-
-const LiveDaemon* StatementForwarder::chooseCustomerOwner(
-    const StatementRequest& request, const std::set<VmId>& tried, TimePoint now)
+const LiveDaemon* StatementForwarder::chooseOwner(const GroupId& group, const std::set<VmId>& tried, TimePoint now)
 {
-    const auto availability = [this, &tried, now](const LiveDaemon& owner) {
-        if (tried.count(owner.id) > 0)
-            return OwnerAvailability::Unusable;
-        if (owner.id == settings_.self)
-            return OwnerAvailability::Ready;
-        if (!healthOf(owner.id).isUsable())
-            return OwnerAvailability::Unusable;
-        if (network_->isConnected(owner.id))
-            return OwnerAvailability::Ready;
-        // The probe opens the channel for later statements.
-        probeOwner(owner.id, owner.peerAddress, now);
-        return OwnerAvailability::NotConnected;
-    };
-    const OwnerChoice choice = customerOwners_.choose(request.group, request.customer, availability, now);
-    if (choice.owner)
-        noteOwnerChoice(request, choice, now);
-    return choice.owner;
-}
-
-void StatementForwarder::noteOwnerChoice(const StatementRequest& request, const OwnerChoice& choice, TimePoint now)
-{
-    metrics_.count("almondlever_customer_owners_total", std::string("reason=\"") + toText(choice.reason) + '"');
-    if (choice.reason == OwnerReason::Preferred || !log_.admits(leastUrgent, now))
-        return;
-    log_.write("spill_owner",
-        { { "request", request.statement.id }, { "group", request.group.text() },
-            { "customer", request.customer.text() }, { "preferred", choice.preferred->id.text() },
-            { "owner", choice.owner->id.text() }, { "reason", toText(choice.reason) },
-            { "preferred_load", std::to_string(choice.preferredLoad) }, { "bound", std::to_string(choice.bound) },
-            { "customer_share", std::to_string(choice.customerShare) }, { "rank", std::to_string(request.rank) } });
-}
-
-const LiveDaemon* StatementForwarder::chooseOwner(
-    const StatementRequest& request, const std::set<VmId>& tried, TimePoint now)
-{
-    if (tried.size() >= settings_.maximumOwners)
-        return nullptr;
-    if (isOwnerByCustomer(request))
-        return chooseCustomerOwner(request, tried, now);
-    const auto found = owners_.find(request.group);
-    if (found == owners_.end())
+    const auto found = owners_.find(group);
+    if (found == owners_.end() || tried.size() >= settings_.maximumOwners)
         return nullptr;
     const LiveDaemon* best = nullptr;
     for (const LiveDaemon& owner : found->second) {
@@ -202,14 +127,9 @@
     return best;
 }
 
-void StatementForwarder::place(Ticket ticket, Forwarded forwarded, TimePoint now, const LiveDaemon* first)
+void StatementForwarder::place(Ticket ticket, Forwarded forwarded, TimePoint now)
 {
-    while (const LiveDaemon* owner = first ? first : chooseOwner(forwarded.request, forwarded.tried, now)) {
-        first = nullptr;
-        if (owner->id == settings_.self) {
-            customerOwners_.noteSent(forwarded.request.group, forwarded.request.customer, settings_.self, now);
-            return runLocally(ticket, std::move(forwarded), "next_owner", now);
-        }
+    while (const LiveDaemon* owner = chooseOwner(forwarded.request.group, forwarded.tried, now)) {
         forwarded.owner = *owner;
         forwarded.tried.insert(owner->id);
         const SendResult sent = send(ticket, forwarded, now);
@@ -219,7 +139,7 @@
             healthOf(forwarded.owner.id).recordFailure(now);
             continue;
         }
-        log(forwarded, "forward", owned_.count(forwarded.request.group) > 0 ? "customer_owner" : "not_owner", now);
+        log(forwarded, "forward", "not_owner", now);
         forwarded_.emplace(ticket, std::move(forwarded));
         return;
     }
@@ -253,8 +173,6 @@
     if (!network_ || !network_->send(forwarded.owner.id, forwarded.owner.peerAddress, message))
         return SendResult::Unreachable;
     healthOf(forwarded.owner.id).recordSent(now);
-    if (isOwnerByCustomer(request))
-        customerOwners_.noteSent(request.group, request.customer, forwarded.owner.id, now);
     return SendResult::Sent;
 }
 
@@ -262,9 +180,7 @@
 {
     log(forwarded, "run_here", reason, now);
     metrics_.count("almondlever_forwarded_total",
-        reason == "too_large_to_forward" ? "result=\"too_large\""
-            : reason == "next_owner"     ? "result=\"run_here\""
-                                         : "result=\"no_owner\"");
+        reason == "too_large_to_forward" ? "result=\"too_large\"" : "result=\"no_owner\"");
     localTickets_[ticket] = 0;
     const Ticket local = local_.submit(
         std::move(forwarded.request),
@@ -485,6 +401,7 @@
     const Forwarded& forwarded, std::string_view decision, std::string_view reason, TimePoint now)
 {
     const bool isRoutine = decision == "forward";
+    constexpr std::size_t leastUrgent = 255;
     if (!log_.admits(isRoutine ? leastUrgent : forwarded.request.rank, now))
         return;
     log_.write(decision,
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -25,17 +25,13 @@
         DispatcherSettings dispatcher = settings.dispatcher;
         dispatcher.keptShare = settings.sharing.keptShare;
         dispatcher.learnsCapacity = settings.learnsEndpointCapacity;
-        dispatcher.retainsLinksByDemand = settings.spreadsCustomersOverOwners;
         return dispatcher;
     }
 
     ForwarderSettings forwarderSettings(const FrontSettings& settings)
     {
         ForwarderSettings forwarder;
-        forwarder.self = settings.vm;
         forwarder.failureDomain = settings.failureDomain;
-        forwarder.regions = settings.regions;
-        forwarder.spreadsCustomersOverOwners = settings.spreadsCustomersOverOwners;
         forwarder.firstNumber = settings.randomSeed;
         return forwarder;
     }
@@ -335,8 +331,8 @@
     promotions_.setOwners(std::move(names));
     stepDownRelay_.setOwners(owned);
     ownerReports_.setOwners(owned);
-    forwarder_.setOwners(std::move(forwardTo), owned);
     suspicionConfirmer_.setOwners(std::move(owned));
+    forwarder_.setOwners(std::move(forwardTo));
     dispatcher_.setSharing(sharing, now);
 }
 
--- a/src/pooling/DispatcherLinks.cpp
+++ b/src/pooling/DispatcherLinks.cpp
@@ -18,7 +18,7 @@
     const auto found = endpoints_.find(endpoint);
     if (found != endpoints_.end())
         return found->second;
-    return endpoints_.try_emplace(endpoint, endpoint, health_, settings_.retention).first->second;
+    return endpoints_.try_emplace(endpoint, endpoint, health_).first->second;
 }
 
 const EndpointLinks* DispatcherState::findLinks(const EndpointId& endpoint) const
@@ -52,10 +52,8 @@
         if (links.openCount() <= kept)
             continue;
         // Closes one connection at a time, because the load may return.
-        const auto link
-            = retainsByDemand() ? links.takeSurplus(now) : links.takeIdleSince(now - settings_.surplusIdleTimeout);
-        if (link)
-            retire(links, *link, "surplus", now);
+        if (const auto link = links.takeIdleSince(now - settings_.surplusIdleTimeout))
+            link->abandon();
     }
 }
 
@@ -96,43 +94,12 @@
         return nullptr;
     const EndpointEntry& entry = *directory_.find(links.id());
     if (links.openCount() >= connectionShare(entry)) {
-        retire(links, *(retainsByDemand() ? links.takeForRoom(now) : links.takeLongestIdle()), "room", now);
+        links.takeLongestIdle()->abandon();
         metrics_.count("almondlever_endpoint_connections_replaced_total", "");
     }
     return openLink(links, entry, customer, now);
 }
 
-void DispatcherState::retire(EndpointLinks& links, PooledLink& link, std::string_view reason, TimePoint now)
-{
-    if (retainsByDemand()) {
-        metrics_.count("almondlever_connections_retired_total", "reason=\"" + std::string(reason) + '"');
-        if (log_.admits(settings_.ranks, now)) {
-            log_.write("retire_connection",
-                { { "endpoint", links.id().text() }, { "customer", link.customer().text() }, { "reason", reason },
-                    { "requests_per_s", std::to_string(links.retention().requestRate(link.customer(), now)) },
-                    { "idle_ms",
-                        std::to_string(std::chrono::duration_cast<Milliseconds>(now - link.stateSince()).count()) },
-                    { "left", std::to_string(links.openCount()) } });
-        }
-    }
-    link.abandon();
-}
-
-void DispatcherState::noteQueued(Ticket ticket, TimePoint now)
-{
-    const auto found = pending_.find(ticket);
-    if (found == pending_.end() || runs_.count(ticket) > 0)
-        return;
-    const PendingStatement& pending = found->second;
-    bool hasConnection = false;
-    for (const EndpointEntry* entry : directory_.endpointsOf(pending.request.group)) {
-        const bool mayServe = !pending.waitsForPrimary || entry == directory_.primaryOf(pending.request.group);
-        hasConnection = hasConnection || (mayServe && mayOpenLink(linksOf(entry->id), now));
-    }
-    metrics_.count(
-        "almondlever_statements_queued_total", hasConnection ? "reason=\"window\"" : "reason=\"connections\"");
-}
-
 void DispatcherState::ensureOpenLink(const GroupId& group, TimePoint now)
 {
     for (const EndpointEntry* entry : directory_.endpointsOf(group)) {
--- a/src/pooling/DispatcherRuns.cpp
+++ b/src/pooling/DispatcherRuns.cpp
@@ -84,8 +84,6 @@
     }
     if (!run.link)
         return false;
-    if (retainsByDemand())
-        links.retention().noteStatement(request.customer, now);
     startRun(ticket, std::move(run), now);
     return true;
 }
--- a/src/pooling/DispatcherState.cpp
+++ b/src/pooling/DispatcherState.cpp
@@ -67,8 +67,6 @@
     pending.callback = std::move(callback);
     pending_.emplace(ticket, std::move(pending));
     enqueue(ticket, now);
-    if (areConnectionsByCustomer_)
-        noteQueued(ticket, now);
     return ticket;
 }
 
@@ -203,8 +201,7 @@
         const bool hasConnection = areConnectionsByCustomer_ ? hasOwnIdle || mayOpenLink(links, now) : idle > kept;
         candidate.hasFreeConnection = isUsable && hasConnection && links.hasRoom(false, now);
         if (areConnectionsByCustomer_ && !hasOwnIdle)
-            candidate.openingTime
-                = links.openingTime() + (retainsByDemand() ? settings_.openingPenalty : Milliseconds(0));
+            candidate.openingTime = links.openingTime();
         candidate.running = links.running();
         candidate.slots = entry->slots;
         candidate.latency = links.latency();
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -224,26 +224,19 @@
     /** This daemon's share of a fraction of the endpoint's connections; at least one. */
     std::size_t shareOf(const EndpointEntry&, double fraction) const;
     void closeSurplusLinks(TimePoint now);
-    /** Closes an idle connection that was taken out of the links. */
-    void retire(EndpointLinks&, PooledLink&, std::string_view reason, TimePoint now);
-    /** True if LinkRetention decides which idle connections are closed. */
-    bool retainsByDemand() const { return areConnectionsByCustomer_ && settings_.retainsLinksByDemand; }
     /**
      * Opens connections until the wanted number is being opened, at most openingsAtOnce. The total may exceed the
      * daemon's share by extra.
      */
     void openLinks(EndpointLinks&, std::size_t wanted, TimePoint now, std::size_t extra = 0);
     /**
-     * Opens a connection for a statement of a customer. At the daemon's share, it takes the place of an idle
-     * connection: the one that has been idle for the longest time, or that LinkRetention selects. Returns nullptr if
-     * there is no room.
+     * Opens a connection for a statement of a customer. At the daemon's share, it takes the place of the connection
+     * that has been idle for the longest time. Returns nullptr if there is no room.
      */
     std::shared_ptr<PooledLink> openLinkFor(EndpointLinks&, const CustomerId&, TimePoint now);
     /** True if openLinkFor() would open a connection. */
     bool mayOpenLink(EndpointLinks&, TimePoint now);
     std::shared_ptr<PooledLink> openLink(EndpointLinks&, const EndpointEntry&, const CustomerId&, TimePoint now);
-    /** Counts a statement that was not started when it was submitted, with what it waits for. */
-    void noteQueued(Ticket, TimePoint now);
     void ensureOpenLink(const GroupId&, TimePoint now);
     void refreshPrimaryPosition(GroupQueues&, const GroupId&, TimePoint now);
     /** True if no statement was submitted recently. */
--- a/src/pooling/EndpointLinks.cpp
+++ b/src/pooling/EndpointLinks.cpp
@@ -37,35 +37,6 @@
     return link;
 }
 
-std::vector<RetainableLink> EndpointLinks::retainableLinks() const
-{
-    std::vector<RetainableLink> links;
-    links.reserve(links_.size());
-    for (const auto& link : links_)
-        links.push_back({ &link->customer(), link->state() == PooledLink::State::Idle, link->stateSince() });
-    return links;
-}
-
-std::shared_ptr<PooledLink> EndpointLinks::take(std::optional<std::size_t> index)
-{
-    if (!index)
-        return nullptr;
-    const auto found = links_.begin() + static_cast<std::ptrdiff_t>(*index);
-    std::shared_ptr<PooledLink> link = std::move(*found);
-    links_.erase(found);
-    return link;
-}
-
-std::shared_ptr<PooledLink> EndpointLinks::takeForRoom(TimePoint now)
-{
-    return take(retention_.chooseForRoom(retainableLinks(), latency(), now));
-}
-
-std::shared_ptr<PooledLink> EndpointLinks::takeSurplus(TimePoint now)
-{
-    return take(retention_.chooseSurplus(retainableLinks(), latency(), now));
-}
-
 void EndpointLinks::noteOpened(const PooledLink& link, TimePoint now)
 {
     const Duration taken = now - link.openedAt();
--- a/src/pooling/EndpointLinks.h
+++ b/src/pooling/EndpointLinks.h
@@ -3,7 +3,6 @@
 #include "PooledLink.h"
 #include "almondlever/capacity/EndpointCapacity.h"
 #include "almondlever/failover/FailureConfirmation.h"
-#include "almondlever/pooling/LinkRetention.h"
 #include "almondlever/pooling/SharedWindow.h"
 
 #include <vector>
@@ -45,10 +44,9 @@
 /** The connections to one endpoint, with its health and log position as derived from its replies. */
 class EndpointLinks {
 public:
-    EndpointLinks(EndpointId id, const EndpointHealthSettings& settings, const LinkRetentionSettings& retention = {})
+    EndpointLinks(EndpointId id, const EndpointHealthSettings& settings)
         : id_(std::move(id))
         , settings_(settings)
-        , retention_(retention)
     {
     }
 
@@ -106,11 +104,6 @@
     bool hasIdle(const CustomerId&) const;
     /** Removes and returns the connection that has been idle for the longest time; nullptr if none is. */
     std::shared_ptr<PooledLink> takeLongestIdle();
-    LinkRetention& retention() { return retention_; }
-    /** Removes and returns the connection that LinkRetention closes to make room; nullptr if none is idle. */
-    std::shared_ptr<PooledLink> takeForRoom(TimePoint now);
-    /** Removes and returns a connection that LinkRetention does not keep; nullptr if there is none. */
-    std::shared_ptr<PooledLink> takeSurplus(TimePoint now);
     /** Smoothed time that opening a connection takes. */
     Duration openingTime() const { return openingTime_; }
     std::size_t count(PooledLink::State) const;
@@ -133,8 +126,6 @@
     const LogPosition& position() const { return position_; }
 
 private:
-    std::vector<RetainableLink> retainableLinks() const;
-    std::shared_ptr<PooledLink> take(std::optional<std::size_t> index);
     /** Start of the oldest unanswered command or unfinished attempt to connect. */
     std::optional<TimePoint> waitingSince() const;
     /** As waitingSince(), only for commands that need no slot. */
@@ -145,7 +136,6 @@
     std::vector<std::shared_ptr<PooledLink>> links_;
     SharedWindow window_;
     EndpointCapacity* capacity_ = nullptr;
-    LinkRetention retention_;
     std::size_t running_ = 0;
     bool wasOpen_ = false;
     LogPosition position_;
