Grant operations of customers' limits ahead of demand

Change: behind FrontSettings::prefetchesQuota a daemon holds one operation, or what it expects in 200 ms, of each customer that its callers use, for 10 s, and asks for more in the background. QuotaWindow is the coordinator's log of grants with their last possible use; nothing is issued beyond the share of a window's allowance. A restarted coordinator starts in debt. A refusal's wait comes from the forecast of the log and has a random part.

--- a/include/almondlever/customers/CustomerRegistry.h
+++ b/include/almondlever/customers/CustomerRegistry.h
@@ -3,6 +3,9 @@
 #include "almondlever/common/Identifier.h"
 #include "almondlever/customers/KeyDigest.h"
 
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
 #include <map>
 #include <unordered_map>
 #include <vector>
@@ -17,6 +20,12 @@
     double burst = 0;
 
     bool isUnlimited() const { return operationsPerSecond <= 0; }
+    /** A value of the limit in thousandths, as daemons state it to each other. */
+    static std::uint64_t toThousandths(double value)
+    {
+        constexpr double thousand = 1000;
+        return static_cast<std::uint64_t>(std::llround(std::clamp(value, 0.0, 1e12) * thousand));
+    }
 };
 
 /** One customer of a configuration. */
--- a/include/almondlever/customers/QuotaClient.h
+++ b/include/almondlever/customers/QuotaClient.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -21,6 +22,9 @@
  * the next one if that grants too few, and refuses what none of them grants. Operations are requested when they arrive;
  * where they arrive steadily, those expected within grantLifetime are requested with them.
  *
+ * With QuotaSettings::grantsAhead, the daemon holds operations of each customer whose callers it serves, so that an
+ * operation waits for no coordinator while the customer is far below its limit. It asks for more in the background.
+ *
  * @see QuotaCoordinator
  */
 class QuotaClient {
@@ -28,6 +32,9 @@
     QuotaClient(VmId self, FailureDomainId, QuotaCoordinator& local, DecisionLog&, Metrics&, const QuotaSettings&);
 
     void setNetwork(PeerNetwork* network) { network_ = network; }
+    /** Sets a number, not 0, that differs between two runs of the daemon, and seeds the random part of waits. */
+    void setProcess(std::uint64_t process);
+    /** Gives up the operations held for customers whose limit changes. */
     void setCustomers(std::shared_ptr<const CustomerRegistry>);
     void setCoordinators(std::vector<LiveDaemon>);
 
@@ -53,9 +60,16 @@
         VmId coordinator;
         TimePoint sentAt;
         std::uint64_t operations = 0;
+        /** Operations granted ahead that the request stated as held. */
+        std::uint64_t held = 0;
         /** Operations up to this ticket were waiting when the request was sent. */
         QuotaTicket lastWaiting = 0;
     };
+    /** Operations that one coordinator granted ahead. */
+    struct Stock {
+        std::uint64_t operations = 0;
+        TimePoint until {};
+    };
     struct Account {
         std::deque<Waiting> waiting;
         std::optional<OpenRequest> open;
@@ -67,8 +81,13 @@
         std::uint64_t spare = 0;
         VmId spareFrom;
         TimePoint spareUntil;
+        std::map<VmId, Stock> stocks;
+        /** True while coordinators let this daemon hold what it asks for; logged when it changes. */
+        bool isAhead = false;
         /** Set after a refusal: operations that are not urgent are refused unasked until this time. */
         std::optional<TimePoint> refusedUntil;
+        /** As refusedUntil, for urgent operations; set only with grantsAhead. */
+        std::optional<TimePoint> urgentRefusedUntil;
         /** Time at which a caller that is refused unasked may return. */
         TimePoint returnAt {};
         /** Smoothed rate of requested operations, per second. */
@@ -79,6 +98,22 @@
     static void noteArrival(Account&, TimePoint now);
     /** Sends a request for the waiting operations, or refuses them when no coordinator is left. */
     void ask(const CustomerId&, Account&, TimePoint now);
+    QuotaRequest makeRequest(const CustomerId&, const Account&, const VmId& coordinator, TimePoint now);
+    bool send(const CustomerId&, Account&, const LiveDaemon& coordinator, const QuotaRequest&, TimePoint now);
+    /** Uses an operation that this daemon holds; false if there is none. */
+    bool takeHeld(Account&, TimePoint now);
+    static std::uint64_t countHeld(const Account&, TimePoint now);
+    std::uint64_t wantedAhead(const Account&) const;
+    /** Asks for operations ahead of demand if fewer are held than wanted and no request is under way. */
+    void replenish(const CustomerId&, Account&, TimePoint now);
+    void askAhead(const CustomerId&, Account&, TimePoint now);
+    /** Keeps the operations of customers that were active recently. */
+    void renewHeld(TimePoint now);
+    void applyAhead(const CustomerId&, Account&, const OpenRequest&, const QuotaAnswer&, TimePoint now);
+    void serveFromHeld(Account&, TimePoint now);
+    void refuseUnasked(const OperationRequest&, const Account&, const QuotaCallback&, TimePoint now);
+    /** Adds a random part. */
+    Milliseconds spreadWait(Milliseconds);
     std::vector<LiveDaemon> candidatesFor(const CustomerId&, const Account&, TimePoint now) const;
     void onGrant(const CustomerId&, Account&, const QuotaAnswer&, TimePoint now);
     /** Waiting operations up to a ticket, of the most urgent rank or of the others. */
@@ -104,6 +139,11 @@
     std::unordered_map<std::uint64_t, CustomerId> openRequests_;
     /** Coordinators that did not answer, with the time until which they are not asked. */
     std::map<VmId, TimePoint> silentUntil_;
+    /** Coordinators whose last answer came from a version that grants ahead. */
+    std::set<VmId> grantsAhead_;
+    std::uint64_t process_ = 1;
+    std::mt19937_64 random_;
+    TimePoint renewedAt_ {};
     std::uint64_t lastNumber_ = 0;
     QuotaTicket lastTicket_ = 0;
 };
--- a/include/almondlever/wire/Messages.h
+++ b/include/almondlever/wire/Messages.h
@@ -308,6 +308,18 @@
     std::uint64_t urgent = 0;
     /** Operations that this coordinator granted earlier and that the sender has not used. */
     std::uint64_t unused = 0;
+    /**
+     * Differs between two runs of the sender; 0 if it holds no operations ahead of demand. The former version ignores
+     * this member and the following ones.
+     */
+    std::uint64_t process = 0;
+    /** Operations that this coordinator granted ahead and that the sender has not used. */
+    std::uint64_t held = 0;
+    /** Operations that the sender wants to hold, including those that it holds. */
+    std::uint64_t ahead = 0;
+    /** The limit that the sender knows, in thousandths; nothing is granted ahead under another limit. */
+    std::uint64_t ratePerSecond = 0;
+    std::uint64_t burst = 0;
 };
 
 /** Answer to QuotaRequest. */
@@ -318,6 +330,11 @@
     std::uint64_t grantedUrgent = 0;
     /** With fewer operations than requested: time after which more are expected. */
     Milliseconds retryAfter { 0 };
+    /** Operations that the receiver may hold in total; 0 if what it holds is not renewed. */
+    std::uint64_t ahead = 0;
+    /** Time from the request for which it may use them; 0 if the sender grants nothing ahead, like the former version.
+     */
+    Milliseconds aheadLifetime { 0 };
 };
 
 /** Asks another owner of a group whether it still receives answers from the group's primary. */
--- a/src/customers/QuotaBucket.cpp
+++ b/src/customers/QuotaBucket.cpp
@@ -13,6 +13,9 @@
     struct Total {
         double capacity = 0;
         double ratePerSecond = 0;
+        double allowance = 0;
+        /** Part of the capacity that is given up for operations that daemons hold. */
+        double heldCapacity = 0;
     };
 
     Total totalOf(const RateLimit& limit, const QuotaSettings& settings)
@@ -23,8 +26,11 @@
         const double allowance = settings.usedShare * (entitled * (1 + settings.overage) + settings.slack);
         const double minimumCapacity = std::max(settings.minimumCapacityShare * limit.burst, 1.0);
         Total total;
+        total.allowance = allowance;
         total.capacity = std::max(allowance - entitled / window * usedWithin, minimumCapacity);
         total.ratePerSecond = std::max(allowance - total.capacity, 0.0) / usedWithin;
+        if (settings.grantsAhead)
+            total.heldCapacity = (total.capacity - minimumCapacity) * settings.aheadCapacityShare;
         return total;
     }
 
@@ -49,7 +55,10 @@
     coordinators_ = static_cast<double>(std::max<std::size_t>(coordinators, 1));
     const Total total = totalOf(limit, settings_);
     ratePerSecond_ = total.ratePerSecond / coordinators_;
-    capacity_ = total.capacity / coordinators_;
+    capacity_ = (total.capacity - total.heldCapacity) / coordinators_;
+    windowLimit_ = total.allowance / coordinators_;
+    const double heldFill = settings_.grantsAhead ? total.ratePerSecond * toSeconds(settings_.aheadFill) : 0;
+    aheadLimit_ = (heldFill + total.heldCapacity) / coordinators_;
     level_ = std::min(level_, capacity_);
 }
 
@@ -63,12 +72,30 @@
     advancedTo_ = now;
 }
 
-std::uint64_t QuotaBucket::take(std::uint64_t operations, bool areUrgent, TimePoint now)
+void QuotaBucket::startInDebt(TimePoint since, TimePoint now)
+{
+    level_ = std::min(level_, ratePerSecond_ * toSeconds(now - since - settings_.aheadFill));
+}
+
+std::uint64_t QuotaBucket::available(bool areUrgent) const
 {
-    advance(now);
     // A small bucket has no reserve, so that every rank gets the last operation.
     const double reserve = areUrgent ? 0 : std::floor(capacity_ * settings_.urgentReserve);
-    const std::uint64_t granted = std::min(operations, static_cast<std::uint64_t>(std::max(level_ - reserve, 0.0)));
+    return static_cast<std::uint64_t>(std::max(level_ - reserve, 0.0));
+}
+
+std::uint64_t QuotaBucket::takeAhead(std::uint64_t operations, TimePoint now)
+{
+    advance(now);
+    const std::uint64_t granted = std::min(operations, available(false));
+    level_ -= static_cast<double>(granted);
+    return granted;
+}
+
+std::uint64_t QuotaBucket::take(std::uint64_t operations, bool areUrgent, TimePoint now, std::uint64_t limit)
+{
+    advance(now);
+    const std::uint64_t granted = std::min({ operations, limit, available(areUrgent) });
     level_ -= static_cast<double>(granted);
     // Each coordinator of the customer is asked for what the others did not grant.
     refused_ += static_cast<double>(operations - granted) / coordinators_;
--- a/src/customers/QuotaClient.cpp
+++ b/src/customers/QuotaClient.cpp
@@ -3,6 +3,7 @@
 #include "almondlever/placement/QuotaCoordinators.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace almondlever {
 
@@ -11,6 +12,11 @@
     /** Time over which the rate of a customer's operations is smoothed, in seconds. */
     constexpr double rateSmoothingSeconds = 1;
     constexpr std::size_t mostUrgentRank = 0;
+    /** Interval of the check for held operations that lapse soon. */
+    constexpr Milliseconds renewalInterval { 250 };
+    /** Part of a refused caller's wait in which further operations are refused unasked, and its bound. */
+    constexpr int refusalWaitParts = 4;
+    constexpr int longestRefusalTimes = 4;
 
     double toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
@@ -27,7 +33,29 @@
 {
 }
 
-void QuotaClient::setCustomers(std::shared_ptr<const CustomerRegistry> customers) { customers_ = std::move(customers); }
+void QuotaClient::setProcess(std::uint64_t process)
+{
+    process_ = std::max<std::uint64_t>(process, 1);
+    random_.seed(process_);
+}
+
+void QuotaClient::setCustomers(std::shared_ptr<const CustomerRegistry> customers)
+{
+    const std::shared_ptr<const CustomerRegistry> former = std::move(customers_);
+    customers_ = std::move(customers);
+    for (auto& [id, account] : accounts_) {
+        const Customer* before = former ? former->find(id) : nullptr;
+        const Customer* after = customers_ ? customers_->find(id) : nullptr;
+        const bool isSame = before && after && before->limit.operationsPerSecond == after->limit.operationsPerSecond
+            && before->limit.burst == after->limit.burst;
+        if (isSame)
+            continue;
+        account.stocks.clear();
+        // Nothing that is granted under the former limit may be held.
+        if (account.open)
+            account.open->held = std::numeric_limits<std::uint64_t>::max();
+    }
+}
 
 void QuotaClient::setCoordinators(std::vector<LiveDaemon> coordinators) { coordinators_ = std::move(coordinators); }
 
@@ -46,12 +74,15 @@
         callback(std::nullopt, now);
         return 0;
     }
-    const bool isUrgent = operation.rank == mostUrgentRank;
-    if (!isUrgent && account.refusedUntil && now < *account.refusedUntil) {
-        metrics_.count("almondlever_quota_refusals_total", "reason=\"quota_exceeded\"");
-        const QuotaRefusal refusal { "quota_exceeded", std::chrono::ceil<Milliseconds>(account.returnAt - now) };
-        logRefusal(operation, refusal, account, now);
-        callback(refusal, now);
+    if (takeHeld(account, now)) {
+        replenish(id, account, now);
+        callback(std::nullopt, now);
+        return 0;
+    }
+    const std::optional<TimePoint>& refusedUntil
+        = operation.rank == mostUrgentRank ? account.urgentRefusedUntil : account.refusedUntil;
+    if (refusedUntil && now < *refusedUntil) {
+        refuseUnasked(operation, account, callback, now);
         return 0;
     }
     const QuotaTicket ticket = ++lastTicket_;
@@ -63,6 +94,26 @@
     return isWaiting ? ticket : 0;
 }
 
+void QuotaClient::refuseUnasked(
+    const OperationRequest& operation, const Account& account, const QuotaCallback& callback, TimePoint now)
+{
+    metrics_.count("almondlever_quota_refusals_total", "reason=\"quota_exceeded\"");
+    const Milliseconds wait = std::chrono::ceil<Milliseconds>(account.returnAt - now);
+    const QuotaRefusal refusal { "quota_exceeded", spreadWait(wait) };
+    logRefusal(operation, refusal, account, now);
+    callback(refusal, now);
+}
+
+Milliseconds QuotaClient::spreadWait(Milliseconds wait)
+{
+    if (!settings_.grantsAhead)
+        return wait;
+    const double longest = static_cast<double>(settings_.maximumRetryAfter.count()) / (1 + settings_.retryJitter);
+    std::uniform_real_distribution<double> part(1, 1 + settings_.retryJitter);
+    const double spread = std::min(static_cast<double>(wait.count()), longest) * part(random_);
+    return Milliseconds(static_cast<Milliseconds::rep>(spread));
+}
+
 void QuotaClient::cancel(QuotaTicket ticket)
 {
     for (auto& [id, account] : accounts_) {
@@ -107,28 +158,59 @@
     return candidates;
 }
 
+QuotaRequest QuotaClient::makeRequest(
+    const CustomerId& id, const Account& account, const VmId& coordinator, TimePoint now)
+{
+    QuotaRequest request;
+    request.number = ++lastNumber_;
+    request.customer = id;
+    if (!settings_.grantsAhead)
+        return request;
+    request.process = process_;
+    if (const Customer* customer = customers_ ? customers_->find(id) : nullptr) {
+        request.ratePerSecond = RateLimit::toThousandths(customer->limit.operationsPerSecond);
+        request.burst = RateLimit::toThousandths(customer->limit.burst);
+    }
+    const auto stock = account.stocks.find(coordinator);
+    if (stock != account.stocks.end() && now < stock->second.until)
+        request.held = stock->second.operations;
+    const std::uint64_t heldFromOthers = countHeld(account, now) - request.held;
+    const std::uint64_t wanted = wantedAhead(account);
+    request.ahead = std::max(wanted - std::min(wanted, heldFromOthers), request.held);
+    return request;
+}
+
+bool QuotaClient::send(
+    const CustomerId& id, Account& account, const LiveDaemon& coordinator, const QuotaRequest& request, TimePoint now)
+{
+    account.open = OpenRequest { request.number, coordinator.id, now, request.operations, request.held, lastTicket_ };
+    openRequests_.emplace(request.number, id);
+    if (coordinator.id == self_) {
+        onGrant(id, account, local_.onRequest(self_, request, now), now);
+        return true;
+    }
+    if (network_ && network_->send(coordinator.id, coordinator.peerAddress, request))
+        return true;
+    closeRequest(account);
+    setSilent(coordinator.id, now);
+    return false;
+}
+
 void QuotaClient::ask(const CustomerId& id, Account& account, TimePoint now)
 {
     for (const LiveDaemon& coordinator : candidatesFor(id, account, now)) {
         account.asked.insert(coordinator.id);
-        QuotaRequest request;
-        request.number = ++lastNumber_;
-        request.customer = id;
-        const auto expected = static_cast<std::uint64_t>(account.ratePerSecond * toSeconds(settings_.grantLifetime));
+        QuotaRequest request = makeRequest(id, account, coordinator.id, now);
+        const bool expectsHeld = settings_.grantsAhead && grantsAhead_.count(coordinator.id) > 0;
+        const auto expected
+            = expectsHeld ? 0 : static_cast<std::uint64_t>(account.ratePerSecond * toSeconds(settings_.grantLifetime));
         request.operations = account.waiting.size() + expected;
-        request.urgent = static_cast<std::uint64_t>(std::count_if(
-            account.waiting.begin(), account.waiting.end(), [](const Waiting& waiting) { return waiting.isUrgent(); }));
+        request.urgent = countWaiting(account, lastTicket_, true);
         if (account.spareFrom == coordinator.id)
             request.unused = account.spare;
         account.spare = 0;
-        account.open = OpenRequest { request.number, coordinator.id, now, request.operations, lastTicket_ };
-        openRequests_.emplace(request.number, id);
-        if (coordinator.id == self_)
-            return onGrant(id, account, local_.onRequest(request, now), now);
-        if (network_ && network_->send(coordinator.id, coordinator.peerAddress, request))
+        if (send(id, account, coordinator, request, now))
             return;
-        closeRequest(account);
-        setSilent(coordinator.id, now);
     }
     refuseWaiting(account, now);
 }
@@ -172,6 +254,11 @@
     account.spareUntil = open.sentAt + settings_.grantLifetime;
     grantWaiting(account, usedUrgent, last, true, now);
     grantWaiting(account, used, last, false, now);
+    if (settings_.grantsAhead) {
+        metrics_.count("almondlever_quota_operations_total", "source=\"asked\"", usedUrgent + used);
+        applyAhead(id, account, open, answer, now);
+        serveFromHeld(account, now);
+    }
     if (account.waiting.empty()) {
         account.asked.clear();
         account.retryAfter.reset();
@@ -212,13 +299,22 @@
     if (account.retryAfter) {
         account.refusedUntil = now + std::min(settings_.refusalTime, refusal.retryAfter);
         account.returnAt = now + refusal.retryAfter;
+        if (settings_.grantsAhead) {
+            const Milliseconds longest = settings_.refusalTime * longestRefusalTimes;
+            const Milliseconds forecast = std::min(refusal.retryAfter / refusalWaitParts, longest);
+            account.refusedUntil = std::max(*account.refusedUntil, now + forecast);
+            if (countWaiting(account, lastTicket_, true) > 0)
+                account.urgentRefusedUntil = account.refusedUntil;
+        }
     }
     account.asked.clear();
     account.retryAfter.reset();
     std::deque<Waiting> refused;
     refused.swap(account.waiting);
     metrics_.count("almondlever_quota_refusals_total", "reason=\"" + refusal.reason + '"', refused.size());
+    const Milliseconds wait = refusal.retryAfter;
     for (const Waiting& waiting : refused) {
+        refusal.retryAfter = spreadWait(wait);
         logRefusal(waiting.request, refusal, account, now);
         waiting.callback(refusal, now);
     }
@@ -272,6 +368,10 @@
         logInfo("quota_coordinator_silent", { { "coordinator", coordinator.text() } });
         onLoss(coordinator, now);
     }
+    if (settings_.grantsAhead && now - renewedAt_ >= renewalInterval) {
+        renewedAt_ = now;
+        renewHeld(now);
+    }
 }
 
 } // namespace almondlever
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -35,6 +35,13 @@
         return forwarder;
     }
 
+    QuotaSettings quotaSettings(const FrontSettings& settings)
+    {
+        QuotaSettings quota = settings.quota;
+        quota.grantsAhead = settings.prefetchesQuota;
+        return quota;
+    }
+
     StoreRelaySettings relaySettings(const FrontSettings& settings)
     {
         StoreRelaySettings relay;
@@ -63,8 +70,8 @@
     , ownFollower_(store, timers, storeKeys::root, ownBatchDelay, *this)
     , relay_(relaySettings(settings), { &configurationFollower_, &endpointFollower_, &ownFollower_ })
     , members_(self())
-    , quotaCoordinator_(settings.vm, settings.quota)
-    , quotaClient_(settings.vm, settings.failureDomain, quotaCoordinator_, log_, metrics_, settings.quota)
+    , quotaCoordinator_(settings.vm, quotaSettings(settings))
+    , quotaClient_(settings.vm, settings.failureDomain, quotaCoordinator_, log_, metrics_, quotaSettings(settings))
     , gate_(settings.keyWithdrawalLimit, quotaClient_, log_, metrics_)
     , makeNetwork_(std::move(makeNetwork))
 {
@@ -74,6 +81,7 @@
     promotions_.setStepDownRelay(&stepDownRelay_);
     promotions_.setMembersRefresh(
         [this](const std::function<void(bool)>& callback) { endpointFollower_.refresh(callback); });
+    quotaClient_.setProcess(settings.randomSeed);
     if (settings.isFirstStart)
         quotaCoordinator_.setFirstStart();
 }
@@ -240,7 +248,7 @@
     else if (const auto* reply = std::get_if<PrimarySuspicionAnswer>(&message))
         onPrimarySuspicionAnswer(from, *reply, now);
     else if (const auto* quotaRequest = std::get_if<QuotaRequest>(&message))
-        network_->send(from, "", quotaCoordinator_.onRequest(*quotaRequest, now));
+        network_->send(from, "", quotaCoordinator_.onRequest(from, *quotaRequest, now));
     else if (const auto* quotaAnswer = std::get_if<QuotaAnswer>(&message))
         quotaClient_.onAnswer(from, *quotaAnswer, now);
     else
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -381,6 +381,11 @@
         writer.number("o", request.operations);
         writer.number("ur", request.urgent);
         writer.number("u", request.unused);
+        writer.number("p", request.process);
+        writer.number("h", request.held);
+        writer.number("ah", request.ahead);
+        writer.number("lr", request.ratePerSecond);
+        writer.number("lb", request.burst);
     }
 
     QuotaRequest readQuotaRequest(CborReader& reader)
@@ -391,6 +396,11 @@
         request.operations = reader.number("o");
         request.urgent = reader.number("ur");
         request.unused = reader.number("u");
+        request.process = reader.number("p");
+        request.held = reader.number("h");
+        request.ahead = reader.number("ah");
+        request.ratePerSecond = reader.number("lr");
+        request.burst = reader.number("lb");
         return request;
     }
 
@@ -401,6 +411,8 @@
         writer.number("g", answer.granted);
         writer.number("gu", answer.grantedUrgent);
         writer.milliseconds("ra", answer.retryAfter);
+        writer.number("ah", answer.ahead);
+        writer.milliseconds("al", answer.aheadLifetime);
     }
 
     QuotaAnswer readQuotaAnswer(CborReader& reader)
@@ -410,6 +422,8 @@
         answer.granted = reader.number("g");
         answer.grantedUrgent = reader.number("gu");
         answer.retryAfter = reader.milliseconds("ra");
+        answer.ahead = reader.number("ah");
+        answer.aheadLifetime = reader.milliseconds("al");
         return answer;
     }
 
--- a/tests/wire/TestStoreMessages.cpp
+++ b/tests/wire/TestStoreMessages.cpp
@@ -31,6 +31,14 @@
 const char* const stepDownOrder = "a66167666c6564676572616e1b0000010000000001617061616273640761740d617601";
 const char* const stepDownAnswer = "a7616e1b0000010000000001616f0162727082061901ad6273720061740e62746d06617601";
 
+/** A request for operations and its answer as commit f1fd918 encodes them. */
+const char* const formerQuotaRequest = "a762637566637572696e67616e09616f0461741161750262757201617601";
+const char* const formerQuotaAnswer = "a661670362677501616e096272611878617412617601";
+/** The same with operations held ahead, of this version; the decoder of f1fd918 reads them like the former ones. */
+const char* const quotaRequestAhead
+    = "ac6261680362637566637572696e67616802626c62199c40626c72199c40616e09616f046170184d61741161750262757201617601";
+const char* const quotaAnswerAhead = "a86261680362616c19271061670362677501616e096272611878617412617601";
+
 std::string toHex(const std::string& bytes)
 {
     constexpr char digits[] = "0123456789abcdef";
@@ -220,3 +228,42 @@
     const auto unreachable = decode<PrimarySuspicionAnswer>(encodeMessage(answer));
     cr_assert(unreachable.stepDown && unreachable.stepDown->result == StepDownResult::Unreachable);
 }
+
+// A fleet holds both versions during an upgrade. Guards against requests of the former version that are taken for
+// reports of what is held, and against messages to it that differ from its own where nothing is granted ahead.
+Test(StoreMessages, quotaMessagesOfTheFormerVersionAreRead)
+{
+    QuotaRequest request;
+    request.number = 9;
+    request.customer = CustomerId("curing");
+    request.operations = 4;
+    request.urgent = 1;
+    request.unused = 2;
+    cr_assert_eq(toHex(encodeMessage(request)), std::string(formerQuotaRequest));
+    cr_assert_eq(decode<QuotaRequest>(fromHex(formerQuotaRequest)).process, 0U);
+    QuotaAnswer answer;
+    answer.number = 9;
+    answer.granted = 3;
+    answer.grantedUrgent = 1;
+    answer.retryAfter = Milliseconds(120);
+    cr_assert_eq(toHex(encodeMessage(answer)), std::string(formerQuotaAnswer));
+    cr_assert_eq(decode<QuotaAnswer>(fromHex(formerQuotaAnswer)).aheadLifetime.count(), 0);
+    request.process = 77;
+    request.held = 2;
+    request.ahead = 3;
+    request.ratePerSecond = 40000;
+    request.burst = 40000;
+    cr_assert_eq(toHex(encodeMessage(request)), std::string(quotaRequestAhead));
+    const auto held = decode<QuotaRequest>(fromHex(quotaRequestAhead));
+    cr_assert_eq(held.process, 77U);
+    cr_assert_eq(held.held, 2U);
+    cr_assert_eq(held.ahead, 3U);
+    cr_assert_eq(held.ratePerSecond, 40000U);
+    cr_assert_eq(held.burst, 40000U);
+    answer.ahead = 3;
+    answer.aheadLifetime = Milliseconds(10000);
+    cr_assert_eq(toHex(encodeMessage(answer)), std::string(quotaAnswerAhead));
+    const auto renewed = decode<QuotaAnswer>(fromHex(quotaAnswerAhead));
+    cr_assert_eq(renewed.ahead, 3U);
+    cr_assert(renewed.aheadLifetime == Milliseconds(10000));
+}
