Let customers below their limit use a burst at once

A bucket held a twentieth of a window's entitlement, so that a customer that had used two thirds of it was refused in the first second of a burst, although its window had room. Buckets now also hold what they earn in 0.75 s; the log of grants keeps the bound, and a restarted coordinator earns nothing for as long.

--- a/include/almondlever/customers/QuotaBucket.h
+++ b/include/almondlever/customers/QuotaBucket.h
@@ -46,6 +46,12 @@
     Milliseconds aheadLifetime { 10000 };
     /** A bucket lets daemons hold what it earns in this time; a restarted coordinator earns nothing for this time. */
     Milliseconds aheadFill { 2000 };
+    /**
+     * A bucket may also hold what it earns in this time, so that a customer that was below its limit can use a burst
+     * at once. The log of grants keeps the bound, and a restarted coordinator, which has no log, earns nothing for this
+     * time in addition to aheadFill.
+     */
+    Milliseconds burstFill { 750 };
     /** Part of a bucket's capacity beyond the minimum that daemons may hold instead. */
     double aheadCapacityShare = 0.5;
     /** Operations are granted ahead only while at most this part of a window's allowance can be used. */
--- a/src/customers/QuotaBucket.cpp
+++ b/src/customers/QuotaBucket.cpp
@@ -29,8 +29,10 @@
         total.allowance = allowance;
         total.capacity = std::max(allowance - entitled / window * usedWithin, minimumCapacity);
         total.ratePerSecond = std::max(allowance - total.capacity, 0.0) / usedWithin;
-        if (settings.grantsAhead)
+        if (settings.grantsAhead) {
             total.heldCapacity = (total.capacity - minimumCapacity) * settings.aheadCapacityShare;
+            total.capacity += total.ratePerSecond * toSeconds(settings.burstFill);
+        }
         return total;
     }
 
@@ -74,7 +76,8 @@
 
 void QuotaBucket::startInDebt(TimePoint since, TimePoint now)
 {
-    level_ = std::min(level_, ratePerSecond_ * toSeconds(now - since - settings_.aheadFill));
+    const Duration debt = settings_.aheadFill + settings_.burstFill;
+    level_ = std::min(level_, ratePerSecond_ * toSeconds(now - since - debt));
 }
 
 std::uint64_t QuotaBucket::available(bool areUrgent) const
