--- a/include/almondlever/front/FrontDaemon.h
+++ b/include/almondlever/front/FrontDaemon.h
@@ -17,6 +17,7 @@
 #include "almondlever/placement/GroupOwners.h"
 #include "almondlever/sessions/Session.h"
 #include "almondlever/store/PrefixFollower.h"
+#include "almondlever/store/SharedWatchStore.h"
 
 #include <functional>
 #include <map>
@@ -42,8 +43,11 @@
     bool spreadsCustomersOverOwners = false;
     /** Obtains operations of customers' limits ahead of demand, and shares slot time fairly over all owners. */
     bool prefetchesQuota = false;
-    /** Follows the store with one watch for all prefixes. */
-    bool sharesStoreWatch = false;
+    /**
+     * Follows the store with one watch for all prefixes, and leaves calls out that peers can make unnecessary: for a
+     * fleet that is large in comparison with the rates of the store.
+     */
+    bool limitsStoreCalls = false;
     /** Random seed for values that must differ between two runs of the process. */
     std::uint64_t randomSeed = 0;
     GroupOwnerSettings sharing;
@@ -52,6 +56,11 @@
     StopSettings stop;
     /** Time after which a withdrawn API key must not be accepted any more; 0 if there is no limit. */
     Milliseconds keyWithdrawalLimit { 0 };
+    /**
+     * Time before keys have to be refused at which the daemon ceases to be ready, so that the balancer has moved new
+     * connections by then; 0 if it stays ready until it refuses.
+     */
+    Milliseconds readinessLead { 0 };
     QuotaSettings quota;
     /** Limit of decision log lines per second; lines of the most urgent rank are not counted. */
     double decisionLinesPerSecond = 20;
@@ -109,7 +118,7 @@
 
     bool isReady() const
     {
-        return routing_ && hasEndpoints_ && hasMembers_ && !stop_.isStopping() && gate_.isConfirmed(now());
+        return routing_ && hasEndpoints_ && hasMembers_ && !stop_.isStopping() && gate_.canServe(now());
     }
     TimePoint now() const { return timers_.now(); }
     std::shared_ptr<const RoutingConfiguration> routing() const override { return routing_; }
@@ -183,6 +192,7 @@
     TimerService& timers_;
     DecisionLog log_;
     Metrics metrics_;
+    SharedWatchStore sharedStore_;
     EndpointDirectory directory_;
     StatementDispatcher dispatcher_;
     StatementForwarder forwarder_;
