Count what a former coordinator let daemons hold; model grants ahead

Cause: model/QuotaPrefetch.pml showed that operations which daemons hold of a coordinator that restarted can be used late in their lifetime, when the bucket of its successor has earned again: debt at the start alone does not keep the bound. A coordinator of the former version that takes over knows nothing of them.

Change: a coordinator that may have a predecessor counts its limit of held operations as used until their lifetime ends; the lifetime is 3 s instead of 10, not longer than takeOverDelay, so that it has ended when a coordinator of the former version takes over.

--- a/include/almondlever/customers/QuotaBucket.h
+++ b/include/almondlever/customers/QuotaBucket.h
@@ -42,8 +42,11 @@
     /** Grants operations ahead of demand to daemons whose callers use a customer's key; the members below apply then.
      */
     bool grantsAhead = false;
-    /** Time for which an operation granted ahead may be used; counts from the request. */
-    Milliseconds aheadLifetime { 10000 };
+    /**
+     * Time for which an operation granted ahead may be used; counts from the request. At most takeOverDelay, because a
+     * coordinator of the former version that takes over does not count what its predecessor let daemons hold.
+     */
+    Milliseconds aheadLifetime { 3000 };
     /** A bucket lets daemons hold what it earns in this time; a restarted coordinator earns nothing for this time. */
     Milliseconds aheadFill { 2000 };
     /** Part of a bucket's capacity beyond the minimum that daemons may hold instead. */
--- a/include/almondlever/customers/QuotaWindow.h
+++ b/include/almondlever/customers/QuotaWindow.h
@@ -40,6 +40,8 @@
     void addGrant(std::uint64_t operations, TimePoint now);
     /** Lets a daemon hold this many operations in total, not fewer than before, for another aheadLifetime. */
     void hold(const Report&, std::uint64_t total, TimePoint now);
+    /** Counts operations of an earlier coordinator that may be used until a time. */
+    void assumeUsed(std::uint64_t operations, TimePoint until, TimePoint now);
     std::uint64_t heldBy(const VmId&) const;
     /** Operations that daemons hold. */
     std::uint64_t held() const { return held_; }
--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -61,4 +61,8 @@
   check GroupPromotion found UNREACHED RETURNS KEEP_PAUSES "$broken"
 done
 check GroupPromotion found UNREACHED RETURNS KEEP_PAUSES THREE_DECIDERS CRASHES=0 PAUSE_IN_OLD_TERM
+check QuotaPrefetch holds
+for broken in NO_DEBT AHEAD_AT_ONCE FORGET_PREDECESSOR NO_LAPSE FORGET_USED NO_LOG UNORDERED IGNORE_USED; do
+  check QuotaPrefetch found "$broken"
+done
 exit $((failures > 0))
--- a/src/customers/QuotaCoordinator.cpp
+++ b/src/customers/QuotaCoordinator.cpp
@@ -76,6 +76,9 @@
         share.bucket.startInDebt(since, now);
         share.aheadFrom = since + settings_.aheadLifetime;
     }
+    // The predecessor's grants may be used late in their lifetime, when the bucket has earned again.
+    if (settings_.grantsAhead && share.aheadFrom > now)
+        share.window.assumeUsed(share.bucket.aheadLimit(), share.aheadFrom + settings_.grantLifetime, now);
     return share;
 }
 
--- a/src/customers/QuotaWindow.cpp
+++ b/src/customers/QuotaWindow.cpp
@@ -68,6 +68,12 @@
     expiries_.emplace(holder.until, report.holder);
 }
 
+void QuotaWindow::assumeUsed(std::uint64_t operations, TimePoint until, TimePoint now)
+{
+    advance(now);
+    countUsed(operations, until);
+}
+
 std::uint64_t QuotaWindow::heldBy(const VmId& holder) const
 {
     const auto found = holders_.find(holder);
