--- a/include/almondlever/admission/RankScheduler.h
+++ b/include/almondlever/admission/RankScheduler.h
@@ -42,6 +42,11 @@
     std::optional<QueuedRequest> take(TimePoint now) override;
     void finish(const QueuedRequest&, Duration slotTime, TimePoint now) override;
     void release(const QueuedRequest&, Duration slotTime, TimePoint now) override;
+    /**
+     * Counts slot time that other owners of the endpoint gave to a caller since the last call for it, so that callers
+     * share the slots of all owners. The caller's share elsewhere delays it here by a second of slot time at most.
+     */
+    void noteUsedElsewhere(const CallerId&, Duration slotTime);
     bool cancel(Ticket) override;
     /** Also returns the requests that were displaced from a full queue or dropped by take(). None of them has run. */
     std::vector<QueuedRequest> removeExpired(TimePoint now) override;
--- a/src/admission/RankQueue.cpp
+++ b/src/admission/RankQueue.cpp
@@ -52,6 +52,22 @@
     removeIdleCallers();
 }
 
+void RankQueue::chargeElsewhere(const CallerId& id, Duration slotTime, Duration longestLead)
+{
+    // Without requests there is nobody to share with, and the queue keeps no account of callers.
+    if (locations_.empty() && running_ == 0)
+        return;
+    const auto [found, isNew] = callers_.try_emplace(id);
+    Caller& caller = found->second;
+    if (isNew)
+        caller.sequence = nextSequence_++;
+    unindex(*found);
+    const Duration present = std::max(caller.virtualTime, isNew ? virtualTime_ : Duration(0));
+    caller.virtualTime = std::max(present, std::min(present + slotTime, virtualTime_ + longestLead));
+    index(*found);
+    removeIdleCallers();
+}
+
 std::optional<QueuedRequest> RankQueue::remove(Ticket ticket)
 {
     const auto found = locations_.find(ticket);
--- a/src/admission/RankQueue.h
+++ b/src/admission/RankQueue.h
@@ -21,6 +21,8 @@
     std::optional<QueuedRequest> pop(Duration expectedSlotTime);
     /** Ends a popped request: corrects the charge by the difference between actual and expected slot time. */
     void finish(const CallerId&, Duration correction);
+    /** Charges a caller slot time that it used outside of this queue, up to a lead over the current virtual time. */
+    void chargeElsewhere(const CallerId&, Duration slotTime, Duration longestLead);
     std::optional<QueuedRequest> remove(Ticket);
     /** Removes the request with the earliest deadline if that lies before the bound. */
     std::optional<QueuedRequest> removeExpiredBefore(TimePoint bound);
--- a/src/admission/RankScheduler.cpp
+++ b/src/admission/RankScheduler.cpp
@@ -17,6 +17,9 @@
     /** Upper bound of wait estimates; far beyond any deadline, and small enough to be added without overflow. */
     constexpr double longestWaitSeconds = 3600;
 
+    /** Bounds for how long a caller is passed over because of what other owners reported; reports are seconds old. */
+    constexpr Duration longestLeadElsewhere = std::chrono::seconds(1);
+
     double toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
     Duration fromSeconds(double seconds)
@@ -129,6 +132,13 @@
     rank.queue.finish(request.caller, slotTime - running.charged);
 }
 
+void RankScheduler::noteUsedElsewhere(const CallerId& caller, Duration slotTime)
+{
+    // Reports do not tell ranks apart.
+    for (RankState& rank : ranks_)
+        rank.queue.chargeElsewhere(caller, slotTime, longestLeadElsewhere);
+}
+
 bool RankScheduler::cancel(Ticket ticket)
 {
     if (dropped_.erase(ticket) > 0)
--- a/tests/admission/TestRankScheduler.cpp
+++ b/tests/admission/TestRankScheduler.cpp
@@ -254,3 +254,32 @@
     // A fifth of the slots, less the half second in which the first requests wait.
     cr_assert_geq(lowest, rounds / 5 - 50 / 5 - 5, "lowest rank got %zu of %d slots", lowest, rounds);
 }
+
+// A hot customer floods another owner of the endpoint and is served here like a light one. Guards against customers
+// that queue behind one which has had its share elsewhere, and against one that is passed over for longer than a second
+// of slot time or while nobody else waits.
+Test(RankScheduler, countsSlotTimeOfOtherOwners)
+{
+    for (const auto& [elsewhere, expected] :
+        { std::pair(Milliseconds(200), 20), std::pair(Milliseconds(60000), 100) }) {
+        RankScheduler scheduler(makeRanks(), 1);
+        constexpr Duration slotTime = std::chrono::milliseconds(10);
+        TimePoint now = trainSlotTime(scheduler, 0, slotTime, testStart);
+        constexpr Milliseconds deadline { 60000 };
+        for (Ticket ticket = 1; ticket <= 300; ++ticket)
+            scheduler.offer(makeRequest(ticket, 0, ticket % 2 == 0 ? "hot" : "light", now, deadline), now);
+        scheduler.noteUsedElsewhere(CallerId("hot"), elsewhere);
+        int before = 0;
+        for (auto taken = scheduler.take(now); taken && taken->caller == CallerId("light");
+             taken = scheduler.take(now)) {
+            ++before;
+            now += slotTime;
+            scheduler.finish(*taken, slotTime, now);
+        }
+        cr_assert(std::abs(before - expected) <= 2, "%d of the light customer first", before);
+    }
+    RankScheduler scheduler(makeRanks(), 1);
+    scheduler.offer(makeRequest(1, 0, "hot", testStart), testStart);
+    scheduler.noteUsedElsewhere(CallerId("hot"), Milliseconds(500));
+    cr_assert(scheduler.take(testStart).has_value(), "nobody else waits");
+}
