--- a/tests/customers/TestQuotaAhead.cpp
+++ b/tests/customers/TestQuotaAhead.cpp
@@ -191,6 +191,73 @@
     }
 }
 
+// A coordinator starts again beside daemons that may hold operations of its predecessor. Guards against a new one
+// without debt, against grants ahead before those of the predecessor have lapsed, and against forgetting that these may
+// be used.
+Test(QuotaAhead, restartedCoordinatorStartsInDebt)
+{
+    QuotaFleet fleet(1, limit, false, ahead());
+    QuotaCoordinator& coordinator = fleet.daemons.begin()->second->coordinator;
+    const TimePoint start = fleet.timers.now();
+    QuotaRequest request;
+    request.customer = fleet.customer;
+    request.process = 5;
+    request.ratePerSecond = request.burst = 40000;
+    std::uint64_t granted = 0;
+    // The allowance of 278 less 107 that the predecessor let daemons hold; 7 s contain no more than one window of
+    // grants.
+    constexpr std::uint64_t most = 278 - 107;
+    for (TimePoint now = start; now < start + Milliseconds(7000); now += Milliseconds(50)) {
+        ++request.number;
+        request.operations = 20;
+        request.ahead = 0;
+        granted += coordinator.onRequest(VmId("vm-9"), request, now).granted;
+        if (now < start + Milliseconds(1900))
+            cr_assert_eq(granted, 0U, "in debt");
+    }
+    cr_assert_leq(granted, most + 1, "%zu", static_cast<std::size_t>(granted));
+    cr_assert_geq(granted, most - 10, "%zu", static_cast<std::size_t>(granted));
+    QuotaFleet second(1, limit, false, ahead());
+    QuotaCoordinator& other = second.daemons.begin()->second->coordinator;
+    request.operations = 0;
+    request.ahead = 1;
+    cr_assert_eq(other.onRequest(VmId("vm-9"), request, second.timers.now() + Milliseconds(2950)).ahead, 0U);
+    ++request.number;
+    cr_assert_eq(other.onRequest(VmId("vm-9"), request, second.timers.now() + Milliseconds(3050)).ahead, 1U);
+    ++request.number;
+    request.burst = 5000;
+    request.ahead = 2;
+    cr_assert_eq(other.onRequest(VmId("vm-8"), request, second.timers.now() + Milliseconds(3100)).ahead, 0U,
+        "the daemon knows another limit");
+}
+
+// A daemon is cut off with operations that it holds, or learns of another limit. Guards against their use after their
+// lifetime or under another limit.
+Test(QuotaAhead, heldOperationsAreGivenUpWithTheirLifetimeAndLimit)
+{
+    for (const bool changesLimit : { false, true }) {
+        QuotaFleet fleet(fleetSize, limit, true, ahead());
+        auto& daemon = *fleet.daemons.at(VmId("vm-1050"));
+        fleet.requestAt(daemon);
+        fleet.timers.advance(Milliseconds(500));
+        fleet.requestAt(daemon);
+        fleet.timers.advance(Milliseconds(500));
+        cr_assert_eq(fleet.granted.size(), 2U);
+        cr_assert(fleet.granted.back().first == fleet.granted.back().second, "was not held");
+        daemon.isCut = true;
+        if (changesLimit) {
+            fleet.registry = std::make_shared<CustomerRegistry>();
+            fleet.registry->add({ fleet.customer, {}, { 5, 5 } });
+            fleet.setCustomers(daemon);
+        } else {
+            // Without a tick, like a suspended process.
+            fleet.timers.advance(Milliseconds(2600));
+        }
+        fleet.requestAt(daemon);
+        cr_assert_eq(fleet.granted.size(), 2U);
+    }
+}
+
 // Guards against operations granted ahead of demand to a customer near its limit, or beyond what daemons may hold.
 Test(QuotaAhead, coordinatorGrantsAheadOnlyFarBelowTheLimit)
 {
