--- a/include/almondlever/front/FrontDaemon.h
+++ b/include/almondlever/front/FrontDaemon.h
@@ -35,14 +35,8 @@
     std::string peerAddress;
     /** CPU share of this VM, in hundredths of a core. */
     std::uint32_t capacity = 0;
-    /** Region of each failure domain of the deployment; empty if it is not known. */
-    std::map<FailureDomainId, std::string> regions;
     /** Learns the capacity of endpoints from completed statements and ejects those that fail. */
     bool learnsEndpointCapacity = false;
-    /** Routes the statements of a customer to few owners of a group, so that they find its connections. */
-    bool spreadsCustomersOverOwners = false;
-    /** Obtains operations of customers' limits ahead of demand, and shares slot time fairly over all owners. */
-    bool prefetchesQuota = false;
     /**
      * Follows the store with one watch for all prefixes, and leaves calls out that peers can make unnecessary: for a
      * fleet that is large in comparison with the rates of the store.
--- a/tests/users_platform/TestBootSettings.cpp
+++ b/tests/users_platform/TestBootSettings.cpp
@@ -51,13 +51,12 @@
     cr_assert(!without.features.hasScarceConnections);
     cr_assert(!without.features.hasOverload);
     cr_assert_eq(without.memoryBytes, 260000000U);
-    cr_assert_eq(without.regions.at(FailureDomainId("erongo-a")), "erongo");
     const std::string text
-        = replaced(sampleSettings(), "\"bounds\": {", R"("contracts": ["base", "health", "quota"], "bounds": {)");
+        = replaced(sampleSettings(), "\"bounds\": {", R"("contracts": ["base", "health", "pressure"], "bounds": {)");
     const BootSettings with = decodeBootSettings(text, "boot.json").value();
     cr_assert(with.features.hasUnreliableEndpoints);
-    cr_assert(with.features.hasCustomerLimits);
-    cr_assert(!with.features.hasCustomers);
+    cr_assert(with.features.hasOverload);
+    cr_assert(!with.features.hasScarceConnections);
     const std::string wrong = replaced(sampleSettings(), "\"bounds\": {", R"("contracts": "health", "bounds": {)");
     cr_assert(!decodeBootSettings(wrong, "boot.json"));
 }
