--- a/include/almondlever/front/FrontDaemon.h
+++ b/include/almondlever/front/FrontDaemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "almondlever/capacity/OwnerReports.h"
 #include "almondlever/common/TimerService.h"
 #include "almondlever/customers/CustomerGate.h"
 #include "almondlever/forwarding/ForwardedStatements.h"
@@ -34,14 +35,8 @@
     std::string peerAddress;
     /** CPU share of this VM, in hundredths of a core. */
     std::uint32_t capacity = 0;
-    /** Region of each failure domain of the deployment; empty if it is not known. */
-    std::map<FailureDomainId, std::string> regions;
     /** Learns the capacity of endpoints from completed statements and ejects those that fail. */
     bool learnsEndpointCapacity = false;
-    /** Routes the statements of a customer to few owners of a group, so that they find its connections. */
-    bool spreadsCustomersOverOwners = false;
-    /** Obtains operations of customers' limits ahead of demand, and shares slot time fairly over all owners. */
-    bool prefetchesQuota = false;
     /**
      * Follows the store with one watch for all prefixes, and leaves calls out that peers can make unnecessary: for a
      * fleet that is large in comparison with the rates of the store.
@@ -159,6 +154,11 @@
     /** Writes the cluster key unless the store has one. */
     void writeClusterKey(const std::string& key);
     void onPeerMessage(const VmId& from, Message&&);
+    /** Receives the reports of a probe and answers it. */
+    void onOwnerProbe(const VmId& from, const OwnerProbe&, TimePoint now);
+    void onOwnerProbeAnswer(const VmId& from, const OwnerProbeAnswer&, TimePoint now);
+    /** Sends the reports to other owners that are due. */
+    void sendReports(TimePoint now);
     void onPrimarySuspicion(const VmId& from, const PrimarySuspicion&, TimePoint now);
     void onPrimarySuspicionAnswer(const VmId& from, const PrimarySuspicionAnswer&, TimePoint now);
     /** Recomputes which daemons own which group after a change of the members or groups. */
@@ -191,6 +191,7 @@
     StatementDispatcher dispatcher_;
     StatementForwarder forwarder_;
     ForwardedStatements forwarded_;
+    OwnerReports ownerReports_;
     PeerSuspicionConfirmer suspicionConfirmer_;
     PeerStepDownRelay stepDownRelay_;
     PromotionDriver promotions_;
