--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -9,7 +9,7 @@
 time_limit_s=180
 
 # Number of inputs for each target, chosen by its speed.
-declare -A runs=([FuzzMessages]=100000 [FuzzSessionToken]=350000 [FuzzInventory]=1500 [FuzzLineCodec]=70000)
+declare -A runs=([FuzzMessages]=100000 [FuzzSessionToken]=350000 [FuzzInventory]=1500 [FuzzLineCodec]=70000 [FuzzCallerLimits]=25000)
 # Comparison tracing is off because it puts addresses, which differ from run to run, into the inputs.
 flags=(-seed="$seed" -use_cmp=0 -print_final_stats=0)
 
