--- a/tests/crowds/TestConnectionMemory.cpp
+++ b/tests/crowds/TestConnectionMemory.cpp
@@ -22,6 +22,6 @@
             cr_expect_neq(callers.back()->readLine(Milliseconds(20000)), "", "session %zu is not served", i);
     }
     const std::size_t bytes = deployment.usage().residentBytes - before;
-    cr_log_warn("%zu bytes per idle session", bytes / sessions);
+    cr_log_info("%zu bytes per idle session", bytes / sessions);
     cr_expect_leq(bytes, mostBytes, "%zu sessions use %zu bytes", sessions, bytes);
 }
--- a/tests/crowds/TestCrowds.cpp
+++ b/tests/crowds/TestCrowds.cpp
@@ -38,7 +38,7 @@
     cr_expect_leq(usage.peakBytes, limits.megabytes * bytesInMegabyte, "peak memory is %zu bytes", usage.peakBytes);
     cr_expect_leq(
         deployment.peakDescriptors(), limits.descriptors, "%zu descriptors were open", deployment.peakDescriptors());
-    cr_log_warn("peak %zu kB, most descriptors %zu, now %zu", usage.peakBytes / 1000, deployment.peakDescriptors(),
+    cr_log_info("peak %zu kB, most descriptors %zu, now %zu", usage.peakBytes / 1000, deployment.peakDescriptors(),
         usage.descriptors);
 }
 
