Keep a record of the servers that could hold an acknowledged commit

Cause: the number of logs to compare was the number of endpoints that the store listed at that moment, less the copies, so that it fell with each entry that lapsed; the position that should have prevented a loss was in each daemon's memory. Change: LogHolders, a record in the platform's store without a lease, of every run of an endpoint that could hold a commit. It grows with each listed endpoint; a holder is removed only when it was replaced, left as announced or started again, and the primary and sync-replicas other listed holders were found to hold everything up to a position that the primary reported after that. LogHolderKeeper writes it by compare-and-set, at changes of members only. A promotion reads it under the claim and needs `holders - sync-replicas` compared logs; without a record none is chosen by counting. Changed fixture of TestPromotionDriver: a healthy period before each fault, in which the record is written.

--- a/include/almondlever/failover/GroupPromotion.h
+++ b/include/almondlever/failover/GroupPromotion.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "almondlever/common/Time.h"
+#include "almondlever/failover/LogHolders.h"
 #include "almondlever/groups/EndpointEntry.h"
 
 #include <algorithm>
@@ -32,6 +33,7 @@
     EndpointId id;
     bool isPrimary = false;
     bool isLeaving = false;
+    Milliseconds startedAt { 0 };
 };
 
 /** Result of the platform's promote call. */
@@ -94,9 +96,9 @@
  * end. If none does in time, the old primary is promoted again: it holds everything, and the change is given up.
  *
  * A primary that no owner reaches cannot acknowledge anything to their callers. Replicas are paused then, in case it
- * returns: of any `members - synchronousReplicas` paused logs at least one holds every acknowledged commit, so the
- * attempt waits for that many answers and promotes the most advanced log. The same holds for an endpoint that does not
- * know the order to step down.
+ * returns: of any `holders - synchronousReplicas` paused logs at least one holds every acknowledged commit, so the
+ * attempt waits for that many answers and promotes the most advanced log. Holders are the members and the endpoints of
+ * setMissingHolders(). The same holds for an endpoint that does not know the order to step down.
  *
  * A primary that is leaving serves until one replica has caught up while all others are paused. Paused replicas are
  * resumed once the chosen one is the primary. A promote order without an answer may take effect late; it is repeated
@@ -126,13 +128,22 @@
         acknowledgedPosition_ = std::max(acknowledgedPosition_, position);
     }
 
+    /**
+     * Sets the log holders that are not listed: they count, but cannot be asked. nullopt: the group's holders are not
+     * known, so that no number of logs is enough.
+     */
+    void setMissingHolders(std::optional<std::vector<LogHolder>> missing) { missingHolders_ = std::move(missing); }
+
     /** `hasRelay`: other owners can be asked to send the order to step down to a primary that does not answer. */
     Orders start(TimePoint now, bool hasRelay = false);
     /** Result of QueryStatus, Pause or Resume; nullopt when the endpoint was unreachable or refused. */
     Orders onStatus(const EndpointId&, Order::Kind, const std::optional<EndpointReplicationStatus>&, TimePoint now);
     /** Result of StepDown, from this daemon and from the owners that it asked to relay the order. */
     Orders onStepDown(const StepDownReport&, TimePoint now);
-    /** Adds endpoints that joined the group after the start; while they could help the old primary, they are paused. */
+    /**
+     * Adds endpoints that joined the group after the start, or started again without their log; while they could help
+     * the old primary, they are paused.
+     */
     Orders onMembers(const std::vector<PromotionMember>&);
     Orders onPromotionResult(PromotionResult, TimePoint now);
     Orders onTick(TimePoint now);
@@ -145,6 +156,11 @@
     /** Term in which the chosen endpoint reported that it leads; 0 when it did not. */
     Term leadingTerm() const { return leadingTerm_; }
     const std::string& failure() const { return failure_; }
+    /** Number of logs that had to be compared, and of those that were. */
+    std::size_t requiredLogs() const;
+    std::size_t comparedLogs() const { return pausedPositions_.size(); }
+    /** Log holders whose logs were not compared. */
+    std::vector<EndpointId> unseenHolders() const;
     /** End of the old primary's log; nullopt when it did not step down. */
     const std::optional<LogPosition>& steppedDownPosition() const { return steppedDownPosition_; }
     /** True when a paused replica received commits during the promotion, so that acknowledged commits may be lost. */
@@ -210,10 +226,17 @@
     {
         return reason_ == PromotionReason::PrimaryFailed || reason_ == PromotionReason::PrimaryStalled;
     }
-    std::size_t requiredAnswers() const;
+    /** True if enough logs are compared to include every acknowledged commit. */
+    bool hasEnoughLogs(std::size_t compared) const { return missingHolders_ && compared >= requiredLogs(); }
+    /** The endpoint is listed, so that it can be asked. */
+    void noteListed(const PromotionMember&);
+    /** The endpoint started again without its log; what it answered before does not count. */
+    void forgetRun(PromotionMember&, Milliseconds startedAt);
     const PromotionMember* mostAdvanced(const std::map<EndpointId, LogPosition>&) const;
 
     std::vector<PromotionMember> members_;
+    /** Log holders that are not among the members; nullopt if they are not known. */
+    std::optional<std::vector<LogHolder>> missingHolders_ = std::vector<LogHolder>();
     std::size_t synchronousReplicas_;
     /** Term of the pause orders; must be above every term known in the group. */
     Term pauseTerm_;
--- a/include/almondlever/front/PromotionDriver.h
+++ b/include/almondlever/front/PromotionDriver.h
@@ -3,6 +3,7 @@
 #include "almondlever/common/TimerService.h"
 #include "almondlever/failover/GroupPromotion.h"
 #include "almondlever/failover/PromotionService.h"
+#include "almondlever/front/LogHolderKeeper.h"
 #include "almondlever/front/StepDownRelay.h"
 #include "almondlever/front/SuspicionConfirmer.h"
 #include "almondlever/pooling/StatementDispatcher.h"
@@ -31,6 +32,7 @@
     Milliseconds reconfirmAfter { 400 };
     /** Pause after a failed attempt. */
     Milliseconds retryPause { 500 };
+    LogHolderSettings logHolders;
 };
 
 /**
@@ -69,6 +71,8 @@
     void onStoreEra(std::uint64_t era, TimePoint now);
     /** To be called when the store shows whether the last change of a group's primary is unfinished. */
     void onChangeRecord(const GroupId&, bool isChangeOpen, TimePoint now);
+    /** To be called when the store shows the record of a group's log holders. */
+    void onLogHolders(const GroupId& group, const StoreItem& item) { logHolders_.noteRecord(group, item); }
     void onTick(TimePoint now);
     /** Starts no further changes; running ones continue. */
     void stop() { isStopping_ = true; }
@@ -88,19 +92,23 @@
     };
 
     std::optional<PromotionReason> reasonFor(const GroupId&, const GroupState&, TimePoint now) const;
-    /** Delay by this daemon's rank among the owners; the order differs by group, which spreads the work. */
-    Duration staggerDelay(const GroupId&) const;
+    /** Number of owners before this daemon; the order differs by group, which spreads the work. */
+    std::size_t rankOf(const GroupId&) const;
     bool isOwner(const GroupId&) const;
     /** Returns true if the other owners confirm that the primary fails, or do not know. */
     bool isConfirmed(const GroupId&, PromotionReason, TimePoint now);
     void begin(const GroupId&, PromotionReason, TimePoint now);
     void onClaimed(const GroupId&, const StoreResult<std::uint64_t>&);
+    /** Continues the change once the group's members and log holders have been read under the claim. */
+    void onRead(const GroupId&, const std::string& failure);
     void releaseClaim(const GroupId&, const std::string& outcome, const std::string& detail);
     /** Asks the other owners again if acquiring the claim took long, then starts the change or releases the claim. */
     void reconfirm(const GroupId&, TimePoint now);
     void startChange(const GroupId&);
     void executeOrders(const GroupId&, const GroupPromotion::Orders&, TimePoint now);
     std::vector<PromotionMember> membersOf(const GroupId&) const;
+    /** Log holders of the group without an entry; nullopt without a record of them. */
+    std::optional<std::vector<LogHolder>> missingHoldersOf(const GroupId&, const std::optional<LogHolders>&) const;
     void sendOrder(const GroupId&, const GroupPromotion::Order&);
     /** Orders the primary to step down, directly and through other owners. */
     void orderStepDown(const GroupId&, const GroupPromotion::Order&);
@@ -116,6 +124,7 @@
     PromotionService& service_;
     TimerService& timers_;
     PromotionDriverSettings settings_;
+    LogHolderKeeper logHolders_;
     MembersRefresh refreshMembers_;
     SuspicionConfirmer* suspicionConfirmer_ = nullptr;
     StepDownRelay* stepDownRelay_ = nullptr;
--- a/include/almondlever/pooling/StatementDispatcher.h
+++ b/include/almondlever/pooling/StatementDispatcher.h
@@ -117,6 +117,8 @@
      * to step down in a term.
      */
     void stepDown(const GroupId&, const EndpointId&, Term, StepDownCallback, TimePoint now);
+    /** Sets the number of endpoints whose logs may contain acknowledged commits, listed or not. */
+    void setLogHolders(const GroupId&, std::size_t count);
     /** Ends the hold that stepDown() began; a new primary ends it as well. */
     void endHold(const GroupId&, TimePoint now);
 
--- a/include/almondlever/store/PromotionClaim.h
+++ b/include/almondlever/store/PromotionClaim.h
@@ -20,6 +20,8 @@
     inline const std::string claims = root + "claims/";
     /** Record of whether the last change of a group's primary was finished. Has no lease: it outlives its writer. */
     inline const std::string changes = root + "changes/";
+    /** Record of the endpoints whose logs may contain acknowledged commits of a group (LogHolders). Has no lease. */
+    inline const std::string logHolders = root + "log-holders/";
 
     inline const std::string changeOpen = "open";
     inline const std::string changeDone = "done";
--- a/src/failover/GroupPromotion.cpp
+++ b/src/failover/GroupPromotion.cpp
@@ -43,13 +43,24 @@
     return found == members_.end() ? nullptr : &*found;
 }
 
-std::size_t GroupPromotion::requiredAnswers() const
+std::size_t GroupPromotion::requiredLogs() const
 {
-    const std::size_t replicas = members_.size() - (primary() ? 1 : 0);
+    const std::size_t holders = members_.size() + (missingHolders_ ? missingHolders_->size() : 0);
+    // Without synchronous replicas no number of logs is safe; all but the primary's lose the least.
     const std::size_t copies = std::max<std::size_t>(synchronousReplicas_, 1);
-    const std::size_t needed = members_.size() > copies ? members_.size() - copies : 1;
-    // Without synchronous replicas no number of answers is safe; waiting for all replicas loses the least.
-    return std::clamp<std::size_t>(needed, 1, std::max<std::size_t>(replicas, 1));
+    return holders > copies ? holders - copies : 1;
+}
+
+std::vector<EndpointId> GroupPromotion::unseenHolders() const
+{
+    std::vector<EndpointId> unseen;
+    for (const PromotionMember& member : members_) {
+        if (pausedPositions_.count(member.id) == 0)
+            unseen.push_back(member.id);
+    }
+    for (const LogHolder& holder : missingHolders_.value_or(std::vector<LogHolder>()))
+        unseen.push_back(holder.id);
+    return unseen;
 }
 
 GroupPromotion::Orders GroupPromotion::start(TimePoint now, bool hasRelay)
@@ -300,7 +311,7 @@
         return {};
     }
     const bool hasAll = pausedPositions_.size() + unreachable_.size() >= replicas;
-    const bool hasEnough = pausedPositions_.size() >= requiredAnswers();
+    const bool hasEnough = hasEnoughLogs(pausedPositions_.size());
     if (hasEnough && (hasAll || elapsed >= settings_.answerTimeout)) {
         const PromotionMember* best = mostAdvanced(pausedPositions_);
         if (!best)
@@ -310,6 +321,8 @@
         chosen_ = best->id;
         return promote(now);
     }
+    if (!missingHolders_)
+        return fail("the endpoints that may hold acknowledged commits are not known", now);
     if (elapsed > settings_.fenceTimeout || (hasAll && !hasEnough))
         return fail("too few replicas answer to know every acknowledged commit", now);
     return {};
@@ -326,8 +339,13 @@
     LogPosition needed = acknowledgedPosition_;
     for (const auto& [id, position] : pausedPositions_)
         needed = std::max(needed, position);
-    if (handOverPosition_ && reportedPositions_[chosen_] >= std::max(needed, *handOverPosition_))
-        return canStepDown_ ? beginStepDown(now) : promote(now);
+    if (handOverPosition_ && reportedPositions_[chosen_] >= std::max(needed, *handOverPosition_)) {
+        if (canStepDown_)
+            return beginStepDown(now);
+        // An endpoint without an entry is not paused and may still help the primary to acknowledge commits.
+        const bool areAllKnown = missingHolders_ && missingHolders_->empty();
+        return areAllKnown ? promote(now) : fail("a log holder that must be paused is not listed", now);
+    }
     if (now - phaseStart_ > settings_.catchUpTimeout)
         return fail("the chosen replica lacks acknowledged commits", now);
     if (now - lastOrder_ < settings_.statusInterval)
@@ -423,7 +441,7 @@
     if (elapsed >= settings_.lastEntriesTimeout) {
         // A stalled primary's last commits reached no replica. No further one is acknowledged, so that enough logs
         // include one with every acknowledged commit.
-        const bool isComplete = best && reportedPositions_.size() >= requiredAnswers()
+        const bool isComplete = best && hasEnoughLogs(reportedPositions_.size())
             && reportedPositions_.at(best->id) >= acknowledgedPosition_;
         if (reason_ != PromotionReason::PrimaryStalled || !isComplete)
             return returnToOldPrimary(now);
@@ -460,23 +478,57 @@
 GroupPromotion::Orders GroupPromotion::onMembers(const std::vector<PromotionMember>& members)
 {
     Orders orders;
-    const bool areReplicasPaused = !steppedDownPosition_
-        && (phase_ == Phase::Fencing || phase_ == Phase::CatchingUp || phase_ == Phase::Promoting
-            || phase_ == Phase::Confirming);
     for (const PromotionMember& member : members) {
-        const bool isKnown = std::any_of(members_.begin(), members_.end(),
-            [&member](const PromotionMember& known) { return known.id == member.id; });
-        if (isKnown || isFinished() || phase_ == Phase::Resuming)
+        if (isFinished() || phase_ == Phase::Resuming)
+            break;
+        const auto known = std::find_if(members_.begin(), members_.end(),
+            [&member](const PromotionMember& candidate) { return candidate.id == member.id; });
+        if (known != members_.end() && known->startedAt == member.startedAt)
             continue;
-        members_.push_back({ member.id, false, member.isLeaving });
+        if (known != members_.end())
+            forgetRun(*known, member.startedAt);
+        else
+            members_.push_back({ member.id, false, member.isLeaving, member.startedAt });
+        noteListed(member);
+        const bool areReplicasPaused = !steppedDownPosition_
+            && (phase_ == Phase::Fencing || phase_ == Phase::CatchingUp || phase_ == Phase::Promoting
+                || phase_ == Phase::Confirming);
         if (areReplicasPaused)
             orders.push_back({ Order::Kind::Pause, member.id, pauseTerm_ });
         else
             orders.push_back({ Order::Kind::QueryStatus, member.id, 0 });
+        if (areReplicasPaused)
+            handOverPosition_.reset();
     }
-    if (!orders.empty() && areReplicasPaused)
-        handOverPosition_.reset();
-    return orders;
+    return isFinished() ? Orders() : orders;
+}
+
+void GroupPromotion::noteListed(const PromotionMember& member)
+{
+    if (!missingHolders_)
+        return;
+    missingHolders_->erase(
+        std::remove_if(missingHolders_->begin(), missingHolders_->end(),
+            [&](const LogHolder& holder) { return holder.id == member.id && holder.startedAt == member.startedAt; }),
+        missingHolders_->end());
+}
+
+void GroupPromotion::forgetRun(PromotionMember& member, Milliseconds startedAt)
+{
+    if (missingHolders_)
+        missingHolders_->push_back({ member.id, member.startedAt, member.isLeaving });
+    member.startedAt = startedAt;
+    member.isPrimary = false;
+    pausedPositions_.erase(member.id);
+    reportedPositions_.erase(member.id);
+    unreachable_.erase(member.id);
+    if (member.id != chosen_)
+        return;
+    // The platform names endpoints by their id, so that the call may promote the empty log: only a call with a newer
+    // fencing token prevents it.
+    needsRecovery_ = true;
+    failure_ = "the chosen endpoint started again without its log";
+    phase_ = Phase::Finished;
 }
 
 GroupPromotion::Orders GroupPromotion::promote(TimePoint now)
--- a/src/front/FrontDaemonStore.cpp
+++ b/src/front/FrontDaemonStore.cpp
@@ -248,6 +248,8 @@
         } else if (hasPrefix(item.key, storeKeys::changes)) {
             const bool isOpen = !item.isDeleted && item.value == storeKeys::changeOpen;
             promotions_.onChangeRecord(GroupId(withoutPrefix(item.key, storeKeys::changes)), isOpen, now);
+        } else if (hasPrefix(item.key, storeKeys::logHolders)) {
+            promotions_.onLogHolders(GroupId(withoutPrefix(item.key, storeKeys::logHolders)), item);
         } else if (item.key == storeKeys::clusterKey && !item.isDeleted) {
             hasClusterKey = true;
             startPeerNetwork(item.value);
--- a/src/front/PromotionDriver.cpp
+++ b/src/front/PromotionDriver.cpp
@@ -39,6 +39,11 @@
     PromotionReason reason = PromotionReason::PrimaryFailed;
     std::unique_ptr<GroupPromotion> promotion;
     TimePoint startedAt;
+    /** Reads under the claim that have not ended. */
+    std::size_t pendingReads = 0;
+    /** First failure of those reads; empty if there was none. */
+    std::string readFailure;
+    std::optional<LogHolders> logHolders;
     /** The claim is held, and the other owners have been asked again about the primary. */
     bool awaitsConfirmation = false;
     /** Sources whose report on the order to step down is missing, of those that are waited for. */
@@ -54,6 +59,7 @@
     , service_(service)
     , timers_(timers)
     , settings_(settings)
+    , logHolders_(directory, dispatcher, store, timers, settings.logHolders)
 {
 }
 
@@ -82,6 +88,7 @@
     for (const auto& [group, rule] : groups_)
         groupStates_[group].notBefore
             = std::max(groupStates_[group].notBefore, now + settings_.promotion.promotionEffectTime);
+    logHolders_.onStoreEra();
     // onTick() abandons the changes whose claims have ended.
     for (auto& [group, change] : changes_)
         change->claim.noteEra(era);
@@ -106,7 +113,7 @@
     return hasStaying ? std::optional<PromotionReason>(PromotionReason::PrimaryLeaving) : std::nullopt;
 }
 
-Duration PromotionDriver::staggerDelay(const GroupId& group) const
+std::size_t PromotionDriver::rankOf(const GroupId& group) const
 {
     // Owners are ordered by a hash of their own name and the group's.
     const auto hash = [&group](const std::string& member) {
@@ -115,11 +122,10 @@
     };
     const auto owners = owners_.find(group);
     if (owners == owners_.end())
-        return Duration(0);
+        return 0;
     const auto own = hash(settings_.holder);
-    const auto earlier = std::count_if(
-        owners->second.begin(), owners->second.end(), [&](const std::string& member) { return hash(member) < own; });
-    return settings_.staggerDelay * earlier;
+    return static_cast<std::size_t>(std::count_if(
+        owners->second.begin(), owners->second.end(), [&](const std::string& member) { return hash(member) < own; }));
 }
 
 bool PromotionDriver::isOwner(const GroupId& group) const
@@ -133,6 +139,8 @@
     for (const auto& [group, rule] : groups_) {
         if (!isOwner(group) && changes_.count(group) == 0)
             continue;
+        if (!isStopping_)
+            logHolders_.onTick(group, rule.synchronousReplicas, rankOf(group), now);
         const auto running = changes_.find(group);
         if (running != changes_.end()) {
             Change& change = *running->second;
@@ -179,7 +187,8 @@
         if (!state.reasonSince)
             state.reasonSince = now;
         const Duration settling = state.isChangeOpen ? Duration(settings_.promotion.promotionEffectTime) : Duration(0);
-        const bool isDue = now - *state.reasonSince >= staggerDelay(group) + settling && now >= state.notBefore;
+        const Duration stagger = settings_.staggerDelay * static_cast<int>(rankOf(group));
+        const bool isDue = now - *state.reasonSince >= stagger + settling && now >= state.notBefore;
         if (isDue && !state.isClaimed && !isStopping_ && isConfirmed(group, *reason, now))
             begin(group, *reason, now);
     }
@@ -235,19 +244,40 @@
         return;
     if (!result)
         return releaseClaim(group, toText(result.error().kind), result.error().detail);
+    Change& change = *changes_.at(group);
+    change.pendingReads = refreshMembers_ ? 2 : 1;
+    const auto isCurrent = [this, group, fence = change.claim.fence(), alive = std::weak_ptr<int>(alive_)] {
+        return !alive.expired() && changes_.count(group) > 0 && changes_.at(group)->claim.fence() == fence;
+    };
+    logHolders_.read(group, [this, group, isCurrent](const StoreResult<std::optional<LogHolders>>& holders) {
+        if (!isCurrent())
+            return;
+        if (holders)
+            changes_.at(group)->logHolders = holders.value();
+        onRead(group, holders ? "" : "log_holders_unknown");
+    });
     if (!refreshMembers_)
-        return reconfirm(group, timers_.now());
+        return;
     // An endpoint that came back, or that another daemon promoted, may have acknowledged commits with endpoints that
     // this daemon does not know. A list that is read after the claim was acquired is recent enough.
-    refreshMembers_([this, group, alive = std::weak_ptr<int>(alive_)](bool isFresh) {
-        if (alive.expired() || changes_.count(group) == 0)
-            return;
-        if (!isFresh)
-            return releaseClaim(group, "members_unknown", "the store did not answer");
-        reconfirm(group, timers_.now());
+    refreshMembers_([this, group, isCurrent](bool isFresh) {
+        if (isCurrent())
+            onRead(group, isFresh ? "" : "members_unknown");
     });
 }
 
+void PromotionDriver::onRead(const GroupId& group, const std::string& failure)
+{
+    Change& change = *changes_.at(group);
+    if (change.readFailure.empty())
+        change.readFailure = failure;
+    if (--change.pendingReads > 0)
+        return;
+    if (!change.readFailure.empty())
+        return releaseClaim(group, change.readFailure, "the store did not answer");
+    reconfirm(group, timers_.now());
+}
+
 void PromotionDriver::reconfirm(const GroupId& group, TimePoint now)
 {
     Change& change = *changes_.at(group);
@@ -295,9 +325,13 @@
     const LogPosition acknowledged = dispatcher_.acknowledgedPositionOf(group, now);
     change.promotion = std::make_unique<GroupPromotion>(
         members, synchronous, directory_.newestTermOf(group), change.reason, settings_.promotion);
+    const std::optional<std::vector<LogHolder>> missing = missingHoldersOf(group, change.logHolders);
+    change.promotion->setMissingHolders(missing);
     logInfo("promotion_started",
         { { "group", group.text() }, { "reason", toText(change.reason) },
             { "fence", std::to_string(change.claim.fence()) }, { "members", std::to_string(members.size()) },
+            { "missing_holders", missing ? toText(*missing) : "unknown" },
+            { "required_logs", std::to_string(change.promotion->requiredLogs()) },
             { "acknowledged_term", std::to_string(acknowledged.term) },
             { "acknowledged_index", std::to_string(acknowledged.index) } });
     const bool hasRelay = stepDownRelay_ && stepDownRelay_->hasPeers(group);
@@ -309,10 +343,21 @@
     std::vector<PromotionMember> members;
     const EndpointEntry* primary = directory_.primaryOf(group);
     for (const EndpointEntry* entry : directory_.endpointsOf(group))
-        members.push_back({ entry->id, entry == primary, entry->isLeaving });
+        members.push_back({ entry->id, entry == primary, entry->isLeaving, entry->startedAt });
     return members;
 }
 
+std::optional<std::vector<LogHolder>> PromotionDriver::missingHoldersOf(
+    const GroupId& group, const std::optional<LogHolders>& holders) const
+{
+    if (!holders)
+        return std::nullopt;
+    std::vector<EndpointEntry> listed;
+    for (const EndpointEntry* entry : directory_.endpointsOf(group))
+        listed.push_back(*entry);
+    return holders->missingFrom(listed);
+}
+
 void PromotionDriver::executeOrders(const GroupId& group, const GroupPromotion::Orders& orders, TimePoint now)
 {
     // Another daemon may hold the claim by now; onTick() abandons the change.
--- a/src/pooling/DispatcherPrimary.cpp
+++ b/src/pooling/DispatcherPrimary.cpp
@@ -65,10 +65,14 @@
 
 bool DispatcherState::canChangePrimary(const GroupQueues& queues, const GroupId& group, TimePoint now) const
 {
-    const std::size_t members = directory_.endpointsOf(group).size();
+    return countAnswering(group, true, now) >= requiredLogs(queues, group);
+}
+
+std::size_t DispatcherState::requiredLogs(const GroupQueues& queues, const GroupId& group) const
+{
+    const std::size_t holders = std::max(directory_.endpointsOf(group).size(), queues.logHolders);
     const std::size_t copies = std::max<std::size_t>(queues.rule.synchronousReplicas, 1);
-    const std::size_t needed = members > copies ? members - copies : 1;
-    return countAnswering(group, true, now) >= needed;
+    return holders > copies ? holders - copies : 1;
 }
 
 bool DispatcherState::areWritesBlocked(const GroupQueues& queues, const GroupId& group, TimePoint now) const
@@ -99,8 +103,7 @@
     if (found == groups_.end() || found->second.sharingDaemons == 0)
         return std::nullopt;
     const GroupQueues& queues = found->second;
-    const std::size_t members = directory_.endpointsOf(group).size();
-    const std::size_t needed = members - std::min(members, std::max<std::size_t>(queues.rule.synchronousReplicas, 1));
+    const std::size_t needed = requiredLogs(queues, group);
     // Without enough replicas for a promotion, a failover would only fail.
     const bool canHelp = countAnswering(group, false, now) >= std::max<std::size_t>(needed, 2);
     return canHelp ? queues.writes.stalledSince(now) : std::nullopt;
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -68,6 +68,8 @@
     GroupRule rule;
     /** Number of daemons that share the connections; 0 when this daemon is not one of them. */
     std::size_t sharingDaemons = 1;
+    /** Endpoints whose logs may contain acknowledged commits; 0 while that is not known. */
+    std::size_t logHolders = 0;
     RankScheduler primaryQueue;
     RankScheduler readQueue;
     PositionHistory history;
@@ -115,6 +117,7 @@
     void sendReplicationCommand(
         const EndpointId&, const EndpointCommand&, StatementDispatcher::ReplicationCommandCallback, TimePoint now);
     void stepDown(const GroupId&, const EndpointId&, Term, StatementDispatcher::StepDownCallback, TimePoint now);
+    void setLogHolders(const GroupId& group, std::size_t count) { queuesOf(group).logHolders = count; }
     void endHold(const GroupId&, TimePoint now);
     void setGroups(const std::map<GroupId, GroupRule>&, TimePoint now);
     void setConnectionsByCustomer(bool areByCustomer) { areConnectionsByCustomer_ = areByCustomer; }
@@ -170,6 +173,8 @@
     Duration expectedWaitForPrimary(GroupQueues&, const GroupId&, TimePoint now);
     /** True if enough endpoints answer to include one with every acknowledged commit, so that it can be promoted. */
     bool canChangePrimary(const GroupQueues&, const GroupId&, TimePoint now) const;
+    /** Number of logs that a promotion must see. */
+    std::size_t requiredLogs(const GroupQueues&, const GroupId&) const;
     /** Refuses queued statements whose deadlines a new primary would probably miss. */
     void refuseUnservable(GroupQueues&, const GroupId&, TimePoint now);
     /** True if recent writes were not answered and no replica that could receive them from the primary answers. */
--- a/src/pooling/StatementDispatcher.cpp
+++ b/src/pooling/StatementDispatcher.cpp
@@ -37,6 +37,11 @@
     state_->stepDown(group, endpoint, term, std::move(callback), now);
 }
 
+void StatementDispatcher::setLogHolders(const GroupId& group, std::size_t count)
+{
+    state_->setLogHolders(group, count);
+}
+
 void StatementDispatcher::endHold(const GroupId& group, TimePoint now) { state_->endHold(group, now); }
 
 void StatementDispatcher::sendReplicationCommand(
--- a/tests/failover/TestGroupPromotion.cpp
+++ b/tests/failover/TestGroupPromotion.cpp
@@ -1,57 +1,10 @@
-#include "almondlever/failover/GroupPromotion.h"
-
-#include <algorithm>
-#include <criterion/criterion.h>
+#include "PromotionSteps.h"
 
 using namespace almondlever;
-using Kind = GroupPromotion::Order::Kind;
+using namespace almondlever::promotionSteps;
 
 namespace {
 
-const EndpointId a("a");
-const EndpointId b("b");
-const EndpointId c("c");
-const EndpointId d("d");
-const TimePoint start { std::chrono::hours(1) };
-
-TimePoint at(int milliseconds) { return start + Milliseconds(milliseconds); }
-
-GroupPromotion makePromotion(PromotionReason reason,
-    std::vector<PromotionMember> members = { { a, true, false }, { b, false, false }, { c, false, false } })
-{
-    return GroupPromotion(std::move(members), 1, 3, reason, PromotionSettings());
-}
-
-EndpointReplicationStatus replica(std::uint64_t index, Term term = 3) { return { false, term, { 3, index } }; }
-EndpointReplicationStatus primary(std::uint64_t index, Term term = 3) { return { true, term, { 3, index } }; }
-
-bool has(const GroupPromotion::Orders& orders, Kind kind, const EndpointId& endpoint)
-{
-    return std::any_of(orders.begin(), orders.end(),
-        [&](const GroupPromotion::Order& order) { return order.kind == kind && order.endpoint == endpoint; });
-}
-
-bool hasAny(const GroupPromotion::Orders& orders, Kind kind)
-{
-    return std::any_of(
-        orders.begin(), orders.end(), [kind](const GroupPromotion::Order& order) { return order.kind == kind; });
-}
-
-StepDownReport answered(const EndpointReplicationStatus& status) { return { StepDownResult::Answered, status }; }
-
-/** Brings a hand-over of `a` to the end of the probe of the platform; the queries that follow it are sent at 0 ms. */
-void probe(GroupPromotion& promotion)
-{
-    constexpr int started = -2000;
-    promotion.start(at(started));
-    promotion.onStatus(a, Kind::QueryStatus, primary(1), at(started));
-    const auto call = promotion.onTick(at(started + 300));
-    cr_assert(has(call, Kind::Promote, a), "the present primary, which changes nothing");
-    promotion.onPromotionResult(PromotionResult::Accepted, at(-1500));
-    cr_assert(promotion.onTick(at(-100)).empty(), "the call would make the primary lead again after the step");
-    cr_assert(hasAny(promotion.onTick(start), Kind::QueryStatus));
-}
-
 /** A primary, a replica that a hand-over chooses and another one, up to the order to step down. */
 GroupPromotion makeHandOver()
 {
--- /dev/null
+++ b/tests/failover/TestPromotionHolders.cpp
@@ -0,0 +1,87 @@
+#include "PromotionSteps.h"
+
+using namespace almondlever;
+using namespace almondlever::promotionSteps;
+
+// Guards against promoting the only log that answers once the entry of a holder has lapsed (issues 59 and 63).
+Test(GroupPromotion, holdersThatAreNotListedCount)
+{
+    auto promotion = makePromotion(PromotionReason::PrimaryFailed, { { b, false, false }, { c, false, false } });
+    promotion.setMissingHolders(std::vector<LogHolder> { { a, Milliseconds(0), false } });
+    promotion.start(start);
+    promotion.onStatus(b, Kind::QueryStatus, replica(12), at(5));
+    promotion.onStatus(c, Kind::QueryStatus, std::nullopt, at(5));
+    cr_assert(!hasAny(promotion.onStatus(b, Kind::Pause, replica(12), at(20)), Kind::Promote));
+    const auto orders = promotion.onStatus(c, Kind::Pause, std::nullopt, at(30));
+    cr_assert(!hasAny(orders, Kind::Promote));
+    cr_assert_eq(promotion.requiredLogs(), 2U);
+    cr_assert(promotion.unseenHolders() == (std::vector<EndpointId> { c, a }), "an operator learns who is waited for");
+}
+
+// Guards against a group that stays without a primary although enough logs are known.
+Test(GroupPromotion, enoughLogsReplaceAHolderThatIsNotListed)
+{
+    auto promotion = makePromotion(PromotionReason::PrimaryFailed, { { b, false, false }, { c, false, false } });
+    promotion.setMissingHolders(std::vector<LogHolder> { { a, Milliseconds(0), false } });
+    promotion.start(start);
+    promotion.onStatus(b, Kind::QueryStatus, replica(12), at(5));
+    promotion.onStatus(c, Kind::QueryStatus, replica(10), at(5));
+    promotion.onStatus(b, Kind::Pause, replica(12), at(20));
+    cr_assert(has(promotion.onStatus(c, Kind::Pause, replica(10), at(30)), Kind::Promote, b));
+}
+
+// Guards against counting logs while it is not known whose logs there are.
+Test(GroupPromotion, unknownHoldersPreventAChoiceByCount)
+{
+    auto promotion = makePromotion(PromotionReason::PrimaryFailed);
+    promotion.setMissingHolders(std::nullopt);
+    promotion.start(start);
+    promotion.onStatus(b, Kind::Pause, replica(10), at(20));
+    cr_assert(!hasAny(promotion.onStatus(c, Kind::Pause, replica(12), at(40)), Kind::Promote));
+    cr_assert(!promotion.hasSucceeded());
+}
+
+// Guards against counting the log of a replica that started again, empty, after it was paused.
+Test(GroupPromotion, pauseOfAFormerRunDoesNotCount)
+{
+    auto promotion = makePromotion(PromotionReason::PrimaryFailed);
+    promotion.start(start);
+    promotion.onStatus(b, Kind::Pause, replica(12), at(20));
+    const auto orders
+        = promotion.onMembers({ { a, true, false }, { b, false, false, Milliseconds(9) }, { c, false, false } });
+    cr_assert(has(orders, Kind::Pause, b));
+    promotion.onStatus(b, Kind::Pause, replica(0), at(30));
+    cr_assert(!hasAny(promotion.onStatus(c, Kind::Pause, replica(8), at(40)), Kind::Promote),
+        "the former run of b and the primary may hold a commit that c lacks");
+}
+
+// Guards against confirming the promotion of a replica that started again, empty, before the call took effect.
+Test(GroupPromotion, chosenReplicaThatRestartsRequiresRecovery)
+{
+    auto promotion = makePromotion(PromotionReason::PrimaryFailed);
+    promotion.start(start);
+    promotion.onStatus(b, Kind::Pause, replica(12), at(20));
+    cr_assert(has(promotion.onStatus(c, Kind::Pause, replica(8), at(40)), Kind::Promote, b));
+    promotion.onMembers({ { a, true, false }, { b, false, false, Milliseconds(9) }, { c, false, false } });
+    cr_assert(promotion.isFinished());
+    cr_assert(!promotion.hasSucceeded());
+    cr_assert(promotion.needsRecovery());
+}
+
+// Guards against a hand-over without a step down while an endpoint that is not listed can help the old primary.
+Test(GroupPromotion, handOverWithoutStepDownNeedsEveryHolderPaused)
+{
+    auto promotion = makePromotion(
+        PromotionReason::PrimaryLeaving, { { a, true, true }, { b, false, false }, { c, false, false } });
+    promotion.setMissingHolders(std::vector<LogHolder> { { d, Milliseconds(0), false } });
+    probe(promotion);
+    promotion.onStatus(a, Kind::QueryStatus, primary(20), at(10));
+    promotion.onStatus(b, Kind::QueryStatus, replica(20), at(10));
+    promotion.onStatus(c, Kind::QueryStatus, replica(18), at(20));
+    promotion.onStatus(c, Kind::Pause, replica(20), at(40));
+    promotion.onStatus(b, Kind::QueryStatus, replica(20), at(60));
+    cr_assert(has(promotion.onStatus(a, Kind::QueryStatus, primary(20), at(60)), Kind::StepDown, a));
+    promotion.onStepDown({ StepDownResult::NotSupported, {} }, at(70));
+    promotion.onStatus(b, Kind::QueryStatus, replica(20), at(90));
+    cr_assert(!hasAny(promotion.onStatus(a, Kind::QueryStatus, primary(20), at(90)), Kind::Promote));
+}
--- a/tests/front/TestPromotionDriver.cpp
+++ b/tests/front/TestPromotionDriver.cpp
@@ -88,6 +88,8 @@
         endpoints.replicates = true;
         driver.setGroups(configuration->groups);
         driver.setOwners({ { group, { "vm-1" } } });
+        // The record of log holders is written while the group is healthy.
+        run(Milliseconds(3000));
     }
 
     void leave(const EndpointId& id)
