Show promotions that lose acknowledged commits

They run in virtual time without network or bench, on a new fixture that keeps endpoints, entries and the store while the daemon restarts (tests/mocks/PromotionFixture.h).

--- /dev/null
+++ b/tests/mocks/PromotionFixture.h
@@ -0,0 +1,275 @@
+#pragma once
+
+#include "FakeEndpoints.h"
+#include "FakeMetadataStore.h"
+#include "almondlever/front/PromotionDriver.h"
+#include "almondlever/pooling/StatementDispatcher.h"
+#include "almondlever/sessions/SessionContents.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace almondlever {
+
+/**
+ * One daemon and one group of endpoints a, b and c with one synchronous replica, in virtual time. The daemon can be
+ * restarted without its memory; the endpoints, their entries and the store remain.
+ */
+class PromotionFixture {
+public:
+    const GroupId group { "ledger" };
+    const EndpointId a { "a" };
+    const EndpointId b { "b" };
+    const EndpointId c { "c" };
+    /** Time after which the platform removes the entry of a silent endpoint: three heartbeat intervals. */
+    static constexpr Milliseconds entryLifetime { 3600 };
+    /** Time after which the daemon no longer lists a silent endpoint. */
+    static constexpr Milliseconds removalTime = entryLifetime + EndpointDirectory::lapseGrace;
+
+    PromotionFixture()
+        : endpoints(timers)
+        , store(timers)
+        , promotions(*this)
+        , log_(0)
+    {
+        groups_[group] = { group, 40, 1 };
+        endpoints.server(a).leads = true;
+        for (const EndpointId& id : { a, b, c })
+            list(id);
+        restartDaemon();
+    }
+
+    /** Starts the daemon, in place of a running one, with the entries that the store lists now. */
+    void restartDaemon()
+    {
+        daemon_.reset();
+        daemon_ = std::make_unique<Daemon>(*this);
+        daemon_->driver.setStepDownRelay(relay_);
+        for (const auto& [id, entry] : entries_)
+            daemon_->directory.update(entry, timers.now());
+        daemon_->dispatcher.setGroups(groups_, timers.now());
+        daemon_->dispatcher.onDirectoryChange(timers.now());
+        daemon_->driver.setGroups(groups_);
+        daemon_->driver.setOwners({ { group, { "vm-1" } } });
+    }
+
+    PromotionDriver& driver() { return daemon_->driver; }
+    void setRelay(StepDownRelay* relay)
+    {
+        relay_ = relay;
+        driver().setStepDownRelay(relay);
+    }
+
+    /** Lists an endpoint, or writes its entry again with the role that it has. */
+    void list(const EndpointId& id) { listAs(id, endpoints.server(id).leads); }
+    void listAs(const EndpointId& id, bool reportsPrimary)
+    {
+        EndpointEntry& entry = entries_[id];
+        entry.id = id;
+        entry.group = group;
+        entry.address = "10.0.0.1:1";
+        entry.reportsPrimary = reportsPrimary;
+        entry.startedAt = Milliseconds(1 + restarts_[id]);
+        entry.revision = ++revision_;
+        lapsesAt_.erase(id);
+        if (!daemon_)
+            return;
+        daemon_->directory.update(entry, timers.now());
+        daemon_->dispatcher.onDirectoryChange(timers.now());
+    }
+
+    /** No daemon reaches the endpoint, and its entry lapses. */
+    void makeUnreachable(const EndpointId& id)
+    {
+        endpoints.server(id).isSilent = true;
+        lapsesAt_[id] = timers.now() + entryLifetime;
+    }
+    /** The process ends, and its entry lapses; its log is kept. */
+    void crash(const EndpointId& id)
+    {
+        endpoints.crash(id);
+        lapsesAt_[id] = timers.now() + entryLifetime;
+    }
+    /** An endpoint that was unreachable or had crashed is back with its log. */
+    void bringBack(const EndpointId& id)
+    {
+        endpoints.server(id).isSilent = false;
+        endpoints.server(id).isDown = false;
+        list(id);
+    }
+    /** The endpoint starts anew under its id, as a replica with an empty log. */
+    void restartEmpty(const EndpointId& id)
+    {
+        endpoints.crash(id);
+        endpoints.server(id).isDown = false;
+        endpoints.server(id).position = {};
+        endpoints.server(id).reportsPosition = false;
+        ++restarts_[id];
+        list(id);
+    }
+
+    /** These endpoints hold the log up to this position, which is acknowledged to callers of other daemons. */
+    void acknowledge(const LogPosition& position, const std::vector<EndpointId>& holders)
+    {
+        for (const EndpointId& id : holders)
+            endpoints.server(id).position = position;
+        acknowledged = std::max(acknowledged, position);
+    }
+
+    void run(Duration by)
+    {
+        const TimePoint end = timers.now() + by;
+        while (timers.now() < end) {
+            timers.advance(std::min<Duration>(StatementDispatcher::tickInterval, end - timers.now()));
+            updateEntries();
+            daemon_->dispatcher.onTick(timers.now());
+            daemon_->driver.onTick(timers.now());
+        }
+    }
+    /** Runs until the condition holds; returns false if it does not within the time. */
+    template <typename Condition> bool runUntil(Duration limit, const Condition& condition)
+    {
+        const TimePoint end = timers.now() + limit;
+        while (!condition() && timers.now() < end)
+            run(StatementDispatcher::tickInterval);
+        return condition();
+    }
+
+    bool leads(const EndpointId& id) { return endpoints.server(id).leads && !endpoints.server(id).isDown; }
+
+    /** True if a caller's write is acknowledged within a second. */
+    bool write()
+    {
+        StatementRequest request;
+        request.statement.kind = StatementKind::Write;
+        request.statement.id = "w" + std::to_string(++writes_);
+        request.statement.text = "WRITE x 1";
+        request.group = group;
+        request.arrival = timers.now();
+        request.deadline = timers.now() + Milliseconds(1000);
+        request.isWrite = true;
+        request.needsPrimary = true;
+        request.contents = std::make_shared<const SessionContents>();
+        const auto result = std::make_shared<std::optional<StatementError>>();
+        const auto isDone = std::make_shared<bool>(false);
+        daemon_->dispatcher.submit(
+            request,
+            [result, isDone](StatementResult&& answer, TimePoint) {
+                *result = answer.reply.error;
+                *isDone = true;
+            },
+            timers.now());
+        return runUntil(Milliseconds(1100), [&] { return *isDone; }) && !*result;
+    }
+
+    /** The platform's promotion service: an endpoint leads the next term some time after the call. */
+    class Promotions final : public PromotionService {
+    public:
+        explicit Promotions(PromotionFixture& fixture)
+            : fixture_(fixture)
+        {
+        }
+
+        void promote(const GroupId&, const EndpointId& endpoint, const std::string&, std::uint64_t,
+            std::function<void(PromotionResult, const std::string&)> callback) override
+        {
+            const bool isRunning = !fixture_.endpoints.server(endpoint).isDown;
+            fixture_.timers.callAfter(Milliseconds(10), [callback, isRunning](TimePoint) {
+                callback(isRunning ? PromotionResult::Accepted : PromotionResult::Refused, "");
+            });
+            if (isRunning)
+                fixture_.timers.callAfter(Milliseconds(300), [this, endpoint](TimePoint) { takeEffect(endpoint); });
+        }
+
+        /** Endpoints that became the primary, in order. */
+        std::vector<EndpointId> promoted;
+        /** Those of them whose log lacked an acknowledged commit. */
+        std::vector<EndpointId> incomplete;
+
+    private:
+        void takeEffect(const EndpointId& endpoint)
+        {
+            FakeEndpoints::Server& server = fixture_.endpoints.server(endpoint);
+            if (server.isDown || server.leads)
+                return;
+            promoted.push_back(endpoint);
+            if (server.position < fixture_.acknowledged)
+                incomplete.push_back(endpoint);
+            for (const auto& [id, restarts] : fixture_.restarts_) {
+                fixture_.endpoints.server(id).leads = id == endpoint;
+                term_ = std::max(term_, fixture_.endpoints.server(id).position.term);
+            }
+            server.position.term = ++term_;
+            server.pausedIn = 0;
+        }
+
+        PromotionFixture& fixture_;
+        Term term_ = 0;
+    };
+
+    FakeTimerService timers;
+    FakeEndpoints endpoints;
+    FakeMetadataStore store;
+    Promotions promotions;
+    LogPosition acknowledged { 1, 100 };
+
+private:
+    struct Daemon {
+        explicit Daemon(PromotionFixture& fixture)
+            : dispatcher(directory, fixture.endpoints, fixture.log_, fixture.metrics_, {})
+            , driver(directory, dispatcher, fixture.store, fixture.promotions, fixture.timers, makeSettings())
+        {
+        }
+
+        static PromotionDriverSettings makeSettings()
+        {
+            PromotionDriverSettings settings;
+            settings.holder = "vm-1";
+            return settings;
+        }
+
+        EndpointDirectory directory;
+        StatementDispatcher dispatcher;
+        PromotionDriver driver;
+    };
+
+    /** Endpoints that are reached report a change of role at once; entries of the others lapse. */
+    void updateEntries()
+    {
+        for (const auto& [id, restarts] : restarts_) {
+            const auto entry = entries_.find(id);
+            if (entry == entries_.end())
+                continue;
+            const auto lapse = lapsesAt_.find(id);
+            const FakeEndpoints::Server& server = endpoints.server(id);
+            if (lapse == lapsesAt_.end() && !server.isSilent && entry->second.reportsPrimary != server.leads)
+                list(id);
+            if (lapse == lapsesAt_.end() || timers.now() < lapse->second)
+                continue;
+            daemon_->directory.lapse(id, entry->second.revision, timers.now());
+            entries_.erase(entry);
+            lapsesAt_.erase(lapse);
+        }
+        if (!daemon_->directory.removeLapsed(timers.now()).empty())
+            daemon_->dispatcher.onDirectoryChange(timers.now());
+    }
+
+    DecisionLog log_;
+    Metrics metrics_;
+    std::map<GroupId, GroupRule> groups_;
+    /** The entries in the store. */
+    std::map<EndpointId, EndpointEntry> entries_;
+    std::map<EndpointId, TimePoint> lapsesAt_;
+    /** Restarts without data of every endpoint that was ever listed. */
+    std::map<EndpointId, std::uint64_t> restarts_;
+    std::uint64_t revision_ = 0;
+    std::size_t writes_ = 0;
+    StepDownRelay* relay_ = nullptr;
+    std::unique_ptr<Daemon> daemon_;
+};
+
+} // namespace almondlever
