Test replicas that joined empty and endpoints that left as planned

replacementThatHasNotCaughtUpIsNoFormerHolder fails on the present code: a and b hold 120, b is gone, d has joined empty in its place, and a crashes 30 s later. promotion_started has members=3, acknowledged_index=100, and c is promoted at 100; the empty log of d counts as one of two. It joins the failing tests of promotion_quorum.

Two more guards pass in tests/front: a replica, and a primary that handed over, which announced their exit are not waited for when the next primary fails.

--- a/tests/front/TestPromotionQuorum.cpp
+++ b/tests/front/TestPromotionQuorum.cpp
@@ -67,6 +67,40 @@
     cr_assert(fixture.promotions.incomplete.empty());
 }
 
+// Guards against waiting for the log of a replica that was taken out as planned.
+Test(PromotionQuorum, replicaThatLeftIsNotWaitedFor)
+{
+    PromotionFixture fixture;
+    fixture.run(normalPeriod);
+    fixture.announceExit(fixture.b);
+    fixture.run(Milliseconds(2000));
+    fixture.crash(fixture.b);
+    fixture.run(PromotionFixture::removalTime + Milliseconds(2000));
+    fixture.acknowledge({ 1, 120 }, { fixture.a, fixture.c });
+    fixture.run(Milliseconds(8000));
+    fixture.acknowledge({ 1, 130 }, { fixture.a, fixture.c });
+    fixture.makeUnreachable(fixture.a);
+    cr_assert(fixture.runUntil(promotionLimit, [&] { return fixture.leads(fixture.c); }));
+    cr_assert(fixture.promotions.incomplete.empty());
+}
+
+// Guards against waiting for the log of a primary that handed over and exited as planned.
+Test(PromotionQuorum, primaryThatLeftIsNotWaitedFor)
+{
+    PromotionFixture fixture;
+    fixture.run(normalPeriod);
+    fixture.announceExit(fixture.a);
+    cr_assert(fixture.runUntil(promotionLimit, [&] { return fixture.leads(fixture.b) && fixture.driver().isIdle(); }));
+    fixture.crash(fixture.a);
+    fixture.run(PromotionFixture::removalTime + Milliseconds(2000));
+    fixture.acknowledge({ 2, 120 }, { fixture.b, fixture.c });
+    fixture.run(Milliseconds(8000));
+    fixture.acknowledge({ 2, 130 }, { fixture.b, fixture.c });
+    fixture.makeUnreachable(fixture.b);
+    cr_assert(fixture.runUntil(promotionLimit, [&] { return fixture.leads(fixture.c); }));
+    cr_assert(fixture.promotions.incomplete.empty());
+}
+
 // Guards against a promotion that counts logs while the store does not answer, and against a group that stays without a
 // primary once it does.
 Test(PromotionQuorum, waitsForTheStore)
--- a/tests/mocks/PromotionFixture.h
+++ b/tests/mocks/PromotionFixture.h
@@ -10,6 +10,8 @@
 #include <criterion/criterion.h>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -73,6 +75,7 @@
         entry.group = group;
         entry.address = "10.0.0.1:1";
         entry.reportsPrimary = reportsPrimary;
+        entry.isLeaving = leaving_.count(id) > 0;
         entry.startedAt = Milliseconds(1 + restarts_[id]);
         entry.revision = ++revision_;
         lapsesAt_.erase(id);
@@ -82,6 +85,12 @@
         daemon_->dispatcher.onDirectoryChange(timers.now());
     }
 
+    /** The endpoint announces that it will exit. */
+    void announceExit(const EndpointId& id)
+    {
+        leaving_.insert(id);
+        list(id);
+    }
     /** No daemon reaches the endpoint, and its entry lapses. */
     void makeUnreachable(const EndpointId& id)
     {
@@ -266,6 +275,8 @@
     std::map<EndpointId, TimePoint> lapsesAt_;
     /** Restarts without data of every endpoint that was ever listed. */
     std::map<EndpointId, std::uint64_t> restarts_;
+    /** Endpoints that have announced their exit. */
+    std::set<EndpointId> leaving_;
     std::uint64_t revision_ = 0;
     std::size_t writes_ = 0;
     StepDownRelay* relay_ = nullptr;
--- a/tests/promotion_quorum/TestPromotionQuorum.cpp
+++ b/tests/promotion_quorum/TestPromotionQuorum.cpp
@@ -11,7 +11,7 @@
 /** Time to a new primary once one can be chosen. */
 constexpr Milliseconds promotionLimit { 5000 };
 
-/** Another owner of the group, which reaches every endpoint whose process runs and that a test names. */
+/** Another owner of the group, which reaches only the endpoint that a test names. */
 class FakeRelay final : public StepDownRelay {
 public:
     explicit FakeRelay(PromotionFixture& fixture)
@@ -150,6 +150,28 @@
     cr_expect(fixture.promotions.incomplete.empty());
 }
 
+// Guards against counting an endpoint that joined empty, in place of one that is gone with the only other copy of a
+// commit.
+Test(PromotionQuorum, replacementThatHasNotCaughtUpIsNoFormerHolder)
+{
+    PromotionFixture fixture;
+    const EndpointId d("d");
+    fixture.run(normalPeriod);
+    fixture.acknowledge({ 1, 120 }, { fixture.a, fixture.b });
+    fixture.crash(fixture.b);
+    fixture.run(PromotionFixture::removalTime);
+    fixture.endpoints.server(d).position = {};
+    fixture.endpoints.server(d).reportsPosition = false;
+    fixture.list(d);
+    fixture.run(observationPeriod);
+    fixture.crash(fixture.a);
+    fixture.run(PromotionFixture::removalTime + observationPeriod);
+    cr_expect(fixture.promotions.promoted.empty(), "c lacks acknowledged commits, and d holds nothing");
+    fixture.bringBack(fixture.a);
+    cr_expect(fixture.runUntil(promotionLimit, [&] { return fixture.leads(fixture.a); }));
+    cr_expect(fixture.promotions.incomplete.empty());
+}
+
 // A former primary returns with an entry in its old role, and another owner reaches it. Guards against taking the end
 // of its log for the end of all that was acknowledged, when the last primary and the replica that held its commits are
 // out of reach. Four endpoints are the fewest with which this loses a commit: with three, the commit is in the log of
