Take the end of a log for final only if its endpoint is known to have led

An entry that came back with the role primary, though its endpoint had been replaced, was ordered to step down, and the end of its log was taken for the end of everything acknowledged; a recovery even named it to the platform, which made it the primary. Change: the end counts if the endpoint answered as the primary during the change, or if the record of the last change (now "done ENDPOINT TERM", which former versions read as a finished change) or, without one, its own earlier answers name it for the term that it reports. Otherwise it is paused and compared like the others. A recovery names only an endpoint that answers as the primary. Three tests of the driver compare the record with its new value.

--- a/include/almondlever/failover/GroupPromotion.h
+++ b/include/almondlever/failover/GroupPromotion.h
@@ -92,8 +92,9 @@
  * the chosen one lacks, whether this daemon knows of that endpoint or not.
  *
  * Only the old primary acknowledges commits, so the attempt makes it step down, through other owners of the group if
- * this daemon does not reach it. The end of its log is then final, and an endpoint is promoted once it has reached that
- * end. If none does in time, the old primary is promoted again: it holds everything, and the change is given up.
+ * this daemon does not reach it. The end of its log is then final, if it is known to have led until then, and an
+ * endpoint is promoted once it has reached that end. If none does in time, the old primary is promoted again: it holds
+ * everything, and the change is given up.
  *
  * A primary that no owner reaches cannot acknowledge anything to their callers. Replicas are paused then, in case it
  * returns: of any `holders - synchronousReplicas` paused logs at least one holds every acknowledged commit, so the
@@ -134,6 +135,13 @@
      */
     void setMissingHolders(std::optional<std::vector<LogHolder>> missing) { missingHolders_ = std::move(missing); }
 
+    /**
+     * Records that the listed primary led in a term, according to the store or to its own answers. Without that, or an
+     * answer as the primary during this change, its entry may show a role that it has lost: the end of its log is then
+     * not the end of everything acknowledged.
+     */
+    void notePrimaryTerm(Term term) { primaryTerm_ = term; }
+
     /** `hasRelay`: other owners can be asked to send the order to step down to a primary that does not answer. */
     Orders start(TimePoint now, bool hasRelay = false);
     /** Result of QueryStatus, Pause or Resume; nullopt when the endpoint was unreachable or refused. */
@@ -206,6 +214,9 @@
     bool areOthersPaused() const;
     Orders probePlatform(TimePoint now);
     Orders beginStepDown(TimePoint now);
+    /** The listed primary answered as a replica and is not known to have led: continues by pausing it and the others.
+     */
+    Orders onOutdatedRole(TimePoint now);
     /** Continues without the old primary's consent, by pausing replicas. */
     Orders onStepDownFailed(StepDownResult, TimePoint now);
     Orders awaitLastEntries(TimePoint now);
@@ -271,6 +282,8 @@
     /** A promote call got no answer; it may still take effect, and the platform knows no newer one. */
     bool hasUnansweredCall_ = false;
     TimePoint lastStepDown_;
+    /** Term in which the listed primary is known to have led. */
+    std::optional<Term> primaryTerm_;
     EndpointId chosen_;
     Term leadingTerm_ = 0;
     std::string failure_;
--- a/include/almondlever/groups/EndpointDirectory.h
+++ b/include/almondlever/groups/EndpointDirectory.h
@@ -57,6 +57,8 @@
     void noteTerm(const GroupId&, Term);
     /** The endpoint believed to be the primary; nullptr when there is none. */
     const EndpointEntry* primaryOf(const GroupId&) const;
+    /** Newest term of the group, if the endpoint has proved that it led in it and nothing contradicted that since. */
+    std::optional<Term> provenTermOf(const GroupId&, const EndpointId&) const;
     /** Newest term seen in the group; 0 when none was. */
     Term newestTermOf(const GroupId&) const;
 
--- a/include/almondlever/store/PromotionClaim.h
+++ b/include/almondlever/store/PromotionClaim.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "almondlever/common/LogPosition.h"
 #include "almondlever/common/TimerService.h"
 #include "almondlever/sessions/Routing.h"
 #include "almondlever/store/MetadataStore.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace almondlever {
@@ -18,15 +20,30 @@
     inline const std::string clusterKey = root + "cluster-key";
     /** Key with a lease, held by the daemon that changes a group's primary. */
     inline const std::string claims = root + "claims/";
-    /** Record of whether the last change of a group's primary was finished. Has no lease: it outlives its writer. */
+    /**
+     * Record of whether the last change of a group's primary was finished, and which endpoint led then in which term.
+     * Has no lease: it outlives its writer.
+     */
     inline const std::string changes = root + "changes/";
     /** Record of the endpoints whose logs may contain acknowledged commits of a group (LogHolders). Has no lease. */
     inline const std::string logHolders = root + "log-holders/";
 
     inline const std::string changeOpen = "open";
+    /** First word of the record of a finished change. */
     inline const std::string changeDone = "done";
 }
 
+/** The endpoint that led a group when a change of its primary was finished, and the term. */
+struct RecordedLeader {
+    EndpointId id;
+    Term term = 0;
+
+    /** Value of a finished change's record; without a leader as versions before this record wrote it. */
+    static std::string encode(const std::optional<RecordedLeader>&);
+    /** nullopt if the record names no leader. */
+    static std::optional<RecordedLeader> decode(const std::string&);
+};
+
 /**
  * The exclusive right of one daemon to change the primary of a group for a while.
  *
@@ -54,7 +71,7 @@
      * daemon. */
     void acquire(std::uint64_t attempt, ClaimCallback);
     /** Releases the claim; marks the change as done, or leaves it open for a recovery. */
-    void release(bool isDone);
+    void release(bool isDone, const std::optional<RecordedLeader>& leader = std::nullopt);
     /** Returns false once the claim may have ended. */
     bool isHeld(TimePoint now) const;
     std::uint64_t fence() const { return fence_; }
--- a/src/failover/GroupPromotion.cpp
+++ b/src/failover/GroupPromotion.cpp
@@ -174,13 +174,10 @@
             chosen_ = primary()->id;
             return promote(now);
         }
+        // Only an endpoint that answers as the primary can be named to the platform without making it one.
         const bool isPlanned = reason_ == PromotionReason::PrimaryLeaving && primaryAnswers_;
-        const bool isUnknown = reason_ == PromotionReason::Recovery && primary() && canStepDown_
-            && reportedPositions_.count(primary()->id) == 0;
-        if ((isPlanned || isUnknown) && !isProbeAccepted_)
+        if (isPlanned && !isProbeAccepted_)
             return probePlatform(now);
-        if (isUnknown)
-            return beginStepDown(now);
         return beginFencing(now);
     }
     case Phase::Fencing:
@@ -387,7 +384,11 @@
             return {};
         return { { Order::Kind::StepDown, primary()->id, pauseTerm_ } };
     }
-    steppedDownPosition_ = status.received;
+    const bool isKnownToHaveLed = primaryAnswers_ || (primaryTerm_ && *primaryTerm_ == status.term);
+    if (!isKnownToHaveLed && phase_ != Phase::Promoting && phase_ != Phase::Confirming)
+        return onOutdatedRole(now);
+    if (isKnownToHaveLed)
+        steppedDownPosition_ = status.received;
     if (phase_ == Phase::Promoting || phase_ == Phase::Confirming) {
         // Its log may contain commits that nobody acknowledged, so that a longer one proves no loss.
         return onTick(now);
@@ -399,6 +400,16 @@
     return queryReplicas(now);
 }
 
+GroupPromotion::Orders GroupPromotion::onOutdatedRole(TimePoint now)
+{
+    // Another endpoint may have led since and is not listed. The former primary's log counts like any other.
+    canStepDown_ = false;
+    for (PromotionMember& member : members_)
+        member.isPrimary = false;
+    chosen_ = EndpointId();
+    return beginFencing(now);
+}
+
 GroupPromotion::Orders GroupPromotion::onStepDownFailed(StepDownResult result, TimePoint now)
 {
     canStepDown_ = false;
--- a/src/front/PromotionDriver.cpp
+++ b/src/front/PromotionDriver.cpp
@@ -44,6 +44,8 @@
     /** First failure of those reads; empty if there was none. */
     std::string readFailure;
     std::optional<LogHolders> logHolders;
+    /** The leader after the last finished change, if its record names one. */
+    std::optional<RecordedLeader> recordedLeader;
     /** The claim is held, and the other owners have been asked again about the primary. */
     bool awaitsConfirmation = false;
     /** Sources whose report on the order to step down is missing, of those that are waited for. */
@@ -220,10 +222,13 @@
         [this, group, record, wasKnownOpen, alive = std::weak_ptr<int>(alive_)](const StoreResult<StorePage>& page) {
             if (alive.expired() || changes_.count(group) == 0)
                 return;
-            const bool isChangeOpen = page
-                && std::any_of(page.value().items.begin(), page.value().items.end(), [&record](const StoreItem& item) {
-                       return item.key == record && item.value == storeKeys::changeOpen;
-                   });
+            bool isChangeOpen = false;
+            for (const StoreItem& item : page ? page.value().items : std::vector<StoreItem>()) {
+                if (item.key != record)
+                    continue;
+                isChangeOpen = item.value == storeKeys::changeOpen;
+                changes_.at(group)->recordedLeader = RecordedLeader::decode(item.value);
+            }
             if (page && (!isChangeOpen || wasKnownOpen))
                 return changes_.at(group)->claim.acquire(
                     ++attempts_, [this, group](const StoreResult<std::uint64_t>& result) { onClaimed(group, result); });
@@ -305,7 +310,8 @@
     logInfo("promotion_not_claimed", { { "group", group.text() }, { "outcome", outcome }, { "detail", detail } });
     groupStates_[group].notBefore = timers_.now() + settings_.retryPause;
     // Acquiring the claim marked the change record as open; it stays open if an earlier change is unfinished.
-    changes_.at(group)->claim.release(!groupStates_[group].isChangeOpen);
+    const Change& change = *changes_.at(group);
+    changes_.at(group)->claim.release(!groupStates_[group].isChangeOpen, change.recordedLeader);
     // The claim must not be destroyed in its own callback.
     timers_.callAfter(Duration(0), [this, group, alive = std::weak_ptr<int>(alive_)](TimePoint) {
         if (!alive.expired())
@@ -327,6 +333,11 @@
         members, synchronous, directory_.newestTermOf(group), change.reason, settings_.promotion);
     const std::optional<std::vector<LogHolder>> missing = missingHoldersOf(group, change.logHolders);
     change.promotion->setMissingHolders(missing);
+    const EndpointEntry* primary = directory_.primaryOf(group);
+    if (primary && change.recordedLeader && change.recordedLeader->id == primary->id)
+        change.promotion->notePrimaryTerm(change.recordedLeader->term);
+    else if (primary && !change.recordedLeader && directory_.provenTermOf(group, primary->id))
+        change.promotion->notePrimaryTerm(*directory_.provenTermOf(group, primary->id));
     logInfo("promotion_started",
         { { "group", group.text() }, { "reason", toText(change.reason) },
             { "fence", std::to_string(change.claim.fence()) }, { "members", std::to_string(members.size()) },
@@ -524,7 +535,9 @@
             { "stepped_down_at",
                 promotion.steppedDownPosition() ? std::to_string(promotion.steppedDownPosition()->index) : "" },
             { "ms", std::to_string(std::chrono::duration_cast<Milliseconds>(now - ended->startedAt).count()) } });
-    ended->claim.release(!promotion.needsRecovery());
+    if (promotion.leadingTerm() != 0)
+        ended->recordedLeader = { promotion.chosen(), promotion.leadingTerm() };
+    ended->claim.release(!promotion.needsRecovery(), ended->recordedLeader);
     GroupState& state = groupStates_[group];
     state.isChangeOpen = promotion.needsRecovery();
     state.reasonSince.reset();
--- a/src/groups/EndpointDirectory.cpp
+++ b/src/groups/EndpointDirectory.cpp
@@ -225,6 +225,15 @@
     return &proven->second.entry;
 }
 
+std::optional<Term> EndpointDirectory::provenTermOf(const GroupId& group, const EndpointId& id) const
+{
+    const auto found = leadership_.find(group);
+    if (found == leadership_.end() || found->second.proven != id || id.isEmpty())
+        return std::nullopt;
+    const Leadership& leadership = found->second;
+    return leadership.provenTerm == leadership.newestTerm ? std::optional<Term>(leadership.provenTerm) : std::nullopt;
+}
+
 Term EndpointDirectory::newestTermOf(const GroupId& group) const
 {
     const auto found = leadership_.find(group);
--- a/src/store/PromotionClaim.cpp
+++ b/src/store/PromotionClaim.cpp
@@ -1,10 +1,32 @@
 #include "almondlever/store/PromotionClaim.h"
 
+#include "almondlever/common/EscapedWord.h"
 #include "almondlever/common/StoreEra.h"
 #include "almondlever/observability/DecisionLog.h"
 
+#include <sstream>
+
 namespace almondlever {
 
+std::string RecordedLeader::encode(const std::optional<RecordedLeader>& leader)
+{
+    if (!leader)
+        return storeKeys::changeDone;
+    return storeKeys::changeDone + ' ' + toWord(leader->id.text()) + ' ' + std::to_string(leader->term);
+}
+
+std::optional<RecordedLeader> RecordedLeader::decode(const std::string& text)
+{
+    std::istringstream words(text);
+    std::string state;
+    std::string id;
+    RecordedLeader leader;
+    if (!(words >> state >> id >> leader.term) || state != storeKeys::changeDone)
+        return std::nullopt;
+    leader.id = EndpointId(fromWord(id));
+    return leader;
+}
+
 PromotionClaim::PromotionClaim(MetadataStore& store, TimerService& timers, GroupId group, std::string holder)
     : store_(store)
     , timers_(timers)
@@ -115,7 +137,7 @@
     });
 }
 
-void PromotionClaim::release(bool isDone)
+void PromotionClaim::release(bool isDone, const std::optional<RecordedLeader>& leader)
 {
     if (isReleased_)
         return;
@@ -126,7 +148,7 @@
     transaction.expected.push_back({ claimKey(), fence_ });
     transaction.deletes.push_back(claimKey());
     if (isDone)
-        transaction.puts.push_back({ storeKeys::changes + group_.text(), storeKeys::changeDone, {} });
+        transaction.puts.push_back({ storeKeys::changes + group_.text(), RecordedLeader::encode(leader), {} });
     store_.transact(transaction, [group = group_](const StoreResult<std::uint64_t>& result) {
         // The claim ends with its lease; the change record stays open, and the next holder recovers the change.
         if (!result)
--- a/tests/failover/PromotionSteps.h
+++ b/tests/failover/PromotionSteps.h
@@ -18,10 +18,13 @@
 
 inline TimePoint at(int milliseconds) { return start + Milliseconds(milliseconds); }
 
+/** The primary is known to have led in term 3. */
 inline GroupPromotion makePromotion(PromotionReason reason,
     std::vector<PromotionMember> members = { { a, true, false }, { b, false, false }, { c, false, false } })
 {
-    return GroupPromotion(std::move(members), 1, 3, reason, PromotionSettings());
+    GroupPromotion promotion(std::move(members), 1, 3, reason, PromotionSettings());
+    promotion.notePrimaryTerm(3);
+    return promotion;
 }
 
 inline EndpointReplicationStatus replica(std::uint64_t index, Term term = 3) { return { false, term, { 3, index } }; }
--- a/tests/failover/TestPromotionHolders.cpp
+++ b/tests/failover/TestPromotionHolders.cpp
@@ -85,3 +85,32 @@
     promotion.onStatus(b, Kind::QueryStatus, replica(20), at(90));
     cr_assert(!hasAny(promotion.onStatus(a, Kind::QueryStatus, primary(20), at(90)), Kind::Promote));
 }
+
+// Guards against taking the end of a former primary's log for the end of everything acknowledged: its entry came back
+// with the role that it has lost.
+Test(GroupPromotion, endOfALogIsFinalOnlyIfItsEndpointIsKnownToHaveLed)
+{
+    GroupPromotion promotion({ { a, true, false }, { b, false, false }, { c, false, false }, { d, false, false } }, 1, 4,
+        PromotionReason::PrimaryFailed, PromotionSettings());
+    promotion.notePrimaryTerm(3);
+    promotion.start(start, true);
+    const auto orders = promotion.onStepDown(answered(replica(20, 4)), at(20));
+    cr_assert(has(orders, Kind::Pause, a), "an ordinary log");
+    cr_assert(has(orders, Kind::Pause, b));
+    promotion.onStatus(a, Kind::Pause, replica(20, 4), at(40));
+    promotion.onStatus(b, Kind::Pause, replica(20, 4), at(40));
+    cr_assert(!hasAny(promotion.onTick(at(500)), Kind::Promote), "c and d may hold a commit of term 4");
+}
+
+// Guards against making a former primary the primary again in order to probe the platform: only one that answers as the
+// primary is named to it.
+Test(GroupPromotion, recoveryNamesNoEndpointThatDoesNotAnswerAsThePrimary)
+{
+    auto promotion = makePromotion(PromotionReason::Recovery);
+    promotion.start(start, true);
+    promotion.onStatus(a, Kind::QueryStatus, std::nullopt, at(20));
+    promotion.onStatus(b, Kind::QueryStatus, replica(10), at(20));
+    const auto orders = promotion.onStatus(c, Kind::QueryStatus, replica(10), at(20));
+    cr_assert(!hasAny(orders, Kind::Promote));
+    cr_assert(has(orders, Kind::Pause, b));
+}
--- a/tests/front/TestPromotionDriver.cpp
+++ b/tests/front/TestPromotionDriver.cpp
@@ -151,7 +151,8 @@
     cr_assert(fixture.promotions.promoted[0] == fixture.c);
     cr_assert_eq(fixture.endpoints.server(fixture.b).pausedIn, 0U, "the other replica must receive again");
     cr_assert(!fixture.store.has(storeKeys::claims + "ledger"));
-    cr_assert_eq(fixture.store.valueOf(storeKeys::changes + "ledger"), storeKeys::changeDone);
+    cr_assert_eq(fixture.store.valueOf(storeKeys::changes + "ledger"),
+        RecordedLeader::encode(RecordedLeader { fixture.c, 2 }), "finished, with its leader");
     FakeCaller caller(fixture, "orders");
     caller.write("w1");
     fixture.run(Milliseconds(200));
@@ -264,7 +265,8 @@
     cr_assert_eq(fixture.promotions.promoted.size(), 2U);
     cr_assert(fixture.promotions.promoted[1] == fixture.a);
     cr_assert(fixture.endpoints.runs().back().endpoint == fixture.a);
-    cr_assert_eq(fixture.store.valueOf(storeKeys::changes + "ledger"), storeKeys::changeDone);
+    cr_assert_eq(fixture.store.valueOf(storeKeys::changes + "ledger"),
+        RecordedLeader::encode(RecordedLeader { fixture.a, 2 }), "finished, with its leader");
 }
 
 // Review case 2: a primary that another owner reaches, but this daemon does not. Guards against promoting a replica
@@ -358,7 +360,8 @@
     cr_assert_eq(fixture.endpoints.server(fixture.b).pausedIn, 0U);
     cr_assert_eq(fixture.promotions.promoted.size(), 1U);
     cr_assert(fixture.promotions.promoted[0] == fixture.a, "the current primary, with a newer fencing token");
-    cr_assert_eq(fixture.store.valueOf(storeKeys::changes + "ledger"), storeKeys::changeDone);
+    cr_assert_eq(fixture.store.valueOf(storeKeys::changes + "ledger"),
+        RecordedLeader::encode(RecordedLeader { fixture.a, 1 }), "finished, with its leader");
 }
 
 // Guards against a daemon that changes the primary of a group that it does not own.
