Log the inputs of a change of primary and why an order was not sent

Change: fields are added to promotion_started, promotion_member_joined, promotion_order, promotion_ordered, promotion_answer, promotion_ended, endpoint_connection_lost, endpoint_entry, endpoint_lapsed and endpoint_gone. promotion_leading is new: the chosen endpoint's first answer as the primary. A replication command that was never sent reports whether the endpoint is not listed, opening, busy or in back-off. Existing fields keep their names and meaning, except that the detail "no connection" is followed by its reason. No decision depends on the new values.

--- a/include/almondlever/failover/GroupPromotion.h
+++ b/include/almondlever/failover/GroupPromotion.h
@@ -32,6 +32,8 @@
     EndpointId id;
     bool isPrimary = false;
     bool isLeaving = false;
+    /** Unix time of its start; see EndpointEntry. */
+    Milliseconds startedAt { 0 };
 };
 
 /** Result of the platform's promote call. */
@@ -151,6 +153,19 @@
     bool wasPauseBroken() const { return wasPauseBroken_; }
     LogPosition chosenPosition() const;
 
+    /** Number of logs that must be known before a replica is promoted without the old primary's consent. */
+    std::size_t requiredLogs() const { return requiredAnswers(); }
+    /** Lower bound of what was acknowledged; see noteAcknowledged(). */
+    const LogPosition& acknowledgedPosition() const { return acknowledgedPosition_; }
+    /** Positions of paused replicas, which cannot advance. */
+    const std::map<EndpointId, LogPosition>& pausedPositions() const { return pausedPositions_; }
+    /** Positions from status queries, which can still advance. */
+    const std::map<EndpointId, LogPosition>& reportedPositions() const { return reportedPositions_; }
+    /** Endpoints that did not answer their last order. */
+    const std::set<EndpointId>& unreachable() const { return unreachable_; }
+    /** Replicas that have not confirmed the resume order. */
+    const std::set<EndpointId>& unconfirmedResumes() const { return unconfirmedResumes_; }
+
 private:
     enum class Phase {
         /** Queries whether the primary answers and which positions the replicas have reached. */
--- a/include/almondlever/front/PromotionDriver.h
+++ b/include/almondlever/front/PromotionDriver.h
@@ -101,12 +101,13 @@
     void startChange(const GroupId&);
     void executeOrders(const GroupId&, const GroupPromotion::Orders&, TimePoint now);
     std::vector<PromotionMember> membersOf(const GroupId&) const;
-    void sendOrder(const GroupId&, const GroupPromotion::Order&);
+    /** `fence`: token of the claim under which the order is given. */
+    void sendOrder(const GroupId&, const GroupPromotion::Order&, std::uint64_t fence);
     /** Orders the primary to step down, directly and through other owners. */
     void orderStepDown(const GroupId&, const GroupPromotion::Order&);
     /** `source`: "direct" or "relayed". A source that is not awaited counts only if the primary answered. */
-    void onStepDownReport(
-        const GroupId&, const EndpointId&, const std::string& source, const StepDownReport&, TimePoint now);
+    void onStepDownReport(const GroupId&, const GroupPromotion::Order&, const std::string& source,
+        const StepDownReport&, TimePoint orderedAt, TimePoint now);
     void promote(const GroupId&, const EndpointId&, TimePoint now);
     void finishIfDone(const GroupId&, TimePoint now);
 
--- a/include/almondlever/groups/EndpointDirectory.h
+++ b/include/almondlever/groups/EndpointDirectory.h
@@ -23,16 +23,20 @@
     /** Time for which a removed endpoint is remembered: a store restored from a backup, seconds old, may list it. */
     static constexpr Milliseconds removedEntryRetention { 60000 };
 
-    /** Replaces the whole list; the grace period starts for entries that are missing from it. */
-    void replaceAll(const std::vector<EndpointEntry>&, TimePoint now);
+    /**
+     * Replaces the whole list; the grace period starts for entries that are missing from it.
+     *
+     * @return the entries whose grace period has started with this call.
+     */
+    std::vector<EndpointEntry> replaceAll(const std::vector<EndpointEntry>&, TimePoint now);
     /** Adds or changes one entry. */
     void update(const EndpointEntry&, TimePoint now);
     /** The entry was deleted from the store at a revision; ignored when the known entry is newer than that. */
     void lapse(const EndpointId&, std::uint64_t revision, TimePoint now);
     /** The store is reachable again after an outage; restarts the grace period of missing entries. */
     void restartGracePeriods(TimePoint now);
-    /** Removes the entries whose grace period has expired and returns their ids. */
-    std::vector<EndpointId> removeLapsed(TimePoint now);
+    /** Removes the entries whose grace period has expired and returns them. */
+    std::vector<EndpointEntry> removeLapsed(TimePoint now);
 
     const EndpointEntry* find(const EndpointId&) const;
     std::vector<const EndpointEntry*> endpointsOf(const GroupId&) const;
--- a/src/failover/GroupPromotion.cpp
+++ b/src/failover/GroupPromotion.cpp
@@ -468,7 +468,7 @@
             [&member](const PromotionMember& known) { return known.id == member.id; });
         if (isKnown || isFinished() || phase_ == Phase::Resuming)
             continue;
-        members_.push_back({ member.id, false, member.isLeaving });
+        members_.push_back({ member.id, false, member.isLeaving, member.startedAt });
         if (areReplicasPaused)
             orders.push_back({ Order::Kind::Pause, member.id, pauseTerm_ });
         else
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -415,9 +415,11 @@
 
 void FrontDaemon::runTick(TimePoint now)
 {
-    const std::vector<EndpointId> removed = directory_.removeLapsed(now);
-    for (const EndpointId& id : removed)
-        logInfo("endpoint_gone", { { "endpoint", id.text() } });
+    const std::vector<EndpointEntry> removed = directory_.removeLapsed(now);
+    for (const EndpointEntry& entry : removed)
+        logInfo("endpoint_gone",
+            { { "endpoint", entry.id.text() }, { "group", entry.group.text() },
+                { "started_at", std::to_string(entry.startedAt.count()) } });
     if (!removed.empty() && hasMembers_)
         dispatcher_.onDirectoryChange(now);
     if (members_.removeLapsed(now))
--- a/src/front/FrontDaemonStore.cpp
+++ b/src/front/FrontDaemonStore.cpp
@@ -192,7 +192,11 @@
     for (const StoreItem& item : items) {
         if (item.isDeleted) {
             const EndpointId id = decoder_.endpointOf(item.key);
-            logInfo("endpoint_lapsed", { { "endpoint", id.text() }, { "revision", std::to_string(item.revision) } });
+            const EndpointEntry* known = directory_.find(id);
+            logInfo("endpoint_lapsed",
+                { { "endpoint", id.text() }, { "revision", std::to_string(item.revision) }, { "cause", "deleted" },
+                    { "group", known ? known->group.text() : "" },
+                    { "started_at", known ? std::to_string(known->startedAt.count()) : "" } });
             directory_.lapse(id, item.revision, now);
             changed.push_back(item);
             continue;
@@ -211,12 +215,17 @@
             logInfo("endpoint_entry",
                 { { "endpoint", entry.id.text() }, { "group", entry.group.text() }, { "address", entry.address },
                     { "says_primary", entry.reportsPrimary ? "yes" : "no" },
-                    { "leaving", entry.isLeaving ? "yes" : "no" }, { "revision", std::to_string(entry.revision) } });
+                    { "leaving", entry.isLeaving ? "yes" : "no" }, { "revision", std::to_string(entry.revision) },
+                    { "started_at", std::to_string(entry.startedAt.count()) } });
         }
         entries.push_back(entry);
     }
     if (isSnapshot) {
-        directory_.replaceAll(entries, now);
+        for (const EndpointEntry& missing : directory_.replaceAll(entries, now))
+            logInfo("endpoint_lapsed",
+                { { "endpoint", missing.id.text() }, { "revision", std::to_string(missing.revision) },
+                    { "cause", "not_in_snapshot" }, { "group", missing.group.text() },
+                    { "started_at", std::to_string(missing.startedAt.count()) } });
         hasEndpoints_ = true;
     } else {
         for (const EndpointEntry& entry : entries)
--- a/src/front/PromotionDriver.cpp
+++ b/src/front/PromotionDriver.cpp
@@ -26,6 +26,48 @@
         return "promote";
     }
 
+    /** Whole milliseconds of a duration, for log lines. */
+    std::string millisecondsOf(Duration duration)
+    {
+        return std::to_string(std::chrono::duration_cast<Milliseconds>(duration).count());
+    }
+
+    // The lists of log lines contain neither blanks nor "=", so that they need no quotes. The log cuts long values.
+
+    void appendItem(std::string& list, const std::string& item)
+    {
+        if (!list.empty())
+            list += ',';
+        list += item;
+    }
+
+    /** "id@startedAt,...": the members with the Unix times of their starts in milliseconds. */
+    std::string listOf(const std::vector<PromotionMember>& members)
+    {
+        std::string list;
+        for (const PromotionMember& member : members)
+            appendItem(list, member.id.text() + '@' + std::to_string(member.startedAt.count()));
+        return list;
+    }
+
+    /** "id:term/index,...". */
+    std::string listOf(const std::map<EndpointId, LogPosition>& positions)
+    {
+        std::string list;
+        for (const auto& [id, position] : positions)
+            appendItem(list, id.text() + ':' + std::to_string(position.term) + '/' + std::to_string(position.index));
+        return list;
+    }
+
+    /** "id,...". */
+    std::string listOf(const std::set<EndpointId>& endpoints)
+    {
+        std::string list;
+        for (const EndpointId& id : endpoints)
+            appendItem(list, id.text());
+        return list;
+    }
+
 } // namespace
 
 /** A primary change that this daemon attempts. */
@@ -39,6 +81,8 @@
     PromotionReason reason = PromotionReason::PrimaryFailed;
     std::unique_ptr<GroupPromotion> promotion;
     TimePoint startedAt;
+    /** Time of the latest promote call. */
+    TimePoint calledAt;
     /** The claim is held, and the other owners have been asked again about the primary. */
     bool awaitsConfirmation = false;
     /** Sources whose report on the order to step down is missing, of those that are waited for. */
@@ -144,10 +188,13 @@
             if (change.claim.isHeld(now)) {
                 change.promotion->noteAcknowledged(dispatcher_.acknowledgedPositionOf(group, now));
                 GroupPromotion::Orders orders = change.promotion->onMembers(membersOf(group));
-                for (const GroupPromotion::Order& order : orders)
+                for (const GroupPromotion::Order& order : orders) {
+                    const EndpointEntry* entry = directory_.find(order.endpoint);
                     logInfo("promotion_member_joined",
                         { { "group", group.text() }, { "endpoint", order.endpoint.text() },
-                            { "order", toText(order.kind) } });
+                            { "order", toText(order.kind) }, { "fence", std::to_string(change.claim.fence()) },
+                            { "started_at", entry ? std::to_string(entry->startedAt.count()) : "" } });
+                }
                 const GroupPromotion::Orders due = change.promotion->onTick(now);
                 orders.insert(orders.end(), due.begin(), due.end());
                 executeOrders(group, orders, now);
@@ -293,13 +340,19 @@
     const std::vector<PromotionMember> members = membersOf(group);
     const std::size_t synchronous = groups_[group].synchronousReplicas;
     const LogPosition acknowledged = dispatcher_.acknowledgedPositionOf(group, now);
-    change.promotion = std::make_unique<GroupPromotion>(
-        members, synchronous, directory_.newestTermOf(group), change.reason, settings_.promotion);
+    const Term newestTerm = directory_.newestTermOf(group);
+    change.promotion
+        = std::make_unique<GroupPromotion>(members, synchronous, newestTerm, change.reason, settings_.promotion);
+    const auto primary
+        = std::find_if(members.begin(), members.end(), [](const PromotionMember& member) { return member.isPrimary; });
     logInfo("promotion_started",
         { { "group", group.text() }, { "reason", toText(change.reason) },
             { "fence", std::to_string(change.claim.fence()) }, { "members", std::to_string(members.size()) },
             { "acknowledged_term", std::to_string(acknowledged.term) },
-            { "acknowledged_index", std::to_string(acknowledged.index) } });
+            { "acknowledged_index", std::to_string(acknowledged.index) }, { "member_starts", listOf(members) },
+            { "primary", primary == members.end() ? "" : primary->id.text() },
+            { "newest_term", std::to_string(newestTerm) }, { "synchronous", std::to_string(synchronous) },
+            { "required", std::to_string(change.promotion->requiredLogs()) } });
     const bool hasRelay = stepDownRelay_ && stepDownRelay_->hasPeers(group);
     executeOrders(group, change.promotion->start(now, hasRelay), now);
 }
@@ -309,7 +362,7 @@
     std::vector<PromotionMember> members;
     const EndpointEntry* primary = directory_.primaryOf(group);
     for (const EndpointEntry* entry : directory_.endpointsOf(group))
-        members.push_back({ entry->id, entry == primary, entry->isLeaving });
+        members.push_back({ entry->id, entry == primary, entry->isLeaving, entry->startedAt });
     return members;
 }
 
@@ -319,18 +372,20 @@
     const auto found = changes_.find(group);
     if (found == changes_.end() || !found->second->claim.isHeld(now))
         return;
+    // An order that completes at once may end the change.
+    const std::uint64_t fence = found->second->claim.fence();
     for (const GroupPromotion::Order& order : orders) {
         if (order.kind == GroupPromotion::Order::Kind::Promote)
             promote(group, order.endpoint, now);
         else if (order.kind == GroupPromotion::Order::Kind::StepDown)
             orderStepDown(group, order);
         else
-            sendOrder(group, order);
+            sendOrder(group, order, fence);
     }
     finishIfDone(group, now);
 }
 
-void PromotionDriver::sendOrder(const GroupId& group, const GroupPromotion::Order& order)
+void PromotionDriver::sendOrder(const GroupId& group, const GroupPromotion::Order& order, std::uint64_t fence)
 {
     EndpointCommand command;
     command.term = order.term;
@@ -345,16 +400,20 @@
         command.kind = EndpointCommand::Kind::QueryStatus;
         break;
     }
+    const TimePoint orderedAt = timers_.now();
     dispatcher_.sendReplicationCommand(
         order.endpoint, command,
-        [this, group, order, alive = std::weak_ptr<int>(alive_)](
+        [this, group, order, fence, orderedAt, alive = std::weak_ptr<int>(alive_)](
             const std::optional<EndpointReplicationStatus>& status, const std::string& detail, TimePoint at) {
             logInfo("promotion_order",
                 { { "group", group.text() }, { "endpoint", order.endpoint.text() }, { "order", toText(order.kind) },
                     { "outcome", status ? "ok" : "failed" }, { "detail", detail },
                     { "is_primary", status && status->isPrimary ? "yes" : "no" },
                     { "term", status ? std::to_string(status->term) : "" },
-                    { "received", status ? std::to_string(status->received.index) : "" } });
+                    { "received", status ? std::to_string(status->received.index) : "" },
+                    { "received_term", status ? std::to_string(status->received.term) : "" },
+                    { "fence", std::to_string(fence) }, { "pause_term", std::to_string(order.term) },
+                    { "ms", millisecondsOf(at - orderedAt) } });
             if (alive.expired())
                 return;
             if (status)
@@ -364,9 +423,19 @@
                 return;
             GroupPromotion& promotion = *change->second->promotion;
             promotion.noteAcknowledged(dispatcher_.acknowledgedPositionOf(group, at));
-            executeOrders(group, promotion.onStatus(order.endpoint, order.kind, status, at), at);
+            const bool wasLeading = promotion.leadingTerm() != 0;
+            const GroupPromotion::Orders next = promotion.onStatus(order.endpoint, order.kind, status, at);
+            if (!wasLeading && status && promotion.leadingTerm() != 0)
+                logInfo("promotion_leading",
+                    { { "group", group.text() }, { "endpoint", order.endpoint.text() },
+                        { "fence", std::to_string(change->second->claim.fence()) },
+                        { "term", std::to_string(status->term) },
+                        { "position_term", std::to_string(status->received.term) },
+                        { "position_index", std::to_string(status->received.index) },
+                        { "ms", millisecondsOf(at - change->second->calledAt) } });
+            executeOrders(group, next, at);
         },
-        timers_.now());
+        orderedAt);
 }
 
 void PromotionDriver::orderStepDown(const GroupId& group, const GroupPromotion::Order& order)
@@ -381,18 +450,18 @@
         change.awaitedStepDowns.insert("direct");
     if (isRelayed)
         change.awaitedStepDowns.insert("relayed");
-    const auto report
-        = [this, group, endpoint = order.endpoint, fence = change.claim.fence(), alive = std::weak_ptr<int>(alive_)](
-              const std::string& source, const StepDownReport& result, TimePoint at) {
-              if (alive.expired())
-                  return;
-              const auto running = changes_.find(group);
-              if (running != changes_.end() && running->second->claim.fence() == fence)
-                  return onStepDownReport(group, endpoint, source, result, at);
-              // In a later change, the position of that endpoint may be another one.
-              logInfo("promotion_order_outdated",
-                  { { "group", group.text() }, { "endpoint", endpoint.text() }, { "fence", std::to_string(fence) } });
-          };
+    const auto report = [this, group, order, orderedAt = now, fence = change.claim.fence(),
+                            alive = std::weak_ptr<int>(alive_)](
+                            const std::string& source, const StepDownReport& result, TimePoint at) {
+        if (alive.expired())
+            return;
+        const auto running = changes_.find(group);
+        if (running != changes_.end() && running->second->claim.fence() == fence)
+            return onStepDownReport(group, order, source, result, orderedAt, at);
+        // In a later change, the position of that endpoint may be another one.
+        logInfo("promotion_order_outdated",
+            { { "group", group.text() }, { "endpoint", order.endpoint.text() }, { "fence", std::to_string(fence) } });
+    };
     if (isRelayed)
         stepDownRelay_->request(
             group, order.endpoint, order.term,
@@ -402,15 +471,18 @@
         [report](const StepDownReport& result, TimePoint at) { report("direct", result, at); }, now);
 }
 
-void PromotionDriver::onStepDownReport(const GroupId& group, const EndpointId& endpoint, const std::string& source,
-    const StepDownReport& report, TimePoint now)
+void PromotionDriver::onStepDownReport(const GroupId& group, const GroupPromotion::Order& order,
+    const std::string& source, const StepDownReport& report, TimePoint orderedAt, TimePoint now)
 {
-    logInfo("promotion_order",
-        { { "group", group.text() }, { "endpoint", endpoint.text() }, { "order", "step_down" }, { "source", source },
-            { "outcome", toText(report.result) }, { "is_primary", report.status.isPrimary ? "yes" : "no" },
-            { "term", std::to_string(report.status.term) },
-            { "received", std::to_string(report.status.received.index) } });
     const auto found = changes_.find(group);
+    logInfo("promotion_order",
+        { { "group", group.text() }, { "endpoint", order.endpoint.text() }, { "order", "step_down" },
+            { "source", source }, { "outcome", toText(report.result) },
+            { "is_primary", report.status.isPrimary ? "yes" : "no" }, { "term", std::to_string(report.status.term) },
+            { "received", std::to_string(report.status.received.index) },
+            { "received_term", std::to_string(report.status.received.term) },
+            { "fence", found == changes_.end() ? "" : std::to_string(found->second->claim.fence()) },
+            { "pause_term", std::to_string(order.term) }, { "ms", millisecondsOf(now - orderedAt) } });
     if (found == changes_.end() || !found->second->promotion)
         return;
     Change& change = *found->second;
@@ -435,8 +507,8 @@
     if (found == changes_.end())
         return;
     Change& change = *found->second;
-    const auto report = [this, group, endpoint, alive = std::weak_ptr<int>(alive_)](
-                            PromotionResult answer, const std::string& detail) {
+    const auto report = [this, group, endpoint, calledAt = now, fence = change.claim.fence(),
+                            alive = std::weak_ptr<int>(alive_)](PromotionResult answer, const std::string& detail) {
         if (alive.expired())
             return;
         const TimePoint at = timers_.now();
@@ -446,7 +518,7 @@
                     answer == PromotionResult::Accepted      ? "accepted"
                         : answer == PromotionResult::Refused ? "refused"
                                                              : "unknown" },
-                { "detail", detail } });
+                { "detail", detail }, { "fence", std::to_string(fence) }, { "ms", millisecondsOf(at - calledAt) } });
         const auto running = changes_.find(group);
         if (running != changes_.end() && running->second->promotion)
             executeOrders(group, running->second->promotion->onPromotionResult(answer, at), at);
@@ -456,10 +528,19 @@
             Duration(0), [report](TimePoint) { report(PromotionResult::Refused, "the claim has ended"); });
         return;
     }
-    const LogPosition position = change.promotion->chosenPosition();
+    const GroupPromotion& promotion = *change.promotion;
+    const LogPosition position = promotion.chosenPosition();
+    const LogPosition& acknowledged = promotion.acknowledgedPosition();
     logInfo("promotion_ordered",
         { { "group", group.text() }, { "endpoint", endpoint.text() }, { "fence", std::to_string(change.claim.fence()) },
-            { "position_term", std::to_string(position.term) }, { "position_index", std::to_string(position.index) } });
+            { "position_term", std::to_string(position.term) }, { "position_index", std::to_string(position.index) },
+            { "reason", toText(change.reason) }, { "required", std::to_string(promotion.requiredLogs()) },
+            { "paused_positions", listOf(promotion.pausedPositions()) },
+            { "reported_positions", listOf(promotion.reportedPositions()) },
+            { "unreachable", listOf(promotion.unreachable()) },
+            { "acknowledged_term", std::to_string(acknowledged.term) },
+            { "acknowledged_index", std::to_string(acknowledged.index) } });
+    change.calledAt = now;
     service_.promote(group, endpoint, settings_.holder, change.claim.fence(), report);
 }
 
@@ -478,7 +559,10 @@
             { "pause", promotion.wasPauseBroken() ? "broken" : "kept" },
             { "stepped_down_at",
                 promotion.steppedDownPosition() ? std::to_string(promotion.steppedDownPosition()->index) : "" },
-            { "ms", std::to_string(std::chrono::duration_cast<Milliseconds>(now - ended->startedAt).count()) } });
+            { "ms", millisecondsOf(now - ended->startedAt) }, { "fence", std::to_string(ended->claim.fence()) },
+            { "reason", toText(ended->reason) }, { "leading_term", std::to_string(promotion.leadingTerm()) },
+            { "needs_recovery", promotion.needsRecovery() ? "yes" : "no" },
+            { "unconfirmed_resumes", listOf(promotion.unconfirmedResumes()) } });
     ended->claim.release(!promotion.needsRecovery());
     GroupState& state = groupStates_[group];
     state.isChangeOpen = promotion.needsRecovery();
--- a/src/groups/EndpointDirectory.cpp
+++ b/src/groups/EndpointDirectory.cpp
@@ -6,17 +6,22 @@
 
 namespace almondlever {
 
-void EndpointDirectory::replaceAll(const std::vector<EndpointEntry>& entries, TimePoint now)
+std::vector<EndpointEntry> EndpointDirectory::replaceAll(const std::vector<EndpointEntry>& entries, TimePoint now)
 {
     std::set<EndpointId> present;
     for (const EndpointEntry& entry : entries) {
         present.insert(entry.id);
         update(entry, now);
     }
+    std::vector<EndpointEntry> missing;
     for (const auto& [id, listed] : endpoints_) {
-        if (present.count(id) == 0)
-            lapse(id, listed.entry.revision, now);
+        if (present.count(id) > 0)
+            continue;
+        if (!listed.lapsedAt)
+            missing.push_back(listed.entry);
+        lapse(id, listed.entry.revision, now);
     }
+    return missing;
 }
 
 bool EndpointDirectory::isFromRestoredBackup(const EndpointEntry& entry, const EndpointEntry& known)
@@ -91,9 +96,9 @@
     }
 }
 
-std::vector<EndpointId> EndpointDirectory::removeLapsed(TimePoint now)
+std::vector<EndpointEntry> EndpointDirectory::removeLapsed(TimePoint now)
 {
-    std::vector<EndpointId> removed;
+    std::vector<EndpointEntry> removed;
     for (auto it = removed_.begin(); it != removed_.end();)
         it = now - it->second.since >= removedEntryRetention ? removed_.erase(it) : std::next(it);
     for (auto it = endpoints_.begin(); it != endpoints_.end();) {
@@ -101,7 +106,7 @@
             ++it;
             continue;
         }
-        removed.push_back(it->first);
+        removed.push_back(it->second.entry);
         removed_[it->first] = { it->second.entry, now };
         membersChangedAt_[it->second.entry.group] = now;
         removeMember(it->second.entry.group, it->first);
--- a/src/pooling/DispatcherLinks.cpp
+++ b/src/pooling/DispatcherLinks.cpp
@@ -151,6 +151,10 @@
 {
     EndpointLinks& links = linksOf(link.endpoint());
     const std::size_t before = links.links().size();
+    // Read first, because the loss itself may end the belief that the endpoint leads.
+    const EndpointEntry* entry = directory_.find(link.endpoint());
+    const GroupId group = entry ? entry->group : GroupId();
+    const bool wasPrimary = entry && directory_.primaryOf(group) == entry;
     const bool wasOpening = !link.wasOpened();
     links.noteClosed(refusal, wasOpening, now);
     onRunLinkFailed(link, now);
@@ -164,7 +168,8 @@
     if (isChange && log_.admits(0, now)) {
         log_.write("endpoint_connection_lost",
             { { "endpoint", link.endpoint().text() }, { "reason", reason },
-                { "refusal", refusal ? toText(*refusal) : "none" }, { "left", std::to_string(links.openCount()) } });
+                { "refusal", refusal ? toText(*refusal) : "none" }, { "left", std::to_string(links.openCount()) },
+                { "group", group.text() }, { "is_primary", wasPrimary ? "yes" : "no" } });
     }
 }
 
@@ -306,9 +311,30 @@
         return;
     }
     const auto callback = std::move(pending.callback);
-    const bool wasSent = pending.isSent;
+    std::string reason;
+    if (!reply)
+        reason = pending.isSent ? "no answer" : describeMissingLink(pending.endpoint, now);
     replicationCommands_.erase(found);
-    callback(reply, reply ? "" : (wasSent ? "no answer" : "no connection"), now);
+    callback(reply, reason, now);
+}
+
+std::string DispatcherState::describeMissingLink(const EndpointId& endpoint, TimePoint now) const
+{
+    if (!directory_.find(endpoint))
+        return "no connection: the endpoint is not listed";
+    const EndpointLinks* links = findLinks(endpoint);
+    const std::size_t opening = links ? links->count(PooledLink::State::Opening) : 0;
+    const std::size_t idle = links ? links->count(PooledLink::State::Idle) : 0;
+    const std::size_t busy = links ? links->openCount() - opening - idle : 0;
+    if (idle > 0)
+        return "no connection: none was idle before the deadline";
+    if (busy > 0)
+        return "no connection: all " + std::to_string(busy) + " open connections are busy";
+    if (opening > 0)
+        return "no connection: one is opening";
+    if (links && !links->mayConnect(now))
+        return "no connection: waiting to connect again after a failure";
+    return "no connection";
 }
 
 void DispatcherState::noteLeading(
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -259,6 +259,8 @@
     /** True if a caller's statement runs at the endpoint. */
     bool hasRuns(const EndpointId&) const;
     void completeReplicationCommand(std::uint64_t number, const Reply*, TimePoint now);
+    /** Why a command could not be sent to the endpoint before its deadline; for log lines. */
+    std::string describeMissingLink(const EndpointId&, TimePoint now) const;
 
     EndpointDirectory& directory_;
     EndpointConnector& connector_;
--- a/tests/front/TestPromotionDriver.cpp
+++ b/tests/front/TestPromotionDriver.cpp
@@ -1,9 +1,12 @@
 #include "almondlever/common/StoreEra.h"
 #include "almondlever/front/PromotionDriver.h"
+#include "almondlever/observability/DecisionLog.h"
 #include "mocks/DispatcherFixture.h"
 #include "mocks/FakeMetadataStore.h"
 
 #include <criterion/criterion.h>
+#include <fstream>
+#include <unistd.h>
 
 using namespace almondlever;
 
@@ -156,6 +159,48 @@
     cr_assert(caller.succeeded());
 }
 
+// Guards against a log that does not show which logs were compared, how many were required and when the promotion took
+// effect: the records of issues 59 and 63 left these out, so that no cause could be told from another.
+Test(PromotionDriver, logsTheInputsOfAChange)
+{
+    const std::string path = "/tmp/almondlever-promotion-log-" + std::to_string(getpid());
+    cr_assert_eq(configureLog({ "info", path }), "");
+    Fixture fixture;
+    fixture.endpoints.server(fixture.b).position = { 1, 104 };
+    fixture.endpoints.server(fixture.c).position = { 1, 106 };
+    fixture.endpoints.crash(fixture.a);
+    fixture.run(Milliseconds(2500));
+    cr_assert_eq(fixture.promotions.promoted.size(), 1U);
+    flushLog();
+    std::ifstream file(path);
+    std::vector<std::string> lines;
+    for (std::string line; std::getline(file, line);)
+        lines.push_back(line + ' ');
+    std::remove(path.c_str());
+    const std::string fence = " fence=" + std::to_string(fixture.promotions.fences[0]) + ' ';
+    /** True if a line of the event contains all the texts. */
+    const auto has = [&lines, &fence](const std::string& event, const std::vector<std::string>& texts) {
+        return std::any_of(lines.begin(), lines.end(), [&](const std::string& line) {
+            return line.find(" event=" + event + " group=ledger ") != std::string::npos
+                && line.find(fence) != std::string::npos
+                && std::all_of(texts.begin(), texts.end(),
+                    [&line](const std::string& text) { return line.find(' ' + text) != std::string::npos; });
+        });
+    };
+    cr_assert(has("promotion_started",
+        { "members=3 ", "member_starts=a@1,b@1,c@1 ", "primary=a ", "newest_term=1 ", "synchronous=1 ",
+            "required=2 " }));
+    cr_assert(has("promotion_order", { "endpoint=b ", "order=pause ", "pause_term=2 ", "received_term=1 ", "ms=" }));
+    cr_assert(has("promotion_ordered",
+        { "endpoint=c ", "reason=primary_failed ", "required=2 ", "paused_positions=b:1/104,c:1/106 ",
+            "acknowledged_term=", "acknowledged_index=" }));
+    cr_assert(has("promotion_answer", { "endpoint=c ", "outcome=accepted ", "ms=10 " }));
+    cr_assert(has("promotion_leading", { "endpoint=c ", "term=2 ", "position_term=", "position_index=106 ", "ms=3" }));
+    cr_assert(has("promotion_ended",
+        { "outcome=ok ", "reason=primary_failed ", "leading_term=2 ", "needs_recovery=no ",
+            "unconfirmed_resumes=\"\" " }));
+}
+
 // Guards against replacing a primary that answers the other owners, as was seen on a large fleet without any fault.
 Test(PromotionDriver, keepsAPrimaryThatAnswersOthers)
 {
--- a/tests/groups/TestEndpointDirectory.cpp
+++ b/tests/groups/TestEndpointDirectory.cpp
@@ -58,6 +58,23 @@
     cr_assert(!directory.isLapsing(a));
 }
 
+// Guards against a list that becomes shorter without a line in the log, and against a line with each snapshot for an
+// entry that is missing already.
+Test(EndpointDirectory, reportsMissingAndRemovedEntriesOnce)
+{
+    EndpointDirectory directory;
+    directory.update(makeEntry(a, true, 1), start);
+    directory.update(makeEntry(b, false, 2), start);
+    const std::vector<EndpointEntry> missing = directory.replaceAll({ makeEntry(b, false, 2) }, start);
+    cr_assert_eq(missing.size(), 1U);
+    cr_assert(missing[0].id == a && missing[0].group == group && missing[0].startedAt == Milliseconds(7));
+    cr_assert(directory.replaceAll({ makeEntry(b, false, 2) }, start + Milliseconds(1000)).empty());
+    const std::vector<EndpointEntry> removed = directory.removeLapsed(start + Milliseconds(2000));
+    cr_assert_eq(removed.size(), 1U);
+    cr_assert(removed[0].id == a && removed[0].group == group && removed[0].startedAt == Milliseconds(7));
+    cr_assert(directory.removeLapsed(start + Milliseconds(2000)).empty());
+}
+
 // Guards against sending work to a superseded, partitioned primary whose entry still reports it as primary.
 Test(EndpointDirectory, proofOfALaterTermOverridesAnEntry)
 {
--- a/tests/pooling/TestStatementDispatcher.cpp
+++ b/tests/pooling/TestStatementDispatcher.cpp
@@ -230,6 +230,57 @@
     cr_assert_eq(fixture.endpoints.server(fixture.b).pausedIn, 5U);
 }
 
+// Guards against one text for endpoints that are gone, cut off, down or busy: issue 63 could not be traced further
+// because a failed order gave only "no connection".
+Test(StatementDispatcher, failedReplicationCommandTellsWhyItWasNotSent)
+{
+    DispatcherFixture fixture;
+    const auto detailOf = [&fixture](const EndpointId& endpoint) {
+        EndpointCommand status;
+        status.kind = EndpointCommand::Kind::QueryStatus;
+        std::string text;
+        fixture.dispatcher.sendReplicationCommand(
+            endpoint, status,
+            [&](const std::optional<EndpointReplicationStatus>& answer, const std::string& detail, TimePoint) {
+                text = answer ? "answered" : detail;
+            },
+            fixture.timers.now());
+        const TimePoint limit = fixture.timers.now() + 2 * DispatcherSettings().replicationCommandTimeout;
+        while (text.empty() && fixture.timers.now() < limit)
+            fixture.advance(StatementDispatcher::tickInterval);
+        return text;
+    };
+    cr_assert_eq(detailOf(fixture.b), "answered");
+    cr_assert_eq(detailOf(EndpointId("unknown")), "no connection: the endpoint is not listed");
+
+    fixture.endpoints.crash(fixture.b);
+    fixture.advance(Milliseconds(3000));
+    const std::string whileDown = detailOf(fixture.b);
+    cr_assert_eq(whileDown, "no connection: waiting to connect again after a failure", "%s", whileDown.c_str());
+
+    fixture.endpoints.crash(fixture.c);
+    fixture.endpoints.server(fixture.c).isDown = false;
+    fixture.endpoints.server(fixture.c).isSilent = true;
+    cr_assert_eq(detailOf(fixture.c), "no connection: one is opening");
+
+    // The primary admits one connection, which is reserved for a transaction.
+    fixture.configuration->groups[fixture.group].maximumConnections = 1;
+    fixture.dispatcher.setGroups(fixture.configuration->groups, fixture.timers.now());
+    fixture.endpoints.crash(fixture.a);
+    fixture.endpoints.server(fixture.a).isDown = false;
+    fixture.endpoints.server(fixture.a).leads = true;
+    fixture.endpoints.server(fixture.a).maximumConnections = 1;
+    fixture.advance(Milliseconds(1500));
+    FakeCaller caller(fixture, "orders");
+    caller.begin();
+    caller.write("w1");
+    fixture.advance(Milliseconds(100));
+    cr_assert_eq(caller.replies.size(), 2U);
+    cr_assert(caller.succeeded());
+    const std::string whileBusy = detailOf(fixture.a);
+    cr_assert_eq(whileBusy, "no connection: all 1 open connections are busy");
+}
+
 // Guards against writes whose answers are lost because the primary steps down while they run, and against statements
 // that are sent to a primary after it was ordered to step down.
 Test(StatementDispatcher, primaryStepsDownAfterItsRunningStatements)
