--- a/include/almondlever/failover/GroupPromotion.h
+++ b/include/almondlever/failover/GroupPromotion.h
@@ -33,6 +33,7 @@
     EndpointId id;
     bool isPrimary = false;
     bool isLeaving = false;
+    /** Unix time of its start; see EndpointEntry. */
     Milliseconds startedAt { 0 };
 };
 
@@ -164,9 +165,8 @@
     /** Term in which the chosen endpoint reported that it leads; 0 when it did not. */
     Term leadingTerm() const { return leadingTerm_; }
     const std::string& failure() const { return failure_; }
-    /** Number of logs that had to be compared, and of those that were. */
+    /** Number of logs that must be known before a replica is promoted without the old primary's consent. */
     std::size_t requiredLogs() const;
-    std::size_t comparedLogs() const { return pausedPositions_.size(); }
     /** Log holders whose logs were not compared. */
     std::vector<EndpointId> unseenHolders() const;
     /** End of the old primary's log; nullopt when it did not step down. */
@@ -175,6 +175,17 @@
     bool wasPauseBroken() const { return wasPauseBroken_; }
     LogPosition chosenPosition() const;
 
+    /** Lower bound of what was acknowledged; see noteAcknowledged(). */
+    const LogPosition& acknowledgedPosition() const { return acknowledgedPosition_; }
+    /** Positions of paused replicas, which cannot advance. */
+    const std::map<EndpointId, LogPosition>& pausedPositions() const { return pausedPositions_; }
+    /** Positions from status queries, which can still advance. */
+    const std::map<EndpointId, LogPosition>& reportedPositions() const { return reportedPositions_; }
+    /** Endpoints that did not answer their last order. */
+    const std::set<EndpointId>& unreachable() const { return unreachable_; }
+    /** Replicas that have not confirmed the resume order. */
+    const std::set<EndpointId>& unconfirmedResumes() const { return unconfirmedResumes_; }
+
 private:
     enum class Phase {
         /** Queries whether the primary answers and which positions the replicas have reached. */
