Drop orders and answers of a change of primary that has ended

Cause: an order that waits for a connection was kept for 900 ms, also after its change had ended or its claim was lost, so that a late RESUME could end the pause of the next change; the answer to a PAUSE of an earlier change counted as a log of the running one, although the replica may have been resumed since. Reports on STEPDOWN had that check already. Change: an order is sent only while its change runs under a held claim; an answer counts only for the change that gave the order; executeOrders() stops when an order has ended the change. Tests: StatementDispatcher.outdatedReplicationCommandIsNotSent, PromotionDriver.pauseOfAnEarlierChangeDoesNotCount.

--- a/include/almondlever/front/PromotionDriver.h
+++ b/include/almondlever/front/PromotionDriver.h
@@ -113,6 +113,10 @@
     std::optional<std::vector<LogHolder>> missingHoldersOf(const GroupId&, const std::optional<LogHolders>&) const;
     /** `fence`: token of the claim under which the order is given. */
     void sendOrder(const GroupId&, const GroupPromotion::Order&, std::uint64_t fence);
+    /** True while the change that began under this fencing token is running. */
+    bool isCurrentChange(const GroupId&, std::uint64_t fence) const;
+    /** Logs an answer to an order of an earlier change. */
+    static void logOutdatedOrder(const GroupId&, const EndpointId&, std::uint64_t fence);
     /** Orders the primary to step down, directly and through other owners. */
     void orderStepDown(const GroupId&, const GroupPromotion::Order&);
     /** `source`: "direct" or "relayed". A source that is not awaited counts only if the primary answered. */
--- a/include/almondlever/pooling/StatementDispatcher.h
+++ b/include/almondlever/pooling/StatementDispatcher.h
@@ -107,9 +107,11 @@
         const std::optional<EndpointReplicationStatus>&, const std::string& detail, TimePoint now)>;
     /**
      * Sends a status query or a replication command. It uses an idle pooled connection if there is one, because an
-     * endpoint under load may accept no further connection. Connections in a transaction are not used.
+     * endpoint under load may accept no further connection. Connections in a transaction are not used. A command that
+     * waits for a connection is dropped once `isCurrent` returns false; without it, it is sent until its timeout.
      */
-    void sendReplicationCommand(const EndpointId&, const EndpointCommand&, ReplicationCommandCallback, TimePoint now);
+    void sendReplicationCommand(const EndpointId&, const EndpointCommand&, ReplicationCommandCallback, TimePoint now,
+        std::function<bool(TimePoint)> isCurrent = nullptr);
 
     using StepDownCallback = std::function<void(const StepDownReport&, TimePoint now)>;
     /**
--- a/src/front/PromotionDriver.cpp
+++ b/src/front/PromotionDriver.cpp
@@ -388,7 +388,6 @@
     logInfo("promotion_started",
         { { "group", group.text() }, { "reason", toText(change.reason) },
             { "fence", std::to_string(change.claim.fence()) }, { "members", std::to_string(members.size()) },
-            { "missing_holders", missing ? toText(*missing) : "unknown" },
             { "acknowledged_term", std::to_string(acknowledged.term) },
             { "acknowledged_index", std::to_string(acknowledged.index) }, { "member_starts", listOf(members) },
             { "primary", primary ? primary->id.text() : "" },
@@ -436,6 +435,8 @@
     // An order that completes at once may end the change.
     const std::uint64_t fence = found->second->claim.fence();
     for (const GroupPromotion::Order& order : orders) {
+        if (!isCurrentChange(group, fence))
+            return;
         if (order.kind == GroupPromotion::Order::Kind::Promote)
             promote(group, order.endpoint, now);
         else if (order.kind == GroupPromotion::Order::Kind::StepDown)
@@ -482,6 +483,9 @@
             const auto change = changes_.find(group);
             if (change == changes_.end() || !change->second->promotion)
                 return;
+            // A replica that an earlier change paused may have been resumed since.
+            if (change->second->claim.fence() != fence)
+                return logOutdatedOrder(group, order.endpoint, fence);
             GroupPromotion& promotion = *change->second->promotion;
             promotion.noteAcknowledged(dispatcher_.acknowledgedPositionOf(group, at));
             const bool wasLeading = promotion.leadingTerm() != 0;
@@ -496,7 +500,23 @@
                         { "ms", millisecondsOf(at - change->second->calledAt) } });
             executeOrders(group, next, at);
         },
-        orderedAt);
+        orderedAt,
+        [this, group, fence, alive = std::weak_ptr<int>(alive_)](TimePoint at) {
+            // An order that waits for a connection must not reach a replica that the next change has paused.
+            return !alive.expired() && isCurrentChange(group, fence) && changes_.at(group)->claim.isHeld(at);
+        });
+}
+
+bool PromotionDriver::isCurrentChange(const GroupId& group, std::uint64_t fence) const
+{
+    const auto found = changes_.find(group);
+    return found != changes_.end() && found->second->claim.fence() == fence;
+}
+
+void PromotionDriver::logOutdatedOrder(const GroupId& group, const EndpointId& endpoint, std::uint64_t fence)
+{
+    logInfo("promotion_order_outdated",
+        { { "group", group.text() }, { "endpoint", endpoint.text() }, { "fence", std::to_string(fence) } });
 }
 
 void PromotionDriver::orderStepDown(const GroupId& group, const GroupPromotion::Order& order)
--- a/src/pooling/DispatcherLinks.cpp
+++ b/src/pooling/DispatcherLinks.cpp
@@ -215,7 +215,7 @@
 }
 
 void DispatcherState::sendReplicationCommand(const EndpointId& endpoint, const EndpointCommand& command,
-    StatementDispatcher::ReplicationCommandCallback callback, TimePoint now)
+    StatementDispatcher::ReplicationCommandCallback callback, TimePoint now, std::function<bool(TimePoint)> isCurrent)
 {
     const auto onReply = [callback = std::move(callback)](const Reply* reply, const std::string& reason, TimePoint at) {
         if (!reply)
@@ -225,7 +225,7 @@
         callback(reply->replication, reply->replication ? "" : "no status in the answer", at);
     };
     replicationCommands_[++lastTicket_]
-        = { endpoint, command, onReply, now + settings_.replicationCommandTimeout, {}, false };
+        = { endpoint, command, onReply, now + settings_.replicationCommandTimeout, {}, false, std::move(isCurrent) };
     sendPendingReplicationCommands(now);
 }
 
@@ -248,7 +248,7 @@
               callback(report, at);
           };
     replicationCommands_[++lastTicket_] = { endpoint, command, onReply, now + settings_.replicationCommandTimeout,
-        now + settings_.stepDownDrainTime, false };
+        now + settings_.stepDownDrainTime, false, nullptr };
     sendPendingReplicationCommands(now);
 }
 
@@ -271,7 +271,8 @@
 {
     std::vector<std::uint64_t> late;
     for (auto& [number, pending] : replicationCommands_) {
-        if (now >= pending.deadline) {
+        const bool isOutdated = !pending.isSent && pending.isCurrent && !pending.isCurrent(now);
+        if (now >= pending.deadline || isOutdated) {
             late.push_back(number);
             continue;
         }
@@ -312,7 +313,9 @@
     }
     const auto callback = std::move(pending.callback);
     std::string reason;
-    if (!reply)
+    if (!reply && !pending.isSent && now < pending.deadline)
+        reason = "not sent: the change of primary has ended";
+    else if (!reply)
         reason = pending.isSent ? "no answer" : describeMissingLink(pending.endpoint, now);
     replicationCommands_.erase(found);
     callback(reply, reason, now);
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -101,6 +101,8 @@
     /** Until then, statements that run at the endpoint may end first. */
     TimePoint drainUntil {};
     bool isSent = false;
+    /** Returns false once the command must not be sent any more; empty if it may be until its deadline. */
+    std::function<bool(TimePoint)> isCurrent;
 };
 
 /** Implementation of StatementDispatcher. */
@@ -114,8 +116,8 @@
         const std::shared_ptr<LinkTransaction>&, StatementRequest, StatementCallback, TimePoint now);
     void abandon(Ticket, TimePoint now);
     void endTransaction(const std::shared_ptr<LinkTransaction>&, TimePoint now);
-    void sendReplicationCommand(
-        const EndpointId&, const EndpointCommand&, StatementDispatcher::ReplicationCommandCallback, TimePoint now);
+    void sendReplicationCommand(const EndpointId&, const EndpointCommand&,
+        StatementDispatcher::ReplicationCommandCallback, TimePoint now, std::function<bool(TimePoint)> isCurrent);
     void stepDown(const GroupId&, const EndpointId&, Term, StatementDispatcher::StepDownCallback, TimePoint now);
     void setLogHolders(const GroupId& group, std::size_t count) { queuesOf(group).logHolders = count; }
     void endHold(const GroupId&, TimePoint now);
--- a/src/pooling/StatementDispatcher.cpp
+++ b/src/pooling/StatementDispatcher.cpp
@@ -44,10 +44,10 @@
 
 void StatementDispatcher::endHold(const GroupId& group, TimePoint now) { state_->endHold(group, now); }
 
-void StatementDispatcher::sendReplicationCommand(
-    const EndpointId& endpoint, const EndpointCommand& command, ReplicationCommandCallback callback, TimePoint now)
+void StatementDispatcher::sendReplicationCommand(const EndpointId& endpoint, const EndpointCommand& command,
+    ReplicationCommandCallback callback, TimePoint now, std::function<bool(TimePoint)> isCurrent)
 {
-    state_->sendReplicationCommand(endpoint, command, std::move(callback), now);
+    state_->sendReplicationCommand(endpoint, command, std::move(callback), now, std::move(isCurrent));
 }
 
 GroupReportParticipant* StatementDispatcher::capacityReports() { return state_->capacityReports(); }
--- a/tests/front/TestPromotionDriver.cpp
+++ b/tests/front/TestPromotionDriver.cpp
@@ -77,16 +77,18 @@
 struct Fixture : DispatcherFixture {
     FakeMetadataStore store { timers };
     FakePromotions promotions { *this };
-    PromotionDriver driver { directory, dispatcher, store, promotions, timers, makeSettings() };
+    PromotionDriver driver;
 
-    static PromotionDriverSettings makeSettings()
+    static PromotionDriverSettings makeSettings(Milliseconds retryPause)
     {
         PromotionDriverSettings settings;
         settings.holder = "vm-1";
+        settings.retryPause = retryPause;
         return settings;
     }
 
-    Fixture()
+    explicit Fixture(Milliseconds retryPause = PromotionDriverSettings().retryPause)
+        : driver(directory, dispatcher, store, promotions, timers, makeSettings(retryPause))
     {
         endpoints.replicates = true;
         driver.setGroups(configuration->groups);
@@ -335,6 +337,30 @@
     cr_assert_eq(fixture.endpoints.server(fixture.b).pausedIn, 0U);
 }
 
+// A replica far away answers the pause of a change that has ended; the next change has begun. Guards against counting
+// it as a log of the later change: the replica may have been resumed since.
+Test(PromotionDriver, pauseOfAnEarlierChangeDoesNotCount)
+{
+    const std::string path = "/tmp/almondlever-earlier-change-" + std::to_string(getpid());
+    Fixture fixture(Milliseconds(25));
+    fixture.store.delay = Milliseconds(30);
+    fixture.endpoints.server(fixture.a).isSilent = true;
+    fixture.runUntil([&] { return fixture.store.has(storeKeys::claims + "ledger"); });
+    cr_assert_eq(configureLog({ "info", path }), "");
+    fixture.endpoints.server(fixture.b).distance = Milliseconds(400);
+    // The primary answers, which ends the first change.
+    fixture.endpoints.server(fixture.a).isSilent = false;
+    fixture.runUntil([&] { return fixture.driver.isIdle(); });
+    fixture.endpoints.server(fixture.a).isSilent = true;
+    fixture.run(Milliseconds(1500));
+    flushLog();
+    std::ifstream file(path);
+    std::string lines((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+    std::remove(path.c_str());
+    cr_assert(
+        lines.find("event=promotion_order_outdated group=ledger endpoint=b") != std::string::npos, "%s", lines.c_str());
+}
+
 // The answer of a primary to an earlier change arrives during a later one, which replaces another primary.
 // Guards against comparing the logs with a position that is not the end of the present primary's log.
 Test(PromotionDriver, answerToAnEarlierChangeDoesNotCount)
--- a/tests/pooling/TestStatementDispatcher.cpp
+++ b/tests/pooling/TestStatementDispatcher.cpp
@@ -230,6 +230,32 @@
     cr_assert_eq(fixture.endpoints.server(fixture.b).pausedIn, 5U);
 }
 
+// Guards against an order to resume that waits for a connection and ends the pause which a later change of the primary
+// has ordered: the replica would then help the old primary to acknowledge commits that the chosen one lacks.
+Test(StatementDispatcher, outdatedReplicationCommandIsNotSent)
+{
+    DispatcherFixture fixture;
+    fixture.endpoints.crash(fixture.b);
+    fixture.advance(Milliseconds(500));
+    bool isCurrent = true;
+    std::string detail;
+    EndpointCommand resume;
+    resume.kind = EndpointCommand::Kind::ResumeReplication;
+    fixture.dispatcher.sendReplicationCommand(
+        fixture.b, resume,
+        [&detail](const std::optional<EndpointReplicationStatus>& answer, const std::string& text, TimePoint) {
+            detail = answer ? "answered" : text;
+        },
+        fixture.timers.now(), [&isCurrent](TimePoint) { return isCurrent; });
+    fixture.advance(StatementDispatcher::tickInterval);
+    isCurrent = false;
+    fixture.endpoints.server(fixture.b).isDown = false;
+    fixture.endpoints.server(fixture.b).pausedIn = 5;
+    fixture.advance(Milliseconds(3000));
+    cr_assert_eq(fixture.endpoints.server(fixture.b).pausedIn, 5U);
+    cr_assert_eq(detail, "not sent: the change of primary has ended", "%s", detail.c_str());
+}
+
 // Guards against one text for endpoints that are gone, cut off, down or busy: issue 63 could not be traced further
 // because a failed order gave only "no connection".
 Test(StatementDispatcher, failedReplicationCommandTellsWhyItWasNotSent)
