Read the members again before a chosen replica is promoted

The list is read once more after the comparison, only for a replica that was chosen by counting logs. Evidence for a removal counts only while the servers that gave it are listed under the same start. An answer to a call of an earlier change counts no more.

--- a/include/almondlever/failover/GroupPromotion.h
+++ b/include/almondlever/failover/GroupPromotion.h
@@ -155,6 +155,15 @@
      */
     Orders onMembers(const std::vector<PromotionMember>&);
     Orders onPromotionResult(PromotionResult, TimePoint now);
+    /**
+     * True if the chosen replica was found by comparing logs, so that the list of members has to be read again before
+     * the platform is called: an endpoint may have joined, or started again, while the logs were compared.
+     */
+    bool isChosenByCount() const { return isChosenByCount_; }
+    /** True if the logs compared so far are still enough for the members that are known now. */
+    bool isChoiceComplete() const { return hasEnoughLogs(pausedPositions_.size()); }
+    /** The choice must not be ordered, and has not been. */
+    Orders onChoiceOutdated(const std::string& reason, TimePoint now);
     Orders onTick(TimePoint now);
 
     bool isFinished() const { return phase_ == Phase::Finished; }
@@ -269,6 +278,7 @@
     TimePoint lastOrder_;
     TimePoint lastPause_;
     bool primaryAnswers_ = false;
+    bool isChosenByCount_ = false;
     /** A promote call is awaiting its answer. */
     bool isPromoteCallPending_ = false;
     /** Positions from status queries, which can still advance. */
--- a/include/almondlever/front/LogHolderKeeper.h
+++ b/include/almondlever/front/LogHolderKeeper.h
@@ -76,8 +76,10 @@
     LogHolders wanted(const GroupRecord&, const std::vector<EndpointEntry>&, TimePoint now) const;
     void confirm(const GroupId&, std::vector<LogHolder> candidates, std::size_t synchronousReplicas, TimePoint now);
     void askReplicas(const GroupId&, TimePoint now);
-    void onReplica(const GroupId&, std::uint64_t confirmation, const EndpointId&,
+    void onReplica(const GroupId&, std::uint64_t confirmation, const EndpointEntry& replica,
         const std::optional<EndpointReplicationStatus>&, TimePoint now);
+    /** True if the endpoints that gave the evidence are listed, and have not started again since. */
+    bool isStillListed(const Confirmation&) const;
     void endConfirmation(const GroupId&, const std::string& failure, TimePoint now);
     void write(const GroupId&, const LogHolders&, const std::string& reason);
     void reload(const GroupId&);
--- a/include/almondlever/front/PromotionDriver.h
+++ b/include/almondlever/front/PromotionDriver.h
@@ -122,7 +122,10 @@
     /** `source`: "direct" or "relayed". A source that is not awaited counts only if the primary answered. */
     void onStepDownReport(const GroupId&, const GroupPromotion::Order&, const std::string& source,
         const StepDownReport&, TimePoint orderedAt, TimePoint now);
+    /** Calls the platform, after the members have been read again if the endpoint was chosen by comparing logs. */
     void promote(const GroupId&, const EndpointId&, TimePoint now);
+    void onChoiceVerified(const GroupId&, const EndpointId&, bool isFresh, TimePoint now);
+    void callPlatform(const GroupId&, const EndpointId&, TimePoint now);
     void finishIfDone(const GroupId&, TimePoint now);
 
     EndpointDirectory& directory_;
--- a/src/failover/GroupPromotion.cpp
+++ b/src/failover/GroupPromotion.cpp
@@ -316,6 +316,7 @@
         if (pausedPositions_.at(best->id) < acknowledgedPosition_)
             return fail("no replica that answers holds every acknowledged commit", now);
         chosen_ = best->id;
+        isChosenByCount_ = true;
         return promote(now);
     }
     if (!missingHolders_)
@@ -452,7 +453,10 @@
     if (elapsed >= settings_.lastEntriesTimeout) {
         // A stalled primary's last commits reached no replica. No further one is acknowledged, so that enough logs
         // include one with every acknowledged commit.
-        const bool isComplete = best && hasEnoughLogs(reportedPositions_.size())
+        const bool isLongest = best
+            && std::all_of(reportedPositions_.begin(), reportedPositions_.end(),
+                [&](const auto& other) { return other.second <= reportedPositions_.at(best->id); });
+        const bool isComplete = isLongest && hasEnoughLogs(reportedPositions_.size())
             && reportedPositions_.at(best->id) >= acknowledgedPosition_;
         if (reason_ != PromotionReason::PrimaryStalled || !isComplete)
             return returnToOldPrimary(now);
@@ -617,6 +621,12 @@
     return {};
 }
 
+GroupPromotion::Orders GroupPromotion::onChoiceOutdated(const std::string& reason, TimePoint now)
+{
+    isPromoteCallPending_ = false;
+    return fail(reason, now);
+}
+
 GroupPromotion::Orders GroupPromotion::fail(const std::string& reason, TimePoint now)
 {
     failure_ = reason;
--- a/src/front/LogHolderKeeper.cpp
+++ b/src/front/LogHolderKeeper.cpp
@@ -26,10 +26,11 @@
     std::vector<LogHolder> candidates;
     std::size_t synchronousReplicas = 0;
     EndpointId primary;
+    Milliseconds primaryStartedAt { 0 };
     /** End of the primary's log, reported after the candidates were missing; nullopt before its answer. */
     std::optional<LogPosition> position;
-    /** Staying replicas that have reached the position. */
-    std::set<EndpointId> confirmed;
+    /** Staying replicas that have reached the position, with their start. */
+    std::map<EndpointId, Milliseconds> confirmed;
     TimePoint startedAt;
     TimePoint askedAt;
 };
@@ -182,6 +183,7 @@
     confirmation.candidates = std::move(candidates);
     confirmation.synchronousReplicas = synchronousReplicas;
     confirmation.primary = primary->id;
+    confirmation.primaryStartedAt = primary->startedAt;
     confirmation.startedAt = now;
     dispatcher_.sendReplicationCommand(
         primary->id, statusQuery(),
@@ -214,16 +216,16 @@
             continue;
         dispatcher_.sendReplicationCommand(
             entry.id, statusQuery(),
-            [this, group, number, id = entry.id, alive = std::weak_ptr<int>(alive_)](
+            [this, group, number, entry, alive = std::weak_ptr<int>(alive_)](
                 const std::optional<EndpointReplicationStatus>& status, const std::string&, TimePoint at) {
                 if (!alive.expired())
-                    onReplica(group, number, id, status, at);
+                    onReplica(group, number, entry, status, at);
             },
             now);
     }
 }
 
-void LogHolderKeeper::onReplica(const GroupId& group, std::uint64_t number, const EndpointId& endpoint,
+void LogHolderKeeper::onReplica(const GroupId& group, std::uint64_t number, const EndpointEntry& replica,
     const std::optional<EndpointReplicationStatus>& status, TimePoint now)
 {
     GroupRecord& record = records_[group];
@@ -234,11 +236,22 @@
         return endConfirmation(group, "another endpoint leads", now);
     if (status->received < *confirmation.position)
         return;
-    confirmation.confirmed.insert(endpoint);
+    confirmation.confirmed[replica.id] = replica.startedAt;
     if (confirmation.confirmed.size() >= confirmation.synchronousReplicas)
         endConfirmation(group, "", now);
 }
 
+bool LogHolderKeeper::isStillListed(const Confirmation& confirmation) const
+{
+    const auto isListed = [this](const EndpointId& id, Milliseconds startedAt) {
+        const EndpointEntry* entry = directory_.find(id);
+        return entry && !directory_.isLapsing(id) && entry->startedAt == startedAt;
+    };
+    return isListed(confirmation.primary, confirmation.primaryStartedAt)
+        && std::all_of(confirmation.confirmed.begin(), confirmation.confirmed.end(),
+            [&](const auto& replica) { return isListed(replica.first, replica.second); });
+}
+
 void LogHolderKeeper::endConfirmation(const GroupId& group, const std::string& failure, TimePoint now)
 {
     GroupRecord& record = records_[group];
@@ -251,6 +264,10 @@
         return;
     }
     const std::vector<EndpointEntry> entries = listed(group);
+    if (!isStillListed(*ended)) {
+        record.notBefore = now + settings_.retryPause;
+        return;
+    }
     LogHolders holders = wanted(record, entries, now);
     holders.removeConfirmed(ended->candidates, entries);
     write(group, holders, record.known ? "replaced" : "first");
--- a/src/front/PromotionDriver.cpp
+++ b/src/front/PromotionDriver.cpp
@@ -88,6 +88,8 @@
     std::optional<LogHolders> logHolders;
     /** The leader after the last finished change, if its record names one. */
     std::optional<RecordedLeader> recordedLeader;
+    /** The members were read again after the logs had been compared. */
+    bool isChoiceVerified = false;
     /** Time of the latest promote call. */
     TimePoint calledAt;
     /** The claim is held, and the other owners have been asked again about the primary. */
@@ -588,6 +590,34 @@
     if (found == changes_.end())
         return;
     Change& change = *found->second;
+    if (!refreshMembers_ || !change.promotion->isChosenByCount() || change.isChoiceVerified)
+        return callPlatform(group, endpoint, now);
+    const std::uint64_t fence = change.claim.fence();
+    refreshMembers_([this, group, endpoint, fence, alive = std::weak_ptr<int>(alive_)](bool isFresh) {
+        if (!alive.expired() && isCurrentChange(group, fence))
+            onChoiceVerified(group, endpoint, isFresh, timers_.now());
+    });
+}
+
+void PromotionDriver::onChoiceVerified(const GroupId& group, const EndpointId& endpoint, bool isFresh, TimePoint now)
+{
+    const std::uint64_t fence = changes_.at(group)->claim.fence();
+    executeOrders(group, changes_.at(group)->promotion->onMembers(membersOf(group)), now);
+    if (!isCurrentChange(group, fence))
+        return;
+    Change& change = *changes_.at(group);
+    if (!isFresh || !change.promotion->isChoiceComplete()) {
+        const std::string reason = isFresh ? "the members have changed" : "the members could not be read";
+        return executeOrders(group, change.promotion->onChoiceOutdated(reason, now), now);
+    }
+    change.isChoiceVerified = true;
+    callPlatform(group, endpoint, now);
+    finishIfDone(group, now);
+}
+
+void PromotionDriver::callPlatform(const GroupId& group, const EndpointId& endpoint, TimePoint now)
+{
+    Change& change = *changes_.at(group);
     const auto report = [this, group, endpoint, calledAt = now, fence = change.claim.fence(),
                             alive = std::weak_ptr<int>(alive_)](PromotionResult answer, const std::string& detail) {
         if (alive.expired())
@@ -600,9 +630,9 @@
                         : answer == PromotionResult::Refused ? "refused"
                                                              : "unknown" },
                 { "detail", detail }, { "fence", std::to_string(fence) }, { "ms", millisecondsOf(at - calledAt) } });
-        const auto running = changes_.find(group);
-        if (running != changes_.end() && running->second->promotion)
-            executeOrders(group, running->second->promotion->onPromotionResult(answer, at), at);
+        // The answer to a call of an earlier change says nothing of the one that is running.
+        if (isCurrentChange(group, fence) && changes_.at(group)->promotion)
+            executeOrders(group, changes_.at(group)->promotion->onPromotionResult(answer, at), at);
     };
     if (!change.claim.isHeld(now)) {
         timers_.callAfter(
