Count the log of a crashed primary that is back under another id

On the users' platform a crashed server returns under a new id at its address, a primary with its log (PROTOCOL.md, Servers). The record keeps the address, the last reported role and the position up to which the members were confirmed; a listed endpoint at the address of a missing primary counts as that primary's log if it reaches the position. Under its own id a restarted endpoint holds nothing, and a replica's successor may have begun empty: neither counts.

--- a/include/almondlever/failover/GroupPromotion.h
+++ b/include/almondlever/failover/GroupPromotion.h
@@ -35,6 +35,7 @@
     bool isLeaving = false;
     /** Unix time of its start; see EndpointEntry. */
     Milliseconds startedAt { 0 };
+    std::string address {};
 };
 
 /** Result of the platform's promote call. */
@@ -132,9 +133,15 @@
 
     /**
      * Sets the log holders that are not listed: they count, but cannot be asked. nullopt: the group's holders are not
-     * known, so that no number of logs is enough.
+     * known, so that no number of logs is enough. A primary that crashed comes back with its log at its address, under
+     * another id: the log of that endpoint is also the log of the holder, unless it ends before `confirmed`, a position
+     * that the primary held.
      */
-    void setMissingHolders(std::optional<std::vector<LogHolder>> missing) { missingHolders_ = std::move(missing); }
+    void setMissingHolders(std::optional<std::vector<LogHolder>> missing, const LogPosition& confirmed = {})
+    {
+        missingHolders_ = std::move(missing);
+        confirmedPosition_ = confirmed;
+    }
 
     /**
      * Records that the listed primary led in a term, according to the store or to its own answers. Without that, or an
@@ -161,7 +168,7 @@
      */
     bool isChosenByCount() const { return isChosenByCount_; }
     /** True if the logs compared so far are still enough for the members that are known now. */
-    bool isChoiceComplete() const { return hasEnoughLogs(pausedPositions_.size()); }
+    bool isChoiceComplete() const { return hasEnoughLogs(pausedPositions_); }
     /** The choice must not be ordered, and has not been. */
     Orders onChoiceOutdated(const std::string& reason, TimePoint now);
     Orders onTick(TimePoint now);
@@ -174,6 +181,8 @@
     /** Term in which the chosen endpoint reported that it leads; 0 when it did not. */
     Term leadingTerm() const { return leadingTerm_; }
     const std::string& failure() const { return failure_; }
+    /** True if the attempt failed because too few logs are known; unseenHolders() tells whose are missing. */
+    bool lacksLogs() const { return lacksLogs_; }
     /** Number of logs that must be known before a replica is promoted without the old primary's consent. */
     std::size_t requiredLogs() const;
     /** Log holders whose logs were not compared. */
@@ -258,7 +267,9 @@
         return reason_ == PromotionReason::PrimaryFailed || reason_ == PromotionReason::PrimaryStalled;
     }
     /** True if enough logs are compared to include every acknowledged commit. */
-    bool hasEnoughLogs(std::size_t compared) const { return missingHolders_ && compared >= requiredLogs(); }
+    bool hasEnoughLogs(const std::map<EndpointId, LogPosition>& compared) const;
+    /** True if the log of the missing holder is among the compared ones, under the id with which it came back. */
+    bool isComparedAsSuccessor(const LogHolder&, const std::map<EndpointId, LogPosition>& compared) const;
     /** The endpoint is listed, so that it can be asked. */
     void noteListed(const PromotionMember&);
     /** The endpoint started again without its log; what it answered before does not count. */
@@ -268,6 +279,7 @@
     std::vector<PromotionMember> members_;
     /** Log holders that are not among the members; nullopt if they are not known. */
     std::optional<std::vector<LogHolder>> missingHolders_ = std::vector<LogHolder>();
+    LogPosition confirmedPosition_;
     std::size_t synchronousReplicas_;
     /** Term of the pause orders; must be above every term known in the group. */
     Term pauseTerm_;
@@ -279,6 +291,7 @@
     TimePoint lastPause_;
     bool primaryAnswers_ = false;
     bool isChosenByCount_ = false;
+    bool lacksLogs_ = false;
     /** A promote call is awaiting its answer. */
     bool isPromoteCallPending_ = false;
     /** Positions from status queries, which can still advance. */
--- a/include/almondlever/failover/LogHolders.h
+++ b/include/almondlever/failover/LogHolders.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "almondlever/common/LogPosition.h"
 #include "almondlever/common/Time.h"
 #include "almondlever/groups/EndpointEntry.h"
 
@@ -14,6 +15,10 @@
     EndpointId id;
     /** Unix time of its start. A crashed endpoint that returns with its log keeps it. */
     Milliseconds startedAt { 0 };
+    /** "ip:port". */
+    std::string address {};
+    /** Its last entry reported it as the primary. */
+    bool isPrimary = false;
     /** It has announced that it leaves the group. */
     bool isLeaving = false;
 
@@ -39,12 +44,14 @@
     const std::vector<LogHolder>& all() const { return holders_; }
     /** Number of endpoints that the group has apart from those that are gone or leaving. */
     std::size_t groupSize() const { return groupSize_; }
+    /** Position up to which the listed holders were last known to hold every acknowledged commit. */
+    const LogPosition& confirmedPosition() const { return confirmedPosition_; }
     /** Number of logs that must be known before one of them can be promoted; at least 1. */
     std::size_t requiredLogs(std::size_t synchronousReplicas) const;
     /** Holders without an entry of the same run. */
     std::vector<LogHolder> missingFrom(const std::vector<EndpointEntry>& listed) const;
 
-    /** Adds listed endpoints and announcements to leave; returns true if the record has changed. */
+    /** Adds listed endpoints, their role and announcements to leave; returns true if the record has changed. */
     bool addListed(const std::vector<EndpointEntry>& listed);
     /** Adds the holders of another record; returns true if this record has changed. */
     bool addAll(const LogHolders&);
@@ -60,13 +67,15 @@
     /**
      * Removes those of `candidates` that are replaceable. To be called after the primary, and `synchronousReplicas`
      * other listed holders, were found to have every commit up to a position that the primary reported while the
-     * candidates were already missing. Returns the number of removed holders.
+     * candidates were already replaceable. Returns the number of removed holders.
      */
-    std::size_t removeConfirmed(const std::vector<LogHolder>& candidates, const std::vector<EndpointEntry>& listed);
+    std::size_t removeConfirmed(const std::vector<LogHolder>& candidates, const std::vector<EndpointEntry>& listed,
+        const LogPosition& position = {});
 
 private:
     std::vector<LogHolder> holders_;
     std::size_t groupSize_ = 0;
+    LogPosition confirmedPosition_;
 };
 
 /** The ids, separated by commas. */
--- a/src/failover/GroupPromotion.cpp
+++ b/src/failover/GroupPromotion.cpp
@@ -51,6 +51,29 @@
     return holders > copies ? holders - copies : 1;
 }
 
+bool GroupPromotion::hasEnoughLogs(const std::map<EndpointId, LogPosition>& compared) const
+{
+    if (!missingHolders_)
+        return false;
+    const auto successors = std::count_if(missingHolders_->begin(), missingHolders_->end(),
+        [&](const LogHolder& holder) { return isComparedAsSuccessor(holder, compared); });
+    return compared.size() + static_cast<std::size_t>(successors) >= requiredLogs();
+}
+
+bool GroupPromotion::isComparedAsSuccessor(
+    const LogHolder& holder, const std::map<EndpointId, LogPosition>& compared) const
+{
+    if (!holder.isPrimary || holder.address.empty())
+        return false;
+    return std::any_of(members_.begin(), members_.end(), [&](const PromotionMember& member) {
+        // Under its own id, an endpoint that starts again holds nothing of before.
+        const bool isSuccessor
+            = member.address == holder.address && member.id != holder.id && member.startedAt > holder.startedAt;
+        const auto position = compared.find(member.id);
+        return isSuccessor && position != compared.end() && position->second >= confirmedPosition_;
+    });
+}
+
 std::vector<EndpointId> GroupPromotion::unseenHolders() const
 {
     std::vector<EndpointId> unseen;
@@ -58,8 +81,10 @@
         if (pausedPositions_.count(member.id) == 0)
             unseen.push_back(member.id);
     }
-    for (const LogHolder& holder : missingHolders_.value_or(std::vector<LogHolder>()))
-        unseen.push_back(holder.id);
+    for (const LogHolder& holder : missingHolders_.value_or(std::vector<LogHolder>())) {
+        if (!isComparedAsSuccessor(holder, pausedPositions_))
+            unseen.push_back(holder.id);
+    }
     return unseen;
 }
 
@@ -308,7 +333,7 @@
         return {};
     }
     const bool hasAll = pausedPositions_.size() + unreachable_.size() >= replicas;
-    const bool hasEnough = hasEnoughLogs(pausedPositions_.size());
+    const bool hasEnough = hasEnoughLogs(pausedPositions_);
     if (hasEnough && (hasAll || elapsed >= settings_.answerTimeout)) {
         const PromotionMember* best = mostAdvanced(pausedPositions_);
         if (!best)
@@ -319,6 +344,7 @@
         isChosenByCount_ = true;
         return promote(now);
     }
+    lacksLogs_ = !missingHolders_ || elapsed > settings_.fenceTimeout || hasAll;
     if (!missingHolders_)
         return fail("the endpoints that may hold acknowledged commits are not known", now);
     if (elapsed > settings_.fenceTimeout || (hasAll && !hasEnough))
@@ -456,7 +482,7 @@
         const bool isLongest = best
             && std::all_of(reportedPositions_.begin(), reportedPositions_.end(),
                 [&](const auto& other) { return other.second <= reportedPositions_.at(best->id); });
-        const bool isComplete = isLongest && hasEnoughLogs(reportedPositions_.size())
+        const bool isComplete = isLongest && hasEnoughLogs(reportedPositions_)
             && reportedPositions_.at(best->id) >= acknowledgedPosition_;
         if (reason_ != PromotionReason::PrimaryStalled || !isComplete)
             return returnToOldPrimary(now);
@@ -503,7 +529,7 @@
         if (known != members_.end())
             forgetRun(*known, member.startedAt);
         else
-            members_.push_back({ member.id, false, member.isLeaving, member.startedAt });
+            members_.push_back({ member.id, false, member.isLeaving, member.startedAt, member.address });
         noteListed(member);
         const bool areReplicasPaused = !steppedDownPosition_
             && (phase_ == Phase::Fencing || phase_ == Phase::CatchingUp || phase_ == Phase::Promoting
@@ -531,7 +557,7 @@
 void GroupPromotion::forgetRun(PromotionMember& member, Milliseconds startedAt)
 {
     if (missingHolders_)
-        missingHolders_->push_back({ member.id, member.startedAt, member.isLeaving });
+        missingHolders_->push_back({ member.id, member.startedAt, {}, false, member.isLeaving });
     member.startedAt = startedAt;
     member.isPrimary = false;
     pausedPositions_.erase(member.id);
--- a/src/failover/LogHolders.cpp
+++ b/src/failover/LogHolders.cpp
@@ -13,6 +13,10 @@
     const char* const recordVersion = "1";
     const char* const stayingWord = "stays";
     const char* const leavingWord = "leaves";
+    const char* const primaryWord = "primary";
+    const char* const replicaWord = "replica";
+    /** An address that is not known. */
+    const char* const noAddress = "-";
 
     template <typename Holders> auto findRun(Holders& holders, const EndpointId& id, Milliseconds startedAt)
     {
@@ -41,15 +45,20 @@
     std::istringstream words(text);
     std::string version;
     LogHolders record;
-    if (!(words >> version >> record.groupSize_) || version != recordVersion)
+    LogPosition& position = record.confirmedPosition_;
+    if (!(words >> version >> record.groupSize_ >> position.term >> position.index) || version != recordVersion)
         return std::nullopt;
     std::string id;
     while (words >> id) {
         Milliseconds::rep startedAt = 0;
+        std::string address;
+        std::string role;
         std::string state;
-        if (!(words >> startedAt >> state) || (state != stayingWord && state != leavingWord))
+        if (!(words >> startedAt >> address >> role >> state) || (state != stayingWord && state != leavingWord)
+            || (role != primaryWord && role != replicaWord))
             return std::nullopt;
-        record.holders_.push_back({ EndpointId(fromWord(id)), Milliseconds(startedAt), state == leavingWord });
+        record.holders_.push_back({ EndpointId(fromWord(id)), Milliseconds(startedAt),
+            address == noAddress ? std::string() : fromWord(address), role == primaryWord, state == leavingWord });
     }
     if (record.holders_.empty())
         return std::nullopt;
@@ -58,12 +67,13 @@
 
 std::string LogHolders::encode() const
 {
-    std::string text = std::string(recordVersion) + ' ' + std::to_string(groupSize_);
-    for (const LogHolder& holder : holders_) {
-        text += ' ' + toWord(holder.id.text()) + ' ' + std::to_string(holder.startedAt.count()) + ' ';
-        text += holder.isLeaving ? leavingWord : stayingWord;
-    }
-    return text;
+    std::ostringstream text;
+    text << recordVersion << ' ' << groupSize_ << ' ' << confirmedPosition_.term << ' ' << confirmedPosition_.index;
+    for (const LogHolder& holder : holders_)
+        text << ' ' << toWord(holder.id.text()) << ' ' << holder.startedAt.count() << ' '
+             << (holder.address.empty() ? noAddress : toWord(holder.address)) << ' '
+             << (holder.isPrimary ? primaryWord : replicaWord) << ' ' << (holder.isLeaving ? leavingWord : stayingWord);
+    return text.str();
 }
 
 std::size_t LogHolders::requiredLogs(std::size_t synchronousReplicas) const
@@ -87,13 +97,15 @@
 {
     bool hasChanged = false;
     for (const EndpointEntry& entry : listed) {
+        const LogHolder holder { entry.id, entry.startedAt, entry.address, entry.reportsPrimary, entry.isLeaving };
         const auto known = findRun(holders_, entry.id, entry.startedAt);
         if (known == holders_.end())
-            holders_.push_back({ entry.id, entry.startedAt, entry.isLeaving });
-        else if (known->isLeaving == entry.isLeaving)
+            holders_.push_back(holder);
+        else if (known->isLeaving == holder.isLeaving && known->isPrimary == holder.isPrimary
+            && known->address == holder.address)
             continue;
         else
-            known->isLeaving = entry.isLeaving;
+            *known = holder;
         hasChanged = true;
     }
     return hasChanged;
@@ -101,6 +113,7 @@
 
 bool LogHolders::addAll(const LogHolders& other)
 {
+    confirmedPosition_ = std::max(confirmedPosition_, other.confirmedPosition_);
     bool hasChanged = other.groupSize_ > groupSize_;
     groupSize_ = std::max(groupSize_, other.groupSize_);
     for (const LogHolder& holder : other.holders_) {
@@ -133,8 +146,9 @@
 }
 
 std::size_t LogHolders::removeConfirmed(
-    const std::vector<LogHolder>& candidates, const std::vector<EndpointEntry>& listed)
+    const std::vector<LogHolder>& candidates, const std::vector<EndpointEntry>& listed, const LogPosition& position)
 {
+    confirmedPosition_ = std::max(confirmedPosition_, position);
     const std::vector<LogHolder> gone = replaceable(listed);
     std::size_t removed = 0;
     std::size_t left = 0;
--- a/src/front/LogHolderKeeper.cpp
+++ b/src/front/LogHolderKeeper.cpp
@@ -269,7 +269,7 @@
         return;
     }
     LogHolders holders = wanted(record, entries, now);
-    holders.removeConfirmed(ended->candidates, entries);
+    holders.removeConfirmed(ended->candidates, entries, *ended->position);
     write(group, holders, record.known ? "replaced" : "first");
 }
 
--- a/src/front/PromotionDriver.cpp
+++ b/src/front/PromotionDriver.cpp
@@ -382,7 +382,8 @@
     change.promotion
         = std::make_unique<GroupPromotion>(members, synchronous, newestTerm, change.reason, settings_.promotion);
     const std::optional<std::vector<LogHolder>> missing = missingHoldersOf(group, change.logHolders);
-    change.promotion->setMissingHolders(missing);
+    change.promotion->setMissingHolders(
+        missing, change.logHolders ? change.logHolders->confirmedPosition() : LogPosition());
     const EndpointEntry* primary = directory_.primaryOf(group);
     const std::optional<Term> primaryTerm = primary ? primaryTermOf(change, *primary) : std::nullopt;
     if (primaryTerm)
@@ -413,7 +414,7 @@
     std::vector<PromotionMember> members;
     const EndpointEntry* primary = directory_.primaryOf(group);
     for (const EndpointEntry* entry : directory_.endpointsOf(group))
-        members.push_back({ entry->id, entry == primary, entry->isLeaving, entry->startedAt });
+        members.push_back({ entry->id, entry == primary, entry->isLeaving, entry->startedAt, entry->address });
     return members;
 }
 
