Name the endpoints that a change of primary waits for, and refuse at once

Statements waited until their deadline. Now a line promotion_waits and the gauge almondlever_group_missing_logs tell what is missing, the next attempt waits until another endpoint answers (3 s at most), and statements for the primary are refused at once with the time to return.

--- a/include/almondlever/failover/GroupPromotion.h
+++ b/include/almondlever/failover/GroupPromotion.h
@@ -185,6 +185,8 @@
     bool lacksLogs() const { return lacksLogs_; }
     /** Number of logs that must be known before a replica is promoted without the old primary's consent. */
     std::size_t requiredLogs() const;
+    /** Number of holders whose logs were compared. */
+    std::size_t comparedLogs() const;
     /** Log holders whose logs were not compared. */
     std::vector<EndpointId> unseenHolders() const;
     /** End of the old primary's log; nullopt when it did not step down. */
--- a/include/almondlever/front/PromotionDriver.h
+++ b/include/almondlever/front/PromotionDriver.h
@@ -32,6 +32,11 @@
     Milliseconds reconfirmAfter { 400 };
     /** Pause after a failed attempt. */
     Milliseconds retryPause { 500 };
+    /**
+     * Pause after an attempt that lacked logs, unless another endpoint answers earlier: each attempt pauses replicas
+     * and calls the store several times.
+     */
+    Milliseconds missingLogsPause { 3000 };
     LogHolderSettings logHolders;
 };
 
@@ -89,8 +94,16 @@
         PromotionReason reason = PromotionReason::PrimaryFailed;
         TimePoint notBefore {};
         TimePoint checkedAt {};
+        /** Endpoints that this daemon reached when an attempt lacked logs. */
+        std::optional<std::set<EndpointId>> reachedWithoutEnoughLogs;
+        TimePoint lackedLogsAt {};
     };
 
+    /** Endpoints of the group to which this daemon has a connection. */
+    std::set<EndpointId> reachedEndpoints(const GroupId&) const;
+    /** True while another attempt would lack logs like the latest one. */
+    bool lacksLogs(const GroupId&, const GroupState&, TimePoint now) const;
+    void noteMissingLogs(const GroupId&, const GroupPromotion&, TimePoint now);
     std::optional<PromotionReason> reasonFor(const GroupId&, const GroupState&, TimePoint now) const;
     /** Number of owners before this daemon; the order differs by group, which spreads the work. */
     std::size_t rankOf(const GroupId&) const;
--- a/include/almondlever/pooling/StatementDispatcher.h
+++ b/include/almondlever/pooling/StatementDispatcher.h
@@ -121,6 +121,11 @@
     void stepDown(const GroupId&, const EndpointId&, Term, StepDownCallback, TimePoint now);
     /** Sets the number of endpoints whose logs may contain acknowledged commits, listed or not. */
     void setLogHolders(const GroupId&, std::size_t count);
+    /**
+     * Sets how many logs of a group are missing for a change of its primary; while there are any, statements for the
+     * primary are refused at once. 0: a primary can be chosen.
+     */
+    void setMissingLogs(const GroupId&, std::size_t count);
     /** Ends the hold that stepDown() began; a new primary ends it as well. */
     void endHold(const GroupId&, TimePoint now);
 
--- a/src/failover/GroupPromotion.cpp
+++ b/src/failover/GroupPromotion.cpp
@@ -74,6 +74,11 @@
     });
 }
 
+std::size_t GroupPromotion::comparedLogs() const
+{
+    return members_.size() + (missingHolders_ ? missingHolders_->size() : 0) - unseenHolders().size();
+}
+
 std::vector<EndpointId> GroupPromotion::unseenHolders() const
 {
     std::vector<EndpointId> unseen;
--- a/src/front/PromotionDriver.cpp
+++ b/src/front/PromotionDriver.cpp
@@ -232,19 +232,56 @@
             if (suspicionConfirmer_)
                 suspicionConfirmer_->clearSuspicion(group);
         }
-        if (!reason)
+        if (!reason) {
+            if (state.reachedWithoutEnoughLogs)
+                dispatcher_.setMissingLogs(group, 0);
+            state.reachedWithoutEnoughLogs.reset();
             continue;
+        }
         state.reason = *reason;
         if (!state.reasonSince)
             state.reasonSince = now;
         const Duration settling = state.isChangeOpen ? Duration(settings_.promotion.promotionEffectTime) : Duration(0);
         const Duration stagger = settings_.staggerDelay * static_cast<int>(rankOf(group));
         const bool isDue = now - *state.reasonSince >= stagger + settling && now >= state.notBefore;
+        if (lacksLogs(group, state, now))
+            continue;
         if (isDue && !state.isClaimed && !isStopping_ && isConfirmed(group, *reason, now))
             begin(group, *reason, now);
     }
 }
 
+std::set<EndpointId> PromotionDriver::reachedEndpoints(const GroupId& group) const
+{
+    std::set<EndpointId> reached;
+    for (const EndpointEntry* entry : directory_.endpointsOf(group)) {
+        if (dispatcher_.isReachable(entry->id))
+            reached.insert(entry->id);
+    }
+    return reached;
+}
+
+bool PromotionDriver::lacksLogs(const GroupId& group, const GroupState& state, TimePoint now) const
+{
+    return state.reachedWithoutEnoughLogs && now - state.lackedLogsAt < settings_.missingLogsPause
+        && *state.reachedWithoutEnoughLogs == reachedEndpoints(group);
+}
+
+void PromotionDriver::noteMissingLogs(const GroupId& group, const GroupPromotion& promotion, TimePoint now)
+{
+    const std::size_t compared = std::min(promotion.comparedLogs(), promotion.requiredLogs());
+    const std::vector<EndpointId> unseen = promotion.unseenHolders();
+    logWarning("promotion_waits",
+        { { "group", group.text() }, { "required", std::to_string(promotion.requiredLogs()) },
+            { "compared", std::to_string(compared) },
+            { "waits_for", listOf(std::set<EndpointId>(unseen.begin(), unseen.end())) },
+            { "detail", promotion.failure() } });
+    GroupState& state = groupStates_[group];
+    state.reachedWithoutEnoughLogs = reachedEndpoints(group);
+    state.lackedLogsAt = now;
+    dispatcher_.setMissingLogs(group, promotion.requiredLogs() - compared);
+}
+
 bool PromotionDriver::isConfirmed(const GroupId& group, PromotionReason reason, TimePoint now)
 {
     const EndpointEntry* primary = directory_.primaryOf(group);
@@ -682,6 +719,8 @@
     state.isChangeOpen = promotion.needsRecovery();
     state.reasonSince.reset();
     state.notBefore = now + (promotion.hasSucceeded() ? settings_.retryPause * 2 : settings_.retryPause);
+    if (promotion.lacksLogs())
+        noteMissingLogs(group, promotion, now);
     // The change must not be destroyed in a callback of its own members.
     timers_.callAfter(Duration(0), [ended](TimePoint) {});
     dispatcher_.endHold(group, now);
--- a/src/pooling/DispatcherPrimary.cpp
+++ b/src/pooling/DispatcherPrimary.cpp
@@ -22,6 +22,7 @@
 {
     queues.lastPrimary = id;
     queues.heldUntil = {};
+    queues.missingLogs = 0;
     // The former primary's positions may include commits that the new primary never received.
     queues.history.clear();
     queues.writes.noteNewPrimary();
@@ -65,7 +66,21 @@
 
 bool DispatcherState::canChangePrimary(const GroupQueues& queues, const GroupId& group, TimePoint now) const
 {
-    return countAnswering(group, true, now) >= requiredLogs(queues, group);
+    return queues.missingLogs == 0 && countAnswering(group, true, now) >= requiredLogs(queues, group);
+}
+
+void DispatcherState::setMissingLogs(const GroupId& group, std::size_t count)
+{
+    queuesOf(group).missingLogs = count;
+    metrics_.setGauge("almondlever_group_missing_logs", "group=\"" + group.text() + '"', static_cast<double>(count));
+}
+
+bool DispatcherState::waitsForLogs(const GroupQueues& queues, const GroupId& group, TimePoint now) const
+{
+    // Right after a failure, or a stall of this daemon, endpoints that have not answered yet are no reason to refuse.
+    const bool isLong
+        = queues.withoutPrimarySince && now - *queues.withoutPrimarySince >= settings_.expectedFailoverTime;
+    return queues.missingLogs > 0 || (isLong && !canChangePrimary(queues, group, now));
 }
 
 std::size_t DispatcherState::requiredLogs(const GroupQueues& queues, const GroupId& group) const
@@ -85,10 +100,11 @@
     const Duration wait = expectedWaitForPrimary(queues, group, now);
     if (wait == Duration(0) || queues.primaryQueue.size() == 0)
         return;
+    const bool isUnservable = waitsForLogs(queues, group, now);
     std::vector<Ticket> unservable;
     for (const auto& [ticket, pending] : pending_) {
         if (pending.request.group == group && pending.waitsForPrimary && !pending.retryAt && runs_.count(ticket) == 0
-            && now + wait > pending.request.deadline)
+            && (isUnservable || now + wait > pending.request.deadline))
             unservable.push_back(ticket);
     }
     for (const Ticket ticket : unservable) {
--- a/src/pooling/DispatcherState.cpp
+++ b/src/pooling/DispatcherState.cpp
@@ -98,7 +98,8 @@
         const Duration wait = expectedWaitForPrimary(queues, group, now);
         // Statements that are already queued are served first.
         const Duration queued = wait > Duration(0) ? queues.primaryQueue.expectedWait(request.rank, now) : Duration(0);
-        if (now + wait + queued > request.deadline)
+        const bool isUnservable = wait > Duration(0) && waitsForLogs(queues, group, now);
+        if (isUnservable || now + wait + queued > request.deadline)
             return refuse(ticket, wait + queued, "no_primary", now);
     }
     if (request.isWrite && areWritesBlocked(queues, group, now))
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -70,6 +70,8 @@
     std::size_t sharingDaemons = 1;
     /** Endpoints whose logs may contain acknowledged commits; 0 while that is not known. */
     std::size_t logHolders = 0;
+    /** Logs that a change of the primary lacks, according to this daemon's latest attempt. */
+    std::size_t missingLogs = 0;
     RankScheduler primaryQueue;
     RankScheduler readQueue;
     PositionHistory history;
@@ -120,6 +122,7 @@
         StatementDispatcher::ReplicationCommandCallback, TimePoint now, std::function<bool(TimePoint)> isCurrent);
     void stepDown(const GroupId&, const EndpointId&, Term, StatementDispatcher::StepDownCallback, TimePoint now);
     void setLogHolders(const GroupId& group, std::size_t count) { queuesOf(group).logHolders = count; }
+    void setMissingLogs(const GroupId&, std::size_t count);
     void endHold(const GroupId&, TimePoint now);
     void setGroups(const std::map<GroupId, GroupRule>&, TimePoint now);
     void setConnectionsByCustomer(bool areByCustomer) { areConnectionsByCustomer_ = areByCustomer; }
@@ -175,6 +178,8 @@
     Duration expectedWaitForPrimary(GroupQueues&, const GroupId&, TimePoint now);
     /** True if enough endpoints answer to include one with every acknowledged commit, so that it can be promoted. */
     bool canChangePrimary(const GroupQueues&, const GroupId&, TimePoint now) const;
+    /** True if statements for the primary cannot be served before an endpoint returns. */
+    bool waitsForLogs(const GroupQueues&, const GroupId&, TimePoint now) const;
     /** Number of logs that a promotion must see. */
     std::size_t requiredLogs(const GroupQueues&, const GroupId&) const;
     /** Refuses queued statements whose deadlines a new primary would probably miss. */
--- a/src/pooling/StatementDispatcher.cpp
+++ b/src/pooling/StatementDispatcher.cpp
@@ -42,6 +42,11 @@
     state_->setLogHolders(group, count);
 }
 
+void StatementDispatcher::setMissingLogs(const GroupId& group, std::size_t count)
+{
+    state_->setMissingLogs(group, count);
+}
+
 void StatementDispatcher::endHold(const GroupId& group, TimePoint now) { state_->endHold(group, now); }
 
 void StatementDispatcher::sendReplicationCommand(const EndpointId& endpoint, const EndpointCommand& command,
