--- a/include/almondlever/front/PromotionDriver.h
+++ b/include/almondlever/front/PromotionDriver.h
@@ -104,6 +104,7 @@
     /** True while another attempt would lack logs like the latest one. */
     bool lacksLogs(const GroupId&, const GroupState&, TimePoint now) const;
     void noteMissingLogs(const GroupId&, const GroupPromotion&, TimePoint now);
+    void clearMissingLogs(const GroupId&, GroupState&);
     std::optional<PromotionReason> reasonFor(const GroupId&, const GroupState&, TimePoint now) const;
     /** Number of owners before this daemon; the order differs by group, which spreads the work. */
     std::size_t rankOf(const GroupId&) const;
--- a/src/front/PromotionDriver.cpp
+++ b/src/front/PromotionDriver.cpp
@@ -233,9 +233,7 @@
                 suspicionConfirmer_->clearSuspicion(group);
         }
         if (!reason) {
-            if (state.reachedWithoutEnoughLogs)
-                dispatcher_.setMissingLogs(group, 0);
-            state.reachedWithoutEnoughLogs.reset();
+            clearMissingLogs(group, state);
             continue;
         }
         state.reason = *reason;
@@ -282,6 +280,14 @@
     dispatcher_.setMissingLogs(group, promotion.requiredLogs() - compared);
 }
 
+void PromotionDriver::clearMissingLogs(const GroupId& group, GroupState& state)
+{
+    if (!state.reachedWithoutEnoughLogs)
+        return;
+    state.reachedWithoutEnoughLogs.reset();
+    dispatcher_.setMissingLogs(group, 0);
+}
+
 bool PromotionDriver::isConfirmed(const GroupId& group, PromotionReason reason, TimePoint now)
 {
     const EndpointEntry* primary = directory_.primaryOf(group);
@@ -721,6 +727,8 @@
     state.notBefore = now + (promotion.hasSucceeded() ? settings_.retryPause * 2 : settings_.retryPause);
     if (promotion.lacksLogs())
         noteMissingLogs(group, promotion, now);
+    else if (promotion.hasSucceeded())
+        clearMissingLogs(group, state);
     // The change must not be destroyed in a callback of its own members.
     timers_.callAfter(Duration(0), [ended](TimePoint) {});
     dispatcher_.endHold(group, now);
--- a/tests/front/TestPromotionQuorum.cpp
+++ b/tests/front/TestPromotionQuorum.cpp
@@ -1,5 +1,12 @@
+#include "almondlever/observability/DecisionLog.h"
 #include "mocks/PromotionFixture.h"
 
+#include <cstdio>
+#include <fstream>
+#include <iterator>
+#include <string>
+#include <unistd.h>
+
 using namespace almondlever;
 
 namespace {
@@ -119,3 +126,62 @@
         cr_assert(fixture.promotions.incomplete.empty());
     }
 }
+
+// Guards against a group without a primary whose operator does not learn which endpoint is waited for, whose callers
+// wait until their deadline, and whose daemon calls the store again and again meanwhile.
+Test(PromotionQuorum, groupThatCannotBeServedSaysSo)
+{
+    const std::string path = "/tmp/almondlever-promotion-waits-" + std::to_string(getpid());
+    PromotionFixture fixture;
+    fixture.run(normalPeriod);
+    fixture.acknowledge({ 1, 120 }, { fixture.a, fixture.b });
+    cr_assert_eq(configureLog({ "info", path }), "");
+    fixture.crash(fixture.a);
+    fixture.crash(fixture.b);
+    fixture.run(PromotionFixture::removalTime);
+    flushLog();
+    std::ifstream file(path);
+    const std::string lines((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+    std::remove(path.c_str());
+    cr_expect(
+        lines.find("event=promotion_waits group=ledger required=2 compared=1 waits_for=a,b") != std::string::npos);
+    cr_expect_eq(fixture.missingLogs(), 1.0);
+    const TimePoint sentAt = fixture.timers.now();
+    cr_expect_not(fixture.write());
+    cr_expect_leq(fixture.timers.now() - sentAt, StatementDispatcher::tickInterval, "refused at once");
+    const std::size_t calls = fixture.store.calls;
+    const Milliseconds waiting { 30000 };
+    fixture.run(waiting);
+    // One attempt in each pause: the change record, lease, claim, renewal, log holders and release.
+    const auto attempts = static_cast<std::size_t>(waiting / PromotionDriverSettings().missingLogsPause);
+    cr_expect_leq(fixture.store.calls - calls, 8 * attempts);
+    fixture.bringBack(fixture.b);
+    cr_expect(fixture.runUntil(promotionLimit, [&] { return fixture.leads(fixture.b); }));
+    cr_expect(fixture.runUntil(promotionLimit, [&] { return fixture.write(); }));
+    cr_expect(fixture.runUntil(promotionLimit, [&] { return fixture.missingLogs() == 0.0; }));
+}
+
+// Guards against counting too few holders when an endpoint joins after the list was read and before the replicas were
+// paused: it may have helped the old primary to acknowledge a commit.
+Test(PromotionQuorum, endpointThatJoinsDuringTheComparisonCounts)
+{
+    PromotionFixture fixture;
+    const EndpointId d("d");
+    fixture.run(normalPeriod);
+    std::size_t reads = 0;
+    fixture.driver().setMembersRefresh([&](const std::function<void(bool)>& callback) {
+        if (++reads == 2) {
+            fixture.endpoints.server(d).isSilent = true;
+            fixture.list(d);
+            fixture.acknowledge({ 1, 120 }, { fixture.a, d });
+        }
+        fixture.timers.callAfter(Milliseconds(4), [callback](TimePoint) { callback(true); });
+    });
+    fixture.crash(fixture.a);
+    fixture.run(Milliseconds(4000));
+    cr_expect_geq(reads, 2U);
+    cr_expect(fixture.promotions.promoted.empty(), "b and c lack a commit that d may hold");
+    fixture.endpoints.server(d).isSilent = false;
+    cr_expect(fixture.runUntil(promotionLimit, [&] { return fixture.leads(d); }));
+    cr_expect(fixture.promotions.incomplete.empty());
+}
--- a/tests/mocks/PromotionFixture.h
+++ b/tests/mocks/PromotionFixture.h
@@ -148,6 +148,15 @@
         return condition();
     }
 
+    /** Gauge of the logs that a change of the primary lacks. */
+    double missingLogs() const
+    {
+        const std::string text = metrics_.toPrometheusText();
+        const std::string name = "almondlever_group_missing_logs{group=\"ledger\"} ";
+        const auto at = text.find(name);
+        return at == std::string::npos ? 0 : std::stod(text.substr(at + name.size()));
+    }
+
     bool leads(const EndpointId& id) { return endpoints.server(id).leads && !endpoints.server(id).isDown; }
 
     /** True if a caller's write is acknowledged within a second. */
