--- a/include/almondlever/failover/GroupPromotion.h
+++ b/include/almondlever/failover/GroupPromotion.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "almondlever/common/Time.h"
+#include "almondlever/failover/LogHolders.h"
 #include "almondlever/groups/EndpointEntry.h"
 
 #include <algorithm>
@@ -34,6 +35,7 @@
     bool isLeaving = false;
     /** Unix time of its start; see EndpointEntry. */
     Milliseconds startedAt { 0 };
+    std::string address {};
 };
 
 /** Result of the platform's promote call. */
@@ -92,13 +94,14 @@
  * the chosen one lacks, whether this daemon knows of that endpoint or not.
  *
  * Only the old primary acknowledges commits, so the attempt makes it step down, through other owners of the group if
- * this daemon does not reach it. The end of its log is then final, and an endpoint is promoted once it has reached that
- * end. If none does in time, the old primary is promoted again: it holds everything, and the change is given up.
+ * this daemon does not reach it. The end of its log is then final, if it is known to have led until then, and an
+ * endpoint is promoted once it has reached that end. If none does in time, the old primary is promoted again: it holds
+ * everything, and the change is given up.
  *
  * A primary that no owner reaches cannot acknowledge anything to their callers. Replicas are paused then, in case it
- * returns: of any `members - synchronousReplicas` paused logs at least one holds every acknowledged commit, so the
- * attempt waits for that many answers and promotes the most advanced log. The same holds for an endpoint that does not
- * know the order to step down.
+ * returns: of any `holders - synchronousReplicas` paused logs at least one holds every acknowledged commit, so the
+ * attempt waits for that many answers and promotes the most advanced log. Holders are the members and the endpoints of
+ * setMissingHolders(). The same holds for an endpoint that does not know the order to step down.
  *
  * A primary that is leaving serves until one replica has caught up while all others are paused. Paused replicas are
  * resumed once the chosen one is the primary. A promote order without an answer may take effect late; it is repeated
@@ -128,15 +131,46 @@
         acknowledgedPosition_ = std::max(acknowledgedPosition_, position);
     }
 
+    /**
+     * Sets the log holders that are not listed: they count, but cannot be asked. nullopt: the group's holders are not
+     * known, so that no number of logs is enough. A primary that crashed comes back with its log at its address, under
+     * another id: the log of that endpoint is also the log of the holder, unless it ends before `confirmed`, a position
+     * that the primary held.
+     */
+    void setMissingHolders(std::optional<std::vector<LogHolder>> missing, const LogPosition& confirmed = {})
+    {
+        missingHolders_ = std::move(missing);
+        confirmedPosition_ = confirmed;
+    }
+
+    /**
+     * Records that the listed primary led in a term, according to the store or to its own answers. Without that, or an
+     * answer as the primary during this change, its entry may show a role that it has lost: the end of its log is then
+     * not the end of everything acknowledged.
+     */
+    void notePrimaryTerm(Term term) { primaryTerm_ = term; }
+
     /** `hasRelay`: other owners can be asked to send the order to step down to a primary that does not answer. */
     Orders start(TimePoint now, bool hasRelay = false);
     /** Result of QueryStatus, Pause or Resume; nullopt when the endpoint was unreachable or refused. */
     Orders onStatus(const EndpointId&, Order::Kind, const std::optional<EndpointReplicationStatus>&, TimePoint now);
     /** Result of StepDown, from this daemon and from the owners that it asked to relay the order. */
     Orders onStepDown(const StepDownReport&, TimePoint now);
-    /** Adds endpoints that joined the group after the start; while they could help the old primary, they are paused. */
+    /**
+     * Adds endpoints that joined the group after the start, or started again without their log; while they could help
+     * the old primary, they are paused.
+     */
     Orders onMembers(const std::vector<PromotionMember>&);
     Orders onPromotionResult(PromotionResult, TimePoint now);
+    /**
+     * True if the chosen replica was found by comparing logs, so that the list of members has to be read again before
+     * the platform is called: an endpoint may have joined, or started again, while the logs were compared.
+     */
+    bool isChosenByCount() const { return isChosenByCount_; }
+    /** True if the logs compared so far are still enough for the members that are known now. */
+    bool isChoiceComplete() const { return hasEnoughLogs(pausedPositions_); }
+    /** The choice must not be ordered, and has not been. */
+    Orders onChoiceOutdated(const std::string& reason, TimePoint now);
     Orders onTick(TimePoint now);
 
     bool isFinished() const { return phase_ == Phase::Finished; }
@@ -147,14 +181,20 @@
     /** Term in which the chosen endpoint reported that it leads; 0 when it did not. */
     Term leadingTerm() const { return leadingTerm_; }
     const std::string& failure() const { return failure_; }
+    /** True if the attempt failed because too few logs are known; unseenHolders() tells whose are missing. */
+    bool lacksLogs() const { return lacksLogs_; }
+    /** Number of logs that must be known before a replica is promoted without the old primary's consent. */
+    std::size_t requiredLogs() const;
+    /** Number of holders whose logs were compared. */
+    std::size_t comparedLogs() const;
+    /** Log holders whose logs were not compared. */
+    std::vector<EndpointId> unseenHolders() const;
     /** End of the old primary's log; nullopt when it did not step down. */
     const std::optional<LogPosition>& steppedDownPosition() const { return steppedDownPosition_; }
     /** True when a paused replica received commits during the promotion, so that acknowledged commits may be lost. */
     bool wasPauseBroken() const { return wasPauseBroken_; }
     LogPosition chosenPosition() const;
 
-    /** Number of logs that must be known before a replica is promoted without the old primary's consent. */
-    std::size_t requiredLogs() const { return requiredAnswers(); }
     /** Lower bound of what was acknowledged; see noteAcknowledged(). */
     const LogPosition& acknowledgedPosition() const { return acknowledgedPosition_; }
     /** Positions of paused replicas, which cannot advance. */
@@ -205,6 +245,9 @@
     bool areOthersPaused() const;
     Orders probePlatform(TimePoint now);
     Orders beginStepDown(TimePoint now);
+    /** The listed primary answered as a replica and is not known to have led: continues by pausing it and the others.
+     */
+    Orders onOutdatedRole(TimePoint now);
     /** Continues without the old primary's consent, by pausing replicas. */
     Orders onStepDownFailed(StepDownResult, TimePoint now);
     Orders awaitLastEntries(TimePoint now);
@@ -225,10 +268,20 @@
     {
         return reason_ == PromotionReason::PrimaryFailed || reason_ == PromotionReason::PrimaryStalled;
     }
-    std::size_t requiredAnswers() const;
+    /** True if enough logs are compared to include every acknowledged commit. */
+    bool hasEnoughLogs(const std::map<EndpointId, LogPosition>& compared) const;
+    /** True if the log of the missing holder is among the compared ones, under the id with which it came back. */
+    bool isComparedAsSuccessor(const LogHolder&, const std::map<EndpointId, LogPosition>& compared) const;
+    /** The endpoint is listed, so that it can be asked. */
+    void noteListed(const PromotionMember&);
+    /** The endpoint started again without its log; what it answered before does not count. */
+    void forgetRun(PromotionMember&, Milliseconds startedAt);
     const PromotionMember* mostAdvanced(const std::map<EndpointId, LogPosition>&) const;
 
     std::vector<PromotionMember> members_;
+    /** Log holders that are not among the members; nullopt if they are not known. */
+    std::optional<std::vector<LogHolder>> missingHolders_ = std::vector<LogHolder>();
+    LogPosition confirmedPosition_;
     std::size_t synchronousReplicas_;
     /** Term of the pause orders; must be above every term known in the group. */
     Term pauseTerm_;
@@ -239,6 +292,8 @@
     TimePoint lastOrder_;
     TimePoint lastPause_;
     bool primaryAnswers_ = false;
+    bool isChosenByCount_ = false;
+    bool lacksLogs_ = false;
     /** A promote call is awaiting its answer. */
     bool isPromoteCallPending_ = false;
     /** Positions from status queries, which can still advance. */
@@ -263,6 +318,8 @@
     /** A promote call got no answer; it may still take effect, and the platform knows no newer one. */
     bool hasUnansweredCall_ = false;
     TimePoint lastStepDown_;
+    /** Term in which the listed primary is known to have led. */
+    std::optional<Term> primaryTerm_;
     EndpointId chosen_;
     Term leadingTerm_ = 0;
     std::string failure_;
--- a/include/almondlever/pooling/StatementDispatcher.h
+++ b/include/almondlever/pooling/StatementDispatcher.h
@@ -107,9 +107,11 @@
         const std::optional<EndpointReplicationStatus>&, const std::string& detail, TimePoint now)>;
     /**
      * Sends a status query or a replication command. It uses an idle pooled connection if there is one, because an
-     * endpoint under load may accept no further connection. Connections in a transaction are not used.
+     * endpoint under load may accept no further connection. Connections in a transaction are not used. A command that
+     * waits for a connection is dropped once `isCurrent` returns false; without it, it is sent until its timeout.
      */
-    void sendReplicationCommand(const EndpointId&, const EndpointCommand&, ReplicationCommandCallback, TimePoint now);
+    void sendReplicationCommand(const EndpointId&, const EndpointCommand&, ReplicationCommandCallback, TimePoint now,
+        std::function<bool(TimePoint)> isCurrent = nullptr);
 
     using StepDownCallback = std::function<void(const StepDownReport&, TimePoint now)>;
     /**
@@ -117,6 +119,13 @@
      * to step down in a term.
      */
     void stepDown(const GroupId&, const EndpointId&, Term, StepDownCallback, TimePoint now);
+    /** Sets the number of endpoints whose logs may contain acknowledged commits, listed or not. */
+    void setLogHolders(const GroupId&, std::size_t count);
+    /**
+     * Sets how many logs of a group are missing for a change of its primary; while there are any, statements for the
+     * primary are refused at once. 0: a primary can be chosen.
+     */
+    void setMissingLogs(const GroupId&, std::size_t count);
     /** Ends the hold that stepDown() began; a new primary ends it as well. */
     void endHold(const GroupId&, TimePoint now);
 
--- a/src/front/PromotionDriver.cpp
+++ b/src/front/PromotionDriver.cpp
@@ -81,6 +81,15 @@
     PromotionReason reason = PromotionReason::PrimaryFailed;
     std::unique_ptr<GroupPromotion> promotion;
     TimePoint startedAt;
+    /** Reads under the claim that have not ended. */
+    std::size_t pendingReads = 0;
+    /** First failure of those reads; empty if there was none. */
+    std::string readFailure;
+    std::optional<LogHolders> logHolders;
+    /** The leader after the last finished change, if its record names one. */
+    std::optional<RecordedLeader> recordedLeader;
+    /** The members were read again after the logs had been compared. */
+    bool isChoiceVerified = false;
     /** Time of the latest promote call. */
     TimePoint calledAt;
     /** The claim is held, and the other owners have been asked again about the primary. */
@@ -98,6 +107,7 @@
     , service_(service)
     , timers_(timers)
     , settings_(settings)
+    , logHolders_(directory, dispatcher, store, timers, settings.logHolders)
 {
 }
 
@@ -126,6 +136,7 @@
     for (const auto& [group, rule] : groups_)
         groupStates_[group].notBefore
             = std::max(groupStates_[group].notBefore, now + settings_.promotion.promotionEffectTime);
+    logHolders_.onStoreEra();
     // onTick() abandons the changes whose claims have ended.
     for (auto& [group, change] : changes_)
         change->claim.noteEra(era);
@@ -150,7 +161,7 @@
     return hasStaying ? std::optional<PromotionReason>(PromotionReason::PrimaryLeaving) : std::nullopt;
 }
 
-Duration PromotionDriver::staggerDelay(const GroupId& group) const
+std::size_t PromotionDriver::rankOf(const GroupId& group) const
 {
     // Owners are ordered by a hash of their own name and the group's.
     const auto hash = [&group](const std::string& member) {
@@ -159,11 +170,10 @@
     };
     const auto owners = owners_.find(group);
     if (owners == owners_.end())
-        return Duration(0);
+        return 0;
     const auto own = hash(settings_.holder);
-    const auto earlier = std::count_if(
-        owners->second.begin(), owners->second.end(), [&](const std::string& member) { return hash(member) < own; });
-    return settings_.staggerDelay * earlier;
+    return static_cast<std::size_t>(std::count_if(
+        owners->second.begin(), owners->second.end(), [&](const std::string& member) { return hash(member) < own; }));
 }
 
 bool PromotionDriver::isOwner(const GroupId& group) const
@@ -177,6 +187,8 @@
     for (const auto& [group, rule] : groups_) {
         if (!isOwner(group) && changes_.count(group) == 0)
             continue;
+        if (!isStopping_)
+            logHolders_.onTick(group, rule.synchronousReplicas, rankOf(group), now);
         const auto running = changes_.find(group);
         if (running != changes_.end()) {
             Change& change = *running->second;
@@ -220,18 +232,62 @@
             if (suspicionConfirmer_)
                 suspicionConfirmer_->clearSuspicion(group);
         }
-        if (!reason)
+        if (!reason) {
+            clearMissingLogs(group, state);
             continue;
+        }
         state.reason = *reason;
         if (!state.reasonSince)
             state.reasonSince = now;
         const Duration settling = state.isChangeOpen ? Duration(settings_.promotion.promotionEffectTime) : Duration(0);
-        const bool isDue = now - *state.reasonSince >= staggerDelay(group) + settling && now >= state.notBefore;
+        const Duration stagger = settings_.staggerDelay * static_cast<int>(rankOf(group));
+        const bool isDue = now - *state.reasonSince >= stagger + settling && now >= state.notBefore;
+        if (lacksLogs(group, state, now))
+            continue;
         if (isDue && !state.isClaimed && !isStopping_ && isConfirmed(group, *reason, now))
             begin(group, *reason, now);
     }
 }
 
+std::set<EndpointId> PromotionDriver::reachedEndpoints(const GroupId& group) const
+{
+    std::set<EndpointId> reached;
+    for (const EndpointEntry* entry : directory_.endpointsOf(group)) {
+        if (dispatcher_.isReachable(entry->id))
+            reached.insert(entry->id);
+    }
+    return reached;
+}
+
+bool PromotionDriver::lacksLogs(const GroupId& group, const GroupState& state, TimePoint now) const
+{
+    return state.reachedWithoutEnoughLogs && now - state.lackedLogsAt < settings_.missingLogsPause
+        && *state.reachedWithoutEnoughLogs == reachedEndpoints(group);
+}
+
+void PromotionDriver::noteMissingLogs(const GroupId& group, const GroupPromotion& promotion, TimePoint now)
+{
+    const std::size_t compared = std::min(promotion.comparedLogs(), promotion.requiredLogs());
+    const std::vector<EndpointId> unseen = promotion.unseenHolders();
+    logWarning("promotion_waits",
+        { { "group", group.text() }, { "required", std::to_string(promotion.requiredLogs()) },
+            { "compared", std::to_string(compared) },
+            { "waits_for", listOf(std::set<EndpointId>(unseen.begin(), unseen.end())) },
+            { "detail", promotion.failure() } });
+    GroupState& state = groupStates_[group];
+    state.reachedWithoutEnoughLogs = reachedEndpoints(group);
+    state.lackedLogsAt = now;
+    dispatcher_.setMissingLogs(group, promotion.requiredLogs() - compared);
+}
+
+void PromotionDriver::clearMissingLogs(const GroupId& group, GroupState& state)
+{
+    if (!state.reachedWithoutEnoughLogs)
+        return;
+    state.reachedWithoutEnoughLogs.reset();
+    dispatcher_.setMissingLogs(group, 0);
+}
+
 bool PromotionDriver::isConfirmed(const GroupId& group, PromotionReason reason, TimePoint now)
 {
     const EndpointEntry* primary = directory_.primaryOf(group);
@@ -258,10 +314,13 @@
         [this, group, record, wasKnownOpen, alive = std::weak_ptr<int>(alive_)](const StoreResult<StorePage>& page) {
             if (alive.expired() || changes_.count(group) == 0)
                 return;
-            const bool isChangeOpen = page
-                && std::any_of(page.value().items.begin(), page.value().items.end(), [&record](const StoreItem& item) {
-                       return item.key == record && item.value == storeKeys::changeOpen;
-                   });
+            bool isChangeOpen = false;
+            for (const StoreItem& item : page ? page.value().items : std::vector<StoreItem>()) {
+                if (item.key != record)
+                    continue;
+                isChangeOpen = item.value == storeKeys::changeOpen;
+                changes_.at(group)->recordedLeader = RecordedLeader::decode(item.value);
+            }
             if (page && (!isChangeOpen || wasKnownOpen))
                 return changes_.at(group)->claim.acquire(
                     ++attempts_, [this, group](const StoreResult<std::uint64_t>& result) { onClaimed(group, result); });
@@ -282,19 +341,40 @@
         return;
     if (!result)
         return releaseClaim(group, toText(result.error().kind), result.error().detail);
+    Change& change = *changes_.at(group);
+    change.pendingReads = refreshMembers_ ? 2 : 1;
+    const auto isCurrent = [this, group, fence = change.claim.fence(), alive = std::weak_ptr<int>(alive_)] {
+        return !alive.expired() && changes_.count(group) > 0 && changes_.at(group)->claim.fence() == fence;
+    };
+    logHolders_.read(group, [this, group, isCurrent](const StoreResult<std::optional<LogHolders>>& holders) {
+        if (!isCurrent())
+            return;
+        if (holders)
+            changes_.at(group)->logHolders = holders.value();
+        onRead(group, holders ? "" : "log_holders_unknown");
+    });
     if (!refreshMembers_)
-        return reconfirm(group, timers_.now());
+        return;
     // An endpoint that came back, or that another daemon promoted, may have acknowledged commits with endpoints that
     // this daemon does not know. A list that is read after the claim was acquired is recent enough.
-    refreshMembers_([this, group, alive = std::weak_ptr<int>(alive_)](bool isFresh) {
-        if (alive.expired() || changes_.count(group) == 0)
-            return;
-        if (!isFresh)
-            return releaseClaim(group, "members_unknown", "the store did not answer");
-        reconfirm(group, timers_.now());
+    refreshMembers_([this, group, isCurrent](bool isFresh) {
+        if (isCurrent())
+            onRead(group, isFresh ? "" : "members_unknown");
     });
 }
 
+void PromotionDriver::onRead(const GroupId& group, const std::string& failure)
+{
+    Change& change = *changes_.at(group);
+    if (change.readFailure.empty())
+        change.readFailure = failure;
+    if (--change.pendingReads > 0)
+        return;
+    if (!change.readFailure.empty())
+        return releaseClaim(group, change.readFailure, "the store did not answer");
+    reconfirm(group, timers_.now());
+}
+
 void PromotionDriver::reconfirm(const GroupId& group, TimePoint now)
 {
     Change& change = *changes_.at(group);
@@ -322,7 +402,8 @@
     logInfo("promotion_not_claimed", { { "group", group.text() }, { "outcome", outcome }, { "detail", detail } });
     groupStates_[group].notBefore = timers_.now() + settings_.retryPause;
     // Acquiring the claim marked the change record as open; it stays open if an earlier change is unfinished.
-    changes_.at(group)->claim.release(!groupStates_[group].isChangeOpen);
+    const Change& change = *changes_.at(group);
+    changes_.at(group)->claim.release(!groupStates_[group].isChangeOpen, change.recordedLeader);
     // The claim must not be destroyed in its own callback.
     timers_.callAfter(Duration(0), [this, group, alive = std::weak_ptr<int>(alive_)](TimePoint) {
         if (!alive.expired())
@@ -343,29 +424,54 @@
     const Term newestTerm = directory_.newestTermOf(group);
     change.promotion
         = std::make_unique<GroupPromotion>(members, synchronous, newestTerm, change.reason, settings_.promotion);
-    const auto primary
-        = std::find_if(members.begin(), members.end(), [](const PromotionMember& member) { return member.isPrimary; });
+    const std::optional<std::vector<LogHolder>> missing = missingHoldersOf(group, change.logHolders);
+    change.promotion->setMissingHolders(
+        missing, change.logHolders ? change.logHolders->confirmedPosition() : LogPosition());
+    const EndpointEntry* primary = directory_.primaryOf(group);
+    const std::optional<Term> primaryTerm = primary ? primaryTermOf(change, *primary) : std::nullopt;
+    if (primaryTerm)
+        change.promotion->notePrimaryTerm(*primaryTerm);
     logInfo("promotion_started",
         { { "group", group.text() }, { "reason", toText(change.reason) },
             { "fence", std::to_string(change.claim.fence()) }, { "members", std::to_string(members.size()) },
             { "acknowledged_term", std::to_string(acknowledged.term) },
             { "acknowledged_index", std::to_string(acknowledged.index) }, { "member_starts", listOf(members) },
-            { "primary", primary == members.end() ? "" : primary->id.text() },
+            { "primary", primary ? primary->id.text() : "" },
+            { "primary_term", primaryTerm ? std::to_string(*primaryTerm) : "" },
             { "newest_term", std::to_string(newestTerm) }, { "synchronous", std::to_string(synchronous) },
-            { "required", std::to_string(change.promotion->requiredLogs()) } });
+            { "required", std::to_string(change.promotion->requiredLogs()) },
+            { "missing_holders", missing ? toText(*missing) : "unknown" } });
     const bool hasRelay = stepDownRelay_ && stepDownRelay_->hasPeers(group);
     executeOrders(group, change.promotion->start(now, hasRelay), now);
 }
 
+std::optional<Term> PromotionDriver::primaryTermOf(const Change& change, const EndpointEntry& primary) const
+{
+    if (!change.recordedLeader)
+        return directory_.provenTermOf(primary.group, primary.id);
+    return change.recordedLeader->id == primary.id ? std::optional<Term>(change.recordedLeader->term) : std::nullopt;
+}
+
 std::vector<PromotionMember> PromotionDriver::membersOf(const GroupId& group) const
 {
     std::vector<PromotionMember> members;
     const EndpointEntry* primary = directory_.primaryOf(group);
     for (const EndpointEntry* entry : directory_.endpointsOf(group))
-        members.push_back({ entry->id, entry == primary, entry->isLeaving, entry->startedAt });
+        members.push_back({ entry->id, entry == primary, entry->isLeaving, entry->startedAt, entry->address });
     return members;
 }
 
+std::optional<std::vector<LogHolder>> PromotionDriver::missingHoldersOf(
+    const GroupId& group, const std::optional<LogHolders>& holders) const
+{
+    if (!holders)
+        return std::nullopt;
+    std::vector<EndpointEntry> listed;
+    for (const EndpointEntry* entry : directory_.endpointsOf(group))
+        listed.push_back(*entry);
+    return holders->missingFrom(listed);
+}
+
 void PromotionDriver::executeOrders(const GroupId& group, const GroupPromotion::Orders& orders, TimePoint now)
 {
     // Another daemon may hold the claim by now; onTick() abandons the change.
@@ -375,6 +481,8 @@
     // An order that completes at once may end the change.
     const std::uint64_t fence = found->second->claim.fence();
     for (const GroupPromotion::Order& order : orders) {
+        if (!isCurrentChange(group, fence))
+            return;
         if (order.kind == GroupPromotion::Order::Kind::Promote)
             promote(group, order.endpoint, now);
         else if (order.kind == GroupPromotion::Order::Kind::StepDown)
@@ -421,6 +529,9 @@
             const auto change = changes_.find(group);
             if (change == changes_.end() || !change->second->promotion)
                 return;
+            // A replica that an earlier change paused may have been resumed since.
+            if (change->second->claim.fence() != fence)
+                return logOutdatedOrder(group, order.endpoint, fence);
             GroupPromotion& promotion = *change->second->promotion;
             promotion.noteAcknowledged(dispatcher_.acknowledgedPositionOf(group, at));
             const bool wasLeading = promotion.leadingTerm() != 0;
@@ -435,7 +546,23 @@
                         { "ms", millisecondsOf(at - change->second->calledAt) } });
             executeOrders(group, next, at);
         },
-        orderedAt);
+        orderedAt,
+        [this, group, fence, alive = std::weak_ptr<int>(alive_)](TimePoint at) {
+            // An order that waits for a connection must not reach a replica that the next change has paused.
+            return !alive.expired() && isCurrentChange(group, fence) && changes_.at(group)->claim.isHeld(at);
+        });
+}
+
+bool PromotionDriver::isCurrentChange(const GroupId& group, std::uint64_t fence) const
+{
+    const auto found = changes_.find(group);
+    return found != changes_.end() && found->second->claim.fence() == fence;
+}
+
+void PromotionDriver::logOutdatedOrder(const GroupId& group, const EndpointId& endpoint, std::uint64_t fence)
+{
+    logInfo("promotion_order_outdated",
+        { { "group", group.text() }, { "endpoint", endpoint.text() }, { "fence", std::to_string(fence) } });
 }
 
 void PromotionDriver::orderStepDown(const GroupId& group, const GroupPromotion::Order& order)
@@ -507,6 +634,34 @@
     if (found == changes_.end())
         return;
     Change& change = *found->second;
+    if (!refreshMembers_ || !change.promotion->isChosenByCount() || change.isChoiceVerified)
+        return callPlatform(group, endpoint, now);
+    const std::uint64_t fence = change.claim.fence();
+    refreshMembers_([this, group, endpoint, fence, alive = std::weak_ptr<int>(alive_)](bool isFresh) {
+        if (!alive.expired() && isCurrentChange(group, fence))
+            onChoiceVerified(group, endpoint, isFresh, timers_.now());
+    });
+}
+
+void PromotionDriver::onChoiceVerified(const GroupId& group, const EndpointId& endpoint, bool isFresh, TimePoint now)
+{
+    const std::uint64_t fence = changes_.at(group)->claim.fence();
+    executeOrders(group, changes_.at(group)->promotion->onMembers(membersOf(group)), now);
+    if (!isCurrentChange(group, fence))
+        return;
+    Change& change = *changes_.at(group);
+    if (!isFresh || !change.promotion->isChoiceComplete()) {
+        const std::string reason = isFresh ? "the members have changed" : "the members could not be read";
+        return executeOrders(group, change.promotion->onChoiceOutdated(reason, now), now);
+    }
+    change.isChoiceVerified = true;
+    callPlatform(group, endpoint, now);
+    finishIfDone(group, now);
+}
+
+void PromotionDriver::callPlatform(const GroupId& group, const EndpointId& endpoint, TimePoint now)
+{
+    Change& change = *changes_.at(group);
     const auto report = [this, group, endpoint, calledAt = now, fence = change.claim.fence(),
                             alive = std::weak_ptr<int>(alive_)](PromotionResult answer, const std::string& detail) {
         if (alive.expired())
@@ -519,9 +674,9 @@
                         : answer == PromotionResult::Refused ? "refused"
                                                              : "unknown" },
                 { "detail", detail }, { "fence", std::to_string(fence) }, { "ms", millisecondsOf(at - calledAt) } });
-        const auto running = changes_.find(group);
-        if (running != changes_.end() && running->second->promotion)
-            executeOrders(group, running->second->promotion->onPromotionResult(answer, at), at);
+        // The answer to a call of an earlier change says nothing of the one that is running.
+        if (isCurrentChange(group, fence) && changes_.at(group)->promotion)
+            executeOrders(group, changes_.at(group)->promotion->onPromotionResult(answer, at), at);
     };
     if (!change.claim.isHeld(now)) {
         timers_.callAfter(
@@ -563,11 +718,17 @@
             { "reason", toText(ended->reason) }, { "leading_term", std::to_string(promotion.leadingTerm()) },
             { "needs_recovery", promotion.needsRecovery() ? "yes" : "no" },
             { "unconfirmed_resumes", listOf(promotion.unconfirmedResumes()) } });
-    ended->claim.release(!promotion.needsRecovery());
+    if (promotion.leadingTerm() != 0)
+        ended->recordedLeader = { promotion.chosen(), promotion.leadingTerm() };
+    ended->claim.release(!promotion.needsRecovery(), ended->recordedLeader);
     GroupState& state = groupStates_[group];
     state.isChangeOpen = promotion.needsRecovery();
     state.reasonSince.reset();
     state.notBefore = now + (promotion.hasSucceeded() ? settings_.retryPause * 2 : settings_.retryPause);
+    if (promotion.lacksLogs())
+        noteMissingLogs(group, promotion, now);
+    else if (promotion.hasSucceeded())
+        clearMissingLogs(group, state);
     // The change must not be destroyed in a callback of its own members.
     timers_.callAfter(Duration(0), [ended](TimePoint) {});
     dispatcher_.endHold(group, now);
--- a/src/pooling/DispatcherPrimary.cpp
+++ b/src/pooling/DispatcherPrimary.cpp
@@ -22,6 +22,7 @@
 {
     queues.lastPrimary = id;
     queues.heldUntil = {};
+    queues.missingLogs = 0;
     // The former primary's positions may include commits that the new primary never received.
     queues.history.clear();
     queues.writes.noteNewPrimary();
@@ -65,10 +66,28 @@
 
 bool DispatcherState::canChangePrimary(const GroupQueues& queues, const GroupId& group, TimePoint now) const
 {
-    const std::size_t members = directory_.endpointsOf(group).size();
+    return queues.missingLogs == 0 && countAnswering(group, true, now) >= requiredLogs(queues, group);
+}
+
+void DispatcherState::setMissingLogs(const GroupId& group, std::size_t count)
+{
+    queuesOf(group).missingLogs = count;
+    metrics_.setGauge("almondlever_group_missing_logs", "group=\"" + group.text() + '"', static_cast<double>(count));
+}
+
+bool DispatcherState::waitsForLogs(const GroupQueues& queues, const GroupId& group, TimePoint now) const
+{
+    // Right after a failure, or a stall of this daemon, endpoints that have not answered yet are no reason to refuse.
+    const bool isLong
+        = queues.withoutPrimarySince && now - *queues.withoutPrimarySince >= settings_.expectedFailoverTime;
+    return queues.missingLogs > 0 || (isLong && !canChangePrimary(queues, group, now));
+}
+
+std::size_t DispatcherState::requiredLogs(const GroupQueues& queues, const GroupId& group) const
+{
+    const std::size_t holders = std::max(directory_.endpointsOf(group).size(), queues.logHolders);
     const std::size_t copies = std::max<std::size_t>(queues.rule.synchronousReplicas, 1);
-    const std::size_t needed = members > copies ? members - copies : 1;
-    return countAnswering(group, true, now) >= needed;
+    return holders > copies ? holders - copies : 1;
 }
 
 bool DispatcherState::areWritesBlocked(const GroupQueues& queues, const GroupId& group, TimePoint now) const
@@ -81,10 +100,11 @@
     const Duration wait = expectedWaitForPrimary(queues, group, now);
     if (wait == Duration(0) || queues.primaryQueue.size() == 0)
         return;
+    const bool isUnservable = waitsForLogs(queues, group, now);
     std::vector<Ticket> unservable;
     for (const auto& [ticket, pending] : pending_) {
         if (pending.request.group == group && pending.waitsForPrimary && !pending.retryAt && runs_.count(ticket) == 0
-            && now + wait > pending.request.deadline)
+            && (isUnservable || now + wait > pending.request.deadline))
             unservable.push_back(ticket);
     }
     for (const Ticket ticket : unservable) {
@@ -99,8 +119,7 @@
     if (found == groups_.end() || found->second.sharingDaemons == 0)
         return std::nullopt;
     const GroupQueues& queues = found->second;
-    const std::size_t members = directory_.endpointsOf(group).size();
-    const std::size_t needed = members - std::min(members, std::max<std::size_t>(queues.rule.synchronousReplicas, 1));
+    const std::size_t needed = requiredLogs(queues, group);
     // Without enough replicas for a promotion, a failover would only fail.
     const bool canHelp = countAnswering(group, false, now) >= std::max<std::size_t>(needed, 2);
     return canHelp ? queues.writes.stalledSince(now) : std::nullopt;
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -68,6 +68,10 @@
     GroupRule rule;
     /** Number of daemons that share the connections; 0 when this daemon is not one of them. */
     std::size_t sharingDaemons = 1;
+    /** Endpoints whose logs may contain acknowledged commits; 0 while that is not known. */
+    std::size_t logHolders = 0;
+    /** Logs that a change of the primary lacks, according to this daemon's latest attempt. */
+    std::size_t missingLogs = 0;
     RankScheduler primaryQueue;
     RankScheduler readQueue;
     PositionHistory history;
@@ -99,6 +103,8 @@
     /** Until then, statements that run at the endpoint may end first. */
     TimePoint drainUntil {};
     bool isSent = false;
+    /** Returns false once the command must not be sent any more; empty if it may be until its deadline. */
+    std::function<bool(TimePoint)> isCurrent;
 };
 
 /** Implementation of StatementDispatcher. */
@@ -112,9 +118,11 @@
         const std::shared_ptr<LinkTransaction>&, StatementRequest, StatementCallback, TimePoint now);
     void abandon(Ticket, TimePoint now);
     void endTransaction(const std::shared_ptr<LinkTransaction>&, TimePoint now);
-    void sendReplicationCommand(
-        const EndpointId&, const EndpointCommand&, StatementDispatcher::ReplicationCommandCallback, TimePoint now);
+    void sendReplicationCommand(const EndpointId&, const EndpointCommand&,
+        StatementDispatcher::ReplicationCommandCallback, TimePoint now, std::function<bool(TimePoint)> isCurrent);
     void stepDown(const GroupId&, const EndpointId&, Term, StatementDispatcher::StepDownCallback, TimePoint now);
+    void setLogHolders(const GroupId& group, std::size_t count) { queuesOf(group).logHolders = count; }
+    void setMissingLogs(const GroupId&, std::size_t count);
     void endHold(const GroupId&, TimePoint now);
     void setGroups(const std::map<GroupId, GroupRule>&, TimePoint now);
     void setConnectionsByCustomer(bool areByCustomer) { areConnectionsByCustomer_ = areByCustomer; }
@@ -170,6 +178,10 @@
     Duration expectedWaitForPrimary(GroupQueues&, const GroupId&, TimePoint now);
     /** True if enough endpoints answer to include one with every acknowledged commit, so that it can be promoted. */
     bool canChangePrimary(const GroupQueues&, const GroupId&, TimePoint now) const;
+    /** True if statements for the primary cannot be served before an endpoint returns. */
+    bool waitsForLogs(const GroupQueues&, const GroupId&, TimePoint now) const;
+    /** Number of logs that a promotion must see. */
+    std::size_t requiredLogs(const GroupQueues&, const GroupId&) const;
     /** Refuses queued statements whose deadlines a new primary would probably miss. */
     void refuseUnservable(GroupQueues&, const GroupId&, TimePoint now);
     /** True if recent writes were not answered and no replica that could receive them from the primary answers. */
