Keep an endpoint that still runs in the record of log holders

Found by the model (ENLARGE, LAPSE_WHILE_LEAVING): an endpoint that is cut off from the store only was taken for replaced when another one joined, and could then be the only other copy of a commit.

--- a/include/almondlever/front/LogHolderKeeper.h
+++ b/include/almondlever/front/LogHolderKeeper.h
@@ -2,6 +2,7 @@
 
 #include "almondlever/common/TimerService.h"
 #include "almondlever/failover/LogHolders.h"
+#include "almondlever/pooling/EndpointLink.h"
 #include "almondlever/pooling/StatementDispatcher.h"
 #include "almondlever/store/MetadataStore.h"
 
@@ -29,6 +30,8 @@
     /** A confirmation is given up after this time. */
     Milliseconds confirmTimeout { 3000 };
     Milliseconds retryPause { 1000 };
+    /** Time in which a running endpoint accepts a connection. */
+    Milliseconds probeTimeout { 1000 };
     /**
      * Time for which a larger number of listed endpoints must last until it is the size of the group: the entry of an
      * endpoint that crashed stays for three heartbeats and a grace period beside that of its successor.
@@ -51,6 +54,8 @@
     LogHolderKeeper(const LogHolderKeeper&) = delete;
     LogHolderKeeper& operator=(const LogHolderKeeper&) = delete;
 
+    /** Endpoints that still run are not removed; without a connector, that is not checked. */
+    void setConnector(EndpointConnector* connector) { connector_ = connector; }
     /** To be called when the store shows a group's record. */
     void noteRecord(const GroupId&, const StoreItem&);
     /** To be called when the store was restored from an older copy, which may lack a record or hold an older one. */
@@ -75,6 +80,10 @@
     /** Returns what the record should say before any holder is removed. */
     LogHolders wanted(const GroupRecord&, const std::vector<EndpointEntry>&, TimePoint now) const;
     void confirm(const GroupId&, std::vector<LogHolder> candidates, std::size_t synchronousReplicas, TimePoint now);
+    /** Asks whether the candidates still run, then the primary for its position. */
+    void probeCandidates(const GroupId&, TimePoint now);
+    void onCandidateProbed(const GroupId&, std::uint64_t confirmation, const LogHolder&, bool runs, TimePoint now);
+    void askPrimary(const GroupId&, TimePoint now);
     void askReplicas(const GroupId&, TimePoint now);
     void onReplica(const GroupId&, std::uint64_t confirmation, const EndpointEntry& replica,
         const std::optional<EndpointReplicationStatus>&, TimePoint now);
@@ -89,6 +98,7 @@
     MetadataStore& store_;
     TimerService& timers_;
     LogHolderSettings settings_;
+    EndpointConnector* connector_ = nullptr;
     std::map<GroupId, GroupRecord> records_;
     /** Number of the latest confirmation; answers to earlier ones do not count. */
     std::uint64_t confirmations_ = 0;
--- a/include/almondlever/front/PromotionDriver.h
+++ b/include/almondlever/front/PromotionDriver.h
@@ -59,6 +59,8 @@
 
     /** Sets the function that is called after a claim was acquired and before the group's members are used. */
     void setMembersRefresh(MembersRefresh refresh) { refreshMembers_ = std::move(refresh); }
+    /** Lets the record of log holders check whether an endpoint that is not listed still runs. */
+    void setConnector(EndpointConnector* connector) { logHolders_.setConnector(connector); }
     /** Without a confirmer, this daemon acts on its own suspicion. */
     void setSuspicionConfirmer(SuspicionConfirmer* confirmer) { suspicionConfirmer_ = confirmer; }
     /** Without a relay, only this daemon orders a primary to step down. */
--- a/src/front/LogHolderKeeper.cpp
+++ b/src/front/LogHolderKeeper.cpp
@@ -2,6 +2,7 @@
 
 #include "almondlever/common/StoreEra.h"
 #include "almondlever/observability/DecisionLog.h"
+#include "almondlever/pooling/EndpointProbe.h"
 #include "almondlever/store/PromotionClaim.h"
 
 #include <algorithm>
@@ -24,6 +25,8 @@
 struct LogHolderKeeper::Confirmation {
     std::uint64_t number = 0;
     std::vector<LogHolder> candidates;
+    /** Candidates for which it is not known yet whether they still run. */
+    std::size_t pendingProbes = 0;
     std::size_t synchronousReplicas = 0;
     EndpointId primary;
     Milliseconds primaryStartedAt { 0 };
@@ -185,8 +188,52 @@
     confirmation.primary = primary->id;
     confirmation.primaryStartedAt = primary->startedAt;
     confirmation.startedAt = now;
+    probeCandidates(group, now);
+}
+
+void LogHolderKeeper::probeCandidates(const GroupId& group, TimePoint now)
+{
+    Confirmation& confirmation = *records_[group].confirmation;
+    const std::vector<LogHolder> candidates = confirmation.candidates;
+    for (const LogHolder& candidate : candidates) {
+        // A listed id has started again, so that the former run has ended.
+        if (!connector_ || candidate.address.empty() || directory_.find(candidate.id))
+            continue;
+        ++confirmation.pendingProbes;
+        EndpointEntry entry;
+        entry.id = candidate.id;
+        entry.group = group;
+        entry.address = candidate.address;
+        entry.startedAt = candidate.startedAt;
+        EndpointProbe::start(*connector_, timers_, entry, settings_.probeTimeout,
+            [this, group, candidate, number = confirmation.number, alive = std::weak_ptr<int>(alive_)](
+                EndpointPresence presence, TimePoint at) {
+                if (!alive.expired())
+                    onCandidateProbed(group, number, candidate, presence == EndpointPresence::Runs, at);
+            });
+    }
+    if (confirmation.pendingProbes == 0)
+        askPrimary(group, now);
+}
+
+void LogHolderKeeper::onCandidateProbed(
+    const GroupId& group, std::uint64_t number, const LogHolder& candidate, bool runs, TimePoint now)
+{
+    GroupRecord& record = records_[group];
+    if (!record.confirmation || record.confirmation->number != number)
+        return;
+    // An endpoint that is only cut off from the store still helps to acknowledge commits.
+    if (runs)
+        return endConfirmation(group, candidate.id.text() + " still runs", now);
+    if (--record.confirmation->pendingProbes == 0)
+        askPrimary(group, now);
+}
+
+void LogHolderKeeper::askPrimary(const GroupId& group, TimePoint now)
+{
+    const Confirmation& confirmation = *records_[group].confirmation;
     dispatcher_.sendReplicationCommand(
-        primary->id, statusQuery(),
+        confirmation.primary, statusQuery(),
         [this, group, number = confirmation.number, alive = std::weak_ptr<int>(alive_)](
             const std::optional<EndpointReplicationStatus>& status, const std::string& detail, TimePoint at) {
             if (alive.expired())
--- a/tests/front/TestLogHolderKeeper.cpp
+++ b/tests/front/TestLogHolderKeeper.cpp
@@ -16,7 +16,11 @@
     const EndpointId d { "d" };
     std::size_t rank = 0;
 
-    Fixture() { endpoints.replicates = true; }
+    Fixture()
+    {
+        endpoints.replicates = true;
+        keeper.setConnector(&endpoints);
+    }
 
     void run(Duration by, LogHolderKeeper* other = nullptr)
     {
@@ -111,6 +115,22 @@
                   .empty());
 }
 
+// Guards against removing an endpoint that is only cut off from the store, when another one joins: it still helps the
+// primary to acknowledge commits.
+Test(LogHolderKeeper, keepsAnEndpointThatStillRuns)
+{
+    Fixture fixture;
+    fixture.run(Milliseconds(4000));
+    fixture.directory.lapse(fixture.c, fixture.directory.find(fixture.c)->revision, fixture.timers.now());
+    fixture.directory.update(fixture.entryOf(fixture.d), fixture.timers.now());
+    fixture.run(Milliseconds(12000));
+    cr_assert_eq(fixture.directory.endpointsOf(fixture.group).size(), 3U);
+    cr_assert_eq(fixture.record().all().size(), 4U);
+    fixture.endpoints.crash(fixture.c);
+    fixture.run(Milliseconds(6000));
+    cr_assert_eq(fixture.record().all().size(), 3U);
+}
+
 // Guards against counting the former log of an endpoint that started again without it.
 Test(LogHolderKeeper, recordsARestartedEndpointAsAnotherHolder)
 {
