--- /dev/null
+++ b/src/failover/GroupPromotionHolders.cpp
@@ -0,0 +1,113 @@
+#include "almondlever/failover/GroupPromotion.h"
+
+#include <algorithm>
+
+namespace almondlever {
+
+std::size_t GroupPromotion::requiredLogs() const
+{
+    const std::size_t holders = members_.size() + (missingHolders_ ? missingHolders_->size() : 0);
+    // Without synchronous replicas no number of logs is safe; all but the primary's lose the least.
+    const std::size_t copies = std::max<std::size_t>(synchronousReplicas_, 1);
+    return holders > copies ? holders - copies : 1;
+}
+
+bool GroupPromotion::hasEnoughLogs(const std::map<EndpointId, LogPosition>& compared) const
+{
+    if (!missingHolders_)
+        return false;
+    const auto successors = std::count_if(missingHolders_->begin(), missingHolders_->end(),
+        [&](const LogHolder& holder) { return isComparedAsSuccessor(holder, compared); });
+    return compared.size() + static_cast<std::size_t>(successors) >= requiredLogs();
+}
+
+bool GroupPromotion::isComparedAsSuccessor(
+    const LogHolder& holder, const std::map<EndpointId, LogPosition>& compared) const
+{
+    if (!holder.isPrimary || holder.address.empty())
+        return false;
+    return std::any_of(members_.begin(), members_.end(), [&](const PromotionMember& member) {
+        // Under its own id, an endpoint that starts again holds nothing of before.
+        const bool isSuccessor
+            = member.address == holder.address && member.id != holder.id && member.startedAt > holder.startedAt;
+        const auto position = compared.find(member.id);
+        return isSuccessor && position != compared.end() && position->second >= confirmedPosition_;
+    });
+}
+
+std::size_t GroupPromotion::comparedLogs() const
+{
+    return members_.size() + (missingHolders_ ? missingHolders_->size() : 0) - unseenHolders().size();
+}
+
+std::vector<EndpointId> GroupPromotion::unseenHolders() const
+{
+    std::vector<EndpointId> unseen;
+    for (const PromotionMember& member : members_) {
+        if (pausedPositions_.count(member.id) == 0)
+            unseen.push_back(member.id);
+    }
+    for (const LogHolder& holder : missingHolders_.value_or(std::vector<LogHolder>())) {
+        if (!isComparedAsSuccessor(holder, pausedPositions_))
+            unseen.push_back(holder.id);
+    }
+    return unseen;
+}
+
+GroupPromotion::Orders GroupPromotion::onMembers(const std::vector<PromotionMember>& members)
+{
+    Orders orders;
+    for (const PromotionMember& member : members) {
+        if (isFinished() || phase_ == Phase::Resuming)
+            break;
+        const auto known = std::find_if(members_.begin(), members_.end(),
+            [&member](const PromotionMember& candidate) { return candidate.id == member.id; });
+        if (known != members_.end() && known->startedAt == member.startedAt)
+            continue;
+        if (known != members_.end())
+            forgetRun(*known, member.startedAt);
+        else
+            members_.push_back({ member.id, false, member.isLeaving, member.startedAt, member.address });
+        noteListed(member);
+        const bool areReplicasPaused = !steppedDownPosition_
+            && (phase_ == Phase::Fencing || phase_ == Phase::CatchingUp || phase_ == Phase::Promoting
+                || phase_ == Phase::Confirming);
+        if (areReplicasPaused)
+            orders.push_back({ Order::Kind::Pause, member.id, pauseTerm_ });
+        else
+            orders.push_back({ Order::Kind::QueryStatus, member.id, 0 });
+        if (areReplicasPaused)
+            handOverPosition_.reset();
+    }
+    return isFinished() ? Orders() : orders;
+}
+
+void GroupPromotion::noteListed(const PromotionMember& member)
+{
+    if (!missingHolders_)
+        return;
+    missingHolders_->erase(
+        std::remove_if(missingHolders_->begin(), missingHolders_->end(),
+            [&](const LogHolder& holder) { return holder.id == member.id && holder.startedAt == member.startedAt; }),
+        missingHolders_->end());
+}
+
+void GroupPromotion::forgetRun(PromotionMember& member, Milliseconds startedAt)
+{
+    if (missingHolders_)
+        missingHolders_->push_back({ member.id, member.startedAt, {}, false, member.isLeaving });
+    member.startedAt = startedAt;
+    member.isPrimary = false;
+    pausedPositions_.erase(member.id);
+    reportedPositions_.erase(member.id);
+    unreachable_.erase(member.id);
+    if (member.id != chosen_)
+        return;
+    // The platform names endpoints by their id, so that the call may promote the empty log: only a call with a newer
+    // fencing token prevents it.
+    needsRecovery_ = true;
+    failure_ = "the chosen endpoint started again without its log";
+    phase_ = Phase::Finished;
+}
+
+} // namespace almondlever
