--- a/include/almondlever/failover/GroupPromotion.h
+++ b/include/almondlever/failover/GroupPromotion.h
@@ -36,6 +36,9 @@
     /** Unix time of its start; see EndpointEntry. */
     Milliseconds startedAt { 0 };
     std::string address {};
+    /** It was first listed while no endpoint was listed as the primary, so that it can have copied no log since then.
+     */
+    bool joinedWithoutPrimary = false;
 };
 
 /** Result of the platform's promote call. */
@@ -79,6 +82,8 @@
     /** Replicas that were not resumed by then are left to a recovery. */
     Milliseconds resumeTimeout { 2000 };
     Milliseconds resumeRetryInterval { 300 };
+    /** Time for which replicas are resumed that have never answered; most of them are not running. */
+    Milliseconds unansweredResumeTime { 600 };
     /**
      * Interval at which the pause orders are repeated until the chosen endpoint is the primary. A replica's restart
      * ends its pause, and so does a delayed resume order of an earlier change.
@@ -135,7 +140,7 @@
      * Sets the log holders that are not listed: they count, but cannot be asked. nullopt: the group's holders are not
      * known, so that no number of logs is enough. A primary that crashed comes back with its log at its address, under
      * another id: the log of that endpoint is also the log of the holder, unless it ends before `confirmed`, a position
-     * that the primary held.
+     * that the primary held, or may have been copied from another primary.
      */
     void setMissingHolders(std::optional<std::vector<LogHolder>> missing, const LogPosition& confirmed = {})
     {
@@ -185,6 +190,8 @@
     bool lacksLogs() const { return lacksLogs_; }
     /** Number of logs that must be known before a replica is promoted without the old primary's consent. */
     std::size_t requiredLogs() const;
+    /** Log holders that are not listed; they were given no orders. */
+    std::vector<LogHolder> missingHolders() const { return missingHolders_.value_or(std::vector<LogHolder>()); }
     /** Number of holders whose logs were compared. */
     std::size_t comparedLogs() const;
     /** Log holders whose logs were not compared. */
@@ -257,6 +264,10 @@
     Orders chooseAnother(TimePoint now);
     /** Promotes the old primary, which holds everything, because no replica reached the end of its log. */
     Orders returnToOldPrimary(TimePoint now);
+    /** Repeats the promote call, unless the choice has become unsafe since. */
+    Orders repeatCall(TimePoint now);
+    /** Ends the attempt; what it has ordered may still take effect. */
+    Orders leaveToRecovery(const std::string& reason);
     void enter(Phase, TimePoint now);
     /** Time after which the attempt fails because the chosen endpoint does not lead. */
     Duration confirmLimit() const;
@@ -291,6 +302,7 @@
     TimePoint phaseStart_;
     TimePoint lastOrder_;
     TimePoint lastPause_;
+    TimePoint startedAt_;
     bool primaryAnswers_ = false;
     bool isChosenByCount_ = false;
     bool lacksLogs_ = false;
@@ -305,6 +317,8 @@
     std::set<EndpointId> unreachable_;
     /** Endpoints that the platform refused to promote. */
     std::set<EndpointId> refused_;
+    /** Replicas that were ordered to pause and have not answered; they may be paused. */
+    std::set<EndpointId> unansweredPauses_;
     /** Replicas that have not confirmed the resume order yet. */
     std::set<EndpointId> unconfirmedResumes_;
     LogPosition acknowledgedPosition_;
--- a/include/almondlever/failover/LogHolders.h
+++ b/include/almondlever/failover/LogHolders.h
@@ -21,6 +21,9 @@
     bool isPrimary = false;
     /** It has announced that it leaves the group. */
     bool isLeaving = false;
+    /** It was first listed while no endpoint was listed as the primary, so that it can have copied no log since then.
+     */
+    bool joinedWithoutPrimary = false;
 
     /** True if the entry is of the same run. */
     bool isSameRun(const EndpointEntry& entry) const { return id == entry.id && startedAt == entry.startedAt; }
@@ -46,11 +49,15 @@
     std::size_t groupSize() const { return groupSize_; }
     /** Position up to which the listed holders were last known to hold every acknowledged commit. */
     const LogPosition& confirmedPosition() const { return confirmedPosition_; }
+    /** Number of replicas that are known to hold each acknowledged commit; a configuration may ask for more since. */
+    std::size_t copies() const { return copies_; }
     /** Number of logs that must be known before one of them can be promoted; at least 1. */
     std::size_t requiredLogs(std::size_t synchronousReplicas) const;
     /** Holders without an entry of the same run. */
     std::vector<LogHolder> missingFrom(const std::vector<EndpointEntry>& listed) const;
 
+    /** Lowers the number of copies if the configuration asks for fewer; returns true if the record has changed. */
+    bool lowerCopies(std::size_t synchronousReplicas);
     /** Adds listed endpoints, their role and announcements to leave; returns true if the record has changed. */
     bool addListed(const std::vector<EndpointEntry>& listed);
     /** Adds the holders of another record; returns true if this record has changed. */
@@ -69,13 +76,15 @@
      * other listed holders, were found to have every commit up to a position that the primary reported while the
      * candidates were already replaceable. Returns the number of removed holders.
      */
-    std::size_t removeConfirmed(const std::vector<LogHolder>& candidates, const std::vector<EndpointEntry>& listed,
-        const LogPosition& position = {});
+    std::size_t removeConfirmed(const std::vector<LogHolder>& candidates, const std::vector<EndpointEntry>& listed);
+    /** Records that evidence, with the number of other listed holders that gave it. */
+    void confirm(const LogPosition& position, std::size_t copies);
 
 private:
     std::vector<LogHolder> holders_;
     std::size_t groupSize_ = 0;
     LogPosition confirmedPosition_;
+    std::size_t copies_ = 0;
 };
 
 /** The ids, separated by commas. */
--- a/include/almondlever/front/LogHolderKeeper.h
+++ b/include/almondlever/front/LogHolderKeeper.h
@@ -2,7 +2,7 @@
 
 #include "almondlever/common/TimerService.h"
 #include "almondlever/failover/LogHolders.h"
-#include "almondlever/pooling/EndpointLink.h"
+#include "almondlever/pooling/EndpointProbe.h"
 #include "almondlever/pooling/StatementDispatcher.h"
 #include "almondlever/store/MetadataStore.h"
 
@@ -32,6 +32,11 @@
     Milliseconds retryPause { 1000 };
     /** Time in which a running endpoint accepts a connection. */
     Milliseconds probeTimeout { 1000 };
+    /**
+     * Time for which an endpoint without an entry is kept if nothing answers at its address: it may be cut off from the
+     * store and from this daemon, and still help the primary to acknowledge commits.
+     */
+    Milliseconds silentHolderRetention { 60000 };
     /**
      * Time for which a larger number of listed endpoints must last until it is the size of the group: the entry of an
      * endpoint that crashed stays for three heartbeats and a grace period beside that of its successor.
@@ -54,8 +59,6 @@
     LogHolderKeeper(const LogHolderKeeper&) = delete;
     LogHolderKeeper& operator=(const LogHolderKeeper&) = delete;
 
-    /** Endpoints that still run are not removed; without a connector, that is not checked. */
-    void setConnector(EndpointConnector* connector) { connector_ = connector; }
     /** To be called when the store shows a group's record. */
     void noteRecord(const GroupId&, const StoreItem&);
     /** To be called when the store was restored from an older copy, which may lack a record or hold an older one. */
@@ -76,13 +79,18 @@
     struct GroupRecord;
 
     std::vector<EndpointEntry> listed(const GroupId&) const;
-    static void noteListed(GroupRecord&, const std::vector<EndpointEntry>&, TimePoint now);
+    void noteListed(GroupRecord&, const std::vector<EndpointEntry>&, TimePoint now) const;
     /** Returns what the record should say before any holder is removed. */
-    LogHolders wanted(const GroupRecord&, const std::vector<EndpointEntry>&, TimePoint now) const;
+    LogHolders wanted(
+        const GroupRecord&, const std::vector<EndpointEntry>&, std::size_t synchronousReplicas, TimePoint now) const;
+    /** Those of the entries to which this daemon has a connection. */
+    std::vector<EndpointEntry> reached(const std::vector<EndpointEntry>&) const;
     void confirm(const GroupId&, std::vector<LogHolder> candidates, std::size_t synchronousReplicas, TimePoint now);
     /** Asks whether the candidates still run, then the primary for its position. */
     void probeCandidates(const GroupId&, TimePoint now);
-    void onCandidateProbed(const GroupId&, std::uint64_t confirmation, const LogHolder&, bool runs, TimePoint now);
+    void onCandidateProbed(
+        const GroupId&, std::uint64_t confirmation, const LogHolder&, EndpointPresence, TimePoint now);
+    void endProbe(const GroupId&, TimePoint now);
     void askPrimary(const GroupId&, TimePoint now);
     void askReplicas(const GroupId&, TimePoint now);
     void onReplica(const GroupId&, std::uint64_t confirmation, const EndpointEntry& replica,
@@ -98,7 +106,6 @@
     MetadataStore& store_;
     TimerService& timers_;
     LogHolderSettings settings_;
-    EndpointConnector* connector_ = nullptr;
     std::map<GroupId, GroupRecord> records_;
     /** Number of the latest confirmation; answers to earlier ones do not count. */
     std::uint64_t confirmations_ = 0;
--- a/include/almondlever/front/PromotionDriver.h
+++ b/include/almondlever/front/PromotionDriver.h
@@ -59,15 +59,13 @@
 
     /** Sets the function that is called after a claim was acquired and before the group's members are used. */
     void setMembersRefresh(MembersRefresh refresh) { refreshMembers_ = std::move(refresh); }
-    /** Lets the record of log holders check whether an endpoint that is not listed still runs. */
-    void setConnector(EndpointConnector* connector) { logHolders_.setConnector(connector); }
     /** Without a confirmer, this daemon acts on its own suspicion. */
     void setSuspicionConfirmer(SuspicionConfirmer* confirmer) { suspicionConfirmer_ = confirmer; }
     /** Without a relay, only this daemon orders a primary to step down. */
     void setStepDownRelay(StepDownRelay* relay) { stepDownRelay_ = relay; }
     void setGroups(const std::map<GroupId, GroupRule>& groups) { groups_ = groups; }
     /** The daemons that keep connections to each group; only they change its primary. */
-    void setOwners(std::map<GroupId, std::set<std::string>> owners) { owners_ = std::move(owners); }
+    void setOwners(std::map<GroupId, std::set<std::string>> owners);
     /** To be called when the store shows that the claim of a group is held or has ended. */
     void onClaim(const GroupId&, bool isHeld, TimePoint now);
     /**
@@ -99,6 +97,8 @@
         /** Endpoints that this daemon reached when an attempt lacked logs. */
         std::optional<std::set<EndpointId>> reachedWithoutEnoughLogs;
         TimePoint lackedLogsAt {};
+        /** Log holders that were not listed when a change was recovered, and that it may have paused. */
+        std::set<EndpointId> pausedElsewhere;
     };
 
     /** Endpoints of the group to which this daemon has a connection. */
@@ -106,6 +106,8 @@
     /** True while another attempt would lack logs like the latest one. */
     bool lacksLogs(const GroupId&, const GroupState&, TimePoint now) const;
     void noteMissingLogs(const GroupId&, const GroupPromotion&, TimePoint now);
+    /** Remembers the holders that a recovery could not resume. */
+    void notePausedElsewhere(const GroupId&, GroupState&, const GroupPromotion&) const;
     void clearMissingLogs(const GroupId&, GroupState&);
     std::optional<PromotionReason> reasonFor(const GroupId&, const GroupState&, TimePoint now) const;
     /** Number of owners before this daemon; the order differs by group, which spreads the work. */
--- a/include/almondlever/pooling/EndpointProbe.h
+++ b/include/almondlever/pooling/EndpointProbe.h
@@ -12,8 +12,10 @@
 enum class EndpointPresence {
     /** It accepted the connection under its id, or has too many of them. */
     Runs,
-    /** Nothing answered, or another endpoint did. */
-    NotFound,
+    /** Its address refused the connection, or belongs to another endpoint. */
+    Ended,
+    /** Nothing answered: it may be cut off from this daemon only. */
+    Unknown,
 };
 
 /** Connects once to an endpoint and closes the connection again. */
--- a/include/almondlever/pooling/StatementDispatcher.h
+++ b/include/almondlever/pooling/StatementDispatcher.h
@@ -163,6 +163,7 @@
     LogPosition acknowledgedPositionOf(const GroupId&, TimePoint now) const;
     /** True if there is an open connection to the endpoint. */
     bool isReachable(const EndpointId&) const;
+    EndpointConnector& connector() const;
 
 private:
     std::unique_ptr<class DispatcherState> state_;
--- a/include/almondlever/store/PromotionClaim.h
+++ b/include/almondlever/store/PromotionClaim.h
@@ -67,9 +67,12 @@
     PromotionClaim(const PromotionClaim&) = delete;
     PromotionClaim& operator=(const PromotionClaim&) = delete;
 
-    /** The callback receives the fencing token. The number distinguishes this attempt from earlier ones of the same
-     * daemon. */
-    void acquire(std::uint64_t attempt, ClaimCallback);
+    /**
+     * The callback receives the fencing token. The number distinguishes this attempt from earlier ones of the same
+     * daemon. The claim is not acquired if the change record has another revision than the given one, which is 0 if
+     * there was no record: another daemon has changed the primary since it was read.
+     */
+    void acquire(std::uint64_t attempt, std::uint64_t recordRevision, ClaimCallback);
     /** Releases the claim; marks the change as done, or leaves it open for a recovery. */
     void release(bool isDone, const std::optional<RecordedLeader>& leader = std::nullopt);
     /** Returns false once the claim may have ended. */
@@ -94,6 +97,7 @@
     ClaimCallback callback_;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
     LeaseId lease_;
+    std::uint64_t recordRevision_ = 0;
     std::uint64_t fence_ = 0;
     /** Time at which the latest successful renewal was sent. */
     TimePoint renewedAt_;
--- a/src/failover/GroupPromotion.cpp
+++ b/src/failover/GroupPromotion.cpp
@@ -4,6 +4,15 @@
 
 namespace almondlever {
 
+namespace {
+
+    bool isSubset(const std::set<EndpointId>& part, const std::set<EndpointId>& whole)
+    {
+        return std::includes(whole.begin(), whole.end(), part.begin(), part.end());
+    }
+
+} // namespace
+
 const char* toText(PromotionReason reason)
 {
     switch (reason) {
@@ -45,6 +54,7 @@
 
 GroupPromotion::Orders GroupPromotion::start(TimePoint now, bool hasRelay)
 {
+    startedAt_ = now;
     enter(Phase::QueryingStatus, now);
     if (members_.empty())
         return fail("the group has no endpoints", now);
@@ -89,11 +99,15 @@
     }
     if (!status) {
         unreachable_.insert(endpoint);
+        if (kind == Order::Kind::Pause && confirmedPauses_.count(endpoint) == 0)
+            unansweredPauses_.insert(endpoint);
         return onTick(now);
     }
     unreachable_.erase(endpoint);
-    if (kind == Order::Kind::Pause)
+    if (kind == Order::Kind::Pause) {
         confirmedPauses_.insert(endpoint);
+        unansweredPauses_.erase(endpoint);
+    }
     const bool isPromoteSent = phase_ == Phase::Promoting || phase_ == Phase::Confirming;
     if (isPromoteSent && kind == Order::Kind::Pause) {
         recordRepeatedPause(endpoint, *status);
@@ -180,21 +194,12 @@
     case Phase::Promoting:
         if (isPromoteCallPending_ || now - lastOrder_ < settings_.promoteRetryInterval)
             return ordersToRepeatPauses(now);
-        if (elapsed > settings_.confirmTimeout) {
-            needsRecovery_ = true;
-            failure_ = "the platform did not answer";
-            phase_ = Phase::Finished;
-            return {};
-        }
-        isPromoteCallPending_ = true;
-        return { { Order::Kind::Promote, chosen_, 0 } };
+        if (elapsed > settings_.confirmTimeout)
+            return leaveToRecovery("the platform did not answer");
+        return repeatCall(now);
     case Phase::Confirming:
-        if (elapsed > confirmLimit()) {
-            needsRecovery_ = true;
-            failure_ = "the chosen endpoint does not lead";
-            phase_ = Phase::Finished;
-            return {};
-        }
+        if (elapsed > confirmLimit())
+            return leaveToRecovery("the chosen endpoint does not lead");
         {
             Orders orders = ordersToRepeatPauses(now);
             if (now - lastOrder_ >= settings_.statusInterval) {
@@ -208,6 +213,10 @@
             phase_ = Phase::Finished;
             return {};
         }
+        if (elapsed > settings_.unansweredResumeTime && isSubset(unconfirmedResumes_, unansweredPauses_)) {
+            phase_ = Phase::Finished;
+            return {};
+        }
         if (elapsed > settings_.resumeTimeout) {
             needsRecovery_ = true;
             phase_ = Phase::Finished;
@@ -223,6 +232,26 @@
     return {};
 }
 
+GroupPromotion::Orders GroupPromotion::repeatCall(TimePoint now)
+{
+    // Another endpoint may have led since, through a call of an unfinished change that was carried out late.
+    if (confirmsPrimary())
+        return now - startedAt_ > settings_.confirmTimeout ? leaveToRecovery("the platform did not answer")
+                                                           : queryAll(now);
+    if (isChosenByCount_ && (wasPauseBroken_ || !isChoiceComplete()))
+        return leaveToRecovery("a compared replica received commits or started again");
+    isPromoteCallPending_ = true;
+    return { { Order::Kind::Promote, chosen_, 0 } };
+}
+
+GroupPromotion::Orders GroupPromotion::leaveToRecovery(const std::string& reason)
+{
+    needsRecovery_ = true;
+    failure_ = reason;
+    phase_ = Phase::Finished;
+    return {};
+}
+
 Duration GroupPromotion::confirmLimit() const
 {
     // The group has no primary, or its replicas may be paused: a recovery that tries another endpoint is sooner done.
@@ -245,8 +274,11 @@
     }
     Orders orders;
     for (const PromotionMember& member : members_) {
-        if (!member.isPrimary && member.id != chosen_)
-            orders.push_back({ Order::Kind::Pause, member.id, pauseTerm_ });
+        if (member.isPrimary || member.id == chosen_)
+            continue;
+        orders.push_back({ Order::Kind::Pause, member.id, pauseTerm_ });
+        if (confirmedPauses_.count(member.id) == 0)
+            unansweredPauses_.insert(member.id);
     }
     if (orders.empty())
         return tryChooseReplica(now);
@@ -451,6 +483,8 @@
 
 GroupPromotion::Orders GroupPromotion::returnToOldPrimary(TimePoint now)
 {
+    if (!primary())
+        return leaveToRecovery("the old primary has started again without its log");
     failure_ = "no replica holds everything that the old primary holds";
     chosen_ = primary()->id;
     return promote(now);
@@ -459,14 +493,10 @@
 GroupPromotion::Orders GroupPromotion::chooseAnother(TimePoint now)
 {
     refused_.insert(chosen_);
-    const bool wasOldPrimary = chosen_ == primary()->id;
+    const bool wasOldPrimary = primary() && chosen_ == primary()->id;
     chosen_ = EndpointId();
-    if (wasOldPrimary) {
-        needsRecovery_ = true;
-        failure_ = "the platform refused the promotion";
-        phase_ = Phase::Finished;
-        return {};
-    }
+    if (wasOldPrimary)
+        return leaveToRecovery("the platform refused the promotion");
     enter(Phase::AwaitingLastEntries, now);
     return queryReplicas(now);
 }
@@ -537,10 +567,7 @@
         return chooseAnother(now);
     if (answer == PromotionResult::Refused) {
         // Replicas stay paused until a recovery resumes them: a call with a newer fencing token may be in progress.
-        needsRecovery_ = true;
-        failure_ = "the platform refused the promotion";
-        phase_ = Phase::Finished;
-        return {};
+        return leaveToRecovery("the platform refused the promotion");
     }
     lastOrder_ = now;
     return {};
@@ -569,7 +596,8 @@
 {
     enter(Phase::Resuming, now);
     for (const PromotionMember& member : members_) {
-        const bool mayBePaused = reason_ == PromotionReason::Recovery || confirmedPauses_.count(member.id) > 0;
+        const bool mayBePaused = reason_ == PromotionReason::Recovery || confirmedPauses_.count(member.id) > 0
+            || unansweredPauses_.count(member.id) > 0;
         // A primary was not paused, or it failed and does not answer.
         if (member.id != chosen_ && !member.isPrimary && mayBePaused)
             unconfirmedResumes_.insert(member.id);
--- a/src/failover/GroupPromotionHolders.cpp
+++ b/src/failover/GroupPromotionHolders.cpp
@@ -96,18 +96,19 @@
 {
     if (missingHolders_)
         missingHolders_->push_back({ member.id, member.startedAt, {}, false, member.isLeaving });
+    const bool wasPrimary = member.isPrimary;
     member.startedAt = startedAt;
     member.isPrimary = false;
     pausedPositions_.erase(member.id);
     reportedPositions_.erase(member.id);
     unreachable_.erase(member.id);
-    if (member.id != chosen_)
-        return;
+    const bool isCalled = phase_ == Phase::Promoting || phase_ == Phase::Confirming;
     // The platform names endpoints by their id, so that the call may promote the empty log: only a call with a newer
     // fencing token prevents it.
-    needsRecovery_ = true;
-    failure_ = "the chosen endpoint started again without its log";
-    phase_ = Phase::Finished;
+    if (member.id == chosen_)
+        leaveToRecovery("the chosen endpoint started again without its log");
+    else if (wasPrimary && !isCalled)
+        leaveToRecovery("the primary started again without its log");
 }
 
 } // namespace almondlever
--- a/src/failover/LogHolders.cpp
+++ b/src/failover/LogHolders.cpp
@@ -13,6 +13,8 @@
     const char* const recordVersion = "1";
     const char* const stayingWord = "stays";
     const char* const leavingWord = "leaves";
+    const char* const returnedWord = "alone";
+    const char* const joinedWord = "joined";
     const char* const primaryWord = "primary";
     const char* const replicaWord = "replica";
     /** An address that is not known. */
@@ -46,7 +48,8 @@
     std::string version;
     LogHolders record;
     LogPosition& position = record.confirmedPosition_;
-    if (!(words >> version >> record.groupSize_ >> position.term >> position.index) || version != recordVersion)
+    if (!(words >> version >> record.groupSize_ >> record.copies_ >> position.term >> position.index)
+        || version != recordVersion)
         return std::nullopt;
     std::string id;
     while (words >> id) {
@@ -54,11 +57,14 @@
         std::string address;
         std::string role;
         std::string state;
-        if (!(words >> startedAt >> address >> role >> state) || (state != stayingWord && state != leavingWord)
-            || (role != primaryWord && role != replicaWord))
+        std::string origin;
+        if (!(words >> startedAt >> address >> role >> state >> origin)
+            || (state != stayingWord && state != leavingWord) || (role != primaryWord && role != replicaWord)
+            || (origin != joinedWord && origin != returnedWord))
             return std::nullopt;
         record.holders_.push_back({ EndpointId(fromWord(id)), Milliseconds(startedAt),
-            address == noAddress ? std::string() : fromWord(address), role == primaryWord, state == leavingWord });
+            address == noAddress ? std::string() : fromWord(address), role == primaryWord, state == leavingWord,
+            origin == returnedWord });
     }
     if (record.holders_.empty())
         return std::nullopt;
@@ -68,18 +74,20 @@
 std::string LogHolders::encode() const
 {
     std::ostringstream text;
-    text << recordVersion << ' ' << groupSize_ << ' ' << confirmedPosition_.term << ' ' << confirmedPosition_.index;
+    text << recordVersion << ' ' << groupSize_ << ' ' << copies_ << ' ' << confirmedPosition_.term << ' '
+         << confirmedPosition_.index;
     for (const LogHolder& holder : holders_)
         text << ' ' << toWord(holder.id.text()) << ' ' << holder.startedAt.count() << ' '
              << (holder.address.empty() ? noAddress : toWord(holder.address)) << ' '
-             << (holder.isPrimary ? primaryWord : replicaWord) << ' ' << (holder.isLeaving ? leavingWord : stayingWord);
+             << (holder.isPrimary ? primaryWord : replicaWord) << ' ' << (holder.isLeaving ? leavingWord : stayingWord)
+             << ' ' << (holder.joinedWithoutPrimary ? returnedWord : joinedWord);
     return text.str();
 }
 
 std::size_t LogHolders::requiredLogs(std::size_t synchronousReplicas) const
 {
     // Without synchronous replicas no number is safe; all logs but the primary's lose the least.
-    const std::size_t copies = std::max<std::size_t>(synchronousReplicas, 1);
+    const std::size_t copies = std::max<std::size_t>(std::min(synchronousReplicas, copies_), 1);
     return holders_.size() > copies ? holders_.size() - copies : 1;
 }
 
@@ -93,19 +101,38 @@
     return missing;
 }
 
+bool LogHolders::lowerCopies(std::size_t synchronousReplicas)
+{
+    if (synchronousReplicas >= copies_)
+        return false;
+    copies_ = synchronousReplicas;
+    return true;
+}
+
+void LogHolders::confirm(const LogPosition& position, std::size_t copies)
+{
+    confirmedPosition_ = std::max(confirmedPosition_, position);
+    copies_ = copies;
+}
+
 bool LogHolders::addListed(const std::vector<EndpointEntry>& listed)
 {
+    const bool hasPrimary
+        = std::any_of(listed.begin(), listed.end(), [](const EndpointEntry& entry) { return entry.reportsPrimary; });
     bool hasChanged = false;
     for (const EndpointEntry& entry : listed) {
-        const LogHolder holder { entry.id, entry.startedAt, entry.address, entry.reportsPrimary, entry.isLeaving };
+        LogHolder holder { entry.id, entry.startedAt, entry.address, entry.reportsPrimary, entry.isLeaving,
+            !hasPrimary };
         const auto known = findRun(holders_, entry.id, entry.startedAt);
         if (known == holders_.end())
             holders_.push_back(holder);
         else if (known->isLeaving == holder.isLeaving && known->isPrimary == holder.isPrimary
             && known->address == holder.address)
             continue;
-        else
+        else {
+            holder.joinedWithoutPrimary = known->joinedWithoutPrimary;
             *known = holder;
+        }
         hasChanged = true;
     }
     return hasChanged;
@@ -114,6 +141,7 @@
 bool LogHolders::addAll(const LogHolders& other)
 {
     confirmedPosition_ = std::max(confirmedPosition_, other.confirmedPosition_);
+    copies_ = std::min(copies_, other.copies_);
     bool hasChanged = other.groupSize_ > groupSize_;
     groupSize_ = std::max(groupSize_, other.groupSize_);
     for (const LogHolder& holder : other.holders_) {
@@ -146,9 +174,8 @@
 }
 
 std::size_t LogHolders::removeConfirmed(
-    const std::vector<LogHolder>& candidates, const std::vector<EndpointEntry>& listed, const LogPosition& position)
+    const std::vector<LogHolder>& candidates, const std::vector<EndpointEntry>& listed)
 {
-    confirmedPosition_ = std::max(confirmedPosition_, position);
     const std::vector<LogHolder> gone = replaceable(listed);
     std::size_t removed = 0;
     std::size_t left = 0;
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -83,7 +83,6 @@
     }
     promotions_.setSuspicionConfirmer(&suspicionConfirmer_);
     promotions_.setStepDownRelay(&stepDownRelay_);
-    promotions_.setConnector(&connector);
     if (GroupReportParticipant* capacity = dispatcher_.capacityReports())
         ownerReports_.addParticipant(*capacity);
     promotions_.setMembersRefresh(
--- a/src/front/LogHolderKeeper.cpp
+++ b/src/front/LogHolderKeeper.cpp
@@ -2,7 +2,6 @@
 
 #include "almondlever/common/StoreEra.h"
 #include "almondlever/observability/DecisionLog.h"
-#include "almondlever/pooling/EndpointProbe.h"
 #include "almondlever/store/PromotionClaim.h"
 
 #include <algorithm>
@@ -57,6 +56,8 @@
     TimePoint listedSince {};
     /** Since when the record differs from what it should say. */
     std::optional<TimePoint> outdatedSince;
+    /** Since when holders have had no entry. */
+    std::map<EndpointId, TimePoint> missingSince;
     /** Since when more endpoints are listed than the group size says. */
     std::optional<TimePoint> largerSince;
     TimePoint checkedAt {};
@@ -110,13 +111,24 @@
     return entries;
 }
 
-LogHolders LogHolderKeeper::wanted(
-    const GroupRecord& record, const std::vector<EndpointEntry>& entries, TimePoint now) const
+std::vector<EndpointEntry> LogHolderKeeper::reached(const std::vector<EndpointEntry>& entries) const
+{
+    std::vector<EndpointEntry> running;
+    std::copy_if(entries.begin(), entries.end(), std::back_inserter(running),
+        [this](const EndpointEntry& entry) { return dispatcher_.isReachable(entry.id); });
+    return running;
+}
+
+LogHolders LogHolderKeeper::wanted(const GroupRecord& record, const std::vector<EndpointEntry>& entries,
+    std::size_t synchronousReplicas, TimePoint now) const
 {
     LogHolders holders = record.known.value_or(LogHolders());
     holders.addListed(entries);
+    if (record.known)
+        holders.lowerCopies(synchronousReplicas);
+    // The entry of an endpoint that crashed stays beside that of its successor for a while.
     if (!record.known || (record.largerSince && now - *record.largerSince >= settings_.growthDelay))
-        holders.raiseGroupSize(entries);
+        holders.raiseGroupSize(reached(entries));
     return holders;
 }
 
@@ -138,10 +150,11 @@
     if (entries.empty())
         return;
     noteListed(record, entries, now);
-    const LogHolders target = wanted(record, entries, now);
+    const LogHolders target = wanted(record, entries, synchronousReplicas, now);
     const bool mustWrite = record.known && target.encode() != record.stored;
     const std::vector<LogHolder> candidates = target.replaceable(entries);
-    if (record.known && !mustWrite && !record.mustReload && candidates.empty()) {
+    const bool mustConfirm = !record.known || !candidates.empty() || record.known->copies() < synchronousReplicas;
+    if (!mustConfirm && !mustWrite && !record.mustReload) {
         record.outdatedSince.reset();
         return;
     }
@@ -157,7 +170,7 @@
         confirm(group, candidates, synchronousReplicas, now);
 }
 
-void LogHolderKeeper::noteListed(GroupRecord& record, const std::vector<EndpointEntry>& entries, TimePoint now)
+void LogHolderKeeper::noteListed(GroupRecord& record, const std::vector<EndpointEntry>& entries, TimePoint now) const
 {
     std::set<EndpointId> ids;
     for (const EndpointEntry& entry : entries)
@@ -166,8 +179,12 @@
         record.listed = std::move(ids);
         record.listedSince = now;
     }
+    std::map<EndpointId, TimePoint> missing;
+    for (const LogHolder& holder : record.known ? record.known->missingFrom(entries) : std::vector<LogHolder>())
+        missing[holder.id] = record.missingSince.count(holder.id) > 0 ? record.missingSince.at(holder.id) : now;
+    record.missingSince = std::move(missing);
     LogHolders larger = record.known.value_or(LogHolders());
-    if (!record.known || !larger.raiseGroupSize(entries))
+    if (!record.known || !larger.raiseGroupSize(reached(entries)))
         record.largerSince.reset();
     else if (!record.largerSince)
         record.largerSince = now;
@@ -197,7 +214,7 @@
     const std::vector<LogHolder> candidates = confirmation.candidates;
     for (const LogHolder& candidate : candidates) {
         // A listed id has started again, so that the former run has ended.
-        if (!connector_ || candidate.address.empty() || directory_.find(candidate.id))
+        if (directory_.find(candidate.id))
             continue;
         ++confirmation.pendingProbes;
         EndpointEntry entry;
@@ -205,28 +222,47 @@
         entry.group = group;
         entry.address = candidate.address;
         entry.startedAt = candidate.startedAt;
-        EndpointProbe::start(*connector_, timers_, entry, settings_.probeTimeout,
+        EndpointProbe::start(dispatcher_.connector(), timers_, entry, settings_.probeTimeout,
             [this, group, candidate, number = confirmation.number, alive = std::weak_ptr<int>(alive_)](
                 EndpointPresence presence, TimePoint at) {
                 if (!alive.expired())
-                    onCandidateProbed(group, number, candidate, presence == EndpointPresence::Runs, at);
+                    onCandidateProbed(group, number, candidate, presence, at);
             });
     }
     if (confirmation.pendingProbes == 0)
-        askPrimary(group, now);
+        endProbe(group, now);
 }
 
 void LogHolderKeeper::onCandidateProbed(
-    const GroupId& group, std::uint64_t number, const LogHolder& candidate, bool runs, TimePoint now)
+    const GroupId& group, std::uint64_t number, const LogHolder& candidate, EndpointPresence presence, TimePoint now)
 {
     GroupRecord& record = records_[group];
     if (!record.confirmation || record.confirmation->number != number)
         return;
+    Confirmation& confirmation = *record.confirmation;
+    const auto missing = record.missingSince.find(candidate.id);
+    const bool isLongSilent = presence == EndpointPresence::Unknown && missing != record.missingSince.end()
+        && now - missing->second >= settings_.silentHolderRetention;
     // An endpoint that is only cut off from the store still helps to acknowledge commits.
-    if (runs)
-        return endConfirmation(group, candidate.id.text() + " still runs", now);
-    if (--record.confirmation->pendingProbes == 0)
-        askPrimary(group, now);
+    if (presence != EndpointPresence::Ended && !isLongSilent)
+        confirmation.candidates.erase(std::remove_if(confirmation.candidates.begin(), confirmation.candidates.end(),
+                                          [&](const LogHolder& holder) {
+                                              return holder.id == candidate.id
+                                                  && holder.startedAt == candidate.startedAt;
+                                          }),
+            confirmation.candidates.end());
+    if (--confirmation.pendingProbes == 0)
+        endProbe(group, now);
+}
+
+void LogHolderKeeper::endProbe(const GroupId& group, TimePoint now)
+{
+    const GroupRecord& record = records_[group];
+    const Confirmation& confirmation = *record.confirmation;
+    const bool raisesCopies = !record.known || record.known->copies() < confirmation.synchronousReplicas;
+    if (confirmation.candidates.empty() && !raisesCopies)
+        return endConfirmation(group, "the endpoints may still run", now);
+    askPrimary(group, now);
 }
 
 void LogHolderKeeper::askPrimary(const GroupId& group, TimePoint now)
@@ -315,8 +351,9 @@
         record.notBefore = now + settings_.retryPause;
         return;
     }
-    LogHolders holders = wanted(record, entries, now);
-    holders.removeConfirmed(ended->candidates, entries, *ended->position);
+    LogHolders holders = wanted(record, entries, ended->synchronousReplicas, now);
+    holders.removeConfirmed(ended->candidates, entries);
+    holders.confirm(*ended->position, ended->synchronousReplicas);
     write(group, holders, record.known ? "replaced" : "first");
 }
 
--- a/src/front/PromotionChange.h
+++ b/src/front/PromotionChange.h
@@ -27,8 +27,6 @@
     std::optional<LogHolders> logHolders;
     /** The leader after the last finished change, if its record names one. */
     std::optional<RecordedLeader> recordedLeader;
-    /** The members were read again after the logs had been compared. */
-    bool isChoiceVerified = false;
     /** Time of the latest promote call. */
     TimePoint calledAt;
     /** The claim is held, and the other owners have been asked again about the primary. */
--- a/src/front/PromotionDriver.cpp
+++ b/src/front/PromotionDriver.cpp
@@ -34,6 +34,16 @@
     state.isClaimed = isHeld;
 }
 
+void PromotionDriver::setOwners(std::map<GroupId, std::set<std::string>> owners)
+{
+    owners_ = std::move(owners);
+    // Another daemon decides from now on, and this one does not learn when its attempt succeeds.
+    for (auto& [group, state] : groupStates_) {
+        if (!isOwner(group))
+            clearMissingLogs(group, state);
+    }
+}
+
 void PromotionDriver::onChangeRecord(const GroupId& group, bool isChangeOpen, TimePoint)
 {
     groupStates_[group].isChangeOpen = isChangeOpen;
@@ -61,6 +71,10 @@
     // An unfinished change takes precedence: its promotion may still take effect.
     if (state.isChangeOpen)
         return PromotionReason::Recovery;
+    const bool hasReturnedPaused = std::any_of(state.pausedElsewhere.begin(), state.pausedElsewhere.end(),
+        [this](const EndpointId& id) { return directory_.find(id) && dispatcher_.isReachable(id); });
+    if (hasReturnedPaused)
+        return PromotionReason::Recovery;
     if (dispatcher_.primaryFailingSince(group, now))
         return PromotionReason::PrimaryFailed;
     if (dispatcher_.writesStalledSince(group, now))
@@ -228,15 +242,17 @@
             if (alive.expired() || changes_.count(group) == 0)
                 return;
             bool isChangeOpen = false;
+            std::uint64_t revision = 0;
             for (const StoreItem& item : page ? page.value().items : std::vector<StoreItem>()) {
                 if (item.key != record)
                     continue;
+                revision = item.revision;
                 isChangeOpen = item.value == storeKeys::changeOpen;
                 changes_.at(group)->recordedLeader = RecordedLeader::decode(item.value);
             }
             if (page && (!isChangeOpen || wasKnownOpen))
-                return changes_.at(group)->claim.acquire(
-                    ++attempts_, [this, group](const StoreResult<std::uint64_t>& result) { onClaimed(group, result); });
+                return changes_.at(group)->claim.acquire(++attempts_, revision,
+                    [this, group](const StoreResult<std::uint64_t>& result) { onClaimed(group, result); });
             logInfo("promotion_not_claimed",
                 { { "group", group.text() }, { "outcome", page ? "unfinished_change" : toText(page.error().kind) },
                     { "detail", page ? "" : page.error().detail } });
@@ -331,8 +347,18 @@
     const std::optional<PromotionReason> reason = reasonFor(group, groupStates_[group], now);
     if (!reason && change.reason != PromotionReason::Recovery)
         return releaseClaim(group, "reason_gone", "");
-    const std::vector<PromotionMember> members = membersOf(group);
-    const std::size_t synchronous = groups_[group].synchronousReplicas;
+    std::vector<PromotionMember> members = membersOf(group);
+    std::size_t synchronous = groups_[group].synchronousReplicas;
+    if (change.logHolders) {
+        // Commits from before a larger number was configured have fewer copies.
+        synchronous = std::min(synchronous, change.logHolders->copies());
+        for (const LogHolder& holder : change.logHolders->all()) {
+            for (PromotionMember& member : members) {
+                if (member.id == holder.id && member.startedAt == holder.startedAt)
+                    member.joinedWithoutPrimary = holder.joinedWithoutPrimary;
+            }
+        }
+    }
     const LogPosition acknowledged = dispatcher_.acknowledgedPositionOf(group, now);
     const Term newestTerm = directory_.newestTermOf(group);
     change.promotion
--- a/src/front/PromotionDriverOrders.cpp
+++ b/src/front/PromotionDriverOrders.cpp
@@ -170,7 +170,7 @@
     if (found == changes_.end())
         return;
     Change& change = *found->second;
-    if (!refreshMembers_ || !change.promotion->isChosenByCount() || change.isChoiceVerified)
+    if (!refreshMembers_ || !change.promotion->isChosenByCount())
         return callPlatform(group, endpoint, now);
     const std::uint64_t fence = change.claim.fence();
     refreshMembers_([this, group, endpoint, fence, alive = std::weak_ptr<int>(alive_)](bool isFresh) {
@@ -190,7 +190,6 @@
         const std::string reason = isFresh ? "the members have changed" : "the members could not be read";
         return executeOrders(group, change.promotion->onChoiceOutdated(reason, now), now);
     }
-    change.isChoiceVerified = true;
     callPlatform(group, endpoint, now);
     finishIfDone(group, now);
 }
@@ -261,6 +260,8 @@
     state.isChangeOpen = promotion.needsRecovery();
     state.reasonSince.reset();
     state.notBefore = now + (promotion.hasSucceeded() ? settings_.retryPause * 2 : settings_.retryPause);
+    if (ended->reason == PromotionReason::Recovery && promotion.hasSucceeded())
+        notePausedElsewhere(group, state, promotion);
     if (promotion.lacksLogs())
         noteMissingLogs(group, promotion, now);
     else if (promotion.hasSucceeded())
@@ -274,4 +275,13 @@
     dispatcher_.onDirectoryChange(now);
 }
 
+void PromotionDriver::notePausedElsewhere(
+    const GroupId& group, GroupState& state, const GroupPromotion& promotion) const
+{
+    for (const EndpointEntry* entry : directory_.endpointsOf(group))
+        state.pausedElsewhere.erase(entry->id);
+    for (const LogHolder& holder : promotion.missingHolders())
+        state.pausedElsewhere.insert(holder.id);
+}
+
 } // namespace almondlever
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -123,6 +123,7 @@
     void stepDown(const GroupId&, const EndpointId&, Term, StatementDispatcher::StepDownCallback, TimePoint now);
     void setLogHolders(const GroupId& group, std::size_t count) { queuesOf(group).logHolders = count; }
     void setMissingLogs(const GroupId&, std::size_t count);
+    EndpointConnector& connector() const { return connector_; }
     void endHold(const GroupId&, TimePoint now);
     void setGroups(const std::map<GroupId, GroupRule>&, TimePoint now);
     void setConnectionsByCustomer(bool areByCustomer) { areConnectionsByCustomer_ = areByCustomer; }
--- a/src/pooling/EndpointProbe.cpp
+++ b/src/pooling/EndpointProbe.cpp
@@ -1,7 +1,16 @@
 #include "almondlever/pooling/EndpointProbe.h"
 
+#include <string_view>
+
 namespace almondlever {
 
+namespace {
+
+    /** In the operating system's text for a connection that no process accepts. */
+    constexpr std::string_view refusedText = "refused";
+
+} // namespace
+
 EndpointProbe::EndpointProbe(Callback callback)
     : callback_(std::move(callback))
 {
@@ -13,15 +22,17 @@
     const auto probe = std::make_shared<EndpointProbe>(std::move(callback));
     probe->link_ = connector.connect(entry, CustomerId(), probe);
     // The timer owns the probe until then.
-    timers.callAfter(timeout, [probe](TimePoint now) { probe->finish(EndpointPresence::NotFound, now); });
+    timers.callAfter(timeout, [probe](TimePoint now) { probe->finish(EndpointPresence::Unknown, now); });
 }
 
 void EndpointProbe::onLinkOpened(const Reply&, TimePoint now) { finish(EndpointPresence::Runs, now); }
 
-void EndpointProbe::onLinkClosed(const std::string&, std::optional<StatementError> refusal, TimePoint now)
+void EndpointProbe::onLinkClosed(const std::string& reason, std::optional<StatementError> refusal, TimePoint now)
 {
-    const bool hasTooMany = refusal == StatementError::TooManyConnections;
-    finish(hasTooMany ? EndpointPresence::Runs : EndpointPresence::NotFound, now);
+    if (refusal == StatementError::TooManyConnections)
+        return finish(EndpointPresence::Runs, now);
+    const bool isEnded = refusal == StatementError::Misrouted || reason.find(refusedText) != std::string::npos;
+    finish(isEnded ? EndpointPresence::Ended : EndpointPresence::Unknown, now);
 }
 
 void EndpointProbe::finish(EndpointPresence presence, TimePoint now)
--- a/src/pooling/StatementDispatcher.cpp
+++ b/src/pooling/StatementDispatcher.cpp
@@ -47,6 +47,8 @@
     state_->setMissingLogs(group, count);
 }
 
+EndpointConnector& StatementDispatcher::connector() const { return state_->connector(); }
+
 void StatementDispatcher::endHold(const GroupId& group, TimePoint now) { state_->endHold(group, now); }
 
 void StatementDispatcher::sendReplicationCommand(const EndpointId& endpoint, const EndpointCommand& command,
--- a/src/store/PromotionClaim.cpp
+++ b/src/store/PromotionClaim.cpp
@@ -49,8 +49,9 @@
         isLeaseInvalid_ = true;
 }
 
-void PromotionClaim::acquire(std::uint64_t attempt, ClaimCallback callback)
+void PromotionClaim::acquire(std::uint64_t attempt, std::uint64_t recordRevision, ClaimCallback callback)
 {
+    recordRevision_ = recordRevision;
     callback_ = std::move(callback);
     value_ = holder_ + ' ' + std::to_string(attempt);
     leaseRequestedAt_ = timers_.now();
@@ -68,6 +69,7 @@
     renewedAt_ = leaseRequestedAt_;
     StoreTransaction transaction;
     transaction.expected.push_back({ claimKey(), 0 });
+    transaction.expected.push_back({ storeKeys::changes + group_.text(), recordRevision_ });
     transaction.puts.push_back({ claimKey(), value_, lease_ });
     transaction.puts.push_back({ storeKeys::changes + group_.text(), storeKeys::changeOpen, {} });
     store_.transact(transaction, [this, alive = std::weak_ptr<int>(alive_)](const StoreResult<std::uint64_t>& claimed) {
--- a/tests/failover/TestGroupPromotion.cpp
+++ b/tests/failover/TestGroupPromotion.cpp
@@ -46,7 +46,9 @@
     const auto orders = promotion.onTick(at(1300));
     cr_assert(!hasAny(orders, Kind::Promote));
     cr_assert(has(orders, Kind::Resume, b), "a paused replica must not stay paused");
+    cr_assert(has(orders, Kind::Resume, c), "it may have carried the order out, although its answer is missing");
     promotion.onStatus(b, Kind::Resume, replica(10), at(1320));
+    promotion.onTick(at(1300) + PromotionSettings().unansweredResumeTime + Milliseconds(25));
     cr_assert(promotion.isFinished());
     cr_assert(!promotion.hasSucceeded());
 }
@@ -74,6 +76,8 @@
     cr_assert(has(orders, Kind::Resume, b));
     cr_assert(!hasAny(orders, Kind::Promote));
     promotion.onStatus(b, Kind::Resume, replica(10), at(50));
+    cr_assert(has(orders, Kind::Resume, c), "it may have carried the order out, although its answer is missing");
+    promotion.onStatus(c, Kind::Resume, replica(10), at(60));
     cr_assert(promotion.isFinished());
     cr_assert(!promotion.hasSucceeded());
 }
@@ -315,6 +319,8 @@
     promotion.onStatus(c, Kind::QueryStatus, replica(18), at(20));
     const auto orders = promotion.onStatus(c, Kind::Pause, std::nullopt, at(40));
     cr_assert(!hasAny(orders, Kind::Promote));
+    cr_assert(has(orders, Kind::Resume, c), "it may have carried the order out, although its answer is missing");
+    promotion.onStatus(c, Kind::Resume, replica(18), at(60));
     cr_assert(promotion.isFinished());
     cr_assert(!promotion.hasSucceeded());
 }
--- a/tests/mocks/FakeMetadataStore.h
+++ b/tests/mocks/FakeMetadataStore.h
@@ -64,6 +64,11 @@
     bool has(const std::string& key) const { return items_.count(key) > 0; }
     std::string valueOf(const std::string& key) const { return has(key) ? items_.at(key).value : ""; }
     std::uint64_t revision() const { return revision_; }
+    /** Revision of a key as clients state it; 0 if there is none. */
+    std::uint64_t revisionOf(const std::string& key) const
+    {
+        return has(key) ? storeEra::combine(era_, items_.at(key).revision) : 0;
+    }
     void dropHistory()
     {
         history_.clear();
