--- a/soak/PromiseChecker.cpp
+++ b/soak/PromiseChecker.cpp
@@ -126,6 +126,27 @@
     }
 }
 
+void PromiseChecker::noteAcknowledged(
+    const GroupId& group, const EndpointId& endpoint, const std::vector<std::string>& tokens)
+{
+    for (const std::string& token : tokens)
+        held_[group][token] = endpoint;
+}
+
+bool PromiseChecker::coversAcknowledged(
+    const GroupId& group, const std::vector<const std::vector<LogEntry>*>& logs) const
+{
+    std::set<std::string> present;
+    for (const auto* log : logs) {
+        for (const LogEntry& entry : *log)
+            present.insert(entry.tokens.begin(), entry.tokens.end());
+    }
+    const auto held = held_.find(group);
+    return held == held_.end() || std::all_of(held->second.begin(), held->second.end(), [&](const auto& commit) {
+        return present.count(commit.first) > 0;
+    });
+}
+
 void PromiseChecker::noteAttempt(const std::string& session, const GroupId& group,
     const std::vector<std::string>& tokens, AttemptOutcome outcome, TimePoint now)
 {
@@ -158,6 +179,17 @@
         if (present.count(commit.token) == 0)
             report("lost", "acknowledged write " + commit.token + " is missing, " + occasion);
     }
+    // Reported once: a commit that a promotion has rolled back is missing from all later logs too.
+    auto& held = held_[group];
+    for (auto it = held.begin(); it != held.end();) {
+        if (present.count(it->first) > 0) {
+            ++it;
+            continue;
+        }
+        report("lost_commit",
+            fmt::format("commit of {}, acknowledged by {}, is missing, {}", it->first, it->second.text(), occasion));
+        it = held.erase(it);
+    }
 }
 
 } // namespace almondlever::soak
--- a/soak/PromiseChecker.h
+++ b/soak/PromiseChecker.h
@@ -92,8 +92,12 @@
     void noteCommitAsked(const std::vector<std::string>& tokens);
     /** A leading endpoint put a commit into its log. */
     void noteCommitted(const GroupId&, std::size_t index, const std::vector<std::string>& tokens);
+    /** A commit is in the logs that its acknowledgement asks for, also if its caller never hears of it. */
+    void noteAcknowledged(const GroupId&, const EndpointId&, const std::vector<std::string>& tokens);
     void noteAttempt(const std::string& session, const GroupId&, const std::vector<std::string>& tokens, AttemptOutcome,
         TimePoint now);
+    /** True if each commit that endpoints acknowledged is in one of these logs at least. */
+    bool coversAcknowledged(const GroupId&, const std::vector<const std::vector<LogEntry>*>& logs) const;
     /** The log of an endpoint that was promoted, or that leads at the end. */
     void checkLog(const GroupId&, const std::string& occasion, const std::vector<LogEntry>&);
 
@@ -129,6 +133,8 @@
     std::map<std::string, SentStatement> sent_;
     std::map<std::string, std::vector<Run>> runsOf_;
     std::map<GroupId, std::vector<Acknowledged>> acknowledged_;
+    /** Writes whose commits endpoints acknowledged, and which endpoint did; without those found lost. */
+    std::map<GroupId, std::map<std::string, EndpointId>> held_;
     std::map<std::string, std::size_t> indexOf_;
     std::set<std::string> asked_;
     std::set<std::string> promisedAway_;
--- a/soak/SoakFaults.cpp
+++ b/soak/SoakFaults.cpp
@@ -266,6 +266,8 @@
 {
     isHealed_ = true;
     log("end of the faults");
+    for (Endpoint& endpoint : endpoints_)
+        endpoint.mutedUntil = {};
     const std::vector<Repair> repairs = std::move(repairs_);
     repairs_.clear();
     for (const Repair& repair : repairs)
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -16,7 +16,6 @@
 
     constexpr Milliseconds tickInterval { 4 };
     constexpr Milliseconds heartbeat { 600 };
-    constexpr Milliseconds startTime { 2500 };
     constexpr Milliseconds settleTime { 300 };
     /** The grace of the settings file and a second for the exit. */
     constexpr Milliseconds stopLimit { 5000 };
@@ -133,8 +132,8 @@
         const std::string name = "ledger" + std::to_string(number);
         groups_.push_back(std::make_unique<StandinGroup>(
             context_, checker_, GroupId(name), settings_.seed * 31 + number, settings_.habits.oddData));
-        for (const char* suffix : { "a", "b", "c" })
-            addEndpoint(*groups_.back(), name + suffix, {});
+        for (std::size_t server = 0; server < settings_.servers; ++server)
+            addEndpoint(*groups_.back(), name + static_cast<char>('a' + server), {});
         groups_.back()->setFirstLeader(EndpointId(name + "a"));
         routes_.push_back({ "orders" + std::to_string(number), GroupId(name), ReadRule::Primary, Milliseconds(0) });
         routes_.push_back(
@@ -160,10 +159,15 @@
     endpoint.proxy = std::make_unique<LoopbackProxy>(context_);
     endpoint.proxy->setTarget(server.port());
     require(endpoint.proxy->start(), name);
-    endpoint.born = std::chrono::duration_cast<Milliseconds>(Clock::now().time_since_epoch()).count();
+    endpoint.born = bornNow();
     endpoints_.push_back(std::move(endpoint));
 }
 
+std::int64_t SoakRun::bornNow()
+{
+    return std::chrono::duration_cast<Milliseconds>(Clock::now().time_since_epoch()).count();
+}
+
 void SoakRun::writeConfiguration()
 {
     Json routes = Json::array();
@@ -230,7 +234,7 @@
         if (candidate->id().text() != group)
             continue;
         const StandinEndpoint* server = candidate->find(EndpointId(id));
-        if (!server || !server->isUp())
+        if (!server || !server->isUp() || darkened_.count(server->id()) > 0)
             return false;
         fences_[group] = fence;
         repairs_.push_back({ Clock::now() + drawTime(100, 400), [this, target = candidate.get(), id] {
@@ -315,6 +319,8 @@
     startDaemons();
     faultsUntil_ = startedAt_ + startTime + settings_.faultTime;
     drawRestores();
+    if (settings_.hasGroupFaults)
+        drawPlan();
     nextFault_ = startedAt_ + startTime;
     nextWireFault_ = nextFault_;
     const TimePoint callersFrom = startedAt_ + startTime / 2;
@@ -393,7 +399,10 @@
     const bool hasWireFaults = settings_.repeats > 0 || settings_.cuts > 0;
     if (hasWireFaults && now >= nextWireFault_ && now < faultsUntil_)
         harmWire(now);
-    if (now >= nextFault_ && now < faultsUntil_) {
+    if (settings_.hasGroupFaults) {
+        if (now < faultsUntil_)
+            tickGroupFaults(now);
+    } else if (now >= nextFault_ && now < faultsUntil_) {
         injectFault(now);
         nextFault_ = now + drawTime(1, static_cast<int>(2 * settings_.faultInterval.count()));
     }
@@ -403,8 +412,8 @@
 {
     for (Endpoint& endpoint : endpoints_) {
         const StandinEndpoint* server = endpoint.group->find(endpoint.id);
-        const bool isUp = server && server->isUp();
-        if (!isUp) {
+        const bool isUp = server && server->isUp() && now >= endpoint.mutedUntil;
+        if (!isUp || (store_.faults().isBusy && entriesLapse_)) {
             if (endpoint.isListed && now - endpoint.silentSince >= entryLife) {
                 store_.remove("servers/" + endpoint.id.text());
                 endpoint.isListed = false;
@@ -435,6 +444,7 @@
         }
         if (!daemon->process->isRunning() && daemon->startAt && now >= *daemon->startAt) {
             daemon->startAt.reset();
+            daemon->startedAt = now;
             log("start of " + daemon->name);
             require(daemon->process->start(), settings_.program);
         }
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "DaemonProcess.h"
+#include "GroupFaults.h"
 #include "LoopbackProxy.h"
 #include "SoakCaller.h"
 #include "StandinGroup.h"
@@ -23,6 +24,8 @@
     std::uint64_t seed = 1;
     std::size_t daemons = 3;
     std::size_t groups = 2;
+    /** Of each group. */
+    std::size_t servers = 3;
     std::size_t callers = 24;
     SoakHabits habits;
     /** Share of the answers that endpoints repeat, or cut off, while they have this fault. */
@@ -32,6 +35,8 @@
     Milliseconds faultTime { 15000 };
     /** Routes that no caller uses, to make the configuration large. */
     std::size_t unusedRoutes = 0;
+    /** Injects the plan of drawGroupFaults() instead of the other faults. */
+    bool hasGroupFaults = false;
     /** Times that the store comes back from a copy, spread over the faults. */
     std::size_t storeRestores = 0;
     /** Mean time between two faults; they last longer and overlap. */
@@ -70,6 +75,8 @@
     SoakResult run();
 
 private:
+    /** Time without faults at the start. */
+    static constexpr Milliseconds startTime { 2500 };
     /** An entry without news for three heartbeats is removed. */
     static constexpr Milliseconds entryLife { 1800 };
     struct Daemon {
@@ -80,6 +87,7 @@
         std::uint16_t frontPort = 0;
         /** When it is started again, if it is down. */
         std::optional<TimePoint> startAt;
+        TimePoint startedAt {};
         bool wasKilled = false;
         bool isStopping = false;
         bool isPaused = false;
@@ -100,6 +108,15 @@
         TimePoint silentSince;
         bool isListed = false;
         bool saidPrimary = false;
+        /** It does not reach the store before. */
+        TimePoint mutedUntil {};
+    };
+    /** A fault that comes after the next takeover. */
+    struct Armed {
+        GroupFault fault;
+        Term term = 0;
+        TimePoint until;
+        bool isDue = false;
     };
     struct Repair {
         TimePoint at;
@@ -127,6 +144,25 @@
     void harmWire(TimePoint now);
     void harmPlatform(TimePoint now);
     void replacePrimary(TimePoint now);
+    void drawPlan();
+    void tickGroupFaults(TimePoint now);
+    /** All servers of the group run, replicate and are listed, and all daemons run. */
+    bool isCalm(StandinGroup&, TimePoint now);
+    void applyFault(const GroupFault&, TimePoint now);
+    void deafenReplicas(StandinGroup&, const GroupFault&, TimePoint now);
+    void crashServer(StandinGroup&, StandinEndpoint&, TimePoint until);
+    void darkenServer(StandinGroup&, StandinEndpoint&, TimePoint until);
+    void restartDaemon(Daemon&, bool isGraceful, TimePoint startAt);
+    void loseLog(StandinGroup&, const GroupFault&, TimePoint now);
+    void replaceServer(StandinGroup&, const EndpointId&, Milliseconds wait);
+    /** The server receives nothing until it could have copied the log. */
+    void catchUpLater(StandinGroup&, StandinEndpoint&);
+    StandinEndpoint* chooseReplica(StandinGroup&, std::size_t choice, bool mustReceive);
+    static bool hasOtherReceiver(StandinGroup&, const StandinEndpoint&);
+    /** Every acknowledged commit is in the log of some other server. */
+    bool isHeldElsewhere(StandinGroup&, const EndpointId&) const;
+    Endpoint* entryOf(const EndpointId&);
+    static std::int64_t bornNow();
     void repairLater(TimePoint at, std::function<void()>);
     void healAll();
     bool hasRecovered() const;
@@ -173,6 +209,16 @@
     TimePoint startedAt_;
     TimePoint faultsUntil_;
     TimePoint nextFault_;
+    /** Group faults that are still to come, the next one first. */
+    std::deque<GroupFault> plan_;
+    std::vector<Armed> armed_;
+    /** For each group. */
+    std::vector<TimePoint> calmSince_;
+    std::set<EndpointId> darkened_;
+    /** Groups that have lost a log for good. */
+    std::set<GroupId> hasLost_;
+    /** Entries also lapse while the store is away. */
+    bool entriesLapse_ = false;
     bool isHealed_ = false;
     /** Daemon and group pairs that were served since the end of the faults. */
     std::set<std::string> served_;
--- a/soak/StandinGroup.cpp
+++ b/soak/StandinGroup.cpp
@@ -59,6 +59,13 @@
     running_ = 0;
 }
 
+void StandinEndpoint::forget()
+{
+    log_.clear();
+    growth_.clear();
+    applied_ = 0;
+}
+
 void StandinEndpoint::accept()
 {
     acceptor_.async_accept([this](std::error_code error, asio::ip::tcp::socket socket) {
@@ -129,6 +136,19 @@
     endpoints_.erase(found);
 }
 
+void StandinGroup::loseLog(const EndpointId& id)
+{
+    StandinEndpoint* endpoint = find(id);
+    if (!endpoint)
+        return;
+    endpoint->crash();
+    endpoint->forget();
+    if (!leads(*endpoint))
+        return;
+    leader_ = EndpointId();
+    waiting_.clear();
+}
+
 StandinEndpoint* StandinGroup::find(const EndpointId& id)
 {
     const auto found = endpoints_.find(id);
@@ -183,6 +203,7 @@
         received = std::max(received, endpoint->log().size());
     }
     while (!waiting_.empty() && waiting_.front().size <= received) {
+        checker_.noteAcknowledged(id_, leader_, leading->log()[waiting_.front().size - 1].tokens);
         const auto callback = std::move(waiting_.front().onAcknowledged);
         waiting_.pop_front();
         callback();
--- a/soak/StandinGroup.h
+++ b/soak/StandinGroup.h
@@ -54,6 +54,8 @@
     const std::vector<LogEntry>& log() const { return log_; }
     /** Takes over the log of an endpoint that this one replaces. */
     void takeLog(const std::vector<LogEntry>& log) { log_ = log; }
+    /** Forgets everything, as a server that starts again without its log. */
+    void forget();
 
     bool isPaused() const { return pausedIn_ != 0; }
     void endPause() { pausedIn_ = 0; }
@@ -95,6 +97,8 @@
     const GroupId& id() const { return id_; }
     StandinEndpoint& add(const EndpointId&);
     void remove(const EndpointId&);
+    /** Ends the server and empties its log; it leads no more. */
+    void loseLog(const EndpointId&);
     std::map<EndpointId, std::unique_ptr<StandinEndpoint>>& endpoints() { return endpoints_; }
     StandinEndpoint* find(const EndpointId&);
     bool leads(const StandinEndpoint& endpoint) const { return endpoint.id() == leader_; }
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -55,13 +55,16 @@
     TCLAP::ValueArg<std::uint64_t> seed("", "seed", "first seed", false, 1, "N");
     TCLAP::ValueArg<std::uint64_t> seeds("", "seeds", "number of seeds, one after the other", false, 1, "N");
     TCLAP::ValueArg<std::size_t> daemons("", "daemons", "number of daemons", false, defaults.daemons, "N");
-    TCLAP::ValueArg<std::size_t> groups("", "groups", "number of groups of three", false, defaults.groups, "N");
+    TCLAP::ValueArg<std::size_t> groups("", "groups", "number of groups", false, defaults.groups, "N");
+    TCLAP::ValueArg<std::size_t> servers("", "servers", "number of servers of a group", false, defaults.servers, "N");
     TCLAP::ValueArg<std::size_t> callers("", "callers", "number of callers", false, defaults.callers, "N");
     TCLAP::ValueArg<int> seconds("", "seconds", "time in which faults are injected", false, 15, "S");
     TCLAP::ValueArg<std::size_t> restores(
         "", "store-restores", "times that the store comes back from a copy", false, defaults.storeRestores, "N");
     TCLAP::ValueArg<std::size_t> routes(
         "", "unused-routes", "routes that no caller uses", false, defaults.unusedRoutes, "N");
+    TCLAP::SwitchArg groupFaults("", "group-faults",
+        "only sequences of faults after which a replica without acknowledged commits could be promoted");
     std::vector<std::string> oddKinds { "none", "blanks", "all" };
     TCLAP::ValuesConstraint<std::string> oddConstraint(oddKinds);
     TCLAP::ValueArg<std::string> oddData(
@@ -72,8 +75,9 @@
         "", "cuts", "share of the answers that endpoints with this fault cut off", false, 0, "SHARE");
     TCLAP::ValueArg<int> pause("", "caller-pause-ms", "longest time between two operations of a caller", false,
         static_cast<int>(defaults.habits.longestPause.count()), "MS");
-    for (TCLAP::Arg* argument : std::initializer_list<TCLAP::Arg*> { &program, &former, &folder, &seed, &seeds,
-             &daemons, &groups, &callers, &seconds, &restores, &routes, &oddData, &repeats, &cuts, &pause })
+    for (TCLAP::Arg* argument :
+        std::initializer_list<TCLAP::Arg*> { &program, &former, &folder, &seed, &seeds, &daemons, &groups, &servers,
+            &groupFaults, &callers, &seconds, &restores, &routes, &oddData, &repeats, &cuts, &pause })
         commandLine.add(argument);
     commandLine.parse(argc, argv);
     try {
@@ -86,6 +90,8 @@
             settings.seed = seed.getValue() + number;
             settings.daemons = daemons.getValue();
             settings.groups = groups.getValue();
+            settings.servers = servers.getValue();
+            settings.hasGroupFaults = groupFaults.getValue();
             settings.callers = callers.getValue();
             settings.faultTime = std::chrono::seconds(seconds.getValue());
             settings.storeRestores = restores.getValue();
--- a/tests/soak/TestPromiseChecker.cpp
+++ b/tests/soak/TestPromiseChecker.cpp
@@ -341,3 +341,27 @@
     fixture.checker.noteRun("q2", makeRun("READ i1", 50));
     cr_assert(fixture.checker.violations().empty());
 }
+
+// Planted: a commit that an endpoint acknowledged, whose caller never heard of it, is missing from two promoted logs.
+Test(PromiseChecker, findsALostCommitOfAnEndpointOnce)
+{
+    Fixture fixture;
+    fixture.checker.noteCommitAsked({ "w2" });
+    fixture.checker.noteCommitted(group, 2, { "w2" });
+    fixture.checker.noteAcknowledged(group, a, { "w2" });
+    fixture.checker.checkLog(group, "promotion", fixture.log);
+    fixture.checker.checkLog(group, "second promotion", fixture.log);
+    cr_assert(fixture.found("lost_commit"));
+}
+
+// Guards against a soak that destroys the only log with an acknowledged commit, which no daemon could make up for.
+Test(PromiseChecker, tellsWhetherLogsCoverAcknowledgedCommits)
+{
+    Fixture fixture;
+    const std::vector<LogEntry> shorter;
+    cr_assert(fixture.checker.coversAcknowledged(group, { &shorter }));
+    fixture.checker.noteAcknowledged(group, a, { "w1" });
+    cr_assert(fixture.checker.coversAcknowledged(group, { &shorter, &fixture.log }));
+    cr_assert_not(fixture.checker.coversAcknowledged(group, { &shorter }));
+    cr_assert(fixture.checker.coversAcknowledged(GroupId("other"), {}));
+}
