--- a/scripts/make_days.sh
+++ b/scripts/make_days.sh
@@ -106,3 +106,55 @@
 write_day platform-down-meet faults 'kind = "platform_down", share = 0.35, for_s = 9.0, how = "nodes busy revoke meet"'
 write_day roll-term-remove plan 'kind = "roll_term", share = 0.2, x = 1.0, gap_s = 1.5, how = "remove"'
 write_day roll-term-leader plan 'kind = "roll_term", share = 0.3, x = 1.0, gap_s = 1.5, how = "leader"'
+
+# seconds TENTHS: prints a time of a day.
+seconds()
+{
+    printf '%d.%d' $(($1 / 10)) $(($1 % 10))
+}
+
+# write_takeover_day NAME DARK SUCCESSOR [AT ENTRY]...: a replica receives nothing for 6 s; the primary goes dark DARK
+# tenths of a second later; the server that takes over goes dark SUCCESSOR tenths after that (0: it stays). Each ENTRY comes
+# AT tenths after the replica's fault. All of it comes twice. The moment of the takeover varies: the successor's fault
+# stands several times, and those that find no primary do nothing.
+write_takeover_day()
+{
+    local name=$1 dark=$2 successor=$3 faults="" round at
+    local deaf='kind = "replica_lag", x = 60.0, for_s = 6.0, count = 1, how = "deaf", service = "@s0"'
+    local loss='kind = "srv_crash", how = "dark primary", for_s = 7.0, service = "@s0"'
+    shift 3
+    for round in 30 230; do
+        faults+="  { at = $(seconds "$round"), $deaf },"$'\n'
+        faults+="  { at = $(seconds $((round + dark))), $loss },"$'\n'
+        if [ "$successor" != 0 ]; then
+            for ((at = round + dark + successor; at < round + dark + successor + 6; ++at)); do
+                faults+="  { at = $(seconds "$at"), $loss },"$'\n'
+            done
+        fi
+        local entries=("$@")
+        while [ "${#entries[@]}" -gt 0 ]; do
+            faults+="  { at = $(seconds $((round + entries[0]))), ${entries[1]} },"$'\n'
+            entries=("${entries[@]:2}")
+        done
+    done
+    {
+        printf '[[day]]\nname = "%s"\nslot = "trouble"\nseed = %d\n' "$name" "$(printf '%s' "$name" | cksum | cut -d' ' -f1)"
+        printf 'length_s = 42.0\nplan = [\n]\nfaults = [\n%s]\n' "$faults"
+    } > "$directory/$name.toml"
+}
+
+kill_one='kind = "node_kill", on = "core", count = 1, how = "leader"'
+kill_some='kind = "herd_kill", share = 0.55'
+kill_all='kind = "herd_kill", share = 1.0, for_s = 1.0'
+write_takeover_day takeover-dark-early 10 0
+write_takeover_day takeover-dark 30 0
+write_takeover_day takeover-dark-late 45 0
+write_takeover_day takeover-successor 30 10
+write_takeover_day takeover-successor-late 20 25
+write_takeover_day takeover-kill-one-before 30 10 15 "$kill_one"
+write_takeover_day takeover-kill-one 30 24 50 "$kill_one"
+write_takeover_day takeover-kill-some-before 25 12 12 "$kill_some"
+write_takeover_day takeover-kill-some 25 26 46 "$kill_some"
+write_takeover_day takeover-kill-all-before 35 15 5 "$kill_all"
+write_takeover_day takeover-kill-all 20 30 40 "$kill_all"
+write_takeover_day takeover-kill-each 30 26 10 "$kill_some" 40 "$kill_one" 65 "$kill_all"
