--- a/src/failover/GroupPromotionHolders.cpp
+++ b/src/failover/GroupPromotionHolders.cpp
@@ -28,8 +28,8 @@
         return false;
     return std::any_of(members_.begin(), members_.end(), [&](const PromotionMember& member) {
         // Under its own id, an endpoint that starts again holds nothing of before.
-        const bool isSuccessor
-            = member.address == holder.address && member.id != holder.id && member.startedAt > holder.startedAt;
+        const bool isSuccessor = member.address == holder.address && member.id != holder.id
+            && member.startedAt > holder.startedAt && member.joinedWithoutPrimary;
         const auto position = compared.find(member.id);
         return isSuccessor && position != compared.end() && position->second >= confirmedPosition_;
     });
