--- a/include/almondlever/failover/GroupPromotion.h
+++ b/include/almondlever/failover/GroupPromotion.h
@@ -255,6 +255,9 @@
     /** The listed primary answered as a replica and is not known to have led: continues by pausing it and the others.
      */
     Orders onOutdatedRole(TimePoint now);
+    bool isListedPrimary(const EndpointId&) const;
+    /** The listed primary answered a query as a replica: its log is paused and compared like the others. */
+    Orders onListedPrimaryIsReplica(const EndpointId&, const EndpointReplicationStatus&, TimePoint now);
     /** Continues without the old primary's consent, by pausing replicas. */
     Orders onStepDownFailed(StepDownResult, TimePoint now);
     Orders awaitLastEntries(TimePoint now);
--- a/include/almondlever/groups/EndpointDirectory.h
+++ b/include/almondlever/groups/EndpointDirectory.h
@@ -84,6 +84,8 @@
         Term provenTerm = 0;
         /** Value of evidenceCount_ at the latest proof. */
         std::uint64_t provenAt = 0;
+        /** Value of evidenceCount_ when another endpoint last announced that it leads. */
+        std::uint64_t otherAnnouncedAt = 0;
         Term newestTerm = 0;
     };
 
--- a/src/failover/GroupPromotion.cpp
+++ b/src/failover/GroupPromotion.cpp
@@ -95,6 +95,8 @@
     if (phase_ == Phase::Resuming) {
         if (status && kind == Order::Kind::Resume)
             unconfirmedResumes_.erase(endpoint);
+        if (status && kind == Order::Kind::Pause && unconfirmedResumes_.count(endpoint) > 0)
+            unansweredPauses_.erase(endpoint);
         return onTick(now);
     }
     if (!status) {
@@ -122,6 +124,8 @@
         return fail("a newer term than that of the pause was found", now);
     }
     pauseTerm_ = std::max(pauseTerm_, status->term + 1);
+    if (!status->isPrimary && kind == Order::Kind::QueryStatus && isListedPrimary(endpoint))
+        return onListedPrimaryIsReplica(endpoint, *status, now);
     if (status->isPrimary && phase_ == Phase::QueryingStatus) {
         // The endpoints' own status is newer than the list of members.
         for (PromotionMember& member : members_)
@@ -414,6 +418,27 @@
     return queryReplicas(now);
 }
 
+bool GroupPromotion::isListedPrimary(const EndpointId& endpoint) const
+{
+    return primary() && primary()->id == endpoint && (phase_ == Phase::QueryingStatus || phase_ == Phase::Fencing);
+}
+
+GroupPromotion::Orders GroupPromotion::onListedPrimaryIsReplica(
+    const EndpointId& endpoint, const EndpointReplicationStatus& status, TimePoint now)
+{
+    for (PromotionMember& member : members_)
+        member.isPrimary = false;
+    reportedPositions_[endpoint] = status.received;
+    Orders orders;
+    if (phase_ == Phase::Fencing) {
+        unansweredPauses_.insert(endpoint);
+        orders.push_back({ Order::Kind::Pause, endpoint, pauseTerm_ });
+    }
+    const Orders due = onTick(now);
+    orders.insert(orders.end(), due.begin(), due.end());
+    return orders;
+}
+
 GroupPromotion::Orders GroupPromotion::onOutdatedRole(TimePoint now)
 {
     // Another endpoint may have led since and is not listed. The former primary's log counts like any other.
--- a/src/front/LogHolderKeeper.cpp
+++ b/src/front/LogHolderKeeper.cpp
@@ -369,8 +369,8 @@
     transaction.puts.push_back({ item.key, item.value, {} });
     logInfo("log_holders_write",
         { { "group", group.text() }, { "reason", reason }, { "holders", toText(holders.all()) },
-            { "record", item.value },
-            { "group_size", std::to_string(holders.groupSize()) }, { "expected", std::to_string(record.revision) } });
+            { "record", item.value }, { "group_size", std::to_string(holders.groupSize()) },
+            { "expected", std::to_string(record.revision) } });
     store_.transact(transaction,
         [this, group, item, alive = std::weak_ptr<int>(alive_)](const StoreResult<std::uint64_t>& result) mutable {
             if (alive.expired())
--- a/src/front/PromotionChange.h
+++ b/src/front/PromotionChange.h
@@ -25,6 +25,8 @@
     /** First failure of those reads; empty if there was none. */
     std::string readFailure;
     std::optional<LogHolders> logHolders;
+    /** An earlier change was unfinished when the record was read, before the claim opened it anew. */
+    bool wasOpen = false;
     /** The leader after the last finished change, if its record names one. */
     std::optional<RecordedLeader> recordedLeader;
     /** Time of the latest promote call. */
--- a/src/front/PromotionDriver.cpp
+++ b/src/front/PromotionDriver.cpp
@@ -250,6 +250,7 @@
                 isChangeOpen = item.value == storeKeys::changeOpen;
                 changes_.at(group)->recordedLeader = RecordedLeader::decode(item.value);
             }
+            changes_.at(group)->wasOpen = isChangeOpen;
             if (page && (!isChangeOpen || wasKnownOpen))
                 return changes_.at(group)->claim.acquire(++attempts_, revision,
                     [this, group](const StoreResult<std::uint64_t>& result) { onClaimed(group, result); });
@@ -332,7 +333,8 @@
     groupStates_[group].notBefore = timers_.now() + settings_.retryPause;
     // Acquiring the claim marked the change record as open; it stays open if an earlier change is unfinished.
     const Change& change = *changes_.at(group);
-    changes_.at(group)->claim.release(!groupStates_[group].isChangeOpen, change.recordedLeader);
+    groupStates_[group].isChangeOpen = change.wasOpen;
+    changes_.at(group)->claim.release(!change.wasOpen, change.recordedLeader);
     // The claim must not be destroyed in its own callback.
     timers_.callAfter(Duration(0), [this, group, alive = std::weak_ptr<int>(alive_)](TimePoint) {
         if (!alive.expired())
@@ -344,7 +346,10 @@
 {
     const TimePoint now = timers_.now();
     Change& change = *changes_.at(group);
-    const std::optional<PromotionReason> reason = reasonFor(group, groupStates_[group], now);
+    // The store may have shown the record that this daemon's claim has opened.
+    GroupState state = groupStates_[group];
+    state.isChangeOpen = change.wasOpen;
+    const std::optional<PromotionReason> reason = reasonFor(group, state, now);
     if (!reason && change.reason != PromotionReason::Recovery)
         return releaseClaim(group, "reason_gone", "");
     std::vector<PromotionMember> members = membersOf(group);
--- a/src/groups/EndpointDirectory.cpp
+++ b/src/groups/EndpointDirectory.cpp
@@ -70,6 +70,9 @@
     } else if (listed.primarySinceRevision == 0) {
         listed.primarySinceRevision = entry.revision;
         listed.announcedAt = ++evidenceCount_;
+        Leadership& leadership = leadership_[entry.group];
+        if (leadership.proven != entry.id)
+            leadership.otherAnnouncedAt = listed.announcedAt;
     }
     if (!entry.isLeaving)
         listed.leavingSince.reset();
@@ -236,6 +239,8 @@
     if (found == leadership_.end() || found->second.proven != id || id.isEmpty())
         return std::nullopt;
     const Leadership& leadership = found->second;
+    if (leadership.otherAnnouncedAt > leadership.provenAt)
+        return std::nullopt;
     return leadership.provenTerm == leadership.newestTerm ? std::optional<Term>(leadership.provenTerm) : std::nullopt;
 }
 
