Model the record of log holders in Promela

The design counts over a record of holders in the platform's store; its rules for removing a holder are easy to get wrong by reading.

Holders are incarnations; entries lapse and return whether the server runs or not; a decider knows only the record and the list.

Conclusion: the design as written loses commits in Spin: the primary must be asked after the replacement was listed, the size compared with listed ids that stay, the record and the list read after the pauses, and evidence voided when the holder comes back. A server cut off from the store only is removed when another one joins by enlargement (ENLARGE); a removal that needs proof that the holder does not run closes this and makes the size unnecessary.

--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -61,4 +61,28 @@
   check GroupPromotion found UNREACHED RETURNS KEEP_PAUSES "$broken"
 done
 check GroupPromotion found UNREACHED RETURNS KEEP_PAUSES THREE_DECIDERS CRASHES=0 PAUSE_IN_OLD_TERM
+check LogHolders holds
+check LogHolders holds CRASHES=1
+check LogHolders holds CREATE
+check LogHolders holds LEAVES
+check LogHolders holds INCARNATIONS=5 LAPSES=1
+check LogHolders holds WRITES=2 TWO_DECIDERS LAPSES=1
+check LogHolders holds ENLARGE PROVE_GONE CRASHES=1
+check LogHolders holds LEAVES LAPSE_WHILE_LEAVING PROVE_GONE
+check LogHolders holds ENLARGE LEAVES LAPSE_WHILE_LEAVING SHRINK_ON_LAPSE PROVE_GONE
+for broken in COUNT_LISTED POSITION_IN_MEMORY SHRINK_ON_LAPSE SHRINK_WITHOUT_EVIDENCE COUNT_EMPTY_RESTART \
+  EVIDENCE_BEFORE_REPLACEMENT COUNT_INCARNATIONS SKIP_REFUSED ONE_FEWER NEED_ALL PROMOTES; do
+  check LogHolders found "$broken"
+done
+check LogHolders found CREATE CREATE_FROM_LIST
+check LogHolders found LEAVES COUNT_LEAVING
+check LogHolders found ENLARGE PROVE_GONE READ_BEFORE_PAUSES
+check LogHolders found ENLARGE PROVE_GONE CRASHES=1 IGNORE_RETURN
+# Known holes.
+check LogHolders found ENLARGE
+check LogHolders found LEAVES LAPSE_WHILE_LEAVING
+check LogHolders found LAPSE_BEFORE_RECORD
+check LogHolders found ENLARGE PROVE_GONE RECEIVE_BEFORE_LISTED
+check LogHolders found CREATE LAPSE_AT_CREATION
+check LogHolders found STALE_START
 exit $((failures > 0))
