--- a/src/failover/GroupPromotion.cpp
+++ b/src/failover/GroupPromotion.cpp
@@ -4,6 +4,15 @@
 
 namespace almondlever {
 
+namespace {
+
+    bool isSubset(const std::set<EndpointId>& part, const std::set<EndpointId>& whole)
+    {
+        return std::includes(whole.begin(), whole.end(), part.begin(), part.end());
+    }
+
+} // namespace
+
 const char* toText(PromotionReason reason)
 {
     switch (reason) {
@@ -43,58 +52,9 @@
     return found == members_.end() ? nullptr : &*found;
 }
 
-std::size_t GroupPromotion::requiredLogs() const
-{
-    const std::size_t holders = members_.size() + (missingHolders_ ? missingHolders_->size() : 0);
-    // Without synchronous replicas no number of logs is safe; all but the primary's lose the least.
-    const std::size_t copies = std::max<std::size_t>(synchronousReplicas_, 1);
-    return holders > copies ? holders - copies : 1;
-}
-
-bool GroupPromotion::hasEnoughLogs(const std::map<EndpointId, LogPosition>& compared) const
-{
-    if (!missingHolders_)
-        return false;
-    const auto successors = std::count_if(missingHolders_->begin(), missingHolders_->end(),
-        [&](const LogHolder& holder) { return isComparedAsSuccessor(holder, compared); });
-    return compared.size() + static_cast<std::size_t>(successors) >= requiredLogs();
-}
-
-bool GroupPromotion::isComparedAsSuccessor(
-    const LogHolder& holder, const std::map<EndpointId, LogPosition>& compared) const
-{
-    if (!holder.isPrimary || holder.address.empty())
-        return false;
-    return std::any_of(members_.begin(), members_.end(), [&](const PromotionMember& member) {
-        // Under its own id, an endpoint that starts again holds nothing of before.
-        const bool isSuccessor
-            = member.address == holder.address && member.id != holder.id && member.startedAt > holder.startedAt;
-        const auto position = compared.find(member.id);
-        return isSuccessor && position != compared.end() && position->second >= confirmedPosition_;
-    });
-}
-
-std::size_t GroupPromotion::comparedLogs() const
-{
-    return members_.size() + (missingHolders_ ? missingHolders_->size() : 0) - unseenHolders().size();
-}
-
-std::vector<EndpointId> GroupPromotion::unseenHolders() const
-{
-    std::vector<EndpointId> unseen;
-    for (const PromotionMember& member : members_) {
-        if (pausedPositions_.count(member.id) == 0)
-            unseen.push_back(member.id);
-    }
-    for (const LogHolder& holder : missingHolders_.value_or(std::vector<LogHolder>())) {
-        if (!isComparedAsSuccessor(holder, pausedPositions_))
-            unseen.push_back(holder.id);
-    }
-    return unseen;
-}
-
 GroupPromotion::Orders GroupPromotion::start(TimePoint now, bool hasRelay)
 {
+    startedAt_ = now;
     enter(Phase::QueryingStatus, now);
     if (members_.empty())
         return fail("the group has no endpoints", now);
@@ -135,15 +95,21 @@
     if (phase_ == Phase::Resuming) {
         if (status && kind == Order::Kind::Resume)
             unconfirmedResumes_.erase(endpoint);
+        if (status && kind == Order::Kind::Pause && unconfirmedResumes_.count(endpoint) > 0)
+            unansweredPauses_.erase(endpoint);
         return onTick(now);
     }
     if (!status) {
         unreachable_.insert(endpoint);
+        if (kind == Order::Kind::Pause && confirmedPauses_.count(endpoint) == 0)
+            unansweredPauses_.insert(endpoint);
         return onTick(now);
     }
     unreachable_.erase(endpoint);
-    if (kind == Order::Kind::Pause)
+    if (kind == Order::Kind::Pause) {
         confirmedPauses_.insert(endpoint);
+        unansweredPauses_.erase(endpoint);
+    }
     const bool isPromoteSent = phase_ == Phase::Promoting || phase_ == Phase::Confirming;
     if (isPromoteSent && kind == Order::Kind::Pause) {
         recordRepeatedPause(endpoint, *status);
@@ -158,6 +124,8 @@
         return fail("a newer term than that of the pause was found", now);
     }
     pauseTerm_ = std::max(pauseTerm_, status->term + 1);
+    if (!status->isPrimary && kind == Order::Kind::QueryStatus && isListedPrimary(endpoint))
+        return onListedPrimaryIsReplica(endpoint, *status, now);
     if (status->isPrimary && phase_ == Phase::QueryingStatus) {
         // The endpoints' own status is newer than the list of members.
         for (PromotionMember& member : members_)
@@ -230,21 +198,12 @@
     case Phase::Promoting:
         if (isPromoteCallPending_ || now - lastOrder_ < settings_.promoteRetryInterval)
             return ordersToRepeatPauses(now);
-        if (elapsed > settings_.confirmTimeout) {
-            needsRecovery_ = true;
-            failure_ = "the platform did not answer";
-            phase_ = Phase::Finished;
-            return {};
-        }
-        isPromoteCallPending_ = true;
-        return { { Order::Kind::Promote, chosen_, 0 } };
+        if (elapsed > settings_.confirmTimeout)
+            return leaveToRecovery("the platform did not answer");
+        return repeatCall(now);
     case Phase::Confirming:
-        if (elapsed > confirmLimit()) {
-            needsRecovery_ = true;
-            failure_ = "the chosen endpoint does not lead";
-            phase_ = Phase::Finished;
-            return {};
-        }
+        if (elapsed > confirmLimit())
+            return leaveToRecovery("the chosen endpoint does not lead");
         {
             Orders orders = ordersToRepeatPauses(now);
             if (now - lastOrder_ >= settings_.statusInterval) {
@@ -258,6 +217,10 @@
             phase_ = Phase::Finished;
             return {};
         }
+        if (elapsed > settings_.unansweredResumeTime && isSubset(unconfirmedResumes_, unansweredPauses_)) {
+            phase_ = Phase::Finished;
+            return {};
+        }
         if (elapsed > settings_.resumeTimeout) {
             needsRecovery_ = true;
             phase_ = Phase::Finished;
@@ -273,6 +236,26 @@
     return {};
 }
 
+GroupPromotion::Orders GroupPromotion::repeatCall(TimePoint now)
+{
+    // Another endpoint may have led since, through a call of an unfinished change that was carried out late.
+    if (confirmsPrimary())
+        return now - startedAt_ > settings_.confirmTimeout ? leaveToRecovery("the platform did not answer")
+                                                           : queryAll(now);
+    if (isChosenByCount_ && (wasPauseBroken_ || !isChoiceComplete()))
+        return leaveToRecovery("a compared replica received commits or started again");
+    isPromoteCallPending_ = true;
+    return { { Order::Kind::Promote, chosen_, 0 } };
+}
+
+GroupPromotion::Orders GroupPromotion::leaveToRecovery(const std::string& reason)
+{
+    needsRecovery_ = true;
+    failure_ = reason;
+    phase_ = Phase::Finished;
+    return {};
+}
+
 Duration GroupPromotion::confirmLimit() const
 {
     // The group has no primary, or its replicas may be paused: a recovery that tries another endpoint is sooner done.
@@ -295,8 +278,11 @@
     }
     Orders orders;
     for (const PromotionMember& member : members_) {
-        if (!member.isPrimary && member.id != chosen_)
-            orders.push_back({ Order::Kind::Pause, member.id, pauseTerm_ });
+        if (member.isPrimary || member.id == chosen_)
+            continue;
+        orders.push_back({ Order::Kind::Pause, member.id, pauseTerm_ });
+        if (confirmedPauses_.count(member.id) == 0)
+            unansweredPauses_.insert(member.id);
     }
     if (orders.empty())
         return tryChooseReplica(now);
@@ -432,6 +418,27 @@
     return queryReplicas(now);
 }
 
+bool GroupPromotion::isListedPrimary(const EndpointId& endpoint) const
+{
+    return primary() && primary()->id == endpoint && (phase_ == Phase::QueryingStatus || phase_ == Phase::Fencing);
+}
+
+GroupPromotion::Orders GroupPromotion::onListedPrimaryIsReplica(
+    const EndpointId& endpoint, const EndpointReplicationStatus& status, TimePoint now)
+{
+    for (PromotionMember& member : members_)
+        member.isPrimary = false;
+    reportedPositions_[endpoint] = status.received;
+    Orders orders;
+    if (phase_ == Phase::Fencing) {
+        unansweredPauses_.insert(endpoint);
+        orders.push_back({ Order::Kind::Pause, endpoint, pauseTerm_ });
+    }
+    const Orders due = onTick(now);
+    orders.insert(orders.end(), due.begin(), due.end());
+    return orders;
+}
+
 GroupPromotion::Orders GroupPromotion::onOutdatedRole(TimePoint now)
 {
     // Another endpoint may have led since and is not listed. The former primary's log counts like any other.
@@ -501,6 +508,8 @@
 
 GroupPromotion::Orders GroupPromotion::returnToOldPrimary(TimePoint now)
 {
+    if (!primary())
+        return leaveToRecovery("the old primary has started again without its log");
     failure_ = "no replica holds everything that the old primary holds";
     chosen_ = primary()->id;
     return promote(now);
@@ -509,74 +518,14 @@
 GroupPromotion::Orders GroupPromotion::chooseAnother(TimePoint now)
 {
     refused_.insert(chosen_);
-    const bool wasOldPrimary = chosen_ == primary()->id;
+    const bool wasOldPrimary = primary() && chosen_ == primary()->id;
     chosen_ = EndpointId();
-    if (wasOldPrimary) {
-        needsRecovery_ = true;
-        failure_ = "the platform refused the promotion";
-        phase_ = Phase::Finished;
-        return {};
-    }
+    if (wasOldPrimary)
+        return leaveToRecovery("the platform refused the promotion");
     enter(Phase::AwaitingLastEntries, now);
     return queryReplicas(now);
 }
 
-GroupPromotion::Orders GroupPromotion::onMembers(const std::vector<PromotionMember>& members)
-{
-    Orders orders;
-    for (const PromotionMember& member : members) {
-        if (isFinished() || phase_ == Phase::Resuming)
-            break;
-        const auto known = std::find_if(members_.begin(), members_.end(),
-            [&member](const PromotionMember& candidate) { return candidate.id == member.id; });
-        if (known != members_.end() && known->startedAt == member.startedAt)
-            continue;
-        if (known != members_.end())
-            forgetRun(*known, member.startedAt);
-        else
-            members_.push_back({ member.id, false, member.isLeaving, member.startedAt, member.address });
-        noteListed(member);
-        const bool areReplicasPaused = !steppedDownPosition_
-            && (phase_ == Phase::Fencing || phase_ == Phase::CatchingUp || phase_ == Phase::Promoting
-                || phase_ == Phase::Confirming);
-        if (areReplicasPaused)
-            orders.push_back({ Order::Kind::Pause, member.id, pauseTerm_ });
-        else
-            orders.push_back({ Order::Kind::QueryStatus, member.id, 0 });
-        if (areReplicasPaused)
-            handOverPosition_.reset();
-    }
-    return isFinished() ? Orders() : orders;
-}
-
-void GroupPromotion::noteListed(const PromotionMember& member)
-{
-    if (!missingHolders_)
-        return;
-    missingHolders_->erase(
-        std::remove_if(missingHolders_->begin(), missingHolders_->end(),
-            [&](const LogHolder& holder) { return holder.id == member.id && holder.startedAt == member.startedAt; }),
-        missingHolders_->end());
-}
-
-void GroupPromotion::forgetRun(PromotionMember& member, Milliseconds startedAt)
-{
-    if (missingHolders_)
-        missingHolders_->push_back({ member.id, member.startedAt, {}, false, member.isLeaving });
-    member.startedAt = startedAt;
-    member.isPrimary = false;
-    pausedPositions_.erase(member.id);
-    reportedPositions_.erase(member.id);
-    unreachable_.erase(member.id);
-    if (member.id != chosen_)
-        return;
-    // The platform names endpoints by their id, so that the call may promote the empty log: only a call with a newer
-    // fencing token prevents it.
-    needsRecovery_ = true;
-    failure_ = "the chosen endpoint started again without its log";
-    phase_ = Phase::Finished;
-}
-
 GroupPromotion::Orders GroupPromotion::promote(TimePoint now)
 {
     enter(Phase::Promoting, now);
@@ -643,10 +592,7 @@
         return chooseAnother(now);
     if (answer == PromotionResult::Refused) {
         // Replicas stay paused until a recovery resumes them: a call with a newer fencing token may be in progress.
-        needsRecovery_ = true;
-        failure_ = "the platform refused the promotion";
-        phase_ = Phase::Finished;
-        return {};
+        return leaveToRecovery("the platform refused the promotion");
     }
     lastOrder_ = now;
     return {};
@@ -675,7 +621,8 @@
 {
     enter(Phase::Resuming, now);
     for (const PromotionMember& member : members_) {
-        const bool mayBePaused = reason_ == PromotionReason::Recovery || confirmedPauses_.count(member.id) > 0;
+        const bool mayBePaused = reason_ == PromotionReason::Recovery || confirmedPauses_.count(member.id) > 0
+            || unansweredPauses_.count(member.id) > 0;
         // A primary was not paused, or it failed and does not answer.
         if (member.id != chosen_ && !member.isPrimary && mayBePaused)
             unconfirmedResumes_.insert(member.id);
