--- a/include/almondlever/failover/LogHolders.h
+++ b/include/almondlever/failover/LogHolders.h
@@ -21,7 +21,7 @@
     bool isPrimary = false;
     /** It has announced that it leaves the group. */
     bool isLeaving = false;
-    /** It was first listed while no endpoint was listed as the primary, so that it can have copied no log since then.
+    /** It was first listed while no endpoint was listed as the primary, so that it has copied no log since its start.
      */
     bool joinedWithoutPrimary = false;
 
--- a/src/front/LogHolderKeeper.cpp
+++ b/src/front/LogHolderKeeper.cpp
@@ -65,7 +65,10 @@
     /** Since when more endpoints are listed than the group size says. */
     std::optional<TimePoint> largerSince;
     TimePoint checkedAt {};
+    /** After a failure of the store. */
     TimePoint notBefore {};
+    /** After a confirmation that failed. */
+    TimePoint confirmNotBefore {};
 };
 
 LogHolderKeeper::LogHolderKeeper(EndpointDirectory& directory, StatementDispatcher& dispatcher, MetadataStore& store,
@@ -96,13 +99,14 @@
     if (!decoded)
         return logWarning("log_holders_rejected",
             { { "group", group.text() }, { "revision", std::to_string(item.revision) }, { "value", item.value } });
+    const bool isOfNewEra = storeEra::eraOf(item.revision) > storeEra::eraOf(record.knownRevision);
     // A copy from which the store was restored may lack holders that were added since.
-    if (record.known && storeEra::eraOf(item.revision) > storeEra::eraOf(record.knownRevision))
+    if (record.known && isOfNewEra)
         decoded->addAll(*record.known);
-    record.knownRevision = item.revision;
-    // The store shows its present state, so that nothing has to be read again after a restore.
-    if (storeEra::eraOf(item.revision) > storeEra::eraOf(record.knownRevision))
+    // The store has shown its present state, so that nothing has to be read again after the restore.
+    if (isOfNewEra)
         record.mustReload = false;
+    record.knownRevision = item.revision;
     std::set<EndpointId> ids;
     for (const LogHolder& holder : decoded->all())
         ids.insert(holder.id);
@@ -148,6 +152,10 @@
 void LogHolderKeeper::onTick(const GroupId& group, std::size_t synchronousReplicas, std::size_t rank, TimePoint now)
 {
     GroupRecord& record = records_[group];
+    // A new holder is recorded at once, also while the removal of another one is being confirmed.
+    if (record.confirmation && record.known
+        && wanted(record, listed(group), synchronousReplicas, now).encode() != record.stored)
+        record.confirmation.reset();
     if (record.confirmation) {
         Confirmation& confirmation = *record.confirmation;
         if (now - confirmation.startedAt >= settings_.confirmTimeout)
@@ -180,6 +188,8 @@
         return reload(group);
     if (mustWrite)
         return write(group, target, "endpoints");
+    if (now < record.confirmNotBefore)
+        return;
     if (record.known || now - record.listedSince >= settings_.creationDelay)
         confirm(group, candidates, synchronousReplicas, now);
 }
@@ -193,7 +203,7 @@
         record.listed = std::move(ids);
         record.listedSince = now;
         record.failures = 0;
-        record.notBefore = now;
+        record.confirmNotBefore = now;
     }
     std::map<EndpointId, TimePoint> missing;
     for (const LogHolder& holder : record.known ? record.known->missingFrom(entries) : std::vector<LogHolder>())
@@ -361,12 +371,12 @@
                 { "candidates", toText(ended->candidates) }, { "detail", failure } });
         // Each confirmation asks every replica several times.
         const Duration pause = settings_.retryPause * (1 << std::min(record.failures++, 5));
-        record.notBefore = now + std::min<Duration>(pause, settings_.longestRetryPause);
+        record.confirmNotBefore = now + std::min<Duration>(pause, settings_.longestRetryPause);
         return;
     }
     const std::vector<EndpointEntry> entries = listed(group);
     if (!isStillListed(*ended)) {
-        record.notBefore = now + settings_.retryPause;
+        record.confirmNotBefore = now + settings_.retryPause;
         return;
     }
     record.failures = 0;
--- a/tests/front/TestLogHolderKeeper.cpp
+++ b/tests/front/TestLogHolderKeeper.cpp
@@ -240,3 +240,40 @@
     cr_assert_eq(fixture.record().groupSize(), 3U);
     cr_assert_eq(fixture.record().all().size(), 3U);
 }
+
+// Guards against a holder that is recorded late because the removal of another one cannot be confirmed: it may be the
+// only other copy of a commit by then.
+Test(LogHolderKeeper, recordsAJoiningEndpointWhileARemovalIsNotConfirmed)
+{
+    Fixture fixture;
+    fixture.run(Milliseconds(4000));
+    fixture.endpoints.server(fixture.a).position = { 1, 120 };
+    EndpointEntry restarted = fixture.entryOf(fixture.b);
+    restarted.startedAt = Milliseconds(9);
+    fixture.directory.update(restarted, fixture.timers.now());
+    // No replica reaches 120, so that confirmations of the removal of b's former run fail with longer and longer
+    // pauses.
+    fixture.run(Milliseconds(60000));
+    cr_assert_eq(fixture.record().all().size(), 4U);
+    fixture.directory.update(fixture.entryOf(fixture.d), fixture.timers.now());
+    fixture.run(Milliseconds(500));
+    cr_assert_eq(fixture.record().all().size(), 5U);
+}
+
+// Guards against hundreds of status queries a second to replicas that cannot confirm.
+Test(LogHolderKeeper, failingConfirmationsBecomeRare)
+{
+    Fixture fixture;
+    fixture.endpoints.server(fixture.a).position = { 1, 120 };
+    fixture.run(Milliseconds(60000));
+    cr_assert_not(fixture.store.has(fixture.key));
+    const std::size_t before = fixture.endpoints.server(fixture.b).commands;
+    const Milliseconds period { 60000 };
+    fixture.run(period);
+    const std::size_t confirmations = static_cast<std::size_t>(period / LogHolderSettings().longestRetryPause) + 1;
+    const auto queries
+        = static_cast<std::size_t>(LogHolderSettings().confirmTimeout / LogHolderSettings().confirmInterval);
+    // Queries of positions by the dispatcher, every 300 ms, come in addition.
+    const auto positions = static_cast<std::size_t>(period / Milliseconds(300));
+    cr_assert_leq(fixture.endpoints.server(fixture.b).commands - before, confirmations * (queries + 1) + positions);
+}
