--- a/tests/front/TestPromotionQuorum.cpp
+++ b/tests/front/TestPromotionQuorum.cpp
@@ -143,8 +143,7 @@
     std::ifstream file(path);
     const std::string lines((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
     std::remove(path.c_str());
-    cr_expect(
-        lines.find("event=promotion_waits group=ledger required=2 missing=1 waits_for=a,b") != std::string::npos);
+    cr_expect(lines.find("event=promotion_waits group=ledger required=2 missing=1 waits_for=a,b") != std::string::npos);
     cr_expect_eq(fixture.missingLogs(), 1.0);
     const TimePoint sentAt = fixture.timers.now();
     cr_expect_not(fixture.write());
