Add failing tests of the review: late pauses, own change record, unproven leaders

Replaces the test of a lost answer to a pause, which failed in its premise, by one of an answer that comes after the attempt.

--- a/tests/failover/TestPromotionReview.cpp
+++ b/tests/failover/TestPromotionReview.cpp
@@ -103,3 +103,19 @@
     cr_assert(promotion.lacksLogs());
     cr_expect(has(orders, Kind::Resume, b));
 }
+
+// Guards against a group that cannot be served although enough logs can be compared: an endpoint that is listed as the
+// primary, and answers as a replica, has a log like any other.
+Test(GroupPromotion, recoveryComparesTheLogOfAFormerPrimary)
+{
+    auto promotion = makePromotion(PromotionReason::Recovery);
+    promotion.start(start);
+    promotion.onStatus(a, Kind::QueryStatus, replica(20), at(20));
+    promotion.onStatus(b, Kind::QueryStatus, std::nullopt, at(20));
+    const auto orders = promotion.onStatus(c, Kind::QueryStatus, replica(18), at(20));
+    cr_expect(has(orders, Kind::Pause, c));
+    cr_expect(has(orders, Kind::Pause, a));
+    promotion.onStatus(a, Kind::Pause, replica(20), at(40));
+    promotion.onStatus(b, Kind::Pause, std::nullopt, at(40));
+    cr_expect(has(promotion.onStatus(c, Kind::Pause, replica(18), at(40)), Kind::Promote, a));
+}
--- a/tests/front/TestLogHolderReview.cpp
+++ b/tests/front/TestLogHolderReview.cpp
@@ -41,8 +41,7 @@
     fixture.endpoints.crash(fixture.c);
     fixture.directory.update(fixture.entryOf(fixture.d), fixture.timers.now());
     fixture.run(Milliseconds(3600));
-    fixture.directory.lapse(
-        fixture.c, fixture.directory.find(fixture.c)->revision, fixture.timers.now());
+    fixture.directory.lapse(fixture.c, fixture.directory.find(fixture.c)->revision, fixture.timers.now());
     fixture.run(Milliseconds(60000));
     cr_expect_eq(fixture.record().groupSize(), 3U);
     cr_expect_eq(fixture.record().all().size(), 3U);
--- a/tests/promotion_quorum/TestPromotionReview.cpp
+++ b/tests/promotion_quorum/TestPromotionReview.cpp
@@ -39,8 +39,8 @@
 
 } // namespace
 
-// Guards against counting a server that copies the log of a later primary as the log of the former primary whose address
-// it has: the only log that holds a commit is out of reach.
+// Guards against counting a server that copies the log of a later primary as the log of the former primary whose
+// address it has: the only log that holds a commit is out of reach.
 Test(PromotionQuorum, partialCopyAtThePrimarysAddressIsNoSuccessor)
 {
     PromotionFixture fixture;
@@ -110,8 +110,8 @@
     cr_expect(fixture.promotions.incomplete.empty());
 }
 
-// Guards against restoring an older leader in the record of changes: another daemon changed the primary between the read
-// of the record and the claim. Afterwards the end of the former primary's log would again count as final.
+// Guards against restoring an older leader in the record of changes: another daemon changed the primary between the
+// read of the record and the claim. Afterwards the end of the former primary's log would again count as final.
 Test(PromotionQuorum, leaderOfALaterChangeIsNotOverwritten)
 {
     PromotionFixture fixture;
@@ -151,16 +151,17 @@
     cr_expect(fixture.promotions.incomplete.empty());
 }
 
-// Guards against a replica that stays paused because its answer to the order was late.
-Test(PromotionQuorum, replicaThatAnsweredThePauseLateIsResumed)
+// Guards against a replica that stays paused because its answer to the order came after the primary's had ended the
+// attempt.
+Test(PromotionQuorum, replicaThatAnswersThePauseAfterTheAttemptIsResumed)
 {
     PromotionFixture fixture;
     fixture.run(normalPeriod);
-    fixture.endpoints.server(fixture.b).distance = Milliseconds(600);
     fixture.endpoints.server(fixture.c).isSilent = true;
     fixture.makeUnreachable(fixture.a);
-    cr_assert(fixture.runUntil(
-        2 * promotionLimit, [&] { return fixture.endpoints.server(fixture.b).pausedIn != 0; }));
+    cr_assert(fixture.runUntil(promotionLimit, [&] { return !fixture.driver().isIdle(); }));
+    fixture.endpoints.server(fixture.b).distance = Milliseconds(600);
+    cr_assert(fixture.runUntil(promotionLimit, [&] { return fixture.endpoints.server(fixture.b).pausedIn != 0; }));
     fixture.endpoints.server(fixture.b).distance = Milliseconds(1);
     fixture.bringBack(fixture.c);
     fixture.bringBack(fixture.a);
@@ -168,6 +169,7 @@
     cr_expect(fixture.driver().isIdle());
     cr_expect(fixture.leads(fixture.a));
     cr_expect_eq(fixture.endpoints.server(fixture.b).pausedIn, 0U);
+    cr_expect_eq(fixture.endpoints.server(fixture.c).pausedIn, 0U);
 }
 
 // Guards against a replica that stays paused because it was not listed when the change that paused it was recovered.
@@ -194,8 +196,8 @@
     cr_expect_eq(fixture.endpoints.server(fixture.b).pausedIn, 0U);
 }
 
-// Guards against a daemon that goes on reporting missing logs, and refuses at once in the next change, because it ceased
-// to be an owner of the group before the primary was back.
+// Guards against a daemon that goes on reporting missing logs, and refuses at once in the next change, because it
+// ceased to be an owner of the group before the primary was back.
 Test(PromotionQuorum, daemonThatNoLongerOwnsTheGroupForgetsMissingLogs)
 {
     PromotionFixture fixture;
@@ -210,3 +212,61 @@
     fixture.run(observationPeriod);
     cr_expect_eq(fixture.missingLogs(), 0);
 }
+
+// Guards against replacing a primary that answers again, and against leaving the record of changes open: the change
+// record that this daemon opened with its claim reaches it before it has read the members, and is not an unfinished
+// change of another daemon.
+Test(PromotionQuorum, ownOpenRecordIsNoUnfinishedChange)
+{
+    PromotionFixture fixture;
+    ReviewRelay relay(fixture);
+    relay.reachable = fixture.a;
+    fixture.setRelay(&relay);
+    const std::string record = storeKeys::changes + "ledger";
+    fixture.run(normalPeriod);
+    fixture.store.delay = Milliseconds(300);
+    fixture.endpoints.server(fixture.a).isSilent = true;
+    cr_assert(fixture.runUntil(promotionLimit, [&] { return !fixture.driver().isIdle(); }));
+    cr_assert(fixture.runUntil(promotionLimit, [&] { return fixture.store.valueOf(record) == storeKeys::changeOpen; }));
+    fixture.driver().onChangeRecord(fixture.group, true, fixture.timers.now());
+    fixture.endpoints.server(fixture.a).isSilent = false;
+    cr_assert(fixture.write(), "a serves again");
+    cr_assert(fixture.runUntil(promotionLimit, [&] { return fixture.driver().isIdle(); }));
+    fixture.run(Milliseconds(1000));
+    cr_expect(fixture.leads(fixture.a));
+    cr_expect(fixture.promotions.promoted.empty());
+    cr_expect_neq(fixture.store.valueOf(record), storeKeys::changeOpen);
+}
+
+// A daemon of the former version makes b the primary, and records no leader; this daemon reaches neither b nor d.
+// Guards against taking an answer of the former primary from before that change as proof that it led until it stepped
+// down.
+Test(PromotionQuorum, earlierAnswerIsNoProofAfterAnotherEndpointHasLed)
+{
+    PromotionFixture fixture;
+    const EndpointId d("d");
+    const std::string record = storeKeys::changes + "ledger";
+    fixture.list(d);
+    ReviewRelay relay(fixture);
+    fixture.setRelay(&relay);
+    fixture.run(normalPeriod);
+    fixture.store.put(record, storeKeys::changeDone);
+    fixture.makeUnreachable(fixture.a);
+    fixture.endpoints.server(fixture.a).leads = false;
+    fixture.endpoints.server(fixture.b).isSilent = true;
+    fixture.endpoints.server(d).isSilent = true;
+    fixture.endpoints.server(fixture.b).leads = true;
+    fixture.endpoints.server(fixture.b).position.term = 2;
+    fixture.list(fixture.b);
+    fixture.run(PromotionFixture::removalTime);
+    fixture.acknowledge({ 2, 130 }, { fixture.b, d });
+    fixture.makeUnreachable(fixture.b);
+    fixture.makeUnreachable(d);
+    fixture.run(Milliseconds(1000));
+    cr_assert(fixture.promotions.promoted.empty());
+    fixture.listAs(fixture.a, true);
+    relay.reachable = fixture.a;
+    fixture.run(PromotionFixture::removalTime + observationPeriod);
+    cr_expect(fixture.promotions.promoted.empty(), "neither a nor c holds the commits of b");
+    cr_expect(fixture.promotions.incomplete.empty());
+}
