Add a failing test of the review: former runs of one endpoint count once

A group whose servers are all back stays without a primary on, because each former run of a restarted replica counts as a log that nobody has. No product code is changed.

--- a/tests/promotion_quorum/TestPromotionReview.cpp
+++ b/tests/promotion_quorum/TestPromotionReview.cpp
@@ -270,3 +270,21 @@
     cr_expect(fixture.promotions.promoted.empty(), "neither a nor c holds the commits of b");
     cr_expect(fixture.promotions.incomplete.empty());
 }
+
+// Guards against a group that stays without a primary although every server is back: runs of one endpoint never exist
+// at the same time, so that a commit is in the log of at most one of them, and in that of another endpoint.
+Test(PromotionQuorum, formerRunsOfOneEndpointCountOnce)
+{
+    PromotionFixture fixture;
+    fixture.run(normalPeriod);
+    fixture.acknowledge({ 1, 120 }, { fixture.a, fixture.b });
+    fixture.crash(fixture.a);
+    for (int restart = 0; restart < 2; ++restart) {
+        fixture.restartEmpty(fixture.b);
+        fixture.run(Milliseconds(2000));
+    }
+    cr_assert(fixture.promotions.promoted.empty(), "only a holds 120");
+    fixture.bringBack(fixture.a);
+    cr_expect(fixture.runUntil(2 * promotionLimit, [&] { return fixture.leads(fixture.a); }));
+    cr_expect(fixture.promotions.incomplete.empty());
+}
