Add a failing test of the review: a group without synchronous replicas

It stays without a primary on when two of its three servers are gone, though nothing promises that its commits survive. No product code is changed.

--- a/tests/promotion_quorum/TestPromotionReview.cpp
+++ b/tests/promotion_quorum/TestPromotionReview.cpp
@@ -288,3 +288,16 @@
     cr_expect(fixture.runUntil(2 * promotionLimit, [&] { return fixture.leads(fixture.a); }));
     cr_expect(fixture.promotions.incomplete.empty());
 }
+
+// Guards against a group without synchronous replicas that stays without a primary for good: nothing promises that its
+// commits survive, and one replica of it is reached.
+Test(PromotionQuorum, groupWithoutSynchronousReplicasIsServedByTheLastReplica)
+{
+    PromotionFixture fixture;
+    fixture.driver().setGroups({ { fixture.group, { fixture.group, 40, 0 } } });
+    fixture.run(normalPeriod);
+    fixture.crash(fixture.a);
+    fixture.crash(fixture.b);
+    cr_expect(
+        fixture.runUntil(PromotionFixture::removalTime + 2 * promotionLimit, [&] { return fixture.leads(fixture.c); }));
+}
