Test changes of primary whose calls have no known outcome

The platform may carry out a call without an answer up to 12 s later, and takes up to a second from an accepted call to its effect. Several ways out of a change of primary ignore that.

The mock of the platform gains unanswered calls that are carried out late and fencing tokens; the mock of the store can lose transactions.

--- a/tests/mocks/FakeMetadataStore.h
+++ b/tests/mocks/FakeMetadataStore.h
@@ -24,6 +24,8 @@
     bool isSilent = false;
     /** Calls that change something are carried out, but their answers are lost. */
     bool losesAnswers = false;
+    /** Transactions are lost on their way: they are not carried out and time out. */
+    bool losesTransactions = false;
     Milliseconds delay { 4 };
     /** Ranges of this prefix take longer; empty when none does. */
     std::string slowPrefix;
@@ -166,6 +168,8 @@
         later([this, transaction, callback] {
             if (isDown)
                 return callback(unavailable());
+            if (losesTransactions)
+                return timeOut(callback, callTimeout);
             for (const auto& expected : transaction.expected) {
                 const auto found = items_.find(expected.key);
                 const std::uint64_t current
@@ -244,7 +248,7 @@
     static constexpr Milliseconds callTimeout { 1500 };
     static constexpr Milliseconds watchTimeoutMargin { 800 };
 
-    void timeOut(const std::function<void(StoreResult<StorePage>)>& callback, Milliseconds delay)
+    template <typename Callback> void timeOut(const Callback& callback, Milliseconds delay)
     {
         timers_.callAfter(delay, [callback](TimePoint) {
             callback(StoreFailure { StoreFailure::Kind::NoAnswer, "timed out" });
--- a/tests/mocks/PromotionFixture.h
+++ b/tests/mocks/PromotionFixture.h
@@ -184,31 +184,64 @@
         return runUntil(Milliseconds(1100), [&] { return *isDone; }) && !*result;
     }
 
-    /** The platform's promotion service: an endpoint leads the next term some time after the call. */
+    /**
+     * The platform's promotion service: an endpoint leads the next term some time after the call. A call whose fencing
+     * token is lower than the highest accepted one is refused when it is carried out.
+     */
     class Promotions final : public PromotionService {
     public:
+        struct Call {
+            EndpointId endpoint;
+            std::uint64_t fence = 0;
+        };
+
         explicit Promotions(PromotionFixture& fixture)
             : fixture_(fixture)
         {
         }
 
-        void promote(const GroupId&, const EndpointId& endpoint, const std::string&, std::uint64_t,
+        void promote(const GroupId&, const EndpointId& endpoint, const std::string&, std::uint64_t fence,
             std::function<void(PromotionResult, const std::string&)> callback) override
         {
-            const bool isRunning = !fixture_.endpoints.server(endpoint).isDown;
-            fixture_.timers.callAfter(Milliseconds(10), [callback, isRunning](TimePoint) {
-                callback(isRunning ? PromotionResult::Accepted : PromotionResult::Refused, "");
+            calls.push_back({ endpoint, fence });
+            if (unansweredCalls > 0) {
+                --unansweredCalls;
+                fixture_.timers.callAfter(
+                    callTimeout, [callback](TimePoint) { callback(PromotionResult::Unknown, "timed out"); });
+                fixture_.timers.callAfter(lateBy, [this, endpoint, fence](TimePoint) { carryOut(endpoint, fence); });
+                return;
+            }
+            const bool isAccepted = carryOut(endpoint, fence);
+            fixture_.timers.callAfter(answerTime, [callback, isAccepted](TimePoint) {
+                callback(isAccepted ? PromotionResult::Accepted : PromotionResult::Refused, "");
             });
-            if (isRunning)
-                fixture_.timers.callAfter(Milliseconds(300), [this, endpoint](TimePoint) { takeEffect(endpoint); });
         }
 
+        /** Time from an answered call to its answer. */
+        static constexpr Milliseconds answerTime { 10 };
+        /** Time after which a call without an answer is given up. */
+        static constexpr Milliseconds callTimeout { 500 };
+        /** Time from an accepted call to its effect. */
+        Milliseconds effectTime { 300 };
+        /** Number of the next calls that get no answer and are carried out late. */
+        std::size_t unansweredCalls = 0;
+        Milliseconds lateBy { 4000 };
+        std::vector<Call> calls;
         /** Endpoints that became the primary, in order. */
         std::vector<EndpointId> promoted;
         /** Those of them whose log lacked an acknowledged commit. */
         std::vector<EndpointId> incomplete;
 
     private:
+        bool carryOut(const EndpointId& endpoint, std::uint64_t fence)
+        {
+            if (fence < newestFence_ || fixture_.endpoints.server(endpoint).isDown)
+                return false;
+            newestFence_ = fence;
+            fixture_.timers.callAfter(effectTime, [this, endpoint](TimePoint) { takeEffect(endpoint); });
+            return true;
+        }
+
         void takeEffect(const EndpointId& endpoint)
         {
             FakeEndpoints::Server& server = fixture_.endpoints.server(endpoint);
@@ -226,6 +259,7 @@
         }
 
         PromotionFixture& fixture_;
+        std::uint64_t newestFence_ = 0;
         Term term_ = 0;
     };
 
--- a/tests/store/TestPromotionClaim.cpp
+++ b/tests/store/TestPromotionClaim.cpp
@@ -117,3 +117,38 @@
     fixture.store.losesAnswers = true;
     cr_assert_eq(fixture.acquire(fixture.first, 2), 0U);
 }
+
+// Guards against a release that is repeated after its first answer was lost, and overwrites what a later claim
+// recorded.
+Test(PromotionClaim, releaseWhoseAnswerIsLostOverwritesNoLaterRecord)
+{
+    Fixture fixture;
+    fixture.acquire(fixture.first);
+    fixture.store.losesAnswers = true;
+    fixture.first.release(true, RecordedLeader { EndpointId("b"), 2 });
+    fixture.timers.advance(Milliseconds(20));
+    fixture.store.losesAnswers = false;
+    cr_assert_eq(fixture.store.valueOf(storeKeys::changes + "ledger"), "done b 2");
+    cr_assert_neq(fixture.acquire(fixture.second), 0U);
+    fixture.timers.advance(Milliseconds(10000));
+    cr_expect(fixture.second.isHeld(fixture.timers.now()));
+    cr_expect_eq(fixture.store.valueOf(storeKeys::changes + "ledger"), storeKeys::changeOpen);
+}
+
+// Guards against a release that arrives late and closes the record, or ends the claim, of a later change.
+Test(PromotionClaim, lateReleaseOverwritesNoLaterRecord)
+{
+    for (const std::string& later : { storeKeys::changeOpen, std::string("done c 9") }) {
+        Fixture fixture;
+        fixture.acquire(fixture.first);
+        fixture.store.isDown = true;
+        fixture.first.release(true, RecordedLeader { EndpointId("b"), 2 });
+        fixture.timers.advance(PromotionClaim::leaseDuration + Milliseconds(100));
+        fixture.store.put(storeKeys::claims + "ledger", "vm-2 1");
+        fixture.store.put(storeKeys::changes + "ledger", later);
+        fixture.store.isDown = false;
+        fixture.timers.advance(Milliseconds(10000));
+        cr_expect_eq(fixture.store.valueOf(storeKeys::changes + "ledger"), later);
+        cr_expect_eq(fixture.store.valueOf(storeKeys::claims + "ledger"), "vm-2 1");
+    }
+}
