Hold a group's writes during a change of its primary

Callers lost commits that they had seen acknowledged: between the comparison of the logs and the moment at which the call of a new primary takes effect, the former primary went on acknowledging writes through daemons that reached it. The only hold was that of an order to step down, which ends after 1.5 s or with any endpoint that seems to lead; it did not cover open transactions, statements whose connection was being prepared, or acknowledgements under way.

StatementDispatcher::holdWrites() begins and ends a hold that no timer ends. While it lasts there is no usable primary, statements of read-write transactions stay here, and a success for a commit or an autocommit write is kept back. At the end it is passed on if the same endpoint still leads in the same term and the change did not end with another one; otherwise, and at the caller's deadline, the outcome is unknown. The same holds for answers that come after the end to writes sent before it. A statement of a transaction that was not sent until its deadline is aborted, which is "not run".

--- a/include/almondlever/pooling/StatementDispatcher.h
+++ b/include/almondlever/pooling/StatementDispatcher.h
@@ -129,6 +129,18 @@
     /** Ends the hold that stepDown() began; a new primary ends it as well. */
     void endHold(const GroupId&, TimePoint now);
 
+    /**
+     * Begins or ends a hold of the group's writes during a change of its primary. While it lasts, statements for the
+     * primary and those of read-write transactions wait, and no write is acknowledged. A write that the primary
+     * acknowledges in the meantime is reported as successful at the end of the hold if that endpoint still leads in the
+     * same term, otherwise, and at its deadline, with an unknown outcome.
+     *
+     * @param leader  at the end of a hold: the primary with which the change ended; empty if it is not known, so that
+     *                the directory alone decides.
+     */
+    void holdWrites(const GroupId&, bool isHeld, TimePoint now, const EndpointId& leader = EndpointId());
+    bool areWritesHeld(const GroupId&) const;
+
     /** What this daemon reports to other owners, and receives from them; nullptr unless learnsCapacity is set. */
     GroupReportParticipant* capacityReports();
 
--- a/src/pooling/DispatcherPrimary.cpp
+++ b/src/pooling/DispatcherPrimary.cpp
@@ -8,7 +8,7 @@
 {
     const EndpointEntry* primary = directory_.primaryOf(group);
     const auto queues = groups_.find(group);
-    const bool isHeld = queues != groups_.end() && now < queues->second.heldUntil;
+    const bool isHeld = areWritesHeld(group) || (queues != groups_.end() && now < queues->second.heldUntil);
     if (!primary || isHeld)
         return nullptr;
     const std::optional<TimePoint> leaving = directory_.leavingSince(primary->id);
@@ -104,7 +104,7 @@
     std::vector<Ticket> unservable;
     for (const auto& [ticket, pending] : pending_) {
         if (pending.request.group == group && pending.waitsForPrimary && !pending.retryAt && runs_.count(ticket) == 0
-            && (isUnservable || now + wait > pending.request.deadline))
+            && heldAnswers_.count(ticket) == 0 && (isUnservable || now + wait > pending.request.deadline))
             unservable.push_back(ticket);
     }
     for (const Ticket ticket : unservable) {
--- a/src/pooling/DispatcherRuns.cpp
+++ b/src/pooling/DispatcherRuns.cpp
@@ -39,20 +39,26 @@
 Ticket DispatcherState::submitInTransaction(const std::shared_ptr<LinkTransaction>& transaction,
     StatementRequest request, StatementCallback callback, TimePoint now)
 {
-    const std::shared_ptr<PooledLink>& link = transaction->link();
     const Ticket ticket = ++lastTicket_;
     request.rank = std::min(request.rank, ranks_.size() - 1);
     PendingStatement pending;
     pending.request = std::move(request);
     pending.callback = std::move(callback);
     pending_.emplace(ticket, std::move(pending));
+    runInTransaction(ticket, transaction, now);
+    return ticket;
+}
+
+void DispatcherState::runInTransaction(
+    Ticket ticket, const std::shared_ptr<LinkTransaction>& transaction, TimePoint now)
+{
+    const std::shared_ptr<PooledLink>& link = transaction->link();
     if (transaction->hasEnded() || link->state() != PooledLink::State::InTransaction) {
         StatementResult result;
         result.endpoint = link->endpoint();
         result.reply.error = StatementError::Aborted;
         result.reply.detail = "the transaction is not open any more";
-        finish(ticket, std::move(result), now);
-        return ticket;
+        return finish(ticket, std::move(result), now);
     }
     const PendingStatement& added = pending_.at(ticket);
     if (added.request.isWrite && !isCommit(added.request)
@@ -64,14 +70,13 @@
         result.reply.error = StatementError::Aborted;
         result.reply.detail = "no replica receives commits at present";
         finish(ticket, std::move(result), now);
-        rollBack(link, now);
-        return ticket;
+        return rollBack(link, now);
     }
     StatementRun run;
     run.link = link;
     run.isInTransaction = true;
+    run.isReadWrite = transaction->isReadWrite();
     startRun(ticket, std::move(run), now);
-    return ticket;
 }
 
 bool DispatcherState::runAt(EndpointLinks& links, Ticket ticket, StatementRun run, TimePoint now)
@@ -212,6 +217,8 @@
 void DispatcherState::forward(Ticket ticket, TimePoint now)
 {
     StatementRun& run = runs_.at(ticket);
+    if (mustHold(run, pending_.at(ticket).request))
+        return postpone(ticket, now);
     EndpointCommand command = makeForward(pending_.at(ticket).request, run.link->contents());
     command.after = run.after;
     run.isForwarded = true;
@@ -313,17 +320,31 @@
         noteLeading(request.group, run.link->endpoint(), *run.beginPosition, run.beginSentAt);
     if (provesPrimary && reply.position)
         noteLeading(request.group, run.link->endpoint(), *reply.position, run.forwardedAt);
-    if (acknowledgesWrite(request, run.isInTransaction) && reply.position)
-        queuesOf(request.group).writes.noteAcknowledged(*reply.position);
     StatementResult result;
     result.reply = reply;
     result.endpoint = run.link->endpoint();
     result.attempts = pending_.at(ticket).attempts;
+    GroupQueues& queues = queuesOf(request.group);
+    const bool wasSentBeforeHoldEnded = queues.holdEndedAt && run.forwardedAt <= *queues.holdEndedAt;
+    const bool isHeld = areWritesHeld(request.group);
+    if (acknowledgesWrite(request, run.isInTransaction) && (isHeld || wasSentBeforeHoldEnded)) {
+        const Term term = reply.position ? reply.position->term : directory_.newestTermOf(request.group);
+        const bool isSafe = isSafeAfterHold(request.group, result.endpoint, term);
+        HeldAnswer answer { std::move(result), term };
+        if (isHeld)
+            holdAnswer(ticket, std::move(answer), now);
+        else
+            passOn(ticket, std::move(answer), isSafe, "the primary changed before its answer came", now);
+        returnToPool(run.link, reply.state, now);
+        return dispatch(request.group, now);
+    }
+    if (acknowledgesWrite(request, run.isInTransaction) && reply.position)
+        queues.writes.noteAcknowledged(*reply.position);
     const bool keepsTransaction = (request.opensTransaction || run.isInTransaction)
         && reply.state == TransactionState::Open && !isCommit(request);
     if (keepsTransaction) {
         run.link->setState(PooledLink::State::InTransaction, now);
-        result.transaction = std::make_shared<LinkTransaction>(run.link);
+        result.transaction = std::make_shared<LinkTransaction>(run.link, run.isReadWrite || run.fromPrimaryQueue);
     }
     logOutcome(request, "serve", result.endpoint, "ok",
         run.usesGuardTransaction ? "primary_read" : toText(request.statement.kind), now);
--- a/src/pooling/DispatcherState.cpp
+++ b/src/pooling/DispatcherState.cpp
@@ -343,7 +343,9 @@
     GroupQueues& queues = queuesOf(found->second.request.group);
     cancelQueued(queues, ticket);
     queues.readQueue.cancel(ticket);
-    logOutcome(found->second.request, "abandon", EndpointId(), "not_run", "caller_left", now);
+    heldStatements_.erase(ticket);
+    const bool mayHaveRun = heldAnswers_.erase(ticket) > 0;
+    logOutcome(found->second.request, "abandon", EndpointId(), mayHaveRun ? "unknown" : "not_run", "caller_left", now);
     pending_.erase(found);
 }
 
@@ -410,6 +412,7 @@
     }
     for (const Ticket ticket : late)
         timeOut(ticket, now);
+    expireHeld(now);
     closeUnresponsiveLinks(now);
     std::vector<Ticket> retried;
     for (auto& [ticket, pending] : pending_) {
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -36,6 +36,8 @@
     bool isOpening = false;
     /** The statement continues an open transaction. */
     bool isInTransaction = false;
+    /** With isInTransaction: the transaction is not read-only. */
+    bool isReadWrite = false;
     /** The proxy begins a read-write transaction for the read; an endpoint that is not the primary refuses it. */
     bool usesGuardTransaction = false;
     /** Position that the endpoint's log must have reached before it runs the statement. */
@@ -57,6 +59,13 @@
     TimePoint forwardedAt;
 };
 
+/** A success of a commit or an autocommit write that came while the group's writes were held. */
+struct HeldAnswer {
+    StatementResult result;
+    /** Term in which the endpoint acknowledged the write. */
+    Term term = 0;
+};
+
 /** Queues and observed state of one group. */
 struct GroupQueues {
     GroupQueues(const std::vector<RankRule>& ranks, double floorWaitShare)
@@ -85,6 +94,12 @@
     WriteProgress writes;
     /** Until then, new statements for the primary wait: it was ordered to step down. */
     TimePoint heldUntil {};
+    /** Nothing may be written, and no write is acknowledged: a change of the primary has not ended. */
+    bool areWritesHeld = false;
+    /** End of the last hold of the writes. */
+    std::optional<TimePoint> holdEndedAt;
+    /** Primary with which that change ended; empty if it is not known. */
+    EndpointId leaderAfterHold;
     TimePoint lastPrimarySearchAt {};
     /** Time at which the last statement for the group was submitted. */
     TimePoint lastSubmitAt {};
@@ -125,6 +140,8 @@
     void setMissingLogs(const GroupId&, std::size_t count);
     EndpointConnector& connector() const { return connector_; }
     void endHold(const GroupId&, TimePoint now);
+    void holdWrites(const GroupId&, bool isHeld, TimePoint now, const EndpointId& leader);
+    bool areWritesHeld(const GroupId&) const;
     void setGroups(const std::map<GroupId, GroupRule>&, TimePoint now);
     void setConnectionsByCustomer(bool areByCustomer) { areConnectionsByCustomer_ = areByCustomer; }
     void setSharing(const std::map<GroupId, std::size_t>&, TimePoint now);
@@ -190,7 +207,27 @@
     /** Number of endpoints of the group that are not suspected of a failure. */
     std::size_t countAnswering(const GroupId&, bool withPrimary, TimePoint now) const;
 
+    // Hold of the writes (DispatcherHold.cpp).
+    /** True if the statement must not be sent before the hold ends. */
+    bool mustHold(const StatementRun&, const StatementRequest&) const;
+    /** Ends a run whose statement was not sent; the statement waits for the end of the hold. */
+    void postpone(Ticket, TimePoint now);
+    void holdAnswer(Ticket, HeldAnswer, TimePoint now);
+    /** True if no other endpoint has become the primary since the endpoint acknowledged a write in the term. */
+    bool isSafeAfterHold(const GroupId&, const EndpointId&, Term) const;
+    /** Reports the success if it is safe, otherwise an unknown outcome and the reason. */
+    void passOn(Ticket, HeldAnswer, bool isSafe, const std::string& reason, TimePoint now);
+    void resumeHeldStatement(Ticket, TimePoint now);
+    /** Rolls the transaction back and reports the statement as not run. */
+    void abortInTransaction(Ticket, const std::shared_ptr<LinkTransaction>&, const std::string& reason, TimePoint now);
+    /** Decides the answers and sends the statements that waited for the end of the hold. */
+    void releaseHeld(const GroupId&, TimePoint now);
+    /** Answers what was held until its deadline. */
+    void expireHeld(TimePoint now);
+
     // Runs (DispatcherRuns.cpp).
+    /** Sends a statement of an open transaction, unless the transaction has ended. */
+    void runInTransaction(Ticket, const std::shared_ptr<LinkTransaction>&, TimePoint now);
     /**
      * Starts the statement on an idle connection of its customer, or opens one for it. Returns false if there is
      * neither a connection nor room for one.
@@ -290,6 +327,10 @@
     std::map<EndpointId, EndpointLinks> endpoints_;
     std::unordered_map<Ticket, PendingStatement> pending_;
     std::unordered_map<Ticket, StatementRun> runs_;
+    /** Acknowledgements that wait for the end of a hold. Ordered, because callers are answered in this order. */
+    std::map<Ticket, HeldAnswer> heldAnswers_;
+    /** Statements of open transactions that wait for the end of a hold. */
+    std::map<Ticket, std::shared_ptr<LinkTransaction>> heldStatements_;
     std::map<std::uint64_t, PendingReplicationCommand> replicationCommands_;
     Ticket lastTicket_ = 0;
     std::optional<TimePoint> lastTick_;
--- a/src/pooling/StatementDispatcher.cpp
+++ b/src/pooling/StatementDispatcher.cpp
@@ -49,6 +49,13 @@
 
 EndpointConnector& StatementDispatcher::connector() const { return state_->connector(); }
 
+void StatementDispatcher::holdWrites(const GroupId& group, bool isHeld, TimePoint now, const EndpointId& leader)
+{
+    state_->holdWrites(group, isHeld, now, leader);
+}
+
+bool StatementDispatcher::areWritesHeld(const GroupId& group) const { return state_->areWritesHeld(group); }
+
 void StatementDispatcher::endHold(const GroupId& group, TimePoint now) { state_->endHold(group, now); }
 
 void StatementDispatcher::sendReplicationCommand(const EndpointId& endpoint, const EndpointCommand& command,
--- /dev/null
+++ b/tests/pooling/TestWriteHold.cpp
@@ -0,0 +1,285 @@
+#include "mocks/DispatcherFixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace almondlever;
+
+namespace {
+
+struct Fixture : DispatcherFixture {
+    void hold() { dispatcher.holdWrites(group, true, timers.now()); }
+    void release(const EndpointId& leader = EndpointId()) { dispatcher.holdWrites(group, false, timers.now(), leader); }
+
+    /** Another endpoint leads in a newer term; the former primary does not know. */
+    void promoteUnseen()
+    {
+        endpoints.server(b).leads = true;
+        endpoints.server(b).position = { 2, 100 };
+    }
+
+    /** A write that is on its way when the writes are held. */
+    void sendBeforeHold(FakeCaller& caller, Milliseconds work)
+    {
+        endpoints.server(a).work = work;
+        caller.write("w1");
+        advance(Milliseconds(5));
+        hold();
+    }
+};
+
+} // namespace
+
+// Guards against a write that the former primary acknowledges after the log of its successor was chosen.
+Test(WriteHold, writesAndTransactionsWaitForTheEnd)
+{
+    Fixture fixture;
+    cr_assert(!fixture.dispatcher.areWritesHeld(fixture.group));
+    fixture.hold();
+    cr_assert(fixture.dispatcher.areWritesHeld(fixture.group));
+    FakeCaller writer(fixture, "orders");
+    writer.write("w1");
+    FakeCaller transaction(fixture, "orders");
+    transaction.begin();
+    transaction.read("r1");
+    fixture.advance(Milliseconds(300));
+    cr_assert_eq(fixture.endpoints.runsOf("w1"), 0U);
+    cr_assert_eq(fixture.endpoints.runsOf("r1"), 0U);
+    cr_assert(writer.replies.empty());
+    fixture.release();
+    cr_assert(!fixture.dispatcher.areWritesHeld(fixture.group));
+    fixture.advance(Milliseconds(50));
+    cr_assert(writer.succeeded());
+    cr_assert(transaction.succeeded());
+}
+
+// Guards against a hold that ends with that of an order to step down, which ends by time and with a new primary.
+Test(WriteHold, outlastsTheHoldOfAStepDown)
+{
+    Fixture fixture;
+    fixture.hold();
+    fixture.dispatcher.stepDown(
+        fixture.group, fixture.a, 5, [](const StepDownReport&, TimePoint) {}, fixture.timers.now());
+    fixture.dispatcher.endHold(fixture.group, fixture.timers.now());
+    fixture.promoteUnseen();
+    fixture.advance(DispatcherSettings().stepDownHoldTime);
+    FakeCaller caller(fixture, "orders");
+    caller.write("w1");
+    fixture.advance(Milliseconds(500));
+    cr_assert_eq(fixture.endpoints.runsOf("w1"), 0U);
+    fixture.release(fixture.b);
+    fixture.advance(Milliseconds(50));
+    cr_assert(caller.succeeded() || caller.hasError(StatementError::Busy));
+}
+
+// Guards against reads that fail during a change of the primary although replicas serve them.
+Test(WriteHold, readsAreServed)
+{
+    Fixture fixture;
+    fixture.hold();
+    FakeCaller caller(fixture, "proofs");
+    caller.read("r1");
+    fixture.advance(Milliseconds(50));
+    cr_assert(caller.succeeded());
+    FakeCaller transaction(fixture, "proofs");
+    transaction.beginReadOnly();
+    transaction.read("r2");
+    fixture.advance(Milliseconds(50));
+    transaction.read("r3");
+    transaction.commit("c1");
+    fixture.advance(Milliseconds(50));
+    cr_assert(transaction.succeeded());
+    cr_assert_eq(fixture.endpoints.runsOf("r3"), 1U);
+}
+
+// Guards against a commit that reaches the former primary through a transaction opened before the hold.
+Test(WriteHold, commitOfAnOpenTransactionIsNotSent)
+{
+    Fixture fixture;
+    FakeCaller caller(fixture, "orders");
+    caller.begin();
+    caller.write("w1");
+    fixture.advance(Milliseconds(50));
+    cr_assert(caller.succeeded());
+    fixture.hold();
+    const std::size_t replies = caller.replies.size();
+    caller.commit("c1");
+    fixture.advance(Milliseconds(200));
+    cr_assert_eq(fixture.endpoints.runsOf("c1"), 0U);
+    cr_assert_eq(caller.replies.size(), replies);
+    fixture.release();
+    fixture.advance(Milliseconds(50));
+    cr_assert(caller.succeeded());
+    cr_assert_eq(fixture.endpoints.runsOf("c1"), 1U);
+}
+
+// Guards against a commit that is sent to a former primary, or reported as possibly run although it was not sent.
+Test(WriteHold, heldCommitIsAbortedAtItsDeadlineOrByANewPrimary)
+{
+    for (const bool hasNewPrimary : { false, true }) {
+        Fixture fixture;
+        FakeCaller caller(fixture, "orders");
+        caller.begin();
+        caller.write("w1");
+        fixture.advance(Milliseconds(50));
+        fixture.hold();
+        caller.commit("c1");
+        if (hasNewPrimary) {
+            fixture.promoteUnseen();
+            fixture.advance(Milliseconds(300));
+            fixture.release();
+        } else {
+            fixture.advance(Milliseconds(1100));
+        }
+        cr_assert(caller.hasError(StatementError::Aborted));
+        cr_assert(caller.replies.back().state == TransactionState::None);
+        fixture.release();
+        fixture.advance(Milliseconds(100));
+        cr_assert_eq(fixture.endpoints.runsOf("c1"), 0U);
+    }
+}
+
+// Guards against a held commit of a connection that was lost, which nobody would answer before its deadline.
+Test(WriteHold, heldCommitOfALostConnectionIsAborted)
+{
+    Fixture fixture;
+    FakeCaller caller(fixture, "orders");
+    caller.begin();
+    caller.write("w1");
+    fixture.advance(Milliseconds(50));
+    fixture.hold();
+    caller.commit("c1");
+    fixture.endpoints.crash(fixture.a);
+    fixture.advance(Milliseconds(100));
+    cr_assert(caller.hasError(StatementError::Aborted));
+}
+
+// Guards against a statement that is sent after the beginning of the hold because its connection was still being
+// prepared for it then.
+Test(WriteHold, statementWhoseTransactionIsBeingBegunIsNotSent)
+{
+    Fixture fixture;
+    fixture.endpoints.server(fixture.a).distance = Milliseconds(5);
+    FakeCaller caller(fixture, "orders");
+    caller.begin();
+    caller.write("w1");
+    fixture.advance(Milliseconds(3));
+    fixture.hold();
+    fixture.advance(Milliseconds(200));
+    cr_assert_eq(fixture.endpoints.runsOf("w1"), 0U);
+    cr_assert_eq(caller.replies.size(), 1U);
+    fixture.release();
+    fixture.advance(Milliseconds(100));
+    cr_assert_eq(fixture.endpoints.runsOf("w1"), 1U);
+    cr_assert(caller.succeeded());
+}
+
+// Guards against a success for a commit that the promoted server may lack, and against an unknown outcome where no
+// other server was promoted.
+Test(WriteHold, acknowledgementIsDecidedAtTheEnd)
+{
+    Fixture unchanged;
+    FakeCaller first(unchanged, "orders");
+    unchanged.sendBeforeHold(first, Milliseconds(30));
+    unchanged.advance(Milliseconds(100));
+    cr_assert_eq(unchanged.endpoints.runsOf("w1"), 1U);
+    cr_assert(first.replies.empty());
+    const LogPosition before = unchanged.dispatcher.acknowledgedPositionOf(unchanged.group, unchanged.timers.now());
+    unchanged.release();
+    cr_assert(first.succeeded());
+    cr_assert(before < unchanged.dispatcher.acknowledgedPositionOf(unchanged.group, unchanged.timers.now()));
+
+    Fixture changed;
+    FakeCaller second(changed, "orders");
+    changed.sendBeforeHold(second, Milliseconds(30));
+    changed.advance(Milliseconds(100));
+    changed.promoteUnseen();
+    changed.advance(Milliseconds(300));
+    cr_assert(second.replies.empty());
+    changed.release();
+    cr_assert(second.hasError(StatementError::Unknown));
+}
+
+// Guards against a success that rests on a directory that has not learnt of the new primary.
+Test(WriteHold, primaryOfTheRecordDecides)
+{
+    Fixture fixture;
+    FakeCaller caller(fixture, "orders");
+    fixture.sendBeforeHold(caller, Milliseconds(30));
+    fixture.advance(Milliseconds(100));
+    cr_assert(caller.replies.empty());
+    fixture.release(fixture.b);
+    cr_assert(caller.hasError(StatementError::Unknown));
+}
+
+// Guards against a caller without an answer while the change does not end.
+Test(WriteHold, acknowledgementIsUnknownAtTheDeadline)
+{
+    Fixture fixture;
+    FakeCaller caller(fixture, "orders");
+    fixture.sendBeforeHold(caller, Milliseconds(30));
+    fixture.advance(Milliseconds(950));
+    cr_assert(caller.replies.empty());
+    fixture.advance(Milliseconds(100));
+    cr_assert(caller.hasError(StatementError::Unknown));
+    cr_assert_eq(caller.replies.size(), 1U);
+    fixture.release();
+    cr_assert_eq(caller.replies.size(), 1U);
+}
+
+// Guards against an acknowledgement of the former primary that arrives after the change has ended.
+Test(WriteHold, lateAcknowledgementOfTheFormerPrimaryIsUnknown)
+{
+    Fixture fixture;
+    FakeCaller caller(fixture, "orders");
+    fixture.sendBeforeHold(caller, Milliseconds(600));
+    fixture.promoteUnseen();
+    fixture.advance(Milliseconds(300));
+    fixture.release();
+    cr_assert(caller.replies.empty());
+    fixture.advance(Milliseconds(400));
+    cr_assert(caller.hasError(StatementError::Unknown));
+}
+
+// Guards against a held write that is reported as not run because no primary is expected before its deadline.
+Test(WriteHold, heldAcknowledgementIsNotRefused)
+{
+    Fixture fixture;
+    FakeCaller caller(fixture, "orders");
+    fixture.sendBeforeHold(caller, Milliseconds(30));
+    fixture.advance(Milliseconds(75));
+    cr_assert_eq(fixture.endpoints.runsOf("w1"), 1U);
+    FakeCaller waiting(fixture, "orders");
+    waiting.write("w2");
+    fixture.dispatcher.setMissingLogs(fixture.group, 1);
+    fixture.advance(Milliseconds(100));
+    cr_assert(waiting.hasError(StatementError::Busy));
+    cr_assert(caller.replies.empty());
+    fixture.release();
+    cr_assert(caller.succeeded());
+}
+
+// Guards against answering a caller that has gone, and against a connection that stays reserved for it.
+Test(WriteHold, callersMayLeaveDuringTheHold)
+{
+    Fixture fixture;
+    {
+        FakeCaller writer(fixture, "orders");
+        FakeCaller transaction(fixture, "orders");
+        transaction.begin();
+        transaction.write("w0");
+        fixture.advance(Milliseconds(50));
+        fixture.sendBeforeHold(writer, Milliseconds(10));
+        transaction.commit("c0");
+        fixture.advance(Milliseconds(100));
+        cr_assert_eq(fixture.endpoints.runsOf("w1"), 1U);
+        writer.session.onCallerClosed(fixture.timers.now());
+        transaction.session.onCallerClosed(fixture.timers.now());
+    }
+    fixture.release();
+    fixture.advance(Milliseconds(100));
+    cr_assert_eq(fixture.endpoints.runsOf("c0"), 0U);
+    FakeCaller next(fixture, "orders");
+    next.write("w2");
+    fixture.advance(Milliseconds(50));
+    cr_assert(next.succeeded());
+}
