Relay the order to step down, and a hold of the writes, to all daemons

Callers lost commits because daemons that are not owners of the group, or owners beyond the first 16, went on writing to the former primary while its successor was chosen: the order to step down went to at most 16 owners, and its hold of 1.5 s ended before a late call took effect.

StepDownRelay::request() now asks all live daemons, the owners first, 64 messages a tick for the rest, and repeats what is not answered, also to daemons that join. With a fence, the receiver holds the group's writes, says so at once, before the primary's answer, and orders the step-down if it reaches the primary; a daemon that is not an owner opens no connection for it. areAllHolding() tells when every listed daemon has answered that it holds; close() ends the holds of a fence. Whether a daemon holds is read from its dispatcher, so that no answer promises what nothing keeps.

The new CBOR fields are left out when 0 or false. The driver of changes still passes fence 0, and no hold callback is set: behaviour apart from the recipients is as before.

--- a/include/almondlever/front/StepDownRelay.h
+++ b/include/almondlever/front/StepDownRelay.h
@@ -3,24 +3,38 @@
 #include "almondlever/common/Time.h"
 #include "almondlever/groups/EndpointEntry.h"
 
+#include <cstdint>
 #include <functional>
 
 namespace almondlever {
 
-/** Orders a primary to step down through other owners of its group, which may reach it when this daemon does not. */
+/**
+ * Tells the other daemons of a change of a group's primary: they hold the group's writes, and those that reach the
+ * primary order it to step down.
+ */
 class StepDownRelay {
 public:
     virtual ~StepDownRelay() = default;
 
-    /** True if there is another owner to ask. */
+    /** True if there is another daemon to ask. */
     virtual bool hasPeers(const GroupId&) const = 0;
 
     using Callback = std::function<void(const StepDownReport&, TimePoint now)>;
     /**
-     * Asks the other owners. The callback receives the first answer of the primary, or else a report when every owner
-     * has answered; it is not called when an answer is missing or when a later request replaces this one.
+     * Asks all other daemons. The callback receives the first answer of the primary, or else a report once the owners
+     * have answered and the others had a moment to do so; it is not called when an answer of an owner is missing or
+     * when a later request replaces this one.
+     *
+     * @param fence  fencing token of the change, under which the writes are held; 0: no writes are held.
      */
-    virtual void request(const GroupId&, const EndpointId& primary, Term, Callback, TimePoint now) = 0;
+    virtual void request(const GroupId&, const EndpointId& primary, Term, std::uint64_t fence, Callback, TimePoint now)
+        = 0;
+
+    /** True if every other listed daemon has answered that it holds the group's writes under the fence. */
+    virtual bool areAllHolding(const GroupId&, std::uint64_t fence) const = 0;
+
+    /** Tells all daemons that the change with the fence has ended, and with it their hold. */
+    virtual void close(const GroupId&, std::uint64_t fence, TimePoint now) = 0;
 };
 
 } // namespace almondlever
--- a/include/almondlever/wire/Messages.h
+++ b/include/almondlever/wire/Messages.h
@@ -335,6 +335,10 @@
      * field and answer as to a question.
      */
     Term stepDownTerm = 0;
+    /** Not 0: fencing token of the change of primary during which the receiver holds the group's writes. */
+    std::uint64_t fence = 0;
+    /** The change with this fence has ended; `stepDownTerm` is then 0. */
+    bool isClosed = false;
 };
 
 /** Answer to PrimarySuspicion. */
@@ -343,6 +347,8 @@
     PrimaryOpinion opinion = PrimaryOpinion::Unknown;
     /** Result of the order to step down; absent when there was none, and from daemons of earlier versions. */
     std::optional<StepDownReport> stepDown {};
+    /** The sender holds the group's writes under the fence of the request. Without `stepDown`, the result follows. */
+    bool isHolding = false;
 };
 
 /** Liveness probe to a daemon that runs forwarded statements, or to another owner of a group to exchange reports. */
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -289,7 +289,7 @@
 
 void FrontDaemon::onPrimarySuspicion(const VmId& from, const PrimarySuspicion& query, TimePoint now)
 {
-    if (query.stepDownTerm != 0)
+    if (query.stepDownTerm != 0 || query.fence != 0)
         return stepDownRelay_.onQuery(from, query, now);
     suspicionConfirmer_.onQuery(from, query, now);
 }
@@ -330,6 +330,7 @@
     lastLoggedOwners_ = names;
     promotions_.setOwners(std::move(names));
     stepDownRelay_.setOwners(owned);
+    stepDownRelay_.setMembers(view.daemons);
     ownerReports_.setOwners(owned);
     suspicionConfirmer_.setOwners(std::move(owned));
     forwarder_.setOwners(std::move(forwardTo));
@@ -430,6 +431,7 @@
     relay_.onTick(now);
     quotaClient_.onTick(now);
     confirmConfiguration();
+    stepDownRelay_.onTick(now);
     promotions_.onTick(now);
     if (now - lastSlowTickAt_ >= sessionCheckInterval) {
         lastSlowTickAt_ = now;
--- a/src/front/PromotionDriverOrders.cpp
+++ b/src/front/PromotionDriverOrders.cpp
@@ -134,7 +134,7 @@
     };
     if (isRelayed)
         stepDownRelay_->request(
-            group, order.endpoint, order.term,
+            group, order.endpoint, order.term, 0,
             [report](const StepDownReport& result, TimePoint at) { report("relayed", result, at); }, now);
     dispatcher_.stepDown(
         group, order.endpoint, order.term,
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -330,6 +330,8 @@
         writer.text("p", suspicion.primary);
         writer.milliseconds("si", suspicion.silentFor);
         writer.number("sd", suspicion.stepDownTerm);
+        writer.number("fe", suspicion.fence);
+        writer.flag("cl", suspicion.isClosed);
     }
 
     PrimarySuspicion readPrimarySuspicion(CborReader& reader)
@@ -340,6 +342,8 @@
         suspicion.primary = reader.identifier<EndpointId>("p");
         suspicion.silentFor = reader.milliseconds("si");
         suspicion.stepDownTerm = reader.number("sd");
+        suspicion.fence = reader.number("fe");
+        suspicion.isClosed = reader.flag("cl");
         return suspicion;
     }
 
@@ -348,6 +352,7 @@
         CborWriter writer(map);
         writer.number("n", answer.number);
         writer.enumeration("o", answer.opinion);
+        writer.flag("ho", answer.isHolding);
         if (!answer.stepDown)
             return;
         map["sr"] = static_cast<std::uint64_t>(answer.stepDown->result);
@@ -361,6 +366,7 @@
         PrimarySuspicionAnswer answer;
         answer.number = reader.number("n");
         answer.opinion = reader.enumeration("o", PrimaryOpinion::Fails);
+        answer.isHolding = reader.flag("ho");
         if (reader.has("sr")) {
             StepDownReport report;
             report.result = reader.enumeration("sr", StepDownResult::Unreachable);
--- a/tests/front/TestPromotionDriver.cpp
+++ b/tests/front/TestPromotionDriver.cpp
@@ -64,7 +64,9 @@
 class FakeRelay final : public StepDownRelay {
 public:
     bool hasPeers(const GroupId&) const override { return true; }
-    void request(const GroupId&, const EndpointId& endpoint, Term, Callback onReport, TimePoint) override
+    bool areAllHolding(const GroupId&, std::uint64_t) const override { return true; }
+    void close(const GroupId&, std::uint64_t, TimePoint) override { }
+    void request(const GroupId&, const EndpointId& endpoint, Term, std::uint64_t, Callback onReport, TimePoint) override
     {
         primary = endpoint;
         callback = std::move(onReport);
--- a/tests/promotion_quorum/TestPromotionQuorum.cpp
+++ b/tests/promotion_quorum/TestPromotionQuorum.cpp
@@ -20,7 +20,9 @@
     }
 
     bool hasPeers(const GroupId&) const override { return true; }
-    void request(const GroupId&, const EndpointId& primary, Term, Callback callback, TimePoint) override
+    bool areAllHolding(const GroupId&, std::uint64_t) const override { return true; }
+    void close(const GroupId&, std::uint64_t, TimePoint) override { }
+    void request(const GroupId&, const EndpointId& primary, Term, std::uint64_t, Callback callback, TimePoint) override
     {
         fixture_.timers.callAfter(Milliseconds(20), [this, primary, callback](TimePoint now) {
             if (primary != reachable)
--- a/tests/wire/TestStoreMessages.cpp
+++ b/tests/wire/TestStoreMessages.cpp
@@ -31,6 +31,15 @@
 const char* const stepDownOrder = "a66167666c6564676572616e1b0000010000000001617061616273640761740d617601";
 const char* const stepDownAnswer = "a7616e1b0000010000000001616f0162727082061901ad6273720061740e62746d06617601";
 
+/**
+ * An order with a fence, the end of the hold and the first answer of a daemon that holds. The decoder of bf57058 reads
+ * an order without a fence, a question about a suspicion and an answer without a report.
+ */
+const char* const stepDownOrderWithFence
+    = "a762666518296167666c6564676572616e1b0000010000000001617061616273640761740d617601";
+const char* const endOfHold = "a662636cf562666518296167666c6564676572616e1b000001000000000161740d617601";
+const char* const holdingAnswer = "a562686ff5616e1b0000010000000001616f0161740e617601";
+
 std::string toHex(const std::string& bytes)
 {
     constexpr char digits[] = "0123456789abcdef";
@@ -220,3 +229,46 @@
     const auto unreachable = decode<PrimarySuspicionAnswer>(encodeMessage(answer));
     cr_assert(unreachable.stepDown && unreachable.stepDown->result == StepDownResult::Unreachable);
 }
+
+// Guards against a hold that is lost on the way, against the end of a hold that a daemon of the former version takes
+// for an order to step down, and against changing bytes that the former version's decoder was shown to read.
+Test(StoreMessages, holdsAreReadAsWritten)
+{
+    PrimarySuspicion order;
+    order.number = (std::uint64_t { 1 } << 40U) + 1;
+    order.group = GroupId("ledger");
+    order.primary = EndpointId("a");
+    order.stepDownTerm = 7;
+    order.fence = 41;
+    cr_assert_eq(toHex(encodeMessage(order)), std::string(stepDownOrderWithFence));
+    const auto readOrder = decode<PrimarySuspicion>(fromHex(stepDownOrderWithFence));
+    cr_assert_eq(readOrder.fence, 41U);
+    cr_assert(!readOrder.isClosed);
+    cr_assert_eq(decode<PrimarySuspicion>(fromHex(stepDownOrder)).fence, 0U);
+    cr_assert(!decode<PrimarySuspicion>(fromHex(stepDownOrder)).isClosed);
+
+    PrimarySuspicion closing;
+    closing.number = order.number;
+    closing.group = order.group;
+    closing.fence = 41;
+    closing.isClosed = true;
+    cr_assert_eq(toHex(encodeMessage(closing)), std::string(endOfHold));
+    const auto readClosing = decode<PrimarySuspicion>(fromHex(endOfHold));
+    cr_assert_eq(readClosing.fence, 41U);
+    cr_assert(readClosing.isClosed);
+    cr_assert_eq(readClosing.stepDownTerm, 0U);
+
+    PrimarySuspicionAnswer answer;
+    answer.number = order.number;
+    answer.opinion = PrimaryOpinion::Answers;
+    answer.isHolding = true;
+    cr_assert_eq(toHex(encodeMessage(answer)), std::string(holdingAnswer));
+    const auto readAnswer = decode<PrimarySuspicionAnswer>(fromHex(holdingAnswer));
+    cr_assert(readAnswer.isHolding);
+    cr_assert(!readAnswer.stepDown.has_value());
+    cr_assert(!decode<PrimarySuspicionAnswer>(fromHex(stepDownAnswer)).isHolding);
+    cr_assert(!decode<PrimarySuspicionAnswer>(fromHex(formerOpinion)).isHolding);
+    answer.stepDown = StepDownReport { StepDownResult::Answered, { false, 6, { 6, 429 } } };
+    const auto readReport = decode<PrimarySuspicionAnswer>(encodeMessage(answer));
+    cr_assert(readReport.isHolding && readReport.stepDown && readReport.stepDown->result == StepDownResult::Answered);
+}
