Open no connection for a relayed step-down on daemons that are not owners

The order now reaches all daemons also without a fence, as the driver of changes sends it at present. A daemon that is not an owner and has no connection to the primary would have tried to open one for 900 ms; with 300 daemons that is 300 connections to a primary that fails.

--- a/src/front/PeerStepDownRelay.cpp
+++ b/src/front/PeerStepDownRelay.cpp
@@ -314,7 +314,7 @@
     if (isReachable && query.fence != 0)
         answer(from, query, std::nullopt, now);
     // Also holds back new statements for a primary that this daemon does not reach at the moment.
-    if (isReachable || isOwner || query.fence == 0) {
+    if (isReachable || isOwner) {
         dispatcher_.stepDown(
             query.group, query.primary, query.stepDownTerm,
             [finish, isReachable](const StepDownReport& report, TimePoint at) {
