Learn the new primary from the end of a hold

A daemon that holds a group's writes may learn from the record of the change that it has ended before it has heard of the new primary. It then sent what had waited to the former one, which proves to lead in its own term as long as nobody contradicts it.

The end of a hold now names the leader's term too. The directory takes it for a proof, so that proofs of earlier terms count for nothing; a record of an earlier term than the newest known one is left out. A write sent at the very moment of the end is no longer judged as one sent before it.

--- a/include/almondlever/pooling/StatementDispatcher.h
+++ b/include/almondlever/pooling/StatementDispatcher.h
@@ -135,10 +135,12 @@
      * acknowledges in the meantime is reported as successful at the end of the hold if that endpoint still leads in the
      * same term, otherwise, and at its deadline, with an unknown outcome.
      *
-     * @param leader  at the end of a hold: the primary with which the change ended; empty if it is not known, so that
-     *                the directory alone decides.
+     * @param leader      at the end of a hold: the primary with which the change ended; empty if it is not known, so
+     *                    that the directory alone decides.
+     * @param leaderTerm  the term in which it was seen to lead; 0 if that is not known.
      */
-    void holdWrites(const GroupId&, bool isHeld, TimePoint now, const EndpointId& leader = EndpointId());
+    void holdWrites(
+        const GroupId&, bool isHeld, TimePoint now, const EndpointId& leader = EndpointId(), Term leaderTerm = 0);
     bool areWritesHeld(const GroupId&) const;
 
     /** What this daemon reports to other owners, and receives from them; nullptr unless learnsCapacity is set. */
--- a/src/pooling/DispatcherHold.cpp
+++ b/src/pooling/DispatcherHold.cpp
@@ -10,7 +10,8 @@
     return found != groups_.end() && found->second.areWritesHeld;
 }
 
-void DispatcherState::holdWrites(const GroupId& group, bool isHeld, TimePoint now, const EndpointId& leader)
+void DispatcherState::holdWrites(
+    const GroupId& group, bool isHeld, TimePoint now, const EndpointId& leader, Term leaderTerm)
 {
     GroupQueues& queues = queuesOf(group);
     if (queues.areWritesHeld == isHeld)
@@ -19,11 +20,19 @@
     metrics_.setGauge("almondlever_group_writes_held", "group=\"" + group.text() + '"', isHeld ? 1 : 0);
     logInfo("write_hold",
         { { "group", group.text() }, { "held", isHeld ? "yes" : "no" }, { "primary", queues.lastPrimary.text() },
-            { "term", std::to_string(directory_.newestTermOf(group)) }, { "leader", leader.text() } });
+            { "term", std::to_string(directory_.newestTermOf(group)) }, { "leader", leader.text() },
+            { "leader_term", std::to_string(leaderTerm) } });
     if (isHeld)
         return;
     queues.holdEndedAt = now;
-    queues.leaderAfterHold = leader;
+    // Another change may have ended since.
+    const bool isOutdated = leaderTerm != 0 && leaderTerm < directory_.newestTermOf(group);
+    queues.leaderAfterHold = isOutdated ? EndpointId() : leader;
+    if (leaderTerm != 0)
+        directory_.noteLeading(leader, leaderTerm);
+    const EndpointEntry* primary = directory_.primaryOf(group);
+    if (primary && primary->id == leader && queues.lastPrimary != leader)
+        noteNewPrimary(queues, leader);
     releaseHeld(group, now);
     dispatch(group, now);
 }
--- a/src/pooling/DispatcherRuns.cpp
+++ b/src/pooling/DispatcherRuns.cpp
@@ -325,7 +325,7 @@
     result.endpoint = run.link->endpoint();
     result.attempts = pending_.at(ticket).attempts;
     GroupQueues& queues = queuesOf(request.group);
-    const bool wasSentBeforeHoldEnded = queues.holdEndedAt && run.forwardedAt <= *queues.holdEndedAt;
+    const bool wasSentBeforeHoldEnded = queues.holdEndedAt && run.forwardedAt < *queues.holdEndedAt;
     const bool isHeld = areWritesHeld(request.group);
     if (acknowledgesWrite(request, run.isInTransaction) && (isHeld || wasSentBeforeHoldEnded)) {
         const Term term = reply.position ? reply.position->term : directory_.newestTermOf(request.group);
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -140,7 +140,7 @@
     void setMissingLogs(const GroupId&, std::size_t count);
     EndpointConnector& connector() const { return connector_; }
     void endHold(const GroupId&, TimePoint now);
-    void holdWrites(const GroupId&, bool isHeld, TimePoint now, const EndpointId& leader);
+    void holdWrites(const GroupId&, bool isHeld, TimePoint now, const EndpointId& leader, Term leaderTerm);
     bool areWritesHeld(const GroupId&) const;
     void setGroups(const std::map<GroupId, GroupRule>&, TimePoint now);
     void setConnectionsByCustomer(bool areByCustomer) { areConnectionsByCustomer_ = areByCustomer; }
--- a/src/pooling/StatementDispatcher.cpp
+++ b/src/pooling/StatementDispatcher.cpp
@@ -49,9 +49,10 @@
 
 EndpointConnector& StatementDispatcher::connector() const { return state_->connector(); }
 
-void StatementDispatcher::holdWrites(const GroupId& group, bool isHeld, TimePoint now, const EndpointId& leader)
+void StatementDispatcher::holdWrites(
+    const GroupId& group, bool isHeld, TimePoint now, const EndpointId& leader, Term leaderTerm)
 {
-    state_->holdWrites(group, isHeld, now, leader);
+    state_->holdWrites(group, isHeld, now, leader, leaderTerm);
 }
 
 bool StatementDispatcher::areWritesHeld(const GroupId& group) const { return state_->areWritesHeld(group); }
--- a/tests/pooling/TestWriteHold.cpp
+++ b/tests/pooling/TestWriteHold.cpp
@@ -8,7 +8,10 @@
 
 struct Fixture : DispatcherFixture {
     void hold() { dispatcher.holdWrites(group, true, timers.now()); }
-    void release(const EndpointId& leader = EndpointId()) { dispatcher.holdWrites(group, false, timers.now(), leader); }
+    void release(const EndpointId& leader = EndpointId(), Term leaderTerm = 0)
+    {
+        dispatcher.holdWrites(group, false, timers.now(), leader, leaderTerm);
+    }
 
     /** Another endpoint leads in a newer term; the former primary does not know. */
     void promoteUnseen()
@@ -199,7 +202,8 @@
     cr_assert(second.hasError(StatementError::Unknown));
 }
 
-// Guards against a success that rests on a directory that has not learnt of the new primary.
+// Guards against a success that rests on a directory that has not learnt of the new primary, and against writes that
+// are sent to the former one after the hold.
 Test(WriteHold, primaryOfTheRecordDecides)
 {
     Fixture fixture;
@@ -207,8 +211,28 @@
     fixture.sendBeforeHold(caller, Milliseconds(30));
     fixture.advance(Milliseconds(100));
     cr_assert(caller.replies.empty());
-    fixture.release(fixture.b);
+    fixture.promoteUnseen();
+    FakeCaller next(fixture, "orders");
+    next.write("w2");
+    fixture.release(fixture.b, 2);
     cr_assert(caller.hasError(StatementError::Unknown));
+    fixture.advance(Milliseconds(300));
+    cr_assert(next.succeeded());
+    cr_assert(fixture.endpoints.runs().back().endpoint == fixture.b);
+}
+
+// Guards against a record of an earlier change that makes the present primary's acknowledgements count for nothing.
+Test(WriteHold, recordOfAnEarlierTermDoesNotCount)
+{
+    Fixture fixture;
+    fixture.endpoints.server(fixture.a).position = { 4, 200 };
+    fixture.advance(Milliseconds(500));
+    FakeCaller caller(fixture, "orders");
+    fixture.sendBeforeHold(caller, Milliseconds(30));
+    fixture.advance(Milliseconds(100));
+    cr_assert(caller.replies.empty());
+    fixture.release(fixture.b, 3);
+    cr_assert(caller.succeeded());
 }
 
 // Guards against a caller without an answer while the change does not end.
