Hold writes after a suspension until news of the store come

A daemon that was suspended for seconds handles the answers in its sockets before its first tick: an acknowledgement of the former primary was passed on to the caller although another server had been promoted meanwhile, and the next write went to the former primary.

A gap of more than 1 s since the last tick, noticed at the first reply, statement or tick, now begins a hold of all writes. The daemon reads the records of changes of primaries; the hold ends with an answer to a read that was begun after the gap. While the store does not answer it ends after 15 s, later than any call of a promotion takes effect. Holds of single groups are independent of it, and the leader that a record names during it decides what was kept back.

WriteHold.answersAfterASuspensionWaitForNews fails without the check at replies, and where news from before the end of the gap count.

--- a/include/almondlever/front/FrontDaemon.h
+++ b/include/almondlever/front/FrontDaemon.h
@@ -178,6 +178,8 @@
     void announceLeaving();
     void tick(TimePoint now);
     void runTick(TimePoint now);
+    /** Reads the records of changes of primaries while the dispatcher waits for them after a suspension. */
+    void refreshAfterSuspension(TimePoint now);
     void tickStop(TimePoint now);
 
     FrontSettings settings_;
@@ -228,6 +230,8 @@
     std::function<void()> onStopped_;
     std::size_t sessionsAtStop_ = 0;
     TimePoint lastSlowTickAt_ {};
+    TimePoint refreshedAt_ {};
+    bool isRefreshing_ = false;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
--- a/include/almondlever/pooling/StatementDispatcher.h
+++ b/include/almondlever/pooling/StatementDispatcher.h
@@ -79,6 +79,13 @@
     bool learnsCapacity = false;
     /** Gap between two ticks that indicates that this process was suspended. */
     Milliseconds stallLimit { 300 };
+    /**
+     * Gap between two ticks after which all writes are held until news of the store come: meanwhile another endpoint
+     * may have been promoted, and answers of the former primary may wait in the sockets. 0: none are held.
+     */
+    Milliseconds suspensionLimit { 0 };
+    /** Longest time without news for which writes are held after such a gap; a call to promote takes effect sooner. */
+    Milliseconds suspensionHoldLimit { 15000 };
 };
 
 /**
@@ -141,7 +148,12 @@
      */
     void holdWrites(
         const GroupId&, bool isHeld, TimePoint now, const EndpointId& leader = EndpointId(), Term leaderTerm = 0);
+    /** True between the calls of holdWrites(); false for a hold that begins after a suspension. */
     bool areWritesHeld(const GroupId&) const;
+    /** End of a suspension of this process after which writes are held until noteNews(); nullopt if there is none. */
+    std::optional<TimePoint> awaitsNewsSince() const;
+    /** All changes of primaries that the store held at a time have been taken into account. */
+    void noteNews(TimePoint provenAt, TimePoint now);
 
     /** What this daemon reports to other owners, and receives from them; nullptr unless learnsCapacity is set. */
     GroupReportParticipant* capacityReports();
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -20,11 +20,16 @@
     /** Daemons register one after the other when the fleet starts, and each change re-evaluates every group. */
     constexpr Milliseconds ownBatchDelay { 500 };
 
+    /** Gap between two ticks after which writes wait for news of changes of primaries. */
+    constexpr Milliseconds suspensionLimit { 1000 };
+    constexpr Milliseconds suspensionRefreshInterval { 250 };
+
     DispatcherSettings dispatcherSettings(const FrontSettings& settings)
     {
         DispatcherSettings dispatcher = settings.dispatcher;
         dispatcher.keptShare = settings.sharing.keptShare;
         dispatcher.learnsCapacity = settings.learnsEndpointCapacity;
+        dispatcher.suspensionLimit = suspensionLimit;
         return dispatcher;
     }
 
@@ -426,6 +431,7 @@
     if (members_.removeLapsed(now))
         updateOwners(now);
     dispatcher_.onTick(now);
+    refreshAfterSuspension(now);
     forwarder_.onTick(now);
     sendReports(now);
     relay_.onTick(now);
@@ -446,6 +452,21 @@
         tickStop(now);
 }
 
+void FrontDaemon::refreshAfterSuspension(TimePoint now)
+{
+    if (!dispatcher_.awaitsNewsSince() || isRefreshing_ || now - refreshedAt_ < suspensionRefreshInterval)
+        return;
+    isRefreshing_ = true;
+    refreshedAt_ = now;
+    ownFollower_.refresh([this, sentAt = now, alive = std::weak_ptr<int>(alive_)](bool isFresh) {
+        if (alive.expired())
+            return;
+        isRefreshing_ = false;
+        if (isFresh)
+            dispatcher_.noteNews(sentAt, timers_.now());
+    });
+}
+
 void FrontDaemon::noteRejectedCaller(StatementError error, std::string_view reason, std::size_t messageBytes)
 {
     metrics_.count("almondlever_callers_rejected_total", std::string("error=\"") + toText(error) + '"');
--- a/src/pooling/DispatcherHold.cpp
+++ b/src/pooling/DispatcherHold.cpp
@@ -33,14 +33,56 @@
     const EndpointEntry* primary = directory_.primaryOf(group);
     if (primary && primary->id == leader && queues.lastPrimary != leader)
         noteNewPrimary(queues, leader);
+    if (awaitsNewsSince_)
+        return;
     releaseHeld(group, now);
     dispatch(group, now);
 }
 
+void DispatcherState::checkSuspension(TimePoint now)
+{
+    if (settings_.suspensionLimit == Milliseconds(0) || !lastTick_ || now - *lastTick_ <= settings_.suspensionLimit)
+        return;
+    // Replies may be handled before the first tick.
+    if (awaitsNewsSince_ && *awaitsNewsSince_ > *lastTick_)
+        return;
+    logWarning("writes_held_after_suspension",
+        { { "ms", std::to_string(std::chrono::duration_cast<Milliseconds>(now - *lastTick_).count()) } });
+    metrics_.count("almondlever_suspension_holds_total", "event=\"begun\"");
+    awaitsNewsSince_ = now;
+    for (auto& [group, queues] : groups_)
+        queues.leaderAfterHold = EndpointId();
+}
+
+void DispatcherState::noteNews(TimePoint provenAt, TimePoint now)
+{
+    if (awaitsNewsSince_ && provenAt >= *awaitsNewsSince_)
+        endSuspensionHold(true, now);
+}
+
+void DispatcherState::endSuspensionHold(bool hasNews, TimePoint now)
+{
+    metrics_.count("almondlever_suspension_holds_total", hasNews ? "event=\"news\"" : "event=\"time_out\"");
+    logInfo("suspension_hold_ended",
+        { { "ms", std::to_string(std::chrono::duration_cast<Milliseconds>(now - *awaitsNewsSince_).count()) } });
+    awaitsNewsSince_.reset();
+    std::vector<GroupId> released;
+    for (auto& [group, queues] : groups_) {
+        if (queues.areWritesHeld)
+            continue;
+        queues.holdEndedAt = now;
+        released.push_back(group);
+    }
+    for (const GroupId& group : released) {
+        releaseHeld(group, now);
+        dispatch(group, now);
+    }
+}
+
 bool DispatcherState::mustHold(const StatementRun& run, const StatementRequest& request) const
 {
     const bool mayWrite = request.isWrite || run.isReadWrite || (request.opensTransaction && run.fromPrimaryQueue);
-    return mayWrite && areWritesHeld(request.group);
+    return mayWrite && isHeld(request.group);
 }
 
 void DispatcherState::postpone(Ticket ticket, TimePoint now)
--- a/src/pooling/DispatcherLinks.cpp
+++ b/src/pooling/DispatcherLinks.cpp
@@ -121,6 +121,7 @@
 
 void DispatcherState::onPooledLinkReply(PooledLink& link, const Reply& reply, TimePoint now)
 {
+    checkSuspension(now);
     linksOf(link.endpoint()).noteReply(reply, now);
     const EndpointEntry* entry = directory_.find(link.endpoint());
     if (!entry || !reply.position)
--- a/src/pooling/DispatcherPrimary.cpp
+++ b/src/pooling/DispatcherPrimary.cpp
@@ -8,8 +8,8 @@
 {
     const EndpointEntry* primary = directory_.primaryOf(group);
     const auto queues = groups_.find(group);
-    const bool isHeld = areWritesHeld(group) || (queues != groups_.end() && now < queues->second.heldUntil);
-    if (!primary || isHeld)
+    const bool isWaiting = isHeld(group) || (queues != groups_.end() && now < queues->second.heldUntil);
+    if (!primary || isWaiting)
         return nullptr;
     const std::optional<TimePoint> leaving = directory_.leavingSince(primary->id);
     if (leaving && now - *leaving > settings_.drainLimit)
--- a/src/pooling/DispatcherRuns.cpp
+++ b/src/pooling/DispatcherRuns.cpp
@@ -39,6 +39,7 @@
 Ticket DispatcherState::submitInTransaction(const std::shared_ptr<LinkTransaction>& transaction,
     StatementRequest request, StatementCallback callback, TimePoint now)
 {
+    checkSuspension(now);
     const Ticket ticket = ++lastTicket_;
     request.rank = std::min(request.rank, ranks_.size() - 1);
     PendingStatement pending;
@@ -326,12 +327,12 @@
     result.attempts = pending_.at(ticket).attempts;
     GroupQueues& queues = queuesOf(request.group);
     const bool wasSentBeforeHoldEnded = queues.holdEndedAt && run.forwardedAt < *queues.holdEndedAt;
-    const bool isHeld = areWritesHeld(request.group);
-    if (acknowledgesWrite(request, run.isInTransaction) && (isHeld || wasSentBeforeHoldEnded)) {
+    const bool mustWait = isHeld(request.group);
+    if (acknowledgesWrite(request, run.isInTransaction) && (mustWait || wasSentBeforeHoldEnded)) {
         const Term term = reply.position ? reply.position->term : directory_.newestTermOf(request.group);
         const bool isSafe = isSafeAfterHold(request.group, result.endpoint, term);
         HeldAnswer answer { std::move(result), term };
-        if (isHeld)
+        if (mustWait)
             holdAnswer(ticket, std::move(answer), now);
         else
             passOn(ticket, std::move(answer), isSafe, "the primary changed before its answer came", now);
--- a/src/pooling/DispatcherState.cpp
+++ b/src/pooling/DispatcherState.cpp
@@ -59,6 +59,7 @@
 
 Ticket DispatcherState::submit(StatementRequest request, StatementCallback callback, TimePoint now)
 {
+    checkSuspension(now);
     const Ticket ticket = ++lastTicket_;
     queuesOf(request.group).lastSubmitAt = now;
     request.rank = std::min(request.rank, ranks_.size() - 1);
@@ -404,7 +405,10 @@
         for (auto& [id, endpoint] : endpoints_)
             endpoint.ignoreSilenceBefore(now);
     }
+    checkSuspension(now);
     lastTick_ = now;
+    if (awaitsNewsSince_ && now - *awaitsNewsSince_ >= settings_.suspensionHoldLimit)
+        endSuspensionHold(false, now);
     std::vector<Ticket> late;
     for (const auto& [ticket, run] : runs_) {
         if (now >= pending_.at(ticket).request.deadline)
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -142,6 +142,8 @@
     void endHold(const GroupId&, TimePoint now);
     void holdWrites(const GroupId&, bool isHeld, TimePoint now, const EndpointId& leader, Term leaderTerm);
     bool areWritesHeld(const GroupId&) const;
+    std::optional<TimePoint> awaitsNewsSince() const { return awaitsNewsSince_; }
+    void noteNews(TimePoint provenAt, TimePoint now);
     void setGroups(const std::map<GroupId, GroupRule>&, TimePoint now);
     void setConnectionsByCustomer(bool areByCustomer) { areConnectionsByCustomer_ = areByCustomer; }
     void setSharing(const std::map<GroupId, std::size_t>&, TimePoint now);
@@ -208,6 +210,10 @@
     std::size_t countAnswering(const GroupId&, bool withPrimary, TimePoint now) const;
 
     // Hold of the writes (DispatcherHold.cpp).
+    bool isHeld(const GroupId& group) const { return awaitsNewsSince_ || areWritesHeld(group); }
+    /** Begins a hold of all writes if this process was suspended. */
+    void checkSuspension(TimePoint now);
+    void endSuspensionHold(bool hasNews, TimePoint now);
     /** True if the statement must not be sent before the hold ends. */
     bool mustHold(const StatementRun&, const StatementRequest&) const;
     /** Ends a run whose statement was not sent; the statement waits for the end of the hold. */
@@ -334,6 +340,8 @@
     std::map<std::uint64_t, PendingReplicationCommand> replicationCommands_;
     Ticket lastTicket_ = 0;
     std::optional<TimePoint> lastTick_;
+    /** End of a suspension after which no news of the store have come. */
+    std::optional<TimePoint> awaitsNewsSince_;
     std::optional<TimePoint> surplusCheckedAt_;
 };
 
--- a/src/pooling/StatementDispatcher.cpp
+++ b/src/pooling/StatementDispatcher.cpp
@@ -57,6 +57,10 @@
 
 bool StatementDispatcher::areWritesHeld(const GroupId& group) const { return state_->areWritesHeld(group); }
 
+std::optional<TimePoint> StatementDispatcher::awaitsNewsSince() const { return state_->awaitsNewsSince(); }
+
+void StatementDispatcher::noteNews(TimePoint provenAt, TimePoint now) { state_->noteNews(provenAt, now); }
+
 void StatementDispatcher::endHold(const GroupId& group, TimePoint now) { state_->endHold(group, now); }
 
 void StatementDispatcher::sendReplicationCommand(const EndpointId& endpoint, const EndpointCommand& command,
--- a/tests/front/TestFrontDaemon.cpp
+++ b/tests/front/TestFrontDaemon.cpp
@@ -368,3 +368,30 @@
         cr_assert(!hasSentReports, "no statement was observed");
     }
 }
+
+// Guards against writes that are held until the limit after a suspension although the store answers, and against taking
+// a store that does not answer for news.
+Test(FrontDaemon, readsTheRecordsOfChangesAfterASuspension)
+{
+    Fixture fixture;
+    const auto daemon = fixture.makeDaemon(1);
+    daemon->start();
+    fixture.timers.advance(Milliseconds(3000));
+    const auto events = [&daemon](const std::string& event) {
+        return daemon->metrics().counter("almondlever_suspension_holds_total", "event=\"" + event + '"');
+    };
+    cr_assert_eq(events("begun"), 0U);
+    fixture.timers.skip(Milliseconds(2000));
+    fixture.timers.advance(Milliseconds(100));
+    cr_assert_eq(events("begun"), 1U);
+    cr_assert_eq(events("news"), 1U);
+    fixture.store.isDown = true;
+    fixture.timers.skip(Milliseconds(2000));
+    fixture.timers.advance(Milliseconds(5000));
+    cr_assert_eq(events("begun"), 2U);
+    cr_assert_eq(events("news"), 1U);
+    fixture.store.isDown = false;
+    fixture.timers.advance(Milliseconds(500));
+    cr_assert_eq(events("news"), 2U);
+    cr_assert_eq(events("time_out"), 0U);
+}
--- a/tests/mocks/FakeTimerService.h
+++ b/tests/mocks/FakeTimerService.h
@@ -31,6 +31,9 @@
         now_ = end;
     }
 
+    /** Moves time forward without calling anything, as while this process is suspended. */
+    void skip(Duration by) { now_ += by; }
+
 private:
     TimePoint now_ { std::chrono::hours(1) };
     std::multimap<TimePoint, std::function<void(TimePoint)>> timers_;
--- a/tests/pooling/TestWriteHold.cpp
+++ b/tests/pooling/TestWriteHold.cpp
@@ -6,7 +6,16 @@
 
 namespace {
 
+DispatcherSettings withSuspensionLimit()
+{
+    DispatcherSettings settings;
+    settings.suspensionLimit = Milliseconds(1000);
+    return settings;
+}
+
 struct Fixture : DispatcherFixture {
+    using DispatcherFixture::DispatcherFixture;
+
     void hold() { dispatcher.holdWrites(group, true, timers.now()); }
     void release(const EndpointId& leader = EndpointId(), Term leaderTerm = 0)
     {
@@ -307,3 +316,58 @@
     fixture.advance(Milliseconds(50));
     cr_assert(next.succeeded());
 }
+
+// A daemon that was suspended handles the answers in its sockets before its first tick. Guards against passing on an
+// acknowledgement of the former primary then, and against writing to it before the news of its successor.
+Test(WriteHold, answersAfterASuspensionWaitForNews)
+{
+    for (const bool hasNewPrimary : { false, true }) {
+        Fixture fixture(withSuspensionLimit());
+        fixture.configuration->routes[DatabaseId("orders")].statementTimeout = Milliseconds(5000);
+        FakeCaller caller(fixture, "orders");
+        fixture.endpoints.server(fixture.a).work = Milliseconds(2000);
+        caller.write("w1");
+        // Answers arrive while no tick runs.
+        fixture.timers.advance(Milliseconds(2500));
+        cr_assert_eq(fixture.endpoints.runsOf("w1"), 1U);
+        cr_assert(caller.replies.empty());
+        cr_assert(fixture.dispatcher.awaitsNewsSince().has_value());
+        fixture.endpoints.server(fixture.a).work = Milliseconds(10);
+        FakeCaller next(fixture, "orders");
+        next.write("w2");
+        fixture.advance(Milliseconds(100));
+        cr_assert(!fixture.dispatcher.areWritesHeld(fixture.group));
+        cr_assert_eq(fixture.endpoints.runsOf("w2"), 0U);
+        const TimePoint since = *fixture.dispatcher.awaitsNewsSince();
+        fixture.dispatcher.noteNews(since - Milliseconds(1), fixture.timers.now());
+        cr_assert(caller.replies.empty(), "the news are from before the end of the suspension");
+        if (hasNewPrimary) {
+            fixture.hold();
+            fixture.release(fixture.b);
+            cr_assert(caller.replies.empty(), "records of other changes may follow");
+        }
+        fixture.dispatcher.noteNews(since, fixture.timers.now());
+        cr_assert(!fixture.dispatcher.awaitsNewsSince().has_value());
+        cr_assert(hasNewPrimary ? caller.hasError(StatementError::Unknown) : caller.succeeded());
+        fixture.advance(Milliseconds(100));
+        cr_assert(next.succeeded());
+    }
+}
+
+// Guards against a group without writes for as long as the store is away, and against a hold after each slow tick.
+Test(WriteHold, holdAfterASuspensionIsBounded)
+{
+    Fixture fixture(withSuspensionLimit());
+    fixture.timers.advance(Milliseconds(900));
+    fixture.advance(Milliseconds(25));
+    cr_assert(!fixture.dispatcher.awaitsNewsSince().has_value());
+    fixture.timers.advance(Milliseconds(1100));
+    fixture.advance(DispatcherSettings().suspensionHoldLimit - Milliseconds(100));
+    cr_assert(fixture.dispatcher.awaitsNewsSince().has_value());
+    fixture.advance(Milliseconds(200));
+    cr_assert(!fixture.dispatcher.awaitsNewsSince().has_value());
+    FakeCaller caller(fixture, "orders");
+    caller.write("w1");
+    fixture.advance(Milliseconds(100));
+    cr_assert(caller.succeeded());
+}
