--- a/include/almondlever/pooling/StatementDispatcher.h
+++ b/include/almondlever/pooling/StatementDispatcher.h
@@ -79,6 +79,13 @@
     bool learnsCapacity = false;
     /** Gap between two ticks that indicates that this process was suspended. */
     Milliseconds stallLimit { 300 };
+    /**
+     * Gap between two ticks after which all writes are held until news of the store come: meanwhile another endpoint
+     * may have been promoted, and answers of the former primary may wait in the sockets. 0: none are held.
+     */
+    Milliseconds suspensionLimit { 0 };
+    /** Longest time without news for which writes are held after such a gap; a call to promote takes effect sooner. */
+    Milliseconds suspensionHoldLimit { 15000 };
 };
 
 /**
@@ -129,6 +136,25 @@
     /** Ends the hold that stepDown() began; a new primary ends it as well. */
     void endHold(const GroupId&, TimePoint now);
 
+    /**
+     * Begins or ends a hold of the group's writes during a change of its primary. While it lasts, statements for the
+     * primary and those of read-write transactions wait, and no write is acknowledged. A write that the primary
+     * acknowledges in the meantime is reported as successful at the end of the hold if that endpoint still leads in the
+     * same term, otherwise, and at its deadline, with an unknown outcome.
+     *
+     * @param leader      at the end of a hold: the primary with which the change ended; empty if it is not known, so
+     *                    that the directory alone decides.
+     * @param leaderTerm  the term in which it was seen to lead; 0 if that is not known.
+     */
+    void holdWrites(
+        const GroupId&, bool isHeld, TimePoint now, const EndpointId& leader = EndpointId(), Term leaderTerm = 0);
+    /** True between the calls of holdWrites(); false for a hold that begins after a suspension. */
+    bool areWritesHeld(const GroupId&) const;
+    /** End of a suspension of this process after which writes are held until noteNews(); nullopt if there is none. */
+    std::optional<TimePoint> awaitsNewsSince() const;
+    /** All changes of primaries that the store held at a time have been taken into account. */
+    void noteNews(TimePoint provenAt, TimePoint now);
+
     /** What this daemon reports to other owners, and receives from them; nullptr unless learnsCapacity is set. */
     GroupReportParticipant* capacityReports();
 
--- a/src/pooling/DispatcherState.cpp
+++ b/src/pooling/DispatcherState.cpp
@@ -59,6 +59,7 @@
 
 Ticket DispatcherState::submit(StatementRequest request, StatementCallback callback, TimePoint now)
 {
+    checkSuspension(now);
     const Ticket ticket = ++lastTicket_;
     queuesOf(request.group).lastSubmitAt = now;
     request.rank = std::min(request.rank, ranks_.size() - 1);
@@ -343,7 +344,9 @@
     GroupQueues& queues = queuesOf(found->second.request.group);
     cancelQueued(queues, ticket);
     queues.readQueue.cancel(ticket);
-    logOutcome(found->second.request, "abandon", EndpointId(), "not_run", "caller_left", now);
+    heldStatements_.erase(ticket);
+    const bool mayHaveRun = heldAnswers_.erase(ticket) > 0;
+    logOutcome(found->second.request, "abandon", EndpointId(), mayHaveRun ? "unknown" : "not_run", "caller_left", now);
     pending_.erase(found);
 }
 
@@ -402,7 +405,10 @@
         for (auto& [id, endpoint] : endpoints_)
             endpoint.ignoreSilenceBefore(now);
     }
+    checkSuspension(now);
     lastTick_ = now;
+    if (awaitsNewsSince_ && now - *awaitsNewsSince_ >= settings_.suspensionHoldLimit)
+        endSuspensionHold(false, now);
     std::vector<Ticket> late;
     for (const auto& [ticket, run] : runs_) {
         if (now >= pending_.at(ticket).request.deadline)
@@ -410,6 +416,7 @@
     }
     for (const Ticket ticket : late)
         timeOut(ticket, now);
+    expireHeld(now);
     closeUnresponsiveLinks(now);
     std::vector<Ticket> retried;
     for (auto& [ticket, pending] : pending_) {
