Count the own call's effect as part of the effect time in the call model

With three deciders the model had an error: an older call and the recovery's own one name the same endpoint, the older one takes effect, the recovery ends, and its own effect follows during the next change. The design waits for the effect time after the acceptance of the own call, so that this effect is past as well; the model's condition asked for older fences only.

--- a/model/CallOutcomes.pml
+++ b/model/CallOutcomes.pml
@@ -132,7 +132,8 @@
 #define ALL_HOLD (HAS_NEWS(0) && HAS_NEWS(1))
 #endif
 
-#define IS_OLDER_PENDING(c) (callState[c] == Effective && FENCE_OF(c) < fence)
+/* Accepted no later than the call whose answer the decider has. */
+#define IS_OLDER_PENDING(c) (callState[c] == Effective && (FENCE_OF(c) < fence || c == answered))
 #if DECIDERS == 3
 #define HAS_EFFECT_TIME_PASSED (!IS_OLDER_PENDING(0) && !IS_OLDER_PENDING(1) && !IS_OLDER_PENDING(2) && \
     !IS_OLDER_PENDING(3) && !IS_OLDER_PENDING(4) && !IS_OLDER_PENDING(5))
@@ -295,7 +296,7 @@
 }
 
 proctype decider(byte self) {
-  byte fence, believed, pauseTerm, s, chosen = NOBODY, compared, position, required;
+  byte fence, believed, pauseTerm, s, chosen = NOBODY, compared, position, required, answered;
   bool isRecovery, mustWait, hasUnanswered;
   atomic { claimant == NOBODY && lastFence == self ->
     claimant = self; lastFence++; fence = lastFence; isRecovery = isOpen; mustWait = isOpen; isOpen = 1;
@@ -391,7 +392,7 @@
   };
   mayEnd();
   if
-  :: IN(isAccepted, 2 * self) -> goto confirm
+  :: IN(isAccepted, 2 * self) -> answered = 2 * self; goto confirm
   :: true -> skip
   fi;
   /* No answer. */
@@ -414,7 +415,7 @@
 #endif
     callState[2 * self + 1] = Sent; callTarget[2 * self + 1] = chosen };
   if
-  :: IN(isAccepted, 2 * self + 1) -> skip
+  :: IN(isAccepted, 2 * self + 1) -> answered = 2 * self + 1
   :: true -> goto gone
   fi;
 
@@ -470,7 +471,7 @@
     fi };
   /* Fewer states. */
   chosen = NOBODY; fence = 0; pauseTerm = 0; believed = 0; compared = 0; required = 0; s = 0; position = 0;
-  isRecovery = 0; mustWait = 0; hasUnanswered = 0
+  isRecovery = 0; mustWait = 0; hasUnanswered = 0; answered = 0
 }
 
 init {
