--- a/soak/DaemonProcess.cpp
+++ b/soak/DaemonProcess.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <cstring>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <spawn.h>
@@ -22,6 +23,29 @@
     /** Fields between the name in parentheses and "flags". */
     constexpr int fieldsBeforeFlags = 6;
 
+    constexpr int fieldsBeforeInode = 7;
+    constexpr int hexadecimal = 16;
+
+    /** The inode of the socket at a local port, see proc(5); "0" if no process has it, "" if there is none. */
+    std::string findInode(std::uint16_t port)
+    {
+        std::ifstream table("/proc/net/tcp");
+        for (std::string line; std::getline(table, line);) {
+            std::istringstream fields(line);
+            std::string field;
+            std::string local;
+            fields >> field >> local;
+            const std::size_t colon = local.rfind(':');
+            if (colon == std::string::npos || std::stoul(local.substr(colon + 1), nullptr, hexadecimal) != port)
+                continue;
+            for (int skipped = 0; skipped < fieldsBeforeInode; ++skipped)
+                fields >> field;
+            fields >> field;
+            return field;
+        }
+        return {};
+    }
+
 } // namespace
 
 DaemonProcess::~DaemonProcess()
@@ -68,6 +92,20 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : signalBase + WTERMSIG(status);
 }
 
+bool DaemonProcess::hasConnectionFrom(std::uint16_t port) const
+{
+    const std::string name = "socket:[" + findInode(port) + ']';
+    // The process may end while its files are listed.
+    std::error_code error;
+    std::filesystem::directory_iterator file("/proc/" + std::to_string(process_) + "/fd", error);
+    for (; !error && file != std::filesystem::directory_iterator(); file.increment(error)) {
+        std::error_code ignored;
+        if (std::filesystem::read_symlink(file->path(), ignored) == name)
+            return true;
+    }
+    return false;
+}
+
 bool DaemonProcess::hasLeftProgram() const
 {
     std::ifstream file("/proc/" + std::to_string(process_) + "/stat");
--- a/soak/DaemonProcess.h
+++ b/soak/DaemonProcess.h
@@ -2,6 +2,7 @@
 
 #include "almondlever/common/Time.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <sys/types.h>
@@ -32,6 +33,8 @@
     std::optional<int> takeEnd();
     /** True once it has left its program; the kernel may still be releasing its memory, before takeEnd() reports it. */
     bool hasLeftProgram() const;
+    /** True if a TCP connection from this port of the machine is open in the process. */
+    bool hasConnectionFrom(std::uint16_t port) const;
     pid_t id() const { return process_; }
 
 private:
--- a/soak/GroupFaults.cpp
+++ b/soak/GroupFaults.cpp
@@ -18,6 +18,9 @@
     /** Time without faults before a later change of servers; the run skips one that comes too soon after the former. */
     constexpr Milliseconds pauseBeforeChange { 6500 };
 
+    /** No series begins in the last part of the run, in which its late calls could not be carried out any more. */
+    constexpr Milliseconds lastSeries { 9000 };
+
     class PlanDraw {
     public:
         explicit PlanDraw(const GroupFaultSettings& settings)
@@ -34,12 +37,26 @@
                 while (at < settings_.faultTime)
                     at = drawSequence(group, at) + time(0, longestPauseMs);
             }
+            return takeSorted();
+        }
+
+        std::vector<GroupFault> drawLateCalls()
+        {
+            for (std::size_t group = 0; group < settings_.groups; ++group) {
+                for (Milliseconds at = time(0, 2000); at + lastSeries < settings_.faultTime; at += time(5000, 9000))
+                    drawSeries(group, at);
+            }
+            return takeSorted();
+        }
+
+    private:
+        std::vector<GroupFault> takeSorted()
+        {
             std::stable_sort(
                 plan_.begin(), plan_.end(), [](const GroupFault& a, const GroupFault& b) { return a.at < b.at; });
             return std::move(plan_);
         }
 
-    private:
         Milliseconds time(int least, int most)
         {
             return Milliseconds(std::uniform_int_distribution<int>(least, most)(random_));
@@ -113,6 +130,59 @@
             return std::max(at + deafFor, downAt + downFor);
         }
 
+        void addTrouble(std::size_t group, Milliseconds at)
+        {
+            switch (index(5)) {
+            case 0:
+                add(Kind::CrashPrimary, group, at, time(2000, 3500));
+                return;
+            case 1:
+                add(Kind::DarkenPrimary, group, at, time(2000, 3500));
+                return;
+            case 2:
+                add(Kind::IsolatePrimary, group, at, time(2000, 5000));
+                return;
+            default:
+                break;
+            }
+            GroupFault& part = add(Kind::PartPrimary, group, at, time(3000, 8000));
+            part.refuses = chance(0.5);
+            // One daemon at least goes on with the primary.
+            const std::size_t reaching = index(settings_.daemons);
+            for (std::size_t daemon = 0; daemon < settings_.daemons; ++daemon) {
+                if (daemon != reaching)
+                    part.daemons.push_back(daemon);
+            }
+        }
+
+        void drawSeries(std::size_t group, Milliseconds at)
+        {
+            addTrouble(group, at + time(0, 500));
+            if (chance(0.8))
+                add(Kind::DelayCalls, group, at, time(3000, 6000));
+            if (chance(0.5))
+                add(Kind::DelayOrders, group, at + time(0, 2000), time(1500, 4000));
+            if (chance(0.6)) {
+                GroupFault& halt = add(Kind::HaltStore, group, at, time(500, 1000));
+                // The call is repeated about 1.75 s after it was made, when its time-out and a pause have passed.
+                halt.afterCall = time(1200, 2000);
+                halt.answersReads = chance(0.3);
+            }
+            if (chance(0.7))
+                add(Kind::DeafenCalled, group, at, time(5000, 11000)).afterCall = time(1000, 3500);
+            if (chance(0.5)) {
+                const bool isKilled = chance(0.5);
+                add(isKilled ? Kind::RestartDaemons : Kind::SuspendDaemons, group, at,
+                    isKilled ? time(300, 1500) : time(1000, 5000))
+                    .afterCall
+                    = time(0, 2000);
+            }
+            if (chance(0.6)) {
+                constexpr Kind kinds[] = { Kind::CrashReplica, Kind::LeaveReplica, Kind::JoinReplica };
+                add(kinds[index(3)], group, at, time(300, 3000)).afterCall = time(0, 900);
+            }
+        }
+
         GroupFaultSettings settings_;
         std::mt19937_64 random_;
         /** The next sequence is the first one of its group. */
@@ -125,12 +195,15 @@
 bool operator==(const GroupFault& a, const GroupFault& b)
 {
     const auto fields = [](const GroupFault& fault) {
-        return std::tie(fault.kind, fault.at, fault.afterTakeover, fault.group, fault.duration, fault.choice,
-            fault.count, fault.daemons, fault.isGraceful, fault.hasLapses);
+        return std::tie(fault.kind, fault.at, fault.afterTakeover, fault.afterCall, fault.group, fault.duration,
+            fault.choice, fault.count, fault.daemons, fault.isGraceful, fault.hasLapses, fault.refuses,
+            fault.answersReads);
     };
     return fields(a) == fields(b);
 }
 
 std::vector<GroupFault> drawGroupFaults(const GroupFaultSettings& settings) { return PlanDraw(settings).draw(); }
 
+std::vector<GroupFault> drawLateCalls(const GroupFaultSettings& settings) { return PlanDraw(settings).drawLateCalls(); }
+
 } // namespace almondlever::soak
--- a/soak/GroupFaults.h
+++ b/soak/GroupFaults.h
@@ -29,6 +29,21 @@
         ReplaceReplica,
         /** A replica announces that it leaves, and is replaced. */
         RetireReplica,
+        /** Some daemons do not reach the primary: it is silent, or refuses them. */
+        PartPrimary,
+        /** The primary reaches none of its replicas. */
+        IsolatePrimary,
+        /** Calls for a promotion, or orders to servers, get no answer and are carried out late. */
+        DelayCalls,
+        DelayOrders,
+        /** The server that was called receives nothing until it leads. */
+        DeafenCalled,
+        /** Daemons stand still and go on. */
+        SuspendDaemons,
+        /** A replica leaves with its entry and returns with its log. */
+        LeaveReplica,
+        /** A new server joins without a log. */
+        JoinReplica,
     };
 
     Kind kind = Kind::CrashPrimary;
@@ -36,14 +51,21 @@
     Milliseconds at { 0 };
     /** The fault comes only after the next takeover in its group, by this time. */
     std::optional<Milliseconds> afterTakeover;
+    /** The fault comes this long after the next call for a promotion in its group. */
+    std::optional<Milliseconds> afterCall;
     std::size_t group = 0;
     Milliseconds duration { 0 };
     /** Number from which a server is chosen, and how many. */
     std::size_t choice = 0;
     std::size_t count = 1;
+    /** With afterCall, none stands for the daemon that called. */
     std::vector<std::size_t> daemons;
     /** Daemons are stopped with SIGTERM instead of SIGKILL. */
     bool isGraceful = false;
+    /** Connections are refused instead of cut. */
+    bool refuses = false;
+    /** The store still answers reads. */
+    bool answersReads = false;
     /** Leases and entries run out while the store is halted. */
     bool hasLapses = false;
 
@@ -64,4 +86,10 @@
  */
 std::vector<GroupFault> drawGroupFaults(const GroupFaultSettings&);
 
+/**
+ * Draws series of faults around calls for a promotion and orders whose outcome is not known, several for each group;
+ * series overlap, also those of a group. Sorted by time; equal settings give equal plans.
+ */
+std::vector<GroupFault> drawLateCalls(const GroupFaultSettings&);
+
 } // namespace almondlever::soak
--- a/soak/LoopbackProxy.cpp
+++ b/soak/LoopbackProxy.cpp
@@ -35,6 +35,16 @@
             });
     }
 
+    /** Port of the connecting side; 0 if it is gone. */
+    std::uint16_t nearPort() const
+    {
+        std::error_code error;
+        const auto remote = near_.remote_endpoint(error);
+        return error ? std::uint16_t { 0 } : remote.port();
+    }
+    bool isExcluded() const { return isExcluded_; }
+    void exclude() { isExcluded_ = true; }
+
     void close()
     {
         std::error_code ignored;
@@ -66,7 +76,7 @@
             std::size_t size, Milliseconds time)
         {
             const Faults& faults = pipe->owner_.faults_;
-            const bool isCut = isUp ? faults.isCutUpwards : faults.isCutDownwards;
+            const bool isCut = pipe->isExcluded_ || (isUp ? faults.isCutUpwards : faults.isCutDownwards);
             if (time == Milliseconds(0) && !isCut) {
                 asio::async_write(to, asio::buffer(piece.data(), size),
                     [this, pipe, &from, &to, isUp](std::error_code error, std::size_t) {
@@ -90,6 +100,7 @@
     LoopbackProxy& owner_;
     asio::ip::tcp::socket near_;
     asio::ip::tcp::socket far_;
+    bool isExcluded_ = false;
     Direction up_;
     Direction down_;
 };
@@ -117,13 +128,43 @@
         // A connection may end before it is accepted.
         if (!error) {
             const auto pipe = std::make_shared<Pipe>(*this, std::move(socket));
+            const bool isExcluded = isExcluded_ && isExcluded_(pipe->nearPort());
+            if (isExcluded)
+                pipe->exclude();
             pipes_.insert(pipe);
-            pipe->start(target_);
+            if (isExcluded && refusesExcluded_)
+                pipe->close();
+            else
+                pipe->start(target_);
         }
         accept();
     });
 }
 
+void LoopbackProxy::exclude(std::function<bool(std::uint16_t)> isExcluded, bool refuses)
+{
+    isExcluded_ = std::move(isExcluded);
+    refusesExcluded_ = refuses;
+    const auto pipes = pipes_;
+    for (const auto& pipe : pipes) {
+        if (!isExcluded_(pipe->nearPort()))
+            continue;
+        pipe->exclude();
+        if (refuses)
+            pipe->close();
+    }
+}
+
+void LoopbackProxy::include()
+{
+    isExcluded_ = nullptr;
+    const auto pipes = pipes_;
+    for (const auto& pipe : pipes) {
+        if (pipe->isExcluded())
+            pipe->close();
+    }
+}
+
 void LoopbackProxy::reset()
 {
     const auto pipes = pipes_;
--- a/soak/LoopbackProxy.h
+++ b/soak/LoopbackProxy.h
@@ -3,6 +3,7 @@
 #include "almondlever/common/Time.h"
 
 #include <asio.hpp>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -34,6 +35,13 @@
     Faults& faults() { return faults_; }
     /** Ends all connections. */
     void reset();
+    /**
+     * Cuts the connections whose connecting side has a port for which the function returns true, or refuses them;
+     * decided once for each connection, open or new.
+     */
+    void exclude(std::function<bool(std::uint16_t)> isExcluded, bool refuses);
+    /** Ends what exclude() began; what it held back is dropped. */
+    void include();
 
 private:
     class Pipe;
@@ -44,6 +52,8 @@
     std::uint16_t port_ = 0;
     std::uint16_t target_ = 0;
     Faults faults_;
+    std::function<bool(std::uint16_t)> isExcluded_;
+    bool refusesExcluded_ = false;
     std::set<std::shared_ptr<Pipe>> pipes_;
 };
 
--- a/soak/PromiseChecker.cpp
+++ b/soak/PromiseChecker.cpp
@@ -3,7 +3,9 @@
 #include "OddText.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <fmt/format.h>
+#include <utility>
 
 namespace almondlever::soak {
 
@@ -117,10 +119,12 @@
     asked_.insert(tokens.begin(), tokens.end());
 }
 
-void PromiseChecker::noteCommitted(const GroupId&, std::size_t index, const std::vector<std::string>& tokens)
+void PromiseChecker::noteCommitted(
+    const GroupId& group, std::size_t index, const std::vector<std::string>& tokens, Term term)
 {
     for (const std::string& token : tokens) {
         indexOf_[token] = index;
+        committed_[group][token] = { term, index };
         if (asked_.count(token) == 0)
             report("unasked", "write " + token + " was committed, its caller did not ask for it");
     }
@@ -161,10 +165,13 @@
         else
             acknowledged_[group].push_back({ now, session, token, index->second });
         ++acknowledgedTokens_;
+        heardAt_[token] = now;
+        if (const auto rolledBack = rolledBack_.find(token); rolledBack != rolledBack_.end())
+            reportLost(group, token, rolledBack->second, now);
     }
 }
 
-void PromiseChecker::checkLog(const GroupId& group, const std::string& occasion, const std::vector<LogEntry>& log)
+std::set<std::string> PromiseChecker::checkContents(const std::string& occasion, const std::vector<LogEntry>& log)
 {
     std::set<std::string> present;
     for (const LogEntry& entry : log) {
@@ -175,6 +182,48 @@
                 report("refused", fmt::format("write {} is kept, its caller was told otherwise, {}", token, occasion));
         }
     }
+    return present;
+}
+
+void PromiseChecker::checkPromotion(
+    const GroupId& group, const std::string& promotion, const std::vector<LogEntry>& log, TimePoint effectAt)
+{
+    const std::set<std::string> present = checkContents(promotion, log);
+    for (const auto& [token, position] : committed_[group]) {
+        if (present.count(token) > 0) {
+            rolledBack_.erase(token);
+            continue;
+        }
+        RollBack& rollBack = rolledBack_.try_emplace(token, RollBack { promotion, effectAt, false }).first->second;
+        if (const auto heard = heardAt_.find(token); heard != heardAt_.end())
+            reportLost(group, token, rollBack, heard->second);
+    }
+}
+
+void PromiseChecker::reportLost(const GroupId& group, const std::string& token, RollBack& rollBack, TimePoint heardAt)
+{
+    if (std::exchange(rollBack.isReported, true))
+        return;
+    const LogPosition position = committed_[group][token];
+    const auto before = std::chrono::duration_cast<Milliseconds>(rollBack.at - heardAt).count();
+    report("LOST",
+        fmt::format("commit {}.{} of {} ({}), whose caller heard of it {} ms {} the effect, is missing, {}",
+            position.term, position.index, group.text(), token, std::abs(before), before < 0 ? "after" : "before",
+            rollBack.promotion));
+}
+
+std::size_t PromiseChecker::rolledBackUnheard() const
+{
+    return static_cast<std::size_t>(std::count_if(rolledBack_.begin(), rolledBack_.end(), [this](const auto& entry) {
+        const bool wasAcknowledged = std::any_of(
+            held_.begin(), held_.end(), [&entry](const auto& held) { return held.second.count(entry.first) > 0; });
+        return wasAcknowledged && heardAt_.count(entry.first) == 0;
+    }));
+}
+
+void PromiseChecker::checkLog(const GroupId& group, const std::string& occasion, const std::vector<LogEntry>& log)
+{
+    const std::set<std::string> present = checkContents(occasion, log);
     for (const Acknowledged& commit : acknowledged_[group]) {
         if (present.count(commit.token) == 0)
             report("lost", "acknowledged write " + commit.token + " is missing, " + occasion);
--- a/soak/PromiseChecker.h
+++ b/soak/PromiseChecker.h
@@ -91,7 +91,7 @@
     /** The caller has asked for the effect of these writes. */
     void noteCommitAsked(const std::vector<std::string>& tokens);
     /** A leading endpoint put a commit into its log. */
-    void noteCommitted(const GroupId&, std::size_t index, const std::vector<std::string>& tokens);
+    void noteCommitted(const GroupId&, std::size_t index, const std::vector<std::string>& tokens, Term term = 1);
     /** A commit is in the logs that its acknowledgement asks for, also if its caller never hears of it. */
     void noteAcknowledged(const GroupId&, const EndpointId&, const std::vector<std::string>& tokens);
     void noteAttempt(const std::string& session, const GroupId&, const std::vector<std::string>& tokens, AttemptOutcome,
@@ -101,6 +101,14 @@
     /** The log of an endpoint that was promoted, or that leads at the end. */
     void checkLog(const GroupId&, const std::string& occasion, const std::vector<LogEntry>&);
 
+    /**
+     * The log with which an endpoint begins to lead. Every commit whose acknowledgement a caller has received, or
+     * receives later, must be in it; each one that is missing becomes one line "LOST".
+     */
+    void checkPromotion(const GroupId&, const std::string& promotion, const std::vector<LogEntry>&, TimePoint effectAt);
+    /** Commits that endpoints acknowledged and promotions rolled back before any caller heard of it. */
+    std::size_t rolledBackUnheard() const;
+
     const std::vector<std::string>& violations() const { return violations_; }
     std::size_t acknowledged() const { return acknowledgedTokens_; }
     std::size_t runs() const { return runs_; }
@@ -112,6 +120,11 @@
         std::string token;
         std::size_t index = 0;
     };
+    struct RollBack {
+        std::string promotion;
+        TimePoint at;
+        bool isReported = false;
+    };
     struct Run {
         std::string signature;
         std::vector<std::string> rows;
@@ -126,6 +139,9 @@
     };
 
     void report(const std::string& promise, const std::string& detail);
+    /** Reports writes that are kept twice, or although their callers were told otherwise; returns all writes kept. */
+    std::set<std::string> checkContents(const std::string& occasion, const std::vector<LogEntry>&);
+    void reportLost(const GroupId&, const std::string& token, RollBack&, TimePoint heardAt);
     void checkText(const std::string& id, const SentStatement&, const RunStatement&);
     void checkPinned(const std::string& id, const SentStatement&, const RunStatement&);
     void checkFresh(const std::string& id, const SentStatement&, const RunStatement&);
@@ -136,6 +152,11 @@
     /** Writes whose commits endpoints acknowledged, and which endpoint did; without those found lost. */
     std::map<GroupId, std::map<std::string, EndpointId>> held_;
     std::map<std::string, std::size_t> indexOf_;
+    /** Term and index of each write, also of those that were not acknowledged. */
+    std::map<GroupId, std::map<std::string, LogPosition>> committed_;
+    /** Writes that the log of the newest promotion, or that of a former one, lacked. */
+    std::map<std::string, RollBack> rolledBack_;
+    std::map<std::string, TimePoint> heardAt_;
     std::set<std::string> asked_;
     std::set<std::string> promisedAway_;
     /** Owner of each transaction of an endpoint, and place of each transaction of a caller. */
--- a/soak/SoakCaller.cpp
+++ b/soak/SoakCaller.cpp
@@ -315,7 +315,7 @@
     // A transaction that its caller rolled back leaves nothing and promises nothing more.
     const bool isRolledBack = step.kind == Step::Kind::Rollback;
     if (isData || step.kind == Step::Kind::Commit)
-        onServed_(daemon_, route_.group);
+        onServed_(daemon_, route_.group, !tokens_.empty());
     if (isRolledBack)
         tokens_.clear();
     endAttempt(AttemptOutcome::Success);
--- a/soak/SoakCaller.h
+++ b/soak/SoakCaller.h
@@ -42,7 +42,7 @@
 public:
     /** Port of the daemon to use next. */
     using DaemonChoice = std::function<std::uint16_t(std::mt19937_64&)>;
-    using ServedObserver = std::function<void(std::uint16_t daemon, const GroupId&)>;
+    using ServedObserver = std::function<void(std::uint16_t daemon, const GroupId&, bool isWrite)>;
 
     SoakCaller(asio::io_context&, PromiseChecker&, SoakCounts&, std::string name, SoakRoute, const SoakHabits&,
         std::uint64_t seed, DaemonChoice, ServedObserver);
--- a/soak/SoakGroupFaults.cpp
+++ b/soak/SoakGroupFaults.cpp
@@ -34,7 +34,7 @@
     settings.servers = settings_.servers;
     settings.daemons = settings_.daemons;
     settings.faultTime = settings_.faultTime;
-    const std::vector<GroupFault> plan = drawGroupFaults(settings);
+    const std::vector<GroupFault> plan = settings_.hasLateCalls ? drawLateCalls(settings) : drawGroupFaults(settings);
     plan_.assign(plan.begin(), plan.end());
     calmSince_.assign(groups_.size(), startedAt_);
 }
@@ -67,14 +67,14 @@
     while (!plan_.empty() && first + plan_.front().at <= now) {
         const GroupFault fault = plan_.front();
         plan_.pop_front();
-        if (fault.afterTakeover)
+        if (fault.afterTakeover || fault.afterCall)
             armed_.push_back({ fault, groups_[fault.group]->term(), now + takeoverLimit });
         else
             applyFault(fault, now);
     }
     for (auto it = armed_.begin(); it != armed_.end();) {
         StandinGroup& group = *groups_[it->fault.group];
-        if (!it->isDue && group.term() > it->term) {
+        if (!it->isDue && it->fault.afterTakeover && group.term() > it->term) {
             it->isDue = true;
             it->until = now + *it->fault.afterTakeover;
         }
@@ -90,7 +90,8 @@
     // Deafness is that of a replica; as a primary the server sends to the others.
     for (const auto& group : groups_) {
         StandinEndpoint* leader = group->find(group->leader());
-        if (leader && leader->faults().isDeaf && darkened_.count(leader->id()) == 0)
+        const bool isCut = leader && (darkened_.count(leader->id()) > 0 || isolated_.count(leader->id()) > 0);
+        if (leader && leader->faults().isDeaf && !isCut)
             leader->faults().isDeaf = false;
     }
 }
@@ -139,19 +140,25 @@
             darkenServer(group, *server, now + fault.duration);
         return;
     case Kind::RestartDaemons:
-        for (const std::size_t index : fault.daemons)
+        for (const std::size_t index : daemonsOf(fault))
             restartDaemon(*daemons_[index], fault.isGraceful, now + fault.duration);
         return;
     case Kind::HaltStore:
-        log(std::string("store is away") + (fault.hasLapses ? ", entries lapse" : ""));
-        store_.faults().isBusy = true;
+        log(std::string("store is away") + (fault.hasLapses ? ", entries lapse" : "")
+            + (fault.answersReads ? " for writes" : ""));
+        (fault.answersReads ? store_.faults().refusesWrites : store_.faults().isBusy) = true;
         store_.faults().leasesLapse = fault.hasLapses;
         entriesLapse_ = fault.hasLapses;
-        return repairLater(now + fault.duration, [this] { store_.faults().isBusy = false; });
+        return repairLater(now + fault.duration, [this] {
+            store_.faults().isBusy = false;
+            store_.faults().refusesWrites = false;
+        });
     case Kind::RestartEmpty:
     case Kind::ReplaceReplica:
     case Kind::RetireReplica:
         return loseLog(group, fault, now);
+    default:
+        return applyLateFault(fault, now);
     }
 }
 
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -211,6 +211,9 @@
     const auto id = body.at("id").get<std::string>();
     const std::uint64_t fence = std::stoull(exchange->header("X-Fence-Token"));
     log("promotion of " + id + " asked by " + exchange->header("X-Duty-Holder") + ", fence " + std::to_string(fence));
+    if (settings_.hasLateCalls)
+        return handleLateCall(
+            exchange, indexOf(GroupId(group)), { EndpointId(id), exchange->header("X-Duty-Holder"), fence, {} });
     const bool isLate = std::uniform_real_distribution<double>(0, 1)(random_) < latePromotions_;
     if (isLate) {
         // The call gets no answer and is carried out after newer ones, unless its fence is outdated by then.
@@ -294,7 +297,9 @@
             std::uniform_int_distribution<std::size_t> draw(0, daemons_.size() - 1);
             return daemons_[draw(random)]->front.port();
         };
-        const auto onServed = [this](std::uint16_t daemon, const GroupId& group) {
+        const auto onServed = [this](std::uint16_t daemon, const GroupId& group, bool isWrite) {
+            if (isWrite && settings_.hasLateCalls)
+                noteWrite(indexOf(group), Clock::now());
             if (isHealed_)
                 served_.insert(std::to_string(daemon) + ' ' + group.text());
         };
@@ -319,8 +324,10 @@
     startDaemons();
     faultsUntil_ = startedAt_ + startTime + settings_.faultTime;
     drawRestores();
-    if (settings_.hasGroupFaults)
+    if (settings_.hasGroupFaults || settings_.hasLateCalls)
         drawPlan();
+    if (settings_.hasLateCalls)
+        prepareLateCalls();
     nextFault_ = startedAt_ + startTime;
     nextWireFault_ = nextFault_;
     const TimePoint callersFrom = startedAt_ + startTime / 2;
@@ -353,9 +360,17 @@
     for (const auto& caller : callers_)
         caller->stop();
     for (const auto& group : groups_) {
-        if (const StandinEndpoint* leader = group->find(group->leader()))
+        const StandinEndpoint* leader = group->find(group->leader());
+        if (leader && settings_.hasLateCalls)
+            checker_.checkPromotion(group->id(), "at the end", leader->log(), Clock::now());
+        else if (leader)
             checker_.checkLog(group->id(), "at the end", leader->log());
+        if (!settings_.hasLateCalls)
+            continue;
+        noteWrite(indexOf(group->id()), faultsUntil_);
+        result_.promotions += group->term() - 1;
     }
+    result_.rolledBackUnheard = checker_.rolledBackUnheard();
     stopDaemons();
     result_.violations.insert(result_.violations.begin(), checker_.violations().begin(), checker_.violations().end());
     result_.attempts = counts_.attempts;
@@ -399,7 +414,7 @@
     const bool hasWireFaults = settings_.repeats > 0 || settings_.cuts > 0;
     if (hasWireFaults && now >= nextWireFault_ && now < faultsUntil_)
         harmWire(now);
-    if (settings_.hasGroupFaults) {
+    if (settings_.hasGroupFaults || settings_.hasLateCalls) {
         if (now < faultsUntil_)
             tickGroupFaults(now);
     } else if (now >= nextFault_ && now < faultsUntil_) {
@@ -451,6 +466,13 @@
     }
 }
 
+std::size_t SoakRun::indexOf(const GroupId& id) const
+{
+    const auto found
+        = std::find_if(groups_.begin(), groups_.end(), [&id](const auto& group) { return group->id() == id; });
+    return static_cast<std::size_t>(found - groups_.begin());
+}
+
 bool SoakRun::hasRecovered() const { return served_.size() >= daemons_.size() * groups_.size(); }
 
 void SoakRun::stopDaemons()
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -37,6 +37,8 @@
     std::size_t unusedRoutes = 0;
     /** Injects the plan of drawGroupFaults() instead of the other faults. */
     bool hasGroupFaults = false;
+    /** Injects the plan of drawLateCalls() instead, with promotions as the platform carries them out. */
+    bool hasLateCalls = false;
     /** Times that the store comes back from a copy, spread over the faults. */
     std::size_t storeRestores = 0;
     /** Mean time between two faults; they last longer and overlap. */
@@ -59,6 +61,11 @@
     /** Connections that endpoints accepted, and answers that they sent once more. */
     std::size_t connections = 0;
     std::size_t repeated = 0;
+    /** Times during the faults in which no write to a group succeeded; the sum is that of all groups. */
+    Milliseconds longestGap { 0 };
+    Milliseconds summedGaps { 0 };
+    /** Commits that endpoints acknowledged and promotions rolled back before any caller heard of it. */
+    std::size_t rolledBackUnheard = 0;
 };
 
 /**
@@ -131,6 +138,15 @@
     void writeConfiguration();
     void writeEntry(Endpoint&);
     void handlePromotion(const std::shared_ptr<HttpExchange>&);
+    void prepareLateCalls();
+    void handleLateCall(const std::shared_ptr<HttpExchange>&, std::size_t group, PromotionCall);
+    void applyLateFault(const GroupFault&, TimePoint now);
+    void partPrimary(const StandinEndpoint&, const GroupFault&, TimePoint until);
+    void suspendDaemon(Daemon&, TimePoint until);
+    std::vector<std::size_t> daemonsOf(const GroupFault&) const;
+    /** A write to the group succeeded. */
+    void noteWrite(std::size_t group, TimePoint now);
+    std::size_t indexOf(const GroupId&) const;
     bool applyPromotion(const std::string& group, const std::string& id, std::uint64_t fence);
     void tick();
     void tickEndpoints(TimePoint now);
@@ -215,6 +231,12 @@
     /** For each group. */
     std::vector<TimePoint> calmSince_;
     std::set<EndpointId> darkened_;
+    /** Primaries that reach no replica. */
+    std::set<EndpointId> isolated_;
+    /** Of each group: the newest call, the time until which calls are late, and the newest write that succeeded. */
+    std::vector<PromotionCall> lastCalls_;
+    std::vector<TimePoint> callsDelayedUntil_;
+    std::vector<TimePoint> lastWrites_;
     /** Groups that have lost a log for good. */
     std::set<GroupId> hasLost_;
     /** Entries also lapse while the store is away. */
--- a/soak/StandinConnection.cpp
+++ b/soak/StandinConnection.cpp
@@ -164,12 +164,10 @@
     }
     if (verb == "STATUS" || verb == "PAUSE" || verb == "RESUME" || verb == "STEPDOWN") {
         const Term term = toNumber(rest);
-        if (verb == "PAUSE" && term > group_.term() && term > endpoint_.pausedIn_ && !leads())
-            endpoint_.pausedIn_ = term;
-        if (verb == "RESUME")
-            endpoint_.pausedIn_ = 0;
-        if (verb == "STEPDOWN")
-            group_.stepDown(endpoint_, term);
+        // The connection stays busy: its other side hears nothing more.
+        if (verb != "STATUS" && endpoint_.faults_.lateOrders > 0 && group_.delayOrder(endpoint_, verb, term))
+            return;
+        endpoint_.carryOut(verb, term);
         return completeStatus();
     }
     if (verb == "READ" || verb == "WRITE") {
--- a/soak/StandinGroup.cpp
+++ b/soak/StandinGroup.cpp
@@ -3,6 +3,7 @@
 #include "StandinConnection.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace almondlever::soak {
 
@@ -66,6 +67,16 @@
     applied_ = 0;
 }
 
+void StandinEndpoint::carryOut(const std::string& order, Term term)
+{
+    if (order == "PAUSE" && term > group_.term() && term > pausedIn_ && !group_.leads(*this))
+        pausedIn_ = term;
+    if (order == "RESUME")
+        pausedIn_ = 0;
+    if (order == "STEPDOWN")
+        group_.stepDown(*this, term);
+}
+
 void StandinEndpoint::accept()
 {
     acceptor_.async_accept([this](std::error_code error, asio::ip::tcp::socket socket) {
@@ -119,6 +130,7 @@
     , random_(seed)
     , wireRandom_(seed)
     , oddText_(oddData, seed)
+    , delayRandom_(seed)
 {
 }
 
@@ -162,12 +174,60 @@
         return false;
     if (leader_ == id)
         return true;
+    lead(*endpoint);
+    checker_.checkLog(id_, "promotion of " + id.text() + " in term " + std::to_string(term_), endpoint->log());
+    return true;
+}
+
+void StandinGroup::lead(StandinEndpoint& endpoint)
+{
     ++term_;
-    leader_ = id;
-    endpoint->endPause();
+    leader_ = endpoint.id();
+    endpoint.endPause();
     // The former leader acknowledges nothing any more.
     waiting_.clear();
-    checker_.checkLog(id_, "promotion of " + id.text() + " in term " + std::to_string(term_), endpoint->log());
+}
+
+bool StandinGroup::acceptPromotion(const PromotionCall& call, Milliseconds effectDelay, TimePoint now)
+{
+    const StandinEndpoint* called = find(call.endpoint);
+    if (call.fence < acceptedFence_ || !called || !called->isUp())
+        return false;
+    acceptedFence_ = call.fence;
+    if (leads(*called))
+        return true;
+    runAt(now + effectDelay, [this, call, now] {
+        const EndpointId& id = call.endpoint;
+        StandinEndpoint* chosen = find(id);
+        if (!chosen || !chosen->isUp() || leads(*chosen))
+            return;
+        lead(*chosen);
+        const auto since
+            = [this](TimePoint time) { return std::chrono::duration_cast<Milliseconds>(time - startedAt_).count(); };
+        const TimePoint effectAt = Clock::now();
+        const std::string promotion = fmt::format(
+            "promotion of {} in term {} with a log up to {}, called by {} with fence {} at {} ms, accepted at {} ms, "
+            "in effect at {} ms",
+            id.text(), term_, formatPosition(chosen->received()), call.holder, call.fence, since(call.calledAt),
+            since(now), since(effectAt));
+        observer_(promotion);
+        checker_.checkPromotion(id_, promotion, chosen->log(), effectAt);
+    });
+    return true;
+}
+
+bool StandinGroup::delayOrder(StandinEndpoint& endpoint, const std::string& order, Term term)
+{
+    const TimePoint at = Clock::now() + drawLateness();
+    if (!drawDelay(endpoint.faults().lateOrders) || at > delaysUntil_)
+        return false;
+    runAt(at, [this, id = endpoint.id(), order, term] {
+        StandinEndpoint* present = find(id);
+        if (!present || !present->isUp())
+            return;
+        observer_(fmt::format("late {} {} at {}", order, term, id.text()));
+        present->carryOut(order, term);
+    });
     return true;
 }
 
@@ -185,13 +245,18 @@
     if (!leading)
         return;
     const std::size_t index = leading->log().size() + 1;
-    checker_.noteCommitted(id_, index, tokens);
+    checker_.noteCommitted(id_, index, tokens, term_);
     leading->append({ { term_, index }, std::move(tokens) });
     waiting_.push_back({ term_, index, std::move(onAcknowledged) });
 }
 
 void StandinGroup::tick(TimePoint now)
 {
+    while (!tasks_.empty() && tasks_.begin()->first <= now) {
+        const auto task = std::move(tasks_.begin()->second);
+        tasks_.erase(tasks_.begin());
+        task();
+    }
     StandinEndpoint* leading = find(leader_);
     if (!leading || !leading->isUp() || leading->faults().isDeaf)
         return;
--- a/soak/StandinGroup.h
+++ b/soak/StandinGroup.h
@@ -26,6 +26,8 @@
     double repeats = 0;
     /** Share of the answers that are cut off, with the end of their connection. */
     double cuts = 0;
+    /** Share of the orders that get no answer and are carried out seconds late. */
+    double lateOrders = 0;
     /** Added to the time that each statement takes. */
     Milliseconds extraWork { 0 };
     /** Time that a replica takes to apply what it received. */
@@ -57,6 +59,8 @@
     /** Forgets everything, as a server that starts again without its log. */
     void forget();
 
+    /** Carries out PAUSE, RESUME or STEPDOWN. */
+    void carryOut(const std::string& order, Term);
     bool isPaused() const { return pausedIn_ != 0; }
     void endPause() { pausedIn_ = 0; }
     /** Makes the log equal to that of the leader. */
@@ -89,6 +93,14 @@
     Term pausedIn_ = 0;
 };
 
+/** A call for a promotion as the platform received it. */
+struct PromotionCall {
+    EndpointId endpoint;
+    std::string holder;
+    std::uint64_t fence = 0;
+    TimePoint calledAt;
+};
+
 /** The servers of one group, their replication, and which of them leads. */
 class StandinGroup {
 public:
@@ -107,6 +119,23 @@
     void setFirstLeader(const EndpointId& id) { leader_ = id; }
     /** The platform's promotion; false when the endpoint does not run. */
     bool promote(const EndpointId&);
+    /**
+     * Carries out a call: false if a newer fence was accepted or the endpoint does not run. Unless the endpoint leads,
+     * it leads the next term once the delay has passed, with the log that it has received by then.
+     */
+    bool acceptPromotion(const PromotionCall&, Milliseconds effectDelay, TimePoint now);
+    /** Runs the task in the first tick() at or after the time. */
+    void runAt(TimePoint at, std::function<void()> task) { tasks_.emplace(at, std::move(task)); }
+    /** Delays an order as its endpoint's faults say; true if it was delayed and is not to be answered. */
+    bool delayOrder(StandinEndpoint&, const std::string& order, Term);
+    /** Times in reports count from the first one; no order is carried out after the second because of a delay. */
+    void setTimes(TimePoint startedAt, TimePoint delaysUntil)
+    {
+        startedAt_ = startedAt;
+        delaysUntil_ = delaysUntil;
+    }
+    /** Told of orders and promotions that take effect after a delay. */
+    void setObserver(std::function<void(const std::string&)> observer) { observer_ = std::move(observer); }
     /** The order to step down: without a leader, commits that wait are never acknowledged. */
     void stepDown(const StandinEndpoint&, Term);
 
@@ -129,16 +158,27 @@
     void noteRepeat() { ++repeated_; }
     std::size_t accepted() const { return accepted_; }
     std::size_t repeated() const { return repeated_; }
+    /** Time by which a call or an order without an answer is late. */
+    Milliseconds drawLateness()
+    {
+        return Milliseconds(std::uniform_int_distribution<int>(shortestDelayMs, longestDelayMs)(delayRandom_));
+    }
+    bool drawDelay(double share) { return std::uniform_real_distribution<double>(0, 1)(delayRandom_) < share; }
     /** A number that no connection, transaction or run of any group has. */
     static std::uint64_t nextNumber();
 
 private:
+    static constexpr int shortestDelayMs = 2000;
+    static constexpr int longestDelayMs = 12000;
+
     struct Waiting {
         Term term = 0;
         std::size_t size = 0;
         std::function<void()> onAcknowledged;
     };
 
+    void lead(StandinEndpoint&);
+
     asio::io_context& context_;
     PromiseChecker& checker_;
     GroupId id_;
@@ -151,6 +191,13 @@
     EndpointId leader_;
     Term term_ = 1;
     std::deque<Waiting> waiting_;
+    std::multimap<TimePoint, std::function<void()>> tasks_;
+    TimePoint startedAt_ {};
+    TimePoint delaysUntil_ {};
+    std::uint64_t acceptedFence_ = 0;
+    std::function<void(const std::string&)> observer_ = [](const std::string&) {};
+    /** Draws delays only. */
+    std::mt19937_64 delayRandom_;
 };
 
 } // namespace almondlever::soak
--- a/soak/StandinStore.cpp
+++ b/soak/StandinStore.cpp
@@ -145,6 +145,8 @@
     if (faults_.isBusy)
         return answer(*exchange, statusBusy, Json::object());
     const std::string& path = exchange->path();
+    if (faults_.refusesWrites && path == "/-/kv-txn")
+        return answer(*exchange, statusBusy, Json::object());
     if (path == "/-/kv-range")
         return readRange(*exchange);
     if (path == "/-/kv-watch")
--- a/soak/StandinStore.h
+++ b/soak/StandinStore.h
@@ -21,6 +21,8 @@
     struct Faults {
         /** Answers 503 and does nothing. */
         bool isBusy = false;
+        /** Answers 503 to writes and does nothing. */
+        bool refusesWrites = false;
         /** Leases end while the store is busy, else they pause. */
         bool leasesLapse = false;
         /** Share of the writes that are done and not answered. */
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -35,7 +35,12 @@
               << " refused, " << result.inDoubt << " in doubt, " << result.acknowledgedWrites
               << " acknowledged writes, " << result.storeCalls << " store calls, " << result.violations.size()
               << " violations" << (rules.empty() ? "" : rules + ')') << ", " << result.connections
-              << " connections to endpoints, " << result.repeated << " repeated answers, served share "
+              << " connections to endpoints, ";
+    if (settings.hasLateCalls)
+        std::cout << counts["LOST"] << " LOST, " << result.rolledBackUnheard
+                  << " rolled back that no caller heard of, longest gap in writes " << result.longestGap.count()
+                  << " ms, summed " << result.summedGaps.count() << " ms, ";
+    std::cout << result.repeated << " repeated answers, served share "
               << (result.attempts == 0 ? 0.0
                                        : static_cast<double>(result.served) / static_cast<double>(result.attempts))
               << std::endl;
@@ -65,6 +70,8 @@
         "", "unused-routes", "routes that no caller uses", false, defaults.unusedRoutes, "N");
     TCLAP::SwitchArg groupFaults("", "group-faults",
         "only sequences of faults after which a replica without acknowledged commits could be promoted");
+    TCLAP::SwitchArg lateCalls("", "late-calls",
+        "only series of faults around calls and orders that are carried out late; counts commits that are lost");
     std::vector<std::string> oddKinds { "none", "blanks", "all" };
     TCLAP::ValuesConstraint<std::string> oddConstraint(oddKinds);
     TCLAP::ValueArg<std::string> oddData(
@@ -77,7 +84,7 @@
         static_cast<int>(defaults.habits.longestPause.count()), "MS");
     for (TCLAP::Arg* argument :
         std::initializer_list<TCLAP::Arg*> { &program, &former, &folder, &seed, &seeds, &daemons, &groups, &servers,
-            &groupFaults, &callers, &seconds, &restores, &routes, &oddData, &repeats, &cuts, &pause })
+            &groupFaults, &lateCalls, &callers, &seconds, &restores, &routes, &oddData, &repeats, &cuts, &pause })
         commandLine.add(argument);
     commandLine.parse(argc, argv);
     try {
@@ -92,6 +99,7 @@
             settings.groups = groups.getValue();
             settings.servers = servers.getValue();
             settings.hasGroupFaults = groupFaults.getValue();
+            settings.hasLateCalls = lateCalls.getValue();
             settings.callers = callers.getValue();
             settings.faultTime = std::chrono::seconds(seconds.getValue());
             settings.storeRestores = restores.getValue();
--- a/tests/soak/TestGroupFaults.cpp
+++ b/tests/soak/TestGroupFaults.cpp
@@ -52,3 +52,21 @@
     cr_assert(
         std::is_sorted(plan.begin(), plan.end(), [](const GroupFault& a, const GroupFault& b) { return a.at < b.at; }));
 }
+
+// Guards against a seed that does not repeat its series, and against a draw that leaves out a kind of fault.
+Test(LateCalls, drawsEveryKindAndRepeatsASeed)
+{
+    GroupFaultSettings settings;
+    settings.faultTime = Milliseconds(25000);
+    cr_assert(drawLateCalls(settings) == drawLateCalls(settings));
+    std::set<GroupFault::Kind> kinds;
+    for (settings.seed = 1; settings.seed <= 50; ++settings.seed) {
+        for (const GroupFault& fault : drawLateCalls(settings))
+            kinds.insert(fault.kind);
+    }
+    using Kind = GroupFault::Kind;
+    cr_assert(kinds
+        == (std::set<Kind> { Kind::CrashReplica, Kind::CrashPrimary, Kind::DarkenPrimary, Kind::RestartDaemons,
+            Kind::HaltStore, Kind::PartPrimary, Kind::IsolatePrimary, Kind::DelayCalls, Kind::DelayOrders,
+            Kind::DeafenCalled, Kind::SuspendDaemons, Kind::LeaveReplica, Kind::JoinReplica }));
+}
--- a/tests/soak/TestPromiseChecker.cpp
+++ b/tests/soak/TestPromiseChecker.cpp
@@ -365,3 +365,18 @@
     cr_assert_not(fixture.checker.coversAcknowledged(group, { &shorter }));
     cr_assert(fixture.checker.coversAcknowledged(GroupId("other"), {}));
 }
+
+// Planted: a caller hears of a commit after a promotion has rolled it back; a commit that nobody heard of is not LOST.
+Test(PromiseChecker, findsAnAcknowledgementAfterTheRollBack)
+{
+    Fixture fixture;
+    fixture.checker.noteCommitAsked({ "w2", "w3" });
+    fixture.checker.noteCommitted(group, 2, { "w2" });
+    fixture.checker.noteCommitted(group, 3, { "w3" });
+    fixture.checker.noteAcknowledged(group, a, { "w3" });
+    fixture.checker.checkPromotion(group, "promotion of b", fixture.log, at(200));
+    cr_assert(fixture.checker.violations().empty());
+    cr_assert_eq(fixture.checker.rolledBackUnheard(), 1U);
+    fixture.checker.noteAttempt("c1/1", group, { "w2" }, AttemptOutcome::Success, at(300));
+    cr_assert(fixture.found("LOST"));
+}
--- a/tests/soak/TestStandinGroup.cpp
+++ b/tests/soak/TestStandinGroup.cpp
@@ -75,3 +75,39 @@
     cr_assert_eq(primary.log().size(), 1U);
     cr_assert(replicated.checker.violations().empty());
 }
+
+// Guards against a promotion that takes effect when it is called, so that nothing is acknowledged in between.
+Test(StandinGroup, promotesWithTheLogThatWasReceivedByThen)
+{
+    Replicated replicated;
+    StandinGroup& group = replicated.group;
+    cr_assert(group.acceptPromotion({ EndpointId("c"), "front-1", 5, start }, Milliseconds(1000), start));
+    replicated.commit("w1");
+    replicated.checker.noteAttempt("c1/1", group.id(), { "w1" }, AttemptOutcome::Success, start);
+    group.tick(start + Milliseconds(999));
+    cr_assert_eq(group.leader().text(), "a");
+    cr_assert(replicated.checker.violations().empty());
+    group.tick(start + Milliseconds(1000));
+    cr_assert_eq(group.leader().text(), "c");
+    cr_assert_eq(group.term(), 2U);
+    cr_assert_eq(replicated.checker.violations().size(), 1U);
+    cr_assert_eq(replicated.checker.violations()[0].rfind("LOST: commit 1.1 of ledger (w1)", 0), 0U);
+}
+
+// Guards against fences that are checked when a call is made, and against a call for the present primary that promotes.
+Test(StandinGroup, checksTheFenceWhenACallIsCarriedOut)
+{
+    Replicated replicated;
+    StandinGroup& group = replicated.group;
+    const auto call = [&group](const char* id, std::uint64_t fence) {
+        return group.acceptPromotion({ EndpointId(id), "front-1", fence, start }, Milliseconds(0), start);
+    };
+    cr_assert(call("a", 7));
+    cr_assert_not(call("b", 6));
+    cr_assert(call("b", 7));
+    group.tick(start);
+    cr_assert_eq(group.leader().text(), "b");
+    cr_assert_eq(group.term(), 2U);
+    group.find(EndpointId("c"))->crash();
+    cr_assert_not(call("c", 8));
+}
