Soak late calls: hold unanswered calls open, draw interrupted calls

Cause: a call without an answer ended its connection, so that daemons repeated it after 0.25 s instead of after its time-out of 1.5 s, and most series ended with an accepted call. A first series could also come before the record of log holders was written. Change: half of the unanswered calls stay open; the calls of one disturbance have a common least lateness; half of the series take the primary away until the call is due again and the store away then.

--- a/soak/GroupFaults.cpp
+++ b/soak/GroupFaults.cpp
@@ -43,7 +43,8 @@
         std::vector<GroupFault> drawLateCalls()
         {
             for (std::size_t group = 0; group < settings_.groups; ++group) {
-                for (Milliseconds at = time(0, 2000); at + lastSeries < settings_.faultTime; at += time(5000, 9000))
+                // Without a record of the group's log holders, which takes a moment, nothing can be promoted.
+                for (Milliseconds at = time(1500, 3500); at + lastSeries < settings_.faultTime; at += time(6000, 10000))
                     drawSeries(group, at);
             }
             return takeSorted();
@@ -130,24 +131,11 @@
             return std::max(at + deafFor, downAt + downFor);
         }
 
-        void addTrouble(std::size_t group, Milliseconds at)
+        /** One daemon at least goes on with the primary. */
+        void addPart(std::size_t group, Milliseconds at)
         {
-            switch (index(5)) {
-            case 0:
-                add(Kind::CrashPrimary, group, at, time(2000, 3500));
-                return;
-            case 1:
-                add(Kind::DarkenPrimary, group, at, time(2000, 3500));
-                return;
-            case 2:
-                add(Kind::IsolatePrimary, group, at, time(2000, 5000));
-                return;
-            default:
-                break;
-            }
             GroupFault& part = add(Kind::PartPrimary, group, at, time(3000, 8000));
             part.refuses = chance(0.5);
-            // One daemon at least goes on with the primary.
             const std::size_t reaching = index(settings_.daemons);
             for (std::size_t daemon = 0; daemon < settings_.daemons; ++daemon) {
                 if (daemon != reaching)
@@ -155,29 +143,52 @@
             }
         }
 
-        void drawSeries(std::size_t group, Milliseconds at)
+        void addHalt(std::size_t group, Milliseconds at, Milliseconds afterCall)
+        {
+            GroupFault& halt = add(Kind::HaltStore, group, at, time(500, 1000));
+            halt.afterCall = afterCall;
+            halt.answersReads = chance(0.2);
+        }
+
+        /** The primary is away until a call without an answer is due again; then the store is away. */
+        void drawInterruptedCall(std::size_t group, Milliseconds at)
         {
-            addTrouble(group, at + time(0, 500));
-            if (chance(0.8))
+            add(Kind::DelayCalls, group, at, time(3000, 5000));
+            add(chance(0.5) ? Kind::CrashPrimary : Kind::DarkenPrimary, group, at, time(1000, 2600));
+            // A call is due again 0.25 s after its time-out of 1.5 s, or after the end of its connection.
+            addHalt(group, at, chance(0.5) ? time(1300, 1700) : time(0, 200));
+            add(Kind::DeafenCalled, group, at, time(8000, 12000)).afterCall = time(1000, 2500);
+        }
+
+        void drawTrouble(std::size_t group, Milliseconds at)
+        {
+            if (chance(0.7))
+                addPart(group, at);
+            else
+                add(Kind::IsolatePrimary, group, at, time(2000, 5000));
+            if (chance(0.7))
                 add(Kind::DelayCalls, group, at, time(3000, 6000));
             if (chance(0.5))
+                addHalt(group, at, time(0, 2000));
+            if (chance(0.5))
+                add(Kind::DeafenCalled, group, at, time(5000, 11000)).afterCall = time(0, 3000);
+        }
+
+        void drawSeries(std::size_t group, Milliseconds at)
+        {
+            if (chance(0.5))
+                drawInterruptedCall(group, at);
+            else
+                drawTrouble(group, at);
+            if (chance(0.4))
                 add(Kind::DelayOrders, group, at + time(0, 2000), time(1500, 4000));
-            if (chance(0.6)) {
-                GroupFault& halt = add(Kind::HaltStore, group, at, time(500, 1000));
-                // The call is repeated about 1.75 s after it was made, when its time-out and a pause have passed.
-                halt.afterCall = time(1200, 2000);
-                halt.answersReads = chance(0.3);
-            }
-            if (chance(0.7))
-                add(Kind::DeafenCalled, group, at, time(5000, 11000)).afterCall = time(1000, 3500);
-            if (chance(0.5)) {
+            if (chance(0.4)) {
                 const bool isKilled = chance(0.5);
-                add(isKilled ? Kind::RestartDaemons : Kind::SuspendDaemons, group, at,
-                    isKilled ? time(300, 1500) : time(1000, 5000))
-                    .afterCall
+                const Milliseconds duration = isKilled ? time(300, 1500) : time(1000, 5000);
+                add(isKilled ? Kind::RestartDaemons : Kind::SuspendDaemons, group, at, duration).afterCall
                     = time(0, 2000);
             }
-            if (chance(0.6)) {
+            if (chance(0.5)) {
                 constexpr Kind kinds[] = { Kind::CrashReplica, Kind::LeaveReplica, Kind::JoinReplica };
                 add(kinds[index(3)], group, at, time(300, 3000)).afterCall = time(0, 900);
             }
--- a/soak/SoakLateCalls.cpp
+++ b/soak/SoakLateCalls.cpp
@@ -12,7 +12,11 @@
 
     /** Time from the acceptance of a call until the server leads. */
     constexpr Milliseconds promotionEffect { 1000 };
-    constexpr double lateCallShare = 0.7;
+    constexpr double lateCallShare = 0.9;
+    /** The shortest lateness of the calls of a disturbance is drawn from these steps. */
+    constexpr Milliseconds delayStep { 250 };
+    constexpr std::size_t delaySteps = 24;
+    constexpr double silentShare = 0.5;
     constexpr double lateOrderShare = 0.5;
     /** Callers write every few tens of milliseconds; a longer time without a success is a gap. */
     constexpr Milliseconds shortestGap { 500 };
@@ -27,6 +31,7 @@
 {
     lastCalls_.resize(groups_.size());
     callsDelayedUntil_.resize(groups_.size());
+    callDelays_.resize(groups_.size());
     lastWrites_.assign(groups_.size(), startedAt_ + startTime);
     for (const auto& group : groups_) {
         group->setTimes(startedAt_, faultsUntil_);
@@ -46,15 +51,17 @@
         armed.isDue = true;
         armed.until = now + *armed.fault.afterCall;
     }
-    const TimePoint at = now + group.drawLateness();
-    const bool isLate = now < callsDelayedUntil_[index] && at < faultsUntil_ && group.drawDelay(lateCallShare);
-    if (isLate) {
-        group.runAt(at, [this, &group, call, at] {
+    const auto at = group.drawLateTime(now, callDelays_[index]);
+    if (at && now < callsDelayedUntil_[index] && group.drawDelay(lateCallShare)) {
+        group.runAt(*at, [this, &group, call, at = *at] {
             const bool isAccepted
                 = darkened_.count(call.endpoint) == 0 && group.acceptPromotion(call, promotionEffect, at);
             log("late call for " + call.endpoint.text() + ", fence " + std::to_string(call.fence)
                 + (isAccepted ? ", accepted" : ", refused"));
         });
+        // An exchange that is given up ends its connection, which its caller notices at once.
+        if (group.drawDelay(silentShare))
+            unanswered_.push_back(exchange);
         return log("no answer to this call");
     }
     HttpResponse response;
@@ -89,6 +96,7 @@
         });
     case Kind::DelayCalls:
         callsDelayedUntil_[fault.group] = until;
+        callDelays_[fault.group] = StandinGroup::shortestDelay + fault.choice % delaySteps * delayStep;
         return;
     case Kind::DelayOrders:
         log("orders in " + group.id().text() + " are late" + time);
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -235,7 +235,9 @@
     std::set<EndpointId> isolated_;
     /** Of each group: the newest call, the time until which calls are late, and the newest write that succeeded. */
     std::vector<PromotionCall> lastCalls_;
+    std::vector<std::shared_ptr<HttpExchange>> unanswered_;
     std::vector<TimePoint> callsDelayedUntil_;
+    std::vector<Milliseconds> callDelays_;
     std::vector<TimePoint> lastWrites_;
     /** Groups that have lost a log for good. */
     std::set<GroupId> hasLost_;
--- a/soak/StandinGroup.cpp
+++ b/soak/StandinGroup.cpp
@@ -7,6 +7,12 @@
 
 namespace almondlever::soak {
 
+namespace {
+
+    constexpr Milliseconds longestDelay { 12000 };
+
+} // namespace
+
 std::uint64_t StandinGroup::nextNumber()
 {
     static std::uint64_t last = 0;
@@ -216,12 +222,22 @@
     return true;
 }
 
+std::optional<TimePoint> StandinGroup::drawLateTime(TimePoint now, Milliseconds shortest)
+{
+    const auto left = std::chrono::duration_cast<Milliseconds>(delaysUntil_ - now);
+    const Milliseconds longest = std::min(left, longestDelay);
+    if (longest < shortest)
+        return std::nullopt;
+    std::uniform_int_distribution<std::int64_t> draw(shortest.count(), longest.count());
+    return now + Milliseconds(draw(delayRandom_));
+}
+
 bool StandinGroup::delayOrder(StandinEndpoint& endpoint, const std::string& order, Term term)
 {
-    const TimePoint at = Clock::now() + drawLateness();
-    if (!drawDelay(endpoint.faults().lateOrders) || at > delaysUntil_)
+    const auto at = drawLateTime(Clock::now());
+    if (!drawDelay(endpoint.faults().lateOrders) || !at)
         return false;
-    runAt(at, [this, id = endpoint.id(), order, term] {
+    runAt(*at, [this, id = endpoint.id(), order, term] {
         StandinEndpoint* present = find(id);
         if (!present || !present->isUp())
             return;
--- a/soak/StandinGroup.h
+++ b/soak/StandinGroup.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 
@@ -158,19 +159,15 @@
     void noteRepeat() { ++repeated_; }
     std::size_t accepted() const { return accepted_; }
     std::size_t repeated() const { return repeated_; }
-    /** Time by which a call or an order without an answer is late. */
-    Milliseconds drawLateness()
-    {
-        return Milliseconds(std::uniform_int_distribution<int>(shortestDelayMs, longestDelayMs)(delayRandom_));
-    }
+    /** When a call or an order without an answer is carried out; nullopt if it would be after the delays. */
+    std::optional<TimePoint> drawLateTime(TimePoint now, Milliseconds shortest = shortestDelay);
     bool drawDelay(double share) { return std::uniform_real_distribution<double>(0, 1)(delayRandom_) < share; }
     /** A number that no connection, transaction or run of any group has. */
     static std::uint64_t nextNumber();
 
-private:
-    static constexpr int shortestDelayMs = 2000;
-    static constexpr int longestDelayMs = 12000;
+    static constexpr Milliseconds shortestDelay { 2000 };
 
+private:
     struct Waiting {
         Term term = 0;
         std::size_t size = 0;
