--- a/soak/GroupFaults.cpp
+++ b/soak/GroupFaults.cpp
@@ -147,7 +147,8 @@
         {
             GroupFault& halt = add(Kind::HaltStore, group, at, time(500, 1000));
             halt.afterCall = afterCall;
-            halt.answersReads = chance(0.2);
+            halt.answersWrites = chance(0.7);
+            halt.answersReads = !halt.answersWrites && chance(0.4);
         }
 
         /** The primary is away until a call without an answer is due again; then the store is away. */
@@ -176,7 +177,7 @@
 
         void drawSeries(std::size_t group, Milliseconds at)
         {
-            if (chance(0.5))
+            if (chance(0.6))
                 drawInterruptedCall(group, at);
             else
                 drawTrouble(group, at);
@@ -208,7 +209,7 @@
     const auto fields = [](const GroupFault& fault) {
         return std::tie(fault.kind, fault.at, fault.afterTakeover, fault.afterCall, fault.group, fault.duration,
             fault.choice, fault.count, fault.daemons, fault.isGraceful, fault.hasLapses, fault.refuses,
-            fault.answersReads);
+            fault.answersReads, fault.answersWrites);
     };
     return fields(a) == fields(b);
 }
--- a/soak/GroupFaults.h
+++ b/soak/GroupFaults.h
@@ -64,8 +64,9 @@
     bool isGraceful = false;
     /** Connections are refused instead of cut. */
     bool refuses = false;
-    /** The store still answers reads. */
+    /** The halted store still answers reads, or writes. */
     bool answersReads = false;
+    bool answersWrites = false;
     /** Leases and entries run out while the store is halted. */
     bool hasLapses = false;
 
--- a/soak/SoakGroupFaults.cpp
+++ b/soak/SoakGroupFaults.cpp
@@ -145,13 +145,18 @@
         return;
     case Kind::HaltStore:
         log(std::string("store is away") + (fault.hasLapses ? ", entries lapse" : "")
-            + (fault.answersReads ? " for writes" : ""));
-        (fault.answersReads ? store_.faults().refusesWrites : store_.faults().isBusy) = true;
+            + (fault.answersReads         ? " for writes"
+                    : fault.answersWrites ? " for reads"
+                                          : ""));
+        store_.faults().isBusy = !fault.answersReads && !fault.answersWrites;
+        store_.faults().refusesWrites = fault.answersReads;
+        store_.faults().refusesReads = fault.answersWrites;
         store_.faults().leasesLapse = fault.hasLapses;
         entriesLapse_ = fault.hasLapses;
         return repairLater(now + fault.duration, [this] {
             store_.faults().isBusy = false;
             store_.faults().refusesWrites = false;
+            store_.faults().refusesReads = false;
         });
     case Kind::RestartEmpty:
     case Kind::ReplaceReplica:
--- a/soak/StandinStore.cpp
+++ b/soak/StandinStore.cpp
@@ -145,7 +145,8 @@
     if (faults_.isBusy)
         return answer(*exchange, statusBusy, Json::object());
     const std::string& path = exchange->path();
-    if (faults_.refusesWrites && path == "/-/kv-txn")
+    const bool isRefused = path == "/-/kv-txn" ? faults_.refusesWrites : faults_.refusesReads;
+    if (isRefused && (path == "/-/kv-txn" || path == "/-/kv-range"))
         return answer(*exchange, statusBusy, Json::object());
     if (path == "/-/kv-range")
         return readRange(*exchange);
--- a/soak/StandinStore.h
+++ b/soak/StandinStore.h
@@ -21,8 +21,9 @@
     struct Faults {
         /** Answers 503 and does nothing. */
         bool isBusy = false;
-        /** Answers 503 to writes and does nothing. */
+        /** Answers 503 to writes, or to reads of ranges, and does nothing. */
         bool refusesWrites = false;
+        bool refusesReads = false;
         /** Leases end while the store is busy, else they pause. */
         bool leasesLapse = false;
         /** Share of the writes that are done and not answered. */
