Keep a change of primary open while one of its calls may take effect

Cause: the class is an order whose outcome is not known. Each way out of a change decided by itself whether a call may still take effect; a recovery by count ended as soon as its endpoint led, one that confirms the primary could call a second endpoint under the same fencing token (chosen_ was kept by queryAll(), which could also end the process), and an endpoint that answers as the primary of an older term was confirmed. Change: PromotionCalls records the calls of a change; fail() leaves the change to a recovery while one may take effect. A recovery resumes promotionEffectTime after its own call was accepted, and so does a change with an unanswered copy, after its endpoint led. Nobody else is called under a token with an unanswered call. GroupPromotion::repeatsAnUnansweredPromoteCall now expects the wait: it asserts that the replica stays paused until then, and is resumed then.

--- a/include/almondlever/failover/GroupPromotion.h
+++ b/include/almondlever/failover/GroupPromotion.h
@@ -2,6 +2,7 @@
 
 #include "almondlever/common/Time.h"
 #include "almondlever/failover/LogHolders.h"
+#include "almondlever/failover/PromotionCalls.h"
 #include "almondlever/groups/EndpointEntry.h"
 
 #include <algorithm>
@@ -41,15 +42,6 @@
     bool joinedWithoutPrimary = false;
 };
 
-/** Result of the platform's promote call. */
-enum class PromotionResult {
-    Accepted,
-    /** The fencing token of the call is outdated, or the endpoint is not running. */
-    Refused,
-    /** No answer; the call may still take effect. */
-    Unknown,
-};
-
 /** Timeouts and intervals of a promotion. */
 struct PromotionSettings {
     /** Endpoints that have not answered by then are not waited for any longer if enough others answered. */
@@ -173,15 +165,41 @@
      */
     bool isChosenByCount() const { return isChosenByCount_; }
     /** True if the logs compared so far are still enough for the members that are known now. */
-    bool isChoiceComplete() const { return hasEnoughLogs(pausedPositions_); }
-    /** The choice must not be ordered, and has not been. */
+    bool isChoiceComplete() const { return !wasPauseBroken_ && hasEnoughLogs(pausedPositions_); }
+    /** Time at which the comparison began by which the replica was chosen; see isChosenByCount(). */
+    TimePoint comparedSince() const { return comparedSince_; }
+    /**
+     * The order of the choice was not carried out: pauses and compares the replicas again. A replica whose pause had
+     * ended may hold a commit that a caller heard of after the comparison.
+     */
+    Orders compareAgain(TimePoint now);
+    /**
+     * The choice must not be ordered, and this order was not carried out. An earlier call for it may still take effect;
+     * the attempt is then left to a recovery.
+     */
     Orders onChoiceOutdated(const std::string& reason, TimePoint now);
     Orders onTick(TimePoint now);
 
     bool isFinished() const { return phase_ == Phase::Finished; }
     bool hasSucceeded() const { return isFinished() && failure_.empty(); }
+    /**
+     * True once nothing that the attempt has ordered can make another endpoint the primary: no call was made, or the
+     * called endpoint leads. Replicas are resumed then, and daemons need no longer hold writes back.
+     */
+    bool areCallsResolved() const { return areCallsResolved_; }
     /** True when a promote order may still take effect, or replicas may still be paused, after the attempt ended. */
     bool needsRecovery() const { return needsRecovery_; }
+    /**
+     * True if a call was made for no other endpoint than the one that answered as the primary. While that one leads, a
+     * late call changes nothing, and before another one leads a newer fencing token is accepted.
+     */
+    bool hasCalledOnlyPrimary() const { return confirmsPrimary() && !isChosenByCount_; }
+    bool isListedAsPrimary(const EndpointId& endpoint) const { return primary() && primary()->id == endpoint; }
+    /** True if the old primary may acknowledge commits until the called endpoint leads. */
+    bool mayOldPrimaryAcknowledge(const EndpointId& called) const
+    {
+        return !steppedDownPosition_ && !isListedAsPrimary(called);
+    }
     const EndpointId& chosen() const { return chosen_; }
     /** Term in which the chosen endpoint reported that it leads; 0 when it did not. */
     Term leadingTerm() const { return leadingTerm_; }
@@ -237,6 +255,8 @@
     };
 
     Orders beginFencing(TimePoint now);
+    /** A primary that does not answer makes the wait for the replicas' answers no shorter. */
+    std::size_t countUnreachableReplicas() const;
     Orders tryChooseReplica(TimePoint now);
     Orders promote(TimePoint now);
     Orders fail(const std::string& reason, TimePoint now);
@@ -307,10 +327,12 @@
     TimePoint lastPause_;
     TimePoint startedAt_;
     bool primaryAnswers_ = false;
+    /** Newest term in which an endpoint answered that it is the primary, if primaryAnswers_. */
+    Term answeredPrimaryTerm_ = 0;
     bool isChosenByCount_ = false;
     bool lacksLogs_ = false;
-    /** A promote call is awaiting its answer. */
-    bool isPromoteCallPending_ = false;
+    /** The calls that promote the chosen endpoint. */
+    PromotionCalls calls_;
     /** Positions from status queries, which can still advance. */
     std::map<EndpointId, LogPosition> reportedPositions_;
     /** Replicas that have confirmed a pause order; they are resumed at the end. */
@@ -328,19 +350,21 @@
     /** End of the leaving primary's log after all other replicas had been paused. */
     std::optional<LogPosition> handOverPosition_;
     std::optional<LogPosition> steppedDownPosition_;
+    /** Term that the old primary reported when it stepped down. */
+    Term steppedDownTerm_ = 0;
     /** False after the old primary answered that it does not know the order, or could not be reached. */
     bool canStepDown_ = true;
     /** The platform has accepted the call that probes it. */
     bool isProbeAccepted_ = false;
-    /** A promote call got no answer; it may still take effect, and the platform knows no newer one. */
-    bool hasUnansweredCall_ = false;
     TimePoint lastStepDown_;
+    TimePoint comparedSince_;
     /** Term in which the listed primary is known to have led. */
     std::optional<Term> primaryTerm_;
     EndpointId chosen_;
     Term leadingTerm_ = 0;
     std::string failure_;
     bool needsRecovery_ = false;
+    bool areCallsResolved_ = false;
     bool wasPauseBroken_ = false;
 };
 
--- a/src/failover/GroupPromotion.cpp
+++ b/src/failover/GroupPromotion.cpp
@@ -81,6 +81,7 @@
     reportedPositions_.clear();
     unreachable_.clear();
     primaryAnswers_ = false;
+    chosen_ = EndpointId();
     Orders orders;
     for (const PromotionMember& member : members_)
         orders.push_back({ Order::Kind::QueryStatus, member.id, 0 });
@@ -126,8 +127,11 @@
     pauseTerm_ = std::max(pauseTerm_, status->term + 1);
     if (!status->isPrimary && kind == Order::Kind::QueryStatus && isListedPrimary(endpoint))
         return onListedPrimaryIsReplica(endpoint, *status, now);
-    if (status->isPrimary && phase_ == Phase::QueryingStatus) {
-        // The endpoints' own status is newer than the list of members.
+    if (status->isPrimary && phase_ == Phase::QueryingStatus
+        && (!primaryAnswers_ || status->term > answeredPrimaryTerm_)) {
+        // The endpoints' own status is newer than the list of members. A former primary that was cut off still answers
+        // as the primary of its term.
+        answeredPrimaryTerm_ = status->term;
         for (PromotionMember& member : members_)
             member.isPrimary = member.id == endpoint;
         primaryAnswers_ = true;
@@ -139,11 +143,23 @@
         if (!handOverPosition_ && areOthersPaused())
             handOverPosition_ = status->received;
     }
-    if (phase_ == Phase::Confirming && status->isPrimary && endpoint == chosen_) {
+    // An old primary that is promoted again leads in a newer term than before its step-down.
+    const bool leadsAnew
+        = status->isPrimary && !(primary() && endpoint == primary()->id && status->term <= steppedDownTerm_);
+    if (phase_ == Phase::Confirming && leadsAnew && endpoint == chosen_) {
         leadingTerm_ = status->term;
-        // A call of the unfinished change, accepted before the one of this recovery, may still take effect.
-        if (!confirmsPrimary() || now - phaseStart_ >= settings_.promotionEffectTime)
+        calls_.noteSeenLeading(now);
+        // A call of the unfinished change, accepted before the one of this recovery, may still take effect, and so may
+        // an unanswered call of this one that was accepted before the endpoint led.
+        const bool mustWait = reason_ == PromotionReason::Recovery && now - phaseStart_ < settings_.promotionEffectTime;
+        if (!mustWait && calls_.areEffective(settings_.promotionEffectTime, now)) {
+            calls_.noteLeading();
             return resumeOthers(now);
+        }
+    }
+    if (phase_ == Phase::Confirming && !leadsAnew && endpoint == chosen_) {
+        leadingTerm_ = 0;
+        calls_.noteNotLeading();
     }
     if (phase_ == Phase::Fencing && replacesFailedPrimary() && status->isPrimary) {
         if (kind == Order::Kind::Pause)
@@ -167,6 +183,15 @@
             return {};
         if (replacesFailedPrimary() && primaryAnswers_)
             return fail("another endpoint leads", now);
+        if (calls_.isUnanswered() && !(primaryAnswers_ && calls_.mayCall(primary()->id)))
+            return leaveToRecovery("the called endpoint does not lead");
+        if (reason_ == PromotionReason::Recovery && primaryAnswers_ && answeredPrimaryTerm_ + 1 < pauseTerm_) {
+            // Another endpoint has led since; the answering one is compared like any other.
+            for (PromotionMember& member : members_)
+                member.isPrimary = false;
+            primaryAnswers_ = false;
+            return beginFencing(now);
+        }
         if (reason_ == PromotionReason::Recovery && primaryAnswers_) {
             // Promoting the current primary with a newer fencing token makes the platform refuse older calls.
             chosen_ = primary()->id;
@@ -196,7 +221,7 @@
     case Phase::AwaitingLastEntries:
         return awaitLastEntries(now);
     case Phase::Promoting:
-        if (isPromoteCallPending_ || now - lastOrder_ < settings_.promoteRetryInterval)
+        if (calls_.isPending() || now - lastOrder_ < settings_.promoteRetryInterval)
             return ordersToRepeatPauses(now);
         if (elapsed > settings_.confirmTimeout)
             return leaveToRecovery("the platform did not answer");
@@ -236,37 +261,10 @@
     return {};
 }
 
-GroupPromotion::Orders GroupPromotion::repeatCall(TimePoint now)
-{
-    // Another endpoint may have led since, through a call of an unfinished change that was carried out late.
-    if (confirmsPrimary())
-        return now - startedAt_ > settings_.confirmTimeout ? leaveToRecovery("the platform did not answer")
-                                                           : queryAll(now);
-    if (isChosenByCount_ && (wasPauseBroken_ || !isChoiceComplete()))
-        return leaveToRecovery("a compared replica received commits or started again");
-    isPromoteCallPending_ = true;
-    return { { Order::Kind::Promote, chosen_, 0 } };
-}
-
-GroupPromotion::Orders GroupPromotion::leaveToRecovery(const std::string& reason)
-{
-    needsRecovery_ = true;
-    failure_ = reason;
-    phase_ = Phase::Finished;
-    return {};
-}
-
-Duration GroupPromotion::confirmLimit() const
-{
-    // The group has no primary, or its replicas may be paused: a recovery that tries another endpoint is sooner done.
-    if (!steppedDownPosition_ && !confirmsPrimary())
-        return settings_.confirmTimeout;
-    return settings_.promotionEffectTime * (unreachable_.count(chosen_) > 0 ? 1 : 2);
-}
-
 GroupPromotion::Orders GroupPromotion::beginFencing(TimePoint now)
 {
     enter(Phase::Fencing, now);
+    comparedSince_ = now;
     unreachable_.clear();
     pausedPositions_.clear();
     const bool isPlanned = reason_ == PromotionReason::PrimaryLeaving && primaryAnswers_;
@@ -311,6 +309,11 @@
     return best;
 }
 
+std::size_t GroupPromotion::countUnreachableReplicas() const
+{
+    return unreachable_.size() - (primary() ? unreachable_.count(primary()->id) : 0);
+}
+
 GroupPromotion::Orders GroupPromotion::tryChooseReplica(TimePoint now)
 {
     const Duration elapsed = now - phaseStart_;
@@ -319,11 +322,11 @@
         // Planned change: a replica that is not paused could help acknowledge a commit that the chosen one lacks.
         if (areOthersPaused())
             return awaitCatchUp(now);
-        if (elapsed > settings_.fenceTimeout || pausedPositions_.size() + unreachable_.size() + 1 >= replicas)
+        if (elapsed > settings_.fenceTimeout || pausedPositions_.size() + countUnreachableReplicas() + 1 >= replicas)
             return fail("a replica that must be paused does not answer", now);
         return {};
     }
-    const bool hasAll = pausedPositions_.size() + unreachable_.size() >= replicas;
+    const bool hasAll = pausedPositions_.size() + countUnreachableReplicas() >= replicas;
     const bool hasEnough = hasEnoughLogs(pausedPositions_);
     if (hasEnough && (hasAll || elapsed >= settings_.answerTimeout)) {
         const PromotionMember* best = mostAdvanced(pausedPositions_);
@@ -375,12 +378,6 @@
     return pausedPositions_.size() + 1 >= replicas;
 }
 
-GroupPromotion::Orders GroupPromotion::probePlatform(TimePoint now)
-{
-    enter(Phase::ProbingPlatform, now);
-    return { { Order::Kind::Promote, primary()->id, 0 } };
-}
-
 GroupPromotion::Orders GroupPromotion::beginStepDown(TimePoint now)
 {
     enter(Phase::SteppingDown, now);
@@ -405,8 +402,10 @@
     const bool isKnownToHaveLed = primaryAnswers_ || (primaryTerm_ && *primaryTerm_ == status.term);
     if (!isKnownToHaveLed && phase_ != Phase::Promoting && phase_ != Phase::Confirming)
         return onOutdatedRole(now);
-    if (isKnownToHaveLed)
+    if (isKnownToHaveLed) {
         steppedDownPosition_ = status.received;
+        steppedDownTerm_ = status.term;
+    }
     if (phase_ == Phase::Promoting || phase_ == Phase::Confirming) {
         // Its log may contain commits that nobody acknowledged, so that a longer one proves no loss.
         return onTick(now);
@@ -481,7 +480,7 @@
 {
     const Duration elapsed = now - phaseStart_;
     const std::size_t replicas = members_.size() - (primary() ? 1 : 0);
-    const bool hasAll = reportedPositions_.size() + unreachable_.size() >= replicas;
+    const bool hasAll = reportedPositions_.size() + countUnreachableReplicas() >= replicas;
     const PromotionMember* best = mostAdvanced(reportedPositions_);
     const LogPosition needed = std::max(*steppedDownPosition_, acknowledgedPosition_);
     if (best && reportedPositions_.at(best->id) >= needed && (hasAll || elapsed >= settings_.statusInterval)) {
@@ -506,34 +505,6 @@
     return queryReplicas(now);
 }
 
-GroupPromotion::Orders GroupPromotion::returnToOldPrimary(TimePoint now)
-{
-    if (!primary())
-        return leaveToRecovery("the old primary has started again without its log");
-    failure_ = "no replica holds everything that the old primary holds";
-    chosen_ = primary()->id;
-    return promote(now);
-}
-
-GroupPromotion::Orders GroupPromotion::chooseAnother(TimePoint now)
-{
-    refused_.insert(chosen_);
-    const bool wasOldPrimary = primary() && chosen_ == primary()->id;
-    chosen_ = EndpointId();
-    if (wasOldPrimary)
-        return leaveToRecovery("the platform refused the promotion");
-    enter(Phase::AwaitingLastEntries, now);
-    return queryReplicas(now);
-}
-
-GroupPromotion::Orders GroupPromotion::promote(TimePoint now)
-{
-    enter(Phase::Promoting, now);
-    isPromoteCallPending_ = true;
-    lastPause_ = now;
-    return { { Order::Kind::Promote, chosen_, 0 } };
-}
-
 GroupPromotion::Orders GroupPromotion::ordersToRepeatPauses(TimePoint now)
 {
     if (now - lastPause_ < settings_.pauseRepeatInterval)
@@ -566,60 +537,10 @@
     wasPauseBroken_ = wasPauseBroken_ || (!confirmsPrimary() && chosenPosition() < known);
 }
 
-GroupPromotion::Orders GroupPromotion::onPromotionResult(PromotionResult answer, TimePoint now)
-{
-    if (phase_ == Phase::ProbingPlatform) {
-        if (answer == PromotionResult::Accepted) {
-            enter(Phase::ProbingPlatform, now);
-            isProbeAccepted_ = true;
-            return {};
-        }
-        // The old primary is not running.
-        if (answer == PromotionResult::Refused && reason_ == PromotionReason::Recovery)
-            return beginFencing(now);
-        needsRecovery_ = answer == PromotionResult::Unknown;
-        return fail("the platform does not accept promotions", now);
-    }
-    if (phase_ != Phase::Promoting)
-        return {};
-    isPromoteCallPending_ = false;
-    if (answer == PromotionResult::Accepted) {
-        enter(Phase::Confirming, now);
-        return { { Order::Kind::QueryStatus, chosen_, 0 } };
-    }
-    hasUnansweredCall_ = hasUnansweredCall_ || answer == PromotionResult::Unknown;
-    if (answer == PromotionResult::Refused && steppedDownPosition_ && !hasUnansweredCall_)
-        return chooseAnother(now);
-    if (answer == PromotionResult::Refused) {
-        // Replicas stay paused until a recovery resumes them: a call with a newer fencing token may be in progress.
-        return leaveToRecovery("the platform refused the promotion");
-    }
-    lastOrder_ = now;
-    return {};
-}
-
-GroupPromotion::Orders GroupPromotion::onChoiceOutdated(const std::string& reason, TimePoint now)
-{
-    isPromoteCallPending_ = false;
-    return fail(reason, now);
-}
-
-GroupPromotion::Orders GroupPromotion::fail(const std::string& reason, TimePoint now)
-{
-    failure_ = reason;
-    chosen_ = EndpointId();
-    if (reason_ != PromotionReason::Recovery)
-        return resumeOthers(now);
-    // The promote call of the unfinished change may still take effect, and its endpoint may lack commits that a resumed
-    // replica helps to acknowledge. Replicas stay paused until a call with a newer fencing token was accepted.
-    needsRecovery_ = true;
-    phase_ = Phase::Finished;
-    return {};
-}
-
 GroupPromotion::Orders GroupPromotion::resumeOthers(TimePoint now)
 {
     enter(Phase::Resuming, now);
+    areCallsResolved_ = true;
     for (const PromotionMember& member : members_) {
         const bool mayBePaused = reason_ == PromotionReason::Recovery || confirmedPauses_.count(member.id) > 0
             || unansweredPauses_.count(member.id) > 0;
--- a/src/failover/GroupPromotionHolders.cpp
+++ b/src/failover/GroupPromotionHolders.cpp
@@ -78,12 +78,13 @@
         const bool areReplicasPaused = !steppedDownPosition_
             && (phase_ == Phase::Fencing || phase_ == Phase::CatchingUp || phase_ == Phase::Promoting
                 || phase_ == Phase::Confirming);
-        if (areReplicasPaused)
-            orders.push_back({ Order::Kind::Pause, member.id, pauseTerm_ });
-        else
+        if (!areReplicasPaused) {
             orders.push_back({ Order::Kind::QueryStatus, member.id, 0 });
-        if (areReplicasPaused)
-            handOverPosition_.reset();
+            continue;
+        }
+        orders.push_back({ Order::Kind::Pause, member.id, pauseTerm_ });
+        unansweredPauses_.insert(member.id);
+        handOverPosition_.reset();
     }
     return isFinished() ? Orders() : orders;
 }
--- a/tests/failover/TestCallOutcomes.cpp
+++ b/tests/failover/TestCallOutcomes.cpp
@@ -154,3 +154,33 @@
     cr_expect(has(accepted.onMembers({ { d, false, false } }), Kind::Pause, d));
     cr_expect(has(accepted.onTick(at(620)), Kind::Pause, d), "its restart would end the pause");
 }
+
+// Guards against a first call that is made although a compared replica has received more than the chosen one while the
+// call waited for the daemons to hold writes.
+Test(CallOutcomes, pauseBrokenBeforeTheFirstCallMakesTheChoiceIncomplete)
+{
+    auto promotion = makePromotion(PromotionReason::PrimaryFailed);
+    promotion.setMissingHolders(std::vector<LogHolder>(), LogPosition());
+    promotion.start(start);
+    promotion.onStatus(b, Kind::Pause, replica(12), at(20));
+    cr_assert(has(promotion.onStatus(c, Kind::Pause, replica(8), at(40)), Kind::Promote, b));
+    cr_assert(promotion.isChoiceComplete());
+    cr_assert(has(promotion.onTick(at(200)), Kind::Pause, c));
+    promotion.onStatus(c, Kind::Pause, replica(15), at(210));
+    cr_assert(promotion.wasPauseBroken());
+    cr_expect(!promotion.isChoiceComplete(), "the log of c is longer than that of the chosen endpoint");
+}
+
+// Guards against a recovery that confirms a former primary, which still answers as the primary of its term, because the
+// present one does not answer: the call would make it lead without the commits of the newer term.
+Test(CallOutcomes, recoveryConfirmsNoPrimaryOfAnOlderTerm)
+{
+    auto promotion = makePromotion(PromotionReason::Recovery);
+    promotion.start(start);
+    promotion.onStatus(b, Kind::QueryStatus, std::nullopt, at(10));
+    promotion.onStatus(c, Kind::QueryStatus, replica(30, 5), at(10));
+    GroupPromotion::Orders orders = promotion.onStatus(a, Kind::QueryStatus, primary(20), at(20));
+    const auto due = ordersUntil(promotion, 25, 400);
+    orders.insert(orders.end(), due.begin(), due.end());
+    cr_expect(!has(orders, Kind::Promote, a), "c follows a primary of term 5");
+}
--- a/tests/failover/TestGroupPromotion.cpp
+++ b/tests/failover/TestGroupPromotion.cpp
@@ -326,7 +326,8 @@
 }
 
 // Guards against a promote call that takes effect late: it is repeated, and the others stay paused until it is
-// answered.
+// answered. The copy without an answer may have been accepted as well, and has its own effect: the others stay paused
+// until that has passed.
 Test(GroupPromotion, repeatsAnUnansweredPromoteCall)
 {
     auto promotion = makePromotion(PromotionReason::PrimaryFailed);
@@ -339,9 +340,12 @@
     cr_assert(!hasAny(again, Kind::Resume));
     cr_assert(!hasAny(promotion.onTick(at(1900)), Kind::Promote), "one call at a time");
     promotion.onPromotionResult(PromotionResult::Accepted, at(1950));
-    const auto done = promotion.onStatus(b, Kind::QueryStatus, primary(10, 4), at(2300));
+    cr_assert(!hasAny(promotion.onStatus(b, Kind::QueryStatus, primary(10, 4), at(2300)), Kind::Resume));
+    cr_assert(!hasAny(promotion.onStatus(b, Kind::QueryStatus, primary(10, 4), at(3780)), Kind::Resume));
+    cr_assert(!promotion.isFinished());
+    const auto done = promotion.onStatus(b, Kind::QueryStatus, primary(10, 4), at(3800));
     cr_assert(has(done, Kind::Resume, c));
-    promotion.onStatus(c, Kind::Resume, replica(9), at(2320));
+    promotion.onStatus(c, Kind::Resume, replica(9), at(3820));
     cr_assert(promotion.hasSucceeded());
     cr_assert(!promotion.needsRecovery());
 }
