Repeat the release of a claim until the store answers

A group stayed without a recorded end of its change when the store did not answer the release: the record remained open, and another daemon recovered the group needlessly after the lease. Cause: PromotionClaim::release() was sent once, on condition of the claim's key, which ends with its lease. Change: the release is repeated every 250 ms until the store answers, on condition that the change record still has the claim's revision; each later claim writes the record, so that it is never overwritten. Evidence: ClaimRelease/* of test_call_outcomes (4 tests) failed before and pass; test_store 45 of 45.

--- a/include/almondlever/store/PromotionClaim.h
+++ b/include/almondlever/store/PromotionClaim.h
@@ -28,6 +28,11 @@
     /** Record of the endpoints whose logs may contain acknowledged commits of a group (LogHolders). Has no lease. */
     inline const std::string logHolders = root + "log-holders/";
 
+    /** Last word of the value of a claim under which every daemon holds the group's writes back. */
+    inline const std::string claimHolds = "hold";
+    /** Last word of the value of a claim under which the primary serves until it has stepped down. */
+    inline const std::string claimServes = "serve";
+
     inline const std::string changeOpen = "open";
     /** First word of the record of a finished change. */
     inline const std::string changeDone = "done";
@@ -44,6 +49,16 @@
     static std::optional<RecordedLeader> decode(const std::string&);
 };
 
+/** What the value of a claim says about the group's writes. */
+enum class ClaimedWrites {
+    /** A daemon of a version that does not say so wrote the claim. */
+    Unknown,
+    /** The primary serves until it has confirmed that it stepped down; no other endpoint is called before. */
+    Served,
+    /** Every daemon holds writes back until the change has ended. */
+    Held,
+};
+
 /**
  * The exclusive right of one daemon to change the primary of a group for a while.
  *
@@ -56,6 +71,7 @@
     /** A holder that dies blocks others for at most this long; several renewals fit into it. */
     static constexpr Milliseconds leaseDuration { 2500 };
     static constexpr Milliseconds renewInterval { 700 };
+    static constexpr Milliseconds releaseRetryInterval { 250 };
     /** The holder stops acting when its last successful renewal was sent longer ago than this. The rest of the lease
      * allows for its requests that are still in transit. */
     static constexpr Milliseconds maxRenewalAge { 1800 };
@@ -75,10 +91,24 @@
     /**
      * The callback receives the fencing token. The claim is not acquired if the change record has another revision than
      * the given one, which is 0 if there was no record: another daemon has changed the primary since it was read.
+     * `holdsWrites`: every daemon that sees the claim holds the group's writes back until the change has ended.
+     */
+    void acquire(std::uint64_t recordRevision, ClaimCallback, bool holdsWrites = false);
+    /**
+     * Releases the claim; marks the change as done, or leaves it open for a recovery. Repeated until the store answers:
+     * daemons hold writes back while the record is open. A lease that has ended meanwhile is no obstacle as long as no
+     * later claim was made.
      */
-    void acquire(std::uint64_t recordRevision, ClaimCallback);
-    /** Releases the claim; marks the change as done, or leaves it open for a recovery. */
     void release(bool isDone, const std::optional<RecordedLeader>& leader = std::nullopt);
+    /** True while the release is to be repeated; the claim must be kept until then. */
+    bool isReleasing() const { return isReleasing_; }
+    /** True if this claim asks the daemons to hold writes back. */
+    bool holdsWrites() const { return writesUnder(value_) == ClaimedWrites::Held; }
+    /** Writes the claim again so that it asks the daemons to hold writes back; repeated until the store answers. */
+    void holdWrites();
+    /** False while holdWrites() has not been carried out. */
+    bool isHoldWritten() const { return isHoldWritten_; }
+    static ClaimedWrites writesUnder(const std::string& claimValue);
     /** Returns false once the claim may have ended. */
     bool isHeld(TimePoint now) const;
     std::uint64_t fence() const { return fence_; }
@@ -92,12 +122,16 @@
     void readBack();
     void finish(StoreResult<std::uint64_t>);
     void scheduleRenewal();
+    std::string valueWith(const std::string& mark) const;
+    void writeHold();
+    void writeRelease(const StoreTransaction&);
     std::string claimKey() const { return storeKeys::claims + group_.text(); }
 
     MetadataStore& store_;
     TimerService& timers_;
     GroupId group_;
     std::string holder_;
+    std::uint64_t attempt_ = 0;
     std::string value_;
     ClaimCallback callback_;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
@@ -110,6 +144,8 @@
     TimePoint renewedAt_;
     TimePoint leaseRequestedAt_;
     bool isReleased_ = false;
+    bool isReleasing_ = false;
+    bool isHoldWritten_ = true;
     /** The lease is gone, or belongs to an earlier era of the store. */
     bool isLeaseInvalid_ = false;
 };
--- a/src/store/PromotionClaim.cpp
+++ b/src/store/PromotionClaim.cpp
@@ -37,6 +37,23 @@
 
 PromotionClaim::~PromotionClaim() = default;
 
+ClaimedWrites PromotionClaim::writesUnder(const std::string& claimValue)
+{
+    std::istringstream words(claimValue);
+    std::string holder;
+    std::string attempt;
+    std::string mark;
+    words >> holder >> attempt >> mark;
+    if (mark == storeKeys::claimHolds)
+        return ClaimedWrites::Held;
+    return mark == storeKeys::claimServes ? ClaimedWrites::Served : ClaimedWrites::Unknown;
+}
+
+std::string PromotionClaim::valueWith(const std::string& mark) const
+{
+    return holder_ + ' ' + std::to_string(attempt_) + ' ' + mark;
+}
+
 bool PromotionClaim::isHeld(TimePoint now) const
 {
     return fence_ != 0 && !isReleased_ && !isLeaseInvalid_ && now - renewedAt_ < maxRenewalAge;
@@ -51,7 +68,7 @@
 
 void PromotionClaim::prepare(std::uint64_t attempt)
 {
-    value_ = holder_ + ' ' + std::to_string(attempt);
+    attempt_ = attempt;
     leaseRequestedAt_ = timers_.now();
     store_.grantLease(leaseDuration, [this, alive = std::weak_ptr<int>(alive_)](const StoreResult<StoreLease>& result) {
         if (alive.expired())
@@ -62,14 +79,42 @@
     });
 }
 
-void PromotionClaim::acquire(std::uint64_t recordRevision, ClaimCallback callback)
+void PromotionClaim::acquire(std::uint64_t recordRevision, ClaimCallback callback, bool holdsWrites)
 {
     recordRevision_ = recordRevision;
+    value_ = valueWith(holdsWrites ? storeKeys::claimHolds : storeKeys::claimServes);
     callback_ = std::move(callback);
     if (leaseResult_)
         writeClaim();
 }
 
+void PromotionClaim::holdWrites()
+{
+    value_ = valueWith(storeKeys::claimHolds);
+    isHoldWritten_ = false;
+    writeHold();
+}
+
+void PromotionClaim::writeHold()
+{
+    StoreTransaction transaction;
+    transaction.expected.push_back({ storeKeys::changes + group_.text(), fence_ });
+    transaction.puts.push_back({ claimKey(), value_, lease_ });
+    store_.transact(transaction, [this, alive = std::weak_ptr<int>(alive_)](const StoreResult<std::uint64_t>& result) {
+        if (alive.expired() || isReleased_)
+            return;
+        isHoldWritten_ = static_cast<bool>(result);
+        // Otherwise the claim is lost, and the change is given up with it.
+        if (result || result.error().kind == StoreFailure::Kind::Conflict
+            || result.error().kind == StoreFailure::Kind::LeaseGone)
+            return;
+        timers_.callAfter(releaseRetryInterval, [this, alive](TimePoint) {
+            if (!alive.expired() && !isReleased_)
+                writeHold();
+        });
+    });
+}
+
 void PromotionClaim::writeClaim()
 {
     if (!*leaseResult_)
@@ -155,18 +200,36 @@
     isReleased_ = true;
     if (fence_ == 0)
         return;
+    // The record was opened together with the claim, and each later claim writes it again.
     StoreTransaction transaction;
-    transaction.expected.push_back({ claimKey(), fence_ });
+    transaction.expected.push_back({ storeKeys::changes + group_.text(), fence_ });
     transaction.deletes.push_back(claimKey());
     if (isDone)
         transaction.puts.push_back({ storeKeys::changes + group_.text(), RecordedLeader::encode(leader), {} });
-    store_.transact(transaction, [group = group_](const StoreResult<std::uint64_t>& result) {
-        // The claim ends with its lease; the change record stays open, and the next holder recovers the change.
-        if (!result)
+    isReleasing_ = true;
+    writeRelease(transaction);
+}
+
+void PromotionClaim::writeRelease(const StoreTransaction& transaction)
+{
+    store_.transact(
+        transaction, [this, transaction, alive = std::weak_ptr<int>(alive_)](const StoreResult<std::uint64_t>& result) {
+            if (alive.expired())
+                return;
+            isReleasing_ = !result && result.error().kind != StoreFailure::Kind::Conflict;
+            if (result)
+                return;
+            // After a conflict the record belongs to a later claim, or an earlier request of this one was carried out.
             logWarning("promotion_claim_not_released",
-                { { "group", group.text() }, { "failure", toText(result.error().kind) },
+                { { "group", group_.text() }, { "failure", toText(result.error().kind) },
                     { "detail", result.error().detail } });
-    });
+            if (!isReleasing_)
+                return;
+            timers_.callAfter(releaseRetryInterval, [this, transaction, alive](TimePoint) {
+                if (!alive.expired())
+                    writeRelease(transaction);
+            });
+        });
 }
 
 } // namespace almondlever
