Hold writes in every daemon while a promote call may take effect

Cause: nothing kept a daemon that reaches the old primary from passing acknowledgements on; pauses alone cannot, since they end by restarts and late orders, and servers that join are paused only once they are listed. Change: WriteHolds holds a group's writes while the change record is open under a claim that says so, while it is open and the deciding daemon is gone, and on request of the deciding daemon through the relay, which asks all daemons. Acknowledgements that arrive in the hold are passed on only if the same endpoint still leads in the same term. The first call waits until each daemon holds, 700 ms at most, and the logs are compared after that; a log without a commit that a daemon has passed on is not promoted. The hold ends when the calls are resolved, by message and record, with the leader's name. Planned changes hold no writes.

--- a/include/almondlever/front/FrontDaemon.h
+++ b/include/almondlever/front/FrontDaemon.h
@@ -176,6 +176,8 @@
     void renewMember(const LeaseId& lease, std::uint64_t registration);
     /** Tells the other daemons that this one shuts down, so that they forward nothing more to it. */
     void announceLeaving();
+    /** A change of the group's primary has ended, and the endpoint was seen to lead in the term. */
+    void noteRecordedLeader(const GroupId&, const EndpointId&, Term);
     void tick(TimePoint now);
     void runTick(TimePoint now);
     /** Reads the records of changes of primaries while the dispatcher waits for them after a suspension. */
--- a/include/almondlever/front/PeerStepDownRelay.h
+++ b/include/almondlever/front/PeerStepDownRelay.h
@@ -35,11 +35,16 @@
      */
     void setHoldCallback(HoldCallback callback) { holdCallback_ = std::move(callback); }
 
+    using LeaderCallback = std::function<void(const GroupId&, const EndpointId&, Term, TimePoint now)>;
+    /** Sets what is called before a hold ends with an endpoint that was seen to lead. */
+    void setLeaderCallback(LeaderCallback callback) { leaderCallback_ = std::move(callback); }
+
     bool hasPeers(const GroupId&) const override;
     void request(
         const GroupId&, const EndpointId& primary, Term, std::uint64_t fence, Callback, TimePoint now) override;
     bool areAllHolding(const GroupId&, std::uint64_t fence) const override;
-    void close(const GroupId&, std::uint64_t fence, TimePoint now) override;
+    LogPosition acknowledgedPosition(const GroupId&, std::uint64_t fence) const override;
+    void close(const GroupId&, std::uint64_t fence, const EndpointId& leader, Term, TimePoint now) override;
 
     /** A request of another daemon; `stepDownTerm` or `fence` is not 0. */
     void onQuery(const VmId& from, const PrimarySuspicion&, TimePoint now);
@@ -71,6 +76,8 @@
     struct Holders {
         std::uint64_t fence = 0;
         std::set<VmId> daemons;
+        /** Newest commit that one of them has passed on to a caller. */
+        LogPosition acknowledged;
     };
     /** The last order that another daemon relayed for a group. */
     struct Received {
@@ -99,6 +106,7 @@
     VmId self_;
     PeerNetwork* network_ = nullptr;
     HoldCallback holdCallback_;
+    LeaderCallback leaderCallback_;
     std::map<GroupId, std::vector<LiveDaemon>> owners_;
     std::vector<LiveDaemon> members_;
     std::map<GroupId, Request> requests_;
--- a/include/almondlever/front/PromotionDriver.h
+++ b/include/almondlever/front/PromotionDriver.h
@@ -6,6 +6,7 @@
 #include "almondlever/front/LogHolderKeeper.h"
 #include "almondlever/front/StepDownRelay.h"
 #include "almondlever/front/SuspicionConfirmer.h"
+#include "almondlever/front/WriteHolds.h"
 #include "almondlever/pooling/StatementDispatcher.h"
 #include "almondlever/store/PromotionClaim.h"
 
@@ -14,6 +15,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace almondlever {
 
@@ -37,6 +39,13 @@
      * and calls the store several times.
      */
     Milliseconds missingLogsPause { 3000 };
+    /**
+     * Daemons that have not answered by then are not waited for before another endpoint is called: they have seen the
+     * claim in the store, whose changes they read at least every 500 ms, or are gone.
+     */
+    Milliseconds holdTimeout { 700 };
+    /** An owner recovers a group whose writes are held back for this long without a claim or an open record. */
+    Milliseconds orphanedHoldLimit { 3000 };
     LogHolderSettings logHolders;
 };
 
@@ -67,7 +76,8 @@
     /** The daemons that keep connections to each group; only they change its primary. */
     void setOwners(std::map<GroupId, std::set<std::string>> owners);
     /** To be called when the store shows that the claim of a group is held or has ended. */
-    void onClaim(const GroupId&, bool isHeld, TimePoint now);
+    void onClaim(
+        const GroupId&, bool isHeld, TimePoint now, ClaimedWrites = ClaimedWrites::Unknown, std::uint64_t revision = 0);
     /**
      * To be called when the store was restored from an older copy. Claims and records of unfinished changes may be
      * lost, and promotions ordered by other daemons may still take effect: this daemon abandons its changes and starts
@@ -75,21 +85,35 @@
      */
     void onStoreEra(std::uint64_t era, TimePoint now);
     /** To be called when the store shows whether the last change of a group's primary is unfinished. */
-    void onChangeRecord(const GroupId&, bool isChangeOpen, TimePoint now);
+    void onChangeRecord(const GroupId&, bool isChangeOpen, TimePoint now, std::uint64_t revision = 0);
+    /** True if an earlier revision of the group's change record was reported. */
+    bool isNewerRecord(const GroupId& group, std::uint64_t revision) const { return holds_.isNewer(group, revision); }
+    /** To be called when a complete answer of the store has no such record. */
+    void onMissingChangeRecord(const GroupId& group) { holds_.noteRecord(group, false, 0); }
+    /** To be called after the above when all keys of one answer of the store have been reported. */
+    void onKeysReported(TimePoint now) { holds_.apply(now); }
+    /** The daemon with the claim of this fencing token asks to hold writes back, or no longer needs it. */
+    void onHoldRequest(const GroupId&, std::uint64_t fence, bool isHeld, TimePoint now);
     /** To be called when the store shows the record of a group's log holders. */
     void onLogHolders(const GroupId& group, const StoreItem& item) { logHolders_.noteRecord(group, item); }
     void onTick(TimePoint now);
     /** Starts no further changes; running ones continue. */
     void stop() { isStopping_ = true; }
     bool isIdle() const { return changes_.empty(); }
+    /** True until the store has the ends of this daemon's changes; other daemons hold writes back until then. */
+    bool isReleasing() const { return !releasing_.empty(); }
 
 private:
     struct Change;
+    /** Interval at which a call waits for the answers of the daemons that hold writes back. */
+    static constexpr Milliseconds holdCheckInterval { 20 };
 
     /** State of a group that is kept between changes. */
     struct GroupState {
         bool isClaimed = false;
         bool isChangeOpen = false;
+        /** This daemon's own attempt left the change open, so that it knows of the calls that were made. */
+        bool isOwnChangeOpen = false;
         std::optional<TimePoint> reasonSince;
         PromotionReason reason = PromotionReason::PrimaryFailed;
         TimePoint notBefore {};
@@ -116,6 +140,8 @@
     /** Returns true if the other owners confirm that the primary fails, or do not know. */
     bool isConfirmed(const GroupId&, PromotionReason, TimePoint now);
     void begin(const GroupId&, PromotionReason, TimePoint now);
+    /** True if no commit may be acknowledged to callers during the change, wherever the primary is reached. */
+    bool mustHoldWrites(const GroupId&, PromotionReason, bool isRecordOpen, std::uint64_t recordRevision) const;
     void onClaimed(const GroupId&, const StoreResult<std::uint64_t>&);
     /** Continues the change once the group's members and log holders have been read under the claim. */
     void onRead(const GroupId&, const std::string& failure);
@@ -142,6 +168,16 @@
         const StepDownReport&, TimePoint orderedAt, TimePoint now);
     /** Calls the platform, after the members have been read again if the endpoint was chosen by comparing logs. */
     void promote(const GroupId&, const EndpointId&, TimePoint now);
+    /** Asks all daemons to hold writes back, without an order for the primary. */
+    void requestHold(const GroupId&, TimePoint now);
+    /** Makes every daemon hold writes back, if the claim has not done so. */
+    void beginHold(const GroupId&, Change&, TimePoint now);
+    /** True if every daemon holds writes back, or has been given the time to. */
+    bool areWritesHeld(const GroupId&, Change&, TimePoint now);
+    void closeHold(const GroupId&, Change&, TimePoint now);
+    /** Ends the hold once the outcome of every call is known; replicas may still have to be resumed. */
+    void closeHoldIfResolved(const GroupId&, TimePoint now);
+    void noteLeader(const GroupId&, const GroupPromotion&, TimePoint now);
     void onChoiceVerified(const GroupId&, const EndpointId&, bool isFresh, TimePoint now);
     void callPlatform(const GroupId&, const EndpointId&, TimePoint now);
     void finishIfDone(const GroupId&, TimePoint now);
@@ -153,6 +189,7 @@
     TimerService& timers_;
     PromotionDriverSettings settings_;
     LogHolderKeeper logHolders_;
+    WriteHolds holds_;
     MembersRefresh refreshMembers_;
     SuspicionConfirmer* suspicionConfirmer_ = nullptr;
     StepDownRelay* stepDownRelay_ = nullptr;
@@ -160,6 +197,8 @@
     std::map<GroupId, std::set<std::string>> owners_;
     std::map<GroupId, GroupState> groupStates_;
     std::map<GroupId, std::unique_ptr<Change>> changes_;
+    /** Ended changes whose claims are being released. */
+    std::vector<std::shared_ptr<Change>> releasing_;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
     std::uint64_t attempts_ = 0;
     bool isStopping_ = false;
--- a/include/almondlever/front/StepDownRelay.h
+++ b/include/almondlever/front/StepDownRelay.h
@@ -33,8 +33,15 @@
     /** True if every other listed daemon has answered that it holds the group's writes under the fence. */
     virtual bool areAllHolding(const GroupId&, std::uint64_t fence) const = 0;
 
-    /** Tells all daemons that the change with the fence has ended, and with it their hold. */
-    virtual void close(const GroupId&, std::uint64_t fence, TimePoint now) = 0;
+    /** Newest commit that a daemon has passed on to a caller, of those that have answered that they hold the writes. */
+    virtual LogPosition acknowledgedPosition(const GroupId&, std::uint64_t fence) const = 0;
+
+    /**
+     * Tells all daemons that the calls of the change with the fence are resolved, and that their hold ends.
+     *
+     * @param term  term in which the leader was seen to lead; 0 if the change has not made an endpoint the primary.
+     */
+    virtual void close(const GroupId&, std::uint64_t fence, const EndpointId& leader, Term term, TimePoint now) = 0;
 };
 
 } // namespace almondlever
--- a/include/almondlever/pooling/StatementDispatcher.h
+++ b/include/almondlever/pooling/StatementDispatcher.h
@@ -150,6 +150,8 @@
         const GroupId&, bool isHeld, TimePoint now, const EndpointId& leader = EndpointId(), Term leaderTerm = 0);
     /** True between the calls of holdWrites(); false for a hold that begins after a suspension. */
     bool areWritesHeld(const GroupId&) const;
+    /** Newest commit of the present primary that was passed on to a caller as successful. */
+    LogPosition acknowledgedToCallers(const GroupId&) const;
     /** End of a suspension of this process after which writes are held until noteNews(); nullopt if there is none. */
     std::optional<TimePoint> awaitsNewsSince() const;
     /** All changes of primaries that the store held at a time have been taken into account. */
--- a/include/almondlever/pooling/WriteProgress.h
+++ b/include/almondlever/pooling/WriteProgress.h
@@ -46,12 +46,15 @@
     bool isFailing() const { return unanswered_ >= settings_.stallCount; }
     /** Time at which the first write of the current stall was sent; nullopt while there is none. */
     std::optional<TimePoint> stalledSince(TimePoint now) const;
+    /** Newest commit that the primary itself has acknowledged to this daemon. */
+    const LogPosition& answered() const { return answered_; }
     /** An endpoint whose log ends before this position lacks an acknowledged commit. */
     const LogPosition& acknowledged() const { return acknowledged_; }
 
 private:
     WriteProgressSettings settings_;
     LogPosition acknowledged_;
+    LogPosition answered_;
     std::optional<TimePoint> unansweredSince_;
     std::size_t unanswered_ = 0;
     Duration currentStallLimit_;
--- a/include/almondlever/wire/Messages.h
+++ b/include/almondlever/wire/Messages.h
@@ -337,8 +337,10 @@
     Term stepDownTerm = 0;
     /** Not 0: fencing token of the change of primary during which the receiver holds the group's writes. */
     std::uint64_t fence = 0;
-    /** The change with this fence has ended; `stepDownTerm` is then 0. */
+    /** The calls of the change with this fence are resolved; `stepDownTerm` is then 0. */
     bool isClosed = false;
+    /** With isClosed: not 0 if `primary` was seen to lead in this term. */
+    Term leadingTerm = 0;
 };
 
 /** Answer to PrimarySuspicion. */
@@ -349,6 +351,8 @@
     std::optional<StepDownReport> stepDown {};
     /** The sender holds the group's writes under the fence of the request. Without `stepDown`, the result follows. */
     bool isHolding = false;
+    /** With isHolding: newest commit that the sender has passed on to a caller as successful. */
+    LogPosition acknowledged {};
 };
 
 /** Liveness probe to a daemon that runs forwarded statements, or to another owner of a group to exchange reports. */
--- a/src/front/FrontDaemon.cpp
+++ b/src/front/FrontDaemon.cpp
@@ -88,6 +88,13 @@
     }
     promotions_.setSuspicionConfirmer(&suspicionConfirmer_);
     promotions_.setStepDownRelay(&stepDownRelay_);
+    stepDownRelay_.setLeaderCallback([this](const GroupId& group, const EndpointId& leader, Term term, TimePoint now) {
+        noteRecordedLeader(group, leader, term);
+        dispatcher_.onDirectoryChange(now);
+    });
+    stepDownRelay_.setHoldCallback([this](const GroupId& group, std::uint64_t fence, bool isHeld, TimePoint now) {
+        promotions_.onHoldRequest(group, fence, isHeld, now);
+    });
     if (GroupReportParticipant* capacity = dispatcher_.capacityReports())
         ownerReports_.addParticipant(*capacity);
     promotions_.setMembersRefresh(
@@ -523,7 +530,8 @@
         if (share > 0 && (sessions_.size() > remainingSessions || share >= 1))
             session->closeWhenQuiescent();
     }
-    const bool isQuiet = share >= 1 && sessions_.empty() && promotions_.isIdle() && forwarded_.isIdle();
+    const bool hasNoChange = promotions_.isIdle() && !promotions_.isReleasing();
+    const bool isQuiet = share >= 1 && sessions_.empty() && hasNoChange && forwarded_.isIdle();
     if (!onStopped_ || (!isQuiet && !stop_.mustExit(now)))
         return;
     logInfo("stop_ends", { { "sessions", std::to_string(sessions_.size()) } });
--- a/src/front/FrontDaemonStore.cpp
+++ b/src/front/FrontDaemonStore.cpp
@@ -240,9 +240,13 @@
 {
     bool hasClusterKey = false;
     std::set<std::string> names;
+    std::set<GroupId> withoutRecord;
+    bool hasNewLeader = false;
     if (isSnapshot && routing_) {
-        for (const auto& [group, rule] : routing_->groups)
+        for (const auto& [group, rule] : routing_->groups) {
             promotions_.onClaim(group, false, now);
+            withoutRecord.insert(group);
+        }
     }
     for (const StoreItem& item : items) {
         if (hasPrefix(item.key, storeKeys::members)) {
@@ -253,10 +257,20 @@
             else if (!members_.add(name, item.value))
                 logWarning("member_entry_rejected", { { "key", item.key }, { "value", item.value } });
         } else if (hasPrefix(item.key, storeKeys::claims)) {
-            promotions_.onClaim(GroupId(withoutPrefix(item.key, storeKeys::claims)), !item.isDeleted, now);
+            promotions_.onClaim(GroupId(withoutPrefix(item.key, storeKeys::claims)), !item.isDeleted, now,
+                PromotionClaim::writesUnder(item.value), item.revision);
         } else if (hasPrefix(item.key, storeKeys::changes)) {
             const bool isOpen = !item.isDeleted && item.value == storeKeys::changeOpen;
-            promotions_.onChangeRecord(GroupId(withoutPrefix(item.key, storeKeys::changes)), isOpen, now);
+            const GroupId group(withoutPrefix(item.key, storeKeys::changes));
+            const bool isNew = promotions_.isNewerRecord(group, item.revision);
+            promotions_.onChangeRecord(group, isOpen, now, item.revision);
+            withoutRecord.erase(group);
+            const std::optional<RecordedLeader> leader = RecordedLeader::decode(item.value);
+            // The leader of a record from before the start of this daemon may have lost its role since.
+            if (leader && isNew) {
+                noteRecordedLeader(group, leader->id, leader->term);
+                hasNewLeader = true;
+            }
         } else if (hasPrefix(item.key, storeKeys::logHolders)) {
             promotions_.onLogHolders(GroupId(withoutPrefix(item.key, storeKeys::logHolders)), item);
         } else if (item.key == storeKeys::clusterKey && !item.isDeleted) {
@@ -264,6 +278,13 @@
             startPeerNetwork(item.value);
         }
     }
+    // A store that was restored from an older copy may lack the record.
+    for (const GroupId& group : withoutRecord)
+        promotions_.onMissingChangeRecord(group);
+    // Statements that were held back must not reach the former primary.
+    if (hasNewLeader && hasMembers_)
+        dispatcher_.onDirectoryChange(now);
+    promotions_.onKeysReported(now);
     if (isSnapshot)
         members_.lapseAllExcept(names, now);
     if (isSnapshot && !hasMembers_)
@@ -280,6 +301,14 @@
     updateOwners(now);
 }
 
+void FrontDaemon::noteRecordedLeader(const GroupId& group, const EndpointId& leader, Term term)
+{
+    // Its entry may not have arrived yet; what a primary of an earlier term acknowledges counts for nothing all the
+    // same.
+    directory_.noteTerm(group, term);
+    directory_.noteLeading(leader, term);
+}
+
 void FrontDaemon::writeClusterKey(const std::string& key)
 {
     StoreTransaction transaction;
--- a/src/front/PeerStepDownRelay.cpp
+++ b/src/front/PeerStepDownRelay.cpp
@@ -91,7 +91,7 @@
 {
     Holders& holders = holders_[group];
     if (holders.fence != fence)
-        holders = { fence, {} };
+        holders = { fence, {}, {} };
     Request& request = requests_[group];
     request = Request();
     request.callback = std::move(callback);
@@ -165,16 +165,21 @@
         peers.begin(), peers.end(), [&holding](const LiveDaemon& peer) { return holding.count(peer.id) > 0; });
 }
 
-void PeerStepDownRelay::close(const GroupId& group, std::uint64_t fence, TimePoint now)
+LogPosition PeerStepDownRelay::acknowledgedPosition(const GroupId& group, std::uint64_t fence) const
+{
+    const auto found = holders_.find(group);
+    return found != holders_.end() && found->second.fence == fence ? found->second.acknowledged : LogPosition();
+}
+
+void PeerStepDownRelay::close(
+    const GroupId& group, std::uint64_t fence, const EndpointId& leader, Term term, TimePoint now)
 {
     if (fence == 0)
         return;
     Broadcast broadcast;
     const auto request = requests_.find(group);
-    if (request != requests_.end() && request->second.broadcast.message.fence == fence) {
-        broadcast.message.primary = request->second.broadcast.message.primary;
+    if (request != requests_.end() && request->second.broadcast.message.fence == fence)
         requests_.erase(request);
-    }
     const auto holders = holders_.find(group);
     if (holders != holders_.end() && holders->second.fence == fence)
         holders_.erase(holders);
@@ -183,11 +188,13 @@
     // Daemons of earlier versions take the message for a question about a suspicion.
     broadcast.message.fence = fence;
     broadcast.message.isClosed = true;
+    broadcast.message.primary = leader;
+    broadcast.message.leadingTerm = term;
     broadcast.unsent = peersOf(group);
     broadcast.repeatsLeft = closingRepeats;
     logInfo("write_hold_closed",
-        { { "group", group.text() }, { "fence", std::to_string(fence) },
-            { "peers", std::to_string(broadcast.unsent.size()) } });
+        { { "group", group.text() }, { "fence", std::to_string(fence) }, { "leader", leader.text() },
+            { "term", std::to_string(term) }, { "peers", std::to_string(broadcast.unsent.size()) } });
     sendNext(broadcast, ownersToAsk(group).size(), now);
     closings_[{ group, fence }] = std::move(broadcast);
 }
@@ -230,8 +237,11 @@
     Request& request = found->second;
     if (request.broadcast.asked.count(from) == 0)
         return true;
-    if (answer.isHolding)
-        holders_[group].daemons.insert(from);
+    if (answer.isHolding) {
+        Holders& holders = holders_[group];
+        holders.daemons.insert(from);
+        holders.acknowledged = std::max(holders.acknowledged, answer.acknowledged);
+    }
     // It holds the writes; the answer of the primary follows.
     if (answer.isHolding && !answer.stepDown)
         return true;
@@ -265,6 +275,8 @@
     message.stepDown = report;
     message.isHolding
         = query.fence != 0 && !isClosed(query.group, query.fence) && dispatcher_.areWritesHeld(query.group);
+    if (message.isHolding)
+        message.acknowledged = dispatcher_.acknowledgedToCallers(query.group);
     network_->send(to, "", message);
 }
 
@@ -273,6 +285,8 @@
     if (query.isClosed) {
         std::uint64_t& closed = closedFences_[query.group];
         closed = std::max(closed, query.fence);
+        if (leaderCallback_ && query.leadingTerm != 0)
+            leaderCallback_(query.group, query.primary, query.leadingTerm, now);
         if (holdCallback_)
             holdCallback_(query.group, query.fence, false, now);
         return answer(from, query, std::nullopt, now);
@@ -286,6 +300,8 @@
     }
     if (query.stepDownTerm != 0)
         orderStepDown(from, query, now);
+    else
+        answer(from, query, StepDownReport(), now);
 }
 
 void PeerStepDownRelay::orderStepDown(const VmId& from, const PrimarySuspicion& query, TimePoint now)
--- a/src/front/PromotionChange.h
+++ b/src/front/PromotionChange.h
@@ -29,6 +29,12 @@
     bool wasOpen = false;
     /** The leader after the last finished change, if its record names one. */
     std::optional<RecordedLeader> recordedLeader;
+    TimePoint claimedAt;
+    /** The other daemons were asked to hold writes back. */
+    bool isHoldRequested = false;
+    /** Time since which every daemon holds writes back, or has been given the time to. */
+    std::optional<TimePoint> heldSince;
+    bool isHoldClosed = false;
     /** Time of the latest promote call. */
     TimePoint calledAt;
     /** The claim is held, and the other owners have been asked again about the primary. */
--- a/src/front/PromotionDriver.cpp
+++ b/src/front/PromotionDriver.cpp
@@ -21,13 +21,19 @@
     , timers_(timers)
     , settings_(settings)
     , logHolders_(directory, dispatcher, store, timers, settings.logHolders)
+    , holds_(dispatcher)
 {
 }
 
 PromotionDriver::~PromotionDriver() = default;
 
-void PromotionDriver::onClaim(const GroupId& group, bool isHeld, TimePoint now)
+void PromotionDriver::onClaim(
+    const GroupId& group, bool isHeld, TimePoint now, ClaimedWrites writes, std::uint64_t revision)
 {
+    if (isHeld)
+        holds_.noteClaim(group, writes, revision);
+    else
+        holds_.noteClaimEnded(group);
     GroupState& state = groupStates_[group];
     if (state.isClaimed && !isHeld)
         state.notBefore = now;
@@ -44,15 +50,26 @@
     }
 }
 
-void PromotionDriver::onChangeRecord(const GroupId& group, bool isChangeOpen, TimePoint)
+void PromotionDriver::onChangeRecord(const GroupId& group, bool isChangeOpen, TimePoint, std::uint64_t revision)
 {
     groupStates_[group].isChangeOpen = isChangeOpen;
+    holds_.noteRecord(group, isChangeOpen, revision);
+}
+
+void PromotionDriver::onHoldRequest(const GroupId& group, std::uint64_t fence, bool isHeld, TimePoint now)
+{
+    if (isHeld)
+        holds_.request(group, fence, now);
+    else
+        holds_.close(group, fence);
+    holds_.apply(now);
 }
 
 void PromotionDriver::onStoreEra(std::uint64_t era, TimePoint now)
 {
     for (auto& [group, state] : groupStates_) {
         state.isClaimed = false;
+        holds_.noteClaimEnded(group);
         state.notBefore = std::max(state.notBefore, now + settings_.promotion.promotionEffectTime);
     }
     // Groups whose claim was never reported have no state yet.
@@ -111,6 +128,9 @@
 
 void PromotionDriver::onTick(TimePoint now)
 {
+    releasing_.erase(std::remove_if(releasing_.begin(), releasing_.end(),
+                         [](const auto& change) { return !change->claim.isReleasing(); }),
+        releasing_.end());
     for (const auto& [group, rule] : groups_) {
         if (!isOwner(group) && changes_.count(group) == 0)
             continue;
@@ -126,6 +146,7 @@
             }
             if (change.claim.isHeld(now)) {
                 change.promotion->noteAcknowledged(dispatcher_.acknowledgedPositionOf(group, now));
+                areWritesHeld(group, change, now);
                 GroupPromotion::Orders orders = change.promotion->onMembers(membersOf(group));
                 for (const GroupPromotion::Order& order : orders) {
                     const EndpointEntry* entry = directory_.find(order.endpoint);
@@ -150,6 +171,8 @@
             continue;
         }
         GroupState& state = groupStates_[group];
+        if (!state.isChangeOpen && holds_.isOrphaned(group, settings_.orphanedHoldLimit, now))
+            state.isChangeOpen = true;
         if (dispatcher_.isIdle(group, now) && !state.reasonSince && now - state.checkedAt < settings_.idleCheckInterval)
             continue;
         state.checkedAt = now;
@@ -166,7 +189,9 @@
         state.reason = *reason;
         if (!state.reasonSince)
             state.reasonSince = now;
-        const Duration settling = state.isChangeOpen ? Duration(settings_.promotion.promotionEffectTime) : Duration(0);
+        // A call that was accepted before another daemon's claim ended may be about to take effect.
+        const bool mustSettle = state.isChangeOpen && !state.isOwnChangeOpen;
+        const Duration settling = mustSettle ? Duration(settings_.promotion.promotionEffectTime) : Duration(0);
         const Duration stagger = settings_.staggerDelay * static_cast<int>(rankOf(group));
         const bool isDue = now - *state.reasonSince >= stagger + settling && now >= state.notBefore;
         if (lacksLogs(group, state, now))
@@ -251,10 +276,14 @@
                 isChangeOpen = item.value == storeKeys::changeOpen;
                 changes_.at(group)->recordedLeader = RecordedLeader::decode(item.value);
             }
-            changes_.at(group)->wasOpen = isChangeOpen;
-            if (page && (!isChangeOpen || wasKnownOpen))
+            const bool isOrphaned = holds_.isOrphaned(group, settings_.orphanedHoldLimit, timers_.now());
+            changes_.at(group)->wasOpen = isChangeOpen || isOrphaned;
+            if (page && (!isChangeOpen || wasKnownOpen)) {
+                const bool mustHold = mustHoldWrites(group, changes_.at(group)->reason, isChangeOpen, revision);
                 return changes_.at(group)->claim.acquire(
-                    revision, [this, group](const StoreResult<std::uint64_t>& result) { onClaimed(group, result); });
+                    revision, [this, group](const StoreResult<std::uint64_t>& result) { onClaimed(group, result); },
+                    mustHold);
+            }
             logInfo("promotion_not_claimed",
                 { { "group", group.text() }, { "outcome", page ? "unfinished_change" : toText(page.error().kind) },
                     { "detail", page ? "" : page.error().detail } });
@@ -266,6 +295,23 @@
         });
 }
 
+bool PromotionDriver::mustHoldWrites(
+    const GroupId& group, PromotionReason reason, bool isRecordOpen, std::uint64_t revision) const
+{
+    switch (reason) {
+    case PromotionReason::PrimaryFailed:
+    case PromotionReason::PrimaryStalled:
+        return true;
+    case PromotionReason::PrimaryLeaving:
+        // The primary serves until it has confirmed that it stepped down.
+        return false;
+    case PromotionReason::Recovery:
+        break;
+    }
+    // Replicas may be left to be resumed by a change whose calls are resolved.
+    return isRecordOpen ? !holds_.isClosed(group, revision) : holds_.isHeld(group);
+}
+
 void PromotionDriver::onClaimed(const GroupId& group, const StoreResult<std::uint64_t>& result)
 {
     if (changes_.count(group) == 0)
@@ -273,6 +319,7 @@
     if (!result)
         return releaseClaim(group, toText(result.error().kind), result.error().detail);
     Change& change = *changes_.at(group);
+    change.claimedAt = timers_.now();
     change.pendingReads = refreshMembers_ ? 2 : 1;
     const auto isCurrent = [this, group, fence = change.claim.fence(), alive = std::weak_ptr<int>(alive_)] {
         return !alive.expired() && changes_.count(group) > 0 && changes_.at(group)->claim.fence() == fence;
@@ -334,15 +381,37 @@
     groupStates_[group].notBefore = timers_.now() + settings_.retryPause;
     // Acquiring the claim marked the change record as open; it stays open if an earlier change is unfinished.
     const Change& change = *changes_.at(group);
-    groupStates_[group].isChangeOpen = change.wasOpen;
+    if (change.claim.fence() != 0)
+        groupStates_[group].isChangeOpen = change.wasOpen;
     changes_.at(group)->claim.release(!change.wasOpen, change.recordedLeader);
+    // No call was made, and a claim without a hold means that those of an earlier change are resolved.
+    if (!change.wasOpen || !change.claim.holdsWrites())
+        closeHold(group, *changes_.at(group), timers_.now());
     // The claim must not be destroyed in its own callback.
     timers_.callAfter(Duration(0), [this, group, alive = std::weak_ptr<int>(alive_)](TimePoint) {
-        if (!alive.expired())
-            changes_.erase(group);
+        const auto found = alive.expired() ? changes_.end() : changes_.find(group);
+        if (alive.expired() || found == changes_.end())
+            return;
+        releasing_.push_back(std::move(found->second));
+        changes_.erase(found);
     });
 }
 
+void PromotionDriver::closeHold(const GroupId& group, Change& change, TimePoint now)
+{
+    if (change.isHoldClosed || change.claim.fence() == 0)
+        return;
+    change.isHoldClosed = true;
+    holds_.close(group, change.claim.fence());
+    holds_.apply(now);
+    // Also where no hold was asked for: the record may stay open until each replica has been resumed.
+    if (!stepDownRelay_)
+        return;
+    const Term term = change.promotion ? change.promotion->leadingTerm() : 0;
+    stepDownRelay_->close(
+        group, change.claim.fence(), term == 0 ? EndpointId() : change.promotion->chosen(), term, now);
+}
+
 void PromotionDriver::startChange(const GroupId& group)
 {
     const TimePoint now = timers_.now();
@@ -389,6 +458,13 @@
             { "required", std::to_string(change.promotion->requiredLogs()) },
             { "missing_holders", missing ? toText(*missing) : "unknown" } });
     const bool hasRelay = stepDownRelay_ && stepDownRelay_->hasPeers(group);
+    if (change.claim.holdsWrites())
+        holds_.request(group, change.claim.fence(), now);
+    // The relayed order to step down asks for the other daemons' hold as well.
+    const bool beginsWithStepDown = change.reason != PromotionReason::Recovery && primary && hasRelay;
+    if (change.claim.holdsWrites() && !beginsWithStepDown)
+        requestHold(group, now);
+    areWritesHeld(group, change, now);
     executeOrders(group, change.promotion->start(now, hasRelay), now);
 }
 
--- a/src/front/PromotionDriverOrders.cpp
+++ b/src/front/PromotionDriverOrders.cpp
@@ -2,6 +2,8 @@
 #include "PromotionLog.h"
 #include "almondlever/observability/DecisionLog.h"
 
+#include <algorithm>
+
 namespace almondlever {
 
 using promotionLog::listOf;
@@ -26,9 +28,30 @@
         else
             sendOrder(group, order, fence);
     }
+    closeHoldIfResolved(group, now);
     finishIfDone(group, now);
 }
 
+void PromotionDriver::closeHoldIfResolved(const GroupId& group, TimePoint now)
+{
+    const auto found = changes_.find(group);
+    if (found == changes_.end() || !found->second->promotion || !found->second->promotion->areCallsResolved())
+        return;
+    Change& change = *found->second;
+    if (change.isHoldClosed)
+        return;
+    noteLeader(group, *change.promotion, now);
+    closeHold(group, change, now);
+}
+
+void PromotionDriver::noteLeader(const GroupId&, const GroupPromotion& promotion, TimePoint now)
+{
+    if (promotion.leadingTerm() == 0)
+        return;
+    directory_.noteLeading(promotion.chosen(), promotion.leadingTerm());
+    dispatcher_.onDirectoryChange(now);
+}
+
 void PromotionDriver::sendOrder(const GroupId& group, const GroupPromotion::Order& order, std::uint64_t fence)
 {
     EndpointCommand command;
@@ -132,10 +155,13 @@
         logInfo("promotion_order_outdated",
             { { "group", group.text() }, { "endpoint", order.endpoint.text() }, { "fence", std::to_string(fence) } });
     };
-    if (isRelayed)
+    if (isRelayed) {
+        // A planned change needs no hold: what the primary acknowledged before it stepped down is in its final log.
+        change.isHoldRequested = change.claim.holdsWrites();
         stepDownRelay_->request(
-            group, order.endpoint, order.term, 0,
+            group, order.endpoint, order.term, change.isHoldRequested ? change.claim.fence() : 0,
             [report](const StepDownReport& result, TimePoint at) { report("relayed", result, at); }, now);
+    }
     dispatcher_.stepDown(
         group, order.endpoint, order.term,
         [report](const StepDownReport& result, TimePoint at) { report("direct", result, at); }, now);
@@ -168,6 +194,8 @@
             outcome.result = StepDownResult::NotSupported;
     }
     change.promotion->noteAcknowledged(dispatcher_.acknowledgedPositionOf(group, now));
+    // The relayed report comes with the last answer that a daemon holds writes back.
+    areWritesHeld(group, change, now);
     executeOrders(group, change.promotion->onStepDown(outcome, now), now);
 }
 
@@ -177,15 +205,65 @@
     if (found == changes_.end())
         return;
     Change& change = *found->second;
-    if (!refreshMembers_ || !change.promotion->isChosenByCount())
+    const bool isPrimaryKept = change.promotion->isListedAsPrimary(endpoint);
+    const bool mustHold
+        = change.claim.holdsWrites() ? !isPrimaryKept : change.promotion->mayOldPrimaryAcknowledge(endpoint);
+    if (!mustHold)
         return callPlatform(group, endpoint, now);
     const std::uint64_t fence = change.claim.fence();
+    beginHold(group, change, now);
+    if (!areWritesHeld(group, change, now)) {
+        timers_.callAfter(
+            holdCheckInterval, [this, group, endpoint, fence, alive = std::weak_ptr<int>(alive_)](TimePoint at) {
+                if (!alive.expired() && isCurrentChange(group, fence) && changes_.at(group)->promotion)
+                    promote(group, endpoint, at);
+            });
+        return;
+    }
+    if (change.promotion->isChosenByCount() && change.promotion->comparedSince() < *change.heldSince)
+        return executeOrders(group, change.promotion->compareAgain(now), now);
+    if (!refreshMembers_)
+        return onChoiceVerified(group, endpoint, true, now);
     refreshMembers_([this, group, endpoint, fence, alive = std::weak_ptr<int>(alive_)](bool isFresh) {
         if (!alive.expired() && isCurrentChange(group, fence))
             onChoiceVerified(group, endpoint, isFresh, timers_.now());
     });
 }
 
+void PromotionDriver::requestHold(const GroupId& group, TimePoint now)
+{
+    Change& change = *changes_.at(group);
+    holds_.request(group, change.claim.fence(), now);
+    if (!stepDownRelay_ || change.isHoldRequested)
+        return;
+    change.isHoldRequested = true;
+    // Names no primary: the one that is listed may lead rightly.
+    stepDownRelay_->request(
+        group, EndpointId(), 0, change.claim.fence(), [](const StepDownReport&, TimePoint) {}, now);
+}
+
+void PromotionDriver::beginHold(const GroupId& group, Change& change, TimePoint now)
+{
+    if (!change.claim.holdsWrites()) {
+        // A planned change goes on without the primary's consent: daemons that the relay does not reach must see it.
+        change.claim.holdWrites();
+        change.claimedAt = now;
+    }
+    requestHold(group, now);
+}
+
+bool PromotionDriver::areWritesHeld(const GroupId& group, Change& change, TimePoint now)
+{
+    if (change.heldSince)
+        return true;
+    if (!change.claim.holdsWrites() || !change.claim.isHoldWritten())
+        return false;
+    const bool isOverdue = now - change.claimedAt >= settings_.holdTimeout;
+    if (isOverdue || !stepDownRelay_ || stepDownRelay_->areAllHolding(group, change.claim.fence()))
+        change.heldSince = now;
+    return change.heldSince.has_value();
+}
+
 void PromotionDriver::onChoiceVerified(const GroupId& group, const EndpointId& endpoint, bool isFresh, TimePoint now)
 {
     const std::uint64_t fence = changes_.at(group)->claim.fence();
@@ -193,10 +271,22 @@
     if (!isCurrentChange(group, fence))
         return;
     Change& change = *changes_.at(group);
-    if (!isFresh || !change.promotion->isChoiceComplete()) {
+    // The only other copy of a commit may be on an endpoint that is not listed yet.
+    LogPosition acknowledged = dispatcher_.acknowledgedToCallers(group);
+    if (stepDownRelay_)
+        acknowledged = std::max(acknowledged, stepDownRelay_->acknowledgedPosition(group, fence));
+    change.promotion->noteAcknowledged(acknowledged);
+    // The only unpaused replica of a primary that cannot step down receives what that one still acknowledges.
+    const bool mayBeBehind
+        = !change.promotion->isChosenByCount() && change.promotion->mayOldPrimaryAcknowledge(endpoint);
+    const bool isComplete = !change.promotion->isChosenByCount() || change.promotion->isChoiceComplete();
+    if (!isFresh || !isComplete) {
         const std::string reason = isFresh ? "the members have changed" : "the members could not be read";
         return executeOrders(group, change.promotion->onChoiceOutdated(reason, now), now);
     }
+    if (change.promotion->chosenPosition() < acknowledged && !mayBeBehind)
+        return executeOrders(
+            group, change.promotion->onChoiceOutdated("the chosen log lacks an acknowledged commit", now), now);
     callPlatform(group, endpoint, now);
     finishIfDone(group, now);
 }
@@ -265,6 +355,10 @@
     ended->claim.release(!promotion.needsRecovery(), ended->recordedLeader);
     GroupState& state = groupStates_[group];
     state.isChangeOpen = promotion.needsRecovery();
+    state.isOwnChangeOpen = state.isChangeOpen;
+    const bool isPrimaryKept = !ended->claim.holdsWrites() && promotion.hasCalledOnlyPrimary();
+    if (promotion.areCallsResolved() || isPrimaryKept)
+        closeHold(group, *ended, now);
     state.reasonSince.reset();
     state.notBefore = now + (promotion.hasSucceeded() ? settings_.retryPause * 2 : settings_.retryPause);
     if (ended->reason == PromotionReason::Recovery && promotion.hasSucceeded())
@@ -273,13 +367,10 @@
         noteMissingLogs(group, promotion, now);
     else if (promotion.hasSucceeded())
         clearMissingLogs(group, state);
-    // The change must not be destroyed in a callback of its own members.
-    timers_.callAfter(Duration(0), [ended](TimePoint) {});
+    // The change must not be destroyed in a callback of its own members, nor before the store has its release.
+    releasing_.push_back(ended);
     dispatcher_.endHold(group, now);
-    if (promotion.leadingTerm() == 0)
-        return;
-    directory_.noteLeading(promotion.chosen(), promotion.leadingTerm());
-    dispatcher_.onDirectoryChange(now);
+    noteLeader(group, promotion, now);
 }
 
 void PromotionDriver::notePausedElsewhere(
--- a/src/pooling/DispatcherHold.cpp
+++ b/src/pooling/DispatcherHold.cpp
@@ -10,6 +10,12 @@
     return found != groups_.end() && found->second.areWritesHeld;
 }
 
+LogPosition DispatcherState::acknowledgedToCallers(const GroupId& group) const
+{
+    const auto found = groups_.find(group);
+    return found == groups_.end() ? LogPosition() : found->second.writes.answered();
+}
+
 void DispatcherState::holdWrites(
     const GroupId& group, bool isHeld, TimePoint now, const EndpointId& leader, Term leaderTerm)
 {
--- a/src/pooling/DispatcherRuns.cpp
+++ b/src/pooling/DispatcherRuns.cpp
@@ -328,7 +328,11 @@
     GroupQueues& queues = queuesOf(request.group);
     const bool wasSentBeforeHoldEnded = queues.holdEndedAt && run.forwardedAt < *queues.holdEndedAt;
     const bool mustWait = isHeld(request.group);
-    if (acknowledgesWrite(request, run.isInTransaction) && (mustWait || wasSentBeforeHoldEnded)) {
+    // A former primary may still acknowledge what the present one lacks.
+    const EndpointEntry* primary = directory_.primaryOf(request.group);
+    const bool isOfFormerTerm = reply.position && reply.position->term < directory_.newestTermOf(request.group)
+        && (!primary || primary->id != run.link->endpoint());
+    if (acknowledgesWrite(request, run.isInTransaction) && (mustWait || wasSentBeforeHoldEnded || isOfFormerTerm)) {
         const Term term = reply.position ? reply.position->term : directory_.newestTermOf(request.group);
         const bool isSafe = isSafeAfterHold(request.group, result.endpoint, term);
         HeldAnswer answer { std::move(result), term };
--- a/src/pooling/DispatcherState.h
+++ b/src/pooling/DispatcherState.h
@@ -142,6 +142,7 @@
     void endHold(const GroupId&, TimePoint now);
     void holdWrites(const GroupId&, bool isHeld, TimePoint now, const EndpointId& leader, Term leaderTerm);
     bool areWritesHeld(const GroupId&) const;
+    LogPosition acknowledgedToCallers(const GroupId&) const;
     std::optional<TimePoint> awaitsNewsSince() const { return awaitsNewsSince_; }
     void noteNews(TimePoint provenAt, TimePoint now);
     void setGroups(const std::map<GroupId, GroupRule>&, TimePoint now);
--- a/src/pooling/StatementDispatcher.cpp
+++ b/src/pooling/StatementDispatcher.cpp
@@ -110,6 +110,11 @@
     return state_->acknowledgedPositionOf(group, now);
 }
 
+LogPosition StatementDispatcher::acknowledgedToCallers(const GroupId& group) const
+{
+    return state_->acknowledgedToCallers(group);
+}
+
 bool StatementDispatcher::isIdle(const GroupId& group, TimePoint now) const { return state_->isIdle(group, now); }
 
 bool StatementDispatcher::isReachable(const EndpointId& endpoint) const { return state_->isReachable(endpoint); }
--- a/src/pooling/WriteProgress.cpp
+++ b/src/pooling/WriteProgress.cpp
@@ -7,6 +7,7 @@
 void WriteProgress::noteAcknowledged(const LogPosition& position)
 {
     acknowledged_ = std::max(acknowledged_, position);
+    answered_ = std::max(answered_, position);
     unansweredSince_.reset();
     unanswered_ = 0;
     currentStallLimit_ = settings_.stallLimit;
@@ -30,6 +31,7 @@
     if (isFailing())
         currentStallLimit_ *= 2;
     acknowledged_ = LogPosition();
+    answered_ = LogPosition();
     unansweredSince_.reset();
     unanswered_ = 0;
 }
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -332,6 +332,7 @@
         writer.number("sd", suspicion.stepDownTerm);
         writer.number("fe", suspicion.fence);
         writer.flag("cl", suspicion.isClosed);
+        writer.number("lt", suspicion.leadingTerm);
     }
 
     PrimarySuspicion readPrimarySuspicion(CborReader& reader)
@@ -344,6 +345,7 @@
         suspicion.stepDownTerm = reader.number("sd");
         suspicion.fence = reader.number("fe");
         suspicion.isClosed = reader.flag("cl");
+        suspicion.leadingTerm = reader.number("lt");
         return suspicion;
     }
 
@@ -353,6 +355,8 @@
         writer.number("n", answer.number);
         writer.enumeration("o", answer.opinion);
         writer.flag("ho", answer.isHolding);
+        if (answer.acknowledged != LogPosition())
+            writer.position("ap", answer.acknowledged);
         if (!answer.stepDown)
             return;
         map["sr"] = static_cast<std::uint64_t>(answer.stepDown->result);
@@ -367,6 +371,7 @@
         answer.number = reader.number("n");
         answer.opinion = reader.enumeration("o", PrimaryOpinion::Fails);
         answer.isHolding = reader.flag("ho");
+        answer.acknowledged = readPosition(reader, "ap");
         if (reader.has("sr")) {
             StepDownReport report;
             report.result = reader.enumeration("sr", StepDownResult::Unreachable);
--- a/tests/front/TestPeerStepDownRelay.cpp
+++ b/tests/front/TestPeerStepDownRelay.cpp
@@ -310,10 +310,12 @@
     cr_assert_eq(fixture.network.sent.size(), 1U);
     fixture.answerAs(VmId("vm-3"), true, StepDownReport());
     fixture.network.sent.clear();
-    fixture.relay.close(fixture.group, fence, fixture.timers.now());
+    fixture.relay.close(fixture.group, fence, fixture.a, 8, fixture.timers.now());
     cr_assert_eq(fixture.network.sent.size(), 2U);
     cr_assert(!fixture.relay.areAllHolding(fixture.group, fence));
     cr_assert(fixture.sentTo(VmId("vm-2")).isClosed);
+    cr_assert(fixture.sentTo(VmId("vm-2")).primary == fixture.a);
+    cr_assert_eq(fixture.sentTo(VmId("vm-2")).leadingTerm, 8U);
     cr_assert_eq(fixture.sentTo(VmId("vm-2")).stepDownTerm, 0U, "the former version would order a step-down");
     fixture.answerAs(VmId("vm-2"), false, std::nullopt);
     fixture.network.sent.clear();
--- a/tests/front/TestPromotionDriver.cpp
+++ b/tests/front/TestPromotionDriver.cpp
@@ -65,7 +65,8 @@
 public:
     bool hasPeers(const GroupId&) const override { return true; }
     bool areAllHolding(const GroupId&, std::uint64_t) const override { return true; }
-    void close(const GroupId&, std::uint64_t, TimePoint) override { }
+    LogPosition acknowledgedPosition(const GroupId&, std::uint64_t) const override { return {}; }
+    void close(const GroupId&, std::uint64_t, const EndpointId&, Term, TimePoint) override { }
     void request(const GroupId&, const EndpointId& endpoint, Term, std::uint64_t, Callback onReport, TimePoint) override
     {
         primary = endpoint;
--- a/tests/mocks/PromotionFixture.h
+++ b/tests/mocks/PromotionFixture.h
@@ -157,6 +157,7 @@
         return at == std::string::npos ? 0 : std::stod(text.substr(at + name.size()));
     }
 
+    bool areWritesHeld() const { return daemon_->dispatcher.areWritesHeld(group); }
     bool leads(const EndpointId& id) { return endpoints.server(id).leads && !endpoints.server(id).isDown; }
 
     /** True if a caller's write is acknowledged within a second. */
--- a/tests/promotion_quorum/TestPromotionReview.cpp
+++ b/tests/promotion_quorum/TestPromotionReview.cpp
@@ -21,7 +21,8 @@
 
     bool hasPeers(const GroupId&) const override { return true; }
     bool areAllHolding(const GroupId&, std::uint64_t) const override { return true; }
-    void close(const GroupId&, std::uint64_t, TimePoint) override { }
+    LogPosition acknowledgedPosition(const GroupId&, std::uint64_t) const override { return {}; }
+    void close(const GroupId&, std::uint64_t, const EndpointId&, Term, TimePoint) override { }
     void request(const GroupId&, const EndpointId& primary, Term, std::uint64_t, Callback callback, TimePoint) override
     {
         fixture_.timers.callAfter(Milliseconds(20), [this, primary, callback](TimePoint now) {
--- a/tests/wire/TestStoreMessages.cpp
+++ b/tests/wire/TestStoreMessages.cpp
@@ -266,8 +266,17 @@
     const auto readAnswer = decode<PrimarySuspicionAnswer>(fromHex(holdingAnswer));
     cr_assert(readAnswer.isHolding);
     cr_assert(!readAnswer.stepDown.has_value());
+    cr_assert(readAnswer.acknowledged == LogPosition());
     cr_assert(!decode<PrimarySuspicionAnswer>(fromHex(stepDownAnswer)).isHolding);
     cr_assert(!decode<PrimarySuspicionAnswer>(fromHex(formerOpinion)).isHolding);
+    closing.primary = EndpointId("b");
+    closing.leadingTerm = 8;
+    const auto readLeader = decode<PrimarySuspicion>(encodeMessage(closing));
+    cr_assert(readLeader.primary == EndpointId("b"));
+    cr_assert_eq(readLeader.leadingTerm, 8U);
+    cr_assert_eq(readLeader.stepDownTerm, 0U);
+    answer.acknowledged = { 6, 427 };
+    cr_assert(decode<PrimarySuspicionAnswer>(encodeMessage(answer)).acknowledged == LogPosition({ 6, 427 }));
     answer.stepDown = StepDownReport { StepDownResult::Answered, { false, 6, { 6, 429 } } };
     const auto readReport = decode<PrimarySuspicionAnswer>(encodeMessage(answer));
     cr_assert(readReport.isHolding && readReport.stepDown && readReport.stepDown->result == StepDownResult::Answered);
