Keep a stand-in's key when the lease of its former holder ends

Cause: the soak's store did not take a deleted key from its lease. A claim that had been released and was taken again under a new lease was removed when the old lease ended. The daemons keep a claim for 1.8 s of a lease of 2.5 s and are right to rely on it. Change: a deleted key leaves its lease.

--- a/soak/StandinStore.cpp
+++ b/soak/StandinStore.cpp
@@ -276,8 +276,14 @@
 
 void StandinStore::erase(const std::string& key, std::uint64_t revision)
 {
-    if (items_.erase(key) > 0)
-        history_.push_back({ revision, key, true });
+    const auto item = items_.find(key);
+    if (item == items_.end())
+        return;
+    // The end of the lease must not remove the key after another lease has taken it.
+    if (const auto lease = leases_.find(item->second.lease); lease != leases_.end())
+        lease->second.keys.erase(key);
+    items_.erase(item);
+    history_.push_back({ revision, key, true });
 }
 
 void StandinStore::wakeWatches()
