Order no step-down of a primary that nobody can replace

Cause: the order precedes the comparison, for which the holders have to be known. Change: without the holders, and without a term in which the primary is known to have led, the order is not given; the attempt pauses and fails as before, and the primary keeps leading. Evidence: GroupPromotion::primaryIsNotOrderedToStepDownWhenNobodyCanReplaceIt fails without the change.

--- a/src/failover/GroupPromotion.cpp
+++ b/src/failover/GroupPromotion.cpp
@@ -60,8 +60,12 @@
         return fail("the group has no endpoints", now);
     if (!hasRelay && reason_ != PromotionReason::PrimaryLeaving && reason_ != PromotionReason::PrimaryStalled)
         canStepDown_ = false;
+    // Without the log holders no other endpoint can be chosen by count, and the end of the log of a primary that is not
+    // known to have led proves nothing: a group whose primary stepped down would have none for good.
+    if (!missingHolders_ && !primaryTerm_ && reason_ != PromotionReason::PrimaryLeaving)
+        canStepDown_ = false;
     // The primary's status is not queried: a stalled primary answers but acknowledges no writes.
-    if (reason_ == PromotionReason::PrimaryStalled && primary())
+    if (reason_ == PromotionReason::PrimaryStalled && primary() && canStepDown_)
         return beginStepDown(now);
     // The order precedes the pauses: a commit that waits for a paused replica would be acknowledged by its restart.
     if (reason_ == PromotionReason::PrimaryFailed && primary() && canStepDown_)
--- a/tests/failover/TestPromotionHolders.cpp
+++ b/tests/failover/TestPromotionHolders.cpp
@@ -69,6 +69,21 @@
     cr_assert(!promotion.hasSucceeded());
 }
 
+// Guards against a group that loses its primary for good: it steps down although no endpoint can take its place, since
+// neither the log holders are known nor whether it led until then.
+Test(GroupPromotion, primaryIsNotOrderedToStepDownWhenNobodyCanReplaceIt)
+{
+    for (const PromotionReason reason : { PromotionReason::PrimaryFailed, PromotionReason::PrimaryStalled }) {
+        GroupPromotion promotion(
+            { { a, true, false }, { b, false, false }, { c, false, false } }, 1, 3, reason, PromotionSettings());
+        promotion.setMissingHolders(std::nullopt);
+        cr_expect(!hasAny(promotion.start(start, true), Kind::StepDown));
+        auto known = makePromotion(reason);
+        known.setMissingHolders(std::nullopt);
+        cr_expect(hasAny(known.start(start, true), Kind::StepDown), "the end of its log is final");
+    }
+}
+
 // Guards against counting the log of a replica that started again, empty, after it was paused.
 Test(GroupPromotion, pauseOfAFormerRunDoesNotCount)
 {
