--- a/soak/GroupFaults.cpp
+++ b/soak/GroupFaults.cpp
@@ -18,6 +18,9 @@
     /** Time without faults before a later change of servers; the run skips one that comes too soon after the former. */
     constexpr Milliseconds pauseBeforeChange { 6500 };
 
+    /** No series begins in the last part of the run, in which its late calls could not be carried out any more. */
+    constexpr Milliseconds lastSeries { 9000 };
+
     class PlanDraw {
     public:
         explicit PlanDraw(const GroupFaultSettings& settings)
@@ -34,12 +37,27 @@
                 while (at < settings_.faultTime)
                     at = drawSequence(group, at) + time(0, longestPauseMs);
             }
+            return takeSorted();
+        }
+
+        std::vector<GroupFault> drawLateCalls()
+        {
+            for (std::size_t group = 0; group < settings_.groups; ++group) {
+                // Without a record of the group's log holders, which takes a moment, nothing can be promoted.
+                for (Milliseconds at = time(1500, 3500); at + lastSeries < settings_.faultTime; at += time(6000, 10000))
+                    drawSeries(group, at);
+            }
+            return takeSorted();
+        }
+
+    private:
+        std::vector<GroupFault> takeSorted()
+        {
             std::stable_sort(
                 plan_.begin(), plan_.end(), [](const GroupFault& a, const GroupFault& b) { return a.at < b.at; });
             return std::move(plan_);
         }
 
-    private:
         Milliseconds time(int least, int most)
         {
             return Milliseconds(std::uniform_int_distribution<int>(least, most)(random_));
@@ -113,6 +131,70 @@
             return std::max(at + deafFor, downAt + downFor);
         }
 
+        /** One daemon at least goes on with the primary. */
+        void addPart(std::size_t group, Milliseconds at)
+        {
+            GroupFault& part = add(Kind::PartPrimary, group, at, time(3000, 8000));
+            part.refuses = chance(0.5);
+            const std::size_t reaching = index(settings_.daemons);
+            for (std::size_t daemon = 0; daemon < settings_.daemons; ++daemon) {
+                if (daemon != reaching)
+                    part.daemons.push_back(daemon);
+            }
+        }
+
+        void addHalt(std::size_t group, Milliseconds at, Milliseconds afterCall)
+        {
+            GroupFault& halt = add(Kind::HaltStore, group, at, time(500, 1000));
+            halt.afterCall = afterCall;
+            halt.answersWrites = chance(0.7);
+            halt.answersReads = !halt.answersWrites && chance(0.4);
+        }
+
+        /** The primary is away until a call without an answer is due again; then the store is away. */
+        void drawInterruptedCall(std::size_t group, Milliseconds at)
+        {
+            add(Kind::DelayCalls, group, at, time(3000, 5000));
+            add(chance(0.5) ? Kind::CrashPrimary : Kind::DarkenPrimary, group, at, time(1000, 2600));
+            // A call is due again 0.25 s after its time-out of 1.5 s, or after the end of its connection.
+            addHalt(group, at, chance(0.5) ? time(1300, 1700) : time(0, 200));
+            add(Kind::DeafenCalled, group, at, time(8000, 12000)).afterCall = time(1000, 2500);
+        }
+
+        void drawTrouble(std::size_t group, Milliseconds at)
+        {
+            if (chance(0.7))
+                addPart(group, at);
+            else
+                add(Kind::IsolatePrimary, group, at, time(2000, 5000));
+            if (chance(0.7))
+                add(Kind::DelayCalls, group, at, time(3000, 6000));
+            if (chance(0.5))
+                addHalt(group, at, time(0, 2000));
+            if (chance(0.5))
+                add(Kind::DeafenCalled, group, at, time(5000, 11000)).afterCall = time(0, 3000);
+        }
+
+        void drawSeries(std::size_t group, Milliseconds at)
+        {
+            if (chance(0.6))
+                drawInterruptedCall(group, at);
+            else
+                drawTrouble(group, at);
+            if (chance(0.4))
+                add(Kind::DelayOrders, group, at + time(0, 2000), time(1500, 4000));
+            if (chance(0.4)) {
+                const bool isKilled = chance(0.5);
+                const Milliseconds duration = isKilled ? time(300, 1500) : time(1000, 5000);
+                add(isKilled ? Kind::RestartDaemons : Kind::SuspendDaemons, group, at, duration).afterCall
+                    = time(0, 2000);
+            }
+            if (chance(0.5)) {
+                constexpr Kind kinds[] = { Kind::CrashReplica, Kind::LeaveReplica, Kind::JoinReplica };
+                add(kinds[index(3)], group, at, time(300, 3000)).afterCall = time(0, 900);
+            }
+        }
+
         GroupFaultSettings settings_;
         std::mt19937_64 random_;
         /** The next sequence is the first one of its group. */
@@ -125,12 +207,15 @@
 bool operator==(const GroupFault& a, const GroupFault& b)
 {
     const auto fields = [](const GroupFault& fault) {
-        return std::tie(fault.kind, fault.at, fault.afterTakeover, fault.group, fault.duration, fault.choice,
-            fault.count, fault.daemons, fault.isGraceful, fault.hasLapses);
+        return std::tie(fault.kind, fault.at, fault.afterTakeover, fault.afterCall, fault.group, fault.duration,
+            fault.choice, fault.count, fault.daemons, fault.isGraceful, fault.hasLapses, fault.refuses,
+            fault.answersReads, fault.answersWrites);
     };
     return fields(a) == fields(b);
 }
 
 std::vector<GroupFault> drawGroupFaults(const GroupFaultSettings& settings) { return PlanDraw(settings).draw(); }
 
+std::vector<GroupFault> drawLateCalls(const GroupFaultSettings& settings) { return PlanDraw(settings).drawLateCalls(); }
+
 } // namespace almondlever::soak
--- a/soak/StandinStore.cpp
+++ b/soak/StandinStore.cpp
@@ -145,6 +145,9 @@
     if (faults_.isBusy)
         return answer(*exchange, statusBusy, Json::object());
     const std::string& path = exchange->path();
+    const bool isRefused = path == "/-/kv-txn" ? faults_.refusesWrites : faults_.refusesReads;
+    if (isRefused && (path == "/-/kv-txn" || path == "/-/kv-range"))
+        return answer(*exchange, statusBusy, Json::object());
     if (path == "/-/kv-range")
         return readRange(*exchange);
     if (path == "/-/kv-watch")
@@ -273,8 +276,14 @@
 
 void StandinStore::erase(const std::string& key, std::uint64_t revision)
 {
-    if (items_.erase(key) > 0)
-        history_.push_back({ revision, key, true });
+    const auto item = items_.find(key);
+    if (item == items_.end())
+        return;
+    // The end of the lease must not remove the key after another lease has taken it.
+    if (const auto lease = leases_.find(item->second.lease); lease != leases_.end())
+        lease->second.keys.erase(key);
+    items_.erase(item);
+    history_.push_back({ revision, key, true });
 }
 
 void StandinStore::wakeWatches()
--- a/src/pooling/StatementDispatcher.cpp
+++ b/src/pooling/StatementDispatcher.cpp
@@ -49,6 +49,18 @@
 
 EndpointConnector& StatementDispatcher::connector() const { return state_->connector(); }
 
+void StatementDispatcher::holdWrites(
+    const GroupId& group, bool isHeld, TimePoint now, const EndpointId& leader, Term leaderTerm)
+{
+    state_->holdWrites(group, isHeld, now, leader, leaderTerm);
+}
+
+bool StatementDispatcher::areWritesHeld(const GroupId& group) const { return state_->areWritesHeld(group); }
+
+std::optional<TimePoint> StatementDispatcher::awaitsNewsSince() const { return state_->awaitsNewsSince(); }
+
+void StatementDispatcher::noteNews(TimePoint provenAt, TimePoint now) { state_->noteNews(provenAt, now); }
+
 void StatementDispatcher::endHold(const GroupId& group, TimePoint now) { state_->endHold(group, now); }
 
 void StatementDispatcher::sendReplicationCommand(const EndpointId& endpoint, const EndpointCommand& command,
@@ -98,6 +110,11 @@
     return state_->acknowledgedPositionOf(group, now);
 }
 
+LogPosition StatementDispatcher::acknowledgedToCallers(const GroupId& group) const
+{
+    return state_->acknowledgedToCallers(group);
+}
+
 bool StatementDispatcher::isIdle(const GroupId& group, TimePoint now) const { return state_->isIdle(group, now); }
 
 bool StatementDispatcher::isReachable(const EndpointId& endpoint) const { return state_->isReachable(endpoint); }
--- a/src/wire/Messages.cpp
+++ b/src/wire/Messages.cpp
@@ -330,6 +330,9 @@
         writer.text("p", suspicion.primary);
         writer.milliseconds("si", suspicion.silentFor);
         writer.number("sd", suspicion.stepDownTerm);
+        writer.number("fe", suspicion.fence);
+        writer.flag("cl", suspicion.isClosed);
+        writer.number("lt", suspicion.leadingTerm);
     }
 
     PrimarySuspicion readPrimarySuspicion(CborReader& reader)
@@ -340,6 +343,9 @@
         suspicion.primary = reader.identifier<EndpointId>("p");
         suspicion.silentFor = reader.milliseconds("si");
         suspicion.stepDownTerm = reader.number("sd");
+        suspicion.fence = reader.number("fe");
+        suspicion.isClosed = reader.flag("cl");
+        suspicion.leadingTerm = reader.number("lt");
         return suspicion;
     }
 
@@ -348,6 +354,9 @@
         CborWriter writer(map);
         writer.number("n", answer.number);
         writer.enumeration("o", answer.opinion);
+        writer.flag("ho", answer.isHolding);
+        if (answer.acknowledged != LogPosition())
+            writer.position("ap", answer.acknowledged);
         if (!answer.stepDown)
             return;
         map["sr"] = static_cast<std::uint64_t>(answer.stepDown->result);
@@ -361,6 +370,8 @@
         PrimarySuspicionAnswer answer;
         answer.number = reader.number("n");
         answer.opinion = reader.enumeration("o", PrimaryOpinion::Fails);
+        answer.isHolding = reader.flag("ho");
+        answer.acknowledged = readPosition(reader, "ap");
         if (reader.has("sr")) {
             StepDownReport report;
             report.result = reader.enumeration("sr", StepDownResult::Unreachable);
