Correct the comments of GroupPromotion

Change: comments only. They say that whoever executes the orders makes all daemons hold writes and has logs compared again, and that an attempt whose call has no known outcome is left to a recovery.

--- a/include/almondlever/failover/GroupPromotion.h
+++ b/include/almondlever/failover/GroupPromotion.h
@@ -87,22 +87,25 @@
  * One attempt to change the primary of a group without losing an acknowledged commit.
  *
  * A commit is acknowledged once the primary and `synchronousReplicas` replicas hold it. From the moment at which the
- * chosen log is compared with the others until its endpoint leads, no endpoint may help to acknowledge a commit that
- * the chosen one lacks, whether this daemon knows of that endpoint or not.
+ * chosen log is compared with the others until its endpoint leads, no commit that the chosen one lacks may be
+ * acknowledged to a caller.
  *
- * Only the old primary acknowledges commits, so the attempt makes it step down, through other owners of the group if
- * this daemon does not reach it. The end of its log is then final, if it is known to have led until then, and an
- * endpoint is promoted once it has reached that end. If none does in time, the old primary is promoted again: it holds
- * everything, and the change is given up.
+ * Only the old primary acknowledges commits, so the attempt makes it step down, through other daemons if this one does
+ * not reach it. The end of its log is then final, if it is known to have led until then, and an endpoint is promoted
+ * once it has reached that end. If none does in time, the old primary is promoted again: it holds everything, and the
+ * change is given up.
  *
- * A primary that no owner reaches cannot acknowledge anything to their callers. Replicas are paused then, in case it
- * returns: of any `holders - synchronousReplicas` paused logs at least one holds every acknowledged commit, so the
+ * A primary that does not confirm its step-down may still be reached by some daemon. Its replicas are paused and their
+ * logs compared: of any `holders - synchronousReplicas` logs at least one holds every acknowledged commit, so the
  * attempt waits for that many answers and promotes the most advanced log. Holders are the members and the endpoints of
- * setMissingHolders(). The same holds for an endpoint that does not know the order to step down.
+ * setMissingHolders(). A pause may end by a restart or a late order. Whoever executes the orders therefore makes all
+ * daemons hold the group's writes before the call, and has logs that were compared earlier compared again; see
+ * compareAgain(). The same holds for an endpoint that does not know the order to step down.
  *
  * A primary that is leaving serves until one replica has caught up while all others are paused. Paused replicas are
  * resumed once the chosen one is the primary. A promote order without an answer may take effect late; it is repeated
- * until its outcome is known, and the other replicas stay paused until then. Performs no I/O.
+ * for a while. If its outcome is still not known, or the choice has become unsafe, the replicas stay paused and the
+ * attempt is left to a recovery; see needsRecovery(). Performs no I/O.
  */
 class GroupPromotion {
 public:
@@ -147,11 +150,11 @@
      */
     void notePrimaryTerm(Term term) { primaryTerm_ = term; }
 
-    /** `hasRelay`: other owners can be asked to send the order to step down to a primary that does not answer. */
+    /** `hasRelay`: other daemons can be asked to send the order to step down to a primary that does not answer. */
     Orders start(TimePoint now, bool hasRelay = false);
     /** Result of QueryStatus, Pause or Resume; nullopt when the endpoint was unreachable or refused. */
     Orders onStatus(const EndpointId&, Order::Kind, const std::optional<EndpointReplicationStatus>&, TimePoint now);
-    /** Result of StepDown, from this daemon and from the owners that it asked to relay the order. */
+    /** Result of StepDown, from this daemon and from those that it asked to relay the order. */
     Orders onStepDown(const StepDownReport&, TimePoint now);
     /**
      * Adds endpoints that joined the group after the start, or started again without their log; while they could help
@@ -214,7 +217,7 @@
     std::set<EndpointId> unseenHolders() const { return idsNotIn(pausedPositions_); }
     /** End of the old primary's log; nullopt when it did not step down. */
     const std::optional<LogPosition>& steppedDownPosition() const { return steppedDownPosition_; }
-    /** True when a paused replica received commits during the promotion, so that acknowledged commits may be lost. */
+    /** True when a paused replica received commits that the chosen one lacks; the choice is then not called again. */
     bool wasPauseBroken() const { return wasPauseBroken_; }
     LogPosition chosenPosition() const;
 
