Wait longer for daemons without an answer, and ignore answers of an earlier comparison

Change: the wait is 1 s, the limit from which a suspended daemon holds writes; such answers are logged as outdated; the note is cleared.

--- a/include/almondlever/front/PromotionDriver.h
+++ b/include/almondlever/front/PromotionDriver.h
@@ -41,9 +41,10 @@
     Milliseconds missingLogsPause { 3000 };
     /**
      * Daemons that have not answered by then are not waited for before another endpoint is called: they have seen the
-     * claim in the store, whose changes they read at least every 500 ms, or are gone.
+     * claim in the store, whose changes they read at least every 750 ms, or stand still for long enough to hold writes
+     * when they go on, or are gone.
      */
-    Milliseconds holdTimeout { 700 };
+    Milliseconds holdTimeout { 1000 };
     /** An owner recovers a group whose writes are held back for this long without a claim or an open record. */
     Milliseconds orphanedHoldLimit { 3000 };
     LogHolderSettings logHolders;
--- a/src/front/PromotionDriver.cpp
+++ b/src/front/PromotionDriver.cpp
@@ -166,6 +166,7 @@
                     { "fence", std::to_string(change.claim.fence()) } });
             GroupState& state = groupStates_[group];
             state.isChangeOpen = true;
+            state.isOwnChangeOpen = false;
             state.reasonSince.reset();
             changes_.erase(running);
             continue;
--- a/src/front/PromotionDriverOrders.cpp
+++ b/src/front/PromotionDriverOrders.cpp
@@ -92,6 +92,9 @@
             if (change->second->claim.fence() != fence)
                 return logOutdatedOrder(group, order.endpoint, fence);
             GroupPromotion& promotion = *change->second->promotion;
+            // The answer is of the comparison before, when not every daemon held writes back.
+            if (order.kind == GroupPromotion::Order::Kind::Pause && orderedAt < promotion.comparedSince())
+                return logOutdatedOrder(group, order.endpoint, fence);
             promotion.noteAcknowledged(dispatcher_.acknowledgedPositionOf(group, at));
             const bool wasLeading = promotion.leadingTerm() != 0;
             const bool wasPauseBroken = promotion.wasPauseBroken();
