--- a/include/almondlever/front/PromotionDriver.h
+++ b/include/almondlever/front/PromotionDriver.h
@@ -173,8 +173,8 @@
     void requestHold(const GroupId&, TimePoint now);
     /** Makes every daemon hold writes back, if the claim has not done so. */
     void beginHold(const GroupId&, Change&, TimePoint now);
-    /** True if every daemon holds writes back, or has been given the time to. */
-    bool areWritesHeld(const GroupId&, Change&, TimePoint now);
+    /** Notes the time from which every daemon holds writes back, or has been given the time to. */
+    void updateHold(const GroupId&, Change&, TimePoint now);
     void closeHold(const GroupId&, Change&, TimePoint now);
     /** Ends the hold once the outcome of every call is known; replicas may still have to be resumed. */
     void closeHoldIfResolved(const GroupId&, TimePoint now);
--- a/src/front/PromotionDriver.cpp
+++ b/src/front/PromotionDriver.cpp
@@ -146,7 +146,7 @@
             }
             if (change.claim.isHeld(now)) {
                 change.promotion->noteAcknowledged(dispatcher_.acknowledgedPositionOf(group, now));
-                areWritesHeld(group, change, now);
+                updateHold(group, change, now);
                 GroupPromotion::Orders orders = change.promotion->onMembers(membersOf(group));
                 for (const GroupPromotion::Order& order : orders) {
                     const EndpointEntry* entry = directory_.find(order.endpoint);
@@ -465,7 +465,7 @@
     const bool beginsWithStepDown = change.reason != PromotionReason::Recovery && primary && hasRelay;
     if (change.claim.holdsWrites() && !beginsWithStepDown)
         requestHold(group, now);
-    areWritesHeld(group, change, now);
+    updateHold(group, change, now);
     executeOrders(group, change.promotion->start(now, hasRelay), now);
 }
 
--- a/src/front/PromotionDriverOrders.cpp
+++ b/src/front/PromotionDriverOrders.cpp
@@ -198,7 +198,7 @@
     }
     change.promotion->noteAcknowledged(dispatcher_.acknowledgedPositionOf(group, now));
     // The relayed report comes with the last answer that a daemon holds writes back.
-    areWritesHeld(group, change, now);
+    updateHold(group, change, now);
     executeOrders(group, change.promotion->onStepDown(outcome, now), now);
 }
 
@@ -215,7 +215,8 @@
         return callPlatform(group, endpoint, now);
     const std::uint64_t fence = change.claim.fence();
     beginHold(group, change, now);
-    if (!areWritesHeld(group, change, now)) {
+    updateHold(group, change, now);
+    if (!change.heldSince) {
         timers_.callAfter(
             holdCheckInterval, [this, group, endpoint, fence, alive = std::weak_ptr<int>(alive_)](TimePoint at) {
                 if (!alive.expired() && isCurrentChange(group, fence) && changes_.at(group)->promotion)
@@ -255,16 +256,13 @@
     requestHold(group, now);
 }
 
-bool PromotionDriver::areWritesHeld(const GroupId& group, Change& change, TimePoint now)
+void PromotionDriver::updateHold(const GroupId& group, Change& change, TimePoint now)
 {
-    if (change.heldSince)
-        return true;
-    if (!change.claim.holdsWrites() || !change.claim.isHoldWritten())
-        return false;
+    if (change.heldSince || !change.claim.holdsWrites() || !change.claim.isHoldWritten())
+        return;
     const bool isOverdue = now - change.claimedAt >= settings_.holdTimeout;
     if (isOverdue || !stepDownRelay_ || stepDownRelay_->areAllHolding(group, change.claim.fence()))
         change.heldSince = now;
-    return change.heldSince.has_value();
 }
 
 void PromotionDriver::onChoiceVerified(const GroupId& group, const EndpointId& endpoint, bool isFresh, TimePoint now)
@@ -352,6 +350,7 @@
             { "ms", millisecondsOf(now - ended->startedAt) }, { "fence", std::to_string(ended->claim.fence()) },
             { "reason", toText(ended->reason) }, { "leading_term", std::to_string(promotion.leadingTerm()) },
             { "needs_recovery", promotion.needsRecovery() ? "yes" : "no" },
+            { "calls", promotion.areCallsResolved() ? "resolved" : "open" },
             { "unconfirmed_resumes", listOf(promotion.unconfirmedResumes()) } });
     if (promotion.leadingTerm() != 0)
         ended->recordedLeader = { promotion.chosen(), promotion.leadingTerm() };
