Test that a former primary's acknowledgement is no success

A daemon that learned of a change too late to hold writes, and knows the present primary by the time the answer comes, reports an unknown outcome.

--- a/tests/pooling/TestWriteHold.cpp
+++ b/tests/pooling/TestWriteHold.cpp
@@ -83,6 +83,27 @@
     cr_assert(caller.succeeded() || caller.hasError(StatementError::Busy));
 }
 
+// Guards against a commit that a caller hears of although only a former primary has it: this daemon did not learn of
+// the change in time to hold writes, and knows the present primary by now.
+Test(WriteHold, acknowledgementOfAFormerPrimaryIsNoSuccess)
+{
+    for (const bool isReplaced : { false, true }) {
+        Fixture fixture;
+        fixture.endpoints.server(fixture.a).work = Milliseconds(100);
+        FakeCaller caller(fixture, "orders");
+        caller.write("w1");
+        fixture.advance(Milliseconds(5));
+        if (isReplaced) {
+            fixture.promoteUnseen();
+            fixture.directory.noteLeading(fixture.b, 2);
+        }
+        fixture.advance(Milliseconds(200));
+        cr_assert_eq(fixture.endpoints.runsOf("w1"), 1U);
+        cr_expect_eq(caller.succeeded(), !isReplaced);
+        cr_expect_eq(caller.hasError(StatementError::Unknown), isReplaced);
+    }
+}
+
 // Guards against reads that fail during a change of the primary although replicas serve them.
 Test(WriteHold, readsAreServed)
 {
