--- a/tests/promotion_unanswered/TestUnansweredCalls.cpp
+++ b/tests/promotion_unanswered/TestUnansweredCalls.cpp
@@ -19,6 +19,8 @@
     const auto orders = promotion.onStatus(b, Kind::QueryStatus, replica(7), at(1761));
     cr_assert(!hasAny(orders, Kind::Promote), "the call for the primary may still be carried out under this token");
     cr_assert(!hasAny(orders, Kind::Resume));
+    promotion.onStatus(b, Kind::Pause, replica(7), at(1762));
+    promotion.onStatus(c, Kind::Pause, replica(9), at(1762));
     cr_assert(promotion.isFinished());
     cr_assert(promotion.needsRecovery());
     cr_assert_not(promotion.hasSucceeded());
